--- /dev/null
+++ b/packages/consensus/src/index.ts
@@ -0,0 +1,2 @@
+export * from './replica.js';
+export * from './solo.js';
--- /dev/null
+++ b/packages/consensus/src/replica.ts
@@ -0,0 +1,71 @@
+/** A replica of the replicated state, as the rest of the system sees it. */
+
+/** The state machine that the log drives; every function is pure. */
+export interface Machine<S, C, A> {
+  readonly initial: S;
+  apply(state: S, change: C): {state: S; answer: A};
+  /** Number of changes in the state; equals the log index of the last one. */
+  revision(state: S): number;
+}
+
+/** A committed change, and what it led to on this replica. */
+export interface Applied<S, C, A> {
+  readonly state: S;
+  readonly change: C;
+  readonly answer: A;
+}
+
+export interface Committed<A> {
+  readonly answer: A;
+  readonly revision: number;
+}
+
+export interface ReplicaStatus {
+  readonly member: string;
+  readonly role: 'leader' | 'follower' | 'candidate' | 'learner';
+  readonly term: number;
+  /** Member ID of the leader, as far as this replica knows. */
+  readonly leader: string | undefined;
+  readonly revision: number;
+  readonly voters: readonly string[];
+  readonly learners: readonly string[];
+}
+
+/** The replica does not lead: the change was not proposed. */
+export class NotLeader extends Error {
+  constructor(readonly leader: string | undefined) {
+    super(`not the leader; the leader is ${leader ?? 'unknown'}`);
+    this.name = 'NotLeader';
+  }
+}
+
+/** Leadership ended before the change was committed: it may be later. */
+export class OutcomeUnknown extends Error {
+  constructor(message: string) {
+    super(message);
+    this.name = 'OutcomeUnknown';
+  }
+}
+
+export abstract class Replica<S, C, A> {
+  /** The applied state. */
+  abstract state(): S;
+  abstract status(): ReplicaStatus;
+  /**
+   * Resolves once the change is durable on a majority and applied here.
+   * Rejects with `NotLeader` or `OutcomeUnknown`.
+   */
+  abstract propose(change: C): Promise<Committed<A>>;
+  /**
+   * A revision that includes every change acknowledged before the call,
+   * confirmed by a round to a majority that began after it. Rejects with
+   * `NotLeader` when this replica does not lead or cannot confirm it.
+   */
+  abstract readIndex(): Promise<number>;
+  /** Resolves once the applied state includes `revision`. */
+  abstract reached(revision: number): Promise<void>;
+  /** Calls `listener` for each applied change; returns a way to end that. */
+  abstract watch(listener: (applied: Applied<S, C, A>) => void): () => void;
+  /** Hands leadership over if it leads, then stops. */
+  abstract stop(): Promise<void>;
+}
--- /dev/null
+++ b/packages/model/src/apply.ts
@@ -0,0 +1,68 @@
+/** The transition of the replicated state. */
+import type {Change, ChangeBody} from './change.js';
+import {applyCommand} from './edit.js';
+import {grantPermit, observeHosts, stepHost} from './permit.js';
+import {succeed, type Result} from './result.js';
+import {makeClaims, settleClaims} from './settle.js';
+import {closeSession, endSession, openSession, setSlices} from './slice.js';
+import type {State} from './state.js';
+import {
+  cancelJobs,
+  parkJobs,
+  placeJobs,
+  quarantine,
+  stepJobs,
+  submitJobs,
+} from './work.js';
+
+/**
+ * Applies one committed change. Pure: the same change on the same state gives
+ * the same result. A refused change raises the revision and nothing else.
+ */
+export function apply(state: State, change: Change): Result {
+  const stamped: State = {
+    ...state,
+    revision: state.revision + 1,
+    nowMs: Math.max(state.nowMs, change.atMs),
+  };
+  return reduce(stamped, change.body);
+}
+
+function reduce(state: State, body: ChangeBody): Result {
+  switch (body.type) {
+    case 'noop':
+      return succeed(state);
+    case 'command':
+      return applyCommand(state, body.requestId, body.command);
+    case 'open-session':
+      return openSession(state, body);
+    case 'close-session':
+      return closeSession(state, body);
+    case 'end-session':
+      return endSession(state, body);
+    case 'set-slices':
+      return setSlices(state, body);
+    case 'claim':
+      return makeClaims(state, body);
+    case 'settle':
+      return settleClaims(state, body);
+    case 'observe-hosts':
+      return observeHosts(state, body);
+    case 'grant-permit':
+      return grantPermit(state, body);
+    case 'step-host':
+      return stepHost(state, body);
+    case 'submit-jobs':
+      return submitJobs(state, body);
+    case 'cancel-jobs':
+      return cancelJobs(state, body);
+    case 'place-jobs':
+      return placeJobs(state, body);
+    case 'step-jobs':
+      return stepJobs(state, body);
+    case 'park-jobs':
+      return parkJobs(state, body);
+    case 'quarantine':
+      return quarantine(state, body);
+  }
+}
--- /dev/null
+++ b/packages/model/src/edit.ts
@@ -0,0 +1,176 @@
+/** Reducers of operators' commands. */
+import type {Command, CommandOf} from './change.js';
+import {fail, succeed, type Result} from './result.js';
+import {grantPermit, openWave, releasePermit, setWave} from './permit.js';
+import {ANSWERS_KEPT, type Answer, type State} from './state.js';
+import {mergeTables, type Tables} from './table.js';
+import type {Host} from './host.js';
+
+/**
+ * Applies `command` once: a resend under the same request ID gets the first
+ * answer and changes nothing.
+ */
+export function applyCommand(
+  state: State,
+  requestId: string,
+  command: Command,
+): Result {
+  const first = Object.hasOwn(state.answers, requestId)
+    ? state.answers[requestId]
+    : undefined;
+  if (first) return {state, answer: first};
+  const result = runCommand(state, command);
+  return {
+    state: {
+      ...result.state,
+      answers: remember(result.state.answers, requestId, result.answer),
+    },
+    answer: result.answer,
+  };
+}
+
+function runCommand(state: State, command: Command): Result {
+  switch (command.type) {
+    case 'edit':
+      return edit(state, command);
+    case 'give-key':
+      return giveKey(state, command);
+    case 'withdraw-key':
+      return withdrawKey(state, command);
+    case 'drain':
+      return grantPermit(state, {host: command.host, kind: 'drain'});
+    case 'undrain':
+      return releasePermit(state, command.host);
+    case 'retire':
+      return retire(state, command);
+    case 'open-wave':
+      return openWave(state, command);
+    case 'set-wave':
+      return setWave(state, command);
+    case 'release-worker':
+      return releaseWorker(state, command);
+  }
+}
+
+function edit(state: State, command: CommandOf<'edit'>): Result {
+  const {basedOn} = command.edit;
+  const current = state.tables.version;
+  if (basedOn !== current) {
+    return fail(
+      state,
+      'conflict',
+      `the edit is based on version ${basedOn}; the current version is ${current}`,
+    );
+  }
+  const {tables, problems} = mergeTables(state.tables, command.edit);
+  const missing = missingHosts(state, tables);
+  if (problems.length > 0 || missing.length > 0) {
+    const texts = problems.map(p => `${p.path.join('.')}: ${p.message}`);
+    return fail(state, 'invalid', [...texts, ...missing].join('; '));
+  }
+  return succeed({...state, tables, hosts: addHosts(state, tables)});
+}
+
+/** Hosts that the new tables leave without a pool. */
+function missingHosts(state: State, tables: Tables): string[] {
+  const listed = new Set(Object.values(tables.pools).flatMap(p => p.hosts));
+  return Object.keys(state.hosts)
+    .filter(id => !listed.has(id))
+    .map(id => `pools: host "${id}" must stay in a pool until it is retired`);
+}
+
+/** Adds hosts named for the first time; the others move by permit. */
+function addHosts(state: State, tables: Tables): Record<string, Host> {
+  const hosts = {...state.hosts};
+  for (const pool of Object.values(tables.pools)) {
+    for (const id of pool.hosts) {
+      if (Object.hasOwn(hosts, id)) continue;
+      hosts[id] = {
+        id,
+        pool: pool.name,
+        dataCentre: '',
+        rack: '',
+        cores: 0,
+        memoryMiB: 0,
+        accelerators: 0,
+        phase: 'joining',
+        maintainedAtMs: state.nowMs,
+        quarantined: false,
+      };
+    }
+  }
+  return hosts;
+}
+
+function giveKey(state: State, command: CommandOf<'give-key'>): Result {
+  const {keyId, subject, secretHash} = command;
+  if (Object.hasOwn(state.keys, keyId)) {
+    return fail(state, 'invalid', `key ${keyId} exists already`);
+  }
+  if (subject.kind === 'team' && !state.tables.teams[subject.team]) {
+    return fail(state, 'unknown', `unknown team "${subject.team}"`);
+  }
+  if (subject.kind === 'pool' && !state.tables.pools[subject.pool]) {
+    return fail(state, 'unknown', `unknown pool "${subject.pool}"`);
+  }
+  const key = {id: keyId, subject, secretHash, givenAtMs: state.nowMs};
+  return succeed({...state, keys: {...state.keys, [keyId]: key}});
+}
+
+function withdrawKey(state: State, command: CommandOf<'withdraw-key'>): Result {
+  const key = state.keys[command.keyId];
+  if (!key) return fail(state, 'unknown', `unknown key ${command.keyId}`);
+  if (key.withdrawnAtMs !== undefined) return succeed(state);
+  const withdrawn = {...key, withdrawnAtMs: state.nowMs};
+  return succeed({...state, keys: {...state.keys, [key.id]: withdrawn}});
+}
+
+function retire(state: State, command: CommandOf<'retire'>): Result {
+  const host = state.hosts[command.host];
+  if (!host) return fail(state, 'unknown', `unknown host "${command.host}"`);
+  if (host.phase !== 'drained' && host.phase !== 'failed') {
+    return fail(
+      state,
+      'invalid',
+      `host "${host.id}" is ${host.phase}; drain it before it is retired`,
+    );
+  }
+  const {[host.id]: _, ...hosts} = state.hosts;
+  return succeed({...state, hosts, tables: withoutHost(state.tables, host.id)});
+}
+
+function withoutHost(tables: Tables, host: string): Tables {
+  const pools = Object.fromEntries(
+    Object.entries(tables.pools).map(([name, pool]) => [
+      name,
+      pool.hosts.includes(host)
+        ? {...pool, hosts: pool.hosts.filter(id => id !== host)}
+        : pool,
+    ]),
+  );
+  return {...tables, version: tables.version + 1, pools};
+}
+
+function releaseWorker(
+  state: State,
+  command: CommandOf<'release-worker'>,
+): Result {
+  const host = state.hosts[command.host];
+  if (!host) return fail(state, 'unknown', `unknown host "${command.host}"`);
+  const released = {...host, quarantined: false};
+  return succeed({...state, hosts: {...state.hosts, [host.id]: released}});
+}
+
+/** Keeps the newest answers, in the order in which they were given. */
+function remember(
+  answers: Readonly<Record<string, Answer>>,
+  requestId: string,
+  answer: Answer,
+): Record<string, Answer> {
+  const kept = {...answers, [requestId]: answer};
+  const ids = Object.keys(kept);
+  for (const id of ids.slice(0, Math.max(0, ids.length - ANSWERS_KEPT))) {
+    delete kept[id];
+  }
+  return kept;
+}
--- /dev/null
+++ b/packages/model/src/index.ts
@@ -0,0 +1,15 @@
+export * from './apply.js';
+export * from './change.js';
+export * from './claim.js';
+export * from './host.js';
+export * from './job.js';
+export * from './key.js';
+export {budgetRefusal, isAvailable} from './permit.js';
+export * from './result.js';
+export * from './roster.js';
+export * from './session.js';
+export * from './state.js';
+export * from './table.js';
+export * from './verdict.js';
+export * from './view.js';
+export {ATTEMPTS_BEFORE_PARKING} from './work.js';
--- /dev/null
+++ b/packages/model/src/slice.ts
@@ -0,0 +1,96 @@
+/** Reducers of sessions and of the slices that they hold. */
+import type {BodyOf} from './change.js';
+import {fail, succeed, type Result} from './result.js';
+import {sliceTotal, type Slice, type Slices} from './session.js';
+import type {State} from './state.js';
+
+export function openSession(
+  state: State,
+  body: BodyOf<'open-session'>,
+): Result {
+  if (Object.hasOwn(state.sessions, body.session)) {
+    return fail(state, 'invalid', `session ${body.session} exists already`);
+  }
+  const session = {
+    id: body.session,
+    entryHost: body.entryHost,
+    phase: 'open' as const,
+  };
+  const sessions = {...state.sessions, [session.id]: session};
+  return succeed({...state, sessions});
+}
+
+export function closeSession(
+  state: State,
+  body: BodyOf<'close-session'>,
+): Result {
+  const session = state.sessions[body.session];
+  if (!session) return fail(state, 'unknown', `unknown session ${body.session}`);
+  if (session.phase === 'closed') return succeed(state);
+  const closed = {
+    ...session,
+    phase: 'closed' as const,
+    closedAtMs: state.nowMs,
+  };
+  return succeed({
+    ...state,
+    sessions: {...state.sessions, [session.id]: closed},
+  });
+}
+
+export function endSession(state: State, body: BodyOf<'end-session'>): Result {
+  const session = state.sessions[body.session];
+  if (!session) return succeed(state);
+  if (session.phase !== 'closed') {
+    return fail(state, 'invalid', `session ${session.id} is still open`);
+  }
+  const {[session.id]: _, ...sessions} = state.sessions;
+  const slices: Slices = {};
+  for (const [team, held] of Object.entries(state.slices)) {
+    const {[session.id]: _slice, ...others} = held;
+    if (Object.keys(others).length > 0) slices[team] = others;
+  }
+  return succeed({...state, sessions, slices});
+}
+
+/**
+ * Sets slices one by one. An item that is based on an older generation, is
+ * for a closed session or would pass the team's limit is left out, so that
+ * no order of changes can break a limit.
+ */
+export function setSlices(state: State, body: BodyOf<'set-slices'>): Result {
+  let slices = state.slices;
+  const refused: string[] = [];
+  for (const item of body.slices) {
+    const current = slices[item.team]?.[item.session];
+    if (!mayCarry(state, slices, item, current)) {
+      refused.push(`${item.team}/${item.session}`);
+      continue;
+    }
+    const next = {
+      amount: item.amount,
+      generation: (current?.generation ?? 0) + 1,
+    };
+    slices = {
+      ...slices,
+      [item.team]: {...slices[item.team], [item.session]: next},
+    };
+  }
+  const detail = refused.length > 0 ? `refused ${refused.join(' ')}` : undefined;
+  return succeed({...state, slices}, detail);
+}
+
+function mayCarry(
+  state: State,
+  slices: Slices,
+  item: BodyOf<'set-slices'>['slices'][number],
+  current: Slice | undefined,
+): boolean {
+  const generation = current?.generation ?? 0;
+  if (item.basedOn !== generation) return false;
+  if (state.sessions[item.session]?.phase !== 'open') return false;
+  const growth = item.amount - (current?.amount ?? 0);
+  if (growth <= 0) return true;
+  const limit = state.tables.teams[item.team]?.limit ?? 0;
+  return sliceTotal(slices, item.team) + growth <= limit;
+}
--- /dev/null
+++ b/packages/model/src/table.ts
@@ -0,0 +1,211 @@
+/** The two tables that operators edit, and the checks that join them. */
+import {z} from 'zod';
+
+/** Names of routes, pools, teams, services and hosts. */
+export const nameSchema = z
+  .string()
+  .regex(
+    /^[a-z0-9][a-z0-9.-]{0,62}$/,
+    'must be 1 to 63 characters of a-z, 0-9, "." or "-", starting with a letter or digit',
+  );
+
+export const MAX_CALL_TIMEOUT_MS = 30_000;
+export const MAX_BODY_BYTES = 64 * 1024 * 1024;
+const DAYS_BETWEEN_MAINTENANCE = 42;
+
+export const routeSchema = z.strictObject({
+  name: nameSchema,
+  pool: nameSchema,
+  service: nameSchema,
+  /** Open to all: needs no key; its work is charged to `chargeTo`. */
+  open: z.boolean().default(false),
+  chargeTo: nameSchema.optional(),
+  /** Teams that may call; absent means every team. */
+  teams: z.array(nameSchema).optional(),
+  /**
+   * `by-method`: the usual HTTP rule. `idempotent`: every method may be
+   * repeated. `once`: no method may be repeated.
+   */
+  repeat: z.enum(['by-method', 'idempotent', 'once']).default('by-method'),
+  timeoutMs: z.number().int().min(1).max(MAX_CALL_TIMEOUT_MS).default(10_000),
+  maxBodyBytes: z
+    .number()
+    .int()
+    .min(0)
+    .max(MAX_BODY_BYTES)
+    .default(1024 * 1024),
+  urgent: z.boolean().default(false),
+});
+export type Route = z.infer<typeof routeSchema>;
+
+export const poolSchema = z.strictObject({
+  name: nameSchema,
+  kind: z.enum(['calls', 'jobs', 'spare']),
+  hosts: z.array(nameSchema),
+  /** Availability budget: healthy serving hosts that must remain. */
+  minAvailable: z.number().int().nonnegative().default(0),
+  slotsPerHost: z.number().int().min(1).max(10_000).default(8),
+  connectionsPerHost: z.number().int().min(1).max(10_000).default(64),
+  maintenancePeriodDays: z
+    .number()
+    .int()
+    .min(1)
+    .max(366)
+    .default(DAYS_BETWEEN_MAINTENANCE),
+});
+export type Pool = z.infer<typeof poolSchema>;
+
+export const teamSchema = z.strictObject({
+  name: nameSchema,
+  /** Weight of the team's share when the fleet is full. */
+  share: z.number().positive().max(1_000_000),
+  /** Upper limit of running calls, across the fleet. */
+  limit: z.number().int().min(0).max(1_000_000),
+  /** Upper limit of running jobs; absent means the same number as `limit`. */
+  jobLimit: z.number().int().min(0).max(1_000_000).optional(),
+  /** Service-level objective: part of calls answered well. */
+  objective: z.number().gt(0).lt(1).default(0.999),
+});
+export type Team = z.infer<typeof teamSchema>;
+
+export const tablesSchema = z.object({
+  version: z.number().int().nonnegative(),
+  routes: z.record(z.string(), routeSchema),
+  pools: z.record(z.string(), poolSchema),
+  teams: z.record(z.string(), teamSchema),
+});
+export type Tables = z.infer<typeof tablesSchema>;
+
+/** One edit; a section that is absent stays as it is. */
+export const tableEditSchema = z.strictObject({
+  /** Version of the tables on which the edit is based. */
+  basedOn: z.number().int().nonnegative(),
+  routes: z.array(routeSchema).optional(),
+  pools: z.array(poolSchema).optional(),
+  teams: z.array(teamSchema).optional(),
+});
+export type TableEdit = z.infer<typeof tableEditSchema>;
+
+export const EMPTY_TABLES: Tables = {
+  version: 0,
+  routes: {},
+  pools: {},
+  teams: {},
+};
+
+/** A contradiction in the tables; `path` leads to the field at fault. */
+export interface TableProblem {
+  readonly path: readonly (string | number)[];
+  readonly message: string;
+}
+
+/** Result of merging an edit into the tables, with every problem found. */
+export interface MergedTables {
+  readonly tables: Tables;
+  readonly problems: readonly TableProblem[];
+}
+
+/** Merges `edit` into `tables` as the next version and checks the result. */
+export function mergeTables(tables: Tables, edit: TableEdit): MergedTables {
+  const problems: TableProblem[] = [];
+  const merged: Tables = {
+    version: tables.version + 1,
+    routes: section('routes', edit.routes, tables.routes, problems),
+    pools: section('pools', edit.pools, tables.pools, problems),
+    teams: section('teams', edit.teams, tables.teams, problems),
+  };
+  checkPools(edit.pools ?? Object.values(merged.pools), problems);
+  checkRoutes(edit.routes ?? Object.values(merged.routes), merged, problems);
+  return {tables: merged, problems};
+}
+
+function section<T extends {name: string}>(
+  title: string,
+  rows: readonly T[] | undefined,
+  current: Record<string, T>,
+  problems: TableProblem[],
+): Record<string, T> {
+  if (rows === undefined) return current;
+  const byName: Record<string, T> = {};
+  rows.forEach((row, index) => {
+    if (Object.hasOwn(byName, row.name)) {
+      problems.push({
+        path: [title, index, 'name'],
+        message: `duplicate name "${row.name}"`,
+      });
+    }
+    byName[row.name] = row;
+  });
+  return byName;
+}
+
+function checkPools(pools: readonly Pool[], problems: TableProblem[]): void {
+  const poolOfHost = new Map<string, string>();
+  pools.forEach((pool, index) => {
+    if (pool.minAvailable > pool.hosts.length) {
+      problems.push({
+        path: ['pools', index, 'minAvailable'],
+        message: `minAvailable ${pool.minAvailable} is above the pool's ${pool.hosts.length} hosts`,
+      });
+    }
+    pool.hosts.forEach((host, position) => {
+      const other = poolOfHost.get(host);
+      if (other !== undefined) {
+        problems.push({
+          path: ['pools', index, 'hosts', position],
+          message: `host "${host}" is already in pool "${other}"`,
+        });
+      }
+      poolOfHost.set(host, pool.name);
+    });
+  });
+}
+
+function checkRoutes(
+  routes: readonly Route[],
+  merged: Tables,
+  problems: TableProblem[],
+): void {
+  routes.forEach((route, index) => {
+    const pool = merged.pools[route.pool];
+    if (pool === undefined) {
+      problems.push({
+        path: ['routes', index, 'pool'],
+        message: `unknown pool "${route.pool}"`,
+      });
+    } else if (pool.kind === 'spare') {
+      problems.push({
+        path: ['routes', index, 'pool'],
+        message: `pool "${route.pool}" is a spare pool and serves no route`,
+      });
+    }
+    checkRouteTeams(route, index, merged, problems);
+  });
+}
+
+function checkRouteTeams(
+  route: Route,
+  index: number,
+  merged: Tables,
+  problems: TableProblem[],
+): void {
+  if (route.open && route.chargeTo === undefined) {
+    problems.push({
+      path: ['routes', index, 'chargeTo'],
+      message: 'an open route needs the team to which its work is charged',
+    });
+  }
+  if (route.chargeTo !== undefined && !merged.teams[route.chargeTo]) {
+    problems.push({
+      path: ['routes', index, 'chargeTo'],
+      message: `unknown team "${route.chargeTo}"`,
+    });
+  }
+  route.teams?.forEach((team, position) => {
+    if (merged.teams[team]) return;
+    problems.push({
+      path: ['routes', index, 'teams', position],
+      message: `unknown team "${team}"`,
+    });
+  });
+}
--- /dev/null
+++ b/packages/observe/src/event.ts
@@ -0,0 +1,53 @@
+/** Logs: one line of key=value pairs for each event. */
+import loglevel from 'loglevel';
+
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
+export type Fields = Readonly<
+  Record<string, string | number | boolean | undefined>
+>;
+
+export interface Log {
+  debug(event: string, fields?: Fields): void;
+  info(event: string, fields?: Fields): void;
+  warn(event: string, fields?: Fields): void;
+  error(event: string, fields?: Fields): void;
+}
+
+/** A log whose lines all carry `fixed`; lines go to `write`. */
+export function createLog(
+  level: LogLevel,
+  fixed: Fields = {},
+  write: (line: string) => void = line => process.stderr.write(line + '\n'),
+): Log {
+  const logger = loglevel.getLogger(Symbol('lentildrift'));
+  logger.methodFactory = name => (event: string, fields: Fields) =>
+    write(formatEvent(new Date(), name, event, {...fixed, ...fields}));
+  logger.setLevel(level, false);
+  return {
+    debug: (event, fields) => logger.debug(event, fields),
+    info: (event, fields) => logger.info(event, fields),
+    warn: (event, fields) => logger.warn(event, fields),
+    error: (event, fields) => logger.error(event, fields),
+  };
+}
+
+/** One line; a value with spaces, quotes or line breaks is quoted. */
+export function formatEvent(
+  at: Date,
+  level: string,
+  event: string,
+  fields: Fields,
+): string {
+  const pairs = Object.entries({
+    at: at.toISOString(),
+    level,
+    event,
+    ...fields,
+  }).filter(([, value]) => value !== undefined);
+  return pairs.map(([key, value]) => `${key}=${formatValue(value)}`).join(' ');
+}
+
+function formatValue(value: string | number | boolean | undefined): string {
+  const text = String(value);
+  return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text);
+}
--- /dev/null
+++ b/packages/observe/src/index.ts
@@ -0,0 +1,1 @@
+export * from './event.js';
--- /dev/null
+++ b/packages/pipe/src/index.ts
@@ -0,0 +1,1 @@
+export * from './filter.js';
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,1 @@
+export * from './platform.js';
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,4 @@
+export * from './client.js';
+export * from './message.js';
+export {createServiceServer, SECRET_HEADER} from './router.js';
+export * from './service.js';
--- /dev/null
+++ b/packages/protocol/src/service.ts
@@ -0,0 +1,71 @@
+/**
+ * What processes ask of each other, apart from any encoding. Implementations:
+ * the control role itself, `trpc` clients, and fakes in tests.
+ */
+import type {Verdict} from '@lentildrift/model';
+import type {
+  CancelRequest,
+  ClaimRequest,
+  ClaimResponse,
+  CloseSessionRequest,
+  CommandRequest,
+  CommandResponse,
+  DeliverRequest,
+  GossipRequest,
+  JobsRequest,
+  JobsResponse,
+  OpenSessionRequest,
+  OpenSessionResponse,
+  ProposeRequest,
+  ProposeResponse,
+  ReadIndexResponse,
+  ReadRequest,
+  ReadResponse,
+  ReportRequest,
+  ReportResponse,
+  SettleRequest,
+  SubmitRequest,
+  SyncRequest,
+  SyncResponse,
+} from './message.js';
+
+export type ServiceErrorCode =
+  | 'unavailable'
+  | 'unauthorised'
+  | 'malformed'
+  | 'outcome-unknown';
+
+/** Failure of a service call; the verdict says whether it took effect. */
+export class ServiceError extends Error {
+  constructor(
+    readonly code: ServiceErrorCode,
+    message: string,
+    readonly verdict: Verdict = 'not-run',
+  ) {
+    super(message);
+    this.name = 'ServiceError';
+  }
+}
+
+/** Asked by entry hosts and operators; every method throws `ServiceError`. */
+export abstract class ControlService {
+  abstract openSession(r: OpenSessionRequest): Promise<OpenSessionResponse>;
+  abstract closeSession(r: CloseSessionRequest): Promise<void>;
+  abstract sync(request: SyncRequest): Promise<SyncResponse>;
+  abstract claim(request: ClaimRequest): Promise<ClaimResponse>;
+  abstract settle(request: SettleRequest): Promise<void>;
+  abstract command(request: CommandRequest): Promise<CommandResponse>;
+  abstract read(request: ReadRequest): Promise<ReadResponse>;
+  abstract submit(request: SubmitRequest): Promise<CommandResponse>;
+  abstract cancel(request: CancelRequest): Promise<CommandResponse>;
+  abstract jobs(request: JobsRequest): Promise<JobsResponse>;
+}
+
+/** Asked by other control processes; every method throws `ServiceError`. */
+export abstract class PeerService {
+  abstract deliver(request: DeliverRequest): Promise<void>;
+  abstract propose(request: ProposeRequest): Promise<ProposeResponse>;
+  abstract readIndex(): Promise<ReadIndexResponse>;
+  abstract report(request: ReportRequest): Promise<ReportResponse>;
+  abstract gossip(request: GossipRequest): Promise<void>;
+}
--- /dev/null
+++ b/packages/task/src/index.ts
@@ -0,0 +1,1 @@
+export * from './task.js';
--- /dev/null
+++ b/packages/task/test/task.test.ts
@@ -0,0 +1,79 @@
+import {describe, expect, it, vi} from 'vitest';
+import {startTasks, type Reply} from '@lentildrift/task';
+
+type Msg =
+  | {type: 'add'; by: number}
+  | {type: 'fail'; reply?: Reply<never>}
+  | {type: 'read'; reply: Reply<never>}
+  | {type: 'ignore'; reply: Reply<never>};
+
+function counter(failures: string[] = []) {
+  const tasks = startTasks((task, error) =>
+    failures.push(`${task}: ${error.message}`),
+  );
+  const task = tasks.spawn<number, Msg>({
+    name: 'counter',
+    initial: 0,
+    async handle(state, message) {
+      if (message.type === 'add') return state + message.by;
+      if (message.type === 'fail') throw new Error('handler failed');
+      if (message.type === 'read') message.reply.resolve(state as never);
+      return state;
+    },
+  });
+  const read = () =>
+    task.ask<number>(
+      reply => ({type: 'read', reply: reply as Reply<never>}),
+      1000,
+    );
+  return {task, read};
+}
+
+describe('task', () => {
+  it('keeps its state and the waiting messages when a handler throws', async () => {
+    const failures: string[] = [];
+    const {task, read} = counter(failures);
+    task.post({type: 'add', by: 1});
+    task.post({type: 'fail'});
+    task.post({type: 'add', by: 2});
+    expect(await read()).toBe(3);
+    expect(failures).toEqual(['counter: handler failed']);
+    await task.stop();
+  });
+
+  it('rejects the sender whose message made the handler throw', async () => {
+    const {task} = counter();
+    const asked = task.ask<number>(
+      reply => ({type: 'fail', reply: reply as Reply<never>}),
+      1000,
+    );
+    await expect(asked).rejects.toThrow('handler failed');
+    await task.stop();
+  });
+
+  it('rejects a sender that waits when the task stops, and later senders', async () => {
+    const {task, read} = counter();
+    const asked = task.ask<number>(
+      reply => ({type: 'ignore', reply: reply as Reply<never>}),
+      60_000,
+    );
+    const rejected = expect(asked).rejects.toThrow('has stopped');
+    await task.stop();
+    await rejected;
+    await expect(read()).rejects.toThrow('has stopped');
+    expect(task.post({type: 'add', by: 1})).toBe(false);
+  });
+
+  it('times out on the paused clock when no answer comes', async () => {
+    vi.useFakeTimers();
+    const {task} = counter();
+    const asked = task.ask<number>(
+      reply => ({type: 'ignore', reply: reply as Reply<never>}),
+      500,
+    );
+    const rejected = expect(asked).rejects.toThrow('within 500 ms');
+    await vi.advanceTimersByTimeAsync(500);
+    await rejected;
+    vi.useRealTimers();
+  });
+});
