Serve a call end to end in one process, in the shape of the design

The embedded default starts control, entry and a sample upstream; calls run through identify, route, authorise, admit, select, forward. State is in memory and each limit goes to one entry session.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './control.js';
+export * from './machine.js';
+export * from './views.js';
--- /dev/null
+++ b/packages/control/src/machine.ts
@@ -0,0 +1,17 @@
+/** The replicated state as a machine for the log. */
+import type {Machine, Replica} from '@lentildrift/consensus';
+import {
+  apply,
+  EMPTY_STATE,
+  type Answer,
+  type Change,
+  type State,
+} from '@lentildrift/model';
+
+export type StateReplica = Replica<State, Change, Answer>;
+
+export const stateMachine: Machine<State, Change, Answer> = {
+  initial: EMPTY_STATE,
+  apply,
+  revision: state => state.revision,
+};
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './embedded.js';
--- a/packages/model/src/key.ts
+++ b/packages/model/src/key.ts
@@ -69,7 +69,5 @@
   if (!parsed) return undefined;
   const key = Object.hasOwn(keys, parsed.id) ? keys[parsed.id] : undefined;
   if (!key || key.withdrawnAtMs !== undefined) return undefined;
-  return secretMatches(parsed.secret, key.secretHash)
-    ? key.subject
-    : undefined;
+  return secretMatches(parsed.secret, key.secretHash) ? key.subject : undefined;
 }
--- a/packages/model/src/permit.ts
+++ b/packages/model/src/permit.ts
@@ -50,7 +50,10 @@
   if (host.permit) {
     return fail(state, 'invalid', `host "${host.id}" holds a permit already`);
   }
-  if (request.kind === 'move' && !state.tables.pools[request.targetPool ?? '']) {
+  if (
+    request.kind === 'move' &&
+    !state.tables.pools[request.targetPool ?? '']
+  ) {
     return fail(state, 'unknown', `unknown pool "${request.targetPool}"`);
   }
   const refusal = budgetRefusal(state, host);
@@ -172,7 +175,10 @@
   return {...state.waves, [wave.id]: {...wave, pending, finished, phase}};
 }
 
-export function openWave(state: State, command: CommandOf<'open-wave'>): Result {
+export function openWave(
+  state: State,
+  command: CommandOf<'open-wave'>,
+): Result {
   if (Object.hasOwn(state.waves, command.wave)) {
     return fail(state, 'invalid', `wave "${command.wave}" exists already`);
   }
--- a/packages/model/src/slice.ts
+++ b/packages/model/src/slice.ts
@@ -25,7 +25,8 @@
   body: BodyOf<'close-session'>,
 ): Result {
   const session = state.sessions[body.session];
-  if (!session) return fail(state, 'unknown', `unknown session ${body.session}`);
+  if (!session)
+    return fail(state, 'unknown', `unknown session ${body.session}`);
   if (session.phase === 'closed') return succeed(state);
   const closed = {
     ...session,
@@ -76,7 +77,8 @@
       [item.team]: {...slices[item.team], [item.session]: next},
     };
   }
-  const detail = refused.length > 0 ? `refused ${refused.join(' ')}` : undefined;
+  const detail =
+    refused.length > 0 ? `refused ${refused.join(' ')}` : undefined;
   return succeed({...state, slices}, detail);
 }
 
--- a/packages/model/src/view.ts
+++ b/packages/model/src/view.ts
@@ -70,7 +70,8 @@
 }
 
 function projectHosts(state: State, previous: View['hosts']): View['hosts'] {
-  let changed = Object.keys(previous).length !== Object.keys(state.hosts).length;
+  let changed =
+    Object.keys(previous).length !== Object.keys(state.hosts).length;
   const hosts: View['hosts'] = {};
   for (const [id, {pool, phase}] of Object.entries(state.hosts)) {
     const old = previous[id];
--- a/packages/protocol/src/client.ts
+++ b/packages/protocol/src/client.ts
@@ -89,8 +89,7 @@
     return new ServiceError('outcome-unknown', String(error), 'may-have-run');
   }
   const data = error.data as
-    | {code?: string; service?: ServiceFields}
-    | undefined;
+    {code?: string; service?: ServiceFields} | undefined;
   if (data?.service) {
     const {code, message, verdict} = data.service;
     return new ServiceError(code, message, verdict);
--- a/packages/protocol/src/router.ts
+++ b/packages/protocol/src/router.ts
@@ -5,7 +5,11 @@
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {z} from 'zod';
 import * as message from './message.js';
-import {ServiceError, type ControlService, type PeerService} from './service.js';
+import {
+  ServiceError,
+  type ControlService,
+  type PeerService,
+} from './service.js';
 
 /** Header that carries the cluster's shared secret. */
 export const SECRET_HEADER = 'lentildrift-cluster';
@@ -42,7 +46,10 @@
 
 const member = open.use(({ctx, next}) => {
   if (!ctx.member) {
-    throw new TRPCError({code: 'UNAUTHORIZED', message: 'wrong cluster secret'});
+    throw new TRPCError({
+      code: 'UNAUTHORIZED',
+      message: 'wrong cluster secret',
+    });
   }
   return next();
 });
@@ -91,9 +98,7 @@
     propose: member
       .input(message.proposeRequestSchema)
       .mutation(({input}) => service.propose(input)),
-    readIndex: member
-      .input(z.undefined())
-      .mutation(() => service.readIndex()),
+    readIndex: member.input(z.undefined()).mutation(() => service.readIndex()),
     report: member
       .input(message.reportRequestSchema)
       .mutation(({input}) => service.report(input)),
--- a/packages/protocol/src/service.ts
+++ b/packages/protocol/src/service.ts
@@ -30,10 +30,7 @@
 } from './message.js';
 
 export type ServiceErrorCode =
-  | 'unavailable'
-  | 'unauthorised'
-  | 'malformed'
-  | 'outcome-unknown';
+  'unavailable' | 'unauthorised' | 'malformed' | 'outcome-unknown';
 
 /** Failure of a service call; the verdict says whether it took effect. */
 export class ServiceError extends Error {
--- a/packages/sample/src/index.ts
+++ b/packages/sample/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './tables.js';
+export * from './upstream.js';
--- a/packages/task/src/task.ts
+++ b/packages/task/src/task.ts
@@ -8,7 +8,14 @@
  * it; here the state from before that message is kept, the failure is
  * reported, and a waiting sender gets the error.
  */
-import {dispatch, spawn, start, stop, type ActorSystemRef, type Ref} from 'nact';
+import {
+  dispatch,
+  spawn,
+  start,
+  stop,
+  type ActorSystemRef,
+  type Ref,
+} from 'nact';
 
 /** Where the answer to a message goes; only the first call counts. */
 export interface Reply<T> {
