Add the recorded history and a checker for each invariant

Checkers are pure functions of recorded events, so that the same ones judge paused-clock scenarios and runs over real processes.

--- /dev/null
+++ b/packages/testkit/src/check/config.ts
@@ -0,0 +1,161 @@
+/** Checkers of configuration: keys, leaving upstreams, edits that stay. */
+import {ofType, type EventOf, type HistoryEvent} from '../history.js';
+import {groupBy, type Checker} from './checker.js';
+import {teamsOfKeys} from './limit.js';
+
+/** Within this, an accepted change of configuration is in force everywhere. */
+export const IN_FORCE_MS = 7000;
+/** After this, an upstream that left gets no new work. */
+export const LEFT_MS = 5000;
+
+/** Work is done only under a key of its team that is not long withdrawn. */
+export const keys: Checker = events => {
+  const teams = teamsOfKeys(events);
+  const withdrawn = withdrawnKeys(events);
+  const sent = new Map(ofType(events, 'call-sent').map(c => [c.call, c]));
+  const runs = ofType(events, 'run-began').filter(
+    run => sent.get(run.call)?.keyId !== undefined,
+  );
+  const violations = runs.flatMap(run => {
+    const keyId = sent.get(run.call)!.keyId!;
+    const since = withdrawn.get(keyId);
+    if (teams.get(keyId) !== run.team) {
+      return [`call ${run.call} ran for ${run.team} under key ${keyId}`];
+    }
+    return since !== undefined && run.atMs > since + IN_FORCE_MS
+      ? [
+          `call ${run.call} ran ${run.atMs - since} ms after key ${keyId} was withdrawn`,
+        ]
+      : [];
+  });
+  return {examined: runs.length, violations};
+};
+
+/** Key ID to the time at which its withdrawal was acknowledged. */
+function withdrawnKeys(events: readonly HistoryEvent[]): Map<string, number> {
+  const commands = new Map(
+    ofType(events, 'command-sent').map(c => [c.requestId, c.command]),
+  );
+  const result = new Map<string, number>();
+  for (const {requestId, answer, atMs} of ofType(events, 'command-answered')) {
+    const command = commands.get(requestId);
+    if (command?.type !== 'withdraw-key' || !answer.ok) continue;
+    if (!result.has(command.keyId)) result.set(command.keyId, atMs);
+  }
+  return result;
+}
+
+/** An upstream that left begins no new work after a few seconds. */
+export const leaving: Checker = events => {
+  const left = new Map(
+    ofType(events, 'upstream-left').map(e => [e.upstream, e.atMs]),
+  );
+  const runs = ofType(events, 'run-began');
+  return {
+    examined: left.size,
+    violations: runs
+      .filter(run => run.atMs > (left.get(run.upstream) ?? Infinity) + LEFT_MS)
+      .map(
+        run => `upstream ${run.upstream} got call ${run.call} after leaving`,
+      ),
+  };
+};
+
+/**
+ * Of the edits on one version one wins; a request ID has one answer; replicas
+ * agree; and what was accepted is in force within the bound and stays so.
+ */
+export const noRevert: Checker = events => {
+  const answers = ofType(events, 'command-answered');
+  const edits = acceptedEdits(events);
+  return {
+    examined: edits.length,
+    violations: [
+      ...racingWinners(edits),
+      ...changedAnswers(answers),
+      ...divergence(events),
+      ...staleRuns(events, edits),
+      ...backwardRuns(events),
+    ],
+  };
+};
+
+interface AcceptedEdit {
+  readonly requestId: string;
+  readonly basedOn: number;
+  readonly version: number;
+  readonly atMs: number;
+}
+
+function acceptedEdits(events: readonly HistoryEvent[]): AcceptedEdit[] {
+  const sent = new Map(
+    ofType(events, 'command-sent').map(c => [c.requestId, c.command]),
+  );
+  const seen = new Set<string>();
+  return ofType(events, 'command-answered').flatMap(
+    ({requestId, answer, atMs}) => {
+      const command = sent.get(requestId);
+      if (command?.type !== 'edit' || !answer.ok) return [];
+      if (seen.has(requestId)) return [];
+      seen.add(requestId);
+      const {basedOn} = command.edit;
+      return [{requestId, basedOn, version: answer.version, atMs}];
+    },
+  );
+}
+
+function racingWinners(edits: readonly AcceptedEdit[]): string[] {
+  return [...groupBy(edits, edit => String(edit.basedOn))]
+    .filter(([, winners]) => winners.length > 1)
+    .map(([base, winners]) => `${winners.length} edits won on version ${base}`);
+}
+
+function changedAnswers(answers: readonly EventOf<'command-answered'>[]) {
+  return [...groupBy(answers, answer => answer.requestId)]
+    .filter(
+      ([, group]) =>
+        new Set(group.map(({answer}) => JSON.stringify(answer))).size > 1,
+    )
+    .map(([id]) => `request ${id} was answered in more than one way`);
+}
+
+function divergence(events: readonly HistoryEvent[]): string[] {
+  const byRevision = groupBy(ofType(events, 'applied'), event =>
+    String(event.revision),
+  );
+  return [...byRevision]
+    .filter(([, group]) => new Set(group.map(e => e.digest)).size > 1)
+    .map(([revision]) => `replicas differ at revision ${revision}`);
+}
+
+function staleRuns(
+  events: readonly HistoryEvent[],
+  edits: readonly AcceptedEdit[],
+): string[] {
+  return ofType(events, 'run-began').flatMap(run =>
+    edits
+      .filter(
+        edit =>
+          run.atMs > edit.atMs + IN_FORCE_MS && run.version < edit.version,
+      )
+      .map(
+        edit =>
+          `call ${run.call} ran under version ${run.version}, ${run.atMs - edit.atMs} ms after version ${edit.version} was accepted`,
+      ),
+  );
+}
+
+function backwardRuns(events: readonly HistoryEvent[]): string[] {
+  const violations: string[] = [];
+  const newest = new Map<string, number>();
+  for (const run of ofType(events, 'run-began')) {
+    const seen = newest.get(run.entry) ?? 0;
+    if (run.version < seen) {
+      violations.push(
+        `entry ${run.entry} went from version ${seen} to ${run.version}`,
+      );
+    }
+    newest.set(run.entry, Math.max(seen, run.version));
+  }
+  return violations;
+}
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './check/index.js';
+export * from './history.js';
