--- /dev/null
+++ b/packages/testkit/src/slopes.ts
@@ -0,0 +1,166 @@
+/** How state, messages and processor time grow with the size of the fleet. */
+import {
+  apply,
+  diffViews,
+  EMPTY_VIEW,
+  projectView,
+  type State,
+} from '@lentildrift/model';
+import {syncRequestSchema} from '@lentildrift/protocol';
+import {fitLine, medianMs, type Fit, type Point} from './fit.js';
+import {buildFleet, range, type FleetSize} from './fleet.js';
+
+/** A fleet like today's. */
+export const BASE: FleetSize = {
+  hosts: 75,
+  pools: 6,
+  teams: 6,
+  routes: 12,
+  keys: 20,
+  jobs: 100,
+  sessions: 8,
+  answers: 100,
+};
+
+export const TARGET: FleetSize = {
+  hosts: 2200,
+  pools: 128,
+  teams: 280,
+  routes: 500,
+  keys: 1000,
+  jobs: 20_000,
+  sessions: 55,
+  answers: 8192,
+};
+
+export interface Slope {
+  readonly name: string;
+  readonly per: string;
+  readonly unit: string;
+  readonly points: readonly Point[];
+  readonly fit: Fit;
+}
+
+/** The sizes of one dimension at which each slope is measured. */
+const SIZES: Readonly<Record<keyof FleetSize, readonly number[]>> = {
+  hosts: [100, 550, 1100, 2200],
+  pools: [16, 32, 64, 128],
+  teams: [35, 70, 140, 280],
+  routes: [64, 128, 256, 512],
+  keys: [125, 250, 500, 1000],
+  jobs: [2500, 5000, 10_000, 20_000],
+  sessions: [7, 14, 28, 55],
+  answers: [1024, 2048, 4096, 8192],
+};
+
+const REPEATS = 15;
+
+/** Measures `value` at each size of `dimension`, the rest as in `base`. */
+export function measureSlope(
+  name: string,
+  unit: string,
+  dimension: keyof FleetSize,
+  value: (state: State) => number,
+  base: FleetSize = BASE,
+): Slope {
+  const points = SIZES[dimension].map(x => ({
+    x,
+    y: value(buildFleet({...base, [dimension]: x}, 11)),
+  }));
+  return {name, per: dimension, unit, points, fit: fitLine(points)};
+}
+
+const snapshotBytes = (state: State) => JSON.stringify(state).length;
+const viewBytes = (state: State) =>
+  JSON.stringify(diffViews(EMPTY_VIEW, projectView(state))).length;
+
+/** Time to apply one observation of one host. */
+function observeMs(state: State): number {
+  const host = Object.values(state.hosts)[0]!;
+  const {id, dataCentre, rack, cores, memoryMiB, accelerators} = host;
+  const observed = {id, dataCentre, rack, cores, memoryMiB, accelerators};
+  return medianMs(
+    () =>
+      apply(state, {
+        atMs: 0,
+        body: {type: 'observe-hosts', hosts: [{...observed, healthy: true}]},
+      }),
+    REPEATS,
+  );
+}
+
+/** Time from a change of one host to the encoded difference of the view. */
+function viewDeltaMs(state: State): number {
+  const before = projectView(state);
+  const id = Object.keys(state.hosts)[0]!;
+  const host = {...state.hosts[id]!, phase: 'failed' as const};
+  const after = {...state, hosts: {...state.hosts, [id]: host}};
+  return medianMs(
+    () => JSON.stringify(diffViews(before, projectView(after, before))),
+    REPEATS,
+  );
+}
+
+/** A sync request of an entry host that has used every team's slice. */
+function syncRequest(state: State) {
+  const use = Object.keys(state.tables.teams).map(team => [
+    team,
+    {running: 3, demand: 5, generation: 17, ceiling: 12},
+  ]);
+  return {
+    session: '00000000-0000-0000-0000-000000000000',
+    revision: state.revision,
+    use: Object.fromEntries(use),
+    roster: [],
+    rosterVersion: 1,
+  };
+}
+
+const syncBytes = (state: State) => JSON.stringify(syncRequest(state)).length;
+const syncParseMs = (state: State) => {
+  const text = JSON.stringify(syncRequest(state));
+  return medianMs(() => syncRequestSchema.parse(JSON.parse(text)), REPEATS);
+};
+
+function commandMs(state: State): number {
+  let count = 0;
+  return medianMs(
+    () =>
+      apply(state, {
+        atMs: 0,
+        body: {
+          type: 'command',
+          requestId: `measured-${count++}`,
+          command: {type: 'withdraw-key', keyId: '000000000000'},
+        },
+      }),
+    REPEATS,
+  );
+}
+
+/** Growth of the heap when the state is held, in bytes. */
+function heapBytes(state: State): number {
+  globalThis.gc?.();
+  const before = process.memoryUsage().heapUsed;
+  const copies = range(3).map(() => JSON.parse(JSON.stringify(state)) as State);
+  globalThis.gc?.();
+  const grown = process.memoryUsage().heapUsed - before;
+  return grown / copies.length;
+}
+
+/** The slopes of the replicated state and of the messages about it. */
+export function measureStateSlopes(): Slope[] {
+  const dimensions = Object.keys(SIZES) as (keyof FleetSize)[];
+  return [
+    ...dimensions.map(d => measureSlope('snapshot', 'bytes', d, snapshotBytes)),
+    ...dimensions.map(d => measureSlope('heap', 'bytes', d, heapBytes)),
+    measureSlope('whole view', 'bytes', 'hosts', viewBytes),
+    measureSlope('whole view', 'bytes', 'routes', viewBytes),
+    measureSlope('whole view', 'bytes', 'keys', viewBytes),
+    measureSlope('sync request', 'bytes', 'teams', syncBytes),
+    measureSlope('parse sync', 'ms', 'teams', syncParseMs),
+    measureSlope('apply observation', 'ms', 'hosts', observeMs),
+    measureSlope('apply command', 'ms', 'answers', commandMs),
+    measureSlope('view difference', 'ms', 'hosts', viewDeltaMs),
+  ];
+}
