Check settings in one table; add metrics and the burn report

The daemon had no settings and no metrics. Metrics and the burn report have bounded numbers of series.

Cause of the change in event.ts: a fuzzed log value with U+0000 or U+2028 was written as it is, so a value could split a line; such characters are now escaped.

--- /dev/null
+++ b/packages/observe/src/burn.ts
@@ -0,0 +1,202 @@
+/**
+ * The service-level burn report, as pure functions over recorded buckets.
+ * Buckets start at multiples of `BUCKET_MS` of the wall clock, so that those
+ * of several entry hosts can be added.
+ */
+import type {RefusalCode} from '@lentildrift/model';
+import {z} from 'zod';
+
+export const BUCKET_MS = 30_000;
+export const SHORT_WINDOW_MS = 5 * 60 * 1000;
+export const LONG_WINDOW_MS = 60 * 60 * 1000;
+/** Buckets that the long window needs. */
+export const BUCKETS_KEPT = LONG_WINDOW_MS / BUCKET_MS;
+
+const count = z.number().int().nonnegative();
+
+export const burnBucketSchema = z.object({
+  /** Wall-clock start of the bucket, in milliseconds. */
+  startMs: count,
+  good: count,
+  bad: count,
+});
+export type BurnBucket = z.infer<typeof burnBucketSchema>;
+
+/** Recorded calls of one route and team. */
+export const burnSeriesSchema = z.object({
+  route: z.string(),
+  team: z.string(),
+  buckets: z.array(burnBucketSchema).max(BUCKETS_KEPT),
+});
+export type BurnSeries = z.infer<typeof burnSeriesSchema>;
+
+export const burnWindowSchema = z.object({
+  calls: count,
+  bad: count,
+  /** Part of bad calls divided by the allowed part; 0 without calls. */
+  burnRate: z.number().nonnegative(),
+});
+export type BurnWindow = z.infer<typeof burnWindowSchema>;
+
+export const burnRowSchema = z.object({
+  route: z.string(),
+  team: z.string(),
+  /** Part of calls that should be answered well. */
+  objective: z.number(),
+  /** Bad calls that the objective allows among the calls of the last hour. */
+  errorBudget: z.number(),
+  /** What is left of it; negative when it is overspent. */
+  errorBudgetLeft: z.number(),
+  short: burnWindowSchema,
+  long: burnWindowSchema,
+});
+export type BurnRow = z.infer<typeof burnRowSchema>;
+
+export type CallClass = 'good' | 'bad' | 'ignored';
+
+const BAD_CODES: ReadonlySet<string> = new Set<RefusalCode>([
+  'stale',
+  'over-limit',
+  'overloaded',
+  'no-upstream',
+  'timeout',
+  'upstream-failed',
+  'stopping',
+  'internal',
+]);
+
+/**
+ * Bad: refused for lack of capacity, failed or timed out. Ignored: the caller
+ * got it wrong (4xx other than 429), or went away before an answer.
+ */
+export function classifyCall(
+  code: string | undefined,
+  status: number | undefined,
+): CallClass {
+  if (code !== undefined && BAD_CODES.has(code)) return 'bad';
+  if (status === undefined || status < 100) return 'ignored';
+  if (status === 429 || status >= 500) return 'bad';
+  return status >= 400 ? 'ignored' : 'good';
+}
+
+/** Start of the bucket that contains `atMs`. */
+export function bucketStart(atMs: number): number {
+  return Math.floor(atMs / BUCKET_MS) * BUCKET_MS;
+}
+
+/** Adds the reports of several entry hosts, route by route, team by team. */
+export function mergeSeries(
+  reports: readonly (readonly BurnSeries[])[],
+): BurnSeries[] {
+  const merged = new Map<string, Map<number, BurnBucket>>();
+  for (const {route, team, buckets} of reports.flat()) {
+    const key = JSON.stringify([route, team]);
+    const sums = merged.get(key) ?? new Map<number, BurnBucket>();
+    merged.set(key, sums);
+    for (const {startMs, good, bad} of buckets) {
+      const sum = sums.get(startMs) ?? {startMs, good: 0, bad: 0};
+      sums.set(startMs, {
+        startMs,
+        good: sum.good + good,
+        bad: sum.bad + bad,
+      });
+    }
+  }
+  return [...merged].map(([key, sums]) => {
+    const [route, team] = JSON.parse(key) as [string, string];
+    const buckets = [...sums.values()].sort((a, b) => a.startMs - b.startMs);
+    // Clocks of hosts differ a little, so the union may be a bucket longer.
+    return {route, team, buckets: buckets.slice(-BUCKETS_KEPT)};
+  });
+}
+
+/**
+ * One row for each series, the fastest burn first. `objectiveOf` gives a
+ * team's objective; series of teams without one are left out.
+ */
+export function burnReport(
+  series: readonly BurnSeries[],
+  objectiveOf: (team: string) => number | undefined,
+  nowMs: number,
+): BurnRow[] {
+  const rows = series.flatMap(one => {
+    const objective = objectiveOf(one.team);
+    return objective === undefined ? [] : [burnRow(one, objective, nowMs)];
+  });
+  return rows.sort(
+    (a, b) =>
+      b.short.burnRate - a.short.burnRate ||
+      b.long.burnRate - a.long.burnRate ||
+      compare(a.route, b.route) ||
+      compare(a.team, b.team),
+  );
+}
+
+function burnRow(
+  series: BurnSeries,
+  objective: number,
+  nowMs: number,
+): BurnRow {
+  const {route, team, buckets} = series;
+  const short = burnWindow(buckets, objective, nowMs, SHORT_WINDOW_MS);
+  const long = burnWindow(buckets, objective, nowMs, LONG_WINDOW_MS);
+  const errorBudget = round(long.calls * (1 - objective));
+  const errorBudgetLeft = round(errorBudget - long.bad);
+  return {route, team, objective, errorBudget, errorBudgetLeft, short, long};
+}
+
+/** The current bucket and those before it that make up the window. */
+function burnWindow(
+  buckets: readonly BurnBucket[],
+  objective: number,
+  nowMs: number,
+  windowMs: number,
+): BurnWindow {
+  const after = bucketStart(nowMs) - windowMs;
+  let calls = 0;
+  let bad = 0;
+  for (const bucket of buckets) {
+    if (bucket.startMs <= after || bucket.startMs > nowMs) continue;
+    calls += bucket.good + bucket.bad;
+    bad += bucket.bad;
+  }
+  const burnRate = calls === 0 ? 0 : round(bad / calls / (1 - objective));
+  return {calls, bad, burnRate};
+}
+
+/** The report as a table for a terminal. */
+export function formatBurn(rows: readonly BurnRow[]): string {
+  if (rows.length === 0) return 'no calls recorded in the last hour\n';
+  const cells = rows.map(row => [
+    row.route,
+    row.team,
+    String(row.objective),
+    `${row.errorBudgetLeft.toFixed(1)} of ${row.errorBudget.toFixed(1)}`,
+    `${row.short.burnRate.toFixed(2)} (${row.short.bad}/${row.short.calls})`,
+    `${row.long.burnRate.toFixed(2)} (${row.long.bad}/${row.long.calls})`,
+  ]);
+  const head = ['ROUTE', 'TEAM', 'OBJECTIVE', 'BUDGET LEFT', '5 MIN', '1 H'];
+  return formatColumns([head, ...cells]);
+}
+
+/** Left-aligned columns, two spaces apart. */
+export function formatColumns(lines: readonly (readonly string[])[]): string {
+  const widths = lines[0]!.map((_, column) =>
+    Math.max(...lines.map(line => line[column]!.length)),
+  );
+  return lines
+    .map(line =>
+      line.map((cell, column) => cell.padEnd(widths[column]!)).join('  '),
+    )
+    .map(line => line.trimEnd() + '\n')
+    .join('');
+}
+
+/** Drops the noise of binary fractions. */
+function round(value: number): number {
+  return Number(value.toPrecision(9));
+}
+
+function compare(a: string, b: string): number {
+  return a < b ? -1 : a > b ? 1 : 0;
+}
--- a/packages/observe/src/event.ts
+++ b/packages/observe/src/event.ts
@@ -31,7 +31,7 @@
   };
 }
 
-/** One line; a value with spaces, quotes or line breaks is quoted. */
+/** One line; a value with spaces, quotes or control characters is quoted. */
 export function formatEvent(
   at: Date,
   level: string,
@@ -49,5 +49,10 @@
 
 function formatValue(value: string | number | boolean | undefined): string {
   const text = String(value);
-  return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text);
+  if (/^[^\s"=\p{Cc}]+$/u.test(text)) return text;
+  // JSON leaves some control characters and line separators as they are.
+  return JSON.stringify(text).replace(
+    /[\p{Cc}\u2028\u2029]/gu,
+    character => `\\u${character.charCodeAt(0).toString(16).padStart(4, '0')}`,
+  );
 }
--- /dev/null
+++ b/packages/observe/src/recorder.ts
@@ -0,0 +1,143 @@
+/** Records finished calls as metrics and for the burn report. */
+import type {RefusalCode, Verdict} from '@lentildrift/model';
+import {
+  BUCKET_MS,
+  bucketStart,
+  BUCKETS_KEPT,
+  classifyCall,
+  type BurnSeries,
+} from './burn.js';
+import {createMetrics, type Metrics} from './metric.js';
+
+/** The facts of one finished call. */
+export interface FinishedCall {
+  /** Absent when the call named no route. */
+  readonly route?: string;
+  /** Absent when the call was not charged to a team. */
+  readonly team?: string;
+  readonly verdict: Verdict;
+  /** Absent when an upstream answered. */
+  readonly code?: RefusalCode;
+  /** HTTP status sent to the caller; absent if none was sent. */
+  readonly status?: number;
+  readonly durationMs: number;
+}
+
+const MAX_CALL_SERIES = 10_000;
+/** One latency series takes about 8 kB. */
+const MAX_LATENCY_SERIES = 1000;
+/** One burn series takes about 1 kB. */
+const MAX_BURN_SERIES = 10_000;
+
+/** Good and bad calls by bucket; slot i holds bucket numbers = i mod length. */
+interface Ring {
+  readonly route: string;
+  readonly team: string;
+  readonly numbers: Float64Array;
+  readonly good: Uint32Array;
+  readonly bad: Uint32Array;
+  lastMs: number;
+}
+
+/** Memory stays bounded whatever calls are recorded. */
+export class CallRecorder {
+  private readonly rings = new Map<string, Ring>();
+  private readonly calls;
+  private readonly latency;
+  private readonly dropped;
+
+  /** `nowMs` is the wall clock, in milliseconds. */
+  constructor(
+    readonly metrics: Metrics = createMetrics(),
+    private readonly nowMs: () => number = Date.now,
+    private readonly maxBurnSeries = MAX_BURN_SERIES,
+  ) {
+    this.calls = metrics.counter(
+      'lentildrift_calls_total',
+      'Finished calls.',
+      MAX_CALL_SERIES,
+    );
+    this.latency = metrics.latency(
+      'lentildrift_call_duration_seconds',
+      'Time from the arrival of a call to the end of its answer.',
+      MAX_LATENCY_SERIES,
+    );
+    this.dropped = metrics.counter(
+      'lentildrift_burn_dropped_total',
+      'Calls left out of the burn report because it holds too many series.',
+      1,
+    );
+  }
+
+  record(call: FinishedCall): void {
+    const {route = '', team = '', verdict, code, status, durationMs} = call;
+    const labels = {route, team, verdict};
+    this.calls.add({...labels, code: code ?? (status ? 'answered' : 'none')});
+    this.latency.record(labels, durationMs);
+    const kind = classifyCall(code, status);
+    if (route === '' || team === '' || kind === 'ignored') return;
+    this.countBurn(route, team, kind);
+  }
+
+  /** Buckets of the last hour, for the burn report. */
+  series(): BurnSeries[] {
+    const newest = bucketStart(this.nowMs()) / BUCKET_MS;
+    return [...this.rings.values()].map(ring => {
+      const {route, team, numbers, good, bad} = ring;
+      const buckets = [...numbers]
+        .map((number, slot) => ({
+          startMs: number * BUCKET_MS,
+          good: good[slot]!,
+          bad: bad[slot]!,
+        }))
+        .filter(({startMs}) => {
+          const age = newest - startMs / BUCKET_MS;
+          return startMs >= 0 && age >= 0 && age < BUCKETS_KEPT;
+        })
+        .sort((a, b) => a.startMs - b.startMs);
+      return {route, team, buckets};
+    });
+  }
+
+  private countBurn(route: string, team: string, kind: 'good' | 'bad'): void {
+    const nowMs = this.nowMs();
+    const ring = this.ringOf(route, team, nowMs);
+    if (!ring) return this.dropped.add({});
+    const number = bucketStart(nowMs) / BUCKET_MS;
+    const slot = number % BUCKETS_KEPT;
+    if (ring.numbers[slot] !== number) {
+      ring.numbers[slot] = number;
+      ring.good[slot] = 0;
+      ring.bad[slot] = 0;
+    }
+    ring[kind][slot]!++;
+    ring.lastMs = nowMs;
+  }
+
+  private ringOf(route: string, team: string, nowMs: number): Ring | undefined {
+    const key = `${route} ${team}`;
+    const found = this.rings.get(key);
+    if (found) return found;
+    if (this.rings.size >= this.maxBurnSeries) this.dropIdle(nowMs);
+    if (this.rings.size >= this.maxBurnSeries) return undefined;
+    const ring = {
+      route,
+      team,
+      numbers: new Float64Array(BUCKETS_KEPT).fill(-1),
+      good: new Uint32Array(BUCKETS_KEPT),
+      bad: new Uint32Array(BUCKETS_KEPT),
+      lastMs: nowMs,
+    };
+    this.rings.set(key, ring);
+    return ring;
+  }
+
+  /** Drops series without a call within the long window. */
+  private dropIdle(nowMs: number): void {
+    for (const [key, ring] of this.rings) {
+      if (nowMs - ring.lastMs > BUCKETS_KEPT * BUCKET_MS) {
+        this.rings.delete(key);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/observe/test/observe.test.ts
@@ -0,0 +1,192 @@
+import {
+  BUCKET_MS,
+  burnReport,
+  CallRecorder,
+  classifyCall,
+  createLog,
+  createMetrics,
+  formatBurn,
+  formatEvent,
+  mergeSeries,
+  type FinishedCall,
+} from '@lentildrift/observe';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+
+const NOW_MS = 1_800_000_000_000;
+
+describe('a log line', () => {
+  it('cannot be split or forged by a value', () => {
+    fc.assert(
+      fc.property(fc.string({unit: 'binary'}), text => {
+        const line = formatEvent(new Date(0), 'info', 'call', {text, n: 1});
+        expect(line).not.toMatch(/[\p{Cc}\u2028\u2029]/u);
+        const value = /^at=\S+ level=info event=call text=(.*) n=1$/su.exec(
+          line,
+        )![1]!;
+        const quoted = value.startsWith('"');
+        expect(quoted ? JSON.parse(value) : value).toBe(text);
+      }),
+    );
+  });
+
+  it('is left out below the level, and keeps fixed fields', () => {
+    const lines: string[] = [];
+    const log = createLog('warn', {host: 'h 1'}, line => lines.push(line));
+    log.info('no');
+    log.warn('yes', {empty: '', absent: undefined});
+    expect(lines).toHaveLength(1);
+    expect(lines[0]).toMatch(/level=warn event=yes host="h 1" empty=""$/);
+  });
+});
+
+describe('the exposition', () => {
+  it('has the usual text format, with escaped labels', () => {
+    const metrics = createMetrics();
+    metrics.counter('a_total', 'Things.', 10).add({x: 'a"b\\c\nd'}, 2);
+    metrics.gauge('b', 'Level.', 10).set({}, -1.5);
+    const latency = metrics.latency('c_seconds', 'Time.', 10);
+    for (let i = 0; i < 100; i++) latency.record({r: 'x'}, 10);
+    expect(metrics.text()).toBe(
+      [
+        '# HELP a_total Things.',
+        '# TYPE a_total counter',
+        'a_total{x="a\\"b\\\\c\\nd"} 2',
+        '# HELP b Level.',
+        '# TYPE b gauge',
+        'b -1.5',
+        '# HELP c_seconds Time.',
+        '# TYPE c_seconds summary',
+        'c_seconds{r="x",quantile="0.5"} 0.01',
+        'c_seconds{r="x",quantile="0.9"} 0.01',
+        'c_seconds{r="x",quantile="0.99"} 0.01',
+        'c_seconds{r="x",quantile="0.999"} 0.01',
+        'c_seconds_sum{r="x"} 1',
+        'c_seconds_count{r="x"} 100',
+        '',
+      ].join('\n'),
+    );
+  });
+
+  it('stays bounded when callers invent label values', () => {
+    const metrics = createMetrics();
+    const counter = metrics.counter('a_total', 'Things.', 5);
+    for (let i = 0; i < 1000; i++) counter.add({x: String(i)});
+    const lines = metrics.text().trimEnd().split('\n').slice(2);
+    expect(lines).toHaveLength(5);
+    expect(lines.at(-1)).toBe('a_total{x="other"} 996');
+  });
+});
+
+function call(rest: Partial<FinishedCall> = {}): FinishedCall {
+  return {
+    route: 'lanes',
+    team: 'juniors',
+    verdict: 'ran',
+    status: 200,
+    durationMs: 5,
+    ...rest,
+  };
+}
+
+describe('the burn report', () => {
+  it('counts as bad only what the system got wrong', () => {
+    expect(classifyCall(undefined, 200)).toBe('good');
+    expect(classifyCall(undefined, 302)).toBe('good');
+    expect(classifyCall(undefined, 404)).toBe('ignored');
+    expect(classifyCall('unauthorised', 401)).toBe('ignored');
+    expect(classifyCall('duplicate', 409)).toBe('ignored');
+    expect(classifyCall(undefined, undefined)).toBe('ignored');
+    expect(classifyCall(undefined, 429)).toBe('bad');
+    expect(classifyCall(undefined, 500)).toBe('bad');
+    expect(classifyCall('over-limit', 429)).toBe('bad');
+    expect(classifyCall('timeout', 504)).toBe('bad');
+    expect(classifyCall('upstream-failed', undefined)).toBe('bad');
+  });
+
+  it('agrees with a case worked by hand', () => {
+    // Objective 0.99 allows 1 %. 20 min ago: 900 good, 0 bad. Now: 95 good,
+    // 5 bad. Short: 5/100 / 0.01 = 5. Long: 5/1000 / 0.01 = 0.5. Budget of
+    // the hour: 1000 * 0.01 = 10, of which 5 are left.
+    let nowMs = NOW_MS - 20 * 60_000;
+    const recorder = new CallRecorder(createMetrics(), () => nowMs);
+    for (let i = 0; i < 900; i++) recorder.record(call());
+    nowMs = NOW_MS;
+    for (let i = 0; i < 95; i++) recorder.record(call());
+    for (let i = 0; i < 5; i++) recorder.record(call({status: 503}));
+    recorder.record(call({status: 404}));
+    const rows = burnReport(recorder.series(), () => 0.99, nowMs);
+    expect(rows).toEqual([
+      {
+        route: 'lanes',
+        team: 'juniors',
+        objective: 0.99,
+        errorBudget: 10,
+        errorBudgetLeft: 5,
+        short: {calls: 100, bad: 5, burnRate: 5},
+        long: {calls: 1000, bad: 5, burnRate: 0.5},
+      },
+    ]);
+    expect(formatBurn(rows)).toContain('5.00 (5/100)');
+    expect(formatBurn(rows)).toContain('5.0 of 10.0');
+  });
+
+  it('forgets calls older than a window, also when a slot is used again', () => {
+    let nowMs = NOW_MS;
+    const recorder = new CallRecorder(createMetrics(), () => nowMs);
+    recorder.record(call({status: 500}));
+    const rowAt = () => burnReport(recorder.series(), () => 0.9, nowMs)[0]!;
+    nowMs = NOW_MS + 5 * 60_000 - BUCKET_MS;
+    expect(rowAt()).toMatchObject({short: {bad: 1}, long: {bad: 1}});
+    nowMs += BUCKET_MS;
+    expect(rowAt()).toMatchObject({short: {calls: 0, burnRate: 0}});
+    expect(rowAt().long.bad).toBe(1);
+    nowMs = NOW_MS + 60 * 60_000;
+    expect(rowAt().long.calls).toBe(0);
+    recorder.record(call());
+    expect(rowAt().long).toEqual({calls: 1, bad: 0, burnRate: 0});
+  });
+
+  it('is the same from the merged series of two hosts as from one', () => {
+    const callsSchema = fc.array(
+      fc.record({
+        second: fc.integer({min: 0, max: 3599}),
+        host: fc.integer({min: 0, max: 1}),
+        team: fc.constantFrom('juniors', 'seniors'),
+        status: fc.constantFrom(200, 404, 429, 503),
+      }),
+    );
+    fc.assert(
+      fc.property(callsSchema, calls => {
+        let nowMs = NOW_MS;
+        const newRecorder = () =>
+          new CallRecorder(createMetrics(), () => nowMs);
+        const whole = newRecorder();
+        const hosts = [newRecorder(), newRecorder()];
+        for (const one of calls.sort((a, b) => a.second - b.second)) {
+          nowMs = NOW_MS + one.second * 1000;
+          for (const recorder of [whole, hosts[one.host]!]) {
+            recorder.record(call({team: one.team, status: one.status}));
+          }
+        }
+        const report = (series: ReturnType<CallRecorder['series']>) =>
+          burnReport(series, () => 0.999, nowMs);
+        const merged = mergeSeries(hosts.map(host => host.series()));
+        expect(report(merged)).toEqual(report(whole.series()));
+      }),
+    );
+  });
+
+  it('holds no more series than it may, and reuses those of idle teams', () => {
+    let nowMs = NOW_MS;
+    const recorder = new CallRecorder(createMetrics(), () => nowMs, 2);
+    for (const team of ['a', 'b', 'c']) recorder.record(call({team}));
+    expect(recorder.series()).toHaveLength(2);
+    expect(recorder.metrics.text()).toContain(
+      'lentildrift_burn_dropped_total 1',
+    );
+    nowMs += 61 * 60_000;
+    recorder.record(call({team: 'c'}));
+    expect(recorder.series().map(({team}) => team)).toEqual(['c']);
+  });
+});
--- /dev/null
+++ b/packages/settings/src/check.ts
@@ -0,0 +1,97 @@
+/** Checks that concern more than one setting. */
+import {SettingsError} from './error.js';
+import type {Sources} from './parse.js';
+import type {Values} from './table.js';
+
+/** Throws `SettingsError` for a contradictory combination. */
+export function check(values: Values, sources: Sources): void {
+  checkWeights(values);
+  if (values.embedded) {
+    return checkEmbedded(values, sources);
+  }
+  if (!values.roles) {
+    throw new SettingsError(
+      '--roles (LENTILDRIFT_ROLES) must be entry, control or entry,control, or --embedded must be given',
+    );
+  }
+  if (!values.controlMembers) {
+    throw new SettingsError(
+      '--control-members (LENTILDRIFT_CONTROL_MEMBERS) is needed unless --embedded is given',
+    );
+  }
+  if (
+    values.clusterSecret === undefined &&
+    values.clusterSecretFile === undefined
+  ) {
+    throw new SettingsError(
+      '--cluster-secret-file (LENTILDRIFT_CLUSTER_SECRET_FILE) is needed unless --embedded is given',
+    );
+  }
+  if (values.roles.includes('control')) checkMember(values);
+  checkPorts(values);
+}
+
+function checkEmbedded(values: Values, sources: Sources): void {
+  for (const name of ['roles', 'controlMembers', 'memberId'] as const) {
+    if (values[name] !== undefined) {
+      throw new SettingsError(
+        `${sources.embedded} and ${sources[name]} exclude each other`,
+      );
+    }
+  }
+  for (const name of ['entryAddress', 'controlAddress'] as const) {
+    if (values[name] !== '127.0.0.1' && values[name] !== '::1') {
+      throw new SettingsError(
+        `${sources[name]} must be 127.0.0.1 or ::1 with ${sources.embedded}`,
+      );
+    }
+  }
+  checkPorts(values);
+}
+
+function checkMember(values: Values): void {
+  const id = values.memberId ?? values.hostName;
+  const member = values.controlMembers!.find(other => other.id === id);
+  if (!member) {
+    throw new SettingsError(
+      `--control-members must contain this process, "${id}" (--member-id or --host-name)`,
+    );
+  }
+  const port = Number(
+    member.address.slice(member.address.lastIndexOf(':') + 1),
+  );
+  if (port !== values.controlPort) {
+    throw new SettingsError(
+      `--control-port ${values.controlPort} must be the port of member "${id}" in --control-members, ${port}`,
+    );
+  }
+}
+
+function checkPorts(values: Values): void {
+  const {entryAddress, entryPort, controlAddress, controlPort} = values;
+  const both = values.embedded || values.roles?.length === 2;
+  if (!both || entryPort === 0 || entryPort !== controlPort) return;
+  const wildcard = ['0.0.0.0', '::'];
+  const overlap =
+    entryAddress === controlAddress ||
+    wildcard.includes(entryAddress) ||
+    wildcard.includes(controlAddress);
+  if (overlap) {
+    throw new SettingsError(
+      `--entry-port and --control-port must differ; both are ${entryPort}`,
+    );
+  }
+}
+
+function checkWeights(values: Values): void {
+  const sum =
+    values.weightBufferCost +
+    values.weightRollOutTime +
+    values.weightMoves +
+    values.weightShareNearness;
+  if (sum === 0) {
+    throw new SettingsError(
+      'at least one of --weight-buffer-cost, --weight-roll-out-time, --weight-moves and --weight-share-nearness must be above 0',
+    );
+  }
+}
--- /dev/null
+++ b/packages/settings/src/error.ts
@@ -0,0 +1,12 @@
+/** Error of settings. */
+
+/** A setting is wrong; the message is one line that names it. */
+export class SettingsError extends Error {
+  constructor(message: string) {
+    super(message);
+    this.name = 'SettingsError';
+  }
+}
+
+/** Exit code of a process that was started with wrong settings. */
+export const EXIT_WRONG_USAGE = 2;
--- /dev/null
+++ b/packages/settings/src/table.ts
@@ -0,0 +1,230 @@
+/** The table of settings: schema, default, range and help text of each. */
+import {isIP} from 'node:net';
+import {z} from 'zod';
+
+const NAME_RANGE = '1 to 63 characters of a-z, 0-9, "." or "-"';
+const MIN_SECRET_LENGTH = 16;
+const MAX_SECRET_LENGTH = 256;
+const MAX_PORT = 65_535;
+const MAX_WEIGHT = 1000;
+
+export const ROLES = ['entry', 'control'] as const;
+export const LOG_LEVELS = ['debug', 'info', 'warn', 'error'] as const;
+
+const name = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/);
+const ip = z.string().refine(text => isIP(text) !== 0);
+const port = wholeNumber(0, MAX_PORT);
+const weight = z
+  .string()
+  .regex(/^\d+(\.\d+)?$/)
+  .transform(Number)
+  .refine(value => value <= MAX_WEIGHT);
+const secret = z
+  .string()
+  .regex(
+    new RegExp(`^[\\x21-\\x7e]{${MIN_SECRET_LENGTH},${MAX_SECRET_LENGTH}}$`),
+  );
+const endpoint = z.string().refine(isEndpoint);
+const path = z.string().min(1).max(4096);
+
+const roles = z
+  .string()
+  .transform(text => text.split(','))
+  .pipe(z.array(z.enum(ROLES)).min(1))
+  .refine(list => new Set(list).size === list.length);
+
+const members = z
+  .string()
+  .transform(text => text.split(',').map(splitMember))
+  .pipe(
+    z
+      .array(z.object({id: name, address: endpoint}))
+      .min(1)
+      .max(32),
+  )
+  .refine(list => new Set(list.map(m => m.id)).size === list.length)
+  .refine(list => new Set(list.map(m => m.address)).size === list.length);
+
+/** The schema of `--operator-key-hash`; also the content of its file. */
+export const keyHashSchema = z
+  .string()
+  .regex(/^[0-9a-f]{12}:[0-9a-f]{64}$/)
+  .transform(text => ({id: text.slice(0, 12), secretHash: text.slice(13)}));
+export const secretSchema = secret;
+export const SECRET_RANGE = `${MIN_SECRET_LENGTH} to ${MAX_SECRET_LENGTH} printable characters without spaces`;
+export const KEY_HASH_RANGE =
+  '12 hex digits (key ID), ":", 64 hex digits (SHA-256 of the secret)';
+
+export interface Row<S extends z.ZodType> {
+  /** Parses the text of the flag or variable. */
+  readonly schema: S;
+  /** Text that stands in when neither flag nor variable is given. */
+  readonly fallback?: string;
+  /** Allowed values, for help and error messages. */
+  readonly range: string;
+  readonly help: string;
+}
+
+function required<S extends z.ZodType>(
+  schema: S,
+  fallback: string,
+  range: string,
+  help: string,
+): Row<S> {
+  return {schema, fallback, range, help};
+}
+
+function optional<S extends z.ZodType>(
+  schema: S,
+  range: string,
+  help: string,
+): Row<z.ZodOptional<S>> {
+  return {schema: schema.optional(), range, help};
+}
+
+const portRange = `0 to ${MAX_PORT} (0 takes any free port)`;
+const weightRange = `0 to ${MAX_WEIGHT}`;
+const endpointRange = 'IP:PORT, with an IP number and a port of 1 to 65535';
+
+/** Every setting of the daemon, in the order of the help text. */
+export const SETTINGS = {
+  embedded: required(
+    z.stringbool({truthy: ['true'], falsy: ['false']}),
+    'false',
+    'true or false',
+    'Run every role on loopback in one process, with sample tables',
+  ),
+  roles: optional(
+    roles,
+    'entry, control or entry,control',
+    'Roles of this process; needed unless embedded',
+  ),
+  hostName: required(name, 'host-1', NAME_RANGE, 'Name of this host'),
+  dataCentre: required(name, 'dc-1', NAME_RANGE, 'Data centre of this host'),
+  entryAddress: required(
+    ip,
+    '127.0.0.1',
+    'an IP number',
+    'Address on which the entry role listens for callers and upstreams',
+  ),
+  entryPort: required(port, '8480', portRange, 'Port of the entry role'),
+  controlAddress: required(
+    ip,
+    '127.0.0.1',
+    'an IP number',
+    'Address on which the control role listens',
+  ),
+  controlPort: required(port, '8481', portRange, 'Port of the control role'),
+  memberId: optional(
+    name,
+    NAME_RANGE,
+    'Member ID of this process in the control group; the host name if absent. A host that lost its disk needs a new one',
+  ),
+  controlMembers: optional(
+    members,
+    'ID=IP:PORT, separated by commas, 1 to 32 members, no ID or address twice',
+    'Members of the control group; needed unless embedded',
+  ),
+  clusterSecret: optional(
+    secret,
+    SECRET_RANGE,
+    'Secret shared by all processes; prefer the file, which does not show in the process list',
+  ),
+  clusterSecretFile: optional(
+    path,
+    'path of a readable file',
+    'File that holds the cluster secret',
+  ),
+  operatorKeyHash: optional(
+    keyHashSchema,
+    KEY_HASH_RANGE,
+    'Key of the first operator, as printed by "lentildrift keys new"',
+  ),
+  operatorKeyFile: optional(
+    path,
+    'path of a readable file',
+    'File that holds the value of --operator-key-hash',
+  ),
+  dataFolder: required(
+    path,
+    'lentildrift-data',
+    'path of a folder',
+    'Folder of the durable state of the control role',
+  ),
+  logLevel: required(
+    z.enum(LOG_LEVELS),
+    'info',
+    LOG_LEVELS.join(', '),
+    'Least level of the events that are logged',
+  ),
+  platformAddress: optional(
+    endpoint,
+    endpointRange,
+    'Address of the platform that runs workers; without it no host is observed',
+  ),
+  weightBufferCost: required(
+    weight,
+    '1',
+    weightRange,
+    'Weight of buffer cost in the policy objective',
+  ),
+  weightRollOutTime: required(
+    weight,
+    '1',
+    weightRange,
+    'Weight of roll-out time in the policy objective',
+  ),
+  weightMoves: required(
+    weight,
+    '1',
+    weightRange,
+    'Weight of moves in the policy objective',
+  ),
+  weightShareNearness: required(
+    weight,
+    '1',
+    weightRange,
+    'Weight of share nearness in the policy objective',
+  ),
+};
+
+export type SettingName = keyof typeof SETTINGS;
+/** Values of all settings, by name. */
+export type Values = {
+  [K in SettingName]: z.output<(typeof SETTINGS)[K]['schema']>;
+};
+
+/** `entryPort` gives `entry-port`. */
+export function flagOf(setting: SettingName): string {
+  return setting.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`);
+}
+
+/** `entryPort` gives `LENTILDRIFT_ENTRY_PORT`. */
+export function variableOf(setting: SettingName): string {
+  return `LENTILDRIFT_${flagOf(setting).replaceAll('-', '_').toUpperCase()}`;
+}
+
+function wholeNumber(least: number, most: number) {
+  return z
+    .string()
+    .regex(/^\d{1,9}$/)
+    .transform(Number)
+    .refine(value => value >= least && value <= most);
+}
+
+/** Whether `text` is IP:PORT; an IPv6 number stands in square brackets. */
+export function isEndpoint(text: string): boolean {
+  const match = /^(?:\[([^\]]+)\]|([^:]+)):(\d{1,5})$/.exec(text);
+  if (!match) return false;
+  const version = isIP(match[1] ?? match[2]!);
+  const number = Number(match[3]);
+  const right = match[1] === undefined ? version === 4 : version === 6;
+  return right && number >= 1 && number <= MAX_PORT;
+}
+
+function splitMember(text: string): {id: string; address: string} {
+  const at = text.indexOf('=');
+  return at < 0
+    ? {id: '', address: text}
+    : {id: text.slice(0, at), address: text.slice(at + 1)};
+}
