Add the operators' command lentildrift

Operators had no way to edit tables, give keys or drain hosts. Files of tables are refused whole with file, line, column and field.

Cause of the change in model/table.ts: a route to a pool or team named "constructor" passed the check, because the lookup found the property of every object; the test 'a pool named like a property of every object' covers it.

--- /dev/null
+++ b/packages/command/src/ask.ts
@@ -0,0 +1,40 @@
+/** Questions and commands to control, with answers checked. */
+import {commandSchema, type Answer, type Command} from '@lentildrift/model';
+import type {ReadTopic} from '@lentildrift/protocol';
+import type {z} from 'zod';
+import type {Context} from './context.js';
+import {CommandError, UsageError} from './error.js';
+
+/** Sends `command`; throws `CommandError` unless it was done. */
+export async function sendCommand(
+  context: Context,
+  command: Command,
+): Promise<Extract<Answer, {ok: true}>> {
+  const checked = commandSchema.safeParse(command);
+  if (!checked.success) {
+    const {path, message} = checked.error.issues[0]!;
+    throw new UsageError(`${path.join('.')}: ${message}`);
+  }
+  const answer = await context
+    .remote()
+    .command(context.requestId, checked.data);
+  if (answer.ok) return answer;
+  throw new CommandError(
+    `refused (${answer.code}): ${answer.message}; tables are at version ${answer.version}`,
+  );
+}
+
+/** Reads `topic`; throws `CommandError` for a body of another shape. */
+export async function readBody<S extends z.ZodType>(
+  context: Context,
+  topic: ReadTopic,
+  schema: S,
+): Promise<z.output<S>> {
+  const {body} = await context.remote().read(topic);
+  const parsed = schema.safeParse(body);
+  if (parsed.success) return parsed.data;
+  const {path, message} = parsed.error.issues[0]!;
+  throw new CommandError(
+    `the server sent a malformed answer about ${topic}: ${path.join('.')}: ${message}`,
+  );
+}
--- /dev/null
+++ b/packages/command/src/catalogue.ts
@@ -0,0 +1,150 @@
+/** The subcommands: usage, help, options and what each does. */
+import type {Context} from './context.js';
+import * as fleet from './fleet.js';
+import * as key from './key.js';
+import * as work from './work.js';
+
+export interface OptionSpec {
+  readonly name: string;
+  readonly help: string;
+}
+
+export interface CommandSpec {
+  /** Words and `<arguments>`; all arguments are required. */
+  readonly usage: string;
+  readonly help: string;
+  readonly options?: readonly OptionSpec[];
+  /** Takes any number of arguments after those named. */
+  readonly variadic?: boolean;
+  run(context: Context, args: readonly string[]): Promise<void>;
+}
+
+const based = {
+  name: 'based-on',
+  help: 'Version of the tables that the file is based on (default: the current one)',
+};
+const hosts = {name: 'hosts', help: 'Host names, separated by commas'};
+const deadline = {
+  name: 'deadline',
+  help: 'End of the wave as an ISO time, such as 2030-01-31T06:00:00Z',
+};
+const within = {name: 'within-hours', help: 'End of the wave, from now'};
+const given = {
+  name: 'given',
+  help: 'ID:HASH of a key whose text was printed before; for resends',
+};
+
+export const COMMON_OPTIONS: readonly OptionSpec[] = [
+  {
+    name: 'server',
+    help: 'Control processes, IP:PORT, separated by commas (LENTILDRIFT_SERVER; default 127.0.0.1:8481)',
+  },
+  {
+    name: 'entry',
+    help: 'Entry hosts, for jobs, submit and cancel (LENTILDRIFT_ENTRY; default 127.0.0.1:8480)',
+  },
+  {name: 'key', help: 'Key; LENTILDRIFT_KEY or --key-file show less'},
+  {name: 'key-file', help: 'File that holds the key'},
+  {name: 'request-id', help: 'Request ID; a resend carries the first one'},
+  {name: 'timeout-ms', help: 'Longest wait for an answer (default 5000)'},
+];
+
+export const COMMANDS: readonly CommandSpec[] = [
+  {
+    usage: 'apply <file>',
+    help: 'Replace the sections teams, routes and pools that a YAML or JSON file holds',
+    options: [based],
+    run: fleet.applyFile,
+  },
+  {
+    usage: 'diff <file>',
+    help: 'Show the changes that apply would make',
+    run: fleet.diffFile,
+  },
+  {
+    usage: 'get <topic>',
+    help: 'Print tables, keys, hosts, jobs, waves, upstreams, limits, status or report as JSON',
+    run: fleet.get,
+  },
+  {
+    usage: 'keys give <kind> <name>',
+    help: 'Give a key to a team, a pool or an operator and print its text once',
+    options: [given],
+    run: key.give,
+  },
+  {usage: 'keys withdraw <id>', help: 'Withdraw a key', run: key.withdraw},
+  {usage: 'keys list', help: 'List the keys', run: key.list},
+  {
+    usage: 'keys new',
+    help: 'Make a key and its hash for --operator-key-hash, without a server',
+    run: key.make,
+  },
+  {usage: 'hosts', help: 'List the hosts', run: fleet.hosts},
+  {
+    usage: 'drain <host>',
+    help: 'Take a host out of service within the budget of its pool',
+    run: fleet.drain,
+  },
+  {
+    usage: 'undrain <host>',
+    help: 'Give a host back to service',
+    run: fleet.undrain,
+  },
+  {
+    usage: 'retire <host>',
+    help: 'Remove a drained or failed host',
+    run: fleet.retire,
+  },
+  {
+    usage: 'release <host>',
+    help: 'End the quarantine of a worker',
+    run: fleet.release,
+  },
+  {
+    usage: 'wave open <wave>',
+    help: 'Open a maintenance wave of the given hosts, or of all that are due',
+    options: [hosts, deadline, within],
+    run: fleet.openWave,
+  },
+  {
+    usage: 'wave pause <wave>',
+    help: 'Start no further host of a wave',
+    run: fleet.pauseWave,
+  },
+  {
+    usage: 'wave resume <wave>',
+    help: 'Go on with a paused wave',
+    run: fleet.resumeWave,
+  },
+  {
+    usage: 'wave withdraw <wave>',
+    help: 'End a wave early',
+    run: fleet.withdrawWave,
+  },
+  {
+    usage: 'jobs',
+    help: "List the jobs of the key's team",
+    run: work.list,
+  },
+  {
+    usage: 'submit <file>',
+    help: 'Submit the jobs of a YAML or JSON file; a known job ID is left as it is',
+    run: work.submit,
+  },
+  {
+    usage: 'cancel <id>',
+    help: 'Cancel jobs',
+    variadic: true,
+    run: work.cancel,
+  },
+  {
+    usage: 'status',
+    help: 'Show the control process that answers, and its group',
+    run: fleet.status,
+  },
+  {
+    usage: 'report',
+    help: 'Show the service-level burn report',
+    run: fleet.report,
+  },
+];
--- /dev/null
+++ b/packages/command/src/context.ts
@@ -0,0 +1,119 @@
+/** What a subcommand gets: its options, checked, and the way out. */
+import {isEndpoint} from '@lentildrift/settings';
+import {randomUUID} from 'node:crypto';
+import {UsageError} from './error.js';
+import {createQueue, type Queue} from './queue.js';
+import {createRemote, type Remote} from './remote.js';
+
+/** What the command needs from its process; tests replace it. */
+export interface Surroundings {
+  readonly env: Readonly<Record<string, string | undefined>>;
+  readFile(path: string): string;
+  write(text: string): void;
+  writeError(text: string): void;
+}
+
+export type Options = Readonly<Record<string, string | undefined>>;
+
+export interface Context {
+  readonly options: Options;
+  readonly json: boolean;
+  readonly requestId: string;
+  /** Options that a resend must carry besides those given. */
+  readonly resend: Record<string, string>;
+  remote(): Remote;
+  queue(): Queue;
+  /** Reads a file that the operator named. */
+  readFile(path: string): string;
+  /** Prints `value` as JSON with `--json`, else `text`. */
+  print(value: unknown, text: string): void;
+}
+
+const DEFAULT_SERVER = '127.0.0.1:8481';
+const DEFAULT_ENTRY = '127.0.0.1:8480';
+const DEFAULT_TIMEOUT_MS = 5000;
+const MAX_TIMEOUT_MS = 60_000;
+const REQUEST_ID = /^[A-Za-z0-9._:-]{1,100}$/;
+
+export function createContext(
+  options: Options,
+  json: boolean,
+  surroundings: Surroundings,
+): Context {
+  const {env} = surroundings;
+  const requestId = options['request-id'] ?? randomUUID();
+  if (!REQUEST_ID.test(requestId)) {
+    throw new UsageError(
+      '--request-id must be 1 to 100 characters of A-Z, a-z, 0-9, ".", "_", ":" or "-"',
+    );
+  }
+  const timeoutMs = timeoutOf(options['timeout-ms']);
+  function readFile(path: string): string {
+    try {
+      return surroundings.readFile(path);
+    } catch (error) {
+      const reason = (error as NodeJS.ErrnoException).code ?? String(error);
+      throw new UsageError(`${path}: cannot be read: ${reason}`);
+    }
+  }
+
+  function key(): string {
+    const {key: shown, 'key-file': file} = options;
+    if (shown !== undefined && file !== undefined) {
+      throw new UsageError('--key and --key-file exclude each other');
+    }
+    const text =
+      shown ??
+      (file === undefined ? env['LENTILDRIFT_KEY'] : readFile(file).trim());
+    if (text) return text;
+    throw new UsageError(
+      'a key is needed: LENTILDRIFT_KEY, --key-file FILE or --key KEY',
+    );
+  }
+
+  return {
+    options,
+    json,
+    requestId,
+    resend: {},
+    readFile,
+    remote: () =>
+      createRemote({
+        servers: addresses(options, env, 'server', DEFAULT_SERVER),
+        key: key(),
+        timeoutMs,
+      }),
+    queue: () =>
+      createQueue({
+        entries: addresses(options, env, 'entry', DEFAULT_ENTRY),
+        key: key(),
+        timeoutMs,
+      }),
+    print: (value, text) =>
+      surroundings.write(json ? JSON.stringify(value) + '\n' : text),
+  };
+}
+
+function addresses(
+  options: Options,
+  env: Surroundings['env'],
+  name: 'server' | 'entry',
+  fallback: string,
+): string[] {
+  const variable = `LENTILDRIFT_${name.toUpperCase()}`;
+  const list = (options[name] ?? env[variable] ?? fallback).split(',');
+  const wrong = list.find(address => !isEndpoint(address));
+  if (wrong === undefined) return list;
+  throw new UsageError(
+    `--${name} (${variable}) must be IP:PORT, separated by commas; "${wrong}" is not`,
+  );
+}
+
+function timeoutOf(text: string | undefined): number {
+  if (text === undefined) return DEFAULT_TIMEOUT_MS;
+  const value = Number(text);
+  if (/^\d{1,6}$/.test(text) && value >= 1 && value <= MAX_TIMEOUT_MS) {
+    return value;
+  }
+  throw new UsageError(`--timeout-ms must be 1 to ${MAX_TIMEOUT_MS}`);
+}
--- /dev/null
+++ b/packages/command/src/document.ts
@@ -0,0 +1,188 @@
+/** YAML and JSON files whose errors name file, line, column and field. */
+import {
+  isAlias,
+  isMap,
+  isScalar,
+  isSeq,
+  LineCounter,
+  parseDocument,
+  visit,
+  type Document,
+} from 'yaml';
+import type {z} from 'zod';
+import {CommandError} from './error.js';
+
+const MAX_FILE_CHARACTERS = 8 * 1024 * 1024;
+const MAX_PROBLEMS_SHOWN = 20;
+
+export type Path = readonly PropertyKey[];
+
+/** One fault of a file; `line` and `column` start at 1. */
+export interface Problem {
+  readonly line: number;
+  readonly column: number;
+  /** Such as `pools[0].hosts[2]`; empty for the whole file. */
+  readonly field: string;
+  readonly message: string;
+}
+
+/** The file is refused whole. */
+export class DocumentError extends CommandError {
+  constructor(
+    readonly file: string,
+    readonly problems: readonly Problem[],
+  ) {
+    super(describe(file, problems));
+    this.name = 'DocumentError';
+  }
+}
+
+export interface Loaded<T> {
+  readonly value: T;
+  /** The error for problems found in the value later. */
+  refuse(found: readonly {path: Path; message: string}[]): DocumentError;
+}
+
+/** Parses `text` and checks it. Throws `DocumentError` and nothing else. */
+export function loadDocument<S extends z.ZodType>(
+  file: string,
+  text: string,
+  schema: S,
+): Loaded<z.output<S>> {
+  const lines = new LineCounter();
+  const document = parse(file, text, lines);
+  const refuse = (found: readonly {path: Path; message: string}[]) =>
+    new DocumentError(
+      file,
+      found.map(({path, message}) => ({
+        ...locate(document, lines, path),
+        field: fieldName(path),
+        message,
+      })),
+    );
+  const checked = schema.safeParse(toValue(file, document));
+  if (checked.success) return {value: checked.data, refuse};
+  throw refuse(checked.error.issues.flatMap(expandIssue));
+}
+
+/** An unknown key is reported at the key instead of at its parent. */
+function expandIssue(issue: z.core.$ZodIssue) {
+  const {path, message} = issue;
+  if (issue.code !== 'unrecognized_keys') return [{path, message}];
+  return issue.keys.map(key => ({
+    path: [...path, key],
+    message: 'unknown field',
+  }));
+}
+
+function parse(file: string, text: string, lines: LineCounter): Document {
+  if (text.length > MAX_FILE_CHARACTERS) {
+    throw whole(file, `the file is above ${MAX_FILE_CHARACTERS} characters`);
+  }
+  let document: Document;
+  try {
+    document = parseDocument(text, {
+      lineCounter: lines,
+      logLevel: 'error',
+      prettyErrors: false,
+    });
+    checkAliases(file, document, lines);
+  } catch (error) {
+    if (error instanceof DocumentError) throw error;
+    throw whole(file, `cannot be parsed: ${reasonOf(error)}`);
+  }
+  const faults = [...document.errors, ...document.warnings];
+  if (faults.length === 0) return document;
+  throw new DocumentError(
+    file,
+    faults.map(({pos, message}) => ({
+      ...position(lines, pos[0]),
+      field: '',
+      message,
+    })),
+  );
+}
+
+function checkAliases(
+  file: string,
+  document: Document,
+  lines: LineCounter,
+): void {
+  visit(document, {
+    Alias(_key, node) {
+      if (node.resolve(document)) return;
+      const {line, column} = position(lines, node.range?.[0] ?? 0);
+      const message = `unknown alias "${node.source}"`;
+      throw new DocumentError(file, [{line, column, field: '', message}]);
+    },
+  });
+}
+
+function toValue(file: string, document: Document): unknown {
+  try {
+    return document.toJS();
+  } catch (error) {
+    throw whole(file, `cannot be parsed: ${reasonOf(error)}`);
+  }
+}
+
+function whole(file: string, message: string): DocumentError {
+  return new DocumentError(file, [{line: 1, column: 1, field: '', message}]);
+}
+
+function reasonOf(error: unknown): string {
+  return error instanceof RangeError
+    ? 'nested too deeply'
+    : String((error as Error).message).split('\n')[0]!;
+}
+
+/** Position of the field at `path`, or of its nearest ancestor. */
+function locate(document: Document, lines: LineCounter, path: Path) {
+  let node: unknown = document.contents;
+  let offset = offsetOf(node) ?? 0;
+  for (const step of path) {
+    if (isAlias(node)) node = node.resolve(document);
+    if (isMap(node)) {
+      const pair = node.items.find(
+        ({key}) => String(isScalar(key) ? key.value : key) === String(step),
+      );
+      if (!pair) break;
+      node = pair.value;
+      offset = offsetOf(pair.key) ?? offset;
+    } else if (isSeq(node)) {
+      node = node.items[Number(step)];
+      offset = offsetOf(node) ?? offset;
+    } else {
+      break;
+    }
+  }
+  return position(lines, offset);
+}
+
+function offsetOf(node: unknown): number | undefined {
+  const {range} = (node ?? {}) as {range?: readonly number[] | null};
+  return range?.[0];
+}
+
+function position(lines: LineCounter, offset: number) {
+  const {line, col} = lines.linePos(offset);
+  // The counter gives line 0 for an empty file.
+  return {line: Math.max(1, line), column: Math.max(1, col)};
+}
+
+function fieldName(path: Path): string {
+  return path
+    .map(step => (typeof step === 'number' ? `[${step}]` : `.${String(step)}`))
+    .join('')
+    .replace(/^\./, '');
+}
+
+function describe(file: string, problems: readonly Problem[]): string {
+  const shown = problems.slice(0, MAX_PROBLEMS_SHOWN);
+  const texts = shown.map(({line, column, field, message}) => {
+    const subject = field === '' ? '' : `${field}: `;
+    return `${file}:${line}:${column}: ${subject}${message}`;
+  });
+  const more = problems.length - shown.length;
+  return [...texts, ...(more > 0 ? [`and ${more} more`] : [])].join('\n');
+}
--- /dev/null
+++ b/packages/command/src/error.ts
@@ -0,0 +1,34 @@
+/** Errors of the command, and the exit codes that they lead to. */
+
+export const EXIT_DONE = 0;
+/** Refused or failed; nothing was changed by this request. */
+export const EXIT_FAILED = 1;
+export const EXIT_WRONG_USAGE = 2;
+/** The request may have taken effect. */
+export const EXIT_UNKNOWN = 3;
+
+/** The command ends with `message` on the error stream and `exitCode`. */
+export class CommandError extends Error {
+  constructor(
+    message: string,
+    readonly exitCode: number = EXIT_FAILED,
+  ) {
+    super(message);
+    this.name = 'CommandError';
+  }
+}
+
+export class UsageError extends CommandError {
+  constructor(message: string) {
+    super(message, EXIT_WRONG_USAGE);
+    this.name = 'UsageError';
+  }
+}
+
+/** No answer arrived, although the request may have taken effect. */
+export class OutcomeUnknown extends CommandError {
+  constructor(message: string) {
+    super(message, EXIT_UNKNOWN);
+    this.name = 'OutcomeUnknown';
+  }
+}
--- /dev/null
+++ b/packages/command/src/fleet.ts
@@ -0,0 +1,193 @@
+/** Subcommands about tables, hosts, waves and the state of the system. */
+import {hostSchema, tablesSchema, type Command} from '@lentildrift/model';
+import {formatBurn, formatColumns, reportSchema} from '@lentildrift/observe';
+import {readTopicSchema} from '@lentildrift/protocol';
+import {z} from 'zod';
+import {readBody, sendCommand} from './ask.js';
+import type {Context} from './context.js';
+import {UsageError} from './error.js';
+import {
+  compareTables,
+  formatDifferences,
+  loadTables,
+  mergeFile,
+} from './table.js';
+
+const HOUR_MS = 3600 * 1000;
+const MAX_WAVE_HOURS = 24 * 366;
+
+export async function applyFile(
+  context: Context,
+  [file]: readonly string[],
+): Promise<void> {
+  const loaded = loadTables(file!, context.readFile(file!));
+  const given = versionOf(context.options['based-on']);
+  const current = await readBody(context, 'tables', tablesSchema);
+  const basedOn = given ?? current.version;
+  context.resend['based-on'] = String(basedOn);
+  // With another base the server decides: the request may be a resend of an
+  // edit that is in force already.
+  if (basedOn === current.version) mergeFile(current, loaded);
+  const answer = await sendCommand(context, {
+    type: 'edit',
+    edit: {...loaded.value, basedOn},
+  });
+  context.print(answer, `tables are at version ${answer.version}\n`);
+}
+
+export async function diffFile(
+  context: Context,
+  [file]: readonly string[],
+): Promise<void> {
+  const loaded = loadTables(file!, context.readFile(file!));
+  const current = await readBody(context, 'tables', tablesSchema);
+  const differences = compareTables(current, mergeFile(current, loaded));
+  context.print(
+    {version: current.version, differences},
+    formatDifferences(differences),
+  );
+}
+
+export async function get(
+  context: Context,
+  [topic]: readonly string[],
+): Promise<void> {
+  const parsed = readTopicSchema.safeParse(topic);
+  if (!parsed.success) {
+    const topics = readTopicSchema.options.join(', ');
+    throw new UsageError(`unknown topic "${topic}"; topics are ${topics}`);
+  }
+  const body = await readBody(context, parsed.data, z.unknown());
+  context.print(body, JSON.stringify(body, null, 2) + '\n');
+}
+
+export async function hosts(context: Context): Promise<void> {
+  const list = await readBody(context, 'hosts', z.array(hostSchema));
+  const rows = list.map(host => [
+    host.id,
+    host.pool,
+    host.dataCentre,
+    host.rack,
+    host.phase,
+    host.permit?.kind ?? '',
+    host.quarantined ? 'yes' : '',
+  ]);
+  const head = [
+    'HOST',
+    'POOL',
+    'DATA CENTRE',
+    'RACK',
+    'PHASE',
+    'PERMIT',
+    'QUARANTINED',
+  ];
+  context.print(list, formatColumns([head, ...rows]));
+}
+
+async function run(context: Context, command: Command, text: string) {
+  context.print(await sendCommand(context, command), `${text}\n`);
+}
+
+export function drain(context: Context, [host]: readonly string[]) {
+  return run(context, {type: 'drain', host: host!}, `${host} is draining`);
+}
+
+export function undrain(context: Context, [host]: readonly string[]) {
+  const text = `${host} returns to service once it is seen healthy`;
+  return run(context, {type: 'undrain', host: host!}, text);
+}
+
+export function retire(context: Context, [host]: readonly string[]) {
+  return run(context, {type: 'retire', host: host!}, `${host} is retired`);
+}
+
+export function release(context: Context, [host]: readonly string[]) {
+  const text = `${host} is out of quarantine`;
+  return run(context, {type: 'release-worker', host: host!}, text);
+}
+
+export function openWave(context: Context, [wave]: readonly string[]) {
+  const deadlineMs = deadlineOf(context);
+  const named = context.options['hosts']?.split(',');
+  const command: Command = {type: 'open-wave', wave: wave!, deadlineMs};
+  return run(
+    context,
+    named ? {...command, hosts: named} : command,
+    `wave ${wave} is open until ${new Date(deadlineMs).toISOString()}`,
+  );
+}
+
+export function pauseWave(context: Context, [wave]: readonly string[]) {
+  return setWave(context, wave!, 'paused');
+}
+
+export function resumeWave(context: Context, [wave]: readonly string[]) {
+  return setWave(context, wave!, 'open');
+}
+
+export function withdrawWave(context: Context, [wave]: readonly string[]) {
+  return setWave(context, wave!, 'withdrawn');
+}
+
+function setWave(
+  context: Context,
+  wave: string,
+  phase: 'open' | 'paused' | 'withdrawn',
+) {
+  const command: Command = {type: 'set-wave', wave, phase};
+  return run(context, command, `wave ${wave} is ${phase}`);
+}
+
+export async function status(context: Context): Promise<void> {
+  const schema = z.record(z.string(), z.unknown());
+  const body = await readBody(context, 'status', schema);
+  const lines = Object.entries(body).map(([name, value]) => [
+    name,
+    typeof value === 'string' ? value : JSON.stringify(value),
+  ]);
+  context.print(body, lines.length === 0 ? '\n' : formatColumns(lines));
+}
+
+export async function report(context: Context): Promise<void> {
+  const body = await readBody(context, 'report', reportSchema);
+  const measures = Object.entries(body.measures ?? {}).map(
+    ([name, value]) => `${name}: ${value}\n`,
+  );
+  const burn = body.burn
+    ? formatBurn(body.burn)
+    : 'the control process has no burn report\n';
+  context.print(body, burn + measures.join(''));
+}
+
+function versionOf(text: string | undefined): number | undefined {
+  if (text === undefined) return undefined;
+  if (/^\d{1,15}$/.test(text)) return Number(text);
+  throw new UsageError('--based-on must be a version number, 0 or above');
+}
+
+function deadlineOf(context: Context): number {
+  const {deadline, 'within-hours': within} = context.options;
+  if ((deadline === undefined) === (within === undefined)) {
+    throw new UsageError('give one of --deadline and --within-hours');
+  }
+  const deadlineMs =
+    deadline === undefined
+      ? Date.now() + hoursOf(within!) * HOUR_MS
+      : Date.parse(deadline);
+  if (!Number.isFinite(deadlineMs)) {
+    throw new UsageError('--deadline must be a time, 2030-01-31T06:00:00Z');
+  }
+  // A resend must not move the deadline.
+  context.resend['deadline'] = new Date(deadlineMs).toISOString();
+  return deadlineMs;
+}
+
+function hoursOf(text: string): number {
+  const hours = Number(text);
+  if (/^\d+(\.\d+)?$/.test(text) && hours > 0 && hours <= MAX_WAVE_HOURS) {
+    return hours;
+  }
+  throw new UsageError(
+    `--within-hours must be above 0 and at most ${MAX_WAVE_HOURS}`,
+  );
+}
--- /dev/null
+++ b/packages/command/src/key.ts
@@ -0,0 +1,100 @@
+/** Subcommands about keys. */
+import {
+  createKey,
+  keySchema,
+  subjectSchema,
+  type Subject,
+} from '@lentildrift/model';
+import {formatColumns} from '@lentildrift/observe';
+import {z} from 'zod';
+import {sendCommand, readBody} from './ask.js';
+import type {Context} from './context.js';
+import {OutcomeUnknown, UsageError} from './error.js';
+
+const GIVEN = /^([0-9a-f]{12}):([0-9a-f]{64})$/;
+
+/**
+ * Gives a key. The secret is made here and only its hash is sent; a resend
+ * names the hash, so that it stands for the text that was printed first.
+ */
+export async function give(
+  context: Context,
+  [kind, name]: readonly string[],
+): Promise<void> {
+  const subject = subjectOf(kind!, name!);
+  const known = givenOf(context.options['given']);
+  const key = known ?? createKey();
+  const {id, secretHash} = key;
+  const text = 'text' in key ? key.text : undefined;
+  context.resend['given'] = `${id}:${secretHash}`;
+  const shown = text === undefined ? `key ${id} is in force\n` : `${text}\n`;
+  try {
+    const answer = await sendCommand(context, {
+      type: 'give-key',
+      keyId: id,
+      subject,
+      secretHash,
+    });
+    context.print({...answer, keyId: id, key: text}, shown);
+  } catch (error) {
+    // Without the text, a key that was given after all would be lost.
+    if (error instanceof OutcomeUnknown) {
+      context.print({outcome: 'unknown', keyId: id, key: text}, shown);
+    }
+    throw error;
+  }
+}
+
+export async function withdraw(
+  context: Context,
+  [keyId]: readonly string[],
+): Promise<void> {
+  const answer = await sendCommand(context, {
+    type: 'withdraw-key',
+    keyId: keyId!,
+  });
+  context.print(answer, `key ${keyId} is withdrawn\n`);
+}
+
+export async function list(context: Context): Promise<void> {
+  const keys = await readBody(context, 'keys', z.array(keySchema));
+  const rows = keys.map(key => [
+    key.id,
+    key.subject.kind,
+    subjectName(key.subject),
+    new Date(key.givenAtMs).toISOString(),
+    key.withdrawnAtMs === undefined
+      ? ''
+      : new Date(key.withdrawnAtMs).toISOString(),
+  ]);
+  const shown = keys.map(({secretHash: _, ...rest}) => rest);
+  const head = ['ID', 'KIND', 'NAME', 'GIVEN', 'WITHDRAWN'];
+  context.print(shown, formatColumns([head, ...rows]));
+}
+
+/** Makes a key for the settings of the daemon; asks no server. */
+export async function make(context: Context): Promise<void> {
+  const {text, id, secretHash} = createKey();
+  const hash = `${id}:${secretHash}`;
+  context.print({key: text, hash}, `key  ${text}\nhash ${hash}\n`);
+}
+
+function subjectOf(kind: string, name: string): Subject {
+  const parsed = subjectSchema.safeParse({kind, [kind]: name});
+  if (parsed.success) return parsed.data;
+  throw new UsageError(
+    'usage: keys give team|pool|operator NAME, where NAME is 1 to 63 characters of a-z, 0-9, "." or "-"',
+  );
+}
+
+function subjectName(subject: Subject): string {
+  if (subject.kind === 'team') return subject.team;
+  return subject.kind === 'pool' ? subject.pool : subject.operator;
+}
+
+function givenOf(text: string | undefined) {
+  if (text === undefined) return undefined;
+  const match = GIVEN.exec(text);
+  if (!match) throw new UsageError('--given must be ID:HASH');
+  return {id: match[1]!, secretHash: match[2]!};
+}
--- /dev/null
+++ b/packages/command/src/queue.ts
@@ -0,0 +1,106 @@
+/** Jobs, over the HTTP front of an entry host. */
+import {jobSchema, jobSpecSchema, refusalSchema} from '@lentildrift/model';
+import {z} from 'zod';
+import {CommandError, OutcomeUnknown} from './error.js';
+
+/** The content of a file for `submit`. */
+export const jobFileSchema = z.strictObject({
+  jobs: z.array(jobSpecSchema).min(1).max(1000),
+});
+export type JobFile = z.infer<typeof jobFileSchema>;
+
+export const jobListSchema = z.object({jobs: z.array(jobSchema)});
+export type JobList = z.infer<typeof jobListSchema>;
+
+export interface QueueOptions {
+  /** Address and port of entry hosts, tried in turn. */
+  readonly entries: readonly string[];
+  readonly key: string;
+  readonly timeoutMs: number;
+}
+
+export interface Queue {
+  submit(file: JobFile): Promise<unknown>;
+  cancel(jobs: readonly string[]): Promise<unknown>;
+  list(): Promise<JobList>;
+}
+
+export function createQueue(options: QueueOptions): Queue {
+  return {
+    submit: file => send(options, 'POST', '/jobs', file),
+    cancel: jobs => {
+      const query = new URLSearchParams(
+        jobs.map((id): [string, string] => ['id', id]),
+      );
+      return send(options, 'DELETE', `/jobs?${query}`);
+    },
+    async list() {
+      const parsed = jobListSchema.safeParse(
+        await send(options, 'GET', '/jobs'),
+      );
+      if (parsed.success) return parsed.data;
+      throw new CommandError('the entry host sent a malformed list of jobs');
+    },
+  };
+}
+
+async function send(
+  options: QueueOptions,
+  method: 'GET' | 'POST' | 'DELETE',
+  path: string,
+  body?: unknown,
+): Promise<unknown> {
+  let last = 'no entry host';
+  for (const entry of options.entries) {
+    try {
+      return await sendTo(entry, options, method, path, body);
+    } catch (error) {
+      if (error instanceof CommandError) throw error;
+      const {cause, message} = error as Error & {cause?: {code?: string}};
+      last = `${entry}: ${cause?.code ?? message}`;
+      // A connection that was refused carried no byte of the request.
+      const notSent = cause?.code === 'ECONNREFUSED';
+      if (!notSent && method !== 'GET') throw new OutcomeUnknown(last);
+    }
+  }
+  throw new CommandError(last);
+}
+
+async function sendTo(
+  entry: string,
+  options: QueueOptions,
+  method: string,
+  path: string,
+  body: unknown,
+): Promise<unknown> {
+  const response = await fetch(`http://${entry}${path}`, {
+    method,
+    headers: {
+      authorization: `Bearer ${options.key}`,
+      ...(body === undefined ? {} : {'content-type': 'application/json'}),
+    },
+    body: body === undefined ? undefined : JSON.stringify(body),
+    signal: AbortSignal.timeout(options.timeoutMs),
+  });
+  const text = await response.text();
+  const value = parseJson(text);
+  if (response.ok) return value ?? {};
+  const refusal = refusalSchema.safeParse(value);
+  const reason = refusal.success
+    ? `${refusal.data.code}: ${refusal.data.message}`
+    : `HTTP status ${response.status}`;
+  // A body without a verdict does not say that nothing happened.
+  const verdict = refusal.success ? refusal.data.verdict : 'may-have-run';
+  if (verdict === 'may-have-run' && response.status >= 500) {
+    throw new OutcomeUnknown(`${entry}: ${reason}`);
+  }
+  throw new CommandError(`refused (${reason})`);
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/command/src/work.ts
@@ -0,0 +1,36 @@
+/** Subcommands about jobs. */
+import {formatColumns} from '@lentildrift/observe';
+import type {Context} from './context.js';
+import {loadDocument} from './document.js';
+import {jobFileSchema} from './queue.js';
+
+export async function submit(
+  context: Context,
+  [file]: readonly string[],
+): Promise<void> {
+  const text = context.readFile(file!);
+  const {value} = loadDocument(file!, text, jobFileSchema);
+  const answer = await context.queue().submit(value);
+  context.print(answer, `submitted ${value.jobs.length} jobs\n`);
+}
+
+export async function cancel(
+  context: Context,
+  ids: readonly string[],
+): Promise<void> {
+  const answer = await context.queue().cancel(ids);
+  context.print(answer, `cancel accepted for ${ids.length} jobs\n`);
+}
+
+export async function list(context: Context): Promise<void> {
+  const {jobs} = await context.queue().list();
+  const rows = jobs.map(job => [
+    job.id,
+    job.queue,
+    job.phase,
+    job.host ?? '',
+    job.reason ?? '',
+  ]);
+  const head = ['ID', 'QUEUE', 'PHASE', 'HOST', 'REASON'];
+  context.print(jobs, formatColumns([head, ...rows]));
+}
--- /dev/null
+++ b/packages/command/test/table.test.ts
@@ -0,0 +1,161 @@
+import {DocumentError, loadTables, mergeFile} from '@lentildrift/command';
+import {EMPTY_TABLES} from '@lentildrift/model';
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+
+const GOOD = `# tables
+teams:
+  - {name: juniors, share: 1, limit: 8}
+pools:
+  - name: booking
+    kind: calls
+    hosts: [h1, h2]
+    minAvailable: 1
+  - name: spare
+    kind: spare
+    hosts: [h3]
+routes:
+  - name: lanes
+    pool: booking
+    service: booking
+    teams: [juniors]
+`;
+
+/** The problems found in `text`, as line:column field: message. */
+function problemsOf(text: string): string[] {
+  try {
+    mergeFile(EMPTY_TABLES, loadTables('t.yaml', text));
+    return [];
+  } catch (error) {
+    if (!(error instanceof DocumentError)) throw error;
+    return error.problems.map(
+      ({line, column, field, message}) =>
+        `${line}:${column} ${field}: ${message}`,
+    );
+  }
+}
+
+function broken(from: string, to: string): string {
+  expect(GOOD).toContain(from);
+  return GOOD.replace(from, to);
+}
+
+describe('a file of tables', () => {
+  it('is accepted as YAML and as JSON', () => {
+    expect(problemsOf(GOOD)).toEqual([]);
+    const {value} = loadTables('t.yaml', GOOD);
+    expect(problemsOf(JSON.stringify(value))).toEqual([]);
+  });
+
+  it.each([
+    ['a type', 'limit: 8', 'limit: many', /^3:31 teams\[0\]\.limit: /],
+    ['a range', 'share: 1', 'share: 0', /^3:21 teams\[0\]\.share: /],
+    ['a missing field', '    kind: calls\n', '', /^5:5 pools\[0\]\.kind: /],
+    ['an unknown field', 'service:', 'sirvice:', /sirvice: unknown field/],
+    ['an unknown section', 'routes:', 'rutes:', /^12:1 rutes: unknown field/],
+    ['a name', 'hosts: [h3]', 'hosts: [H_3]', /^11:13 pools\[1\]\.hosts\[0\]/],
+    [
+      'a duplicate name',
+      'name: spare',
+      'name: booking',
+      /^9:5 pools\[1\]\.name: duplicate name "booking"/,
+    ],
+    [
+      'a host in two pools',
+      'hosts: [h3]',
+      'hosts: [h3, h2]',
+      /^11:17 pools\[1\]\.hosts\[1\]: host "h2" is already in pool "booking"/,
+    ],
+    [
+      'a host twice in one pool',
+      'hosts: [h1, h2]',
+      'hosts: [h1, h1]',
+      /^7:17 pools\[0\]\.hosts\[1\]: host "h1" is already in pool "booking"/,
+    ],
+    [
+      'a budget above the hosts',
+      'minAvailable: 1',
+      'minAvailable: 3',
+      /^8:5 pools\[0\]\.minAvailable: minAvailable 3 is above/,
+    ],
+    [
+      'an unknown pool',
+      'pool: booking',
+      'pool: nowhere',
+      /^14:5 routes\[0\]\.pool: unknown pool "nowhere"/,
+    ],
+    [
+      'a pool named like a property of every object',
+      'pool: booking',
+      'pool: constructor',
+      /^14:5 routes\[0\]\.pool: unknown pool "constructor"/,
+    ],
+    [
+      'a route to a spare pool',
+      'pool: booking',
+      'pool: spare',
+      /^14:5 routes\[0\]\.pool: pool "spare" is a spare pool/,
+    ],
+    [
+      'an unknown team',
+      'teams: [juniors]',
+      'teams: [juniors, seniors]',
+      /^16:22 routes\[0\]\.teams\[1\]: unknown team "seniors"/,
+    ],
+    [
+      'an open route without a team to charge',
+      'teams: [juniors]',
+      'open: true',
+      /^13:5 routes\[0\]\.chargeTo: an open route needs the team/,
+    ],
+    ['a syntax error', 'hosts: [h3]', 'hosts: [h3', /^12:1 : /],
+    ['a key twice', '    hosts: [h3]', '    kind: calls', /^11:5 : .*unique/],
+    ['an unknown alias', 'hosts: [h3]', 'hosts: *h', /^11:12 : unknown alias/],
+  ])('is refused with line and field for %s', (_, from, to, problem) => {
+    expect(problemsOf(broken(from, to)).join('\n')).toMatch(problem);
+  });
+
+  it('is refused when it is empty, another value or several documents', () => {
+    for (const text of ['', '# nothing', '[]', '7', '{}', 'a: 1\n---\nb: 2']) {
+      expect(problemsOf(text)).not.toEqual([]);
+    }
+  });
+
+  it('never throws anything but its own error, whatever the text', () => {
+    const piece = fc.constantFrom(
+      ...['teams:', 'pools:', 'routes:', '- ', 'name: a', 'hosts: ', '\n'],
+      ...['  ', '[', ']', '{', '}', '&a ', '*a', '<<: ', '? ', ': ', '!!set '],
+      ...['"', "'", '|', '>', '---\n', '%YAML 1.1\n', '# ', '__proto__: ', '1'],
+      ...[
+        'kind: calls',
+        'null',
+        '.nan',
+        '\t',
+        '\r',
+        '\u0000',
+        '!!binary ',
+        ',',
+      ],
+    );
+    const pieces = fc.array(piece, {maxLength: 40}).map(all => all.join(''));
+    const edits = fc
+      .record({
+        at: fc.nat(GOOD.length),
+        drop: fc.nat(20),
+        add: fc.oneof(piece, fc.string()),
+      })
+      .map(
+        ({at, drop, add}) => GOOD.slice(0, at) + add + GOOD.slice(at + drop),
+      );
+    const texts = fc.oneof(fc.string({unit: 'binary'}), pieces, edits);
+    fc.assert(
+      fc.property(texts, text => {
+        for (const problem of problemsOf(text)) {
+          expect(problem).toMatch(/^[1-9]\d*:[1-9]\d* /);
+        }
+      }),
+      {numRuns: 3000},
+    );
+    expect(problemsOf('['.repeat(100_000))).not.toEqual([]);
+  });
+});
--- a/packages/model/src/table.ts
+++ b/packages/model/src/table.ts
@@ -167,7 +167,7 @@
   problems: TableProblem[],
 ): void {
   routes.forEach((route, index) => {
-    const pool = merged.pools[route.pool];
+    const pool = row(merged.pools, route.pool);
     if (pool === undefined) {
       problems.push({
         path: ['routes', index, 'pool'],
@@ -195,17 +195,22 @@
       message: 'an open route needs the team to which its work is charged',
     });
   }
-  if (route.chargeTo !== undefined && !merged.teams[route.chargeTo]) {
+  if (route.chargeTo !== undefined && !row(merged.teams, route.chargeTo)) {
     problems.push({
       path: ['routes', index, 'chargeTo'],
       message: `unknown team "${route.chargeTo}"`,
     });
   }
   route.teams?.forEach((team, position) => {
-    if (merged.teams[team]) return;
+    if (row(merged.teams, team)) return;
     problems.push({
       path: ['routes', index, 'teams', position],
       message: `unknown team "${team}"`,
     });
   });
 }
+
+/** The row of that name; "constructor" is a name like any other. */
+function row<T>(rows: Record<string, T>, name: string): T | undefined {
+  return Object.hasOwn(rows, name) ? rows[name] : undefined;
+}
--- a/packages/observe/src/burn.ts
+++ b/packages/observe/src/burn.ts
@@ -52,6 +52,14 @@
 });
 export type BurnRow = z.infer<typeof burnRowSchema>;
 
+/** What operators read as `report`. */
+export const reportSchema = z.object({
+  burn: z.array(burnRowSchema).optional(),
+  /** The four measures, by name. */
+  measures: z.record(z.string(), z.number()).optional(),
+});
+export type Report = z.infer<typeof reportSchema>;
+
 export type CallClass = 'good' | 'bad' | 'ignored';
 
 const BAD_CODES: ReadonlySet<string> = new Set<RefusalCode>([
