--- a/packages/daemon/src/embedded.ts
+++ b/packages/daemon/src/embedded.ts
@@ -1,85 +1,125 @@
 /** The embedded default: every role in one process on loopback. */
-import {SoloReplica} from '@lentildrift/consensus';
-import {createControl, stateMachine} from '@lentildrift/control';
-import {startEntry} from '@lentildrift/entry';
-import {createKey, type Command, type Subject} from '@lentildrift/model';
+import {
+  createKey,
+  type ChangeBody,
+  type Command,
+  type Subject,
+} from '@lentildrift/model';
 import type {Log} from '@lentildrift/observe';
 import {sampleTables, startUpstream} from '@lentildrift/sample';
 import {startTasks} from '@lentildrift/task';
-import {randomUUID} from 'node:crypto';
+import {randomBytes, randomUUID} from 'node:crypto';
+import {startControl, type ControlRole} from './control.js';
+import {startEntryRole} from './entry.js';
+
+const LOOPBACK = '127.0.0.1';
+const SECRET_BYTES = 24;
 
 export interface EmbeddedOptions {
   readonly log: Log;
   readonly entryPort: number;
+  /** Absent means any free port. */
+  readonly controlPort?: number;
+  /** Loopback address of both roles. */
+  readonly address?: string;
 }
 
 export interface Embedded {
   readonly entryPort: number;
+  readonly controlPort: number;
   /** Key of the sample team. */
   readonly teamKey: string;
+  /** Key for the operators' command. */
+  readonly operatorKey: string;
   stop(): Promise<void>;
 }
 
 export async function startEmbedded(
   options: EmbeddedOptions,
 ): Promise<Embedded> {
-  const {log} = options;
+  const {log, entryPort, controlPort = 0, address = LOOPBACK} = options;
   const tasks = startTasks((task, error) =>
     log.error('task-failed', {task, error: error.message}),
   );
-  const replica = new SoloReplica(stateMachine);
-  const run = async (command: Command) => {
-    const requestId = randomUUID();
-    const body = {type: 'command' as const, requestId, command};
-    await replica.propose({atMs: Date.now(), body});
-  };
-  const give = async (subject: Subject) => {
-    const {id, text, secretHash} = createKey();
-    await run({type: 'give-key', keyId: id, subject, secretHash});
-    return text;
-  };
-  await run({type: 'edit', edit: sampleTables()});
-  await replica.propose({
-    atMs: Date.now(),
-    body: {
-      type: 'observe-hosts',
-      hosts: [
-        {
-          id: 'sample-1',
-          dataCentre: 'dc-1',
-          rack: 'rack-1',
-          cores: 4,
-          memoryMiB: 4096,
-          accelerators: 0,
-          healthy: true,
-        },
-      ],
+  const operator = createKey();
+  const control = await startControl(
+    {
+      controlAddress: address,
+      controlPort,
+      controlMembers: undefined,
+      clusterSecret: randomBytes(SECRET_BYTES).toString('hex'),
+      operatorKeyHash: operator,
     },
-  });
-  const teamKey = await give({kind: 'team', team: 'juniors'});
-  const poolKey = await give({kind: 'pool', pool: 'booking'});
-  const control = createControl({replica, tasks, log});
-  const entry = await startEntry({
-    control,
-    tasks,
-    log,
-    entryHost: 'entry-1',
-    host: '127.0.0.1',
-    port: options.entryPort,
-  });
+    {tasks, log},
+  );
+  const {teamKey, poolKey} = await prepare(control);
+  const entry = await startEntryRole(
+    {
+      hostName: 'entry-1',
+      entryAddress: address,
+      entryPort,
+      controlMembers: undefined,
+      clusterSecret: undefined,
+    },
+    {tasks, log, control: control.service},
+  );
   const upstream = await startUpstream({
     pool: 'booking',
     service: 'booking',
     host: 'sample-1',
     key: poolKey,
-    entry: `127.0.0.1:${entry.port}`,
+    entry: endpoint(address, entry.port),
   });
 
   async function stop(): Promise<void> {
     await upstream.stop();
     await entry.stop();
+    await control.stop();
     tasks.stop();
   }
 
-  return {entryPort: entry.port, teamKey, stop};
+  return {
+    entryPort: entry.port,
+    controlPort: control.port,
+    teamKey,
+    operatorKey: operator.text,
+    stop,
+  };
+}
+
+/** IP:PORT; an IPv6 number stands in square brackets. */
+export function endpoint(address: string, port: number): string {
+  return address.includes(':') ? `[${address}]:${port}` : `${address}:${port}`;
+}
+
+/** Applies the sample tables, shows the sample host and gives the keys. */
+async function prepare({replica}: ControlRole) {
+  const propose = (body: ChangeBody) =>
+    replica.propose({atMs: Date.now(), body});
+  const run = (command: Command) =>
+    propose({type: 'command', requestId: randomUUID(), command});
+  const give = async (subject: Subject) => {
+    const {id, text, secretHash} = createKey();
+    await run({type: 'give-key', keyId: id, subject, secretHash});
+    return text;
+  };
+  await run({type: 'edit', edit: sampleTables()});
+  await propose({
+    type: 'observe-hosts',
+    hosts: [
+      {
+        id: 'sample-1',
+        dataCentre: 'dc-1',
+        rack: 'rack-1',
+        cores: 4,
+        memoryMiB: 4096,
+        accelerators: 0,
+        healthy: true,
+      },
+    ],
+  });
+  return {
+    teamKey: await give({kind: 'team', team: 'juniors'}),
+    poolKey: await give({kind: 'pool', pool: 'booking'}),
+  };
 }
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,16 +1,45 @@
 #!/usr/bin/env node
 /** The daemon `lentildriftd`. */
-import {createLog} from '@lentildrift/observe';
-import {startEmbedded} from './embedded.js';
+import {createLog, type Log} from '@lentildrift/observe';
+import {
+  EXIT_WRONG_USAGE,
+  parseSettings,
+  SettingsError,
+  type Settings,
+} from '@lentildrift/settings';
+import {endpoint, startEmbedded} from './embedded.js';
+import {live, watchUncaught} from './life.js';
+import {startRoles, type Running} from './roles.js';
 
-const ENTRY_PORT = 8480;
+function readSettings(): Settings | undefined {
+  try {
+    return parseSettings(process.argv.slice(2));
+  } catch (error) {
+    if (!(error instanceof SettingsError)) throw error;
+    process.stderr.write(`lentildriftd: ${error.message}\n`);
+    return process.exit(EXIT_WRONG_USAGE);
+  }
+}
+
+async function startSample(settings: Settings, log: Log): Promise<Running> {
+  const {entryAddress, entryPort, controlPort} = settings;
+  const address = entryAddress;
+  const embedded = await startEmbedded({log, entryPort, controlPort, address});
+  const entry = endpoint(address, embedded.entryPort);
+  const server = endpoint(address, embedded.controlPort);
+  process.stdout.write(
+    `ready; try: curl -H 'Authorization: Bearer ${embedded.teamKey}' http://${entry}/call/lanes/today\n` +
+      `operators: LENTILDRIFT_KEY=${embedded.operatorKey} LENTILDRIFT_SERVER=${server} npm run -s lentildrift -- status\n`,
+  );
+  return embedded;
+}
 
-const log = createLog('info');
-const embedded = await startEmbedded({log, entryPort: ENTRY_PORT});
-const url = `http://127.0.0.1:${embedded.entryPort}/call/lanes/today`;
-process.stdout.write(
-  `ready; try: curl -H 'Authorization: Bearer ${embedded.teamKey}' ${url}\n`,
-);
-for (const signal of ['SIGINT', 'SIGTERM'] as const) {
-  process.once(signal, () => void embedded.stop().then(() => process.exit(0)));
+const settings = readSettings();
+if (settings) {
+  const {hostName, logLevel, embedded} = settings;
+  const log = createLog(logLevel, {host: hostName});
+  watchUncaught(log);
+  live(log, signal =>
+    embedded ? startSample(settings, log) : startRoles(settings, log, signal),
+  );
 }
--- /dev/null
+++ b/packages/daemon/src/roles.ts
@@ -0,0 +1,44 @@
+/** Starts the roles that the settings name. */
+import type {Log} from '@lentildrift/observe';
+import type {Settings} from '@lentildrift/settings';
+import {startTasks} from '@lentildrift/task';
+import {startControl} from './control.js';
+import {startEntryRole} from './entry.js';
+
+export interface Running {
+  stop(): Promise<void>;
+}
+
+/** Rejects when a role cannot start; what had started is stopped then. */
+export async function startRoles(
+  settings: Settings,
+  log: Log,
+  signal?: AbortSignal,
+): Promise<Running> {
+  const tasks = startTasks((task, error) =>
+    log.error('task-failed', {task, error: error.message}),
+  );
+  const started: Running[] = [];
+
+  async function stop(): Promise<void> {
+    // The entry role ends its session with control, so it stops first.
+    for (const role of started.reverse()) await role.stop();
+    tasks.stop();
+  }
+
+  try {
+    const context = {tasks, log};
+    const control = settings.roles?.includes('control')
+      ? await startControl(settings, context)
+      : undefined;
+    if (control) started.push(control);
+    if (settings.roles?.includes('entry')) {
+      const entry = {...context, control: control?.service, signal};
+      started.push(await startEntryRole(settings, entry));
+    }
+  } catch (error) {
+    await stop();
+    throw error;
+  }
+  return {stop};
+}
