--- a/packages/observe/src/burn.ts
+++ b/packages/observe/src/burn.ts
@@ -73,18 +73,29 @@
   'internal',
 ]);
 
+/** The facts that decide how a call counts. */
+export interface CallOutcome {
+  /** Why the call was refused or failed; absent when an upstream answered. */
+  readonly code?: RefusalCode;
+  /** HTTP status that the caller was sent; absent or 0 when none was. */
+  readonly status?: number;
+  /** `false` when the response broke off. */
+  readonly complete?: boolean;
+  /** `true` when the caller went away before the response was complete. */
+  readonly callerLeft?: boolean;
+}
+
 /**
- * Bad: refused for lack of capacity, failed or timed out. Ignored: the caller
- * got it wrong (4xx other than 429), or went away before an answer.
+ * Bad: refused for lack of capacity, failed, broken off or timed out.
+ * Ignored: the caller got it wrong (4xx other than 429), or went away.
  */
-export function classifyCall(
-  code: string | undefined,
-  status: number | undefined,
-): CallClass {
+export function classifyCall(call: CallOutcome): CallClass {
+  const {code, status = 0, complete, callerLeft} = call;
+  if (callerLeft) return 'ignored';
   if (code !== undefined && BAD_CODES.has(code)) return 'bad';
-  if (status === undefined || status < 100) return 'ignored';
-  if (status === 429 || status >= 500) return 'bad';
-  return status >= 400 ? 'ignored' : 'good';
+  if (status >= 400 && status < 500 && status !== 429) return 'ignored';
+  if (complete === false || status >= 400) return 'bad';
+  return status === 0 ? 'ignored' : 'good';
 }
 
 /** Start of the bucket that contains `atMs`. */
--- a/packages/observe/src/recorder.ts
+++ b/packages/observe/src/recorder.ts
@@ -1,25 +1,22 @@
 /** Records finished calls as metrics and for the burn report. */
-import type {RefusalCode, Verdict} from '@lentildrift/model';
+import type {Verdict} from '@lentildrift/model';
 import {
   BUCKET_MS,
   bucketStart,
   BUCKETS_KEPT,
   classifyCall,
   type BurnSeries,
+  type CallOutcome,
 } from './burn.js';
 import {createMetrics, type Metrics} from './metric.js';
 
 /** The facts of one finished call. */
-export interface FinishedCall {
+export interface FinishedCall extends CallOutcome {
   /** Absent when the call named no route. */
   readonly route?: string;
   /** Absent when the call was not charged to a team. */
   readonly team?: string;
   readonly verdict: Verdict;
-  /** Absent when an upstream answered. */
-  readonly code?: RefusalCode;
-  /** HTTP status sent to the caller; absent if none was sent. */
-  readonly status?: number;
   readonly durationMs: number;
 }
 
@@ -74,7 +71,7 @@
     const labels = {route, team, verdict};
     this.calls.add({...labels, code: code ?? (status ? 'answered' : 'none')});
     this.latency.record(labels, durationMs);
-    const kind = classifyCall(code, status);
+    const kind = classifyCall(call);
     if (route === '' || team === '' || kind === 'ignored') return;
     this.countBurn(route, team, kind);
   }
