Send only changed burn buckets, and probe control before the entry starts

An entry without control created its tasks anew at each attempt and never stopped them; it now looks for a control process first. The burn report of a host can be kept elsewhere by sending its changed buckets only. The embedded mode keeps to the address of each role, also over IPv6.

--- a/packages/daemon/src/embedded.ts
+++ b/packages/daemon/src/embedded.ts
@@ -20,8 +20,9 @@
   readonly entryPort: number;
   /** Absent means any free port. */
   readonly controlPort?: number;
-  /** Loopback address of both roles. */
-  readonly address?: string;
+  /** Loopback addresses of the roles; absent means 127.0.0.1. */
+  readonly entryAddress?: string;
+  readonly controlAddress?: string;
 }
 
 export interface Embedded {
@@ -37,14 +38,15 @@
 export async function startEmbedded(
   options: EmbeddedOptions,
 ): Promise<Embedded> {
-  const {log, entryPort, controlPort = 0, address = LOOPBACK} = options;
+  const {log, entryPort, controlPort = 0} = options;
+  const {entryAddress = LOOPBACK, controlAddress = LOOPBACK} = options;
   const tasks = startTasks((task, error) =>
     log.error('task-failed', {task, error: error.message}),
   );
   const operator = createKey();
   const control = await startControl(
     {
-      controlAddress: address,
+      controlAddress,
       controlPort,
       controlMembers: undefined,
       clusterSecret: randomBytes(SECRET_BYTES).toString('hex'),
@@ -56,7 +58,7 @@
   const entry = await startEntryRole(
     {
       hostName: 'entry-1',
-      entryAddress: address,
+      entryAddress,
       entryPort,
       controlMembers: undefined,
       clusterSecret: undefined,
@@ -68,7 +70,7 @@
     service: 'booking',
     host: 'sample-1',
     key: poolKey,
-    entry: endpoint(address, entry.port),
+    entry: endpoint(entryAddress, entry.port),
   });
 
   async function stop(): Promise<void> {
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -65,15 +65,28 @@
   settings: EntrySettings,
   context: EntryContext,
 ): Promise<Entry> {
-  const {log, signal} = context;
+  const client = await findControl(settings, context);
+  try {
+    return withClient(await start(settings, context, client.control), client);
+  } catch (error) {
+    await client.close();
+    throw error;
+  }
+}
+
+async function findControl(
+  settings: EntrySettings,
+  {log, signal}: EntryContext,
+): Promise<ServiceClient> {
   const addresses = (settings.controlMembers ?? []).map(m => m.address);
-  for (let round = 0; ; round++) {
-    signal?.throwIfAborted();
+  for (;;) {
     for (const address of addresses) {
+      signal?.throwIfAborted();
       const client = clientOf(settings, address);
       try {
-        const entry = await start(settings, context, client.control);
-        return withClient(entry, client);
+        // A question that changes nothing; it also checks the cluster secret.
+        await client.control.jobs({team: ''});
+        return client;
       } catch (error) {
         await client.close();
         if (!isWorthRetrying(error)) throw error;
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -22,11 +22,16 @@
 }
 
 async function startSample(settings: Settings, log: Log): Promise<Running> {
-  const {entryAddress, entryPort, controlPort} = settings;
-  const address = entryAddress;
-  const embedded = await startEmbedded({log, entryPort, controlPort, address});
-  const entry = endpoint(address, embedded.entryPort);
-  const server = endpoint(address, embedded.controlPort);
+  const {entryAddress, entryPort, controlAddress, controlPort} = settings;
+  const embedded = await startEmbedded({
+    log,
+    entryAddress,
+    entryPort,
+    controlAddress,
+    controlPort,
+  });
+  const entry = endpoint(entryAddress, embedded.entryPort);
+  const server = endpoint(controlAddress, embedded.controlPort);
   process.stdout.write(
     `ready; try: curl -H 'Authorization: Bearer ${embedded.teamKey}' http://${entry}/call/lanes/today\n` +
       `operators: LENTILDRIFT_KEY=${embedded.operatorKey} LENTILDRIFT_SERVER=${server} npm run -s lentildrift -- status\n`,
--- a/packages/observe/src/burn.ts
+++ b/packages/observe/src/burn.ts
@@ -129,6 +129,32 @@
   });
 }
 
+/**
+ * Takes one host's newer buckets into those held of it: a bucket that is sent
+ * again replaces the one held. Buckets that left the long window are dropped.
+ */
+export function updateSeries(
+  held: readonly BurnSeries[],
+  newer: readonly BurnSeries[],
+  nowMs: number,
+): BurnSeries[] {
+  const after = bucketStart(nowMs) - LONG_WINDOW_MS;
+  const byKey = new Map<string, BurnSeries>();
+  for (const {route, team, buckets} of [...held, ...newer]) {
+    const key = JSON.stringify([route, team]);
+    const known = byKey.get(key)?.buckets ?? [];
+    const byStart = new Map(
+      [...known, ...buckets].map(bucket => [bucket.startMs, bucket]),
+    );
+    const kept = [...byStart.values()]
+      .filter(({startMs}) => startMs > after)
+      .sort((a, b) => a.startMs - b.startMs)
+      .slice(-BUCKETS_KEPT);
+    byKey.set(key, {route, team, buckets: kept});
+  }
+  return [...byKey.values()].filter(({buckets}) => buckets.length > 0);
+}
+
 /**
  * One row for each series, the fastest burn first. `objectiveOf` gives a
  * team's objective; series of teams without one are left out.
--- a/packages/observe/src/recorder.ts
+++ b/packages/observe/src/recorder.ts
@@ -76,8 +76,23 @@
     this.countBurn(route, team, kind);
   }
 
-  /** Buckets of the last hour, for the burn report. */
-  series(): BurnSeries[] {
+  /**
+   * Buckets of the last hour, for the burn report; with `sinceMs` only those
+   * that may have changed since, and no series without such a bucket.
+   */
+  series(sinceMs?: number): BurnSeries[] {
+    const all = this.allSeries();
+    if (sinceMs === undefined) return all;
+    const from = bucketStart(sinceMs);
+    return all
+      .map(({buckets, ...rest}) => ({
+        ...rest,
+        buckets: buckets.filter(({startMs}) => startMs >= from),
+      }))
+      .filter(({buckets}) => buckets.length > 0);
+  }
+
+  private allSeries(): BurnSeries[] {
     const newest = bucketStart(this.nowMs()) / BUCKET_MS;
     return [...this.rings.values()].map(ring => {
       const {route, team, numbers, good, bad} = ring;
--- a/packages/observe/test/observe.test.ts
+++ b/packages/observe/test/observe.test.ts
@@ -8,6 +8,7 @@
   formatBurn,
   formatEvent,
   mergeSeries,
+  updateSeries,
   type CallOutcome,
   type FinishedCall,
 } from '@lentildrift/observe';
@@ -190,6 +191,24 @@
     );
   });
 
+  it('counts a bucket once that a host sends again, and drops old ones', () => {
+    let nowMs = NOW_MS;
+    const recorder = new CallRecorder(createMetrics(), () => nowMs);
+    recorder.record(call());
+    let held = updateSeries([], recorder.series(), nowMs);
+    nowMs += 1000;
+    recorder.record(call({status: 500}));
+    held = updateSeries(held, recorder.series(NOW_MS), nowMs);
+    expect(held).toEqual(recorder.series());
+    nowMs += 2 * BUCKET_MS;
+    recorder.record(call());
+    const sent = recorder.series(nowMs - BUCKET_MS);
+    expect(sent.map(({buckets}) => buckets.length)).toEqual([1]);
+    held = updateSeries(held, sent, nowMs);
+    expect(held).toEqual(recorder.series());
+    expect(updateSeries(held, [], nowMs + 60 * 60_000)).toEqual([]);
+  });
+
   it('holds no more series than it may, and reuses those of idle teams', () => {
     let nowMs = NOW_MS;
     const recorder = new CallRecorder(createMetrics(), () => nowMs, 2);
