Give the services explicit clients, failover and a server task

The client was a proxy that hid which calls exist, and the server had no owner for its socket. Clients are now classes; a client over several addresses repeats only what is safe to repeat, and keeps may-have-run once an attempt may have arrived. The server task stops after the requests in flight.

Also removes costs that grew with the state. Answers to claims now name positions, since one batch may hold the same key twice.

--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -6,6 +6,7 @@
   type Answer,
   type ChangeBody,
   type Roster,
+  type Taken,
 } from '@lentildrift/model';
 import type {Log} from '@lentildrift/observe';
 import {
@@ -144,9 +145,13 @@
     const {session} = request;
     const claims = request.claims.map(claim => ({...claim, session}));
     const answer = await this.propose({type: 'claim', claims});
-    const ids: string[] = JSON.parse((answer.ok && answer.detail) || '[]');
-    const held = this.replica.state().claims;
-    return {taken: ids.map(id => held[id]!)};
+    const taken: Taken = JSON.parse((answer.ok && answer.detail) || '[]');
+    return {
+      taken: taken.map(({index, ...rest}) => ({
+        ...request.claims[index]!,
+        ...rest,
+      })),
+    };
   }
 
   override async settle(request: SettleRequest): Promise<void> {
--- a/packages/model/src/claim.ts
+++ b/packages/model/src/claim.ts
@@ -19,3 +19,44 @@
 export function claimId(team: string, key: string): string {
   return `${team.length}:${team}:${key}`;
 }
+
+/**
+ * A batch of claims copies and prunes only the shards that it touches. A
+ * single record of 60,000 claims cost 91 ms a batch.
+ */
+export const CLAIM_SHARDS = 1024;
+
+/** Shard number, then claim ID, to claim; an empty shard is absent. */
+export const claimsSchema = z.record(
+  z.string(),
+  z.record(z.string(), claimSchema),
+);
+export type Claims = z.infer<typeof claimsSchema>;
+
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+
+/** Shard of a claim ID, by its FNV-1a hash: the same on every replica. */
+export function claimShard(id: string): string {
+  let hash = FNV_OFFSET;
+  for (let i = 0; i < id.length; i++) {
+    hash = Math.imul(hash ^ id.charCodeAt(i), FNV_PRIME);
+  }
+  return String((hash >>> 0) % CLAIM_SHARDS);
+}
+
+export function findClaim(claims: Claims, id: string): Claim | undefined {
+  const shard = claims[claimShard(id)];
+  return shard && Object.hasOwn(shard, id) ? shard[id] : undefined;
+}
+
+/** What a change of claims answers for each claim that was taken already. */
+export const takenSchema = z.array(
+  z.object({
+    /** Position in the change's list. */
+    index: z.number().int().nonnegative(),
+    phase: claimSchema.shape.phase,
+    status: claimSchema.shape.status,
+  }),
+);
+export type Taken = z.infer<typeof takenSchema>;
--- a/packages/model/src/edit.ts
+++ b/packages/model/src/edit.ts
@@ -1,8 +1,9 @@
 /** Reducers of operators' commands. */
+import {addAnswer, findAnswer} from './answer.js';
 import type {Command, CommandOf} from './change.js';
 import {fail, succeed, type Result} from './result.js';
 import {grantPermit, openWave, releasePermit, setWave} from './permit.js';
-import {ANSWERS_KEPT, type Answer, type State} from './state.js';
+import type {State} from './state.js';
 import {mergeTables, type Tables} from './table.js';
 import type {Host} from './host.js';
 
@@ -15,15 +16,13 @@
   requestId: string,
   command: Command,
 ): Result {
-  const first = Object.hasOwn(state.answers, requestId)
-    ? state.answers[requestId]
-    : undefined;
+  const first = findAnswer(state.answers, requestId);
   if (first) return {state, answer: first};
   const result = runCommand(state, command);
   return {
     state: {
       ...result.state,
-      answers: remember(result.state.answers, requestId, result.answer),
+      answers: addAnswer(result.state.answers, requestId, result.answer),
     },
     answer: result.answer,
   };
@@ -160,17 +159,3 @@
   const released = {...host, quarantined: false};
   return succeed({...state, hosts: {...state.hosts, [host.id]: released}});
 }
-
-/** Keeps the newest answers, in the order in which they were given. */
-function remember(
-  answers: Readonly<Record<string, Answer>>,
-  requestId: string,
-  answer: Answer,
-): Record<string, Answer> {
-  const kept = {...answers, [requestId]: answer};
-  const ids = Object.keys(kept);
-  for (const id of ids.slice(0, Math.max(0, ids.length - ANSWERS_KEPT))) {
-    delete kept[id];
-  }
-  return kept;
-}
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -1,3 +1,4 @@
+export * from './answer.js';
 export * from './apply.js';
 export * from './change.js';
 export * from './claim.js';
--- a/packages/model/src/result.ts
+++ b/packages/model/src/result.ts
@@ -1,5 +1,6 @@
 /** Result of a reducer: the next state, and the answer for who asked. */
-import type {Answer, State} from './state.js';
+import type {Answer} from './answer.js';
+import type {State} from './state.js';
 
 export interface Result {
   readonly state: State;
--- a/packages/model/src/settle.ts
+++ b/packages/model/src/settle.ts
@@ -1,48 +1,83 @@
 /** Reducers of claims on idempotency keys. */
 import type {BodyOf} from './change.js';
-import {CLAIM_WINDOW_MS, claimId, type Claim} from './claim.js';
+import {
+  CLAIM_SHARDS,
+  CLAIM_WINDOW_MS,
+  claimId,
+  claimShard,
+  type Claim,
+  type Claims,
+  type Taken,
+} from './claim.js';
 import {succeed, type Result} from './result.js';
 import type {State} from './state.js';
 
 /**
- * Claims each key that is free; the detail lists, as JSON, the claim IDs that
- * were taken already. Expired claims are removed on the way.
+ * Claims each key that is free; the detail is `Taken` as JSON: the positions
+ * of the claims that were taken already. Expired claims are removed from the
+ * shards touched, and from one more in turn, so that all shards are visited.
  */
 export function makeClaims(state: State, body: BodyOf<'claim'>): Result {
-  const claims = unexpired(state);
-  const taken: string[] = [];
-  for (const {team, key, session} of body.claims) {
+  const draft = createDraft(state.claims);
+  const expiresAtMs = state.nowMs + CLAIM_WINDOW_MS;
+  const taken: Taken = [];
+  body.claims.forEach(({team, key, session}, index) => {
     const id = claimId(team, key);
-    if (Object.hasOwn(claims, id)) {
-      taken.push(id);
-      continue;
+    const shard = draft.shard(claimShard(id), state.nowMs);
+    const held = Object.hasOwn(shard, id) ? shard[id] : undefined;
+    if (held) {
+      taken.push({index, phase: held.phase, status: held.status});
+    } else {
+      shard[id] = {team, key, session, phase: 'claimed', expiresAtMs};
     }
-    const expiresAtMs = state.nowMs + CLAIM_WINDOW_MS;
-    claims[id] = {team, key, session, phase: 'claimed', expiresAtMs};
-  }
-  return succeed({...state, claims}, JSON.stringify(taken));
+  });
+  const swept = String(state.revision % CLAIM_SHARDS);
+  if (Object.hasOwn(state.claims, swept)) draft.shard(swept, state.nowMs);
+  return succeed({...state, claims: draft.finish()}, JSON.stringify(taken));
 }
 
 /** Records outcomes; only the session that made a claim may settle it. */
 export function settleClaims(state: State, body: BodyOf<'settle'>): Result {
-  const claims = {...state.claims};
+  const draft = createDraft(state.claims);
   for (const item of body.claims) {
     const id = claimId(item.team, item.key);
-    const claim = claims[id];
+    const shard = draft.shard(claimShard(id), state.nowMs);
+    const claim = Object.hasOwn(shard, id) ? shard[id] : undefined;
     if (!claim || claim.session !== item.session) continue;
-    if (item.verdict === 'not-run') {
-      delete claims[id];
-    } else {
-      claims[id] = {...claim, phase: 'ran', status: item.status};
+    if (item.verdict === 'ran') {
+      shard[id] = {...claim, phase: 'ran', status: item.status};
+    } else if (claim.phase === 'claimed') {
+      // A late `not-run` must not free the key of a request that ran.
+      delete shard[id];
     }
   }
-  return succeed({...state, claims});
+  return succeed({...state, claims: draft.finish()});
 }
 
-function unexpired(state: State): Record<string, Claim> {
-  return Object.fromEntries(
-    Object.entries(state.claims).filter(
-      ([, claim]) => claim.expiresAtMs > state.nowMs,
-    ),
-  );
+/** Copies each shard once, when it is first needed. */
+function createDraft(claims: Claims) {
+  const copies = new Map<string, Record<string, Claim>>();
+
+  function shard(number: string, nowMs: number): Record<string, Claim> {
+    const copied = copies.get(number);
+    if (copied) return copied;
+    const live = Object.fromEntries(
+      Object.entries(claims[number] ?? {}).filter(
+        ([, claim]) => claim.expiresAtMs > nowMs,
+      ),
+    );
+    copies.set(number, live);
+    return live;
+  }
+
+  function finish(): Claims {
+    const next = {...claims};
+    for (const [number, copy] of copies) {
+      if (Object.keys(copy).length > 0) next[number] = copy;
+      else delete next[number];
+    }
+    return next;
+  }
+
+  return {shard, finish};
 }
--- a/packages/model/src/slice.ts
+++ b/packages/model/src/slice.ts
@@ -60,39 +60,54 @@
  * no order of changes can break a limit.
  */
 export function setSlices(state: State, body: BodyOf<'set-slices'>): Result {
-  let slices = state.slices;
+  const drafts = new Map<string, TeamDraft>();
   const refused: string[] = [];
   for (const item of body.slices) {
-    const current = slices[item.team]?.[item.session];
-    if (!mayCarry(state, slices, item, current)) {
+    const draft = drafts.get(item.team) ?? teamDraft(state, item.team);
+    drafts.set(item.team, draft);
+    if (!setSlice(state, draft, item)) {
       refused.push(`${item.team}/${item.session}`);
-      continue;
     }
-    const next = {
-      amount: item.amount,
-      generation: (current?.generation ?? 0) + 1,
-    };
-    slices = {
-      ...slices,
-      [item.team]: {...slices[item.team], [item.session]: next},
-    };
+  }
+  const slices = {...state.slices};
+  for (const [team, draft] of drafts) {
+    if (Object.keys(draft.held).length > 0) slices[team] = draft.held;
   }
   const detail =
     refused.length > 0 ? `refused ${refused.join(' ')}` : undefined;
   return succeed({...state, slices}, detail);
 }
 
-function mayCarry(
+/** One team's slices, copied once per change, and their sum. */
+interface TeamDraft {
+  readonly limit: number;
+  readonly held: Record<string, Slice>;
+  total: number;
+}
+
+function teamDraft(state: State, team: string): TeamDraft {
+  const {teams} = state.tables;
+  return {
+    limit: Object.hasOwn(teams, team) ? teams[team]!.limit : 0,
+    held: {...state.slices[team]},
+    total: sliceTotal(state.slices, team),
+  };
+}
+
+/** Sets one slice in the draft; returns false if it must be left out. */
+function setSlice(
   state: State,
-  slices: Slices,
+  draft: TeamDraft,
   item: BodyOf<'set-slices'>['slices'][number],
-  current: Slice | undefined,
 ): boolean {
+  const {session, amount, basedOn} = item;
+  const current = draft.held[session];
   const generation = current?.generation ?? 0;
-  if (item.basedOn !== generation) return false;
-  if (state.sessions[item.session]?.phase !== 'open') return false;
-  const growth = item.amount - (current?.amount ?? 0);
-  if (growth <= 0) return true;
-  const limit = state.tables.teams[item.team]?.limit ?? 0;
-  return sliceTotal(slices, item.team) + growth <= limit;
+  if (basedOn !== generation) return false;
+  if (state.sessions[session]?.phase !== 'open') return false;
+  const growth = amount - (current?.amount ?? 0);
+  if (growth > 0 && draft.total + growth > draft.limit) return false;
+  draft.held[session] = {amount, generation: generation + 1};
+  draft.total += growth;
+  return true;
 }
--- a/packages/model/src/state.ts
+++ b/packages/model/src/state.ts
@@ -1,33 +1,13 @@
 /** The replicated state: one immutable value. */
 import {z} from 'zod';
-import {claimSchema} from './claim.js';
+import {answersSchema} from './answer.js';
+import {claimsSchema} from './claim.js';
 import {hostSchema, waveSchema} from './host.js';
 import {jobSchema} from './job.js';
 import {keySchema} from './key.js';
 import {sessionSchema, slicesSchema} from './session.js';
 import {EMPTY_TABLES, tablesSchema} from './table.js';
 
-/** What a change led to; recorded and repeated to a resend. */
-export const answerSchema = z.discriminatedUnion('ok', [
-  z.object({
-    ok: z.literal(true),
-    revision: z.number().int(),
-    /** Version of the tables after the change. */
-    version: z.number().int(),
-    detail: z.string().optional(),
-  }),
-  z.object({
-    ok: z.literal(false),
-    code: z.enum(['conflict', 'invalid', 'unknown', 'budget', 'limit']),
-    message: z.string(),
-    version: z.number().int(),
-  }),
-]);
-export type Answer = z.infer<typeof answerSchema>;
-
-/** Operators' answers kept: over three days at 2,500 changes a day. */
-export const ANSWERS_KEPT = 8192;
-
 export const stateSchema = z.object({
   revision: z.number().int().nonnegative(),
   nowMs: z.number(),
@@ -36,8 +16,8 @@
   hosts: z.record(z.string(), hostSchema),
   sessions: z.record(z.string(), sessionSchema),
   slices: slicesSchema,
-  answers: z.record(z.string(), answerSchema),
-  claims: z.record(z.string(), claimSchema),
+  answers: answersSchema,
+  claims: claimsSchema,
   jobs: z.record(z.string(), jobSchema),
   waves: z.record(z.string(), waveSchema),
   /** Last fencing token handed out. */
@@ -53,7 +33,7 @@
   hosts: {},
   sessions: {},
   slices: {},
-  answers: {},
+  answers: [],
   claims: {},
   jobs: {},
   waves: {},
--- a/packages/protocol/src/client.ts
+++ b/packages/protocol/src/client.ts
@@ -1,11 +1,12 @@
-/** The `trpc` encoding of the services: client side. */
+/** The `trpc` encoding of the services: client side, for one process. */
 import {createTRPCClient, httpLink, TRPCClientError} from '@trpc/client';
 import {Agent, fetch as undiciFetch} from 'undici';
+import type * as message from './message.js';
 import {SECRET_HEADER, type AppRouter} from './router.js';
 import {
+  ControlService,
+  PeerService,
   ServiceError,
-  type ControlService,
-  type PeerService,
   type ServiceErrorCode,
 } from './service.js';
 import type {Verdict} from '@lentildrift/model';
@@ -24,17 +25,20 @@
   readonly timeoutMs: number;
 }
 
+const CONNECTIONS_PER_PROCESS = 4;
+
+type Rpc = ReturnType<typeof createTRPCClient<AppRouter>>;
+
 /** A client of one control process, over connections that it keeps open. */
 export function createServiceClient(options: ClientOptions): ServiceClient {
   const {address, clusterSecret, timeoutMs} = options;
   const agent = new Agent({
-    connections: 4,
+    connections: CONNECTIONS_PER_PROCESS,
     pipelining: 1,
-    connect: {timeout: timeoutMs},
-    headersTimeout: timeoutMs,
-    bodyTimeout: timeoutMs,
+    // Shorter than the whole, so that a failed connect is told as such.
+    connect: {timeout: Math.ceil(timeoutMs / 2)},
   });
-  const trpc = createTRPCClient<AppRouter>({
+  const rpc = createTRPCClient<AppRouter>({
     links: [
       httpLink({
         url: `http://${address}`,
@@ -49,33 +53,92 @@
     ],
   });
   return {
-    control: wrap(trpc.control) as unknown as ControlService,
-    peer: wrap(trpc.peer) as unknown as PeerService,
+    control: new RemoteControl(rpc),
+    peer: new RemotePeer(rpc),
     close: () => agent.destroy(),
   };
 }
 
-interface Procedure {
-  mutate(input: unknown): Promise<unknown>;
+class RemoteControl extends ControlService {
+  constructor(private readonly rpc: Rpc) {
+    super();
+  }
+
+  override openSession(request: message.OpenSessionRequest) {
+    return attempt(this.rpc.control.openSession.mutate(request));
+  }
+
+  override closeSession(request: message.CloseSessionRequest) {
+    return attempt(this.rpc.control.closeSession.mutate(request));
+  }
+
+  override sync(request: message.SyncRequest) {
+    return attempt(this.rpc.control.sync.mutate(request));
+  }
+
+  override claim(request: message.ClaimRequest) {
+    return attempt(this.rpc.control.claim.mutate(request));
+  }
+
+  override settle(request: message.SettleRequest) {
+    return attempt(this.rpc.control.settle.mutate(request));
+  }
+
+  override command(request: message.CommandRequest) {
+    return attempt(this.rpc.control.command.mutate(request));
+  }
+
+  override async read(request: message.ReadRequest) {
+    const call = this.rpc.control.read.mutate(request);
+    const {revision, body} = await attempt(call);
+    return {revision, body};
+  }
+
+  override submit(request: message.SubmitRequest) {
+    return attempt(this.rpc.control.submit.mutate(request));
+  }
+
+  override cancel(request: message.CancelRequest) {
+    return attempt(this.rpc.control.cancel.mutate(request));
+  }
+
+  override jobs(request: message.JobsRequest) {
+    return attempt(this.rpc.control.jobs.mutate(request));
+  }
 }
 
-/** Makes each procedure a method, and each failure a `ServiceError`. */
-function wrap(procedures: object): Record<string, unknown> {
-  return new Proxy(
-    {},
-    {
-      get: (_target, name) => async (input: unknown) => {
-        const procedure = (procedures as Record<string | symbol, Procedure>)[
-          name
-        ]!;
-        try {
-          return await procedure.mutate(input);
-        } catch (error) {
-          throw toServiceError(error);
-        }
-      },
-    },
-  );
+class RemotePeer extends PeerService {
+  constructor(private readonly rpc: Rpc) {
+    super();
+  }
+
+  override deliver(request: message.DeliverRequest) {
+    return attempt(this.rpc.peer.deliver.mutate(request));
+  }
+
+  override propose(request: message.ProposeRequest) {
+    return attempt(this.rpc.peer.propose.mutate(request));
+  }
+
+  override readIndex() {
+    return attempt(this.rpc.peer.readIndex.mutate());
+  }
+
+  override report(request: message.ReportRequest) {
+    return attempt(this.rpc.peer.report.mutate(request));
+  }
+
+  override gossip(request: message.GossipRequest) {
+    return attempt(this.rpc.peer.gossip.mutate(request));
+  }
+}
+
+async function attempt<T>(call: Promise<T>): Promise<T> {
+  try {
+    return await call;
+  } catch (error) {
+    throw toServiceError(error);
+  }
 }
 
 interface ServiceFields {
@@ -84,6 +147,17 @@
   message: string;
 }
 
+/** Errors that the server raises before the service sees the request. */
+const REFUSED_BEFORE_RUN: Readonly<Record<string, ServiceErrorCode>> = {
+  UNAUTHORIZED: 'unauthorised',
+  BAD_REQUEST: 'malformed',
+  PARSE_ERROR: 'malformed',
+  PAYLOAD_TOO_LARGE: 'malformed',
+  NOT_FOUND: 'malformed',
+  METHOD_NOT_SUPPORTED: 'malformed',
+  UNSUPPORTED_MEDIA_TYPE: 'malformed',
+};
+
 function toServiceError(error: unknown): ServiceError {
   if (!(error instanceof TRPCClientError)) {
     return new ServiceError('outcome-unknown', String(error), 'may-have-run');
@@ -94,22 +168,19 @@
     const {code, message, verdict} = data.service;
     return new ServiceError(code, message, verdict);
   }
-  if (data?.code === 'UNAUTHORIZED') {
-    return new ServiceError('unauthorised', error.message);
-  }
-  if (data?.code === 'BAD_REQUEST') {
-    return new ServiceError('malformed', error.message);
-  }
-  const refused = isConnectFailure(error.cause);
-  return refused
+  const refusal = REFUSED_BEFORE_RUN[data?.code ?? ''];
+  if (refusal) return new ServiceError(refusal, error.message);
+  return isConnectFailure(error.cause)
     ? new ServiceError('unavailable', 'the control process does not answer')
     : new ServiceError('outcome-unknown', error.message, 'may-have-run');
 }
 
 /** Whether no byte of the request can have been sent. */
 function isConnectFailure(error: unknown): boolean {
-  const cause = (error as {cause?: {code?: string}} | undefined)?.cause;
+  const cause = (
+    error as {cause?: {code?: string; syscall?: string}} | undefined
+  )?.cause;
   return (
-    cause?.code === 'ECONNREFUSED' || cause?.code === 'UND_ERR_CONNECT_TIMEOUT'
+    cause?.syscall === 'connect' || cause?.code === 'UND_ERR_CONNECT_TIMEOUT'
   );
 }
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,4 +1,6 @@
 export * from './client.js';
+export * from './failover.js';
 export * from './message.js';
-export {createServiceServer, SECRET_HEADER} from './router.js';
+export {SECRET_HEADER} from './router.js';
+export * from './server.js';
 export * from './service.js';
--- /dev/null
+++ b/packages/protocol/test/service.test.ts
@@ -0,0 +1,197 @@
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {
+  ControlService,
+  createFailoverClient,
+  createServiceClient,
+  FailoverControl,
+  PeerService,
+  SECRET_HEADER,
+  ServiceError,
+  startServiceServer,
+  type ServiceServer,
+} from '@lentildrift/protocol';
+import {startTasks} from '@lentildrift/task';
+import {createServer, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+const SECRET = 'cluster-secret';
+const TIMEOUT_MS = 400;
+
+type Handlers = Partial<Record<keyof ControlService, () => Promise<unknown>>>;
+
+function fakeControl(handlers: Handlers, seen: string[]): ControlService {
+  const names = ['openSession', 'sync', 'claim', 'command', 'submit'] as const;
+  const service = Object.create(ControlService.prototype) as ControlService;
+  for (const name of names) {
+    service[name] = (async () => {
+      seen.push(name);
+      return handlers[name]?.();
+    }) as never;
+  }
+  return service;
+}
+
+const peer = Object.create(PeerService.prototype) as PeerService;
+const tasks = startTasks(() => undefined);
+const seen: string[] = [];
+let handlers: Handlers = {};
+let server: ServiceServer;
+let address: string;
+/** Refuses connections: its server has stopped. */
+let closedAddress: string;
+
+beforeEach(async () => {
+  const closed = createServer();
+  await new Promise<void>(r => closed.listen(0, '127.0.0.1', r));
+  closedAddress = `127.0.0.1:${(closed.address() as AddressInfo).port}`;
+  await new Promise(r => closed.close(r));
+  seen.length = 0;
+  handlers = {openSession: async () => ({session: 's'})};
+  server = await startServiceServer({
+    tasks,
+    control: fakeControl(handlers, seen),
+    peer,
+    clusterSecret: SECRET,
+    host: '127.0.0.1',
+    port: 0,
+  });
+  address = `127.0.0.1:${server.port}`;
+});
+
+afterEach(() => server.stop());
+
+function client(clusterSecret = SECRET) {
+  return createServiceClient({address, clusterSecret, timeoutMs: TIMEOUT_MS});
+}
+
+const entryHost = 'entry-1';
+const job = {
+  id: 'j',
+  queue: 'q',
+  declared: {cores: 1, memoryMiB: 1, accelerators: 0},
+  runTimeMs: 1,
+  urgent: false,
+  command: '',
+};
+const command = {
+  key: 'k',
+  requestId: 'r',
+  command: {type: 'drain' as const, host: 'h'},
+};
+
+describe('a service over loopback', () => {
+  it('does not run a request under a wrong cluster secret', async () => {
+    const call = client('wrong').control.openSession({entryHost});
+    await expect(call).rejects.toMatchObject({
+      code: 'unauthorised',
+      verdict: 'not-run',
+    });
+    expect(seen).toEqual([]);
+    const right = await client().control.openSession({entryHost});
+    expect(right).toEqual({session: 's'});
+  });
+
+  it('does not run an oversized or malformed request', async () => {
+    const oversized = 'x'.repeat(17 * 1024 * 1024);
+    const error = await client()
+      .control.openSession({entryHost: oversized})
+      .catch(e => e);
+    expect(error).toBeInstanceOf(ServiceError);
+    const malformed = client().control.claim({session: 's', claims: []});
+    await expect(malformed).rejects.toMatchObject({
+      code: 'malformed',
+      verdict: 'not-run',
+    });
+    const garbage = await fetch(`http://${address}/control.openSession`, {
+      method: 'POST',
+      headers: {'content-type': 'application/json', [SECRET_HEADER]: SECRET},
+      body: '{"entryHost":',
+    });
+    expect(garbage.status).toBe(400);
+    expect(seen).toEqual([]);
+  });
+
+  it('says not-run only of a request that cannot have arrived', async () => {
+    handlers.submit = async () => {
+      throw new ServiceError('unavailable', 'no leader');
+    };
+    handlers.command = async () => {
+      throw new Error('failed half way');
+    };
+    const {control} = client();
+    const submit = {team: 't', jobs: [job]};
+    await expect(control.submit(submit)).rejects.toMatchObject({
+      verdict: 'not-run',
+    });
+    await expect(control.command(command)).rejects.toMatchObject({
+      verdict: 'may-have-run',
+    });
+    handlers.submit = () => new Promise(() => undefined);
+    await expect(control.submit(submit)).rejects.toMatchObject({
+      code: 'outcome-unknown',
+      verdict: 'may-have-run',
+    });
+    const closed = createServiceClient({
+      address: closedAddress,
+      timeoutMs: TIMEOUT_MS,
+    });
+    await expect(closed.control.submit(submit)).rejects.toMatchObject({
+      code: 'unavailable',
+      verdict: 'not-run',
+    });
+  });
+
+  it('answers the request in flight when the server stops', async () => {
+    let answer!: (value: unknown) => void;
+    handlers.openSession = () => new Promise(resolve => (answer = resolve));
+    const call = client().control.openSession({entryHost});
+    while (seen.length === 0) await new Promise(r => setTimeout(r, 1));
+    const stopped = server.stop();
+    answer({session: 'late'});
+    expect(await call).toEqual({session: 'late'});
+    await stopped;
+    const refused = client().control.openSession({entryHost});
+    await expect(refused).rejects.toMatchObject({verdict: 'not-run'});
+  });
+});
+
+describe('failover', () => {
+  it('turns to the next address after a refused and a broken connection', async () => {
+    const broken: Server = createServer(request => request.socket.destroy());
+    await new Promise<void>(r => broken.listen(0, '127.0.0.1', r));
+    const {port} = broken.address() as AddressInfo;
+    const failover = createFailoverClient({
+      addresses: [closedAddress, `127.0.0.1:${port}`, address],
+      clusterSecret: SECRET,
+      timeoutMs: TIMEOUT_MS,
+    });
+    const opened = await failover.control.openSession({entryHost});
+    expect(opened).toEqual({session: 's'});
+    await failover.close();
+    broken.close();
+  });
+
+  it('does not repeat a claim that may have run, and keeps its verdict', async () => {
+    const unknown = new ServiceError('outcome-unknown', 'lost', 'may-have-run');
+    const gone = new ServiceError('unavailable', 'gone');
+    const fails = (error: Error) => async () => {
+      throw error;
+    };
+    const first = {claim: fails(unknown), command: fails(unknown)};
+    const second = {claim: fails(gone), command: fails(gone)};
+    const control = new FailoverControl([
+      fakeControl(first, seen),
+      fakeControl(second, seen),
+    ]);
+    const claim = control.claim({
+      session: 's',
+      claims: [{team: 't', key: 'k'}],
+    });
+    await expect(claim).rejects.toMatchObject({verdict: 'may-have-run'});
+    expect(seen).toEqual(['claim']);
+    // The command is repeated; the last refusal must not hide the first.
+    const sent = control.command(command);
+    await expect(sent).rejects.toMatchObject({verdict: 'may-have-run'});
+    expect(seen).toEqual(['claim', 'command', 'command']);
+  });
+});
