Build the control role of tasks over a replica

One class answered everything from its own replica, so a follower could not serve, limits went whole to the first entry, and a sync proved no freshness.

--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -1,209 +1,225 @@
-/** The control role: answers entry hosts and operators from the state. */
-import {
-  mergeRoster,
-  rosterItems,
-  verifyKey,
-  type Answer,
-  type ChangeBody,
-  type Roster,
-  type Taken,
-} from '@lentildrift/model';
+/** The control role: its tasks, and the services that stand before them. */
+import type {Slice, State} from '@lentildrift/model';
 import type {Log} from '@lentildrift/observe';
 import {
   ControlService,
   ServiceError,
+  type PeerService,
   type CancelRequest,
   type ClaimRequest,
-  type ClaimResponse,
   type CloseSessionRequest,
   type CommandRequest,
   type JobsRequest,
-  type JobsResponse,
   type OpenSessionRequest,
   type OpenSessionResponse,
   type ReadRequest,
-  type ReadResponse,
   type SettleRequest,
   type SubmitRequest,
   type SyncRequest,
   type SyncResponse,
 } from '@lentildrift/protocol';
-import type {Reply, Task, TaskSystem} from '@lentildrift/task';
+import type {TaskSystem} from '@lentildrift/task';
 import {randomUUID} from 'node:crypto';
+import {createClaims, type Claims} from './claims.js';
+import {createFreshness, type Freshness} from './freshness.js';
+import {DemandPolicy, type LimitPolicy} from './limit.js';
+import {createLimits, type Limits} from './limits.js';
 import type {StateReplica} from './machine.js';
-import {createViews} from './views.js';
-
-const ASK_TIMEOUT_MS = 2000;
+import {
+  createOperators,
+  type Operators,
+  type ReportProvider,
+} from './operators.js';
+import {LocalPeer, type Deliver} from './peer.js';
+import {createProposals, type Peers, type Proposals} from './propose.js';
+import {createRoster, type RosterTask} from './roster.js';
+import {createSessions, type Sessions} from './sessions.js';
+import {createViews, type Views} from './views.js';
 
 export interface ControlOptions {
   readonly replica: StateReplica;
   readonly tasks: TaskSystem;
   readonly log: Log;
+  /** Other control processes, by member ID. */
+  readonly peers?: Peers;
+  /** Takes consensus messages of other control processes. */
+  readonly deliver?: Deliver;
+  readonly report?: ReportProvider;
+  readonly policy?: LimitPolicy;
 }
 
-type RosterMessage =
-  | {type: 'merge'; items: SyncRequest['roster']}
-  | {type: 'read'; reply: Reply<Roster>};
+export interface Control {
+  readonly control: ControlService;
+  readonly peer: PeerService;
+  readonly proposals: Proposals;
+  /** Stops the tasks, not the replica. */
+  stop(): Promise<void>;
+}
 
 /** Starts the control role over a replica. */
-export function createControl(options: ControlOptions): ControlService {
-  const {replica, tasks} = options;
-  const roster = tasks.spawn<Roster, RosterMessage>({
-    name: 'roster',
-    initial: new Map(),
-    handle(state, message) {
-      if (message.type === 'merge') {
-        return mergeRoster(state, message.items, performance.now());
-      }
-      message.reply.resolve(state);
-      return state;
-    },
+export function createControl(options: ControlOptions): Control {
+  const {replica, tasks, log, peers = new Map()} = options;
+  const {member} = replica.status();
+  const proposals = createProposals({replica, peers, tasks});
+  const freshness = createFreshness({replica, peers, tasks});
+  const policy = options.policy ?? new DemandPolicy();
+  const limits = createLimits({replica, proposals, policy, tasks, log});
+  const roster = createRoster({member, peers, tasks});
+  const sessions = createSessions({member, replica, peers, limits, tasks});
+  const views = createViews(replica.state(), tasks);
+  const claims = createClaims(tasks, proposals);
+  const report = options.report ?? (() => ({}));
+  const operators = createOperators({
+    replica,
+    freshness,
+    proposals,
+    roster,
+    report,
   });
-  return new LocalControl(replica, roster);
+  const parts: Parts = {
+    replica,
+    proposals,
+    freshness,
+    limits,
+    roster,
+    sessions,
+    views,
+    claims,
+    operators,
+  };
+  const deliver = options.deliver ?? (() => undefined);
+
+  async function stop(): Promise<void> {
+    // Tasks that others ask stop last.
+    for (const part of [claims, sessions, limits, roster, views]) {
+      await part.stop();
+    }
+    await freshness.stop();
+    await proposals.stop();
+  }
+
+  return {
+    control: new LocalControl(parts),
+    peer: new LocalPeer({replica, limits, roster, deliver}),
+    proposals,
+    stop,
+  };
 }
 
-class LocalControl extends ControlService {
-  private readonly views;
+interface Parts {
+  readonly replica: StateReplica;
+  readonly proposals: Proposals;
+  readonly freshness: Freshness;
+  readonly limits: Limits;
+  readonly roster: RosterTask;
+  readonly sessions: Sessions;
+  readonly views: Views;
+  readonly claims: Claims;
+  readonly operators: Operators;
+}
 
-  constructor(
-    private readonly replica: StateReplica,
-    private readonly roster: Task<RosterMessage>,
-  ) {
+class LocalControl extends ControlService {
+  constructor(private readonly parts: Parts) {
     super();
-    this.views = createViews(replica.state());
-    replica.watch(({state}) => this.views.add(state));
   }
 
-  override async openSession(
-    request: OpenSessionRequest,
-  ): Promise<OpenSessionResponse> {
+  override async openSession({
+    entryHost,
+  }: OpenSessionRequest): Promise<OpenSessionResponse> {
+    const {proposals, replica} = this.parts;
     const session = randomUUID();
-    await this.propose({
-      type: 'open-session',
-      session,
-      entryHost: request.entryHost,
-    });
-    return {session};
+    await proposals.propose(
+      {type: 'open-session', session, entryHost},
+      {idempotent: true},
+    );
+    // The ID is unique, so a second run was refused only as a repetition.
+    if (isOpen(replica.state(), session)) return {session};
+    throw new ServiceError('unavailable', 'the session was not opened');
   }
 
-  override async closeSession(request: CloseSessionRequest): Promise<void> {
-    const {session} = request;
-    await this.propose({type: 'close-session', session});
-    await this.propose({type: 'end-session', session});
+  override async closeSession({session}: CloseSessionRequest): Promise<void> {
+    const {proposals} = this.parts;
+    const rest = {idempotent: true};
+    await proposals.propose({type: 'close-session', session}, rest);
+    // The entry has no work left: its slices need not wait.
+    await proposals.propose({type: 'end-session', session}, rest);
   }
 
   override async sync(request: SyncRequest): Promise<SyncResponse> {
-    const readIndex = await this.replica.readIndex();
-    await this.replica.reached(readIndex);
-    const {session} = request;
-    if (this.replica.state().sessions[session]?.phase !== 'open') {
-      return {ok: false, code: 'session-closed'};
+    const {freshness, replica, roster, sessions, views} = this.parts;
+    const {session, use} = request;
+    const readIndex = await freshness.confirm();
+    if (!isOpen(replica.state(), session)) return CLOSED;
+    roster.merge(request.roster, true);
+    if (hasSlices(replica.state(), session)) {
+      sessions.heard(session, use);
+    } else {
+      // Without slices the entry could admit nothing until its next sync.
+      await sessions.report(session, use).catch(() => undefined);
     }
-    this.roster.post({type: 'merge', items: request.roster});
-    await this.grantWholeLimits(session);
-    const {slices} = this.replica.state();
-    const now = performance.now();
-    const held = await this.roster.ask<Roster>(
-      reply => ({type: 'read', reply}),
-      ASK_TIMEOUT_MS,
-    );
+    const [targets, news] = await Promise.all([
+      sessions.targets(session),
+      roster.since(request.rosterVersion),
+    ]);
+    const state = replica.state();
+    if (!isOpen(state, session)) return CLOSED;
     return {
       ok: true,
       readIndex,
-      view: this.views.since(request.revision),
-      slices: Object.fromEntries(
-        Object.entries(slices).flatMap(([team, bySession]) => {
-          const slice = bySession[session];
-          return slice ? [[team, slice]] : [];
-        }),
-      ),
-      targets: {},
-      roster: rosterItems(held, now),
-      rosterVersion: 0,
+      view: await views.since(state, request.revision),
+      slices: slicesOf(state, session),
+      targets: {...targets},
+      roster: news.items,
+      rosterVersion: news.version,
     };
   }
 
-  /** Gives the first session each team's whole limit. */
-  private async grantWholeLimits(session: string): Promise<void> {
-    const {tables, slices} = this.replica.state();
-    const missing = Object.values(tables.teams).filter(
-      team => !slices[team.name]?.[session],
-    );
-    if (missing.length === 0) return;
-    await this.propose({
-      type: 'set-slices',
-      slices: missing.map(team => ({
-        team: team.name,
-        session,
-        basedOn: 0,
-        amount: team.limit,
-      })),
-    });
+  override claim(request: ClaimRequest) {
+    return this.parts.claims.claim(request);
   }
 
-  override async claim(request: ClaimRequest): Promise<ClaimResponse> {
-    const {session} = request;
-    const claims = request.claims.map(claim => ({...claim, session}));
-    const answer = await this.propose({type: 'claim', claims});
-    const taken: Taken = JSON.parse((answer.ok && answer.detail) || '[]');
-    return {
-      taken: taken.map(({index, ...rest}) => ({
-        ...request.claims[index]!,
-        ...rest,
-      })),
-    };
+  override settle(request: SettleRequest) {
+    return this.parts.claims.settle(request);
   }
 
-  override async settle(request: SettleRequest): Promise<void> {
-    const {session} = request;
-    const claims = request.claims.map(claim => ({...claim, session}));
-    await this.propose({type: 'settle', claims});
+  override command(request: CommandRequest) {
+    return this.parts.operators.command(request);
   }
 
-  override async command(request: CommandRequest): Promise<Answer> {
-    this.checkOperator(request.key);
-    const {requestId, command} = request;
-    return this.propose({type: 'command', requestId, command});
+  override read(request: ReadRequest) {
+    return this.parts.operators.read(request);
   }
 
-  override async read(request: ReadRequest): Promise<ReadResponse> {
-    this.checkOperator(request.key);
-    const state = this.replica.state();
-    const bodies: Record<ReadRequest['topic'], () => unknown> = {
-      tables: () => state.tables,
-      keys: () => Object.values(state.keys),
-      hosts: () => Object.values(state.hosts),
-      jobs: () => Object.values(state.jobs),
-      waves: () => Object.values(state.waves),
-      upstreams: () => [],
-      limits: () => state.slices,
-      status: () => this.replica.status(),
-      report: () => ({}),
-    };
-    return {revision: state.revision, body: bodies[request.topic]()};
+  override submit(request: SubmitRequest) {
+    return this.parts.proposals.propose({type: 'submit-jobs', ...request});
   }
 
-  override async submit(request: SubmitRequest): Promise<Answer> {
-    return this.propose({type: 'submit-jobs', ...request});
+  override cancel(request: CancelRequest) {
+    const body = {type: 'cancel-jobs' as const, ...request};
+    return this.parts.proposals.propose(body, {idempotent: true});
   }
 
-  override async cancel(request: CancelRequest): Promise<Answer> {
-    return this.propose({type: 'cancel-jobs', ...request});
+  override async jobs({team}: JobsRequest) {
+    await this.parts.freshness.confirm();
+    const all = Object.values(this.parts.replica.state().jobs);
+    return {jobs: all.filter(job => job.team === team)};
   }
+}
 
-  override async jobs(request: JobsRequest): Promise<JobsResponse> {
-    const all = Object.values(this.replica.state().jobs);
-    return {jobs: all.filter(job => job.team === request.team)};
-  }
+const CLOSED: SyncResponse = {ok: false, code: 'session-closed'};
 
-  private checkOperator(key: string): void {
-    const subject = verifyKey(key, this.replica.state().keys);
-    if (subject?.kind === 'operator') return;
-    throw new ServiceError('unauthorised', 'not the key of an operator');
-  }
+function isOpen(state: State, session: string): boolean {
+  return state.sessions[session]?.phase === 'open';
+}
 
-  private async propose(body: ChangeBody): Promise<Answer> {
-    const {answer} = await this.replica.propose({atMs: Date.now(), body});
-    return answer;
-  }
+function slicesOf(state: State, session: string): Record<string, Slice> {
+  const held = Object.entries(state.slices).flatMap(([team, bySession]) => {
+    const slice = bySession[session];
+    return slice ? [[team, slice] as const] : [];
+  });
+  return Object.fromEntries(held);
+}
+
+function hasSlices(state: State, session: string): boolean {
+  return Object.values(state.slices).some(held => Object.hasOwn(held, session));
 }
--- /dev/null
+++ b/packages/control/src/operators.ts
@@ -0,0 +1,146 @@
+/** Operators' commands and reads. */
+import {parseKey, verifyKey, hashSecret, type Answer} from '@lentildrift/model';
+import {
+  ServiceError,
+  type CommandRequest,
+  type ReadRequest,
+  type ReadResponse,
+  type ReadTopic,
+} from '@lentildrift/protocol';
+import type {Freshness} from './freshness.js';
+import type {StateReplica} from './machine.js';
+import type {Proposals} from './propose.js';
+import type {RosterTask} from './roster.js';
+
+/** Builds the body of the `report` topic. */
+export type ReportProvider = () => unknown;
+
+export interface OperatorOptions {
+  readonly replica: StateReplica;
+  readonly freshness: Freshness;
+  readonly proposals: Proposals;
+  readonly roster: RosterTask;
+  readonly report: ReportProvider;
+}
+
+export interface Operators {
+  command(request: CommandRequest): Promise<Answer>;
+  read(request: ReadRequest): Promise<ReadResponse>;
+}
+
+export function createOperators(options: OperatorOptions): Operators {
+  const {replica, freshness, proposals} = options;
+
+  /** Checks the key against a state as new as the request. */
+  async function checkOperator(key: string): Promise<void> {
+    await freshness.confirm();
+    const subject = verifyKey(key, replica.state().keys);
+    if (subject?.kind === 'operator') return;
+    throw new ServiceError('unauthorised', 'not the key of an operator');
+  }
+
+  async function command(request: CommandRequest): Promise<Answer> {
+    await checkOperator(request.key);
+    const {requestId, command: content} = request;
+    const body = {type: 'command' as const, requestId, command: content};
+    return proposals.propose(body, {idempotent: true});
+  }
+
+  async function read(request: ReadRequest): Promise<ReadResponse> {
+    await checkOperator(request.key);
+    const body = await readTopic(options, request.topic);
+    return {revision: replica.state().revision, body};
+  }
+
+  return {command, read};
+}
+
+async function readTopic(
+  options: OperatorOptions,
+  topic: ReadTopic,
+): Promise<unknown> {
+  const state = options.replica.state();
+  switch (topic) {
+    case 'tables':
+      return state.tables;
+    case 'keys':
+      return Object.values(state.keys).map(
+        ({secretHash: _, ...shown}) => shown,
+      );
+    case 'hosts':
+      return Object.values(state.hosts);
+    case 'jobs':
+      return Object.values(state.jobs);
+    case 'waves':
+      return Object.values(state.waves);
+    case 'upstreams':
+      return readUpstreams(options.roster);
+    case 'limits':
+      return readLimits(options.replica);
+    case 'status':
+      return readStatus(options.replica);
+    case 'report':
+      return options.report();
+  }
+}
+
+async function readUpstreams(roster: RosterTask) {
+  const nowMs = performance.now();
+  const live = await roster.live();
+  return live.map(({announcement, receivedMs}) => ({
+    ...announcement,
+    ageMs: Math.round(Math.max(0, nowMs - receivedMs)),
+  }));
+}
+
+function readLimits(replica: StateReplica) {
+  const {tables, slices, sessions} = replica.state();
+  return Object.values(tables.teams).map(({name, limit}) => {
+    const held = Object.entries(slices[name] ?? {}).map(([id, slice]) => ({
+      session: id,
+      entryHost: sessions[id]?.entryHost,
+      phase: sessions[id]?.phase,
+      ...slice,
+    }));
+    const given = held.reduce((total, {amount}) => total + amount, 0);
+    return {team: name, limit, given, slices: held};
+  });
+}
+
+function readStatus(replica: StateReplica) {
+  const {sessions, tables} = replica.state();
+  return {
+    ...replica.status(),
+    version: tables.version,
+    sessions: Object.values(sessions),
+  };
+}
+
+/** The operator for whom the key from the settings speaks. */
+const FIRST_OPERATOR = 'first';
+
+/**
+ * Gives the key of the settings to the first operator, once: a key that is
+ * known already, even a withdrawn one, stays as it is. Rejects with
+ * `RangeError` for a malformed key, with `ServiceError` without a leader.
+ */
+export async function bootstrapOperator(
+  proposals: Pick<Proposals, 'propose'>,
+  keyText: string,
+): Promise<Answer> {
+  const parsed = parseKey(keyText);
+  if (!parsed) throw new RangeError('the first operator key is malformed');
+  return proposals.propose(
+    {
+      type: 'command',
+      requestId: `first-operator-${parsed.id}`,
+      command: {
+        type: 'give-key',
+        keyId: parsed.id,
+        subject: {kind: 'operator', operator: FIRST_OPERATOR},
+        secretHash: hashSecret(parsed.secret),
+      },
+    },
+    {idempotent: true},
+  );
+}
--- /dev/null
+++ b/packages/control/src/peer.ts
@@ -0,0 +1,56 @@
+/** What a control process answers to the other control processes. */
+import {
+  PeerService,
+  type DeliverRequest,
+  type GossipRequest,
+  type ProposeRequest,
+  type ProposeResponse,
+  type ReadIndexResponse,
+  type ReportRequest,
+  type ReportResponse,
+} from '@lentildrift/protocol';
+import type {Limits} from './limits.js';
+import type {StateReplica} from './machine.js';
+import {proposeHere, toServiceError} from './propose.js';
+import type {RosterTask} from './roster.js';
+
+/** Takes consensus messages; must not wait for what they lead to. */
+export type Deliver = (from: string, messages: unknown[]) => void;
+
+export interface PeerOptions {
+  readonly replica: StateReplica;
+  readonly limits: Limits;
+  readonly roster: RosterTask;
+  readonly deliver: Deliver;
+}
+
+/** Nothing is forwarded from here, so that no request can go in a circle. */
+export class LocalPeer extends PeerService {
+  constructor(private readonly options: PeerOptions) {
+    super();
+  }
+
+  override async deliver({from, messages}: DeliverRequest): Promise<void> {
+    this.options.deliver(from, messages);
+  }
+
+  override propose({body}: ProposeRequest): Promise<ProposeResponse> {
+    return proposeHere(this.options.replica, body);
+  }
+
+  override async readIndex(): Promise<ReadIndexResponse> {
+    try {
+      return {revision: await this.options.replica.readIndex()};
+    } catch (error) {
+      throw toServiceError(error);
+    }
+  }
+
+  override report(request: ReportRequest): Promise<ReportResponse> {
+    return this.options.limits.report(request);
+  }
+
+  override async gossip({roster}: GossipRequest): Promise<void> {
+    this.options.roster.merge(roster, false);
+  }
+}
--- /dev/null
+++ b/packages/control/src/time.ts
@@ -0,0 +1,22 @@
+/** Bounded waits. */
+import {ServiceError} from '@lentildrift/protocol';
+
+export function delay(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+/** Rejects with an unknown outcome if `work` takes longer than `timeoutMs`. */
+export function withDeadline<T>(
+  work: Promise<T>,
+  timeoutMs: number,
+  message: string,
+): Promise<T> {
+  return new Promise((resolve, reject) => {
+    const timer = setTimeout(
+      () =>
+        reject(new ServiceError('outcome-unknown', message, 'may-have-run')),
+      timeoutMs,
+    );
+    work.then(resolve, reject).finally(() => clearTimeout(timer));
+  });
+}
--- /dev/null
+++ b/packages/control/src/use.ts
@@ -0,0 +1,22 @@
+/** Use reports of entry sessions. */
+import type {TeamUse} from '@lentildrift/protocol';
+
+/** Team to use. */
+export type Use = Readonly<Record<string, TeamUse>>;
+
+/**
+ * Whether a report should not wait for the next interval: the session is new,
+ * is short of slots as it was not before, or has given slots up.
+ */
+export function isUrgent(before: Use | undefined, after: Use): boolean {
+  if (!before) return true;
+  return Object.entries(after).some(([team, next]) => {
+    const old = before[team];
+    const short = next.demand > next.ceiling;
+    if (!old) return short;
+    const shorter = short && next.demand > old.demand;
+    const gaveUp =
+      next.generation === old.generation && next.ceiling < old.ceiling;
+    return shorter || gaveUp;
+  });
+}
--- a/packages/daemon/src/embedded.ts
+++ b/packages/daemon/src/embedded.ts
@@ -58,9 +58,9 @@
   });
   const teamKey = await give({kind: 'team', team: 'juniors'});
   const poolKey = await give({kind: 'pool', pool: 'booking'});
-  const control = createControl({replica, tasks, log});
+  const role = createControl({replica, tasks, log});
   const entry = await startEntry({
-    control,
+    control: role.control,
     tasks,
     log,
     entryHost: 'entry-1',
@@ -78,6 +78,7 @@
   async function stop(): Promise<void> {
     await upstream.stop();
     await entry.stop();
+    await role.stop();
     tasks.stop();
   }
 
--- a/packages/protocol/src/failover.ts
+++ b/packages/protocol/src/failover.ts
@@ -65,8 +65,11 @@
     return this.run('not-run', service => service.claim(request));
   }
 
+  // A second `not-run` could free a key that was claimed again meanwhile.
   override settle(request: message.SettleRequest) {
-    return this.run('idempotent', service => service.settle(request));
+    const ran = request.claims.every(({verdict}) => verdict === 'ran');
+    const repeat = ran ? 'idempotent' : 'not-run';
+    return this.run(repeat, service => service.settle(request));
   }
 
   // The request ID makes a resend return the first answer.
