Test the control role over a fake group of replicas

A saturated entry never gave way to another of the same team, since what runs counted as its floor: it is now asked to go down, and keeps what it runs until that ends.

--- a/packages/control/src/limit.ts
+++ b/packages/control/src/limit.ts
@@ -138,42 +138,17 @@
 /**
  * Gives each session its demand and an even reserve. What nobody asks for
  * stays free, so that a burst is served without taking from other entries.
+ * A session that runs more than its part is asked to go down, and keeps what
+ * it runs until that ends: otherwise a busy entry would never give way.
  */
 export class DemandPolicy extends LimitPolicy {
   protected override divide(available: number, open: readonly Holder[]) {
-    if (open.length === 0) return [];
     const even = (available * RESERVE) / open.length;
     const reserve = Math.max(1, Math.floor(even));
-    const running = open.map(({use}) => use?.running ?? 0);
     const needs = open.map(
       ({use}) => Math.max(use?.running ?? 0, use?.demand ?? 0) + reserve,
     );
-    if (sum(needs) <= available) return needs;
-    if (sum(running) >= available) return proportional(available, running);
-    return aboveFloors(available, needs, running);
-  }
-}
-
-/** Divides in proportion to `needs`, with at least its floor for each. */
-function aboveFloors(
-  available: number,
-  needs: readonly number[],
-  floors: readonly number[],
-): number[] {
-  const fixed = new Set<number>();
-  for (;;) {
-    const taken = sum([...fixed].map(index => floors[index]!));
-    const shares = proportional(
-      available - taken,
-      needs.map((need, index) => (fixed.has(index) ? 0 : need)),
-    );
-    const short = shares.flatMap((share, index) =>
-      !fixed.has(index) && share < floors[index]! ? [index] : [],
-    );
-    if (short.length === 0) {
-      return shares.map((share, i) => (fixed.has(i) ? floors[i]! : share));
-    }
-    for (const index of short) fixed.add(index);
+    return proportional(available, needs);
   }
 }
 
--- /dev/null
+++ b/packages/control/test/control.test.ts
@@ -0,0 +1,308 @@
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
+import {bootstrapOperator, CLOSED_HOLD_MS} from '@lentildrift/control';
+import {createKey, type Command, type Result} from '@lentildrift/model';
+import {FakeEntry} from './entry.js';
+import {FakeGroup, settle, startRoles, type Roles} from './group.js';
+
+let group: FakeGroup;
+let roles: Roles;
+let entries: FakeEntry[] = [];
+
+beforeEach(() => {
+  vi.useFakeTimers();
+  group = new FakeGroup();
+  group.setLimit(40);
+  for (const replica of group.members) replica.catchUp();
+  roles = startRoles(group);
+});
+
+afterEach(async () => {
+  entries.forEach(entry => entry.halt());
+  entries = [];
+  await roles.stop();
+  vi.useRealTimers();
+});
+
+const pass = (ms: number) => vi.advanceTimersByTimeAsync(ms);
+
+async function openEntry(member: string): Promise<FakeEntry> {
+  const entry = new FakeEntry(roles.at(member).control);
+  entries.push(entry);
+  await settle(entry.open(`entry-${entries.length}`));
+  return entry;
+}
+
+const syncRequest = (session: string, rest: object = {}) => ({
+  session,
+  revision: 0,
+  use: {},
+  roster: [],
+  rosterVersion: 0,
+  ...rest,
+});
+
+describe('limits', () => {
+  const allRunning = () => entries.reduce((sum, e) => sum + e.running, 0);
+
+  /** Lets time pass and checks the limit at each step. */
+  async function passChecked(ms: number, limit: number): Promise<void> {
+    for (let elapsed = 0; elapsed < ms; elapsed += 20) {
+      await pass(20);
+      expect(allRunning()).toBeLessThanOrEqual(limit);
+    }
+  }
+
+  it('a burst at one entry is not refused what lies idle at the others for over 2 s', async () => {
+    for (const member of ['a', 'b', 'c', 'b']) await openEntry(member);
+    const [first, second, third] = entries as [FakeEntry, FakeEntry, FakeEntry];
+    await passChecked(3000, 40);
+    // The whole limit is in use elsewhere, and then falls idle.
+    first.press(100);
+    await passChecked(4000, 40);
+    expect(first.running).toBeGreaterThanOrEqual(30);
+    first.press(0);
+    await passChecked(2000, 40);
+    second.press(100);
+    await passChecked(2000, 40);
+    // An even reserve of two slots stays with each of the other three.
+    expect(second.running).toBeGreaterThanOrEqual(30);
+    third.press(100);
+    await passChecked(6000, 40);
+    expect(Math.abs(second.running - third.running)).toBeLessThanOrEqual(4);
+    expect(allRunning()).toBeGreaterThanOrEqual(32);
+    expect(roles.failures).toEqual([]);
+  });
+
+  it('steady demand with noise below 10 % causes no changes', async () => {
+    for (const member of ['a', 'b', 'c']) await openEntry(member);
+    entries.forEach(entry => entry.press(30));
+    await passChecked(6000, 40);
+    const before = group.bodies('set-slices').length;
+    for (let round = 0; round < 20; round++) {
+      entries.forEach((entry, at) => entry.press(30 + ((round + at) % 2)));
+      await passChecked(500, 40);
+    }
+    expect(group.bodies('set-slices').length - before).toBeLessThanOrEqual(1);
+    expect(allRunning()).toBeGreaterThanOrEqual(38);
+  });
+
+  it('a lowered limit is in force once the work above it has ended', async () => {
+    for (const member of ['a', 'b']) await openEntry(member);
+    entries.forEach(entry => entry.press(30));
+    await passChecked(4000, 40);
+    group.setLimit(10);
+    await passChecked(4000, 40);
+    expect(allRunning()).toBeLessThanOrEqual(10);
+    expect(allRunning()).toBeGreaterThanOrEqual(8);
+    const {slices} = group.replica('a').state();
+    const given = Object.values(slices.juniors!).map(({amount}) => amount);
+    expect(given.reduce((x, y) => x + y)).toBeLessThanOrEqual(10);
+  });
+
+  it('slices of a silent session are not given away before its work has surely ended', async () => {
+    const [silent, live] = [await openEntry('b'), await openEntry('c')];
+    silent.press(100);
+    await pass(3000);
+    expect(silent.running).toBeGreaterThanOrEqual(30);
+    silent.halt();
+    live.press(100);
+    const phase = () =>
+      group.replica(group.leader!).state().sessions[silent.session]?.phase;
+    while (phase() === 'open') await pass(100);
+    const closedMs = performance.now();
+    // The new leader counts the whole time from its own start.
+    await pass(CLOSED_HOLD_MS - 5000);
+    group.elect('b');
+    await pass(CLOSED_HOLD_MS - 1000);
+    expect(phase()).toBe('closed');
+    expect(live.running + silent.running).toBeLessThanOrEqual(40);
+    await pass(2500);
+    expect(phase()).toBeUndefined();
+    expect(performance.now() - closedMs).toBeGreaterThan(CLOSED_HOLD_MS);
+    await pass(2000);
+    expect(live.running).toBeGreaterThanOrEqual(38);
+    const told = await settle(silent.sync());
+    expect(told).toEqual({ok: false, code: 'session-closed'});
+  });
+});
+
+describe('freshness', () => {
+  it('a cut-off replica renews no lease, and says not-run', async () => {
+    const entry = await openEntry('b');
+    await pass(100);
+    entry.halt();
+    group.replica('b').cut = true;
+    group.command({type: 'withdraw-key', keyId: 'x'});
+    await expect(settle(entry.sync())).rejects.toMatchObject({
+      code: 'unavailable',
+      verdict: 'not-run',
+    });
+    // Connected but behind the read index: it must wait, not answer.
+    group.replica('b').cut = false;
+    const late = entry.sync();
+    late.catch(() => undefined);
+    await pass(200);
+    const revision = group.log.length;
+    group.replica('b').catchUp();
+    const answer = await settle(late);
+    expect(answer.ok && answer.view.to).toBeGreaterThanOrEqual(revision);
+  });
+
+  it('a sync is not served by a round that began before it arrived', async () => {
+    const entry = await openEntry('b');
+    await pass(2000);
+    entry.halt();
+    await pass(2000);
+    const leader = group.replica('a');
+    const before = leader.rounds;
+    const {control} = roles.at('b');
+    const sync = () => control.sync(syncRequest(entry.session));
+    const first = sync();
+    await pass(2);
+    const later = [sync(), sync(), sync()];
+    await settle(Promise.all([first, ...later]));
+    expect(leader.rounds - before).toBe(2);
+  });
+});
+
+describe('claims', () => {
+  const claim = (session: string, key: string) => ({
+    session,
+    claims: [{team: 'juniors', key}],
+  });
+
+  it('two entries that claim one key at once do not both win', async () => {
+    const {control} = roles.at('b');
+    const keys = Array.from({length: 20}, (_, n) => `k${n}`);
+    const answers = await settle(
+      Promise.all([
+        ...keys.map(key => control.claim(claim('s1', key))),
+        ...keys.map(key => control.claim(claim('s2', key))),
+      ]),
+    );
+    expect(answers.filter(({taken}) => taken.length === 0)).toHaveLength(20);
+    expect(group.bodies('claim')).toHaveLength(1);
+    await settle(
+      control.settle({
+        session: 's1',
+        claims: [{team: 'juniors', key: 'k0', verdict: 'ran', status: 201}],
+      }),
+    );
+    const again = await settle(roles.at('c').control.claim(claim('s3', 'k0')));
+    expect(again.taken).toMatchObject([{phase: 'ran', status: 201}]);
+  });
+
+  it('a claim whose outcome is unknown is not proposed again', async () => {
+    group.replica('a').loseOutcome = true;
+    const lost = roles.at('b').control.claim(claim('s1', 'k'));
+    await expect(settle(lost)).rejects.toMatchObject({verdict: 'may-have-run'});
+    expect(group.bodies('claim')).toHaveLength(1);
+    // Without a leader it was certainly not made.
+    group.elect(undefined);
+    const refused = roles.at('b').control.claim(claim('s1', 'k2'));
+    await expect(settle(refused)).rejects.toMatchObject({verdict: 'not-run'});
+    expect(group.bodies('claim')).toHaveLength(1);
+  });
+});
+
+describe('operators', () => {
+  const drain: Command = {type: 'drain', host: 'nowhere'};
+
+  it('a resend gets the first answer after a lost outcome and a new leader', async () => {
+    const key = group.giveOperatorKey();
+    const request = {key, requestId: 'r1', command: drain};
+    group.replica('a').loseOutcome = true;
+    const first = await settle(roles.at('c').control.command(request));
+    group.elect('b');
+    const again = await settle(roles.at('a').control.command(request));
+    expect(again).toEqual(first);
+    expect(first).toMatchObject({ok: false, code: 'unknown'});
+  });
+
+  it('a key that was just withdrawn is refused at a follower that lags', async () => {
+    const key = group.giveOperatorKey();
+    group.replica('c').lagMs = 500;
+    const keyId = key.split('_')[1]!;
+    group.command({type: 'withdraw-key', keyId});
+    const {control} = roles.at('c');
+    const read = control.read({key, topic: 'tables'});
+    await expect(settle(read)).rejects.toMatchObject({code: 'unauthorised'});
+    const sent = control.command({key, requestId: 'r', command: drain});
+    await expect(settle(sent)).rejects.toMatchObject({code: 'unauthorised'});
+  });
+
+  it('reads show limits, members and no secret hashes', async () => {
+    const {text} = createKey();
+    const given = bootstrapOperator(roles.at('b').proposals, text);
+    const first: Result['answer'] = await settle(given);
+    const again = await settle(
+      bootstrapOperator(roles.at('c').proposals, text),
+    );
+    expect(again).toEqual(first);
+    await openEntry('a');
+    await pass(1000);
+    const {control} = roles.at('c');
+    const read = async (topic: 'keys' | 'limits' | 'status') =>
+      (await settle(control.read({key: text, topic}))).body;
+    expect(JSON.stringify(await read('keys'))).not.toContain('secretHash');
+    expect(await read('keys')).toMatchObject([{subject: {operator: 'first'}}]);
+    expect(await read('limits')).toMatchObject([
+      {team: 'juniors', limit: 40, slices: [{entryHost: 'entry-1'}]},
+    ]);
+    expect(await read('status')).toMatchObject({
+      leader: 'a',
+      role: 'follower',
+      voters: ['a', 'b', 'c'],
+    });
+  });
+});
+
+describe('roster', () => {
+  const item = (sequence: number, left = false) => ({
+    announcement: {
+      pool: 'p',
+      service: 's',
+      host: 'h',
+      address: '127.0.0.1:9000',
+      incarnation: 1,
+      sequence,
+      leaseMs: 30_000,
+    },
+    left,
+    ageMs: 0,
+  });
+
+  it('an announcement reaches entries of every process in time, and lost gossip is repaired', async () => {
+    const near = await openEntry('b');
+    const far = await openEntry('c');
+    await pass(500);
+    [near, far].forEach(entry => entry.halt());
+    const announce = (sequence: number, left: boolean) => {
+      const roster = [item(sequence, left)];
+      const request = syncRequest(near.session, {roster});
+      return settle(near.control.sync(request));
+    };
+    await announce(1, false);
+    await pass(200);
+    const heard = await settle(far.sync());
+    expect(heard.ok && heard.roster).toMatchObject([{left: false}]);
+    const nothingNew = await settle(far.sync());
+    expect(nothingNew.ok && nothingNew.roster).toEqual([]);
+    group.replica('c').cut = true;
+    await announce(2, true);
+    await pass(200);
+    group.replica('c').cut = false;
+    group.replica('c').catchUp();
+    await pass(10_000);
+    // The session fell silent meanwhile; the process keeps its versions.
+    const {session} = await settle(
+      far.control.openSession({entryHost: 'entry-3'}),
+    );
+    const request = syncRequest(session, {rosterVersion: far.rosterVersion});
+    const repaired = await settle(far.control.sync(request));
+    expect(repaired.ok && repaired.roster).toMatchObject([{left: true}]);
+    // A version of another process asks for everything.
+    const moved = await settle(near.control.sync(request));
+    expect(moved.ok && moved.roster).toHaveLength(1);
+  });
+});
--- /dev/null
+++ b/packages/control/test/entry.ts
@@ -0,0 +1,111 @@
+/** An entry host as the control role sees it, by the rules for ceilings. */
+import type {Slice} from '@lentildrift/model';
+import type {ControlService, TeamUse} from '@lentildrift/protocol';
+
+const TEAM = 'juniors';
+const LEASE_MS = 3000;
+
+/** One team's admission: what the slice rules allow, and what runs. */
+export class FakeAdmission {
+  slice: Slice = {amount: 0, generation: 0};
+  ceiling = 0;
+  running = 0;
+  demand = 0;
+
+  /** Takes a newer slice; under the same one the ceiling only goes down. */
+  receive(slice: Slice | undefined, target: number | undefined): boolean {
+    if (slice && slice.generation > this.slice.generation) {
+      this.slice = slice;
+      this.ceiling = slice.amount;
+    }
+    const lowered = target !== undefined && target < this.ceiling;
+    if (lowered) this.ceiling = target;
+    return lowered;
+  }
+
+  /** Starts calls up to the demand. */
+  admit(): void {
+    const allowed = Math.min(this.demand, this.ceiling);
+    this.running = Math.max(this.running, allowed);
+  }
+
+  finish(calls: number): void {
+    this.running = Math.max(0, this.running - calls);
+  }
+
+  use(): TeamUse {
+    const {running, demand, ceiling, slice} = this;
+    return {running, demand, ceiling, generation: slice.generation};
+  }
+}
+
+/** Syncs every second, every 100 ms while short, at once when lowered. */
+export class FakeEntry extends FakeAdmission {
+  session = '';
+  revision = 0;
+  rosterVersion = 0;
+  closed = false;
+  private timer: NodeJS.Timeout | undefined;
+  private freshUntilMs = 0;
+
+  constructor(readonly control: ControlService) {
+    super();
+  }
+
+  async open(entryHost: string): Promise<void> {
+    const {session} = await this.control.openSession({entryHost});
+    this.session = session;
+    this.schedule(0);
+  }
+
+  async sync() {
+    const sentMs = performance.now();
+    const response = await this.control.sync({
+      session: this.session,
+      revision: this.revision,
+      use: this.slice.generation > 0 ? {[TEAM]: this.use()} : {},
+      roster: [],
+      rosterVersion: this.rosterVersion,
+    });
+    if (!response.ok) {
+      this.closed = true;
+      return response;
+    }
+    this.freshUntilMs = sentMs + LEASE_MS;
+    this.revision = response.view.to;
+    this.rosterVersion = response.rosterVersion;
+    const {slices, targets} = response;
+    const lowered = this.receive(slices[TEAM], targets[TEAM]);
+    this.work();
+    if (lowered) this.schedule(0);
+    return response;
+  }
+
+  /** Work in steady state: what is above the ceiling or demand finishes. */
+  work(): void {
+    if (performance.now() >= this.freshUntilMs) return;
+    this.running = Math.min(this.running, this.demand);
+    this.running = Math.min(this.running, this.ceiling);
+    this.admit();
+  }
+
+  press(demand: number): void {
+    this.demand = demand;
+    this.work();
+    this.schedule(0);
+  }
+
+  halt(): void {
+    clearTimeout(this.timer);
+    this.timer = undefined;
+  }
+
+  private schedule(delayMs: number): void {
+    clearTimeout(this.timer);
+    this.timer = setTimeout(() => {
+      const short = this.demand > this.ceiling;
+      this.schedule(short ? 100 : 1000);
+      void this.sync().catch(() => undefined);
+    }, delayMs);
+  }
+}
