--- /dev/null
+++ b/packages/control/test/process.test.ts
@@ -0,0 +1,115 @@
+import {afterEach, describe, expect, it} from 'vitest';
+import {
+  createPeerClients,
+  PeerChannels,
+  startControlProcess,
+  type ControlProcess,
+  type PeerClients,
+} from '@lentildrift/control';
+import {createLog} from '@lentildrift/observe';
+import {createFailoverClient} from '@lentildrift/protocol';
+import {startTasks} from '@lentildrift/task';
+import {createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {FakeGroup} from './group.js';
+
+const clusterSecret = 'secret';
+const host = '127.0.0.1';
+const cleanUps: (() => Promise<void>)[] = [];
+
+afterEach(async () => {
+  for (const cleanUp of cleanUps.splice(0).reverse()) await cleanUp();
+});
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>(r => server.listen(0, host, r));
+  const {port} = server.address() as AddressInfo;
+  await new Promise(r => server.close(r));
+  return port;
+}
+
+interface Started {
+  readonly process: ControlProcess;
+  readonly clients: PeerClients;
+  readonly channels: PeerChannels;
+  readonly delivered: unknown[];
+}
+
+/** Control processes of a fake group, over real sockets. */
+async function startGroup(group: FakeGroup): Promise<Map<string, Started>> {
+  const addresses = new Map<string, string>();
+  for (const {member} of group.members) {
+    addresses.set(member, `${host}:${await freePort()}`);
+  }
+  const log = createLog('error', {}, () => undefined);
+  const started = new Map<string, Started>();
+  for (const replica of group.members) {
+    const {member} = replica;
+    const others = [...addresses].filter(([id]) => id !== member);
+    const clients = createPeerClients(new Map(others), clusterSecret);
+    const tasks = startTasks(() => undefined);
+    const delivered: unknown[] = [];
+    const process = await startControlProcess({
+      replica,
+      tasks,
+      log,
+      peers: clients.peers,
+      clusterSecret,
+      listen: {host, port: Number(addresses.get(member)!.split(':')[1])},
+      deliver: (from, messages) => delivered.push({from, messages}),
+    });
+    const channels = new PeerChannels(member, clients.peers, tasks);
+    cleanUps.push(async () => {
+      await process.stop();
+      await channels.stop();
+      await clients.close();
+    });
+    started.set(member, {process, clients, channels, delivered});
+  }
+  return started;
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(r => setTimeout(r, 5));
+}
+
+describe('control processes over loopback', () => {
+  it('an entry of a follower keeps its session when that follower stops', async () => {
+    const group = new FakeGroup();
+    group.setLimit(12);
+    const started = await startGroup(group);
+    const ports = ['b', 'c'].map(id => started.get(id)!.process.port);
+    const client = createFailoverClient({
+      addresses: ports.map(port => `${host}:${port}`),
+      clusterSecret,
+      timeoutMs: 2000,
+    });
+    cleanUps.push(() => client.close());
+    const {control} = client;
+    const {session} = await control.openSession({entryHost: 'entry-1'});
+    const rest = {use: {}, roster: [], rosterVersion: 0};
+    const first = await control.sync({session, revision: 0, ...rest});
+    expect(first).toMatchObject({ok: true, slices: {juniors: {amount: 3}}});
+    await started.get('b')!.process.stop();
+    const revision = first.ok ? first.view.to : 0;
+    const second = await control.sync({session, revision, ...rest});
+    expect(second).toMatchObject({ok: true, slices: {juniors: {amount: 3}}});
+  });
+
+  it('consensus messages to a dead peer hold up no other, and stay in order', async () => {
+    const started = await startGroup(new FakeGroup());
+    await started.get('b')!.process.stop();
+    const {channels} = started.get('a')!;
+    for (let n = 0; n < 50; n++) {
+      channels.send('b', [n]);
+      channels.send('c', [n]);
+      channels.send('nobody', [n]);
+    }
+    const {delivered} = started.get('c')!;
+    const numbers = () =>
+      (delivered as {messages: number[]}[]).flatMap(each => each.messages);
+    await until(() => numbers().length === 50);
+    expect(numbers()).toEqual(Array.from({length: 50}, (_, n) => n));
+  });
+});
--- /dev/null
+++ b/packages/model/test/state.test.ts
@@ -0,0 +1,90 @@
+import {describe, expect, it} from 'vitest';
+import {
+  ANSWERS_KEPT,
+  apply,
+  CLAIM_WINDOW_MS,
+  EMPTY_STATE,
+  stateSchema,
+  type Answer,
+  type ChangeBody,
+} from '@lentildrift/model';
+
+/** Every so often the state passes through JSON, as in a snapshot. */
+function machine(snapshotEvery: number) {
+  let state = EMPTY_STATE;
+  return {
+    run(body: ChangeBody, atMs = 1): Answer {
+      const result = apply(state, {atMs, body});
+      state = result.state;
+      if (state.revision % snapshotEvery === 0) {
+        state = stateSchema.parse(JSON.parse(JSON.stringify(state)));
+      }
+      return result.answer;
+    },
+    state: () => state,
+  };
+}
+
+describe('answers to operators', () => {
+  it('are not forgotten before 8,192 newer ones, whatever the request IDs look like', () => {
+    const {run, state} = machine(3000);
+    // IDs that look like integers come first in a record, whatever their age.
+    const id = (n: number) => (n % 2 === 0 ? `r-${n}` : String(100_000 - n));
+    const send = (n: number) =>
+      run({
+        type: 'command',
+        requestId: id(n),
+        command: {type: 'drain', host: `h${n}`},
+      });
+    const total = ANSWERS_KEPT + 500;
+    const first = Array.from({length: total}, (_, n) => send(n));
+    for (let n = total - ANSWERS_KEPT; n < total; n++) {
+      expect(send(n)).toEqual(first[n]);
+    }
+    const kept = state().answers.reduce((sum, page) => sum + page.count, 0);
+    expect(kept).toBeLessThanOrEqual(ANSWERS_KEPT + 128);
+  });
+});
+
+describe('claims', () => {
+  const claim = (key: string, session = 's') => ({
+    type: 'claim' as const,
+    claims: [{team: 't', key, session}],
+  });
+  const isFree = (answer: Answer) => answer.ok && answer.detail === '[]';
+
+  it('hold for the window across snapshots, and do not pile up after it', () => {
+    const {run, state} = machine(100);
+    for (let n = 0; n < 2000; n++) run(claim(`k${n}`));
+    for (let n = 0; n < 2000; n++) {
+      expect(isFree(run(claim(`k${n}`), CLAIM_WINDOW_MS))).toBe(false);
+    }
+    const later = CLAIM_WINDOW_MS + 2;
+    expect(isFree(run(claim('k7'), later))).toBe(true);
+    // Each batch sweeps one shard more.
+    for (let n = 0; n < 1024; n++) run(claim('k7'), later);
+    expect(Object.values(state().claims).flatMap(Object.values)).toHaveLength(
+      1,
+    );
+  });
+
+  it('of a request that ran are not freed by a late or foreign settlement', () => {
+    const {run} = machine(1);
+    const settle = (verdict: 'ran' | 'not-run', session = 's') =>
+      run({
+        type: 'settle',
+        claims: [{team: 't', key: 'k', session, verdict, status: 200}],
+      });
+    run(claim('k'));
+    settle('not-run', 'other');
+    expect(isFree(run(claim('k')))).toBe(false);
+    settle('not-run');
+    expect(isFree(run(claim('k')))).toBe(true);
+    settle('ran');
+    settle('not-run');
+    const taken = run(claim('k'));
+    expect(taken.ok && taken.detail).toBe(
+      '[{"index":0,"phase":"ran","status":200}]',
+    );
+  });
+});
