Refuse commands about names that every object has

A withdraw-key or drain of "constructor" found the inherited property and wrote a broken row into the state. Lookups by a caller's name now ask for own properties; the test covers every command that takes a name. The property test of limits now delivers mostly recent messages: before, it missed a policy that took back slots still in use, and now it finds it.

--- a/packages/control/test/group.ts
+++ b/packages/control/test/group.ts
@@ -3,7 +3,6 @@
   NotLeader,
   OutcomeUnknown,
   Replica,
-  type Applied,
   type Committed,
   type ReplicaStatus,
 } from '@lentildrift/consensus';
@@ -109,7 +108,7 @@
     this.waiting = this.waiting.filter(w => w.revision > revision);
   }
 
-  override watch(_listener: (a: Applied<State, Change, Answer>) => void) {
+  override watch() {
     return () => undefined;
   }
 
--- a/packages/control/test/limit.test.ts
+++ b/packages/control/test/limit.test.ts
@@ -43,6 +43,11 @@
 );
 type Step = typeof stepArbitrary extends fc.Arbitrary<infer T> ? T : never;
 
+/** Mostly the newest, so that a run gets far; else one of any age. */
+function recentOrAny<T>(items: readonly T[], by: number): T | undefined {
+  return by % 3 === 0 ? items[by % items.length] : items.at(-1);
+}
+
 /** The parts of the system that exchange messages about limits. */
 function world(policy: DemandPolicy | StaticPolicy) {
   const entries = new Map<string, FakeAdmission>();
@@ -101,11 +106,12 @@
     if (kind === 'limit') return setLimit(by);
     if (kind === 'decide') return decide();
     if (kind === 'commit') {
-      if (changes.length > 0) run(changes[by % changes.length]!);
+      const change = recentOrAny(changes, by);
+      if (change) run(change);
       return;
     }
     if (kind === 'report') {
-      const report = reports[by % (reports.length || 1)];
+      const report = recentOrAny(reports, by);
       if (report) received.set(report.session, report.use);
       return;
     }
@@ -171,7 +177,7 @@
     },
   );
 
-  it('does not lower a slice on a report of another generation', () => {
+  it('does not take back what a report of another generation gave up, or what still runs', () => {
     const use = {running: 0, demand: 0, ceiling: 0, generation: 1};
     const holder: Holder = {
       session: 's',
@@ -184,6 +190,9 @@
     expect(stale.slices).toEqual([]);
     expect(stale.targets.get('s')).toBe(5);
     const current = {...holder, use: {...use, generation: 2}};
+    const busy = {...current, use: {...current.use, running: 9}};
+    const kept = policy.decide({limit: 6, holders: [busy]});
+    expect(kept.slices).toMatchObject([{amount: 9}]);
     const {slices} = policy.decide({limit: 20, holders: [current]});
     expect(slices).toEqual([{session: 's', basedOn: 2, amount: 5}]);
   });
--- a/packages/model/src/edit.ts
+++ b/packages/model/src/edit.ts
@@ -29,6 +29,10 @@
 }
 
 function runCommand(state: State, command: Command): Result {
+  // Also guards against names that every object has, such as "constructor".
+  if ('host' in command && !Object.hasOwn(state.hosts, command.host)) {
+    return fail(state, 'unknown', `unknown host "${command.host}"`);
+  }
   switch (command.type) {
     case 'edit':
       return edit(state, command);
@@ -103,13 +107,14 @@
 
 function giveKey(state: State, command: CommandOf<'give-key'>): Result {
   const {keyId, subject, secretHash} = command;
+  const {teams, pools} = state.tables;
   if (Object.hasOwn(state.keys, keyId)) {
     return fail(state, 'invalid', `key ${keyId} exists already`);
   }
-  if (subject.kind === 'team' && !state.tables.teams[subject.team]) {
+  if (subject.kind === 'team' && !Object.hasOwn(teams, subject.team)) {
     return fail(state, 'unknown', `unknown team "${subject.team}"`);
   }
-  if (subject.kind === 'pool' && !state.tables.pools[subject.pool]) {
+  if (subject.kind === 'pool' && !Object.hasOwn(pools, subject.pool)) {
     return fail(state, 'unknown', `unknown pool "${subject.pool}"`);
   }
   const key = {id: keyId, subject, secretHash, givenAtMs: state.nowMs};
@@ -117,8 +122,9 @@
 }
 
 function withdrawKey(state: State, command: CommandOf<'withdraw-key'>): Result {
-  const key = state.keys[command.keyId];
-  if (!key) return fail(state, 'unknown', `unknown key ${command.keyId}`);
+  const {keyId} = command;
+  const key = Object.hasOwn(state.keys, keyId) ? state.keys[keyId] : undefined;
+  if (!key) return fail(state, 'unknown', `unknown key ${keyId}`);
   if (key.withdrawnAtMs !== undefined) return succeed(state);
   const withdrawn = {...key, withdrawnAtMs: state.nowMs};
   return succeed({...state, keys: {...state.keys, [key.id]: withdrawn}});
--- a/packages/model/src/slice.ts
+++ b/packages/model/src/slice.ts
@@ -1,7 +1,7 @@
 /** Reducers of sessions and of the slices that they hold. */
 import type {BodyOf} from './change.js';
 import {fail, succeed, type Result} from './result.js';
-import {sliceTotal, type Slice, type Slices} from './session.js';
+import {sliceTotal, type Session, type Slice, type Slices} from './session.js';
 import type {State} from './state.js';
 
 export function openSession(
@@ -20,11 +20,15 @@
   return succeed({...state, sessions});
 }
 
+function findSession(state: State, id: string): Session | undefined {
+  return Object.hasOwn(state.sessions, id) ? state.sessions[id] : undefined;
+}
+
 export function closeSession(
   state: State,
   body: BodyOf<'close-session'>,
 ): Result {
-  const session = state.sessions[body.session];
+  const session = findSession(state, body.session);
   if (!session)
     return fail(state, 'unknown', `unknown session ${body.session}`);
   if (session.phase === 'closed') return succeed(state);
@@ -40,7 +44,7 @@
 }
 
 export function endSession(state: State, body: BodyOf<'end-session'>): Result {
-  const session = state.sessions[body.session];
+  const session = findSession(state, body.session);
   if (!session) return succeed(state);
   if (session.phase !== 'closed') {
     return fail(state, 'invalid', `session ${session.id} is still open`);
--- a/packages/model/test/state.test.ts
+++ b/packages/model/test/state.test.ts
@@ -7,6 +7,7 @@
   stateSchema,
   type Answer,
   type ChangeBody,
+  type Command,
 } from '@lentildrift/model';
 
 /** Every so often the state passes through JSON, as in a snapshot. */
@@ -88,3 +89,31 @@
     );
   });
 });
+
+describe('a command', () => {
+  it('about a name that every object has does not corrupt the state', () => {
+    const {run, state} = machine(1);
+    const name = 'constructor';
+    const subject = {kind: 'team' as const, team: name};
+    const secretHash = '0'.repeat(64);
+    const commands: Command[] = [
+      {type: 'withdraw-key', keyId: name},
+      {type: 'give-key', keyId: '0'.repeat(12), subject, secretHash},
+      {type: 'drain', host: name},
+      {type: 'undrain', host: name},
+      {type: 'retire', host: name},
+      {type: 'release-worker', host: name},
+    ];
+    for (const command of commands) {
+      const requestId = command.type;
+      expect(run({type: 'command', requestId, command}).ok).toBe(false);
+    }
+    run({type: 'close-session', session: name});
+    const {keys, hosts, sessions} = state();
+    expect({keys, hosts, sessions}).toEqual({
+      keys: {},
+      hosts: {},
+      sessions: {},
+    });
+  });
+});
