Answer a new session's first sync after its slices are applied

On a follower that lags, the first sync was answered before the slices that the leader had just committed arrived: the loopback test failed once in three runs. The sync now waits for a second read index; with a lag of 50 ms the test fails without that wait and passes with it.

--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -156,6 +156,8 @@
     } else {
       // Without slices the entry could admit nothing until its next sync.
       await sessions.report(session, use).catch(() => undefined);
+      // The leader has committed its slices; this replica may lag behind.
+      await freshness.confirm();
     }
     const [targets, news] = await Promise.all([
       sessions.targets(session),
--- a/packages/control/test/process.test.ts
+++ b/packages/control/test/process.test.ts
@@ -78,6 +78,8 @@
   it('an entry of a follower keeps its session when that follower stops', async () => {
     const group = new FakeGroup();
     group.setLimit(12);
+    // Slices reach a new session's first sync even if its replica lags.
+    for (const replica of group.members) replica.lagMs = 50;
     const started = await startGroup(group);
     const ports = ['b', 'c'].map(id => started.get(id)!.process.port);
     const client = createFailoverClient({
