--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -1,21 +1,14 @@
 /** Starts the control role of a process. */
 import {SoloReplica} from '@lentildrift/consensus';
 import {
-  createControl,
+  startControlProcess,
   stateMachine,
   type StateReplica,
 } from '@lentildrift/control';
 import type {Log} from '@lentildrift/observe';
-import {
-  createServiceServer,
-  PeerService,
-  ServiceError,
-  type ControlService,
-} from '@lentildrift/protocol';
+import type {ControlService} from '@lentildrift/protocol';
 import {SettingsError, type Settings} from '@lentildrift/settings';
 import type {TaskSystem} from '@lentildrift/task';
-import type {Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
 
 export type ControlSettings = Pick<
   Settings,
@@ -39,9 +32,6 @@
   stop(): Promise<void>;
 }
 
-/** Open connections are cut this long after the server was closed. */
-const CLOSE_DEADLINE_MS = 5000;
-
 /** Throws `SettingsError` for settings that the replica cannot serve. */
 export async function startControl(
   settings: ControlSettings,
@@ -61,18 +51,19 @@
     detail: 'state is lost when this process ends',
   });
   await giveOperatorKey(settings, replica, log);
-  const service = createControl({replica, tasks, log});
-  const server = createServiceServer(
-    service,
-    new NoPeers(),
-    settings.clusterSecret,
-  );
-  await listen(server, settings.controlPort, settings.controlAddress);
-  const {port} = server.address() as AddressInfo;
+  const role = await startControlProcess({
+    replica,
+    tasks,
+    log,
+    peers: new Map(),
+    clusterSecret: settings.clusterSecret,
+    listen: {host: settings.controlAddress, port: settings.controlPort},
+  });
+  const {port, control: service} = role;
   log.info('control-listening', {address: settings.controlAddress, port});
 
   async function stop(): Promise<void> {
-    await close(server);
+    await role.stop();
     await replica.stop();
   }
 
@@ -107,35 +98,3 @@
   });
   log.info('operator-key', {id, given: answer.ok});
 }
-
-function listen(server: Server, port: number, address: string): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, address, () => {
-      server.off('error', reject);
-      resolve();
-    });
-  });
-}
-
-async function close(server: Server): Promise<void> {
-  const cut = setTimeout(() => server.closeAllConnections(), CLOSE_DEADLINE_MS);
-  await new Promise(resolve => {
-    server.close(resolve);
-    server.closeIdleConnections();
-  });
-  clearTimeout(cut);
-}
-
-/** A group of one member has no peers. */
-class NoPeers extends PeerService {
-  override deliver = refusePeer;
-  override propose = refusePeer;
-  override readIndex = refusePeer;
-  override report = refusePeer;
-  override gossip = refusePeer;
-}
-
-async function refusePeer(): Promise<never> {
-  throw new ServiceError('unavailable', 'this process has no peers');
-}
--- a/packages/model/src/edit.ts
+++ b/packages/model/src/edit.ts
@@ -1,8 +1,9 @@
 /** Reducers of operators' commands. */
+import {addAnswer, findAnswer} from './answer.js';
 import type {Command, CommandOf} from './change.js';
 import {fail, succeed, type Result} from './result.js';
 import {grantPermit, openWave, releasePermit, setWave} from './permit.js';
-import {ANSWERS_KEPT, type Answer, type State} from './state.js';
+import type {State} from './state.js';
 import {mergeTables, type Tables} from './table.js';
 import type {Host} from './host.js';
 
@@ -15,21 +16,23 @@
   requestId: string,
   command: Command,
 ): Result {
-  const first = Object.hasOwn(state.answers, requestId)
-    ? state.answers[requestId]
-    : undefined;
+  const first = findAnswer(state.answers, requestId);
   if (first) return {state, answer: first};
   const result = runCommand(state, command);
   return {
     state: {
       ...result.state,
-      answers: remember(result.state.answers, requestId, result.answer),
+      answers: addAnswer(result.state.answers, requestId, result.answer),
     },
     answer: result.answer,
   };
 }
 
 function runCommand(state: State, command: Command): Result {
+  // Also guards against names that every object has, such as "constructor".
+  if ('host' in command && !Object.hasOwn(state.hosts, command.host)) {
+    return fail(state, 'unknown', `unknown host "${command.host}"`);
+  }
   switch (command.type) {
     case 'edit':
       return edit(state, command);
@@ -104,13 +107,14 @@
 
 function giveKey(state: State, command: CommandOf<'give-key'>): Result {
   const {keyId, subject, secretHash} = command;
+  const {teams, pools} = state.tables;
   if (Object.hasOwn(state.keys, keyId)) {
     return fail(state, 'invalid', `key ${keyId} exists already`);
   }
-  if (subject.kind === 'team' && !state.tables.teams[subject.team]) {
+  if (subject.kind === 'team' && !Object.hasOwn(teams, subject.team)) {
     return fail(state, 'unknown', `unknown team "${subject.team}"`);
   }
-  if (subject.kind === 'pool' && !state.tables.pools[subject.pool]) {
+  if (subject.kind === 'pool' && !Object.hasOwn(pools, subject.pool)) {
     return fail(state, 'unknown', `unknown pool "${subject.pool}"`);
   }
   const key = {id: keyId, subject, secretHash, givenAtMs: state.nowMs};
@@ -118,8 +122,9 @@
 }
 
 function withdrawKey(state: State, command: CommandOf<'withdraw-key'>): Result {
-  const key = state.keys[command.keyId];
-  if (!key) return fail(state, 'unknown', `unknown key ${command.keyId}`);
+  const {keyId} = command;
+  const key = Object.hasOwn(state.keys, keyId) ? state.keys[keyId] : undefined;
+  if (!key) return fail(state, 'unknown', `unknown key ${keyId}`);
   if (key.withdrawnAtMs !== undefined) return succeed(state);
   const withdrawn = {...key, withdrawnAtMs: state.nowMs};
   return succeed({...state, keys: {...state.keys, [key.id]: withdrawn}});
@@ -160,17 +165,3 @@
   const released = {...host, quarantined: false};
   return succeed({...state, hosts: {...state.hosts, [host.id]: released}});
 }
-
-/** Keeps the newest answers, in the order in which they were given. */
-function remember(
-  answers: Readonly<Record<string, Answer>>,
-  requestId: string,
-  answer: Answer,
-): Record<string, Answer> {
-  const kept = {...answers, [requestId]: answer};
-  const ids = Object.keys(kept);
-  for (const id of ids.slice(0, Math.max(0, ids.length - ANSWERS_KEPT))) {
-    delete kept[id];
-  }
-  return kept;
-}
