--- /dev/null
+++ b/packages/storage/src/identity.ts
@@ -0,0 +1,66 @@
+/** Who a member is: fixed for the life of its data folder. */
+import {randomUUID} from 'node:crypto';
+import {mkdir} from 'node:fs/promises';
+import {join} from 'node:path';
+import {z} from 'zod';
+import {CorruptStore, WrongGroup} from './error.js';
+import {readIfPresent, replaceFile} from './file.js';
+
+export const Identity = z.object({
+  memberId: z.string().min(1),
+  groupId: z.string().min(1),
+});
+export type Identity = z.infer<typeof Identity>;
+
+export const LOG_FILE = 'log';
+const IDENTITY_FILE = 'identity.json';
+
+/** Chooses the identity of a folder that has none. */
+export class IdentitySource {
+  /**
+   * A member that lost its disk has forgotten its votes and what it
+   * acknowledged, so it must not come back under its old ID.
+   */
+  newMemberId(): string {
+    return randomUUID();
+  }
+}
+
+/**
+ * Reads the identity of a folder, or creates one in an empty folder. Rejects
+ * with `WrongGroup` if the folder belongs to another group, and with
+ * `CorruptStore` if only one of the identity and the log is left.
+ */
+export async function openIdentity(
+  folder: string,
+  groupId: string,
+  source = new IdentitySource(),
+): Promise<Identity> {
+  await mkdir(folder, {recursive: true});
+  const path = join(folder, IDENTITY_FILE);
+  const logPath = join(folder, LOG_FILE);
+  const [found, log] = [await readIfPresent(path), await readIfPresent(logPath)];
+  if (found) {
+    const identity = parseIdentity(path, found);
+    if (!log) throw new CorruptStore(logPath, 'the log is missing');
+    if (identity.groupId !== groupId) {
+      throw new WrongGroup(folder, identity.groupId, groupId);
+    }
+    return identity;
+  }
+  // The log is created first and empty, so that a crash in between leaves
+  // neither an identity without a log nor a log that holds anything.
+  if (log && log.length > 0) throw new CorruptStore(path, 'file is missing');
+  const identity = {memberId: source.newMemberId(), groupId};
+  await replaceFile(logPath, Buffer.alloc(0));
+  await replaceFile(path, Buffer.from(JSON.stringify(identity)));
+  return identity;
+}
+
+function parseIdentity(path: string, data: Buffer): Identity {
+  try {
+    return Identity.parse(JSON.parse(data.toString()));
+  } catch (error) {
+    throw new CorruptStore(path, (error as Error).message);
+  }
+}
--- /dev/null
+++ b/packages/storage/src/memory.ts
@@ -0,0 +1,69 @@
+/** A store in memory whose unsynced data is lost on a crash. */
+import {
+  applySnapshot,
+  applyWrite,
+  EMPTY_LOG,
+  type LogWrite,
+  type Snapshot,
+  type StoredLog,
+} from './record.js';
+import {LogStore} from './store.js';
+
+/** What outlives a process: create one store on it per process. */
+export class MemoryDisk {
+  synced: StoredLog = EMPTY_LOG;
+}
+
+export interface MemoryStoreOptions {
+  /** Duration of a sync. */
+  readonly syncMs?: number;
+  /** Runs right before and right after each sync takes effect; may crash. */
+  readonly onSync?: (point: 'before' | 'after', store: MemoryStore) => void;
+}
+
+export class MemoryStore extends LogStore {
+  private crashed = false;
+
+  constructor(
+    private readonly disk: MemoryDisk,
+    private readonly options: MemoryStoreOptions = {},
+  ) {
+    super();
+  }
+
+  /** Ends the store; data that is not synced is lost, and no call returns. */
+  crash(): void {
+    this.crashed = true;
+  }
+
+  override async load(): Promise<StoredLog> {
+    return this.disk.synced;
+  }
+
+  override write(writes: readonly LogWrite[]): Promise<void> {
+    return this.sync(log => writes.reduce(applyWrite, log));
+  }
+
+  override compact(snapshot: Snapshot): Promise<void> {
+    return this.sync(log => applySnapshot(log, snapshot));
+  }
+
+  override async close(): Promise<void> {
+    this.crashed = true;
+  }
+
+  private sync(change: (log: StoredLog) => StoredLog): Promise<void> {
+    return new Promise(resolve => {
+      const complete = () => {
+        if (!this.crashed) this.options.onSync?.('before', this);
+        if (this.crashed) return;
+        this.disk.synced = change(this.disk.synced);
+        this.options.onSync?.('after', this);
+        if (!this.crashed) resolve();
+      };
+      const {syncMs} = this.options;
+      if (syncMs === undefined) complete();
+      else setTimeout(complete, syncMs);
+    });
+  }
+}
