--- /dev/null
+++ b/packages/consensus/src/lead.ts
@@ -0,0 +1,319 @@
+/** What a leader does: replication, commitment, reads, membership. */
+import type {LogRecord} from '@lentildrift/storage';
+import {last, positionAt, take} from './log.js';
+import {
+  changeMembers,
+  everyone,
+  majority,
+  type MemberChange,
+} from './members.js';
+import type {MessageOf} from './message.js';
+import type {Peer} from './node.js';
+import {becomeFollower, deliver, send, store, type Turn} from './turn.js';
+
+export function becomeLeader(turn: Turn): void {
+  const {node} = turn;
+  node.role = 'leader';
+  node.leader = node.id;
+  node.votes = [];
+  node.peers = {};
+  trackPeers(turn);
+  // Commits what older terms left behind and makes reads possible.
+  append(turn, [{kind: 'noop', text: ''}]);
+  broadcast(turn);
+  advanceCommit(turn);
+}
+
+/** Brings the peers in line with the membership. */
+function trackPeers({node}: Turn): void {
+  const fresh: Peer = {
+    match: 0,
+    next: last(node.log).index + 1,
+    busy: false,
+    commitSent: 0,
+    heardMs: node.nowMs,
+    round: 0,
+    snapshot: {index: 0, offset: 0},
+  };
+  const others = everyone(node.members).filter(id => id !== node.id);
+  node.peers = Object.fromEntries(
+    others.map(id => [id, node.peers[id] ?? fresh]),
+  );
+}
+
+type Draft = Pick<LogRecord, 'kind' | 'text'>;
+
+function append(turn: Turn, drafts: readonly Draft[]): void {
+  const {node} = turn;
+  let {index, revision} = last(node.log);
+  const records = drafts.map(draft => {
+    if (draft.kind === 'change') revision++;
+    return {index: ++index, term: node.term, revision, ...draft};
+  });
+  store(turn, records);
+}
+
+/** Begins a heartbeat round. */
+export function broadcast(turn: Turn): void {
+  const {node} = turn;
+  node.round++;
+  node.heartbeatAtMs = node.nowMs + node.rules.heartbeatMs;
+  for (const id of Object.keys(node.peers)) replicate(turn, id);
+}
+
+function setPeer({node}: Turn, id: string, change: Partial<Peer>): void {
+  const peer = node.peers[id];
+  if (peer) node.peers = {...node.peers, [id]: {...peer, ...change}};
+}
+
+/** Sends what the peer lacks, or an empty message if it lacks nothing. */
+function replicate(turn: Turn, to: string): void {
+  const {node} = turn;
+  const {rules, log, round, commit} = node;
+  const peer = node.peers[to];
+  if (!peer) return;
+  const before = positionAt(log, peer.next - 1);
+  if (!before) {
+    sendSnapshot(turn, to, peer);
+    return;
+  }
+  const {maxAppendBytes, maxAppendRecords} = rules;
+  const records = take(log, peer.next, maxAppendBytes, maxAppendRecords);
+  send(turn, {
+    type: 'append',
+    to,
+    prevIndex: before.index,
+    prevTerm: before.term,
+    records,
+    commit,
+    round,
+  });
+  setPeer(turn, to, {busy: true, commitSent: commit});
+}
+
+function sendSnapshot(turn: Turn, to: string, peer: Peer): void {
+  const {node} = turn;
+  const {snapshot} = node;
+  if (!snapshot) throw new Error('the log was cut without a snapshot');
+  const {index, term, revision, members, state} = snapshot;
+  const offset = peer.snapshot.index === index ? peer.snapshot.offset : 0;
+  send(turn, {
+    type: 'snapshot',
+    to,
+    index,
+    indexTerm: term,
+    revision,
+    members,
+    offset,
+    total: state.length,
+    part: state.slice(offset, offset + node.rules.snapshotPartBytes),
+    round: node.round,
+  });
+  setPeer(turn, to, {busy: true, snapshot: {index, offset}});
+}
+
+/** Sends new entries and a new commit index to every peer that is ready. */
+export function replicateNews(turn: Turn): void {
+  const {node} = turn;
+  if (node.role !== 'leader') return;
+  for (const [id, peer] of Object.entries(node.peers)) {
+    const news =
+      peer.next <= last(node.log).index || peer.commitSent < node.commit;
+    if (!peer.busy && news) replicate(turn, id);
+  }
+}
+
+function heard(turn: Turn, from: string, round: number): Peer | undefined {
+  const {node} = turn;
+  const peer = node.peers[from];
+  if (!peer) return undefined;
+  setPeer(turn, from, {
+    heardMs: node.nowMs,
+    round: Math.max(peer.round, round),
+  });
+  return peer;
+}
+
+export function onAppended(turn: Turn, message: MessageOf<'appended'>): void {
+  const {from, ok, match, round} = message;
+  if (turn.node.role !== 'leader') return;
+  const peer = heard(turn, from, round);
+  if (!peer) return;
+  if (ok) {
+    const known = Math.max(peer.match, match);
+    setPeer(turn, from, {match: known, next: known + 1, busy: false});
+    advanceCommit(turn);
+    maybeHandOver(turn);
+  } else {
+    const next = Math.max(peer.match + 1, Math.min(match + 1, peer.next - 1));
+    setPeer(turn, from, {next: Math.max(1, next), busy: false});
+  }
+  answerReads(turn);
+}
+
+export function onSnapshotted(
+  turn: Turn,
+  message: MessageOf<'snapshotted'>,
+): void {
+  if (turn.node.role !== 'leader') return;
+  const {from, index, offset, round} = message;
+  if (!heard(turn, from, round)) return;
+  setPeer(turn, from, {snapshot: {index, offset}, busy: false});
+  if (positionAt(turn.node.log, turn.node.peers[from]!.next - 1)) return;
+  replicate(turn, from);
+}
+
+/** Commits what a majority of the voters holds durably. */
+export function advanceCommit(turn: Turn): void {
+  const {node} = turn;
+  if (node.role !== 'leader') return;
+  const held = node.members.voters
+    .map(id => (id === node.id ? node.durable : (node.peers[id]?.match ?? 0)))
+    .sort((a, b) => b - a);
+  const index = held[majority(node.members) - 1] ?? 0;
+  const entry = positionAt(node.log, index);
+  if (index <= node.commit || !entry) return;
+  if (!node.rules.commitsByCount(entry.term, node.term)) return;
+  node.commit = index;
+  deliver(turn);
+  answerReads(turn);
+}
+
+/** Steps down without a majority; else keeps up the heartbeats. */
+export function leaderTick(turn: Turn): void {
+  const {node} = turn;
+  const {rules, members, nowMs} = node;
+  const heardVoters = members.voters.filter(id => {
+    const silentMs = nowMs - (node.peers[id]?.heardMs ?? -Infinity);
+    return id === node.id || silentMs < rules.minElectionMs;
+  });
+  if (rules.stepsDown(heardVoters.length, majority(members))) {
+    becomeFollower(turn, undefined);
+    return;
+  }
+  if (node.transfer && nowMs >= node.transfer.untilMs) {
+    node.transfer = undefined;
+  }
+  if (nowMs >= node.heartbeatAtMs) broadcast(turn);
+}
+
+export function propose(
+  turn: Turn,
+  changes: readonly {id: number; text: string}[],
+): void {
+  const {node, effects} = turn;
+  const drafts: Draft[] = [];
+  let {index} = last(node.log);
+  for (const {id, text} of changes) {
+    const reason = refusal(turn, text);
+    if (reason !== undefined) {
+      effects.push({type: 'refused', id, reason});
+      continue;
+    }
+    drafts.push({kind: 'change', text});
+    effects.push({type: 'accepted', id, index: ++index, term: node.term});
+  }
+  append(turn, drafts);
+  advanceCommit(turn);
+}
+
+function refusal({node}: Turn, text: string): string | undefined {
+  if (node.role !== 'leader' || node.transfer) return '';
+  const {maxChangeBytes} = node.rules;
+  if (text.length <= maxChangeBytes) return undefined;
+  return `the change is larger than ${maxChangeBytes} bytes`;
+}
+
+export function read(turn: Turn, id: number): void {
+  const {node} = turn;
+  if (node.role !== 'leader') {
+    turn.effects.push({type: 'refused', id, reason: ''});
+    return;
+  }
+  // One round at a time: later reads share the next one.
+  const waiting = node.reads.length > 0;
+  node.reads = [...node.reads, {id, round: node.round + 1}];
+  if (!waiting && node.rules.confirmsReads()) broadcast(turn);
+  answerReads(turn);
+}
+
+/** Answers the reads whose round a majority has confirmed. */
+function answerReads(turn: Turn): void {
+  const {node} = turn;
+  if (node.reads.length === 0) return;
+  const committed = positionAt(node.log, node.commit);
+  if (committed?.term !== node.term) return;
+  const rounds = node.members.voters
+    .map(id => (id === node.id ? node.round : (node.peers[id]?.round ?? 0)))
+    .sort((a, b) => b - a);
+  const confirmed = node.rules.confirmsReads()
+    ? (rounds[majority(node.members) - 1] ?? 0)
+    : Infinity;
+  const ready = node.reads.filter(({round}) => round <= confirmed);
+  node.reads = node.reads.filter(({round}) => round > confirmed);
+  const {revision} = committed;
+  for (const {id} of ready) turn.effects.push({type: 'read', id, revision});
+  if (ready.length === 0 || node.reads.length === 0) return;
+  if (node.reads.every(({round}) => round > node.round)) broadcast(turn);
+  answerReads(turn);
+}
+
+export function proposeMembers(
+  turn: Turn,
+  id: number,
+  change: MemberChange,
+): void {
+  const {node, effects} = turn;
+  const next = memberRefusal(turn, change);
+  if (typeof next === 'string') {
+    effects.push({type: 'refused', id, reason: next});
+    return;
+  }
+  const {index} = last(node.log);
+  effects.push({type: 'accepted', id, index: index + 1, term: node.term});
+  append(turn, [{kind: 'members', text: JSON.stringify(next)}]);
+  trackPeers(turn);
+  advanceCommit(turn);
+}
+
+function memberRefusal({node}: Turn, change: MemberChange) {
+  if (node.role !== 'leader' || node.transfer) return '';
+  // Two changes under way, or one before this term has committed anything,
+  // could lead to two majorities without a common member.
+  const settled = positionAt(node.log, node.commit)?.term === node.term;
+  if (!settled || node.membersIndex > node.commit) {
+    return 'another membership change is under way';
+  }
+  if (change.type === 'remove' && change.member === node.id) {
+    return 'the leader cannot be removed: hand leadership over first';
+  }
+  if (change.type === 'promote') {
+    const match = node.peers[change.member]?.match ?? 0;
+    if (!node.rules.mayPromote(match, node.commit)) {
+      return `member ${change.member} has not caught up`;
+    }
+  }
+  return changeMembers(node.members, change);
+}
+
+/** Hands leadership to `to`, or to the voter that is furthest ahead. */
+export function beginTransfer(turn: Turn, to: string | undefined): void {
+  const {node} = turn;
+  if (node.role !== 'leader') return;
+  const best = node.members.voters
+    .filter(id => id !== node.id && (to === undefined || id === to))
+    .sort((a, b) => node.peers[b]!.match - node.peers[a]!.match)[0];
+  if (best === undefined) return;
+  const untilMs = node.nowMs + node.rules.minElectionMs;
+  node.transfer = {to: best, untilMs, sent: false};
+  maybeHandOver(turn);
+}
+
+function maybeHandOver(turn: Turn): void {
+  const {node} = turn;
+  const {transfer} = node;
+  if (!transfer || transfer.sent) return;
+  if (node.peers[transfer.to]?.match !== last(node.log).index) return;
+  node.transfer = {...transfer, sent: true};
+  send(turn, {type: 'hand-over', to: transfer.to});
+}
--- /dev/null
+++ b/packages/consensus/src/members.ts
@@ -0,0 +1,54 @@
+/** The membership of a group and its changes, one member at a time. */
+import {z} from 'zod';
+
+export const Members = z.object({
+  voters: z.array(z.string()),
+  /** Receive the log but neither vote nor count towards a majority. */
+  learners: z.array(z.string()),
+  /** Removed members; their IDs are never admitted again. */
+  retired: z.array(z.string()),
+});
+export type Members = z.infer<typeof Members>;
+
+export const MemberChange = z.object({
+  type: z.enum(['add-learner', 'promote', 'remove']),
+  member: z.string().min(1),
+});
+export type MemberChange = z.infer<typeof MemberChange>;
+
+export const NO_MEMBERS: Members = {voters: [], learners: [], retired: []};
+
+export function majority(members: Members): number {
+  return Math.floor(members.voters.length / 2) + 1;
+}
+
+export function everyone(members: Members): string[] {
+  return [...members.voters, ...members.learners];
+}
+
+/** The membership after the change, or why the change is refused. */
+export function changeMembers(
+  members: Members,
+  {type, member}: MemberChange,
+): Members | string {
+  const {voters, learners, retired} = members;
+  const without = (ids: readonly string[]) => ids.filter(id => id !== member);
+  if (type === 'add-learner') {
+    if (retired.includes(member)) return `member ${member} was removed`;
+    if (everyone(members).includes(member)) return `${member} is a member`;
+    return {...members, learners: [...learners, member]};
+  }
+  if (type === 'promote') {
+    if (!learners.includes(member)) return `${member} is not a learner`;
+    return {...members, voters: [...voters, member], learners: without(learners)};
+  }
+  if (!everyone(members).includes(member)) return `${member} is not a member`;
+  if (voters.length === 1 && voters[0] === member) {
+    return 'the last voter cannot be removed';
+  }
+  return {
+    voters: without(voters),
+    learners: without(learners),
+    retired: [...retired, member],
+  };
+}
--- /dev/null
+++ b/packages/consensus/src/raft.ts
@@ -0,0 +1,356 @@
+/**
+ * The `replica` task: owns the store, the core and the applied state.
+ *
+ * The log has entries of its own besides the changes (a no-op per term and
+ * membership changes). Every entry therefore carries a revision that counts
+ * the changes only, and everything outside the core speaks of revisions.
+ */
+import type {LogStore, Snapshot, LogRecord} from '@lentildrift/storage';
+import {TaskStopped, type Task, type TaskSystem} from '@lentildrift/task';
+import type {Codec} from './codec.js';
+import type {MemberChange} from './members.js';
+import type {PeerMessage} from './message.js';
+import {
+  createNode,
+  deadline,
+  membersAt,
+  type Body,
+  type Effect,
+  type Node,
+} from './node.js';
+import {
+  Replica,
+  type Applied,
+  type Committed,
+  type Machine,
+  type ReplicaStatus,
+} from './replica.js';
+import {createRequests, type Requests} from './request.js';
+import type {Rules} from './rules.js';
+import {statusOf} from './status.js';
+import {step} from './step.js';
+import type {PeerTransport} from './transport.js';
+import {createWriter, type Writer} from './writer.js';
+
+/** Changes between snapshots. */
+const SNAPSHOT_EVERY = 1000;
+/** Longest wait for another member to take over on `stop`. */
+const HAND_OVER_MS = 1500;
+
+export interface RaftOptions<S, C, A> {
+  readonly member: string;
+  readonly group: string;
+  /** Seed of the election timeouts; differs between members. */
+  readonly seed: number;
+  readonly machine: Machine<S, C, A>;
+  readonly codec: Codec<S, C>;
+  readonly store: LogStore;
+  readonly transport: PeerTransport;
+  readonly tasks: TaskSystem;
+  /**
+   * Voters of a group that is being founded, equal on all of them. Used only
+   * if the store is empty and this member is among them.
+   */
+  readonly founders?: readonly string[];
+  readonly rules?: Rules;
+  readonly snapshotEvery?: number;
+  /**
+   * The store failed or an invariant is broken. The replica has stopped and
+   * acknowledges nothing more; the process must exit.
+   */
+  onFatal(error: Error): void;
+}
+
+/** Reads the store and starts the replica. Rejects with `CorruptStore`. */
+export async function startRaft<S, C, A>(
+  options: RaftOptions<S, C, A>,
+): Promise<RaftReplica<S, C, A>> {
+  const {store, member, founders = []} = options;
+  let stored = await store.load();
+  const empty = stored.ballot.term === 0 && !stored.snapshot;
+  if (empty && stored.records.length === 0 && founders.includes(member)) {
+    await store.write([{records: [foundingRecord(founders)]}]);
+    stored = await store.load();
+  }
+  const node = createNode({
+    ...options,
+    id: member,
+    nowMs: performance.now(),
+    stored,
+  });
+  return new RaftReplica(options, node);
+}
+
+/** The first entry, the same on every founder and thereby committed. */
+function foundingRecord(founders: readonly string[]): LogRecord {
+  const voters = [...founders].sort();
+  const text = JSON.stringify({voters, learners: [], retired: []});
+  return {index: 1, term: 0, revision: 0, kind: 'members', text};
+}
+
+export class RaftReplica<S, C, A> extends Replica<S, C, A> {
+  private node: Node;
+  private current: S;
+  private readonly task: Task<Body>;
+  private readonly writer: Writer;
+  private readonly requests: Requests<A>;
+  private proposals: {id: number; text: string}[] = [];
+  private readonly watchers = new Set<(applied: Applied<S, C, A>) => void>();
+  private readonly observers = new Set<(status: ReplicaStatus) => void>();
+  private timer: {at: number; handle: NodeJS.Timeout} | undefined;
+  private compactedAt: number;
+  private ended = false;
+
+  /** Use `startRaft`. */
+  constructor(
+    private readonly options: RaftOptions<S, C, A>,
+    node: Node,
+  ) {
+    super();
+    const {machine, codec, store, tasks} = options;
+    this.node = node;
+    this.current = node.snapshot
+      ? codec.decodeState(node.snapshot.state)
+      : machine.initial;
+    this.compactedAt = node.log.base.revision;
+    this.requests = createRequests();
+    this.writer = createWriter(store, {
+      onDurable: seq => this.post({type: 'persisted', seq}),
+      onCompacted: snapshot => this.post({type: 'compacted', snapshot}),
+      onFailure: error => this.fail(error),
+    });
+    this.task = tasks.spawn<Node, Body>({
+      name: `replica-${options.member}`,
+      initial: node,
+      handle: (state, body) => {
+        try {
+          return this.handle(state, body);
+        } catch (error) {
+          // A broken invariant: to go on could spread the damage.
+          this.fail(error as Error);
+          throw error;
+        }
+      },
+    });
+    this.arm();
+  }
+
+  override state(): S {
+    return this.current;
+  }
+
+  override status(): ReplicaStatus {
+    return statusOf(this.node, this.options.machine.revision(this.current));
+  }
+
+  override propose(change: C): Promise<Committed<A>> {
+    const text = this.options.codec.encodeChange(change);
+    return this.requests.change(id => {
+      if (this.proposals.length === 0) {
+        // Filled until the task handles it: one append for all of them.
+        this.proposals = [];
+        this.post({type: 'propose', changes: this.proposals});
+      }
+      this.proposals.push({id, text});
+    });
+  }
+
+  override readIndex(): Promise<number> {
+    return this.requests.read(id => this.post({type: 'read', id}));
+  }
+
+  override reached(revision: number): Promise<void> {
+    return this.requests.reached(
+      revision,
+      this.options.machine.revision(this.current),
+    );
+  }
+
+  override watch(listener: (applied: Applied<S, C, A>) => void): () => void {
+    this.watchers.add(listener);
+    return () => this.watchers.delete(listener);
+  }
+
+  override onChange(listener: (status: ReplicaStatus) => void): () => void {
+    this.observers.add(listener);
+    return () => this.observers.delete(listener);
+  }
+
+  override changeMembers(change: MemberChange): Promise<void> {
+    return this.requests.members(id =>
+      this.post({type: 'members', id, change}),
+    );
+  }
+
+  override transfer(member?: string): void {
+    this.post(member ? {type: 'transfer', to: member} : {type: 'transfer'});
+  }
+
+  /** Takes messages that the transport received from `from`. */
+  receive(from: string, messages: readonly PeerMessage[]): void {
+    for (const message of messages) {
+      if (message.from !== from || this.ended) continue;
+      this.task.post({type: 'receive', message});
+    }
+  }
+
+  override async stop(): Promise<void> {
+    if (this.ended) return;
+    const others = this.node.members.voters.length > 1;
+    if (this.node.role === 'leader' && others) await this.handOver();
+    await this.end();
+    await this.writer.idle();
+    await this.options.store.close();
+  }
+
+  /** Ends at once, as a crash would; for tests. */
+  kill(): void {
+    void this.end();
+  }
+
+  private async handOver(): Promise<void> {
+    this.transfer();
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, HAND_OVER_MS);
+      this.onChange(({role}) => {
+        if (role === 'leader') return;
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+
+  private async end(): Promise<void> {
+    if (this.ended) return;
+    this.ended = true;
+    clearTimeout(this.timer?.handle);
+    this.requests.end(new TaskStopped(this.task.name));
+    await this.task.stop();
+  }
+
+  private fail(error: Error): void {
+    if (this.ended) return;
+    void this.end();
+    this.options.onFatal(error);
+  }
+
+  private post(body: Body): void {
+    if (this.ended || !this.task.post(body)) {
+      this.requests.end(new TaskStopped(this.task.name));
+    }
+  }
+
+  private handle(node: Node, body: Body): Node {
+    if (this.ended) return node;
+    if (body.type === 'propose') this.proposals = [];
+    const next = step(node, {...body, nowMs: performance.now()});
+    this.node = next.node;
+    this.perform(next.effects);
+    if (node.role === 'leader' && next.node.role !== 'leader') {
+      this.requests.lostLeadership();
+    }
+    this.notify(node, next.node);
+    this.compact();
+    this.arm();
+    return next.node;
+  }
+
+  private perform(effects: readonly Effect[]): void {
+    const outgoing = new Map<string, PeerMessage[]>();
+    for (const effect of effects) {
+      if (effect.type === 'send') {
+        const {message} = effect;
+        const queue = outgoing.get(message.to);
+        if (queue) queue.push(message);
+        else outgoing.set(message.to, [message]);
+      } else {
+        this.performOne(effect);
+      }
+    }
+    for (const [to, messages] of outgoing) {
+      this.options.transport.send(to, messages);
+    }
+  }
+
+  private performOne(effect: Exclude<Effect, {type: 'send'}>): void {
+    switch (effect.type) {
+      case 'save':
+      case 'install':
+        this.writer.add(effect);
+        return;
+      case 'apply':
+        for (const record of effect.records) this.apply(record);
+        return;
+      case 'restore':
+        this.current = this.options.codec.decodeState(effect.snapshot.state);
+        this.compactedAt = effect.snapshot.revision;
+        this.requests.advance(effect.snapshot.revision);
+        return;
+      case 'accepted':
+        this.requests.accepted(effect.id, effect.index, effect.term);
+        return;
+      case 'refused':
+        this.requests.refused(effect.id, effect.reason, this.node.leader);
+        return;
+      case 'read':
+        this.requests.confirmed(effect.id, effect.revision);
+        return;
+    }
+  }
+
+  private apply(record: LogRecord): void {
+    const {machine, codec} = this.options;
+    if (record.kind !== 'change') {
+      this.requests.committed(record, undefined);
+      return;
+    }
+    const change = codec.decodeChange(record.text);
+    const {state, answer} = machine.apply(this.current, change);
+    this.current = state;
+    for (const watcher of this.watchers) watcher({state, change, answer});
+    this.requests.committed(record, answer);
+    this.requests.advance(record.revision);
+  }
+
+  private notify(before: Node, after: Node): void {
+    const same =
+      before.role === after.role &&
+      before.term === after.term &&
+      before.leader === after.leader &&
+      before.members === after.members;
+    if (same) return;
+    for (const observer of this.observers) observer(this.status());
+  }
+
+  private compact(): void {
+    const {node, options} = this;
+    const revision = options.machine.revision(this.current);
+    const every = options.snapshotEvery ?? SNAPSHOT_EVERY;
+    if (revision - this.compactedAt < every) return;
+    const at = node.log.records[node.applied - node.log.base.index - 1];
+    if (!at) return;
+    this.compactedAt = revision;
+    const snapshot: Snapshot = {
+      index: at.index,
+      term: at.term,
+      revision,
+      members: JSON.stringify(membersAt(node, at.index)),
+      state: options.codec.encodeState(this.current),
+    };
+    this.writer.add({type: 'compact', snapshot});
+  }
+
+  /** Sets the timer for the next tick; one that fires early does no harm. */
+  private arm(): void {
+    if (this.ended) return;
+    const at = deadline(this.node);
+    if (this.timer && this.timer.at <= at) return;
+    clearTimeout(this.timer?.handle);
+    const waitMs = Math.max(0, Math.ceil(at - performance.now()));
+    const handle = setTimeout(() => {
+      this.timer = undefined;
+      this.post({type: 'tick'});
+    }, waitMs);
+    this.timer = {at, handle};
+  }
+}
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -1,4 +1,6 @@
 /** A replica of the replicated state, as the rest of the system sees it. */
+import type {MemberChange} from './members.js';
+
 
 /** The state machine that the log drives; every function is pure. */
 export interface Machine<S, C, A> {
@@ -47,6 +49,14 @@
   }
 }
 
+/** The group refused a change of its state or membership; it is not made. */
+export class ChangeRefused extends Error {
+  constructor(reason: string) {
+    super(reason);
+    this.name = 'ChangeRefused';
+  }
+}
+
 export abstract class Replica<S, C, A> {
   /** The applied state. */
   abstract state(): S;
@@ -66,6 +76,26 @@
   abstract reached(revision: number): Promise<void>;
   /** Calls `listener` for each applied change; returns a way to end that. */
   abstract watch(listener: (applied: Applied<S, C, A>) => void): () => void;
+  /**
+   * Calls `listener` when the role, term, leader or membership changes;
+   * returns a way to end that.
+   */
+  onChange(listener: (status: ReplicaStatus) => void): () => void {
+    // A replica with a fixed role never has anything to report.
+    void listener;
+    return () => {};
+  }
+  /**
+   * Changes the membership by one member; resolves once it is committed.
+   * Rejects with `NotLeader`, `OutcomeUnknown` or `ChangeRefused`.
+   */
+  async changeMembers(change: MemberChange): Promise<void> {
+    throw new ChangeRefused(`cannot ${change.type}: membership is fixed`);
+  }
+  /** Asks the leader to hand over, to `member` if given; best effort. */
+  transfer(member?: string): void {
+    void member;
+  }
   /** Hands leadership over if it leads, then stops. */
   abstract stop(): Promise<void>;
 }
--- /dev/null
+++ b/packages/consensus/src/status.ts
@@ -0,0 +1,22 @@
+/** What a member reports of itself. */
+import type {Node} from './node.js';
+import type {ReplicaStatus} from './replica.js';
+
+export function statusOf(node: Node, revision: number): ReplicaStatus {
+  const {id, role, term, leader, members} = node;
+  const {voters, learners} = members;
+  return {
+    member: id,
+    role: reportedRole(),
+    term,
+    leader,
+    revision,
+    voters,
+    learners,
+  };
+
+  function reportedRole(): ReplicaStatus['role'] {
+    if (!voters.includes(id)) return 'learner';
+    return role === 'pre-candidate' ? 'candidate' : role;
+  }
+}
--- /dev/null
+++ b/packages/consensus/test/cluster.ts
@@ -0,0 +1,213 @@
+/** A group of replicas in memory whose hosts can crash and lose their disks. */
+import {MemoryDisk, MemoryStore} from '@lentildrift/storage';
+import {startTasks, type TaskSystem} from '@lentildrift/task';
+import {
+  JsonCodec,
+  startRaft,
+  type Machine,
+  type RaftReplica,
+  type Rules,
+} from '@lentildrift/consensus';
+import {History} from './history.js';
+import {Network, Random} from './network.js';
+
+/** The state is the sequence of changes. */
+export type Values = readonly string[];
+export type TestReplica = RaftReplica<Values, string, number>;
+
+const machine: Machine<Values, string, number> = {
+  initial: [],
+  apply: (state, change) => ({
+    state: [...state, change],
+    answer: state.length + 1,
+  }),
+  revision: state => state.length,
+};
+
+export interface Host {
+  readonly name: string;
+  member: string;
+  disk: MemoryDisk;
+  store?: MemoryStore;
+  replica?: TestReplica;
+  /** Crash at the next such point of a sync. */
+  crashAt?: 'before' | 'after';
+}
+
+export interface ClusterOptions {
+  readonly seed: number;
+  readonly size?: number;
+  readonly rules?: Rules;
+  readonly snapshotEvery?: number;
+  /** The member ID of a host after the given number of wipes. */
+  readonly memberId?: (host: string, wipes: number) => string;
+  /** Lets time pass. */
+  readonly advance: (ms: number) => Promise<unknown>;
+}
+
+const SYNC_MS = 2;
+
+export class Cluster {
+  readonly random: Random;
+  readonly network: Network;
+  readonly history = new History();
+  readonly hosts: Host[];
+  readonly failures: string[] = [];
+  private readonly tasks: TaskSystem;
+  private readonly memberId: (host: string, wipes: number) => string;
+  private readonly founders: string[];
+  private wipes = 0;
+  private starts = 0;
+  private proposed = 0;
+
+  constructor(private readonly options: ClusterOptions) {
+    this.random = new Random(options.seed);
+    this.network = new Network(this.random);
+    this.memberId = options.memberId ?? ((host, n) => `${host}${n || ''}`);
+    this.hosts = Array.from({length: options.size ?? 3}, (_, i) => {
+      const name = String.fromCharCode(97 + i);
+      return {name, member: this.memberId(name, 0), disk: new MemoryDisk()};
+    });
+    this.founders = this.hosts.map(({member}) => member);
+    this.tasks = startTasks((task, error) =>
+      this.failures.push(`${task}: ${error.message}`),
+    );
+  }
+
+  async start(...hosts: Host[]): Promise<void> {
+    for (const host of hosts.length > 0 ? hosts : this.hosts) {
+      if (!host.replica) await this.startOne(host);
+    }
+  }
+
+  kill(host: Host): void {
+    host.store?.crash();
+    host.replica?.kill();
+    this.network.detach(host.member);
+    delete host.replica;
+    delete host.crashAt;
+  }
+
+  /** Loses the disk of a host; it comes back under the ID that is due. */
+  wipe(host: Host): void {
+    this.kill(host);
+    host.disk = new MemoryDisk();
+    host.member = this.memberId(host.name, ++this.wipes);
+  }
+
+  async stop(): Promise<void> {
+    for (const host of this.hosts) this.kill(host);
+    await this.options.advance(10);
+    this.tasks.stop();
+  }
+
+  advance(ms: number): Promise<unknown> {
+    return this.options.advance(ms);
+  }
+
+  live(): Host[] {
+    return this.hosts.filter(({replica}) => replica);
+  }
+
+  leader(): Host | undefined {
+    return this.live()
+      .filter(({replica}) => replica!.status().role === 'leader')
+      .sort((a, b) => b.replica!.status().term - a.replica!.status().term)[0];
+  }
+
+  host(name: string): Host {
+    return this.hosts.find(host => host.name === name)!;
+  }
+
+  async untilLeader(limitMs = 20_000): Promise<Host> {
+    for (let waited = 0; waited < limitMs; waited += 100) {
+      const leader = this.leader();
+      if (leader) return leader;
+      await this.advance(100);
+    }
+    throw new Error(`no leader within ${limitMs} ms`);
+  }
+
+  /** Proposes a new change; resolves with whether it was acknowledged. */
+  async propose(host: Host, size = 0): Promise<boolean> {
+    const value = `v${++this.proposed}`.padEnd(size, '.');
+    try {
+      const {revision} = await host.replica!.propose(value);
+      this.history.answered(value, revision);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  /** Reads, and checks that the read is not stale. */
+  async read(host: Host): Promise<boolean> {
+    const floor = this.history.acknowledgedRevision();
+    try {
+      this.history.read(floor, await host.replica!.readIndex());
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  /** Puts `host` in the place of `old`; resolves with whether it is done. */
+  async repair(host: Host, old: string, limitMs = 30_000): Promise<boolean> {
+    const steps = [
+      {type: 'add-learner', member: host.member},
+      {type: 'promote', member: host.member},
+      {type: 'remove', member: old},
+    ] as const;
+    let at = 0;
+    for (let waited = 0; waited < limitMs && at < steps.length; waited += 200) {
+      const leader = this.leader();
+      leader?.replica!.changeMembers(steps[at]!).catch(() => {});
+      await this.advance(200);
+      if (leader?.replica && this.holds(leader, steps[at]!)) at++;
+    }
+    return at === steps.length;
+  }
+
+  private holds(leader: Host, change: {type: string; member: string}) {
+    const {voters, learners} = leader.replica!.status();
+    if (change.type === 'promote') return voters.includes(change.member);
+    if (change.type === 'add-learner') {
+      return [...voters, ...learners].includes(change.member);
+    }
+    return ![...voters, ...learners].includes(change.member);
+  }
+
+  private async startOne(host: Host): Promise<void> {
+    const store = new MemoryStore(host.disk, {
+      syncMs: SYNC_MS,
+      onSync: point => {
+        if (host.crashAt === point) this.kill(host);
+      },
+    });
+    const {member} = host;
+    const starting = startRaft({
+      member,
+      group: 'test',
+      seed: this.options.seed * 1009 + ++this.starts,
+      machine,
+      codec: new JsonCodec(),
+      store,
+      transport: this.network.transport(member),
+      tasks: this.tasks,
+      founders: this.founders,
+      rules: this.options.rules,
+      snapshotEvery: this.options.snapshotEvery,
+      onFatal: error => this.failures.push(`${member}: ${error.message}`),
+    });
+    await this.advance(SYNC_MS);
+    const replica = await starting;
+    host.store = store;
+    host.replica = replica;
+    this.history.compareAll(member, replica.state());
+    replica.watch(({state}) => this.history.applied(member, state));
+    replica.onChange(status => this.history.observe(status));
+    this.network.attach(member, (from, messages) =>
+      replica.receive(from, messages),
+    );
+  }
+}
--- /dev/null
+++ b/packages/consensus/test/faults.ts
@@ -0,0 +1,98 @@
+/** A run of seeded random faults on a group, and the checks at its end. */
+import {Cluster, type ClusterOptions, type Host} from './cluster.js';
+
+const STEPS = 40;
+
+/** Resolves with the violations found. */
+export async function runFaults(options: ClusterOptions): Promise<string[]> {
+  const cluster = new Cluster({snapshotEvery: 20, ...options});
+  const {random, network, history} = cluster;
+  network.faults = {
+    lossPercent: random.int(0, 15),
+    duplicatePercent: random.int(0, 15),
+    maxDelayMs: random.pick([3, 20, 200]),
+  };
+  await cluster.start();
+  await cluster.advance(2000);
+  for (let i = 0; i < STEPS; i++) {
+    await disturb(cluster);
+    for (const host of cluster.live()) {
+      // A deposed leader may still believe that it leads: it is asked too.
+      if (host.replica!.status().role !== 'leader') continue;
+      for (let n = random.int(0, 4); n > 0; n--) void cluster.propose(host);
+      void cluster.read(host);
+    }
+    await cluster.advance(random.int(1, 800));
+  }
+  await settle(cluster);
+  await cluster.stop();
+  return [...history.violations, ...cluster.failures];
+}
+
+async function disturb(cluster: Cluster): Promise<void> {
+  const {random, network} = cluster;
+  const host = random.pick(cluster.hosts);
+  const others = cluster.hosts.filter(other => other !== host);
+  switch (random.int(0, 9)) {
+    case 0:
+      cluster.kill(host);
+      break;
+    case 1:
+      host.crashAt = random.pick(['before', 'after'] as const);
+      break;
+    case 2:
+      network.cut(host.member, random.pick(others).member);
+      break;
+    case 3:
+      network.isolate(
+        host.member,
+        others.map(({member}) => member),
+      );
+      break;
+    case 4:
+      cluster.leader()?.replica!.transfer();
+      break;
+    case 5:
+    case 6:
+      network.heal();
+      break;
+    case 7:
+      await replace(cluster, host);
+      break;
+    default:
+      await cluster.start();
+  }
+}
+
+/** Loses a disk while no other host is down, and repairs the group. */
+async function replace(cluster: Cluster, host: Host): Promise<void> {
+  cluster.network.heal();
+  await cluster.start();
+  const leader = cluster.leader();
+  if (!leader || leader === host) return;
+  const old = host.member;
+  if (!leader.replica!.status().voters.includes(old)) return;
+  cluster.wipe(host);
+  await cluster.start(host);
+  if (!(await cluster.repair(host, old))) {
+    cluster.history.report(`${host.member} could not replace ${old}`);
+  }
+}
+
+/** Ends all faults; then the group must answer and agree. */
+async function settle(cluster: Cluster): Promise<void> {
+  const {network, history} = cluster;
+  network.heal();
+  network.faults = {lossPercent: 0, duplicatePercent: 0, maxDelayMs: 3};
+  for (const host of cluster.hosts) delete host.crashAt;
+  await cluster.start();
+  await cluster.advance(10_000);
+  const leader = await cluster.untilLeader();
+  const proposing = cluster.propose(leader);
+  await cluster.advance(2000);
+  if (!(await proposing)) history.report('no progress after the faults');
+  for (const {member, replica} of cluster.live()) {
+    history.compareAll(member, replica!.state());
+    history.complete(member, replica!.state());
+  }
+}
--- /dev/null
+++ b/packages/consensus/test/network.ts
@@ -0,0 +1,94 @@
+/** A network in memory with seeded faults, on the runtime's timers. */
+import prand, {type RandomGenerator} from 'pure-rand';
+import {PeerTransport, type PeerMessage} from '@lentildrift/consensus';
+
+export class Random {
+  private readonly generator: RandomGenerator;
+
+  constructor(seed: number) {
+    this.generator = prand.xoroshiro128plus(seed);
+  }
+
+  /** An integer from `from` to `to`, both included. */
+  int(from: number, to: number): number {
+    return prand.unsafeUniformIntDistribution(from, to, this.generator);
+  }
+
+  chance(percent: number): boolean {
+    return this.int(1, 100) <= percent;
+  }
+
+  pick<T>(items: readonly T[]): T {
+    return items[this.int(0, items.length - 1)]!;
+  }
+}
+
+export interface Faults {
+  readonly lossPercent: number;
+  readonly duplicatePercent: number;
+  /** Each message is delayed by its own time, so that messages overtake. */
+  readonly maxDelayMs: number;
+}
+
+type Receiver = (from: string, messages: readonly PeerMessage[]) => void;
+
+export class Network {
+  faults: Faults = {lossPercent: 0, duplicatePercent: 0, maxDelayMs: 3};
+  readonly sent = {messages: 0, bytes: 0};
+  private readonly receivers = new Map<string, Receiver>();
+  private readonly cuts = new Set<string>();
+
+  constructor(private readonly random: Random) {}
+
+  attach(id: string, receiver: Receiver): void {
+    this.receivers.set(id, receiver);
+  }
+
+  detach(id: string): void {
+    this.receivers.delete(id);
+  }
+
+  /** Drops what `from` sends to `to`, in this direction only. */
+  cut(from: string, to: string): void {
+    this.cuts.add(`${from}>${to}`);
+  }
+
+  isolate(id: string, others: readonly string[]): void {
+    for (const other of others) {
+      this.cut(id, other);
+      this.cut(other, id);
+    }
+  }
+
+  heal(): void {
+    this.cuts.clear();
+  }
+
+  transport(from: string): PeerTransport {
+    const send = (to: string, messages: readonly PeerMessage[]) =>
+      this.send(from, to, messages);
+    return new (class extends PeerTransport {
+      override send = send;
+    })();
+  }
+
+  private send(from: string, to: string, messages: readonly PeerMessage[]) {
+    for (const message of messages) {
+      this.sent.messages++;
+      this.sent.bytes += JSON.stringify(message).length;
+      if (this.random.chance(this.faults.lossPercent)) continue;
+      this.deliver(from, to, message);
+      if (this.random.chance(this.faults.duplicatePercent)) {
+        this.deliver(from, to, message);
+      }
+    }
+  }
+
+  private deliver(from: string, to: string, message: PeerMessage): void {
+    const delayMs = this.random.int(1, this.faults.maxDelayMs);
+    setTimeout(() => {
+      if (this.cuts.has(`${from}>${to}`)) return;
+      this.receivers.get(to)?.(from, [message]);
+    }, delayMs);
+  }
+}
