--- a/packages/consensus/src/follow.ts
+++ b/packages/consensus/src/follow.ts
@@ -52,8 +52,12 @@
   const {node} = turn;
   const {from: to, index, indexTerm, offset, part, total, round} = message;
   hearLeader(turn, to);
-  if (index <= node.commit) {
+  // A log that holds the entry may hold acknowledged entries after it, which
+  // must not be dropped.
+  if (index <= node.commit || positionAt(node.log, index)?.term === indexTerm) {
     node.incoming = undefined;
+    node.commit = Math.max(node.commit, index);
+    deliver(turn);
     const match = index;
     sendDurably(turn, {type: 'appended', to, ok: true, match, round});
     return;
--- a/packages/consensus/src/lead.ts
+++ b/packages/consensus/src/lead.ts
@@ -1,14 +1,10 @@
-/** What a leader does: replication, commitment, reads, membership. */
+/** What a leader does: commitment, proposals, membership, hand-over. */
 import type {LogRecord} from '@lentildrift/storage';
-import {last, positionAt, take} from './log.js';
-import {
-  changeMembers,
-  everyone,
-  majority,
-  type MemberChange,
-} from './members.js';
+import {last, positionAt} from './log.js';
+import {changeMembers, majority, type MemberChange} from './members.js';
 import type {MessageOf} from './message.js';
-import type {Peer} from './node.js';
+import {answerReads} from './read.js';
+import {broadcast, heard, replicate, setPeer, trackPeers} from './replicate.js';
 import {becomeFollower, deliver, send, store, type Turn} from './turn.js';
 
 export function becomeLeader(turn: Turn): void {
@@ -24,23 +20,6 @@
   advanceCommit(turn);
 }
 
-/** Brings the peers in line with the membership. */
-function trackPeers({node}: Turn): void {
-  const fresh: Peer = {
-    match: 0,
-    next: last(node.log).index + 1,
-    busy: false,
-    commitSent: 0,
-    heardMs: node.nowMs,
-    round: 0,
-    snapshot: {index: 0, offset: 0},
-  };
-  const others = everyone(node.members).filter(id => id !== node.id);
-  node.peers = Object.fromEntries(
-    others.map(id => [id, node.peers[id] ?? fresh]),
-  );
-}
-
 type Draft = Pick<LogRecord, 'kind' | 'text'>;
 
 function append(turn: Turn, drafts: readonly Draft[]): void {
@@ -53,87 +32,6 @@
   store(turn, records);
 }
 
-/** Begins a heartbeat round. */
-export function broadcast(turn: Turn): void {
-  const {node} = turn;
-  node.round++;
-  node.heartbeatAtMs = node.nowMs + node.rules.heartbeatMs;
-  for (const id of Object.keys(node.peers)) replicate(turn, id);
-}
-
-function setPeer({node}: Turn, id: string, change: Partial<Peer>): void {
-  const peer = node.peers[id];
-  if (peer) node.peers = {...node.peers, [id]: {...peer, ...change}};
-}
-
-/** Sends what the peer lacks, or an empty message if it lacks nothing. */
-function replicate(turn: Turn, to: string): void {
-  const {node} = turn;
-  const {rules, log, round, commit} = node;
-  const peer = node.peers[to];
-  if (!peer) return;
-  const before = positionAt(log, peer.next - 1);
-  if (!before) {
-    sendSnapshot(turn, to, peer);
-    return;
-  }
-  const {maxAppendBytes, maxAppendRecords} = rules;
-  const records = take(log, peer.next, maxAppendBytes, maxAppendRecords);
-  send(turn, {
-    type: 'append',
-    to,
-    prevIndex: before.index,
-    prevTerm: before.term,
-    records,
-    commit,
-    round,
-  });
-  setPeer(turn, to, {busy: true, commitSent: commit});
-}
-
-function sendSnapshot(turn: Turn, to: string, peer: Peer): void {
-  const {node} = turn;
-  const {snapshot} = node;
-  if (!snapshot) throw new Error('the log was cut without a snapshot');
-  const {index, term, revision, members, state} = snapshot;
-  const offset = peer.snapshot.index === index ? peer.snapshot.offset : 0;
-  send(turn, {
-    type: 'snapshot',
-    to,
-    index,
-    indexTerm: term,
-    revision,
-    members,
-    offset,
-    total: state.length,
-    part: state.slice(offset, offset + node.rules.snapshotPartBytes),
-    round: node.round,
-  });
-  setPeer(turn, to, {busy: true, snapshot: {index, offset}});
-}
-
-/** Sends new entries and a new commit index to every peer that is ready. */
-export function replicateNews(turn: Turn): void {
-  const {node} = turn;
-  if (node.role !== 'leader') return;
-  for (const [id, peer] of Object.entries(node.peers)) {
-    const news =
-      peer.next <= last(node.log).index || peer.commitSent < node.commit;
-    if (!peer.busy && news) replicate(turn, id);
-  }
-}
-
-function heard(turn: Turn, from: string, round: number): Peer | undefined {
-  const {node} = turn;
-  const peer = node.peers[from];
-  if (!peer) return undefined;
-  setPeer(turn, from, {
-    heardMs: node.nowMs,
-    round: Math.max(peer.round, round),
-  });
-  return peer;
-}
-
 export function onAppended(turn: Turn, message: MessageOf<'appended'>): void {
   const {from, ok, match, round} = message;
   if (turn.node.role !== 'leader') return;
@@ -224,40 +122,6 @@
   return `the change is larger than ${maxChangeBytes} bytes`;
 }
 
-export function read(turn: Turn, id: number): void {
-  const {node} = turn;
-  if (node.role !== 'leader') {
-    turn.effects.push({type: 'refused', id, reason: ''});
-    return;
-  }
-  // One round at a time: later reads share the next one.
-  const waiting = node.reads.length > 0;
-  node.reads = [...node.reads, {id, round: node.round + 1}];
-  if (!waiting && node.rules.confirmsReads()) broadcast(turn);
-  answerReads(turn);
-}
-
-/** Answers the reads whose round a majority has confirmed. */
-function answerReads(turn: Turn): void {
-  const {node} = turn;
-  if (node.reads.length === 0) return;
-  const committed = positionAt(node.log, node.commit);
-  if (committed?.term !== node.term) return;
-  const rounds = node.members.voters
-    .map(id => (id === node.id ? node.round : (node.peers[id]?.round ?? 0)))
-    .sort((a, b) => b - a);
-  const confirmed = node.rules.confirmsReads()
-    ? (rounds[majority(node.members) - 1] ?? 0)
-    : Infinity;
-  const ready = node.reads.filter(({round}) => round <= confirmed);
-  node.reads = node.reads.filter(({round}) => round > confirmed);
-  const {revision} = committed;
-  for (const {id} of ready) turn.effects.push({type: 'read', id, revision});
-  if (ready.length === 0 || node.reads.length === 0) return;
-  if (node.reads.every(({round}) => round > node.round)) broadcast(turn);
-  answerReads(turn);
-}
-
 export function proposeMembers(
   turn: Turn,
   id: number,
--- a/packages/consensus/src/node.ts
+++ b/packages/consensus/src/node.ts
@@ -132,19 +132,23 @@
     rules.maxElectionMs,
     prand.xoroshiro128plus(options.seed),
   );
+  const membership = membersOf(log, snapshot);
+  const {voters} = membership.members;
+  // The only voter has no leader to wait for.
+  const alone = voters.length === 1 && voters[0] === options.id;
   return {
     id: options.id,
     group: options.group,
     rules,
     random,
     nowMs,
-    term: Math.max(ballot.term, last(log).term),
+    term: ballot.term,
     vote: ballot.vote,
     role: 'follower',
     leader: undefined,
     log,
     snapshot,
-    ...membersOf(log, snapshot),
+    ...membership,
     commit: base.index,
     applied: base.index,
     durable: last(log).index,
@@ -152,7 +156,7 @@
     savedSeq: 0,
     pending: [],
     held: [],
-    electionAtMs: nowMs + wait,
+    electionAtMs: alone ? nowMs : nowMs + wait,
     heartbeatAtMs: Infinity,
     heardLeaderMs: -Infinity,
     votes: [],
--- a/packages/consensus/src/raft.ts
+++ b/packages/consensus/src/raft.ts
@@ -5,13 +5,11 @@
  * membership changes). Every entry therefore carries a revision that counts
  * the changes only, and everything outside the core speaks of revisions.
  */
-import type {LogStore, Snapshot, LogRecord} from '@lentildrift/storage';
-import {TaskStopped, type Task, type TaskSystem} from '@lentildrift/task';
-import type {Codec} from './codec.js';
+import type {LogRecord, Snapshot} from '@lentildrift/storage';
+import {TaskStopped, type Task} from '@lentildrift/task';
 import type {MemberChange} from './members.js';
 import type {PeerMessage} from './message.js';
 import {
-  createNode,
   deadline,
   membersAt,
   type Body,
@@ -22,14 +20,12 @@
   Replica,
   type Applied,
   type Committed,
-  type Machine,
   type ReplicaStatus,
 } from './replica.js';
+import type {RaftOptions} from './option.js';
 import {createRequests, type Requests} from './request.js';
-import type {Rules} from './rules.js';
 import {statusOf} from './status.js';
 import {step} from './step.js';
-import type {PeerTransport} from './transport.js';
 import {createWriter, type Writer} from './writer.js';
 
 /** Changes between snapshots. */
@@ -37,57 +33,6 @@
 /** Longest wait for another member to take over on `stop`. */
 const HAND_OVER_MS = 1500;
 
-export interface RaftOptions<S, C, A> {
-  readonly member: string;
-  readonly group: string;
-  /** Seed of the election timeouts; differs between members. */
-  readonly seed: number;
-  readonly machine: Machine<S, C, A>;
-  readonly codec: Codec<S, C>;
-  readonly store: LogStore;
-  readonly transport: PeerTransport;
-  readonly tasks: TaskSystem;
-  /**
-   * Voters of a group that is being founded, equal on all of them. Used only
-   * if the store is empty and this member is among them.
-   */
-  readonly founders?: readonly string[];
-  readonly rules?: Rules;
-  readonly snapshotEvery?: number;
-  /**
-   * The store failed or an invariant is broken. The replica has stopped and
-   * acknowledges nothing more; the process must exit.
-   */
-  onFatal(error: Error): void;
-}
-
-/** Reads the store and starts the replica. Rejects with `CorruptStore`. */
-export async function startRaft<S, C, A>(
-  options: RaftOptions<S, C, A>,
-): Promise<RaftReplica<S, C, A>> {
-  const {store, member, founders = []} = options;
-  let stored = await store.load();
-  const empty = stored.ballot.term === 0 && !stored.snapshot;
-  if (empty && stored.records.length === 0 && founders.includes(member)) {
-    await store.write([{records: [foundingRecord(founders)]}]);
-    stored = await store.load();
-  }
-  const node = createNode({
-    ...options,
-    id: member,
-    nowMs: performance.now(),
-    stored,
-  });
-  return new RaftReplica(options, node);
-}
-
-/** The first entry, the same on every founder and thereby committed. */
-function foundingRecord(founders: readonly string[]): LogRecord {
-  const voters = [...founders].sort();
-  const text = JSON.stringify({voters, learners: [], retired: []});
-  return {index: 1, term: 0, revision: 0, kind: 'members', text};
-}
-
 export class RaftReplica<S, C, A> extends Replica<S, C, A> {
   private node: Node;
   private current: S;
@@ -203,7 +148,7 @@
     await this.options.store.close();
   }
 
-  /** Ends at once, as a crash would; for tests. */
+  /** Ends at once, without a hand-over and without waiting for writes. */
   kill(): void {
     void this.end();
   }
--- a/packages/consensus/src/rules.ts
+++ b/packages/consensus/src/rules.ts
@@ -7,7 +7,10 @@
   readonly heartbeatMs: number = 500;
   readonly minElectionMs: number = 1500;
   readonly maxElectionMs: number = 3000;
-  /** Limits of one message; at least one entry is always sent. */
+  /**
+   * Limits of one message, in UTF-16 units of encoded changes; at least one
+   * entry is always sent.
+   */
   readonly maxAppendBytes: number = 256 * 1024;
   readonly maxAppendRecords: number = 512;
   readonly snapshotPartBytes: number = 256 * 1024;
--- a/packages/consensus/src/step.ts
+++ b/packages/consensus/src/step.ts
@@ -22,12 +22,12 @@
   onSnapshotted,
   propose,
   proposeMembers,
-  read,
-  replicateNews,
 } from './lead.js';
 import {forget} from './log.js';
 import type {PeerMessage} from './message.js';
 import type {Effect, Input, Node} from './node.js';
+import {read} from './read.js';
+import {replicateNews} from './replicate.js';
 import {
   becomeFollower,
   deliver,
--- a/packages/consensus/test/faults.ts
+++ b/packages/consensus/test/faults.ts
@@ -4,8 +4,14 @@
 
 const STEPS = 40;
 
-/** Resolves with the violations found. */
-export async function runFaults(options: ClusterOptions): Promise<string[]> {
+export interface Outcome {
+  readonly violations: readonly string[];
+  readonly acknowledged: number;
+  readonly reads: number;
+  readonly snapshotParts: number;
+}
+
+export async function runFaults(options: ClusterOptions): Promise<Outcome> {
   const cluster = new Cluster({
     snapshotEvery: 20,
     rules: new SmallRules(),
@@ -31,7 +37,12 @@
   }
   await settle(cluster);
   await cluster.stop();
-  return [...history.violations, ...cluster.failures];
+  return {
+    violations: [...history.violations, ...cluster.failures],
+    acknowledged: history.acknowledged.length,
+    reads: history.reads,
+    snapshotParts: network.sentByType.get('snapshot') ?? 0,
+  };
 }
 
 async function disturb(cluster: Cluster): Promise<void> {
--- a/packages/consensus/test/history.ts
+++ b/packages/consensus/test/history.ts
@@ -6,6 +6,8 @@
   /** The change that was first applied at each revision. */
   readonly chosen: string[] = [];
   readonly acknowledged: {value: string; revision: number}[] = [];
+  /** Reads that were answered. */
+  reads = 0;
   private readonly leaders = new Map<number, string>();
 
   acknowledgedRevision(): number {
@@ -40,6 +42,7 @@
   }
 
   read(floor: number, revision: number): void {
+    this.reads++;
     if (revision < floor) {
       this.report(`a read gave ${revision} after ${floor} was acknowledged`);
     }
--- a/packages/consensus/test/network.ts
+++ b/packages/consensus/test/network.ts
@@ -35,6 +35,7 @@
 export class Network {
   faults: Faults = {lossPercent: 0, duplicatePercent: 0, maxDelayMs: 3};
   readonly sent = {messages: 0, bytes: 0};
+  readonly sentByType = new Map<PeerMessage['type'], number>();
   private readonly receivers = new Map<string, Receiver>();
   private readonly cuts = new Set<string>();
 
@@ -74,6 +75,8 @@
 
   private send(from: string, to: string, messages: readonly PeerMessage[]) {
     for (const message of messages) {
+      const {type} = message;
+      this.sentByType.set(type, (this.sentByType.get(type) ?? 0) + 1);
       this.sent.messages++;
       this.sent.bytes += JSON.stringify(message).length;
       if (this.random.chance(this.faults.lossPercent)) continue;
--- a/packages/consensus/test/step.test.ts
+++ b/packages/consensus/test/step.test.ts
@@ -39,7 +39,11 @@
     group: 'g',
     seed: 1,
     nowMs: 0,
-    stored: {...EMPTY_LOG, records: [MEMBERS, CHANGE]},
+    stored: {
+      ...EMPTY_LOG,
+      ballot: {term: 2, vote: null},
+      records: [MEMBERS, CHANGE],
+    },
     rules,
   });
   const run = (nowMs: number, body: Body): readonly Effect[] => {
