--- a/packages/consensus/src/node.ts
+++ b/packages/consensus/src/node.ts
@@ -119,6 +119,9 @@
   readonly rules?: Rules;
 }
 
+/** Numbers discarded after seeding. */
+const SEED_MIXING = 64;
+
 /** A member as it starts from what it had made durable. */
 export function createNode(options: NodeOptions): Node {
   const {stored, nowMs, rules = new Rules()} = options;
@@ -130,7 +133,9 @@
   const [wait, random] = prand.uniformIntDistribution(
     rules.minElectionMs,
     rules.maxElectionMs,
-    prand.xoroshiro128plus(options.seed),
+    // The first numbers of neighbouring seeds are alike, which would let
+    // members stand for election at the same moment.
+    prand.skipN(prand.xoroshiro128plus(options.seed), SEED_MIXING),
   );
   const membership = membersOf(log, snapshot);
   const {voters} = membership.members;
--- a/packages/consensus/src/request.ts
+++ b/packages/consensus/src/request.ts
@@ -41,7 +41,7 @@
   function request<T>(post: (id: number) => void): Promise<T> {
     return new Promise<T>((resolve, reject) => {
       if (ended) {
-        reject(ended);
+        reject(new NotLeader(undefined));
         return;
       }
       const id = nextId++;
@@ -104,7 +104,7 @@
     end(error) {
       ended ??= error;
       for (const {reject, index} of waiting.values()) {
-        reject(index === undefined ? error : unknown());
+        reject(index === undefined ? new NotLeader(undefined) : unknown());
       }
       for (const reader of readers) reader.waiting.reject(error);
       waiting.clear();
--- a/packages/consensus/test/step.test.ts
+++ b/packages/consensus/test/step.test.ts
@@ -98,6 +98,15 @@
     expect(node().term).toBe(before.term);
   });
 
+  it('gives neighbouring seeds election timeouts that are alike', () => {
+    const stored = {...EMPTY_LOG, records: [MEMBERS]};
+    const waits = [1, 2, 3, 4, 5].map(
+      seed =>
+        createNode({id: 'a', group: 'g', seed, nowMs: 0, stored}).electionAtMs,
+    );
+    expect(Math.max(...waits) - Math.min(...waits)).toBeGreaterThan(500);
+  });
+
   it('refuses a change beyond the limit with a reason', () => {
     const {run} = lead();
     const changes = [{id: 1, text: 'x'.repeat(2 * 1024 * 1024)}];
