--- a/packages/consensus/test/step.test.ts
+++ b/packages/consensus/test/step.test.ts
@@ -107,6 +107,18 @@
     expect(Math.max(...waits) - Math.min(...waits)).toBeGreaterThan(500);
   });
 
+  it('drops acknowledged entries when a late snapshot arrives', () => {
+    const stored = {...EMPTY_LOG, records: [MEMBERS, CHANGE]};
+    const node = createNode({id: 'a', group: 'g', seed: 1, nowMs: 0, stored});
+    const head = {group: 'g', from: 'b', to: 'a', term: 3, round: 1};
+    const at = {index: 1, indexTerm: 0, revision: 0, members: text};
+    const part = {offset: 0, total: 2, part: '[]'};
+    const message: PeerMessage = {type: 'snapshot', ...head, ...at, ...part};
+    const next = step(node, {type: 'receive', message, nowMs: 1});
+    expect(next.node.log.records).toEqual([MEMBERS, CHANGE]);
+    expect(next.effects.map(({type}) => type)).not.toContain('install');
+  });
+
   it('refuses a change beyond the limit with a reason', () => {
     const {run} = lead();
     const changes = [{id: 1, text: 'x'.repeat(2 * 1024 * 1024)}];
