--- a/packages/protocol/src/server.ts
+++ b/packages/protocol/src/server.ts
@@ -39,8 +39,13 @@
     name: 'service-server',
     initial: createServiceServer(control, peer, clusterSecret),
     async handle(server, message) {
-      await listen(server, host, port);
-      message.reply.resolve((server.address() as AddressInfo).port);
+      try {
+        await listen(server, host, port);
+        message.reply.resolve((server.address() as AddressInfo).port);
+      } catch (error) {
+        // The caller reports it; a port that is taken is no fault of the task.
+        message.reply.reject(error as Error);
+      }
       return server;
     },
     afterStop: close,
