Entry: call path as tasks with ceilings, retries on proof, claims and graceful stop

Cause: the thin version admitted without ceilings, retried nothing, had no deadlines of its own and served no jobs, claims or health. Change: a pure ledger decides admission; tasks own the listening socket, the admission state, the roster, the upstream connections, the claims and the sync with control. Each slot of an upstream has an undici client of its own, so an abandoned call holds its slot until that connection has closed.

--- a/packages/entry/src/admission.ts
+++ b/packages/entry/src/admission.ts
@@ -1,77 +1,72 @@
 /** The task that owns the freshness lease, the slices and the running calls. */
-import {refuse, type Refusal, type Slice} from '@lentildrift/model';
+import type {Refusal} from '@lentildrift/model';
 import type {TeamUse} from '@lentildrift/protocol';
 import type {Reply, Task, TaskSystem} from '@lentildrift/task';
-
-export const FRESHNESS_LEASE_MS = 3000;
+import {createCell, type Cell} from './cell.js';
+import {createLedger, isGrant, type Grant, type Renewal} from './ledger.js';
 
 export type AdmissionMessage =
-  | {type: 'admit'; team: string; answer: (refusal?: Refusal) => void}
-  | {type: 'release'; team: string}
   | {
-      type: 'renew';
-      /** When the sync that renewed the lease was sent. */
-      sentMs: number;
-      slices: Readonly<Record<string, Slice>>;
+      type: 'admit';
+      team: string;
+      /** The team's limit across the fleet. */
+      limit: number;
+      answer: (result: Grant | Refusal) => void;
     }
+  | {type: 'release'; grant: Grant}
+  | {type: 'open'; session: string}
+  | {type: 'renew'; renewal: Renewal}
   | {type: 'use'; reply: Reply<Record<string, TeamUse>>};
 
-interface AdmissionState {
-  readonly freshUntilMs: number;
-  readonly slices: Readonly<Record<string, Slice>>;
-  readonly running: Map<string, number>;
+export interface Admission {
+  readonly task: Task<AdmissionMessage>;
+  /** End of the freshness lease, on the monotonic clock, in milliseconds. */
+  readonly lease: Cell<number>;
 }
 
-export function createAdmission(tasks: TaskSystem): Task<AdmissionMessage> {
-  return tasks.spawn<AdmissionState, AdmissionMessage>({
+/** `onShort` is called when a team's slice is smaller than its demand. */
+export function createAdmission(
+  tasks: TaskSystem,
+  onShort: () => void,
+): Admission {
+  const ledger = createLedger();
+  const lease = createCell(ledger.freshUntilMs());
+  const task = tasks.spawn<undefined, AdmissionMessage>({
     name: 'admission',
-    initial: {freshUntilMs: 0, slices: {}, running: new Map()},
+    initial: undefined,
     handle(state, message) {
-      switch (message.type) {
-        case 'admit':
-          message.answer(admit(state, message.team));
-          return state;
-        case 'release':
-          add(state.running, message.team, -1);
-          return state;
-        case 'renew':
-          return {
-            ...state,
-            slices: message.slices,
-            freshUntilMs: message.sentMs + FRESHNESS_LEASE_MS,
-          };
-        case 'use':
-          message.reply.resolve(teamUse(state));
-          return state;
-      }
+      handle(message);
+      return state;
     },
   });
-}
 
-function admit(state: AdmissionState, team: string): Refusal | undefined {
-  if (performance.now() >= state.freshUntilMs) {
-    return refuse('stale', 'this entry host has no current configuration');
-  }
-  const running = state.running.get(team) ?? 0;
-  const amount = state.slices[team]?.amount ?? 0;
-  if (running >= amount) {
-    return refuse('over-limit', `team "${team}" is at its limit`, {
-      retryAfterMs: 1000,
-    });
+  function handle(message: AdmissionMessage): void {
+    switch (message.type) {
+      case 'admit':
+        return admit(message);
+      case 'release':
+        return ledger.release(message.grant);
+      case 'open':
+        ledger.open(message.session);
+        lease.value = ledger.freshUntilMs();
+        return;
+      case 'renew':
+        ledger.renew(message.renewal);
+        lease.value = ledger.freshUntilMs();
+        return;
+      case 'use':
+        return message.reply.resolve(ledger.report());
+    }
   }
-  add(state.running, team, 1);
-  return undefined;
-}
 
-function add(running: Map<string, number>, team: string, by: number): void {
-  running.set(team, (running.get(team) ?? 0) + by);
-}
+  function admit(message: AdmissionMessage & {type: 'admit'}): void {
+    const {team, limit} = message;
+    const result = ledger.admit(team, performance.now());
+    // A team that holds its whole limit cannot get more from control.
+    const refusedForSlice = !isGrant(result) && result.code === 'over-limit';
+    if (refusedForSlice && ledger.ceiling(team) < limit) onShort();
+    message.answer(result);
+  }
 
-function teamUse(state: AdmissionState): Record<string, TeamUse> {
-  const entries = Object.entries(state.slices).map(([team, slice]) => {
-    const running = state.running.get(team) ?? 0;
-    const {generation, amount} = slice;
-    return [team, {running, demand: running, generation, ceiling: amount}];
-  });
-  return Object.fromEntries(entries);
+  return {task, lease};
 }
--- /dev/null
+++ b/packages/entry/src/announce.ts
@@ -0,0 +1,64 @@
+/** Announcements and leaves of upstreams. */
+import {announcementSchema, refuse, type View} from '@lentildrift/model';
+import type {Task} from '@lentildrift/task';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {answerRefusal} from './answer.js';
+import {readJson} from './body.js';
+import {bearerSubject} from './call.js';
+import type {Cell} from './cell.js';
+import type {RosterMessage} from './directory.js';
+
+const MAX_ANNOUNCEMENT_BYTES = 4096;
+const ASK_TIMEOUT_MS = 1000;
+
+export interface AnnounceContext {
+  readonly view: Cell<View>;
+  readonly lease: Cell<number>;
+  readonly roster: Task<RosterMessage>;
+  /** Tells control; resolves when a sync has been attempted. */
+  flush(): Promise<void>;
+}
+
+/** Handles `POST /announce`, or `POST /leave` if `left`. */
+export async function handleAnnounce(
+  context: AnnounceContext,
+  request: IncomingMessage,
+  response: ServerResponse,
+  left: boolean,
+): Promise<void> {
+  const {view, lease, roster} = context;
+  if (request.method !== 'POST') {
+    const refusal = refuse('malformed', 'the method must be POST');
+    return answerRefusal(request, response, refusal);
+  }
+  if (performance.now() >= lease.value) {
+    const text = 'this entry host has no current configuration';
+    const refusal = refuse('stale', text, {retryAfterMs: 1000});
+    return answerRefusal(request, response, refusal);
+  }
+  const {authorization} = request.headers;
+  const subject = bearerSubject(authorization, view.value);
+  if (!subject || subject.kind !== 'pool') {
+    const refusal = refuse('unauthorised', 'the key is not that of a pool');
+    return answerRefusal(request, response, refusal);
+  }
+  const body = await readJson(request, MAX_ANNOUNCEMENT_BYTES);
+  if (!body.ok) return answerRefusal(request, response, body.refusal);
+  const parsed = announcementSchema.safeParse(body.value);
+  if (!parsed.success) {
+    const refusal = refuse('malformed', 'malformed announcement');
+    return answerRefusal(request, response, refusal);
+  }
+  const {pool, host} = parsed.data;
+  if (subject.pool !== pool || view.value.hosts[host]?.pool !== pool) {
+    const text = `the key or the host is not of pool "${pool}"`;
+    return answerRefusal(request, response, refuse('forbidden', text));
+  }
+  const item = {announcement: parsed.data, left, ageMs: 0};
+  const news = await roster.ask<boolean>(
+    reply => ({type: 'announce', item, reply}),
+    ASK_TIMEOUT_MS,
+  );
+  if (news) await context.flush();
+  response.writeHead(204).end();
+}
--- /dev/null
+++ b/packages/entry/src/answer.ts
@@ -0,0 +1,105 @@
+/** Answers that the entry host itself gives. */
+import type {Refusal, RefusalCode} from '@lentildrift/model';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {KeptResponse} from './exchange.js';
+import {VERDICT_HEADER} from './header.js';
+
+/** Time that a caller has to finish its body after an early answer. */
+const LINGER_MS = 2000;
+
+const STATUS: Record<RefusalCode, number> = {
+  malformed: 400,
+  unauthorised: 401,
+  forbidden: 403,
+  'unknown-route': 404,
+  duplicate: 409,
+  'body-too-large': 413,
+  'over-limit': 429,
+  overloaded: 429,
+  internal: 500,
+  'upstream-failed': 502,
+  stale: 503,
+  'no-upstream': 503,
+  stopping: 503,
+  timeout: 504,
+};
+
+export function statusOf(refusal: Refusal): number {
+  return STATUS[refusal.code];
+}
+
+export function answerJson(
+  response: ServerResponse,
+  status: number,
+  body: unknown,
+  headers: Record<string, string> = {},
+): void {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  response.writeHead(status, {'content-type': 'application/json', ...headers});
+  response.end(JSON.stringify(body) + '\n');
+}
+
+export function answerRefusal(
+  request: IncomingMessage,
+  response: ServerResponse,
+  refusal: Refusal,
+): void {
+  const {verdict, code, message, retryAfterMs} = refusal;
+  const headers: Record<string, string> = {[VERDICT_HEADER]: verdict};
+  if (retryAfterMs !== undefined) {
+    headers['retry-after'] = String(Math.ceil(retryAfterMs / 1000));
+  }
+  discardBody(request);
+  answerJson(response, statusOf(refusal), {verdict, code, message}, headers);
+}
+
+/** Repeats the first response to a claimed request. */
+export function answerKept(
+  request: IncomingMessage,
+  response: ServerResponse,
+  kept: KeptResponse,
+): void {
+  discardBody(request);
+  response.writeHead(kept.status, [...kept.headers]);
+  response.end(kept.body);
+}
+
+/**
+ * Reads the rest of the body for a while: closing at once would reset the
+ * connection, and the caller could lose the answer.
+ */
+function discardBody(request: IncomingMessage): void {
+  if (request.complete) return;
+  request.resume();
+  const timer = setTimeout(() => {
+    if (!request.complete) request.socket.destroy();
+  }, LINGER_MS);
+  request.once('close', () => clearTimeout(timer));
+}
+
+/** Answers what cannot be parsed as a request. */
+export function answerClientError(
+  error: Error & {code?: string},
+  socket: Socket,
+): void {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy();
+    return;
+  }
+  const tooLarge = error.code === 'HPE_HEADER_OVERFLOW';
+  const status = tooLarge
+    ? '431 Request Header Fields Too Large'
+    : '400 Bad Request';
+  const message = tooLarge ? 'the headers are too large' : 'malformed request';
+  const body =
+    JSON.stringify({verdict: 'not-run', code: 'malformed', message}) + '\n';
+  socket.end(
+    `HTTP/1.1 ${status}\r\nconnection: close\r\n` +
+      `content-type: application/json\r\n${VERDICT_HEADER}: not-run\r\n` +
+      `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+  );
+}
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -1,43 +1,86 @@
-/** The path of a call: identify, route, authorise, admit, select, forward. */
+/**
+ * The path of a call: identify, route, authorise, admit, claim, select,
+ * forward, answer.
+ */
 import {
-  isLive,
   refuse,
   verifyKey,
   type Refusal,
-  type Roster,
-  type RosterRecord,
   type Subject,
   type View,
 } from '@lentildrift/model';
-import {filter, pass, pipe, stop, type Pipe} from '@lentildrift/pipe';
+import {
+  filter,
+  pass,
+  pipe,
+  stop,
+  type Pipe,
+  type Step,
+} from '@lentildrift/pipe';
 import type {Task} from '@lentildrift/task';
-import type {AdmissionMessage} from './admission.js';
+import type {Admission} from './admission.js';
+import {refuseBody} from './body.js';
+import type {Cell} from './cell.js';
+import {directoryKey, type Directory} from './directory.js';
 import type {
   Admitted,
   Authorised,
+  Claimed,
   Exchange,
+  Forwarded,
   Identified,
   Routed,
   Selected,
 } from './exchange.js';
-import type {Forwarder} from './forward.js';
+import {forward} from './forward.js';
+import {declaredLength, framingProblem} from './header.js';
+import {isGrant, type Grant} from './ledger.js';
+import type {Once} from './once.js';
+import {isLease, type Lease, type UpstreamMessage} from './upstream.js';
 
 export interface CallContext {
-  readonly admission: Task<AdmissionMessage>;
-  readonly forwarder: Forwarder;
-  roster(): Roster;
+  readonly admission: Admission;
+  readonly upstreams: Task<UpstreamMessage>;
+  readonly view: Cell<View>;
+  readonly directory: Cell<Directory>;
+  readonly once: Once;
 }
 
 const CALL_PATH = /^\/call\/([^/?]+)(.*)$/;
 
 /** The pipe that every call goes through. */
-export function callPipe(context: CallContext): Pipe<Exchange, void> {
+export function callPipe(context: CallContext): Pipe<Exchange, Forwarded> {
+  const {once} = context;
+  const forwarding = {
+    upstreams: context.upstreams,
+    recheck: (exchange: Selected) => recheck(context, exchange),
+    reselect: (exchange: Selected, tried: readonly string[]) =>
+      acquire(context, exchange, tried),
+  };
   return pipe(filter('identify', identify))
     .then(filter('route', route))
     .then(filter('authorise', authorise))
     .then(filter('admit', admit(context.admission)))
+    .then(filter('claim', (exchange: Admitted) => once.claim(exchange)))
     .then(filter('select', select(context)))
-    .then(filter('forward', context.forwarder.forward));
+    .then(
+      filter('forward', async (exchange: Selected) => {
+        const step = await forward(forwarding, exchange);
+        return step.ok ? step : settled(once, exchange, step.refusal);
+      }),
+    )
+    .then(
+      filter('answer', (exchange: Forwarded) => {
+        once.settle(exchange, exchange);
+        return pass(exchange);
+      }),
+    );
+}
+
+/** Records what is known of a call that ends with a refusal. */
+function settled(once: Once, exchange: Claimed, refusal: Refusal) {
+  once.settle(exchange, {verdict: refusal.verdict});
+  return stop(refusal);
 }
 
 /** The subject of the request's key; `false` if a key was shown in vain. */
@@ -50,81 +93,116 @@
   return (text && verifyKey(text, view.keys)) || false;
 }
 
-function identify(exchange: Exchange) {
+function identify(exchange: Exchange): Step<Identified> {
   const {request, view} = exchange;
+  const problem = framingProblem(request.rawHeaders);
+  if (problem) return stop(refuse('malformed', problem));
   const subject = bearerSubject(request.headers.authorization, view);
   if (subject === false || (subject && subject.kind !== 'team')) {
     return stop(refuse('unauthorised', 'the key is not valid for calls'));
   }
-  return pass<Identified>({...exchange, callerTeam: subject?.team});
+  return pass({...exchange, callerTeam: subject?.team});
 }
 
-function route(exchange: Identified) {
+function route(exchange: Identified): Step<Routed> {
   const match = CALL_PATH.exec(exchange.request.url ?? '');
   const name = match?.[1] ?? '';
   const {routes} = exchange.view;
   const found = Object.hasOwn(routes, name) ? routes[name] : undefined;
   if (!found) return stop(refuse('unknown-route', `no route "${name}"`));
+  exchange.facts.route = name;
+  if ((declaredLength(exchange.request) ?? 0) > found.maxBodyBytes) {
+    return stop(refuseBody(found.maxBodyBytes));
+  }
   const rest = match![2]!;
   const path = rest.startsWith('/') ? rest : `/${rest}`;
-  return pass<Routed>({...exchange, route: found, path});
+  return pass({...exchange, route: found, path});
 }
 
-function authorise(exchange: Routed) {
+function authorise(exchange: Routed): Step<Authorised> {
   const {route: row, callerTeam, view} = exchange;
   const name = callerTeam ?? (row.open ? row.chargeTo : undefined);
   const team = name === undefined ? undefined : view.teams[name];
   if (!team) return stop(refuse('unauthorised', 'the route needs a key'));
+  exchange.facts.team = team.name;
   if (row.teams && !row.open && !row.teams.includes(team.name)) {
     return stop(
       refuse('forbidden', `team "${team.name}" may not call "${row.name}"`),
     );
   }
-  return pass<Authorised>({...exchange, team});
+  return pass({...exchange, team});
 }
 
-function admit(admission: Task<AdmissionMessage>) {
-  return async (exchange: Authorised) => {
-    const team = exchange.team.name;
-    const refusal = await new Promise<Refusal | undefined>(answer => {
-      const posted = admission.post({type: 'admit', team, answer});
+function admit({task}: Admission) {
+  return async (exchange: Authorised): Promise<Step<Admitted>> => {
+    const {name: team, limit} = exchange.team;
+    const result = await new Promise<Grant | Refusal>(answer => {
+      const posted = task.post({type: 'admit', team, limit, answer});
       if (!posted) answer(refuse('stopping', 'this entry host is stopping'));
     });
-    if (refusal) return stop(refusal);
+    if (!isGrant(result)) return stop(result);
     let held = true;
     const release = () => {
-      if (held) admission.post({type: 'release', team});
+      if (held) task.post({type: 'release', grant: result});
       held = false;
     };
-    return pass<Admitted>({...exchange, release});
+    return pass({...exchange, release});
   };
 }
 
 function select(context: CallContext) {
-  return (exchange: Admitted) => {
-    const candidates = serving(exchange, context.roster());
-    if (candidates.length === 0) {
-      exchange.release();
-      const {pool} = exchange.route;
-      return stop(
-        refuse('no-upstream', `pool "${pool}" has no upstream in service`, {
-          retryAfterMs: 1000,
-        }),
-      );
-    }
-    const index = Math.floor(Math.random() * candidates.length);
-    return pass<Selected>({...exchange, upstream: candidates[index]!});
+  return async (exchange: Claimed): Promise<Step<Selected>> => {
+    const lease = await acquire(context, exchange, []);
+    if (isLease(lease)) return pass({...exchange, lease});
+    exchange.release();
+    return settled(context.once, exchange, lease);
   };
 }
 
-function serving(exchange: Admitted, roster: Roster): RosterRecord[] {
-  const now = performance.now();
+function acquire(
+  context: CallContext,
+  exchange: Claimed,
+  tried: readonly string[],
+): Promise<Lease | Refusal> {
   const {route: row, view} = exchange;
-  return [...roster.values()].filter(record => {
-    const {pool, service, host} = record.announcement;
-    if (pool !== row.pool || service !== row.service) return false;
-    const held = view.hosts[host];
-    const inService = held?.pool === pool && held.phase === 'serving';
-    return inService && isLive(record, now);
+  const now = performance.now();
+  const key = directoryKey(row.pool, row.service);
+  const candidates = (context.directory.value.get(key) ?? []).filter(
+    ({receivedMs, announcement}) => now < receivedMs + announcement.leaseMs,
+  );
+  const pool = view.pools[row.pool]!;
+  return new Promise(answer => {
+    const posted = context.upstreams.post({
+      type: 'acquire',
+      candidates,
+      pool,
+      tried,
+      answer,
+    });
+    if (!posted) answer(refuse('stopping', 'this entry host is stopping'));
   });
 }
+
+/**
+ * Checks again what may have changed since the call was admitted: a call that
+ * waited for a connection must not be sent under an expired lease or a key
+ * that was withdrawn in the meantime.
+ */
+function recheck(
+  context: CallContext,
+  exchange: Selected,
+): Refusal | undefined {
+  if (performance.now() >= context.admission.lease.value) {
+    return refuse('stale', 'this entry host has no current configuration');
+  }
+  const view = context.view.value;
+  if (view === exchange.view) return undefined;
+  const steps = [identify, route, authorise];
+  let input: Exchange = {...exchange, view};
+  for (const step of steps) {
+    const result = step(input as never) as Step<Exchange>;
+    if (!result.ok) return result.refusal;
+    input = result.value;
+  }
+  return undefined;
+}
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,102 +1,83 @@
-/** The entry role: an HTTP server, and the sync with control. */
-import {
-  announcementSchema,
-  EMPTY_VIEW,
-  mergeRoster,
-  patchView,
-  refuse,
-  type Refusal,
-  type RefusalCode,
-  type Roster,
-  type RosterItem,
-  type View,
-} from '@lentildrift/model';
+/** The entry role: the tasks of an entry host, and its HTTP paths. */
+import {MAX_CALL_TIMEOUT_MS, refuse} from '@lentildrift/model';
 import type {Log} from '@lentildrift/observe';
-import type {ControlService, TeamUse} from '@lentildrift/protocol';
+import type {Outcome} from '@lentildrift/pipe';
+import type {ControlService} from '@lentildrift/protocol';
 import type {TaskSystem} from '@lentildrift/task';
-import {
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from 'node:http';
-import type {AddressInfo} from 'node:net';
-import {json} from 'node:stream/consumers';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createAdmission} from './admission.js';
-import {bearerSubject, callPipe} from './call.js';
-import {createForwarder} from './forward.js';
+import {handleAnnounce} from './announce.js';
+import {answerJson, answerKept, answerRefusal, statusOf} from './answer.js';
+import {callPipe} from './call.js';
+import {createRoster} from './directory.js';
+import type {Exchange, Forwarded} from './exchange.js';
+import {FailoverControl} from './failover.js';
+import {handleJobs, isJobsPath} from './jobs.js';
+import {createListener} from './listener.js';
+import {NullObserver, type CallObserver} from './observer.js';
+import {createOnce} from './once.js';
+import {createSync} from './sync.js';
+import {createUpstreams} from './upstream.js';
 
-const SYNC_INTERVAL_MS = 1000;
-const ASK_TIMEOUT_MS = 2000;
+/** Calls end by their deadline; the rest is for passing on the answer. */
+const DRAIN_LIMIT_MS = MAX_CALL_TIMEOUT_MS + 1000;
 
 export interface EntryOptions {
-  readonly control: ControlService;
+  /** Control processes, that of the own data centre first. */
+  readonly control: ControlService | readonly ControlService[];
   readonly tasks: TaskSystem;
   readonly log: Log;
   readonly entryHost: string;
   readonly host: string;
   readonly port: number;
+  readonly observer?: CallObserver;
+  /** Text of `/metrics`; without it the path is not found. */
+  readonly metrics?: () => string | Promise<string>;
+  /** How long `/health` is unavailable before the server stops listening. */
+  readonly noticeMs?: number;
 }
 
 export interface Entry {
   /** Port that the entry host listens on. */
   readonly port: number;
+  /** Stops without interrupting calls. */
   stop(): Promise<void>;
 }
 
-const STATUS: Partial<Record<RefusalCode, number>> = {
-  malformed: 400,
-  unauthorised: 401,
-  forbidden: 403,
-  'unknown-route': 404,
-  'body-too-large': 413,
-  'over-limit': 429,
-  'upstream-failed': 502,
-  timeout: 504,
-};
-
 /** Starts an entry host; it refuses calls until its first sync. */
 export async function startEntry(options: EntryOptions): Promise<Entry> {
-  const {control, tasks, log} = options;
-  const admission = createAdmission(tasks);
-  const forwarder = createForwarder();
-  let view: View = EMPTY_VIEW;
-  let roster: Roster = new Map();
-  let outgoing: RosterItem[] = [];
-  const calls = callPipe({admission, forwarder, roster: () => roster});
-  const {session} = await control.openSession({entryHost: options.entryHost});
-
-  async function sync(): Promise<void> {
-    const sentMs = performance.now();
-    const use = await admission.ask<Record<string, TeamUse>>(
-      reply => ({type: 'use', reply}),
-      ASK_TIMEOUT_MS,
-    );
-    const sent = outgoing;
-    outgoing = [];
-    const answer = await control.sync({
-      session,
-      revision: view.revision,
-      use,
-      roster: sent,
-      rosterVersion: 0,
-    });
-    if (!answer.ok) return;
-    roster = mergeRoster(roster, answer.roster, performance.now());
-    const next = patchView(view, answer.view);
-    if (!next || next.revision < answer.readIndex) return;
-    view = next;
-    admission.post({type: 'renew', sentMs, slices: answer.slices});
-  }
-
-  const attempt = () =>
-    sync().catch(error => log.warn('sync-failed', {error: String(error)}));
-  const timer = setInterval(() => void attempt(), SYNC_INTERVAL_MS);
-  await attempt();
+  const {tasks, log} = options;
+  const observer = options.observer ?? new NullObserver();
+  const control = new FailoverControl([options.control].flat());
+  const admission = createAdmission(tasks, () => sync.hurry());
+  const upstreams = createUpstreams(tasks);
+  const roster = createRoster(tasks, directory => {
+    const records = [...directory.values()].flat();
+    const addresses = records.map(each => each.announcement.address);
+    upstreams.post({type: 'retain', addresses: new Set(addresses)});
+  });
+  const sync = createSync({
+    tasks,
+    log,
+    control,
+    entryHost: options.entryHost,
+    admission: admission.task,
+    roster: roster.task,
+  });
+  const {view, session} = sync;
+  const {lease} = admission;
+  const {directory} = roster;
+  const once = createOnce({tasks, log, control, session});
+  const calls = callPipe({admission, upstreams, view, directory, once});
+  let stopping = false;
 
-  const server = createServer((request, response) => {
-    void handle(request, response).catch(error => {
+  const listener = createListener(tasks, (request, response) => {
+    handle(request, response).catch(error => {
       log.error('call-failed', {error: String(error)});
-      answerRefusal(response, refuse('internal', 'internal error'));
+      const refusal = refuse('internal', 'internal error', {
+        verdict: 'may-have-run',
+      });
+      answerRefusal(request, response, refusal);
     });
   });
 
@@ -104,69 +85,85 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    if (request.url === '/announce') return announce(request, response, false);
-    if (request.url === '/leave') return announce(request, response, true);
-    const arrivedMs = performance.now();
-    const outcome = await calls.run({request, response, view, arrivedMs});
-    if (!outcome.ok) answerRefusal(response, outcome.refusal);
+    const url = request.url ?? '';
+    if (url === '/health') return answerHealth(response);
+    if (url === '/metrics' && options.metrics) {
+      const text = await options.metrics();
+      response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
+      response.end(text);
+      return;
+    }
+    if (stopping) {
+      const refusal = refuse('stopping', 'this entry host is stopping');
+      return answerRefusal(request, response, refusal);
+    }
+    if (url === '/announce' || url === '/leave') {
+      const context = {view, lease, roster: roster.task, flush: sync.flush};
+      return handleAnnounce(context, request, response, url === '/leave');
+    }
+    if (isJobsPath(url)) {
+      return handleJobs({control, view, lease}, request, response);
+    }
+    return call(request, response);
+  }
+
+  function answerHealth(response: ServerResponse): void {
+    const fresh = performance.now() < lease.value;
+    const status = stopping ? 'stopping' : fresh ? 'ok' : 'stale';
+    answerJson(response, status === 'ok' ? 200 : 503, {status});
   }
 
-  async function announce(
+  async function call(
     request: IncomingMessage,
     response: ServerResponse,
-    left: boolean,
   ): Promise<void> {
-    const parsed = announcementSchema.safeParse(
-      await json(request).catch(() => undefined),
-    );
-    if (!parsed.success) {
-      const message = 'malformed announcement';
-      return answerRefusal(response, refuse('malformed', message));
+    const exchange: Exchange = {
+      request,
+      response,
+      view: view.value,
+      arrivedMs: performance.now(),
+      facts: {},
+    };
+    const outcome = await calls.run(exchange);
+    if (!outcome.ok) {
+      const {kept} = exchange.facts;
+      if (kept) answerKept(request, response, kept);
+      else answerRefusal(request, response, outcome.refusal);
     }
-    const {pool, host} = parsed.data;
-    const subject = bearerSubject(request.headers.authorization, view);
-    const ofPool = subject && subject.kind === 'pool' && subject.pool === pool;
-    if (!ofPool || view.hosts[host]?.pool !== pool) {
-      const message = `the key or host is not of pool "${pool}"`;
-      return answerRefusal(response, refuse('forbidden', message));
+    observe(exchange, outcome);
+  }
+
+  function observe(exchange: Exchange, outcome: Outcome<Forwarded>): void {
+    const {arrivedMs, facts} = exchange;
+    const {route, team, kept} = facts;
+    const durationMs = performance.now() - arrivedMs;
+    if (outcome.ok) {
+      const {verdict, status, complete} = outcome.value;
+      observer.finished({route, team, verdict, status, complete, durationMs});
+      return;
     }
-    const item = {announcement: parsed.data, left, ageMs: 0};
-    roster = mergeRoster(roster, [item], performance.now());
-    outgoing = [...outgoing, item];
-    await attempt();
-    response.writeHead(204).end();
+    const {verdict, code} = outcome.refusal;
+    const status = kept?.status ?? statusOf(outcome.refusal);
+    const complete = !exchange.response.destroyed;
+    const common = {route, team, verdict, status, complete, durationMs};
+    observer.finished(kept ? common : {...common, code});
   }
 
-  await new Promise<void>(resolve =>
-    server.listen(options.port, options.host, resolve),
-  );
+  await sync.start();
+  const port = await listener.listen(options.host, options.port);
 
   async function stop(): Promise<void> {
-    clearInterval(timer);
-    await new Promise<void>(resolve => {
-      server.close(() => resolve());
-      server.closeIdleConnections();
-    });
-    await forwarder.close();
-    await control.closeSession({session});
-    await admission.stop();
+    stopping = true;
+    const {noticeMs = 0} = options;
+    if (noticeMs > 0) await new Promise(done => setTimeout(done, noticeMs));
+    const left = await listener.drain(DRAIN_LIMIT_MS);
+    if (left > 0) log.warn('calls-interrupted', {calls: left});
+    await once.stop();
+    await sync.stop();
+    await upstreams.stop();
+    await roster.task.stop();
+    await admission.task.stop();
   }
 
-  return {port: (server.address() as AddressInfo).port, stop};
-}
-
-function answerRefusal(response: ServerResponse, refusal: Refusal): void {
-  if (response.headersSent) {
-    response.destroy();
-    return;
-  }
-  const {verdict, code, message, retryAfterMs} = refusal;
-  response.writeHead(STATUS[code] ?? 503, {
-    'content-type': 'application/json',
-    'lentildrift-verdict': verdict,
-    ...(retryAfterMs === undefined
-      ? {}
-      : {'retry-after': String(Math.ceil(retryAfterMs / 1000))}),
-  });
-  response.end(JSON.stringify({verdict, code, message}) + '\n');
+  return {port, stop};
 }
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -1,6 +1,15 @@
 /** An exchange: one call, from the caller's request to its answer. */
-import type {Route, RosterRecord, Team, View} from '@lentildrift/model';
+import type {Route, Team, Verdict, View} from '@lentildrift/model';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Lease} from './upstream.js';
+
+/** What becomes known on the way, for the answer and the observer. */
+export interface CallFacts {
+  route?: string;
+  team?: string;
+  /** First response to the same claimed request. */
+  kept?: KeptResponse;
+}
 
 /** A call as it arrived. */
 export interface Exchange {
@@ -9,6 +18,7 @@
   readonly view: View;
   /** When the call arrived, on the monotonic clock, in milliseconds. */
   readonly arrivedMs: number;
+  readonly facts: CallFacts;
 }
 
 /** The call's key has been checked. */
@@ -32,6 +42,28 @@
   readonly release: () => void;
 }
 
-export interface Selected extends Admitted {
-  readonly upstream: RosterRecord;
+export interface Claimed extends Admitted {
+  /** The idempotency key that was claimed; absent when none was needed. */
+  readonly claimedKey?: string;
+}
+
+export interface Selected extends Claimed {
+  readonly lease: Lease;
+}
+
+/** Response that is kept for duplicates of a claimed request. */
+export interface KeptResponse {
+  readonly status: number;
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+}
+
+/** How forwarding ended. */
+export interface Forwarded extends Claimed {
+  readonly verdict: Verdict;
+  readonly status: number;
+  /** Whether the caller was sent the complete response. */
+  readonly complete: boolean;
+  readonly kept?: KeptResponse;
 }
--- a/packages/entry/src/forward.ts
+++ b/packages/entry/src/forward.ts
@@ -1,76 +1,184 @@
-/** The forwarder: owns the connections to upstreams. */
-import {refuse} from '@lentildrift/model';
+/**
+ * Forwards a call: attempts within the rules on repetition, the deadline, and
+ * the passing on of the response.
+ */
+import {refuse, type Refusal, type Route} from '@lentildrift/model';
 import {pass, stop, type Step} from '@lentildrift/pipe';
-import {pipeline} from 'node:stream/promises';
-import {Agent} from 'undici';
-import type {Selected} from './exchange.js';
-
-const HOP_HEADERS = new Set([
-  'connection',
-  'keep-alive',
-  'transfer-encoding',
-  'upgrade',
-  'authorization',
-  'host',
-  'te',
-  'trailer',
-  'proxy-authorization',
-  'expect',
-]);
-
-export interface Forwarder {
-  forward(exchange: Selected): Promise<Step<void>>;
-  close(): Promise<void>;
+import type {Task} from '@lentildrift/task';
+import {startAttempt, type Attempt, type AttemptFailure} from './attempt.js';
+import {BodyTooLarge, refuseBody, streamBody} from './body.js';
+import type {Forwarded, Selected} from './exchange.js';
+import {requestHeaders} from './header.js';
+import {createRelay} from './relay.js';
+import type {Lease, LeaseOutcome, UpstreamMessage} from './upstream.js';
+
+/** Further upstreams that one call may try. */
+const MAX_ATTEMPTS = 3;
+const SAFE_METHODS = new Set(['GET', 'HEAD', 'OPTIONS']);
+
+export interface ForwardContext {
+  readonly upstreams: Task<UpstreamMessage>;
+  /** Why the call may not be sent any more; asked before the first byte. */
+  recheck(exchange: Selected): Refusal | undefined;
+  /** Another lease for the call, on none of the addresses tried. */
+  reselect(
+    exchange: Selected,
+    tried: readonly string[],
+  ): Promise<Lease | Refusal>;
+}
+
+/** Whether a request that may have run may be sent again. */
+export function mayRepeat(route: Route, method: string): boolean {
+  if (route.repeat === 'once') return false;
+  return route.repeat === 'idempotent' || SAFE_METHODS.has(method);
 }
 
-export function createForwarder(): Forwarder {
-  const agent = new Agent({pipelining: 1, connections: 64});
-
-  async function forward(exchange: Selected): Promise<Step<void>> {
-    const {request, response, upstream, path, route, release} = exchange;
-    try {
-      const answer = await agent.request({
-        origin: `http://${upstream.announcement.address}`,
-        path,
-        method: request.method as 'GET',
-        headers: endToEnd(request.headers),
-        body: hasBody(request.headers) ? request : null,
-        headersTimeout: route.timeoutMs,
-        bodyTimeout: route.timeoutMs,
-      });
-      response.writeHead(answer.statusCode, {
-        ...endToEnd(answer.headers),
-        'lentildrift-verdict': 'ran',
-      });
-      await pipeline(answer.body, response);
-      return pass(undefined);
-    } catch (error) {
-      if (response.headersSent) {
-        response.destroy();
-        return pass(undefined);
-      }
-      const {code, message} = error as {code?: string; message: string};
-      const verdict = code === 'ECONNREFUSED' ? 'not-run' : 'may-have-run';
-      return stop(refuse('upstream-failed', message, {verdict}));
-    } finally {
-      release();
+export function forward(
+  context: ForwardContext,
+  exchange: Selected,
+): Promise<Step<Forwarded>> {
+  return new Promise(resolve => runForward(context, exchange, resolve));
+}
+
+function runForward(
+  context: ForwardContext,
+  exchange: Selected,
+  resolve: (step: Step<Forwarded>) => void,
+): void {
+  const {request, response, route} = exchange;
+  const method = request.method!;
+  const relay = createRelay(exchange);
+  const outgoing = {
+    method,
+    path: exchange.path,
+    headers: requestHeaders(request.rawHeaders),
+    body: streamBody(request, route.maxBodyBytes),
+  };
+  const tried: string[] = [];
+  let attempt: Attempt | undefined;
+  let openLeases = 0;
+  let mayHaveRun = false;
+  let ended = false;
+  let refused: Refusal | undefined;
+
+  const leftMs = exchange.arrivedMs + route.timeoutMs - performance.now();
+  const deadline = setTimeout(onDeadline, Math.max(0, leftMs));
+  response.once('close', onCallerGone);
+  if (response.destroyed) onCallerGone();
+  else send(exchange.lease);
+
+  function send(lease: Lease): void {
+    let outcome: LeaseOutcome = 'unused';
+    openLeases += 1;
+    tried.push(lease.address);
+    const current = startAttempt(lease.client, outgoing, {
+      mayStart() {
+        refused = ended ? undefined : context.recheck(exchange);
+        if (!ended && !refused) outcome = 'reached';
+        return !ended && !refused;
+      },
+      head: (status, headers) => relay.head(status, headers),
+      data: chunk => relay.data(chunk, () => current.resume()),
+      end(failure) {
+        if (!failure) return relay.end();
+        mayHaveRun ||= failure.written;
+        if (isUnreachable(failure)) outcome = 'unreachable';
+        void onFailure(failure);
+      },
+      closed() {
+        openLeases -= 1;
+        context.upstreams.post({type: 'release', lease, outcome});
+        releaseWhenDone();
+      },
+    });
+    attempt = current;
+  }
+
+  async function onFailure(failure: AttemptFailure): Promise<void> {
+    if (ended) return;
+    if (relay.started()) return finishBroken();
+    if (refused) return finish(stop(refused));
+    const refusal = failureRefusal(failure);
+    const {body} = outgoing;
+    const intact = body === null || (!failure.written && !body.destroyed);
+    const allowed = isUnreachable(failure) || failure.written;
+    const repeatable = !failure.written || mayRepeat(route, method);
+    const more = tried.length < MAX_ATTEMPTS;
+    if (!intact || !allowed || !repeatable || !more) {
+      return finish(stop(refusal));
     }
+    const next = await context.reselect(exchange, tried);
+    if (ended) return returnUnused(next);
+    if (!('client' in next)) return finish(stop(refusal));
+    send(next);
   }
 
-  return {forward, close: () => agent.close()};
-}
+  function returnUnused(lease: Lease | Refusal): void {
+    if (!('client' in lease)) return;
+    context.upstreams.post({type: 'release', lease, outcome: 'unused'});
+  }
+
+  function failureRefusal(failure: AttemptFailure): Refusal {
+    const verdict = mayHaveRun ? 'may-have-run' : 'not-run';
+    const {error} = failure;
+    if (outgoing.body?.errored instanceof BodyTooLarge) {
+      return {...refuseBody(route.maxBodyBytes), verdict};
+    }
+    const {code} = error as {code?: string};
+    if (code === 'UND_ERR_INVALID_ARG' || code === 'UND_ERR_NOT_SUPPORTED') {
+      return refuse('malformed', error.message, {verdict});
+    }
+    return refuse('upstream-failed', 'the upstream failed', {verdict});
+  }
 
-type Headers = Record<string, string | string[] | undefined>;
+  function onDeadline(): void {
+    if (relay.started()) return finishBroken();
+    const verdict =
+      mayHaveRun || attempt?.written() ? 'may-have-run' : 'not-run';
+    const text = `no answer within ${route.timeoutMs} ms`;
+    finish(stop(refuse('timeout', text, {verdict})));
+  }
 
-function endToEnd(headers: Headers): Headers {
-  return Object.fromEntries(
-    Object.entries(headers).filter(([name]) => !HOP_HEADERS.has(name)),
-  );
+  function onCallerGone(): void {
+    if (ended) return;
+    if (relay.ended()) {
+      const complete = response.writableFinished;
+      return finish(pass({...exchange, ...relay.result(complete)}));
+    }
+    if (relay.started()) return finishBroken();
+    const verdict =
+      mayHaveRun || attempt?.written() ? 'may-have-run' : 'not-run';
+    finish(stop(refuse('upstream-failed', 'the caller left', {verdict})));
+  }
+
+  /** Closes the caller's connection, so that no response looks complete. */
+  function finishBroken(): void {
+    response.destroy();
+    finish(pass({...exchange, ...relay.result(false)}));
+  }
+
+  function finish(step: Step<Forwarded>): void {
+    if (ended) return;
+    ended = true;
+    clearTimeout(deadline);
+    attempt?.abort();
+    outgoing.body?.destroy();
+    releaseWhenDone();
+    resolve(step);
+  }
+
+  function releaseWhenDone(): void {
+    if ((ended || relay.ended()) && openLeases === 0) exchange.release();
+  }
 }
 
-function hasBody(headers: Headers): boolean {
+/** Failures that prove that no connection was made. */
+function isUnreachable(failure: AttemptFailure): boolean {
+  if (failure.written) return false;
+  const {code, syscall} = failure.error as {code?: string; syscall?: string};
   return (
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined
+    syscall === 'connect' ||
+    code === 'UND_ERR_CONNECT_TIMEOUT' ||
+    code === 'UND_ERR_SOCKET'
   );
 }
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,5 +1,4 @@
-export * from './admission.js';
-export * from './call.js';
-export * from './entry.js';
-export * from './exchange.js';
-export * from './forward.js';
+export {startEntry, type Entry, type EntryOptions} from './entry.js';
+export {FailoverControl} from './failover.js';
+export {FRESHNESS_LEASE_MS} from './ledger.js';
+export {CallObserver, NullObserver, type FinishedCall} from './observer.js';
--- /dev/null
+++ b/packages/entry/src/sync.ts
@@ -0,0 +1,214 @@
+/** The task that owns the session and keeps the entry host in step with control. */
+import {EMPTY_VIEW, patchView, type View} from '@lentildrift/model';
+import type {Log} from '@lentildrift/observe';
+import type {SyncResponse, TeamUse} from '@lentildrift/protocol';
+import type {Reply, Task, TaskSystem} from '@lentildrift/task';
+import type {AdmissionMessage} from './admission.js';
+import {createCell, type Cell} from './cell.js';
+import type {Outgoing, RosterMessage} from './directory.js';
+import type {FailoverControl} from './failover.js';
+
+export const SYNC_INTERVAL_MS = 1000;
+/** Least time between the starts of two syncs that were asked for early. */
+const EARLY_SYNC_GAP_MS = 50;
+const ASK_TIMEOUT_MS = 1000;
+const CLOSE_TIMEOUT_MS = 5000;
+
+export type SyncMessage =
+  | {type: 'sync'}
+  /** Ends the session; no sync follows. */
+  | {type: 'close'; reply: Reply<void>};
+
+interface SyncState {
+  readonly session?: string;
+  /** Set when a whole view must be asked for. */
+  readonly whole: boolean;
+  readonly rosterVersion: number;
+  /** Control process that the roster version belongs to. */
+  readonly position: number;
+  readonly closed: boolean;
+}
+
+export interface SyncOptions {
+  readonly tasks: TaskSystem;
+  readonly log: Log;
+  readonly control: FailoverControl;
+  readonly entryHost: string;
+  readonly admission: Task<AdmissionMessage>;
+  readonly roster: Task<RosterMessage>;
+}
+
+export interface Sync {
+  readonly view: Cell<View>;
+  readonly session: Cell<string | undefined>;
+  /** Syncs now and then every second; resolves after the first attempt. */
+  start(): Promise<void>;
+  /** Asks for a sync before the next regular one. */
+  hurry(): void;
+  /** Syncs, and resolves when that sync has ended, with or without success. */
+  flush(): Promise<void>;
+  /** Closes the session and stops. */
+  stop(): Promise<void>;
+}
+
+export function createSync(options: SyncOptions): Sync {
+  const {tasks, log, control, admission, roster} = options;
+  const view = createCell<View>(EMPTY_VIEW);
+  const session = createCell<string | undefined>(undefined);
+  let interval: NodeJS.Timeout | undefined;
+  let early: NodeJS.Timeout | undefined;
+  let startedMs = -Infinity;
+  /** Whether a sync waits in the task's mailbox. */
+  let queued = false;
+  /** Resolved when the next sync that starts has ended. */
+  let waiting: (() => void)[] = [];
+
+  const task = tasks.spawn<SyncState, SyncMessage>({
+    name: 'sync',
+    initial: {whole: false, rosterVersion: 0, position: 0, closed: false},
+    async handle(state, message) {
+      if (message.type === 'close') return close(state, message.reply);
+      queued = false;
+      const waiters = waiting;
+      waiting = [];
+      const next = state.closed ? state : await attempt(state);
+      for (const resolve of waiters) resolve();
+      return next;
+    },
+  });
+
+  async function attempt(state: SyncState): Promise<SyncState> {
+    startedMs = performance.now();
+    try {
+      return await syncOnce(await openIfNeeded(state));
+    } catch (error) {
+      log.warn('sync-failed', {error: String(error)});
+      // The whole view repairs whatever the failed sync left unclear.
+      return {...state, session: session.value, whole: true};
+    }
+  }
+
+  async function openIfNeeded(state: SyncState): Promise<SyncState> {
+    if (state.session !== undefined) return state;
+    const opened = await control.openSession({entryHost: options.entryHost});
+    session.value = opened.session;
+    admission.post({type: 'open', session: opened.session});
+    log.info('session-opened', {session: opened.session});
+    return {...state, session: opened.session};
+  }
+
+  async function syncOnce(state: SyncState): Promise<SyncState> {
+    const position = control.position();
+    const sameProcess = position === state.position;
+    const sentMs = performance.now();
+    const use = await admission.ask<Record<string, TeamUse>>(
+      reply => ({type: 'use', reply}),
+      ASK_TIMEOUT_MS,
+    );
+    const outgoing = await roster.ask<Outgoing>(
+      reply => ({type: 'collect', reply}),
+      ASK_TIMEOUT_MS,
+    );
+    const response = await control.sync({
+      session: state.session!,
+      revision: state.whole ? 0 : view.value.revision,
+      use,
+      roster: outgoing.items,
+      rosterVersion: sameProcess ? state.rosterVersion : 0,
+    });
+    if (!response.ok) return forget(state);
+    roster.post({type: 'acknowledge', sent: outgoing});
+    roster.post({type: 'merge', items: response.roster});
+    const {rosterVersion} = response;
+    const whole = !takeView(state, response, sentMs);
+    return {...state, whole, rosterVersion, position};
+  }
+
+  /** The session was closed: the next sync opens a new one, at once. */
+  function forget(state: SyncState): SyncState {
+    log.warn('session-closed', {session: state.session});
+    session.value = undefined;
+    hurry();
+    return {...state, session: undefined};
+  }
+
+  /** Returns false if the response does not lead to a usable view. */
+  function takeView(
+    state: SyncState,
+    response: SyncResponse & {ok: true},
+    sentMs: number,
+  ): boolean {
+    const next = patchView(view.value, response.view);
+    if (!next || next.revision < response.readIndex) return false;
+    if (next.revision !== view.value.revision) {
+      view.value = next;
+      roster.post({type: 'view', view: next});
+    }
+    const {slices, targets} = response;
+    const renewal = {session: state.session!, sentMs, slices, targets};
+    admission.post({type: 'renew', renewal});
+    return true;
+  }
+
+  async function close(
+    state: SyncState,
+    reply: Reply<void>,
+  ): Promise<SyncState> {
+    if (state.session !== undefined) {
+      await control.closeSession({session: state.session});
+    }
+    session.value = undefined;
+    reply.resolve();
+    return {...state, session: undefined, closed: true};
+  }
+
+  function queue(): void {
+    if (queued) return;
+    queued = task.post({type: 'sync'});
+  }
+
+  function hurry(): void {
+    if (early || queued) return;
+    const waitMs = startedMs + EARLY_SYNC_GAP_MS - performance.now();
+    early = setTimeout(
+      () => {
+        early = undefined;
+        queue();
+      },
+      Math.max(0, waitMs),
+    );
+  }
+
+  function flush(): Promise<void> {
+    return new Promise(resolve => {
+      waiting.push(resolve);
+      hurry();
+    });
+  }
+
+  return {
+    view,
+    session,
+    hurry,
+    flush,
+    start() {
+      interval = setInterval(queue, SYNC_INTERVAL_MS);
+      return flush();
+    },
+    async stop() {
+      clearInterval(interval);
+      clearTimeout(early);
+      const closing = task.ask<void>(
+        reply => ({type: 'close', reply}),
+        CLOSE_TIMEOUT_MS,
+      );
+      // Control closes a silent session by itself.
+      await closing.catch(error =>
+        log.warn('session-not-closed', {error: String(error)}),
+      );
+      clearTimeout(early);
+      await task.stop();
+      for (const resolve of waiting) resolve();
+    },
+  };
+}
