--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -79,12 +79,23 @@
       events.closed();
     },
     onResponseError(_started, error) {
+      if (!aborted) events.end({error, written});
       // Before the start there is no connection that this request could hold.
-      if (controller) client.once('disconnect', () => events.closed());
+      if (controller) client.once('disconnect', onDisconnect);
       else events.closed();
-      if (!aborted) events.end({error, written});
     },
   };
+
+  function onDisconnect(): void {
+    events.closed();
+    discard();
+  }
+
+  /** After an abort `undici` would connect again for a request that is gone. */
+  function discard(): void {
+    client.destroy(new AbortedAttempt('given up')).catch(() => undefined);
+  }
+
   client.dispatch({...request, method: request.method as 'GET'}, handler);
   return {
     written: () => written,
@@ -92,7 +103,7 @@
     abort() {
       if (aborted) return;
       aborted = true;
-      controller?.abort(new AbortedAttempt('given up'));
+      discard();
     },
   };
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -152,7 +152,7 @@
   await sync.start();
   const port = await listener.listen(options.host, options.port);
 
-  async function stop(): Promise<void> {
+  async function stopAll(): Promise<void> {
     stopping = true;
     const {noticeMs = 0} = options;
     if (noticeMs > 0) await new Promise(done => setTimeout(done, noticeMs));
@@ -165,5 +165,6 @@
     await admission.task.stop();
   }
 
-  return {port, stop};
+  let stopped: Promise<void> | undefined;
+  return {port, stop: () => (stopped ??= stopAll())};
 }
--- a/packages/entry/src/listener.ts
+++ b/packages/entry/src/listener.ts
@@ -14,6 +14,11 @@
 const HEADERS_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 60_000;
 const ASK_TIMEOUT_MS = 5000;
+/**
+ * Connections that have sent no request count as busy for `node:http`; they
+ * are closed when no call has been in flight for this long.
+ */
+const QUIET_MS = 500;
 
 type ListenerMessage =
   | {type: 'listen'; host: string; port: number; reply: Reply<number>}
@@ -36,14 +41,16 @@
 ): Listener {
   let inFlight = 0;
   let draining = false;
+  let quiet: NodeJS.Timeout | undefined;
 
   const onRequest: RequestListener = (request, response) => {
     inFlight += 1;
+    clearTimeout(quiet);
     if (draining) response.setHeader('connection', 'close');
     response.once('close', () => {
       inFlight -= 1;
       // The connection is idle only after this event.
-      if (draining) setImmediate(() => server.closeIdleConnections());
+      if (draining) setImmediate(closeQuiet);
     });
     handle(request, response);
   };
@@ -83,7 +90,14 @@
   function close(reply: Reply<void>): void {
     draining = true;
     server.close(() => reply.resolve());
+    closeQuiet();
+  }
+
+  function closeQuiet(): void {
     server.closeIdleConnections();
+    clearTimeout(quiet);
+    if (inFlight > 0) return;
+    quiet = setTimeout(() => server.closeAllConnections(), QUIET_MS);
   }
 
   return {
@@ -95,6 +109,7 @@
     async drain(limitMs) {
       const closed = task.ask<void>(reply => ({type: 'drain', reply}), limitMs);
       await closed.catch(() => undefined);
+      clearTimeout(quiet);
       const left = inFlight;
       server.closeAllConnections();
       await task.stop();
--- a/packages/entry/src/upstream.ts
+++ b/packages/entry/src/upstream.ts
@@ -198,7 +198,8 @@
 ): void {
   const held = upstream(state, lease.address);
   held.busy -= 1;
-  held.idle.push(lease.client);
+  if (lease.client.destroyed) state.clients.delete(lease.client);
+  else held.idle.push(lease.client);
   const busy = (state.busyByHost.get(lease.host) ?? 1) - 1;
   if (busy === 0) state.busyByHost.delete(lease.host);
   else state.busyByHost.set(lease.host, busy);
--- /dev/null
+++ b/packages/entry/test/sync.test.ts
@@ -0,0 +1,138 @@
+import type {Refusal} from '@lentildrift/model';
+import {createLog} from '@lentildrift/observe';
+import {startTasks} from '@lentildrift/task';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
+import {createAdmission} from '../src/admission.js';
+import {createRoster} from '../src/directory.js';
+import {FailoverControl} from '../src/failover.js';
+import {isGrant, type Grant} from '../src/ledger.js';
+import {createSync} from '../src/sync.js';
+import {FakeControl} from './fake.js';
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+function setUp(controls = [new FakeControl(), new FakeControl()]) {
+  const tasks = startTasks((_, error) => {
+    throw error;
+  });
+  const admission = createAdmission(tasks, () => sync.hurry());
+  const roster = createRoster(tasks);
+  const sync = createSync({
+    tasks,
+    log: createLog('error', {}, () => undefined),
+    control: new FailoverControl(controls),
+    entryHost: 'e',
+    admission: admission.task,
+    roster: roster.task,
+  });
+  const admit = () =>
+    new Promise<Grant | Refusal>(answer =>
+      admission.task.post({type: 'admit', team: 'club', limit: 200, answer}),
+    );
+  return {first: controls[0]!, second: controls[1]!, admission, sync, admit};
+}
+
+async function start(stack: ReturnType<typeof setUp>) {
+  void stack.sync.start();
+  await vi.advanceTimersByTimeAsync(10);
+}
+
+async function admitted(stack: ReturnType<typeof setUp>): Promise<boolean> {
+  const result = stack.admit();
+  await vi.advanceTimersByTimeAsync(1);
+  return isGrant(await result);
+}
+
+describe('sync', () => {
+  it('refuses 3 s after the last sync was sent, not after its answer', async () => {
+    const stack = setUp([new FakeControl()]);
+    await start(stack);
+    let open = () => {};
+    stack.first.gate = new Promise(resolve => (open = resolve));
+    const {length} = stack.first.syncs;
+    await vi.advanceTimersByTimeAsync(1000);
+    expect(stack.first.syncs.length).toBe(length + 1);
+    const sentMs = performance.now();
+    await vi.advanceTimersByTimeAsync(1200);
+    stack.first.down = false;
+    open();
+    await vi.advanceTimersByTimeAsync(1);
+    stack.first.down = true;
+    const before = stack.admission.lease.value;
+    expect(before).toBeLessThanOrEqual(sentMs + 3000);
+    await vi.advanceTimersByTimeAsync(before - performance.now() - 3);
+    expect(await admitted(stack)).toBe(true);
+    await vi.advanceTimersByTimeAsync(3);
+    expect(await admitted(stack)).toBe(false);
+  });
+
+  it('never runs two syncs at a time, however many are asked for', async () => {
+    const stack = setUp([new FakeControl()]);
+    let running = 0;
+    let most = 0;
+    const sync = stack.first.sync.bind(stack.first);
+    stack.first.sync = async request => {
+      most = Math.max(most, ++running);
+      await new Promise(resolve => setTimeout(resolve, 30));
+      running -= 1;
+      return sync(request);
+    };
+    await start(stack);
+    for (let i = 0; i < 200; i++) {
+      stack.sync.hurry();
+      await vi.advanceTimersByTimeAsync(5);
+    }
+    expect(most).toBe(1);
+    expect(stack.first.syncs.length).toBeGreaterThan(10);
+    expect(stack.first.syncs.length).toBeLessThan(25);
+  });
+
+  it('asks for more at once when a slice is short, and reports the demand', async () => {
+    const stack = setUp();
+    stack.first.slices = {club: {amount: 1, generation: 1}};
+    await start(stack);
+    const {length} = stack.first.syncs;
+    expect(await admitted(stack)).toBe(true);
+    for (let i = 0; i < 3; i++) expect(await admitted(stack)).toBe(false);
+    await vi.advanceTimersByTimeAsync(60);
+    expect(stack.first.syncs.length).toBe(length + 1);
+    expect(stack.first.syncs.at(-1)!.use['club']).toEqual({
+      running: 1,
+      demand: 4,
+      generation: 1,
+      ceiling: 1,
+    });
+  });
+
+  it('moves to another control process, and asks it for its whole roster', async () => {
+    const stack = setUp();
+    await start(stack);
+    stack.first.down = true;
+    await vi.advanceTimersByTimeAsync(2500);
+    expect(stack.second.syncs.length).toBeGreaterThan(0);
+    expect(stack.second.syncs[0]!.rosterVersion).toBe(0);
+    expect(await admitted(stack)).toBe(true);
+  });
+
+  it('opens a new session when its own was closed, and takes no smaller view', async () => {
+    const stack = setUp([new FakeControl()]);
+    stack.first.revision = 5;
+    await start(stack);
+    expect(await admitted(stack)).toBe(true);
+    stack.first.closed.push('s1');
+    await vi.advanceTimersByTimeAsync(1100);
+    expect(stack.first.sessions).toBe(2);
+    expect(stack.first.syncs.at(-1)).toMatchObject({session: 's2'});
+    expect(await admitted(stack)).toBe(true);
+    stack.first.revision = 4;
+    await vi.advanceTimersByTimeAsync(4000);
+    expect(stack.sync.view.value.revision).toBe(5);
+    expect(await admitted(stack)).toBe(false);
+  });
+});
