--- /dev/null
+++ b/packages/testkit/src/measure.ts
@@ -0,0 +1,21 @@
+/** `npm run measure -- NAME`: prints a table, then one line of JSON. */
+
+/** Runs a measurement, prints its table and returns its figures. */
+type Measurement = () => Promise<object>;
+
+/** Loaded on demand, since each brings packages of its own. */
+const MEASUREMENTS: Record<string, () => Promise<Measurement>> = {
+  entry: async () => (await import('./bench/entry.js')).measureEntry,
+};
+
+const name = process.argv[2] ?? '';
+const load = Object.hasOwn(MEASUREMENTS, name) ? MEASUREMENTS[name] : undefined;
+if (load) {
+  const measure = await load();
+  const figures = await measure();
+  process.stdout.write(JSON.stringify(figures) + '\n');
+} else {
+  const names = Object.keys(MEASUREMENTS).join('|');
+  process.stderr.write(`usage: npm run measure -- ${names}\n`);
+  process.exitCode = 2;
+}
