Entry: keep the connection of a call that ended well

Cause: the end of every call aborted its attempt, which destroyed the client; each call connected anew, as the profile of the entry host showed. Change: aborting a finished attempt does nothing; a test counts connections.

--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -52,6 +52,7 @@
   let controller: Dispatcher.DispatchController | undefined;
   let written = false;
   let aborted = false;
+  let over = false;
 
   const handler: Dispatcher.DispatchHandler = {
     onRequestStart(started) {
@@ -75,10 +76,12 @@
       if (!aborted && !events.data(chunk)) started.pause();
     },
     onResponseEnd() {
+      over = true;
       if (!aborted) events.end();
       events.closed();
     },
     onResponseError(_started, error) {
+      over = true;
       if (!aborted) events.end({error, written});
       // Before the start there is no connection that this request could hold.
       if (controller) client.once('disconnect', onDisconnect);
@@ -101,7 +104,8 @@
     written: () => written,
     resume: () => controller?.resume(),
     abort() {
-      if (aborted) return;
+      // The connection of a finished attempt may serve the next call.
+      if (aborted || over) return;
       aborted = true;
       discard();
     },
--- a/packages/entry/test/forward.test.ts
+++ b/packages/entry/test/forward.test.ts
@@ -45,6 +45,7 @@
     expect(second.status).toBe(502);
     expect(verdictOf(second)).toBe('may-have-run');
     expect(upstream.requests.length).toBe(2);
+    expect(upstream.accepted()).toBe(1);
   });
 
   it('repeats a read whose connection was reset, on another upstream', async () => {
--- a/packages/entry/test/stack.ts
+++ b/packages/entry/test/stack.ts
@@ -16,6 +16,8 @@
 export interface RawUpstream {
   readonly address: string;
   readonly requests: string[];
+  /** Connections accepted so far. */
+  accepted(): number;
   /** Whether any byte has arrived. */
   touched(): boolean;
   readonly sockets: Set<Socket>;
@@ -27,9 +29,11 @@
   const requests: string[] = [];
   const sockets = new Set<Socket>();
   let touched = false;
+  let accepted = 0;
   const server = createServer(socket => {
     let text = '';
     sockets.add(socket);
+    accepted += 1;
     socket.on('close', () => sockets.delete(socket)).on('error', () => {});
     socket.on('data', data => {
       text += data.toString('latin1');
@@ -49,6 +53,7 @@
     requests,
     sockets,
     touched: () => touched,
+    accepted: () => accepted,
     async stop() {
       for (const socket of sockets) socket.destroy();
       await new Promise(resolve => server.close(resolve));
