Entry: let the exchange of a call grow in place

Cause: each filter copied the exchange; the copies had become slow objects, and the profile showed a tenth of the time in copying and reading them. Change: filters add their findings to the exchange, which one call owns.

--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -22,15 +22,16 @@
 import {refuseBody} from './body.js';
 import type {Cell} from './cell.js';
 import {directoryKey, type Directory} from './directory.js';
-import type {
-  Admitted,
-  Authorised,
-  Claimed,
-  Exchange,
-  Forwarded,
-  Identified,
-  Routed,
-  Selected,
+import {
+  extend,
+  type Admitted,
+  type Authorised,
+  type Claimed,
+  type Exchange,
+  type Forwarded,
+  type Identified,
+  type Routed,
+  type Selected,
 } from './exchange.js';
 import {forward} from './forward.js';
 import {declaredLength, framingProblem} from './header.js';
@@ -101,7 +102,7 @@
   if (subject === false || (subject && subject.kind !== 'team')) {
     return stop(refuse('unauthorised', 'the key is not valid for calls'));
   }
-  return pass({...exchange, callerTeam: subject?.team});
+  return pass(extend(exchange, {callerTeam: subject?.team}));
 }
 
 function route(exchange: Identified): Step<Routed> {
@@ -116,7 +117,7 @@
   }
   const rest = match![2]!;
   const path = rest.startsWith('/') ? rest : `/${rest}`;
-  return pass({...exchange, route: found, path});
+  return pass(extend(exchange, {route: found, path}));
 }
 
 function authorise(exchange: Routed): Step<Authorised> {
@@ -130,7 +131,7 @@
       refuse('forbidden', `team "${team.name}" may not call "${row.name}"`),
     );
   }
-  return pass({...exchange, team});
+  return pass(extend(exchange, {team}));
 }
 
 function admit({task}: Admission) {
@@ -146,14 +147,14 @@
       if (held) task.post({type: 'release', grant: result});
       held = false;
     };
-    return pass({...exchange, release});
+    return pass(extend(exchange, {release}));
   };
 }
 
 function select(context: CallContext) {
   return async (exchange: Claimed): Promise<Step<Selected>> => {
     const lease = await acquire(context, exchange, []);
-    if (isLease(lease)) return pass({...exchange, lease});
+    if (isLease(lease)) return pass(extend(exchange, {lease}));
     exchange.release();
     return settled(context.once, exchange, lease);
   };
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -11,6 +11,17 @@
   kept?: KeptResponse;
 }
 
+/**
+ * Adds what a filter found out. The exchange belongs to its call alone, so it
+ * grows in place: copying it at each filter took a tenth of the time of a call.
+ */
+export function extend<T extends object, F extends object>(
+  exchange: T,
+  found: F,
+): T & F {
+  return Object.assign(exchange, found);
+}
+
 /** A call as it arrived. */
 export interface Exchange {
   readonly request: IncomingMessage;
--- a/packages/entry/src/forward.ts
+++ b/packages/entry/src/forward.ts
@@ -7,7 +7,7 @@
 import type {Task} from '@lentildrift/task';
 import {startAttempt, type Attempt, type AttemptFailure} from './attempt.js';
 import {BodyTooLarge, refuseBody, streamBody} from './body.js';
-import type {Forwarded, Selected} from './exchange.js';
+import {extend, type Forwarded, type Selected} from './exchange.js';
 import {requestHeaders} from './header.js';
 import {createRelay} from './relay.js';
 import type {Lease, LeaseOutcome, UpstreamMessage} from './upstream.js';
@@ -143,7 +143,7 @@
     if (ended) return;
     if (relay.ended()) {
       const complete = response.writableFinished;
-      return finish(pass({...exchange, ...relay.result(complete)}));
+      return finish(pass(extend(exchange, relay.result(complete))));
     }
     if (relay.started()) return finishBroken();
     const verdict =
@@ -154,7 +154,7 @@
   /** Closes the caller's connection, so that no response looks complete. */
   function finishBroken(): void {
     response.destroy();
-    finish(pass({...exchange, ...relay.result(false)}));
+    finish(pass(extend(exchange, relay.result(false))));
   }
 
   function finish(step: Step<Forwarded>): void {
--- a/packages/entry/src/once.ts
+++ b/packages/entry/src/once.ts
@@ -15,7 +15,12 @@
 } from '@lentildrift/protocol';
 import type {TaskSystem} from '@lentildrift/task';
 import type {Cell} from './cell.js';
-import type {Admitted, Claimed, KeptResponse} from './exchange.js';
+import {
+  extend,
+  type Admitted,
+  type Claimed,
+  type KeptResponse,
+} from './exchange.js';
 import {createKeep} from './keep.js';
 
 /** Claims that arrive within this time go to control as one batch. */
@@ -219,7 +224,7 @@
   ): Promise<Step<Claimed>> {
     const team = exchange.team.name;
     const {refusal, kept} = await waitForClaim(exchange, key);
-    if (!refusal) return pass({...exchange, claimedKey: key});
+    if (!refusal) return pass(extend(exchange, {claimedKey: key}));
     exchange.release();
     if (kept) exchange.facts.kept = kept;
     log.debug('claim-refused', {team, code: refusal.code});
