Found, join and repair the control group, and keep state on disk in the daemon

Cause: the daemon ran on an in-memory replica of one member. Change: control processes found the group only when every configured member has answered that it has none, draw a new member ID for a new data folder, and the leader admits learners, promotes them once they have caught up and removes the older ID of the same member.

--- a/packages/consensus/src/node.ts
+++ b/packages/consensus/src/node.ts
@@ -83,6 +83,8 @@
       readonly change: MemberChange;
     }
   | {readonly type: 'transfer'; readonly to?: string}
+  /** Founds a group; ignored by a member that has a group already. */
+  | {readonly type: 'found'; readonly voters: readonly string[]}
   | {readonly type: 'persisted'; readonly seq: number}
   | {readonly type: 'compacted'; readonly snapshot: Snapshot};
 
@@ -173,6 +175,13 @@
   };
 }
 
+/** The first entry of a group, the same on every founder. */
+export function foundingRecord(founders: readonly string[]): LogRecord {
+  const voters = [...founders].sort();
+  const text = JSON.stringify({voters, learners: [], retired: []});
+  return {index: 1, term: 0, revision: 0, kind: 'members', text};
+}
+
 /** The last membership in the log, else the snapshot's, else none. */
 export function membersOf(
   log: Log,
--- a/packages/consensus/src/raft.ts
+++ b/packages/consensus/src/raft.ts
@@ -131,6 +131,14 @@
     this.post(member ? {type: 'transfer', to: member} : {type: 'transfer'});
   }
 
+  /**
+   * Founds a group of `voters`, this member among them; only one member may.
+   * Ignored if this member has a group already.
+   */
+  found(voters: readonly string[]): void {
+    this.post({type: 'found', voters});
+  }
+
   /** Takes messages that the transport received from `from`. */
   receive(from: string, messages: readonly PeerMessage[]): void {
     for (const message of messages) {
--- a/packages/consensus/src/start.ts
+++ b/packages/consensus/src/start.ts
@@ -1,6 +1,5 @@
 /** The start of a replica from its store. */
-import type {LogRecord} from '@lentildrift/storage';
-import {createNode} from './node.js';
+import {createNode, foundingRecord} from './node.js';
 import type {RaftOptions} from './option.js';
 import {RaftReplica} from './raft.js';
 
@@ -23,10 +22,3 @@
   });
   return new RaftReplica(options, node);
 }
-
-/** The first entry, the same on every founder and thereby committed. */
-function foundingRecord(founders: readonly string[]): LogRecord {
-  const voters = [...founders].sort();
-  const text = JSON.stringify({voters, learners: [], retired: []});
-  return {index: 1, term: 0, revision: 0, kind: 'members', text};
-}
--- a/packages/consensus/src/step.ts
+++ b/packages/consensus/src/step.ts
@@ -23,9 +23,9 @@
   propose,
   proposeMembers,
 } from './lead.js';
-import {forget} from './log.js';
+import {forget, last} from './log.js';
 import type {PeerMessage} from './message.js';
-import type {Effect, Input, Node} from './node.js';
+import {foundingRecord, type Effect, type Input, type Node} from './node.js';
 import {read} from './read.js';
 import {replicateNews} from './replicate.js';
 import {
@@ -34,6 +34,7 @@
   persisted,
   raiseTerm,
   send,
+  store,
   type Turn,
 } from './turn.js';
 
@@ -74,6 +75,9 @@
     case 'transfer':
       beginTransfer(turn, input.to);
       return;
+    case 'found':
+      found(turn, input.voters);
+      return;
     case 'persisted':
       persisted(turn, input.seq);
       if (node.savedSeq === node.seq) ownVoteDurable(turn);
@@ -85,6 +89,14 @@
   }
 }
 
+function found(turn: Turn, voters: readonly string[]): void {
+  const {node} = turn;
+  const empty = node.term === 0 && !node.snapshot && last(node.log).index === 0;
+  if (!empty || !voters.includes(node.id)) return;
+  store(turn, [foundingRecord(voters)]);
+  node.electionAtMs = node.nowMs;
+}
+
 function compacted({node}: Turn, snapshot: Snapshot): void {
   // A snapshot from the leader may have overtaken this one.
   if (snapshot.index <= (node.snapshot?.index ?? 0)) return;
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -30,7 +30,7 @@
   type Operators,
   type ReportProvider,
 } from './operators.js';
-import {LocalPeer, type Deliver} from './peer.js';
+import {LocalPeer, type Admit, type Deliver} from './peer.js';
 import {createProposals, type Peers, type Proposals} from './propose.js';
 import {createRoster, type RosterTask} from './roster.js';
 import {createSessions, type Sessions} from './sessions.js';
@@ -44,6 +44,8 @@
   readonly peers?: Peers;
   /** Takes consensus messages of other control processes. */
   readonly deliver?: Deliver;
+  /** Takes members that ask to belong to the group. */
+  readonly admit?: Admit;
   readonly report?: ReportProvider;
   readonly policy?: LimitPolicy;
 }
@@ -87,7 +89,7 @@
     claims,
     operators,
   };
-  const deliver = options.deliver ?? (() => undefined);
+  const {deliver = () => undefined, admit = () => undefined} = options;
 
   async function stop(): Promise<void> {
     // Tasks that others ask stop last.
@@ -100,7 +102,7 @@
 
   return {
     control: new LocalControl(parts),
-    peer: new LocalPeer({replica, limits, roster, deliver}),
+    peer: new LocalPeer({replica, limits, roster, deliver, admit}),
     proposals,
     stop,
   };
--- /dev/null
+++ b/packages/control/src/member.ts
@@ -0,0 +1,34 @@
+/**
+ * Member IDs: the name from the settings, and an incarnation that is drawn
+ * anew for each data folder, so that a host that lost its disk is a new member.
+ */
+import {IdentitySource} from '@lentildrift/storage';
+import {randomBytes} from 'node:crypto';
+import type {PeerService} from '@lentildrift/protocol';
+
+const SEPARATOR = '~';
+const INCARNATION_BYTES = 4;
+
+/** Names a member after its settings. */
+export class NamedIdentity extends IdentitySource {
+  constructor(private readonly name: string) {
+    super();
+  }
+
+  override newMemberId(): string {
+    const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
+    return `${this.name}${SEPARATOR}${incarnation}`;
+  }
+}
+
+/** The name in a member ID. */
+export function memberName(member: string): string {
+  return member.split(SEPARATOR)[0]!;
+}
+
+/** Services of the other members, found by name or by any of its IDs. */
+export class MemberPeers extends Map<string, PeerService> {
+  override get(member: string): PeerService | undefined {
+    return super.get(memberName(member));
+  }
+}
--- a/packages/control/src/peer.ts
+++ b/packages/control/src/peer.ts
@@ -3,6 +3,8 @@
   PeerService,
   type DeliverRequest,
   type GossipRequest,
+  type JoinRequest,
+  type JoinResponse,
   type ProposeRequest,
   type ProposeResponse,
   type ReadIndexResponse,
@@ -17,11 +19,15 @@
 /** Takes consensus messages; must not wait for what they lead to. */
 export type Deliver = (from: string, messages: unknown[]) => void;
 
+/** Notes that a member asks to belong to the group; must not wait for it. */
+export type Admit = (member: string) => void;
+
 export interface PeerOptions {
   readonly replica: StateReplica;
   readonly limits: Limits;
   readonly roster: RosterTask;
   readonly deliver: Deliver;
+  readonly admit: Admit;
 }
 
 /** Nothing is forwarded from here, so that no request can go in a circle. */
@@ -53,4 +59,11 @@
   override async gossip({roster}: GossipRequest): Promise<void> {
     this.options.roster.merge(roster, false);
   }
+
+  override async join({member}: JoinRequest): Promise<JoinResponse> {
+    const {replica, admit} = this.options;
+    admit(member);
+    const status = replica.status();
+    return {member: status.member, founded: status.voters.length > 0};
+  }
 }
--- a/packages/control/src/transport.ts
+++ b/packages/control/src/transport.ts
@@ -1,13 +1,8 @@
 /** Consensus messages over `PeerService.deliver`. */
+import {PeerTransport, type PeerMessage} from '@lentildrift/consensus';
 import type {Task, TaskSystem} from '@lentildrift/task';
 import type {Peers} from './propose.js';
 
-/** The shape that the replicated log asks of its transport. */
-export abstract class MessageTransport {
-  /** Never throws; messages may be lost, repeated or reordered. */
-  abstract send(to: string, messages: unknown[]): void;
-}
-
 /** Beyond this the oldest go first: the log repeats what still matters. */
 const MAX_WAITING_MESSAGES = 1024;
 
@@ -28,7 +23,7 @@
  * Sends one batch at a time to each peer, so that messages to one peer stay
  * in order and a slow peer delays no other.
  */
-export class PeerChannels extends MessageTransport {
+export class PeerChannels extends PeerTransport {
   private readonly task: Task<TransportMessage>;
 
   constructor(member: string, peers: Peers, tasks: TaskSystem) {
@@ -57,7 +52,7 @@
     });
   }
 
-  override send(to: string, messages: unknown[]): void {
+  override send(to: string, messages: readonly PeerMessage[]): void {
     this.task.post({type: 'send', to, messages});
   }
 
--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -1,27 +1,56 @@
 /** Starts the control role of a process. */
-import {SoloReplica} from '@lentildrift/consensus';
 import {
+  JsonCodec,
+  PeerMessage,
+  startRaft,
+  type RaftReplica,
+} from '@lentildrift/consensus';
+import {
+  createGroup,
+  createPeerClients,
+  memberName,
+  MemberPeers,
+  NamedIdentity,
+  PeerChannels,
   startControlProcess,
   stateMachine,
+  type Control,
+  type PeerClients,
   type StateReplica,
 } from '@lentildrift/control';
+import {
+  changeSchema,
+  stateSchema,
+  type Answer,
+  type Change,
+  type State,
+} from '@lentildrift/model';
 import type {Log} from '@lentildrift/observe';
 import type {ControlService} from '@lentildrift/protocol';
 import {SettingsError, type Settings} from '@lentildrift/settings';
+import {openDisk} from '@lentildrift/storage';
 import type {TaskSystem} from '@lentildrift/task';
+import {randomInt} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {z} from 'zod';
 
 export type ControlSettings = Pick<
   Settings,
+  | 'hostName'
+  | 'memberId'
   | 'controlAddress'
   | 'controlPort'
   | 'controlMembers'
   | 'clusterSecret'
   | 'operatorKeyHash'
+  | 'dataFolder'
 >;
 
 export interface RoleContext {
   readonly tasks: TaskSystem;
   readonly log: Log;
+  /** The process must exit: it can no longer keep what it accepted. */
+  onFatal(error: Error): void;
 }
 
 export interface ControlRole {
@@ -32,69 +61,147 @@
   stop(): Promise<void>;
 }
 
-/** Throws `SettingsError` for settings that the replica cannot serve. */
+const GROUP_ID = 'lentildrift';
+const MAX_SEED = 2 ** 31 - 1;
+const BOOTSTRAP_PAUSE_MS = 500;
+
+/**
+ * Starts the control role; the group may still have to be founded or joined.
+ * Rejects with `FolderLocked` or `CorruptStore` if the data folder is in use
+ * or damaged.
+ */
 export async function startControl(
   settings: ControlSettings,
-  {tasks, log}: RoleContext,
+  context: RoleContext,
 ): Promise<ControlRole> {
-  if ((settings.controlMembers?.length ?? 1) > 1) {
-    // Several replicas in memory would each have a state of their own.
-    throw new SettingsError(
-      '--control-members must list one member: this build has no replicated log',
-    );
-  }
-  if (settings.clusterSecret === undefined) {
+  const {tasks, log} = context;
+  const {clusterSecret, controlAddress: host, controlPort: port} = settings;
+  if (clusterSecret === undefined) {
     throw new SettingsError('--cluster-secret-file is needed for control');
   }
-  const replica: StateReplica = new SoloReplica(stateMachine);
-  log.warn('replica-in-memory', {
-    detail: 'state is lost when this process ends',
-  });
-  await giveOperatorKey(settings, replica, log);
+  const clients = clientsOf(settings, clusterSecret);
+  const peers = new MemberPeers(clients.peers);
+  const {replica, channels} = await startReplica(settings, context, peers);
+  const group = createGroup({replica, peers, tasks, log});
   const role = await startControlProcess({
     replica,
     tasks,
     log,
-    peers: new Map(),
-    clusterSecret: settings.clusterSecret,
-    listen: {host: settings.controlAddress, port: settings.controlPort},
+    peers,
+    clusterSecret,
+    deliver: (from, messages) =>
+      replica.receive(from, z.array(PeerMessage).parse(messages)),
+    admit: group.admit,
+    listen: {host, port},
+  }).catch(async error => {
+    await group.stop();
+    await replica.stop();
+    throw error;
   });
-  const {port, control: service} = role;
-  log.info('control-listening', {address: settings.controlAddress, port});
+  const ended = new AbortController();
+  void giveOperatorKey(settings, role, log, ended.signal);
+  log.info('control-listening', {address: host, port: role.port});
 
   async function stop(): Promise<void> {
-    await role.stop();
+    ended.abort();
+    await group.stop();
+    // Hands leadership over while this process still answers its peers.
     await replica.stop();
+    await role.stop();
+    await channels.stop();
+    await clients.close();
   }
 
-  return {service, replica, port, stop};
+  return {service: role.control, replica, port: role.port, stop};
+}
+
+function ownName({memberId, hostName}: ControlSettings): string {
+  return memberId ?? hostName;
+}
+
+function clientsOf(settings: ControlSettings, secret: string): PeerClients {
+  const others = (settings.controlMembers ?? []).filter(
+    ({id}) => id !== ownName(settings),
+  );
+  const addresses = others.map(({id, address}) => [id, address] as const);
+  return createPeerClients(new Map(addresses), secret);
+}
+
+async function startReplica(
+  settings: ControlSettings,
+  {tasks, log, onFatal}: RoleContext,
+  peers: MemberPeers,
+): Promise<{
+  replica: RaftReplica<State, Change, Answer>;
+  channels: PeerChannels;
+}> {
+  const {identity, store} = await openDisk(
+    settings.dataFolder,
+    GROUP_ID,
+    new NamedIdentity(ownName(settings)),
+  );
+  const member = identity.memberId;
+  if (memberName(member) !== ownName(settings)) {
+    await store.close();
+    throw new SettingsError(
+      `--data-folder belongs to member "${memberName(member)}", not "${ownName(settings)}"`,
+    );
+  }
+  const channels = new PeerChannels(member, peers, tasks);
+  const replica = await startRaft({
+    member,
+    group: GROUP_ID,
+    seed: randomInt(MAX_SEED),
+    machine: stateMachine,
+    codec: new JsonCodec({change: changeSchema, state: stateSchema}),
+    store,
+    transport: channels,
+    tasks,
+    onFatal,
+  });
+  replica.onChange(({role, term, leader, voters}) =>
+    log.info('replica-changed', {
+      member,
+      role,
+      term,
+      leader,
+      voters: voters.join(','),
+    }),
+  );
+  return {replica, channels};
 }
 
 /**
- * Gives the first operator's key. A key that exists already, also a withdrawn
- * one, stays as it is, so that a restart does not revive it.
+ * Gives the first operator's key once a leader can take it. A key that exists
+ * already, also a withdrawn one, stays as it is, so that a restart does not
+ * revive it.
  */
 async function giveOperatorKey(
-  settings: ControlSettings,
-  replica: StateReplica,
+  {operatorKeyHash}: ControlSettings,
+  {proposals}: Pick<Control, 'proposals'>,
   log: Log,
+  signal: AbortSignal,
 ): Promise<void> {
-  const {operatorKeyHash} = settings;
   if (!operatorKeyHash) return;
   const {id, secretHash} = operatorKeyHash;
-  if (Object.hasOwn(replica.state().keys, id)) return;
-  const {answer} = await replica.propose({
-    atMs: Date.now(),
-    body: {
-      type: 'command',
-      requestId: `bootstrap-${id}`,
-      command: {
-        type: 'give-key',
-        keyId: id,
-        subject: {kind: 'operator', operator: 'bootstrap'},
-        secretHash,
-      },
+  const body = {
+    type: 'command' as const,
+    requestId: `bootstrap-${id}`,
+    command: {
+      type: 'give-key' as const,
+      keyId: id,
+      subject: {kind: 'operator' as const, operator: 'bootstrap'},
+      secretHash,
     },
-  });
-  log.info('operator-key', {id, given: answer.ok});
+  };
+  while (!signal.aborted) {
+    try {
+      const answer = await proposals.propose(body, {idempotent: true});
+      log.info('operator-key', {id, given: answer.ok});
+      return;
+    } catch (error) {
+      log.debug('operator-key-waits', {id, reason: String(error)});
+    }
+    await sleep(BOOTSTRAP_PAUSE_MS, undefined, {signal}).catch(() => undefined);
+  }
 }
--- a/packages/daemon/src/embedded.ts
+++ b/packages/daemon/src/embedded.ts
@@ -9,15 +9,20 @@
 import {sampleTables, startUpstream} from '@lentildrift/sample';
 import {startTasks} from '@lentildrift/task';
 import {randomBytes, randomUUID} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {startControl, type ControlRole} from './control.js';
 import {startEntryRole} from './entry.js';
 
 const LOOPBACK = '127.0.0.1';
 const SECRET_BYTES = 24;
+const LEAD_POLL_MS = 20;
 
 export interface EmbeddedOptions {
   readonly log: Log;
   readonly entryPort: number;
+  readonly dataFolder: string;
+  /** The process must exit: it can no longer keep what it accepted. */
+  onFatal(error: Error): void;
   /** Absent means any free port. */
   readonly controlPort?: number;
   /** Loopback addresses of the roles; absent means 127.0.0.1. */
@@ -38,7 +43,7 @@
 export async function startEmbedded(
   options: EmbeddedOptions,
 ): Promise<Embedded> {
-  const {log, entryPort, controlPort = 0} = options;
+  const {log, entryPort, controlPort = 0, dataFolder, onFatal} = options;
   const {entryAddress = LOOPBACK, controlAddress = LOOPBACK} = options;
   const tasks = startTasks((task, error) =>
     log.error('task-failed', {task, error: error.message}),
@@ -46,14 +51,18 @@
   const operator = createKey();
   const control = await startControl(
     {
+      hostName: 'control-1',
+      memberId: undefined,
+      dataFolder,
       controlAddress,
       controlPort,
       controlMembers: undefined,
       clusterSecret: randomBytes(SECRET_BYTES).toString('hex'),
       operatorKeyHash: operator,
     },
-    {tasks, log},
+    {tasks, log, onFatal},
   );
+  await leads(control);
   const {teamKey, poolKey} = await prepare(control);
   const entry = await startEntryRole(
     {
@@ -63,7 +72,7 @@
       controlMembers: undefined,
       clusterSecret: undefined,
     },
-    {tasks, log, control: control.service},
+    {tasks, log, onFatal, control: control.service},
   );
   const upstream = await startUpstream({
     pool: 'booking',
@@ -94,6 +103,11 @@
   return address.includes(':') ? `[${address}]:${port}` : `${address}:${port}`;
 }
 
+/** Resolves once the only member leads its group. */
+async function leads({replica}: ControlRole): Promise<void> {
+  while (replica.status().role !== 'leader') await sleep(LEAD_POLL_MS);
+}
+
 /** Applies the sample tables, shows the sample host and gives the keys. */
 async function prepare({replica}: ControlRole) {
   const propose = (body: ChangeBody) =>
@@ -105,7 +119,10 @@
     await run({type: 'give-key', keyId: id, subject, secretHash});
     return text;
   };
-  await run({type: 'edit', edit: sampleTables()});
+  // A folder of an earlier run holds the operators' tables: those stay.
+  if (replica.state().tables.version === 0) {
+    await run({type: 'edit', edit: sampleTables()});
+  }
   await propose({
     type: 'observe-hosts',
     hosts: [
--- a/packages/daemon/src/life.ts
+++ b/packages/daemon/src/life.ts
@@ -49,6 +49,11 @@
   process.on('unhandledRejection', error => end(log, 'uncaught', error));
 }
 
+/** Ends the process, which can no longer keep what it accepted. */
+export function endFatal(log: Log, error: Error): never {
+  return end(log, 'replica-failed', error);
+}
+
 function end(log: Log, event: string, error: unknown): never {
   const {message, stack} = error as Error;
   if (error instanceof SettingsError) {
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -8,7 +8,7 @@
   type Settings,
 } from '@lentildrift/settings';
 import {endpoint, startEmbedded} from './embedded.js';
-import {live, watchUncaught} from './life.js';
+import {endFatal, live, watchUncaught} from './life.js';
 import {startRoles, type Running} from './roles.js';
 
 function readSettings(): Settings | undefined {
@@ -23,12 +23,15 @@
 
 async function startSample(settings: Settings, log: Log): Promise<Running> {
   const {entryAddress, entryPort, controlAddress, controlPort} = settings;
+  const {dataFolder} = settings;
   const embedded = await startEmbedded({
     log,
     entryAddress,
     entryPort,
     controlAddress,
     controlPort,
+    dataFolder,
+    onFatal: error => endFatal(log, error),
   });
   const entry = endpoint(entryAddress, embedded.entryPort);
   const server = endpoint(controlAddress, embedded.controlPort);
--- a/packages/daemon/src/roles.ts
+++ b/packages/daemon/src/roles.ts
@@ -4,6 +4,7 @@
 import {startTasks} from '@lentildrift/task';
 import {startControl} from './control.js';
 import {startEntryRole} from './entry.js';
+import {endFatal} from './life.js';
 
 export interface Running {
   stop(): Promise<void>;
@@ -27,7 +28,8 @@
   }
 
   try {
-    const context = {tasks, log};
+    const onFatal = (error: Error) => endFatal(log, error);
+    const context = {tasks, log, onFatal};
     const control = settings.roles?.includes('control')
       ? await startControl(settings, context)
       : undefined;
--- a/packages/protocol/src/client.ts
+++ b/packages/protocol/src/client.ts
@@ -131,6 +131,10 @@
   override gossip(request: message.GossipRequest) {
     return attempt(this.rpc.peer.gossip.mutate(request));
   }
+
+  override join(request: message.JoinRequest) {
+    return attempt(this.rpc.peer.join.mutate(request));
+  }
 }
 
 async function attempt<T>(call: Promise<T>): Promise<T> {
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -186,3 +186,14 @@
   roster: z.array(rosterItemSchema),
 });
 export type GossipRequest = z.infer<typeof gossipRequestSchema>;
+
+/** Sent by a control process to the others while it has no group, and then rarely. */
+export const joinRequestSchema = z.object({member: z.string().min(1)});
+export type JoinRequest = z.infer<typeof joinRequestSchema>;
+export const joinResponseSchema = z.object({
+  /** Member ID of the process that answers. */
+  member: z.string(),
+  /** Whether that process belongs to a group that has been founded. */
+  founded: z.boolean(),
+});
+export type JoinResponse = z.infer<typeof joinResponseSchema>;
--- a/packages/protocol/src/router.ts
+++ b/packages/protocol/src/router.ts
@@ -105,6 +105,9 @@
     gossip: member
       .input(message.gossipRequestSchema)
       .mutation(({input}) => service.gossip(input)),
+    join: member
+      .input(message.joinRequestSchema)
+      .mutation(({input}) => service.join(input)),
   });
 }
 
--- a/packages/protocol/src/service.ts
+++ b/packages/protocol/src/service.ts
@@ -14,6 +14,8 @@
   GossipRequest,
   JobsRequest,
   JobsResponse,
+  JoinRequest,
+  JoinResponse,
   OpenSessionRequest,
   OpenSessionResponse,
   ProposeRequest,
@@ -65,4 +67,5 @@
   abstract readIndex(): Promise<ReadIndexResponse>;
   abstract report(request: ReportRequest): Promise<ReportResponse>;
   abstract gossip(request: GossipRequest): Promise<void>;
+  abstract join(request: JoinRequest): Promise<JoinResponse>;
 }
