--- a/packages/entry/test/forward.test.ts
+++ b/packages/entry/test/forward.test.ts
@@ -1,4 +1,4 @@
-import {connect} from 'node:net';
+import {connect, type Socket} from 'node:net';
 import {once} from 'node:events';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {FakeControl} from './fake.js';
@@ -48,6 +48,29 @@
     expect(upstream.accepted()).toBe(1);
   });
 
+  it('does not repeat what may have run on another upstream', async () => {
+    const reset = (socket: Socket) => socket.resetAndDestroy();
+    const upstreams = [
+      await stack.upstream(reset),
+      await stack.upstream(reset, {host: 'h2'}),
+    ];
+    const sent = () =>
+      upstreams.reduce((sum, {requests}) => sum + requests.length, 0);
+    const calls: [string, RequestInit][] = [
+      ['/lanes/', post],
+      ['/lanes/', {method: 'POST'}],
+      ['/lanes/', {method: 'DELETE'}],
+      // No method may be repeated on a route marked `once`.
+      ['/book/', {method: 'GET'}],
+    ];
+    for (const [path, init] of calls) {
+      const before = sent();
+      const response = await stack.call(path, init);
+      expect(verdictOf(response)).toBe('may-have-run');
+      expect(sent()).toBe(before + 1);
+    }
+  });
+
   it('repeats a read whose connection was reset, on another upstream', async () => {
     const broken = await stack.upstream(socket => socket.resetAndDestroy());
     const sound = await stack.upstream(socket => socket.write(respond('ok')), {
