Make permits, job limits and decisions follow the design

Permits count until the host is healthy, failures of a host start its lease, moves are written into the tables, and team limits on jobs are enforced where the change is applied. The pure decisions and the baselines come with it.

--- a/packages/model/src/apply.ts
+++ b/packages/model/src/apply.ts
@@ -32,6 +32,8 @@
   switch (body.type) {
     case 'noop':
       return succeed(state);
+    case 'start-planner':
+      return startPlanner(state);
     case 'command':
       return applyCommand(state, body.requestId, body.command);
     case 'open-session':
@@ -66,3 +68,8 @@
       return quarantine(state, body);
   }
 }
+
+function startPlanner(state: State): Result {
+  const token = state.fence + 1;
+  return succeed({...state, fence: token, planner: token}, String(token));
+}
--- a/packages/model/src/change.ts
+++ b/packages/model/src/change.ts
@@ -60,6 +60,8 @@
 export const changeBodySchema = z.discriminatedUnion('type', [
   /** The first change of a leader's term; changes nothing. */
   z.object({type: z.literal('noop')}),
+  /** The planner of a new leader starts: it gets a token above all others. */
+  z.object({type: z.literal('start-planner')}),
   z.object({type: z.literal('command'), requestId, command: commandSchema}),
   z.object({
     type: z.literal('open-session'),
--- a/packages/model/src/edit.ts
+++ b/packages/model/src/edit.ts
@@ -1,10 +1,11 @@
 /** Reducers of operators' commands. */
 import type {Command, CommandOf} from './change.js';
 import {fail, succeed, type Result} from './result.js';
-import {grantPermit, openWave, releasePermit, setWave} from './permit.js';
+import {grantPermit, holdsJobs, releasePermit, withoutHost} from './permit.js';
 import {ANSWERS_KEPT, type Answer, type State} from './state.js';
 import {mergeTables, type Tables} from './table.js';
 import type {Host} from './host.js';
+import {forgetInWaves, openWave, setWave} from './wave.js';
 
 /**
  * Applies `command` once: a resend under the same request ID gets the first
@@ -135,20 +136,16 @@
       `host "${host.id}" is ${host.phase}; drain it before it is retired`,
     );
   }
+  if (holdsJobs(state, host.id)) {
+    return fail(state, 'invalid', `host "${host.id}" still holds jobs`);
+  }
   const {[host.id]: _, ...hosts} = state.hosts;
-  return succeed({...state, hosts, tables: withoutHost(state.tables, host.id)});
-}
-
-function withoutHost(tables: Tables, host: string): Tables {
-  const pools = Object.fromEntries(
-    Object.entries(tables.pools).map(([name, pool]) => [
-      name,
-      pool.hosts.includes(host)
-        ? {...pool, hosts: pool.hosts.filter(id => id !== host)}
-        : pool,
-    ]),
-  );
-  return {...tables, version: tables.version + 1, pools};
+  return succeed({
+    ...state,
+    hosts,
+    tables: withoutHost(state.tables, host.id),
+    waves: forgetInWaves(state.waves, host.id),
+  });
 }
 
 function releaseWorker(
--- a/packages/model/src/host.ts
+++ b/packages/model/src/host.ts
@@ -33,11 +33,21 @@
   phase: hostPhaseSchema,
   permit: permitSchema.optional(),
   maintainedAtMs: z.number(),
+  /** When the host was seen to have failed; cleared once it serves again. */
+  lostAtMs: z.number().optional(),
   /** A worker that fails what it starts takes no new jobs. */
   quarantined: z.boolean().default(false),
 });
 export type Host = z.infer<typeof hostSchema>;
 
+/** What is lost together: a rack of one data centre. */
+export function failureDomain(host: {
+  readonly dataCentre: string;
+  readonly rack: string;
+}): string {
+  return `${host.dataCentre}/${host.rack}`;
+}
+
 export const waveSchema = z.object({
   id: z.string(),
   /** Hosts still to be maintained, in order of deadline. */
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -4,7 +4,12 @@
 export * from './host.js';
 export * from './job.js';
 export * from './key.js';
-export {budgetRefusal, isAvailable} from './permit.js';
+export {
+  budgetRefusal,
+  desiredPool,
+  isAvailable,
+  refusalAmong,
+} from './permit.js';
 export * from './result.js';
 export * from './roster.js';
 export * from './session.js';
@@ -12,4 +17,11 @@
 export * from './table.js';
 export * from './verdict.js';
 export * from './view.js';
-export {ATTEMPTS_BEFORE_PARKING} from './work.js';
+export {
+  ATTEMPTS_BEFORE_PARKING,
+  FINISHED_JOBS_KEPT,
+  jobLimitOf,
+  leaseLapsed,
+  TASK_LEASE_MS,
+  UNFINISHED_JOBS_MAX,
+} from './work.js';
--- a/packages/model/src/job.ts
+++ b/packages/model/src/job.ts
@@ -10,7 +10,8 @@
 export type Size = z.infer<typeof sizeSchema>;
 
 export const jobSpecSchema = z.strictObject({
-  id: z.string().regex(/^[A-Za-z0-9._-]{1,80}$/),
+  /** No leading underscore, since `__proto__` is no key of a record. */
+  id: z.string().regex(/^[A-Za-z0-9.-][A-Za-z0-9._-]{0,79}$/),
   /** Name of the route that leads to the pool of workers. */
   queue: nameSchema,
   declared: sizeSchema,
@@ -40,6 +41,7 @@
   host: z.string().optional(),
   /** Fencing token of the current attempt. */
   token: z.number().int().optional(),
+  placedAtMs: z.number().optional(),
   startedAtMs: z.number().optional(),
   endedAtMs: z.number().optional(),
   /** Workers on which the job has failed. */
--- a/packages/model/src/permit.ts
+++ b/packages/model/src/permit.ts
@@ -1,13 +1,14 @@
 /**
- * Reducers of hosts, permits and waves. `grantPermit` is the one serialised
+ * Reducers of hosts and permits. `grantPermit` is the one serialised
  * check of availability budgets: nothing else takes a host out of service.
  */
-import type {BodyOf, CommandOf} from './change.js';
-import type {Host, HostPhase, Permit} from './host.js';
+import type {BodyOf} from './change.js';
+import {failureDomain, type Host, type HostPhase, type Permit} from './host.js';
+import {occupiesWorker} from './job.js';
 import {fail, succeed, type Result} from './result.js';
 import type {State} from './state.js';
-
-const DAY_MS = 24 * 3600 * 1000;
+import type {Pool, Tables} from './table.js';
+import {finishInWave} from './wave.js';
 
 /** Records what the platform observed of hosts that are in a pool. */
 export function observeHosts(
@@ -18,11 +19,8 @@
   for (const {healthy, ...facts} of body.hosts) {
     const host = hosts[facts.id];
     if (!host) continue;
-    hosts[host.id] = {
-      ...host,
-      ...facts,
-      phase: observedPhase(host, healthy),
-    };
+    const phase = observedPhase(host, healthy);
+    hosts[host.id] = inPhase({...host, ...facts}, phase, state.nowMs);
   }
   return succeed({...state, hosts});
 }
@@ -36,6 +34,14 @@
   return expectedAway ? host.phase : 'failed';
 }
 
+/** Notes when the host was lost; its tasks' leases lapse from then on. */
+function inPhase(host: Host, phase: HostPhase, nowMs: number): Host {
+  const {lostAtMs, ...rest} = host;
+  if (phase === 'serving') return {...rest, phase};
+  if (phase !== 'failed') return {...host, phase};
+  return {...rest, phase, lostAtMs: lostAtMs ?? nowMs};
+}
+
 export interface PermitRequest {
   readonly host: string;
   readonly kind: Permit['kind'];
@@ -43,19 +49,20 @@
   readonly wave?: string;
 }
 
-/** Grants a permit if the pool's budget holds without the host. */
+/**
+ * Grants a permit if the pool's budget holds without the host. A move that
+ * the tables do not ask for yet is written into them by the same change, so
+ * that desired and actual placement stay in agreement.
+ */
 export function grantPermit(state: State, request: PermitRequest): Result {
   const host = state.hosts[request.host];
   if (!host) return fail(state, 'unknown', `unknown host "${request.host}"`);
   if (host.permit) {
     return fail(state, 'invalid', `host "${host.id}" holds a permit already`);
   }
-  if (
-    request.kind === 'move' &&
-    !state.tables.pools[request.targetPool ?? '']
-  ) {
-    return fail(state, 'unknown', `unknown pool "${request.targetPool}"`);
-  }
+  const wrong =
+    request.kind === 'move' ? moveRefusal(state, host, request) : undefined;
+  if (wrong) return wrong;
   const refusal = budgetRefusal(state, host);
   if (refusal) return fail(state, 'budget', refusal);
   const token = state.fence + 1;
@@ -66,47 +73,140 @@
     targetPool: request.targetPool,
     wave: request.wave,
   };
-  const draining: Host = {...host, permit, phase: 'draining'};
+  const phase = host.phase === 'failed' ? 'failed' : 'draining';
+  const taken: Host = {...host, permit, phase};
+  const tables =
+    request.kind === 'move'
+      ? withHostIn(state.tables, host.id, request.targetPool!)
+      : state.tables;
   return succeed(
-    {...state, fence: token, hosts: {...state.hosts, [host.id]: draining}},
+    {
+      ...state,
+      tables,
+      fence: token,
+      hosts: {...state.hosts, [host.id]: taken},
+    },
     String(token),
   );
 }
 
+function moveRefusal(
+  state: State,
+  host: Host,
+  request: PermitRequest,
+): Result | undefined {
+  const target = request.targetPool ?? '';
+  if (!state.tables.pools[target]) {
+    return fail(state, 'unknown', `unknown pool "${target}"`);
+  }
+  if (target === host.pool) {
+    return fail(
+      state,
+      'invalid',
+      `host "${host.id}" is in "${target}" already`,
+    );
+  }
+  const desired = desiredPool(state.tables, host.id);
+  if (desired === undefined || desired === target || desired === host.pool) {
+    return undefined;
+  }
+  return fail(
+    state,
+    'invalid',
+    `the tables move host "${host.id}" to "${desired}", not to "${target}"`,
+  );
+}
+
+/** Pool in which the tables list the host. */
+export function desiredPool(tables: Tables, host: string): string | undefined {
+  for (const pool of Object.values(tables.pools)) {
+    if (pool.hosts.includes(host)) return pool.name;
+  }
+  return undefined;
+}
+
+function withHostIn(tables: Tables, host: string, target: string): Tables {
+  const pool = tables.pools[target];
+  if (!pool || pool.hosts.includes(host)) return tables;
+  const without = withoutHost(tables, host);
+  const joined = {...pool, hosts: [...pool.hosts, host]};
+  return {...without, pools: {...without.pools, [target]: joined}};
+}
+
+/** The next version of the tables, in which no pool lists the host. */
+export function withoutHost(tables: Tables, host: string): Tables {
+  const pools = {...tables.pools};
+  for (const pool of Object.values(pools)) {
+    if (!pool.hosts.includes(host)) continue;
+    const hosts = pool.hosts.filter(id => id !== host);
+    pools[pool.name] = {...pool, hosts};
+  }
+  return {...tables, version: tables.version + 1, pools};
+}
+
 /** Why the budget forbids taking `host` out of service; else undefined. */
 export function budgetRefusal(state: State, host: Host): string | undefined {
+  // A failed host already costs its pool everything that it can.
+  if (host.phase === 'failed') return undefined;
   const pool = state.tables.pools[host.pool];
   if (!pool) return undefined;
-  // Taking out a host that is away already costs the pool nothing.
-  if (!isAvailable(host)) return undefined;
   const others = Object.values(state.hosts).filter(
     other => other.pool === host.pool && other.id !== host.id,
   );
+  return refusalAmong(pool, host, others);
+}
+
+/** `budgetRefusal` for a caller that has the pool's other hosts at hand. */
+export function refusalAmong(
+  pool: Pool,
+  host: Host,
+  others: readonly Host[],
+): string | undefined {
+  if (host.phase === 'failed') return undefined;
   const available = others.filter(isAvailable).length;
   if (available < pool.minAvailable) {
     return `pool "${pool.name}" would keep ${available} available hosts of the ${pool.minAvailable} that its budget asks for`;
   }
-  const opened = others.find(other => other.permit && other.rack !== host.rack);
-  return opened && pool.kind !== 'spare'
+  if (pool.kind === 'spare') return undefined;
+  const domain = failureDomain(host);
+  const opened = others.find(
+    other => opensDomain(other) && failureDomain(other) !== domain,
+  );
+  return opened
     ? `pool "${pool.name}" has host "${opened.id}" under a permit in another failure domain`
     : undefined;
 }
 
+/** A host that joins by a move was never taken out of the pool it joins. */
+function opensDomain({permit, pool}: Host): boolean {
+  if (!permit) return false;
+  return permit.kind !== 'move' || permit.targetPool !== pool;
+}
+
 export function isAvailable(host: Host): boolean {
   return host.phase === 'serving' && !host.permit;
 }
 
-/** Gives a host back to service; it counts again once it is seen healthy. */
+/**
+ * Starts to give a drained host back. The permit counts until the host is
+ * seen healthy; its new token fences the drain that came before.
+ */
 export function releasePermit(state: State, id: string): Result {
   const host = state.hosts[id];
   if (!host) return fail(state, 'unknown', `unknown host "${id}"`);
   if (!host.permit) return succeed(state);
-  const {permit: _, ...rest} = host;
+  if (host.permit.kind !== 'drain') {
+    return fail(
+      state,
+      'invalid',
+      `host "${id}" is under a ${host.permit.kind}; withdraw its wave or edit the pools table`,
+    );
+  }
+  const token = state.fence + 1;
   const phase = host.phase === 'failed' ? 'failed' : 'joining';
-  return succeed({
-    ...state,
-    hosts: {...state.hosts, [id]: {...rest, phase}},
-  });
+  const released: Host = {...host, phase, permit: {...host.permit, token}};
+  const hosts = {...state.hosts, [id]: released};
+  return succeed({...state, fence: token, hosts}, String(token));
 }
 
 /** Steps that may follow each phase under a permit. */
@@ -137,21 +237,57 @@
     );
   }
   if (body.to === 'serving') return finishPermit(state, host, host.permit);
-  const pool =
-    body.to === 'joining' && host.permit.kind === 'move'
-      ? (host.permit.targetPool ?? host.pool)
-      : host.pool;
-  const stepped: Host = {...host, phase: body.to, pool};
-  return succeed({...state, hosts: {...state.hosts, [host.id]: stepped}});
+  if (!EMPTY_PHASES.has(body.to) || !holdsJobs(state, host.id)) {
+    const joined = body.to === 'joining' ? joinPool(state, host) : host;
+    const stepped = inPhase(joined, body.to, state.nowMs);
+    const repaired = host.phase === 'failed' && body.to === 'rebooting';
+    return repaired
+      ? withNewToken(state, stepped)
+      : succeed({...state, hosts: {...state.hosts, [host.id]: stepped}});
+  }
+  return fail(state, 'invalid', `host "${host.id}" still holds jobs`);
+}
+
+/** A further reboot needs its own token, or the platform would not repeat it. */
+function withNewToken(state: State, host: Host): Result {
+  const token = state.fence + 1;
+  const permit = {...host.permit!, token, grantedAtMs: state.nowMs};
+  const hosts = {...state.hosts, [host.id]: {...host, permit}};
+  return succeed({...state, fence: token, hosts}, String(token));
+}
+
+/** Phases that a host enters only once no attempt is left on it. */
+const EMPTY_PHASES: ReadonlySet<HostPhase> = new Set([
+  'drained',
+  'rebooting',
+  'joining',
+]);
+
+/** Whether an attempt of some job is on the host, as far as is known. */
+export function holdsJobs(state: State, host: string): boolean {
+  for (const id in state.jobs) {
+    const job = state.jobs[id]!;
+    if (job.host === host && occupiesWorker(job)) return true;
+  }
+  return false;
+}
+
+/** The switch of a move: into the pool that the tables name by now. */
+function joinPool(state: State, host: Host): Host {
+  const {permit} = host;
+  if (permit?.kind !== 'move') return host;
+  const pool = desiredPool(state.tables, host.id) ?? host.pool;
+  const kind = pool === host.pool ? ('drain' as const) : permit.kind;
+  return {...host, pool, permit: {...permit, kind, targetPool: pool}};
 }
 
 function finishPermit(state: State, host: Host, permit: Permit): Result {
-  const {permit: _, ...rest} = host;
+  const {permit: _, lostAtMs: _lost, ...rest} = host;
+  const maintained = permit.kind === 'reboot' && permit.wave !== undefined;
   const back: Host = {
     ...rest,
     phase: 'serving',
-    maintainedAtMs:
-      permit.kind === 'reboot' ? state.nowMs : host.maintainedAtMs,
+    maintainedAtMs: maintained ? state.nowMs : host.maintainedAtMs,
   };
   const hosts = {...state.hosts, [host.id]: back};
   return succeed({
@@ -160,62 +296,3 @@
     waves: finishInWave(state, host.id, permit),
   });
 }
-
-function finishInWave(
-  state: State,
-  host: string,
-  permit: Permit,
-): State['waves'] {
-  const wave = permit.wave === undefined ? undefined : state.waves[permit.wave];
-  if (!wave) return state.waves;
-  const pending = wave.pending.filter(id => id !== host);
-  const finished = [...wave.finished, host];
-  const done = pending.length === 0 && wave.phase === 'open';
-  const phase = done ? ('done' as const) : wave.phase;
-  return {...state.waves, [wave.id]: {...wave, pending, finished, phase}};
-}
-
-export function openWave(
-  state: State,
-  command: CommandOf<'open-wave'>,
-): Result {
-  if (Object.hasOwn(state.waves, command.wave)) {
-    return fail(state, 'invalid', `wave "${command.wave}" exists already`);
-  }
-  const unknown = command.hosts?.find(id => !state.hosts[id]);
-  if (unknown !== undefined) {
-    return fail(state, 'unknown', `unknown host "${unknown}"`);
-  }
-  const pending = command.hosts ?? dueHosts(state, command.deadlineMs);
-  const wave = {
-    id: command.wave,
-    pending: [...new Set(pending)],
-    finished: [],
-    phase: pending.length > 0 ? ('open' as const) : ('done' as const),
-    openedAtMs: state.nowMs,
-    deadlineMs: command.deadlineMs,
-  };
-  return succeed({...state, waves: {...state.waves, [wave.id]: wave}});
-}
-
-/** Hosts whose maintenance falls due by `deadlineMs`, the earliest first. */
-function dueHosts(state: State, deadlineMs: number): string[] {
-  const dueMs = (host: Host) => {
-    const days = state.tables.pools[host.pool]?.maintenancePeriodDays ?? 0;
-    return host.maintainedAtMs + days * DAY_MS;
-  };
-  return Object.values(state.hosts)
-    .filter(host => dueMs(host) <= deadlineMs)
-    .sort((a, b) => dueMs(a) - dueMs(b))
-    .map(host => host.id);
-}
-
-export function setWave(state: State, command: CommandOf<'set-wave'>): Result {
-  const wave = state.waves[command.wave];
-  if (!wave) return fail(state, 'unknown', `unknown wave "${command.wave}"`);
-  if (wave.phase === 'done' || wave.phase === 'withdrawn') {
-    return fail(state, 'invalid', `wave "${wave.id}" is ${wave.phase}`);
-  }
-  const next = {...wave, phase: command.phase};
-  return succeed({...state, waves: {...state.waves, [wave.id]: next}});
-}
--- a/packages/model/src/state.ts
+++ b/packages/model/src/state.ts
@@ -42,6 +42,8 @@
   waves: z.record(z.string(), waveSchema),
   /** Last fencing token handed out. */
   fence: z.number().int().nonnegative(),
+  /** Token of the newest planner; commands of older ones are fenced. */
+  planner: z.number().int().nonnegative().default(0),
 });
 export type State = z.infer<typeof stateSchema>;
 
@@ -58,4 +60,5 @@
   jobs: {},
   waves: {},
   fence: 0,
+  planner: 0,
 };
--- a/packages/model/src/work.ts
+++ b/packages/model/src/work.ts
@@ -3,13 +3,37 @@
 import {occupiesWorker, type Job} from './job.js';
 import {fail, succeed, type Result} from './result.js';
 import type {State} from './state.js';
+import type {Tables} from './table.js';
 
 /** Distinct workers on which a job may fail before it is parked. */
 export const ATTEMPTS_BEFORE_PARKING = 3;
 
+/** Lease under which the platform runs tasks; a lost worker's end with it. */
+export const TASK_LEASE_MS = 10_000;
+
+/** Allowance for clock drift between the leader and the platform. */
+const LEASE_MARGIN_MS = 500;
+
+/** Finished jobs kept for readers and against resent submissions. */
+export const FINISHED_JOBS_KEPT = 8192;
+
+/** Finished jobs are dropped in batches, so that few changes sort them. */
+const FINISHED_JOBS_SLACK = 1024;
+
+/** Jobs that may wait, run or be parked at one time. */
+export const UNFINISHED_JOBS_MAX = 50_000;
+
 /** Accepts the jobs; one that is known already is left as it is. */
 export function submitJobs(state: State, body: BodyOf<'submit-jobs'>): Result {
   const jobs = {...state.jobs};
+  const fresh = body.jobs.filter(spec => !Object.hasOwn(jobs, spec.id)).length;
+  if (unfinished(jobs) + fresh > UNFINISHED_JOBS_MAX) {
+    return fail(
+      state,
+      'limit',
+      `more than ${UNFINISHED_JOBS_MAX} jobs would be unfinished`,
+    );
+  }
   for (const spec of body.jobs) {
     if (Object.hasOwn(jobs, spec.id)) continue;
     jobs[spec.id] = {
@@ -40,20 +64,33 @@
       : {...job, phase: 'cancelled', endedAtMs: state.nowMs};
     count++;
   }
-  return succeed({...state, jobs}, String(count));
+  return succeed({...state, jobs: bounded(jobs)}, String(count));
 }
 
-/** Starts attempts; each gets a fencing token of its own. */
+/**
+ * Starts attempts; each gets a fencing token of its own. A placement that
+ * would pass its team's limit is left out.
+ */
 export function placeJobs(state: State, body: BodyOf<'place-jobs'>): Result {
   const jobs = {...state.jobs};
   let fence = state.fence;
+  const running = runningByTeam(jobs);
   for (const {job: id, host: hostId} of body.placements) {
     const job = jobs[id];
     const host = state.hosts[hostId];
     if (job?.phase !== 'queued') continue;
     if (host?.phase !== 'serving' || host.quarantined) continue;
+    const held = running.get(job.team) ?? 0;
+    if (held >= jobLimitOf(state.tables, job.team)) continue;
+    running.set(job.team, held + 1);
     fence++;
-    jobs[id] = {...job, phase: 'starting', host: hostId, token: fence};
+    jobs[id] = {
+      ...job,
+      phase: 'starting',
+      host: hostId,
+      token: fence,
+      placedAtMs: state.nowMs,
+    };
   }
   return succeed({...state, jobs, fence});
 }
@@ -64,9 +101,10 @@
   for (const step of body.steps) {
     const job = jobs[step.job];
     if (!job || !occupiesWorker(job) || job.token !== step.token) continue;
+    if (step.to === 'lost' && !leaseLapsed(state, job)) continue;
     jobs[job.id] = nextJob(job, step, state.nowMs);
   }
-  return succeed({...state, jobs});
+  return succeed({...state, jobs: bounded(jobs)});
 }
 
 function nextJob(
@@ -74,10 +112,10 @@
   step: BodyOf<'step-jobs'>['steps'][number],
   nowMs: number,
 ): Job {
-  const {host, token: _, ...rest} = job;
+  const {host, token: _, placedAtMs: _at, ...rest} = job;
   switch (step.to) {
     case 'running':
-      return {...job, phase: 'running', startedAtMs: nowMs};
+      return {...job, phase: 'running', startedAtMs: job.startedAtMs ?? nowMs};
     case 'done':
       return {...rest, phase: 'done', endedAtMs: nowMs};
     case 'failed':
@@ -129,6 +167,49 @@
   return succeed({...state, hosts: {...state.hosts, [host.id]: set}});
 }
 
+/** Whether a lost worker can no longer be running the job's attempt. */
+export function leaseLapsed(state: State, job: Job): boolean {
+  const host = state.hosts[job.host ?? ''];
+  if (!host) return true;
+  if (host.lostAtMs === undefined) return false;
+  const fromMs = Math.max(host.lostAtMs, job.placedAtMs ?? 0);
+  return state.nowMs >= fromMs + TASK_LEASE_MS + LEASE_MARGIN_MS;
+}
+
+/** Upper limit of the team's running jobs. */
+export function jobLimitOf(tables: Tables, team: string): number {
+  const row = tables.teams[team];
+  return row?.jobLimit ?? row?.limit ?? 0;
+}
+
+function runningByTeam(jobs: Readonly<Record<string, Job>>) {
+  const running = new Map<string, number>();
+  for (const id in jobs) {
+    const job = jobs[id]!;
+    if (!occupiesWorker(job)) continue;
+    running.set(job.team, (running.get(job.team) ?? 0) + 1);
+  }
+  return running;
+}
+
+function unfinished(jobs: Readonly<Record<string, Job>>): number {
+  let count = 0;
+  for (const id in jobs) if (!isFinal(jobs[id]!)) count++;
+  return count;
+}
+
+/** Drops the oldest finished jobs from `jobs`, which the caller owns. */
+function bounded(jobs: Record<string, Job>): Record<string, Job> {
+  const finished: Job[] = [];
+  for (const id in jobs) if (isFinal(jobs[id]!)) finished.push(jobs[id]!);
+  if (finished.length <= FINISHED_JOBS_KEPT + FINISHED_JOBS_SLACK) return jobs;
+  finished.sort((a, b) => (a.endedAtMs ?? 0) - (b.endedAtMs ?? 0));
+  const dropped = finished.length - FINISHED_JOBS_KEPT;
+  for (const {id} of finished.slice(0, dropped)) delete jobs[id];
+  return jobs;
+}
+
 function isFinal(job: Job): boolean {
-  return ['done', 'failed', 'cancelled'].includes(job.phase);
+  const {phase} = job;
+  return phase === 'done' || phase === 'failed' || phase === 'cancelled';
 }
--- /dev/null
+++ b/packages/policy/src/absorb.ts
@@ -0,0 +1,145 @@
+/** First half of a round: facts of the observation that the state lacks. */
+import {
+  leaseLapsed,
+  occupiesWorker,
+  type ChangeBody,
+  type Host,
+  type JobStep,
+  type ObservedHost,
+  type State,
+} from '@lentildrift/model';
+import type {Sight, TaskSight} from './situation.js';
+
+/** How long a host may reboot or join before it counts as failed. */
+export const RETURN_TIMEOUT_MS = 15 * 60_000;
+
+/** Changes that bring the state up to the observation. */
+export function absorb(state: State, sight: Sight): ChangeBody[] {
+  const drained = new Set(sight.drained);
+  const hosts = sight.hosts.filter(seen => {
+    const host = state.hosts[seen.id];
+    return host !== undefined && isNews(host, seen, drained);
+  });
+  const changes: ChangeBody[] = [];
+  if (hosts.length > 0) changes.push({type: 'observe-hosts', hosts});
+  const steps = jobSteps(state, sight.tasks);
+  if (steps.length > 0) changes.push({type: 'step-jobs', steps});
+  return changes;
+}
+
+function isNews(
+  host: Host,
+  seen: ObservedHost,
+  drained: ReadonlySet<string>,
+): boolean {
+  const changed =
+    host.dataCentre !== seen.dataCentre ||
+    host.rack !== seen.rack ||
+    host.cores !== seen.cores ||
+    host.memoryMiB !== seen.memoryMiB ||
+    host.accelerators !== seen.accelerators;
+  const away = host.phase === 'failed' || host.phase === 'joining';
+  // A host that the platform still keeps drained would serve nothing.
+  if (seen.healthy && away && !host.permit && drained.has(host.id)) {
+    return false;
+  }
+  if (changed) return true;
+  if (seen.healthy) return away && !host.permit;
+  return !away && host.phase !== 'rebooting';
+}
+
+function jobSteps(state: State, tasks: readonly TaskSight[]): JobStep[] {
+  const steps: JobStep[] = [];
+  const seen = new Set<string>();
+  for (const task of tasks) {
+    const job = state.jobs[task.job];
+    if (!job || !occupiesWorker(job) || job.token !== task.token) continue;
+    seen.add(job.id);
+    if (task.phase === 'running' && job.phase === 'running') continue;
+    const {token, phase: to, reason} = task;
+    steps.push({job: job.id, token, to, reason});
+  }
+  for (const id in state.jobs) {
+    const job = state.jobs[id]!;
+    if (!occupiesWorker(job) || seen.has(id) || !leaseLapsed(state, job)) {
+      continue;
+    }
+    steps.push({job: id, token: job.token!, to: 'lost'});
+  }
+  return steps;
+}
+
+/** The next step of each host that holds a permit. */
+export function hostSteps(
+  state: State,
+  sight: Sight,
+  nowMs: number,
+): ChangeBody[] {
+  const away = Object.values(state.hosts).filter(host => host.permit);
+  if (away.length === 0) return [];
+  const healthy = new Set(sight.hosts.filter(h => h.healthy).map(h => h.id));
+  const drained = new Set(sight.drained);
+  const rebooted = new Map(sight.rebooted.map(r => [r.host, r.token]));
+  const busy = busyHosts(state);
+  return away.flatMap(host => {
+    const to = nextPhase(host, {
+      nowMs,
+      healthy: healthy.has(host.id),
+      drained: drained.has(host.id),
+      busy: busy.has(host.id),
+      rebooted: rebooted.get(host.id) === host.permit!.token,
+    });
+    if (!to) return [];
+    const {token} = host.permit!;
+    return [{type: 'step-host' as const, host: host.id, token, to}];
+  });
+}
+
+function busyHosts(state: State): Set<string> {
+  const busy = new Set<string>();
+  for (const id in state.jobs) {
+    const job = state.jobs[id]!;
+    if (occupiesWorker(job)) busy.add(job.host!);
+  }
+  return busy;
+}
+
+interface HostFacts {
+  readonly nowMs: number;
+  readonly healthy: boolean;
+  readonly drained: boolean;
+  readonly busy: boolean;
+  readonly rebooted: boolean;
+}
+
+function nextPhase(host: Host, facts: HostFacts): Host['phase'] | undefined {
+  const permit = host.permit!;
+  const late = facts.nowMs - permit.grantedAtMs > RETURN_TIMEOUT_MS;
+  switch (host.phase) {
+    case 'draining':
+      return facts.drained && !facts.busy ? 'drained' : undefined;
+    case 'drained':
+      if (permit.kind === 'reboot') return 'rebooting';
+      return permit.kind === 'move' ? 'joining' : undefined;
+    case 'rebooting':
+      if (facts.rebooted && facts.healthy) return 'joining';
+      return late && !facts.healthy ? 'failed' : undefined;
+    case 'joining':
+      if (facts.healthy && !facts.drained) return 'serving';
+      return late && !facts.healthy ? 'failed' : undefined;
+    case 'failed':
+      return facts.busy ? undefined : afterFailure(host, facts.healthy);
+    case 'serving':
+      return undefined;
+  }
+}
+
+/** A repair or a wave reboots; a drain or a move waits for the host. */
+function afterFailure(
+  {permit}: Host,
+  healthy: boolean,
+): Host['phase'] | undefined {
+  const unplanned = permit!.kind === 'reboot' && permit!.wave === undefined;
+  if (healthy && (unplanned || permit!.kind !== 'reboot')) return 'joining';
+  return permit!.kind === 'reboot' ? 'rebooting' : undefined;
+}
--- /dev/null
+++ b/packages/policy/src/baseline.ts
@@ -0,0 +1,102 @@
+/** Plain policies that the project's are measured against. */
+import {isAvailable} from '@lentildrift/model';
+import {MovePolicy, type MoveInput, type MoveProposal} from './move.js';
+import {
+  accepts,
+  PlacementPolicy,
+  take,
+  unplaceable,
+  type Placement,
+  type PlacementInput,
+} from './placement.js';
+import {
+  gatherTeams,
+  SharePolicy,
+  type ShareInput,
+  type Shares,
+} from './share.js';
+import {
+  isTakeable,
+  openWaves,
+  WavePolicy,
+  type WaveInput,
+  type WaveProposal,
+} from './wave.js';
+
+/** Each team has a fixed slice by its weight; idle share is never lent. */
+export class StaticSlices extends SharePolicy {
+  override share(input: ShareInput): Shares {
+    const teams = Object.values(input.state.tables.teams);
+    const weights = teams.reduce((sum, team) => sum + team.share, 0);
+    const order = gatherTeams(input).flatMap(part => {
+      const slice = part.weight / weights;
+      let {held, startsLeft} = part;
+      return part.queued.flatMap(({job, share}) => {
+        // A job larger than the slice may still run alone in it.
+        if (startsLeft <= 0 || (held > 0 && held + share > slice)) return [];
+        held += share;
+        startsLeft--;
+        return [job];
+      });
+    });
+    return {order, lent: [], claimants: []};
+  }
+}
+
+/** Declared sizes, on the first worker that has the room. */
+export class FirstFit extends PlacementPolicy {
+  override place({order, workers, sizes}: PlacementInput): Placement {
+    const result: Placement = {placements: [], parked: [], waiting: []};
+    for (const job of order) {
+      const reason = unplaceable(job, sizes);
+      if (reason) {
+        result.parked.push({job: job.id, reason});
+        continue;
+      }
+      const worker = workers.find(w => accepts(w, job, job.declared));
+      if (!worker) {
+        result.waiting.push(job);
+        continue;
+      }
+      take(worker, job, job.declared);
+      result.placements.push({job: job.id, host: worker.host.id});
+    }
+    return result;
+  }
+}
+
+/** Any pending host in table order, for as long as the budget holds. */
+export class GreedyWaves extends WavePolicy {
+  override choose({state}: WaveInput): WaveProposal[] {
+    return openWaves(state).flatMap(wave =>
+      wave.pending.flatMap(id => {
+        const host = state.hosts[id];
+        if (!host || host.permit || !isTakeable(host)) return [];
+        return [{host: id, wave: wave.id}];
+      }),
+    );
+  }
+}
+
+/** A spare host goes to any pool that is short, and back when it is not. */
+export class FixedSpare extends MovePolicy {
+  override choose({state, pools}: MoveInput): MoveProposal[] {
+    const spare = pools.find(pool => pool.kind === 'spare');
+    if (!spare) return [];
+    const free = spare.hosts.filter(isAvailable);
+    const proposals: MoveProposal[] = [];
+    for (const pool of pools) {
+      if (pool.kind === 'spare' || pool.arriving > 0) continue;
+      const lent = pool.hosts.filter(
+        host => isAvailable(host) && host.id.startsWith('spare'),
+      );
+      if (pool.demandHosts > pool.available && free.length > 0) {
+        const host = free.shift()!;
+        proposals.push({host: host.id, targetPool: pool.name});
+      } else if (lent[0] && pool.demandHosts < pool.available - 1) {
+        proposals.push({host: lent[0].id, targetPool: spare.name});
+      }
+    }
+    return proposals.filter(({host}) => state.hosts[host]);
+  }
+}
--- /dev/null
+++ b/packages/policy/src/decide.ts
@@ -0,0 +1,332 @@
+/** The pure part of a decision round: estimate, propose and check. */
+import {
+  apply,
+  isAvailable,
+  jobLimitOf,
+  type BodyOf,
+  type ChangeBody,
+  type Host,
+  type Job,
+  type State,
+} from '@lentildrift/model';
+import {createEstimator, type Estimator} from './estimate.js';
+import {evidence, faultyWorkers} from './fault.js';
+import type {Memory, Reclaim} from './memory.js';
+import {
+  isAmple,
+  isShort,
+  PatientMoves,
+  since,
+  type MovePolicy,
+  type PoolLoad,
+} from './move.js';
+import {
+  emptyWorker,
+  SpreadPlacement,
+  STARTS_PER_ROUND,
+  type PlacementPolicy,
+  type Worker,
+} from './placement.js';
+import {reclaim, reclaimOrders, type TaskOrder} from './reclaim.js';
+import {capacityOf, DominantShares, type SharePolicy} from './share.js';
+import {groupByPool, type PoolSight, type Situation} from './situation.js';
+import {dominantShare, subtract} from './size.js';
+import {DomainWaves, type WavePolicy} from './wave.js';
+
+export interface Policies {
+  readonly shares: SharePolicy;
+  readonly placement: PlacementPolicy;
+  readonly moves: MovePolicy;
+  readonly waves: WavePolicy;
+}
+
+/** The project's policies. */
+export function defaultPolicies(): Policies {
+  return {
+    shares: new DominantShares(),
+    placement: new SpreadPlacement(),
+    moves: new PatientMoves(),
+    waves: new DomainWaves(),
+  };
+}
+
+/** A situation with what the policies derive from it. */
+export interface Estimate extends Situation {
+  readonly estimator: Estimator;
+  readonly loads: readonly PoolLoad[];
+}
+
+export interface Proposal {
+  readonly grants: readonly BodyOf<'grant-permit'>[];
+  readonly placements: BodyOf<'place-jobs'>['placements'];
+  readonly parked: BodyOf<'park-jobs'>['jobs'];
+  readonly quarantines: readonly {host: string; reason: string}[];
+  /** Orders about tasks that run already. */
+  readonly orders: readonly TaskOrder[];
+  readonly memory: Memory;
+}
+
+/** A failed host is repaired once it has stayed away this long. */
+export const REPAIR_AFTER_MS = 60_000;
+
+/** Permits asked for in one round; the rest follow in the next. */
+const GRANTS_PER_ROUND = 64;
+
+/** Sums up what is asked of each pool. */
+export function estimate(situation: Situation): Estimate {
+  const {state, sight, memory, nowMs} = situation;
+  const estimator = createEstimator(memory, sight);
+  const arriving = new Map<string, number>();
+  for (const id in state.hosts) {
+    const {permit, pool} = state.hosts[id]!;
+    if (permit?.kind !== 'move') continue;
+    const target = permit.targetPool ?? pool;
+    arriving.set(target, (arriving.get(target) ?? 0) + 1);
+  }
+  const loads = [...groupByPool(state).values()].map(pool => ({
+    ...pool,
+    available: pool.hosts.filter(isAvailable).length,
+    arriving: arriving.get(pool.name) ?? 0,
+    demandHosts:
+      pool.kind === 'jobs'
+        ? jobDemand(pool, estimator)
+        : (situation.callDemand[pool.name] ?? 0),
+  }));
+  const shortages = since(memory.shortages, loads, isShort, nowMs);
+  const surpluses = since(memory.surpluses, loads, isAmple, nowMs);
+  const moved = joinTimes(state, memory, nowMs);
+  return {
+    ...situation,
+    memory: {...memory, shortages, surpluses, moved},
+    estimator,
+    loads,
+  };
+}
+
+/** Hosts' worth of work that runs or waits in the pool. */
+function jobDemand(pool: PoolSight, estimator: Estimator): number {
+  const sizes = pool.hosts.filter(host => host.cores > 0);
+  if (sizes.length === 0) return 0;
+  const capacity = capacityOf(sizes);
+  const running = capacityOf(pool.running.map(job => estimator.running(job)));
+  const queued = capacityOf(pool.queued.map(job => estimator.corrected(job)));
+  const share =
+    dominantShare(running, capacity) + dominantShare(queued, capacity);
+  return Number.isFinite(share) ? share * sizes.length : sizes.length;
+}
+
+function joinTimes(
+  state: State,
+  memory: Memory,
+  nowMs: number,
+): Map<string, number> {
+  const moved = new Map<string, number>();
+  for (const id in state.hosts) {
+    const host = state.hosts[id]!;
+    const at = host.permit?.kind === 'move' ? nowMs : memory.moved.get(id);
+    if (at !== undefined) moved.set(id, at);
+  }
+  return moved;
+}
+
+/** What the policies want; nothing of it has been checked yet. */
+export function propose(policies: Policies, round: Estimate): Proposal {
+  const running = runningByTeam(round.loads);
+  const result = {
+    placements: [] as BodyOf<'place-jobs'>['placements'],
+    parked: [] as BodyOf<'park-jobs'>['jobs'],
+    orders: [] as TaskOrder[],
+  };
+  const reclaims = new Map<string, Reclaim>();
+  for (const pool of round.loads) {
+    if (pool.queued.length === 0 && pool.running.length === 0) continue;
+    proposeJobs(policies, round, pool, running, result, reclaims);
+  }
+  return {
+    ...result,
+    grants: proposeGrants(policies, round),
+    quarantines: faultyWorkers(round.state, round.memory.streaks),
+    memory: {...round.memory, reclaims},
+  };
+}
+
+function proposeJobs(
+  policies: Policies,
+  round: Estimate,
+  pool: PoolLoad,
+  running: Map<string, number>,
+  result: Pick<Proposal, 'placements' | 'parked'> & {orders: TaskOrder[]},
+  reclaims: Map<string, Reclaim>,
+): void {
+  const {state, estimator, memory, nowMs} = round;
+  const workers = workersOf(pool, round);
+  const capacity = capacityOf(workers.map(worker => worker.host));
+  const input = {state, pool, capacity, estimator, running};
+  const {order, lent, claimants} = policies.shares.share(input);
+  const placed = policies.placement.place({
+    order,
+    workers,
+    sizes: pool.hosts,
+    estimator,
+    nowMs,
+  });
+  const started = new Set(placed.placements.map(({job}) => job));
+  for (const job of pool.queued) {
+    if (!started.has(job.id)) continue;
+    running.set(job.team, (running.get(job.team) ?? 0) + 1);
+  }
+  result.placements.push(...placed.placements);
+  result.parked.push(...placed.parked);
+  const waiting = new Set(placed.waiting);
+  const lentSet = new Set(lent);
+  const own = reclaim({
+    claimants: claimants.filter(job => waiting.has(job)),
+    lent,
+    others: pool.running.filter(job => !job.urgent && !lentSet.has(job)),
+    workers,
+    estimator,
+    reclaims: memory.reclaims,
+    running: pool.running,
+    nowMs,
+  });
+  for (const [job, entry] of own) reclaims.set(job, entry);
+  result.orders.push(...reclaimOrders(pool.running, own, estimator));
+}
+
+function runningByTeam(loads: readonly PoolLoad[]): Map<string, number> {
+  const running = new Map<string, number>();
+  for (const {running: jobs} of loads) {
+    for (const {team} of jobs) running.set(team, (running.get(team) ?? 0) + 1);
+  }
+  return running;
+}
+
+/** Workers that take jobs, less what runs on them. */
+function workersOf(pool: PoolLoad, round: Estimate): Worker[] {
+  const workers = new Map<string, Worker>();
+  for (const host of pool.hosts) {
+    if (!isAvailable(host) || host.quarantined || host.cores <= 0) continue;
+    workers.set(host.id, emptyWorker(host, startsOn(host, round)));
+  }
+  for (const job of pool.running) {
+    const worker = workers.get(job.host ?? '');
+    if (!worker) continue;
+    worker.free = subtract(worker.free, round.estimator.running(job));
+    worker.teams.set(job.team, (worker.teams.get(job.team) ?? 0) + 1);
+    if (job.phase === 'starting' && isSuspect(worker.host, round)) {
+      worker.startsLeft = 0;
+    }
+  }
+  return [...workers.values()];
+}
+
+/** A worker under suspicion starts one job at a time. */
+function startsOn(host: Host, round: Estimate): number {
+  return isSuspect(host, round) ? 1 : STARTS_PER_ROUND;
+}
+
+function isSuspect(host: Host, {state, memory}: Estimate): boolean {
+  const streak = memory.streaks.get(host.id);
+  return streak !== undefined && evidence(state, host.id, streak).length > 0;
+}
+
+function proposeGrants(
+  policies: Policies,
+  round: Estimate,
+): BodyOf<'grant-permit'>[] {
+  const {state, memory, nowMs, weights, loads} = round;
+  const {shortages, surpluses, moved} = memory;
+  const moves = policies.moves.choose({
+    state,
+    pools: loads,
+    shortages,
+    surpluses,
+    moved,
+    nowMs,
+    weights,
+  });
+  const pools = new Map(loads.map(pool => [pool.name, pool]));
+  const waves = policies.waves.choose({state, pools, nowMs, weights});
+  return [
+    ...repairs(state, nowMs),
+    ...editedMoves(state),
+    ...moves.map(
+      move => ({type: 'grant-permit', kind: 'move', ...move}) as const,
+    ),
+    ...waves.map(
+      wave => ({type: 'grant-permit', kind: 'reboot', ...wave}) as const,
+    ),
+  ].slice(0, GRANTS_PER_ROUND);
+}
+
+function repairs(state: State, nowMs: number): BodyOf<'grant-permit'>[] {
+  return Object.values(state.hosts)
+    .filter(
+      ({phase, permit, lostAtMs}) =>
+        phase === 'failed' &&
+        !permit &&
+        nowMs - (lostAtMs ?? nowMs) >= REPAIR_AFTER_MS,
+    )
+    .map(({id}) => ({type: 'grant-permit', kind: 'reboot', host: id}));
+}
+
+/** Moves that an edit of the pools table asks for. */
+function editedMoves(state: State): BodyOf<'grant-permit'>[] {
+  return Object.values(state.tables.pools).flatMap(pool =>
+    pool.hosts.flatMap(id => {
+      const host = state.hosts[id];
+      if (!host || host.permit || host.pool === pool.name) return [];
+      const targetPool = pool.name;
+      return [
+        {type: 'grant-permit', kind: 'move', host: id, targetPool} as const,
+      ];
+    }),
+  );
+}
+
+/**
+ * Drops what the reducers would refuse: permits past a budget, and starts
+ * past a team's limit. The reducers check again when the change is applied.
+ */
+export function check(state: State, proposal: Proposal): Proposal {
+  let scratch = state;
+  const grants = proposal.grants.filter(body => {
+    const {state: next, answer} = apply(scratch, {atMs: state.nowMs, body});
+    if (answer.ok) scratch = next;
+    return answer.ok;
+  });
+  const left = new Map<string, number>();
+  for (const id in state.jobs) {
+    const job = state.jobs[id]!;
+    if (job.token !== undefined)
+      left.set(job.team, leftOf(state, left, job) - 1);
+  }
+  const placements = proposal.placements.filter(({job: id, host}) => {
+    const job = state.jobs[id];
+    if (!job || scratch.hosts[host]?.phase !== 'serving') return false;
+    const free = leftOf(state, left, job);
+    left.set(job.team, free - 1);
+    return free > 0;
+  });
+  return {...proposal, grants, placements};
+}
+
+function leftOf(
+  state: State,
+  left: ReadonlyMap<string, number>,
+  {team}: Job,
+): number {
+  return left.get(team) ?? jobLimitOf(state.tables, team);
+}
+
+/** The changes of a proposal, at most one of each kind but for permits. */
+export function changesOf(proposal: Proposal): ChangeBody[] {
+  const {grants, placements, parked, quarantines} = proposal;
+  const changes: ChangeBody[] = [...grants];
+  for (const {host, reason} of quarantines) {
+    changes.push({type: 'quarantine', host, reason});
+  }
+  if (parked.length > 0) changes.push({type: 'park-jobs', jobs: parked});
+  if (placements.length > 0) changes.push({type: 'place-jobs', placements});
+  return changes;
+}
--- /dev/null
+++ b/packages/policy/src/estimate.ts
@@ -0,0 +1,98 @@
+/** Learns from usage and ends of tasks; corrects declared sizes. */
+import type {Job, Size, State} from '@lentildrift/model';
+import type {Memory, Ratio} from './memory.js';
+import type {Sight, TaskSight} from './situation.js';
+
+/** Weight of one sample in the moving averages. */
+const SMOOTHING = 0.05;
+const MIN_RATIO = 0.25;
+const MAX_RATIO = 4;
+/** Samples before a ratio is trusted below the declared size. */
+const TRUSTED_SAMPLES = 20;
+/** Room kept above the estimate, since memory cannot be shared out late. */
+const MEMORY_MARGIN = 1.15;
+
+/** Sizes as estimated; `declared` is the size that the job asked for. */
+export interface Estimator {
+  /** Size of a job by its declaration and others like it. */
+  corrected(job: Job): Size;
+  /** Size of a running job: its own usage, once that has been reported. */
+  running(job: Job): Size;
+  throttled(job: Job): boolean;
+}
+
+/** Updates the averages and the failure streaks from an observation. */
+export function learn(memory: Memory, before: State, sight: Sight): Memory {
+  const ratios = new Map(memory.ratios);
+  const ended = new Map<string, number>();
+  const streaks = new Map(memory.streaks);
+  for (const task of sight.tasks) {
+    const job = before.jobs[task.job];
+    if (!job) continue;
+    if (task.usage && task.phase === 'running') {
+      const key = `${job.team}/${job.queue}`;
+      ratios.set(key, blended(ratios.get(key), job.declared, task.usage));
+    }
+    if (task.phase === 'running') continue;
+    ended.set(task.job, task.token);
+    if (memory.ended.get(task.job) !== task.token) countEnd(streaks, task);
+  }
+  return {...memory, ratios, ended, streaks};
+}
+
+function blended(old: Ratio | undefined, declared: Size, usage: Size): Ratio {
+  const cores = usage.cores / declared.cores;
+  const memory = usage.memoryMiB / declared.memoryMiB;
+  if (!old) return {cores, memory, samples: 1};
+  return {
+    cores: old.cores + SMOOTHING * (cores - old.cores),
+    memory: old.memory + SMOOTHING * (memory - old.memory),
+    samples: old.samples + 1,
+  };
+}
+
+function countEnd(
+  streaks: Map<string, ReadonlySet<string>>,
+  task: TaskSight,
+): void {
+  if (task.phase === 'done') streaks.delete(task.host);
+  if (task.phase !== 'failed') return;
+  const streak = new Set(streaks.get(task.host));
+  streaks.set(task.host, streak.add(task.job));
+}
+
+export function createEstimator(memory: Memory, sight: Sight): Estimator {
+  const tasks = new Map(sight.tasks.map(task => [task.job, task]));
+
+  function corrected(job: Job): Size {
+    const ratio = memory.ratios.get(`${job.team}/${job.queue}`);
+    const {declared} = job;
+    if (!ratio) return declared;
+    const least = ratio.samples < TRUSTED_SAMPLES ? 1 : MIN_RATIO;
+    return {
+      cores: declared.cores * clamp(ratio.cores, least),
+      memoryMiB: Math.ceil(
+        declared.memoryMiB * clamp(ratio.memory * MEMORY_MARGIN, least),
+      ),
+      accelerators: declared.accelerators,
+    };
+  }
+
+  function running(job: Job): Size {
+    const task = tasks.get(job.id);
+    if (!task?.usage || task.token !== job.token) return corrected(job);
+    const memoryMiB = Math.ceil(task.usage.memoryMiB);
+    return {...task.usage, memoryMiB, accelerators: job.declared.accelerators};
+  }
+
+  function throttled(job: Job): boolean {
+    const task = tasks.get(job.id);
+    return task?.token === job.token && task?.throttled === true;
+  }
+
+  return {corrected, running, throttled};
+}
+
+function clamp(ratio: number, least: number): number {
+  return Math.min(MAX_RATIO, Math.max(least, ratio));
+}
--- /dev/null
+++ b/packages/policy/src/situation.ts
@@ -0,0 +1,73 @@
+/** What a decision round starts from. */
+import {
+  occupiesWorker,
+  type Host,
+  type Job,
+  type ObservedHost,
+  type Size,
+  type State,
+} from '@lentildrift/model';
+import type {Memory} from './memory.js';
+import type {Weights} from './weight.js';
+
+/** A task as the platform last reported it. */
+export interface TaskSight {
+  readonly job: string;
+  readonly host: string;
+  readonly token: number;
+  readonly phase: 'running' | 'done' | 'failed' | 'stopped' | 'checkpointed';
+  readonly reason?: string | undefined;
+  readonly usage?: Size | undefined;
+  readonly throttled: boolean;
+}
+
+/** The latest observation of the platform. */
+export interface Sight {
+  readonly hosts: readonly ObservedHost[];
+  readonly tasks: readonly TaskSight[];
+  readonly drained: readonly string[];
+  /** Reboots that have ended, by the token of their command. */
+  readonly rebooted: readonly {host: string; token: number}[];
+}
+
+export interface Situation {
+  readonly state: State;
+  readonly sight: Sight;
+  readonly memory: Memory;
+  readonly nowMs: number;
+  readonly weights: Weights;
+  /** Hosts' worth of calls that each pool of kind `calls` is asked for. */
+  readonly callDemand: Readonly<Record<string, number>>;
+}
+
+/** One pool with its hosts and jobs, gathered once in each round. */
+export interface PoolSight {
+  readonly name: string;
+  readonly kind: 'calls' | 'jobs' | 'spare';
+  readonly minAvailable: number;
+  readonly hosts: Host[];
+  readonly queued: Job[];
+  readonly running: Job[];
+}
+
+/** Groups hosts and unfinished jobs by pool in one pass over the state. */
+export function groupByPool(state: State): Map<string, PoolSight> {
+  const pools = new Map<string, PoolSight>();
+  for (const {name, kind, minAvailable} of Object.values(state.tables.pools)) {
+    const empty = {hosts: [], queued: [], running: []};
+    pools.set(name, {name, kind, minAvailable, ...empty});
+  }
+  for (const id in state.hosts) {
+    const host = state.hosts[id]!;
+    pools.get(host.pool)?.hosts.push(host);
+  }
+  for (const id in state.jobs) {
+    const job = state.jobs[id]!;
+    const waits = job.phase === 'queued';
+    if (!waits && !occupiesWorker(job)) continue;
+    const pool = pools.get(state.tables.routes[job.queue]?.pool ?? '');
+    if (waits) pool?.queued.push(job);
+    else pool?.running.push(job);
+  }
+  return pools;
+}
--- /dev/null
+++ b/packages/policy/src/weight.ts
@@ -0,0 +1,15 @@
+/** Weights of the four measures in the policy objective. */
+import {z} from 'zod';
+
+export const weightsSchema = z.object({
+  bufferCost: z.number().nonnegative().default(1),
+  rollOut: z.number().nonnegative().default(1),
+  moves: z.number().nonnegative().default(1),
+  shareNearness: z.number().nonnegative().default(1),
+});
+export type Weights = z.infer<typeof weightsSchema>;
+
+/** Part of `a` in `a + b`; one half when both are 0. */
+export function balance(a: number, b: number): number {
+  return a + b > 0 ? a / (a + b) : 0.5;
+}
