--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -1,5 +1,6 @@
 /** The control role: answers entry hosts and operators from the state. */
 import {
+  allJobs,
   mergeRoster,
   rosterItems,
   verifyKey,
@@ -168,7 +169,7 @@
       tables: () => state.tables,
       keys: () => Object.values(state.keys),
       hosts: () => Object.values(state.hosts),
-      jobs: () => Object.values(state.jobs),
+      jobs: () => allJobs(state.jobs),
       waves: () => Object.values(state.waves),
       upstreams: () => [],
       limits: () => state.slices,
@@ -187,7 +188,7 @@
   }
 
   override async jobs(request: JobsRequest): Promise<JobsResponse> {
-    const all = Object.values(this.replica.state().jobs);
+    const all = allJobs(this.replica.state().jobs);
     return {jobs: all.filter(job => job.team === request.team)};
   }
 
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,3 +1,4 @@
 export * from './control.js';
 export * from './machine.js';
 export * from './views.js';
+export * from './planner/index.js';
--- /dev/null
+++ b/packages/control/src/planner/index.ts
@@ -0,0 +1,3 @@
+export {commandsFor} from './order.js';
+export * from './planner.js';
+export * from './round.js';
--- /dev/null
+++ b/packages/control/src/planner/round.ts
@@ -0,0 +1,164 @@
+/** One decision round: observe, estimate, propose, check, permit, act. */
+import type {ChangeBody, State} from '@lentildrift/model';
+import {filter, pass, pipe} from '@lentildrift/pipe';
+import type {Platform} from '@lentildrift/platform';
+import {
+  absorb,
+  changesOf,
+  check,
+  estimate,
+  hostSteps,
+  learn,
+  propose,
+  type Estimate,
+  type Memory,
+  type Policies,
+  type Proposal,
+  type Sight,
+  type Situation,
+  type Weights,
+} from '@lentildrift/policy';
+import type {StateReplica} from '../machine.js';
+import {commandsFor} from './order.js';
+
+/** Commands in one request to the platform. */
+const COMMANDS_PER_REQUEST = 1000;
+
+/** This planner no longer leads, or a newer one has begun. */
+export class LeadershipLost extends Error {
+  constructor(reason: string) {
+    super(reason);
+    this.name = 'LeadershipLost';
+  }
+}
+
+/** A leader's planner at the start of a round. */
+export interface RoundInput {
+  readonly replica: StateReplica;
+  readonly platform: Platform;
+  readonly policies: Policies;
+  readonly weights: Weights;
+  readonly memory: Memory;
+  /** Token that the planner got when it started. */
+  readonly leader: number;
+  /** Term in which the planner started. */
+  readonly term: number;
+  readonly callDemand: Readonly<Record<string, number>>;
+  /** Wall time, in ms. */
+  readonly now: () => number;
+}
+
+export interface RoundResult {
+  readonly memory: Memory;
+  readonly changes: number;
+  readonly commands: number;
+}
+
+interface Observed extends RoundInput {
+  readonly situation: Situation;
+}
+interface Estimated extends Observed {
+  readonly estimated: Estimate;
+}
+interface Proposed extends Observed {
+  readonly proposal: Proposal;
+}
+interface Permitted extends Proposed {
+  readonly changes: number;
+}
+
+/** The decision path. */
+export const decisionPath = pipe(
+  filter('observe', async (input: RoundInput) => pass(await observe(input))),
+)
+  .then(
+    filter('estimate', (input: Observed) =>
+      pass<Estimated>({...input, estimated: estimate(input.situation)}),
+    ),
+  )
+  .then(
+    filter('propose', (input: Estimated) =>
+      pass<Proposed>({
+        ...input,
+        proposal: propose(input.policies, input.estimated),
+      }),
+    ),
+  )
+  .then(
+    filter('check', (input: Proposed) =>
+      pass<Proposed>({
+        ...input,
+        proposal: check(input.replica.state(), input.proposal),
+      }),
+    ),
+  )
+  .then(
+    filter('permit', async (input: Proposed) => {
+      const changes = changesOf(input.proposal);
+      await commitAll(input, changes);
+      return pass<Permitted>({...input, changes: changes.length});
+    }),
+  )
+  .then(filter('act', async (input: Permitted) => pass(await act(input))));
+
+/** Rejects with `LeadershipLost` as soon as the planner may no longer act. */
+export async function runRound(input: RoundInput): Promise<RoundResult> {
+  const outcome = await decisionPath.run(input);
+  if (outcome.ok) return outcome.value;
+  throw new Error(`the decision path stopped at ${outcome.filter}`);
+}
+
+async function observe(input: RoundInput): Promise<Observed> {
+  const {replica, platform, leader, now, weights, callDemand} = input;
+  assertLeading(input);
+  const sight: Sight = await platform.observe(leader);
+  assertLeading(input);
+  const memory = learn(input.memory, replica.state(), sight);
+  await commitAll(input, absorb(replica.state(), sight));
+  await commitAll(input, hostSteps(replica.state(), sight, now()));
+  const state = replica.state();
+  const nowMs = Math.max(state.nowMs, now());
+  const situation = {state, sight, memory, nowMs, weights, callDemand};
+  return {...input, situation};
+}
+
+async function commitAll(
+  input: RoundInput,
+  bodies: readonly ChangeBody[],
+): Promise<void> {
+  for (const body of bodies) {
+    assertLeading(input);
+    await input.replica.propose({atMs: input.now(), body});
+  }
+}
+
+/** Commands follow from the committed state alone, never from a proposal. */
+async function act(input: Permitted): Promise<RoundResult> {
+  const {replica, platform, situation, proposal, leader, changes} = input;
+  const {sight} = situation;
+  const commands = commandsFor(replica.state(), sight, proposal.orders, leader);
+  for (let i = 0; i < commands.length; i += COMMANDS_PER_REQUEST) {
+    assertLeading(input);
+    const batch = commands.slice(i, i + COMMANDS_PER_REQUEST);
+    const answers = await platform.command(batch);
+    // Current tokens are fenced only when a newer planner has acted.
+    if (answers.includes('fenced')) {
+      throw new LeadershipLost('the platform has seen a newer planner');
+    }
+  }
+  return {memory: proposal.memory, changes, commands: commands.length};
+}
+
+function assertLeading({replica, leader, term}: RoundInput): void {
+  const status = replica.status();
+  if (status.role !== 'leader' || status.term !== term) {
+    throw new LeadershipLost(`role ${status.role} in term ${status.term}`);
+  }
+  if (isSuperseded(replica.state(), leader)) {
+    throw new LeadershipLost('a newer planner has started');
+  }
+}
+
+function isSuperseded(state: State, leader: number): boolean {
+  return state.planner !== leader;
+}
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -1,4 +1,12 @@
 export * from './apply.js';
+export {
+  allJobs,
+  EMPTY_BOOK,
+  jobOf,
+  occupyingJobs,
+  unfinishedJobs,
+  type JobBook,
+} from './book.js';
 export * from './change.js';
 export * from './claim.js';
 export * from './host.js';
--- a/packages/model/src/job.ts
+++ b/packages/model/src/job.ts
@@ -57,3 +57,8 @@
 export function occupiesWorker(job: Job): boolean {
   return job.phase === 'starting' || job.phase === 'running';
 }
+
+/** Whether the job has ended for good. */
+export function isFinal({phase}: Job): boolean {
+  return phase === 'done' || phase === 'failed' || phase === 'cancelled';
+}
--- a/packages/model/src/permit.ts
+++ b/packages/model/src/permit.ts
@@ -2,9 +2,9 @@
  * Reducers of hosts and permits. `grantPermit` is the one serialised
  * check of availability budgets: nothing else takes a host out of service.
  */
+import {occupyingJobs} from './book.js';
 import type {BodyOf} from './change.js';
 import {failureDomain, type Host, type HostPhase, type Permit} from './host.js';
-import {occupiesWorker} from './job.js';
 import {fail, succeed, type Result} from './result.js';
 import type {State} from './state.js';
 import type {Pool, Tables} from './table.js';
@@ -265,11 +265,7 @@
 
 /** Whether an attempt of some job is on the host, as far as is known. */
 export function holdsJobs(state: State, host: string): boolean {
-  for (const id in state.jobs) {
-    const job = state.jobs[id]!;
-    if (job.host === host && occupiesWorker(job)) return true;
-  }
-  return false;
+  return occupyingJobs(state.jobs).some(job => job.host === host);
 }
 
 /** The switch of a move: into the pool that the tables name by now. */
--- a/packages/model/src/state.ts
+++ b/packages/model/src/state.ts
@@ -1,8 +1,8 @@
 /** The replicated state: one immutable value. */
 import {z} from 'zod';
+import {EMPTY_BOOK, jobBookSchema} from './book.js';
 import {claimSchema} from './claim.js';
 import {hostSchema, waveSchema} from './host.js';
-import {jobSchema} from './job.js';
 import {keySchema} from './key.js';
 import {sessionSchema, slicesSchema} from './session.js';
 import {EMPTY_TABLES, tablesSchema} from './table.js';
@@ -38,7 +38,7 @@
   slices: slicesSchema,
   answers: z.record(z.string(), answerSchema),
   claims: z.record(z.string(), claimSchema),
-  jobs: z.record(z.string(), jobSchema),
+  jobs: jobBookSchema,
   waves: z.record(z.string(), waveSchema),
   /** Last fencing token handed out. */
   fence: z.number().int().nonnegative(),
@@ -57,7 +57,7 @@
   slices: {},
   answers: {},
   claims: {},
-  jobs: {},
+  jobs: EMPTY_BOOK,
   waves: {},
   fence: 0,
   planner: 0,
--- a/packages/model/src/work.ts
+++ b/packages/model/src/work.ts
@@ -1,6 +1,7 @@
 /** Reducers of jobs: submit, place, step, cancel, park; quarantine of workers. */
 import type {BodyOf} from './change.js';
-import {occupiesWorker, type Job} from './job.js';
+import {allJobs, editBook, type BookEditor, type JobBook} from './book.js';
+import {isFinal, occupiesWorker, type Job} from './job.js';
 import {fail, succeed, type Result} from './result.js';
 import type {State} from './state.js';
 import type {Tables} from './table.js';
@@ -25,9 +26,9 @@
 
 /** Accepts the jobs; one that is known already is left as it is. */
 export function submitJobs(state: State, body: BodyOf<'submit-jobs'>): Result {
-  const jobs = {...state.jobs};
-  const fresh = body.jobs.filter(spec => !Object.hasOwn(jobs, spec.id)).length;
-  if (unfinished(jobs) + fresh > UNFINISHED_JOBS_MAX) {
+  const jobs = editBook(state.jobs);
+  const fresh = body.jobs.filter(spec => !jobs.get(spec.id)).length;
+  if (jobs.unfinished() + fresh > UNFINISHED_JOBS_MAX) {
     return fail(
       state,
       'limit',
@@ -35,8 +36,8 @@
     );
   }
   for (const spec of body.jobs) {
-    if (Object.hasOwn(jobs, spec.id)) continue;
-    jobs[spec.id] = {
+    if (jobs.get(spec.id)) continue;
+    jobs.set({
       ...spec,
       team: body.team,
       phase: 'queued',
@@ -44,9 +45,9 @@
       failedOn: [],
       cancelRequested: false,
       checkpointed: false,
-    };
+    });
   }
-  return succeed({...state, jobs});
+  return succeed({...state, jobs: jobs.close()});
 }
 
 /**
@@ -54,14 +55,16 @@
  * and cancelled once the attempt is known to have ended.
  */
 export function cancelJobs(state: State, body: BodyOf<'cancel-jobs'>): Result {
-  const jobs = {...state.jobs};
+  const jobs = editBook(state.jobs);
   let count = 0;
   for (const id of body.jobs) {
-    const job = jobs[id];
+    const job = jobs.get(id);
     if (!job || job.team !== body.team || isFinal(job)) continue;
-    jobs[id] = occupiesWorker(job)
-      ? {...job, cancelRequested: true}
-      : {...job, phase: 'cancelled', endedAtMs: state.nowMs};
+    jobs.set(
+      occupiesWorker(job)
+        ? {...job, cancelRequested: true}
+        : {...job, phase: 'cancelled', endedAtMs: state.nowMs},
+    );
     count++;
   }
   return succeed({...state, jobs: bounded(jobs)}, String(count));
@@ -72,37 +75,34 @@
  * would pass its team's limit is left out.
  */
 export function placeJobs(state: State, body: BodyOf<'place-jobs'>): Result {
-  const jobs = {...state.jobs};
+  const jobs = editBook(state.jobs);
   let fence = state.fence;
-  const running = runningByTeam(jobs);
   for (const {job: id, host: hostId} of body.placements) {
-    const job = jobs[id];
+    const job = jobs.get(id);
     const host = state.hosts[hostId];
     if (job?.phase !== 'queued') continue;
     if (host?.phase !== 'serving' || host.quarantined) continue;
-    const held = running.get(job.team) ?? 0;
-    if (held >= jobLimitOf(state.tables, job.team)) continue;
-    running.set(job.team, held + 1);
+    if (jobs.running(job.team) >= jobLimitOf(state.tables, job.team)) continue;
     fence++;
-    jobs[id] = {
+    jobs.set({
       ...job,
       phase: 'starting',
       host: hostId,
       token: fence,
       placedAtMs: state.nowMs,
-    };
+    });
   }
-  return succeed({...state, jobs, fence});
+  return succeed({...state, jobs: jobs.close(), fence});
 }
 
 /** Moves attempts on; a step with a stale token is ignored. */
 export function stepJobs(state: State, body: BodyOf<'step-jobs'>): Result {
-  const jobs = {...state.jobs};
+  const jobs = editBook(state.jobs);
   for (const step of body.steps) {
-    const job = jobs[step.job];
+    const job = jobs.get(step.job);
     if (!job || !occupiesWorker(job) || job.token !== step.token) continue;
     if (step.to === 'lost' && !leaseLapsed(state, job)) continue;
-    jobs[job.id] = nextJob(job, step, state.nowMs);
+    jobs.set(nextJob(job, step, state.nowMs));
   }
   return succeed({...state, jobs: bounded(jobs)});
 }
@@ -152,12 +152,12 @@
 
 /** Sets queued jobs aside with the reason, so that they block no other. */
 export function parkJobs(state: State, body: BodyOf<'park-jobs'>): Result {
-  const jobs = {...state.jobs};
+  const jobs = editBook(state.jobs);
   for (const {job: id, reason} of body.jobs) {
-    const job = jobs[id];
-    if (job?.phase === 'queued') jobs[id] = {...job, phase: 'parked', reason};
+    const job = jobs.get(id);
+    if (job?.phase === 'queued') jobs.set({...job, phase: 'parked', reason});
   }
-  return succeed({...state, jobs});
+  return succeed({...state, jobs: jobs.close()});
 }
 
 export function quarantine(state: State, body: BodyOf<'quarantine'>): Result {
@@ -182,34 +182,15 @@
   return row?.jobLimit ?? row?.limit ?? 0;
 }
 
-function runningByTeam(jobs: Readonly<Record<string, Job>>) {
-  const running = new Map<string, number>();
-  for (const id in jobs) {
-    const job = jobs[id]!;
-    if (!occupiesWorker(job)) continue;
-    running.set(job.team, (running.get(job.team) ?? 0) + 1);
-  }
-  return running;
-}
-
-function unfinished(jobs: Readonly<Record<string, Job>>): number {
-  let count = 0;
-  for (const id in jobs) if (!isFinal(jobs[id]!)) count++;
-  return count;
-}
-
-/** Drops the oldest finished jobs from `jobs`, which the caller owns. */
-function bounded(jobs: Record<string, Job>): Record<string, Job> {
-  const finished: Job[] = [];
-  for (const id in jobs) if (isFinal(jobs[id]!)) finished.push(jobs[id]!);
-  if (finished.length <= FINISHED_JOBS_KEPT + FINISHED_JOBS_SLACK) return jobs;
-  finished.sort((a, b) => (a.endedAtMs ?? 0) - (b.endedAtMs ?? 0));
+/** The edited book without the oldest of too many finished jobs. */
+function bounded(jobs: BookEditor): JobBook {
+  const book = jobs.close();
+  if (book.finished <= FINISHED_JOBS_KEPT + FINISHED_JOBS_SLACK) return book;
+  const finished = allJobs(book)
+    .filter(isFinal)
+    .sort((a, b) => (a.endedAtMs ?? 0) - (b.endedAtMs ?? 0));
+  const trimmed = editBook(book);
   const dropped = finished.length - FINISHED_JOBS_KEPT;
-  for (const {id} of finished.slice(0, dropped)) delete jobs[id];
-  return jobs;
-}
-
-function isFinal(job: Job): boolean {
-  const {phase} = job;
-  return phase === 'done' || phase === 'failed' || phase === 'cancelled';
+  for (const {id} of finished.slice(0, dropped)) trimmed.remove(id);
+  return trimmed.close();
 }
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,2 @@
+export * from './client.js';
 export * from './platform.js';
--- a/packages/platform/src/platform.ts
+++ b/packages/platform/src/platform.ts
@@ -17,14 +17,28 @@
 
 export const observationSchema = z.object({
   hosts: z.array(observedHostSchema),
+  /**
+   * Tasks that run on reachable hosts, and the last attempt of each job for a
+   * while after it has ended, also when it was stopped before it began.
+   */
   tasks: z.array(observedTaskSchema),
   /** Hosts that the platform has drained: nothing runs on them. */
   drained: z.array(z.string()),
+  /** Last reboot of each host that has ended, by its command's token. */
+  rebooted: z
+    .array(z.object({host: z.string(), token: z.number().int()}))
+    .default([]),
 });
 export type Observation = z.infer<typeof observationSchema>;
 
-const hostCommand = {host: z.string(), token: z.number().int()};
-const taskCommand = {...hostCommand, job: z.string()};
+const everyCommand = {
+  /** Token of the planner; a command of an older planner is fenced. */
+  leader: z.number().int(),
+  /** Token of the attempt or permit that the command belongs to. */
+  token: z.number().int(),
+  host: z.string(),
+};
+const taskCommand = {...everyCommand, job: z.string()};
 
 export const platformCommandSchema = z.discriminatedUnion('type', [
   z.object({
@@ -37,9 +51,9 @@
   z.object({type: z.literal('stop'), ...taskCommand}),
   z.object({type: z.literal('checkpoint'), ...taskCommand}),
   z.object({type: z.literal('throttle'), ...taskCommand, on: z.boolean()}),
-  z.object({type: z.literal('drain'), ...hostCommand}),
-  z.object({type: z.literal('undrain'), ...hostCommand}),
-  z.object({type: z.literal('reboot'), ...hostCommand}),
+  z.object({type: z.literal('drain'), ...everyCommand}),
+  z.object({type: z.literal('undrain'), ...everyCommand}),
+  z.object({type: z.literal('reboot'), ...everyCommand}),
 ]);
 export type PlatformCommand = z.infer<typeof platformCommandSchema>;
 
@@ -48,8 +62,16 @@
 export type PlatformAnswer = z.infer<typeof platformAnswerSchema>;
 
 export abstract class Platform {
-  /** Rejects when the platform cannot be reached. */
-  abstract observe(): Promise<Observation>;
-  /** Commands are idempotent under one token. */
-  abstract command(command: PlatformCommand): Promise<PlatformAnswer>;
+  /**
+   * What the platform sees. From then on, commands of planners older than
+   * `leader` are fenced. Rejects when the platform cannot be reached.
+   */
+  abstract observe(leader: number): Promise<Observation>;
+  /**
+   * Runs commands in order, with one answer for each. A command is idempotent
+   * under its token. A rejection says nothing about what has taken effect.
+   */
+  abstract command(
+    commands: readonly PlatformCommand[],
+  ): Promise<PlatformAnswer[]>;
 }
--- a/packages/policy/src/absorb.ts
+++ b/packages/policy/src/absorb.ts
@@ -1,7 +1,9 @@
 /** First half of a round: facts of the observation that the state lacks. */
 import {
+  jobOf,
   leaseLapsed,
   occupiesWorker,
+  occupyingJobs,
   type ChangeBody,
   type Host,
   type JobStep,
@@ -52,19 +54,16 @@
   const steps: JobStep[] = [];
   const seen = new Set<string>();
   for (const task of tasks) {
-    const job = state.jobs[task.job];
+    const job = jobOf(state.jobs, task.job);
     if (!job || !occupiesWorker(job) || job.token !== task.token) continue;
     seen.add(job.id);
     if (task.phase === 'running' && job.phase === 'running') continue;
     const {token, phase: to, reason} = task;
     steps.push({job: job.id, token, to, reason});
   }
-  for (const id in state.jobs) {
-    const job = state.jobs[id]!;
-    if (!occupiesWorker(job) || seen.has(id) || !leaseLapsed(state, job)) {
-      continue;
-    }
-    steps.push({job: id, token: job.token!, to: 'lost'});
+  for (const job of occupyingJobs(state.jobs)) {
+    if (seen.has(job.id) || !leaseLapsed(state, job)) continue;
+    steps.push({job: job.id, token: job.token!, to: 'lost'});
   }
   return steps;
 }
@@ -96,12 +95,7 @@
 }
 
 function busyHosts(state: State): Set<string> {
-  const busy = new Set<string>();
-  for (const id in state.jobs) {
-    const job = state.jobs[id]!;
-    if (occupiesWorker(job)) busy.add(job.host!);
-  }
-  return busy;
+  return new Set(occupyingJobs(state.jobs).map(job => job.host!));
 }
 
 interface HostFacts {
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -3,6 +3,7 @@
   apply,
   isAvailable,
   jobLimitOf,
+  jobOf,
   type BodyOf,
   type ChangeBody,
   type Host,
@@ -131,7 +132,7 @@
 
 /** What the policies want; nothing of it has been checked yet. */
 export function propose(policies: Policies, round: Estimate): Proposal {
-  const running = runningByTeam(round.loads);
+  const running = new Map(Object.entries(round.state.jobs.running));
   const result = {
     placements: [] as BodyOf<'place-jobs'>['placements'],
     parked: [] as BodyOf<'park-jobs'>['jobs'],
@@ -193,14 +194,6 @@
   result.orders.push(...reclaimOrders(pool.running, own, estimator));
 }
 
-function runningByTeam(loads: readonly PoolLoad[]): Map<string, number> {
-  const running = new Map<string, number>();
-  for (const {running: jobs} of loads) {
-    for (const {team} of jobs) running.set(team, (running.get(team) ?? 0) + 1);
-  }
-  return running;
-}
-
 /** Workers that take jobs, less what runs on them. */
 function workersOf(pool: PoolLoad, round: Estimate): Worker[] {
   const workers = new Map<string, Worker>();
@@ -296,13 +289,8 @@
     return answer.ok;
   });
   const left = new Map<string, number>();
-  for (const id in state.jobs) {
-    const job = state.jobs[id]!;
-    if (job.token !== undefined)
-      left.set(job.team, leftOf(state, left, job) - 1);
-  }
   const placements = proposal.placements.filter(({job: id, host}) => {
-    const job = state.jobs[id];
+    const job = jobOf(state.jobs, id);
     if (!job || scratch.hosts[host]?.phase !== 'serving') return false;
     const free = leftOf(state, left, job);
     left.set(job.team, free - 1);
@@ -316,7 +304,8 @@
   left: ReadonlyMap<string, number>,
   {team}: Job,
 ): number {
-  return left.get(team) ?? jobLimitOf(state.tables, team);
+  const held = state.jobs.running[team] ?? 0;
+  return left.get(team) ?? jobLimitOf(state.tables, team) - held;
 }
 
 /** The changes of a proposal, at most one of each kind but for permits. */
--- a/packages/policy/src/estimate.ts
+++ b/packages/policy/src/estimate.ts
@@ -1,5 +1,5 @@
 /** Learns from usage and ends of tasks; corrects declared sizes. */
-import type {Job, Size, State} from '@lentildrift/model';
+import {jobOf, type Job, type Size, type State} from '@lentildrift/model';
 import type {Memory, Ratio} from './memory.js';
 import type {Sight, TaskSight} from './situation.js';
 
@@ -27,7 +27,7 @@
   const ended = new Map<string, number>();
   const streaks = new Map(memory.streaks);
   for (const task of sight.tasks) {
-    const job = before.jobs[task.job];
+    const job = jobOf(before.jobs, task.job);
     if (!job) continue;
     if (task.usage && task.phase === 'running') {
       const key = `${job.team}/${job.queue}`;
--- a/packages/policy/src/fault.ts
+++ b/packages/policy/src/fault.ts
@@ -1,5 +1,5 @@
 /** Tells workers that fail everything from jobs that fail everywhere. */
-import type {State} from '@lentildrift/model';
+import {jobOf, type State} from '@lentildrift/model';
 
 /** Distinct jobs that fail in a row before a worker is quarantined. */
 export const FAILURES_BEFORE_QUARANTINE = 3;
@@ -14,7 +14,7 @@
   streak: ReadonlySet<string>,
 ): string[] {
   return [...streak].filter(id =>
-    (state.jobs[id]?.failedOn ?? []).every(other => other === host),
+    (jobOf(state.jobs, id)?.failedOn ?? []).every(other => other === host),
   );
 }
 
--- a/packages/policy/src/situation.ts
+++ b/packages/policy/src/situation.ts
@@ -1,6 +1,7 @@
 /** What a decision round starts from. */
 import {
   occupiesWorker,
+  unfinishedJobs,
   type Host,
   type Job,
   type ObservedHost,
@@ -61,8 +62,7 @@
     const host = state.hosts[id]!;
     pools.get(host.pool)?.hosts.push(host);
   }
-  for (const id in state.jobs) {
-    const job = state.jobs[id]!;
+  for (const job of unfinishedJobs(state.jobs)) {
     const waits = job.phase === 'queued';
     if (!waits && !occupiesWorker(job)) continue;
     const pool = pools.get(state.tables.routes[job.queue]?.pool ?? '');
