--- a/packages/control/src/planner/order.ts
+++ b/packages/control/src/planner/order.ts
@@ -8,7 +8,7 @@
   type State,
 } from '@lentildrift/model';
 import type {PlatformCommand} from '@lentildrift/platform';
-import type {Sight, TaskOrder} from '@lentildrift/policy';
+import {tasksByJob, type Sight, type TaskOrder} from '@lentildrift/policy';
 
 /** How long tasks of a draining host may take for their checkpoints. */
 const DRAIN_CHECKPOINT_MS = 30_000;
@@ -23,11 +23,11 @@
   orders: readonly TaskOrder[],
   leader: number,
 ): PlatformCommand[] {
-  const seen = new Map(sight.tasks.map(task => [task.job, task.token]));
+  const seen = tasksByJob(sight);
   const commands: PlatformCommand[] = [];
   const ordered = new Set<string>();
   for (const job of occupyingJobs(state.jobs)) {
-    const started = seen.get(job.id) === job.token;
+    const started = seen.get(job.id)?.token === job.token;
     const command = commandOnJob(state, job, started, leader);
     if (!command) continue;
     ordered.add(job.id);
--- a/packages/policy/src/absorb.ts
+++ b/packages/policy/src/absorb.ts
@@ -1,8 +1,6 @@
 /** First half of a round: facts of the observation that the state lacks. */
 import {
-  jobOf,
   leaseLapsed,
-  occupiesWorker,
   occupyingJobs,
   type ChangeBody,
   type Host,
@@ -10,7 +8,7 @@
   type ObservedHost,
   type State,
 } from '@lentildrift/model';
-import type {Sight, TaskSight} from './situation.js';
+import {tasksByJob, type Sight} from './situation.js';
 
 /** How long a host may reboot or join before it counts as failed. */
 export const RETURN_TIMEOUT_MS = 15 * 60_000;
@@ -24,7 +22,7 @@
   });
   const changes: ChangeBody[] = [];
   if (hosts.length > 0) changes.push({type: 'observe-hosts', hosts});
-  const steps = jobSteps(state, sight.tasks);
+  const steps = jobSteps(state, sight);
   if (steps.length > 0) changes.push({type: 'step-jobs', steps});
   return changes;
 }
@@ -50,22 +48,18 @@
   return !away && host.phase !== 'rebooting';
 }
 
-function jobSteps(state: State, tasks: readonly TaskSight[]): JobStep[] {
-  const steps: JobStep[] = [];
-  const seen = new Set<string>();
-  for (const task of tasks) {
-    const job = jobOf(state.jobs, task.job);
-    if (!job || !occupiesWorker(job) || job.token !== task.token) continue;
-    seen.add(job.id);
-    if (task.phase === 'running' && job.phase === 'running') continue;
-    const {token, phase: to, reason} = task;
-    steps.push({job: job.id, token, to, reason});
-  }
-  for (const job of occupyingJobs(state.jobs)) {
-    if (seen.has(job.id) || !leaseLapsed(state, job)) continue;
-    steps.push({job: job.id, token: job.token!, to: 'lost'});
-  }
-  return steps;
+function jobSteps(state: State, sight: Sight): JobStep[] {
+  const tasks = tasksByJob(sight);
+  return occupyingJobs(state.jobs).flatMap((job): JobStep[] => {
+    const token = job.token!;
+    const task = tasks.get(job.id);
+    if (task?.token !== token) {
+      return leaseLapsed(state, job) ? [{job: job.id, token, to: 'lost'}] : [];
+    }
+    const {phase: to, reason} = task;
+    if (to === 'running' && job.phase === 'running') return [];
+    return [{job: job.id, token, to, reason}];
+  });
 }
 
 /** The next step of each host that holds a permit. */
--- a/packages/policy/src/estimate.ts
+++ b/packages/policy/src/estimate.ts
@@ -1,7 +1,7 @@
 /** Learns from usage and ends of tasks; corrects declared sizes. */
 import {jobOf, type Job, type Size, type State} from '@lentildrift/model';
 import type {Memory, Ratio} from './memory.js';
-import type {Sight, TaskSight} from './situation.js';
+import {tasksByJob, type Sight, type TaskSight} from './situation.js';
 
 /** Weight of one sample in the moving averages. */
 const SMOOTHING = 0.05;
@@ -25,19 +25,22 @@
 export function learn(memory: Memory, before: State, sight: Sight): Memory {
   const ratios = new Map(memory.ratios);
   const ended = new Map<string, number>();
+  const learnt = new Map<string, number>();
   const streaks = new Map(memory.streaks);
   for (const task of sight.tasks) {
-    const job = jobOf(before.jobs, task.job);
-    if (!job) continue;
-    if (task.usage && task.phase === 'running') {
+    if (task.phase !== 'running') {
+      ended.set(task.job, task.token);
+      if (memory.ended.get(task.job) !== task.token) countEnd(streaks, task);
+    } else if (task.usage && !task.throttled) {
+      learnt.set(task.job, task.token);
+      if (memory.learnt.get(task.job) === task.token) continue;
+      const job = jobOf(before.jobs, task.job);
+      if (!job) continue;
       const key = `${job.team}/${job.queue}`;
       ratios.set(key, blended(ratios.get(key), job.declared, task.usage));
     }
-    if (task.phase === 'running') continue;
-    ended.set(task.job, task.token);
-    if (memory.ended.get(task.job) !== task.token) countEnd(streaks, task);
   }
-  return {...memory, ratios, ended, streaks};
+  return {...memory, ratios, ended, learnt, streaks};
 }
 
 function blended(old: Ratio | undefined, declared: Size, usage: Size): Ratio {
@@ -62,7 +65,7 @@
 }
 
 export function createEstimator(memory: Memory, sight: Sight): Estimator {
-  const tasks = new Map(sight.tasks.map(task => [task.job, task]));
+  const tasks = tasksByJob(sight);
 
   function corrected(job: Job): Size {
     const ratio = memory.ratios.get(`${job.team}/${job.queue}`);
@@ -78,7 +81,15 @@
     };
   }
 
+  const known = new Map<Job, Size>();
+
   function running(job: Job): Size {
+    let size = known.get(job);
+    if (!size) known.set(job, (size = measured(job)));
+    return size;
+  }
+
+  function measured(job: Job): Size {
     const task = tasks.get(job.id);
     if (!task?.usage || task.token !== job.token) return corrected(job);
     const memoryMiB = Math.ceil(task.usage.memoryMiB);
--- a/packages/policy/src/memory.ts
+++ b/packages/policy/src/memory.ts
@@ -5,6 +5,8 @@
 export interface Memory {
   /** Usage over declared size, by team and queue. */
   readonly ratios: ReadonlyMap<string, Ratio>;
+  /** Attempts whose usage has been counted, by job. */
+  readonly learnt: ReadonlyMap<string, number>;
   /** Tokens whose end has been counted, by job. */
   readonly ended: ReadonlyMap<string, number>;
   /** Jobs that failed in a row on each worker. */
@@ -35,6 +37,7 @@
 
 export const EMPTY_MEMORY: Memory = {
   ratios: new Map(),
+  learnt: new Map(),
   ended: new Map(),
   streaks: new Map(),
   reclaims: new Map(),
--- a/packages/policy/src/situation.ts
+++ b/packages/policy/src/situation.ts
@@ -71,3 +71,15 @@
   }
   return pools;
 }
+
+const indexes = new WeakMap<Sight, ReadonlyMap<string, TaskSight>>();
+
+/** The observed tasks by job; gathered once for each observation. */
+export function tasksByJob(sight: Sight): ReadonlyMap<string, TaskSight> {
+  let index = indexes.get(sight);
+  if (!index) {
+    index = new Map(sight.tasks.map(task => [task.job, task]));
+    indexes.set(sight, index);
+  }
+  return index;
+}
--- a/packages/sample/src/platform.ts
+++ b/packages/sample/src/platform.ts
@@ -18,7 +18,7 @@
   type Truth,
 } from './worker.js';
 
-/** Ended attempts that observations still list. */
+/** Ended attempts that observations still list, unless set otherwise. */
 const ENDED_KEPT = 20_000;
 
 export interface FakePlatformOptions {
@@ -29,6 +29,7 @@
   readonly usageLagMs?: number;
   readonly checkpointMs?: number;
   readonly rebootMs?: number;
+  readonly endedKept?: number;
   readonly truth?: (command: CommandOf<'start'>) => Truth;
 }
 
@@ -167,7 +168,8 @@
         this.saved.set(task.job, task.progressMs);
       }
     }
-    while (this.ended.size > ENDED_KEPT) {
+    const kept = this.options.endedKept ?? ENDED_KEPT;
+    while (this.ended.size > kept) {
       const [oldest] = this.ended.keys();
       this.ended.delete(oldest!);
     }
--- /dev/null
+++ b/packages/testkit/src/fleet.ts
@@ -0,0 +1,99 @@
+/** Tables and hosts of a fleet of a given size. */
+import {
+  apply,
+  EMPTY_STATE,
+  poolSchema,
+  routeSchema,
+  teamSchema,
+  type ObservedHost,
+  type State,
+} from '@lentildrift/model';
+
+const WORKERS_PER_RACK = 4;
+const CORES = 64;
+
+export interface FleetSize {
+  readonly workers: number;
+  /** Pools that serve, without the spare pool. */
+  readonly pools: number;
+  readonly spares: number;
+  readonly teams: number;
+  readonly dataCentres: number;
+  readonly memoryMiB: number;
+}
+
+export const ARCHERS: FleetSize = {
+  workers: 35,
+  pools: 5,
+  spares: 3,
+  teams: 6,
+  dataCentres: 3,
+  memoryMiB: 256 * 1024,
+};
+
+export const GARDENS: FleetSize = {...ARCHERS, memoryMiB: 128 * 1024};
+
+export interface Fleet {
+  readonly size: FleetSize;
+  readonly hosts: readonly Omit<ObservedHost, 'healthy'>[];
+  readonly state: State;
+}
+
+/** Shares of teams: a few large ones, then many small ones. */
+const SHARES = [3, 3, 2, 1, 1, 1];
+
+/** Builds the fleet with every host healthy and in service. */
+export function buildFleet(size: FleetSize): Fleet {
+  const hosts = [...Array(size.workers).keys()].map(i => hostAt(size, i));
+  const serving = hosts.slice(0, size.workers - size.spares);
+  const pools = [...Array(size.pools).keys()].map(p => {
+    const own = serving.filter((_, i) => i % size.pools === p);
+    return poolSchema.parse({
+      name: `pool-${p}`,
+      kind: 'jobs',
+      hosts: own.map(host => host.id),
+      minAvailable: Math.max(0, own.length - 2),
+    });
+  });
+  const spare = poolSchema.parse({
+    name: 'spare',
+    kind: 'spare',
+    hosts: hosts.slice(serving.length).map(host => host.id),
+  });
+  const routes = pools.map((pool, p) =>
+    routeSchema.parse({name: `queue-${p}`, pool: pool.name, service: 'work'}),
+  );
+  const teams = [...Array(size.teams).keys()].map(t =>
+    teamSchema.parse({
+      name: `team-${t}`,
+      share: SHARES[t % SHARES.length],
+      limit: 10_000,
+    }),
+  );
+  const edit = {basedOn: 0, pools: [...pools, spare], routes, teams};
+  let {state} = apply(EMPTY_STATE, {
+    atMs: 0,
+    body: {
+      type: 'command',
+      requestId: 'tables',
+      command: {type: 'edit', edit},
+    },
+  });
+  const seen = hosts.map(host => ({...host, healthy: true}));
+  const body = {type: 'observe-hosts' as const, hosts: seen};
+  ({state} = apply(state, {atMs: 0, body}));
+  return {size, hosts, state};
+}
+
+function hostAt(size: FleetSize, i: number): Omit<ObservedHost, 'healthy'> {
+  const rack = Math.floor(i / WORKERS_PER_RACK);
+  const isSpare = i >= size.workers - size.spares;
+  return {
+    id: `${isSpare ? 'spare' : 'worker'}-${i}`,
+    dataCentre: `dc-${rack % size.dataCentres}`,
+    rack: `rack-${rack}`,
+    cores: CORES,
+    memoryMiB: size.memoryMiB,
+    accelerators: 0,
+  };
+}
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export * from './fleet.js';
+export * from './policy.js';
+export * from './trial.js';
+export * from './workload.js';
