Test budgets, limits, placement and the planner under failures

Repairs of failed hosts under a move, double proposals for one host and starts on hosts about to leave were found by these tests and are corrected.

--- /dev/null
+++ b/packages/model/test/work.test.ts
@@ -0,0 +1,176 @@
+import {
+  allJobs,
+  apply,
+  EMPTY_STATE,
+  FINISHED_JOBS_KEPT,
+  jobOf,
+  occupyingJobs,
+  poolSchema,
+  routeSchema,
+  TASK_LEASE_MS,
+  teamSchema,
+  type ChangeBody,
+  type JobSpec,
+  type JobStep,
+  type State,
+} from '@lentildrift/model';
+import fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+
+const LIMIT = 3;
+const TEAMS = ['reds', 'blues'];
+
+function fleet(limit = LIMIT): State {
+  const edit = {
+    basedOn: 0,
+    teams: TEAMS.map(name => teamSchema.parse({name, share: 1, limit})),
+    pools: [
+      poolSchema.parse({name: 'pool', kind: 'jobs', hosts: ['a', 'b', 'c']}),
+    ],
+    routes: [routeSchema.parse({name: 'q', pool: 'pool', service: 's'})],
+  };
+  const command = {type: 'edit' as const, edit};
+  const state = run(EMPTY_STATE, {type: 'command', requestId: 'e', command});
+  return observe(state, ['a', 'b', 'c'], true);
+}
+
+function observe(state: State, ids: string[], healthy: boolean): State {
+  const facts = {
+    dataCentre: 'd',
+    rack: 'r',
+    cores: 8,
+    memoryMiB: 8,
+    accelerators: 0,
+  };
+  const hosts = ids.map(id => ({id, ...facts, healthy}));
+  return run(state, {type: 'observe-hosts', hosts});
+}
+
+function run(state: State, body: ChangeBody, afterMs = 1): State {
+  return apply(state, {atMs: state.nowMs + afterMs, body}).state;
+}
+
+function spec(id: string): JobSpec {
+  const declared = {cores: 1, memoryMiB: 1, accelerators: 0};
+  const rest = {queue: 'q', runTimeMs: 1, urgent: false, command: ''};
+  return {id, declared, ...rest};
+}
+
+function step(state: State, id: string, to: JobStep['to'], token?: number) {
+  const current = token ?? jobOf(state.jobs, id)?.token ?? 0;
+  const steps = [{job: id, token: current, to}];
+  return run(state, {type: 'step-jobs', steps});
+}
+
+const job = fc.nat(15).map(i => `job-${i}`);
+const ACTIONS = fc.array(
+  fc.oneof(
+    fc.record({kind: fc.constant('submit' as const), job}),
+    fc.record({
+      kind: fc.constant('place' as const),
+      jobs: fc.array(job, {maxLength: 8}),
+      host: fc.constantFrom('a', 'b', 'c'),
+    }),
+    fc.record({kind: fc.constant('cancel' as const), job}),
+    fc.record({
+      kind: fc.constant('step' as const),
+      job,
+      to: fc.constantFrom<JobStep['to']>(
+        'running',
+        'done',
+        'failed',
+        'lost',
+        'checkpointed',
+        'stopped',
+      ),
+      stale: fc.boolean(),
+    }),
+  ),
+  {minLength: 60, maxLength: 150},
+);
+
+describe('jobs', () => {
+  test('no order of starts, ends and cancels passes a limit, loses a job or reuses a token', () => {
+    let started = 0;
+    fc.assert(
+      fc.property(ACTIONS, actions => {
+        let state = fleet();
+        const submitted = new Set<string>();
+        const attempts = new Map<number, string>();
+        for (const act of actions) {
+          const before = state;
+          if (act.kind === 'submit') {
+            const team = TEAMS[submitted.size % 2]!;
+            if (!submitted.has(act.job)) {
+              const jobs = [spec(act.job)];
+              state = run(state, {type: 'submit-jobs', team, jobs});
+            }
+            submitted.add(act.job);
+          } else if (act.kind === 'place') {
+            const {host} = act;
+            const placements = act.jobs.map(id => ({job: id, host}));
+            state = run(state, {type: 'place-jobs', placements});
+          } else if (act.kind === 'cancel') {
+            const team = jobOf(state.jobs, act.job)?.team ?? 'reds';
+            state = run(state, {type: 'cancel-jobs', team, jobs: [act.job]});
+          } else {
+            const token = jobOf(state.jobs, act.job)?.token ?? 0;
+            state = step(state, act.job, act.to, act.stale ? token - 1 : token);
+            if (act.stale) expect(state.jobs).toEqual(before.jobs);
+          }
+          for (const team of TEAMS) {
+            const held = occupyingJobs(state.jobs).filter(j => j.team === team);
+            expect(held.length).toBeLessThanOrEqual(LIMIT);
+            expect(state.jobs.running[team] ?? 0).toBe(held.length);
+          }
+          for (const {id, token} of occupyingJobs(state.jobs)) {
+            if (!attempts.has(token!)) started++;
+            expect(attempts.get(token!) ?? id).toBe(id);
+            attempts.set(token!, id);
+          }
+          expect(allJobs(state.jobs)).toHaveLength(submitted.size);
+        }
+      }),
+      {numRuns: 50, seed: 11},
+    );
+    expect(started).toBeGreaterThan(300);
+  });
+
+  test('a job of a lost worker is not started again while its lease may run', () => {
+    let state = fleet();
+    state = run(state, {type: 'submit-jobs', team: 'reds', jobs: [spec('j')]});
+    const placements = [{job: 'j', host: 'a'}];
+    state = run(state, {type: 'place-jobs', placements});
+    expect(jobOf(step(state, 'j', 'lost').jobs, 'j')!.phase).toBe('starting');
+    state = observe(state, ['a'], false);
+    const early = run(state, {type: 'noop'}, TASK_LEASE_MS);
+    expect(jobOf(step(early, 'j', 'lost').jobs, 'j')!.phase).toBe('starting');
+    const late = run(early, {type: 'noop'}, 1000);
+    expect(jobOf(step(late, 'j', 'lost').jobs, 'j')!.phase).toBe('queued');
+  });
+
+  test('a cancel that races an end gives the outcome that took place', () => {
+    let state = fleet();
+    const jobs = ['won', 'stopped'].map(spec);
+    state = run(state, {type: 'submit-jobs', team: 'reds', jobs});
+    const placements = jobs.map(({id}) => ({job: id, host: 'a'}));
+    state = run(state, {type: 'place-jobs', placements});
+    const ids = jobs.map(({id}) => id);
+    state = run(state, {type: 'cancel-jobs', team: 'reds', jobs: ids});
+    state = step(step(state, 'won', 'done'), 'stopped', 'stopped');
+    expect(jobOf(state.jobs, 'won')!.phase).toBe('done');
+    expect(jobOf(state.jobs, 'stopped')!.phase).toBe('cancelled');
+  });
+
+  test('finished jobs do not grow the state without bound', () => {
+    let state = fleet(100_000);
+    for (let wave = 0; wave < 3; wave++) {
+      const jobs = [...Array(10_000).keys()].map(i => spec(`w${wave}-${i}`));
+      state = run(state, {type: 'submit-jobs', team: 'reds', jobs});
+      const ids = jobs.map(({id}) => id);
+      state = run(state, {type: 'cancel-jobs', team: 'reds', jobs: ids});
+    }
+    expect(allJobs(state.jobs)).toHaveLength(FINISHED_JOBS_KEPT);
+    expect(allJobs(state.jobs).every(({id}) => id.startsWith('w2'))).toBe(true);
+  });
+});
--- a/packages/policy/src/absorb.ts
+++ b/packages/policy/src/absorb.ts
@@ -13,6 +13,9 @@
 /** How long a host may reboot or join before it counts as failed. */
 export const RETURN_TIMEOUT_MS = 15 * 60_000;
 
+/** A failed host is repaired once it has stayed away this long. */
+export const REPAIR_AFTER_MS = 60_000;
+
 /** Changes that bring the state up to the observation. */
 export function absorb(state: State, sight: Sight): ChangeBody[] {
   const drained = new Set(sight.drained);
@@ -116,18 +119,23 @@
       if (facts.healthy && !facts.drained) return 'serving';
       return late && !facts.healthy ? 'failed' : undefined;
     case 'failed':
-      return facts.busy ? undefined : afterFailure(host, facts.healthy);
+      return facts.busy ? undefined : afterFailure(host, facts);
     case 'serving':
       return undefined;
   }
 }
 
-/** A repair or a wave reboots; a drain or a move waits for the host. */
+/**
+ * A repair and a wave reboot the host, and so does a move once the host has
+ * stayed away. A host that an operator drains is left to the operator.
+ */
 function afterFailure(
-  {permit}: Host,
-  healthy: boolean,
+  {permit, lostAtMs}: Host,
+  {healthy, nowMs}: HostFacts,
 ): Host['phase'] | undefined {
-  const unplanned = permit!.kind === 'reboot' && permit!.wave === undefined;
-  if (healthy && (unplanned || permit!.kind !== 'reboot')) return 'joining';
-  return permit!.kind === 'reboot' ? 'rebooting' : undefined;
+  const {kind, wave} = permit!;
+  if (healthy && (kind !== 'reboot' || wave === undefined)) return 'joining';
+  if (kind === 'reboot') return 'rebooting';
+  const awayMs = nowMs - (lostAtMs ?? nowMs);
+  return kind === 'move' && awayMs >= REPAIR_AFTER_MS ? 'rebooting' : undefined;
 }
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -12,6 +12,7 @@
 } from '@lentildrift/model';
 import {createEstimator, type Estimator} from './estimate.js';
 import {evidence, faultyWorkers} from './fault.js';
+import {proposeGrants} from './grant.js';
 import type {Memory, Reclaim} from './memory.js';
 import {
   isAmple,
@@ -67,12 +68,6 @@
   readonly memory: Memory;
 }
 
-/** A failed host is repaired once it has stayed away this long. */
-export const REPAIR_AFTER_MS = 60_000;
-
-/** Permits asked for in one round; the rest follow in the next. */
-const GRANTS_PER_ROUND = 64;
-
 /** Sums up what is asked of each pool. */
 export function estimate(situation: Situation): Estimate {
   const {state, sight, memory, nowMs} = situation;
@@ -139,13 +134,16 @@
     orders: [] as TaskOrder[],
   };
   const reclaims = new Map<string, Reclaim>();
+  const grants = proposeGrants(policies.moves, policies.waves, round);
+  const leaving = new Set(grants.map(({host}) => host));
   for (const pool of round.loads) {
     if (pool.queued.length === 0 && pool.running.length === 0) continue;
-    proposeJobs(policies, round, pool, running, result, reclaims);
+    const workers = workersOf(pool, round, leaving);
+    proposeJobs(policies, round, pool, workers, running, result, reclaims);
   }
   return {
     ...result,
-    grants: proposeGrants(policies, round),
+    grants,
     quarantines: faultyWorkers(round.state, round.memory.streaks),
     memory: {...round.memory, reclaims},
   };
@@ -155,12 +153,12 @@
   policies: Policies,
   round: Estimate,
   pool: PoolLoad,
+  workers: Worker[],
   running: Map<string, number>,
   result: Pick<Proposal, 'placements' | 'parked'> & {orders: TaskOrder[]},
   reclaims: Map<string, Reclaim>,
 ): void {
   const {state, estimator, memory, nowMs} = round;
-  const workers = workersOf(pool, round);
   const capacity = capacityOf(workers.map(worker => worker.host));
   const input = {state, pool, capacity, estimator, running};
   const {order, lent, claimants} = policies.shares.share(input);
@@ -195,10 +193,15 @@
 }
 
 /** Workers that take jobs, less what runs on them. */
-function workersOf(pool: PoolLoad, round: Estimate): Worker[] {
+function workersOf(
+  pool: PoolLoad,
+  round: Estimate,
+  leaving: ReadonlySet<string>,
+): Worker[] {
   const workers = new Map<string, Worker>();
   for (const host of pool.hosts) {
     if (!isAvailable(host) || host.quarantined || host.cores <= 0) continue;
+    if (leaving.has(host.id)) continue;
     workers.set(host.id, emptyWorker(host, startsOn(host, round)));
   }
   for (const job of pool.running) {
@@ -223,60 +226,6 @@
   return streak !== undefined && evidence(state, host.id, streak).length > 0;
 }
 
-function proposeGrants(
-  policies: Policies,
-  round: Estimate,
-): BodyOf<'grant-permit'>[] {
-  const {state, memory, nowMs, weights, loads} = round;
-  const {shortages, surpluses, moved} = memory;
-  const moves = policies.moves.choose({
-    state,
-    pools: loads,
-    shortages,
-    surpluses,
-    moved,
-    nowMs,
-    weights,
-  });
-  const pools = new Map(loads.map(pool => [pool.name, pool]));
-  const waves = policies.waves.choose({state, pools, nowMs, weights});
-  return [
-    ...repairs(state, nowMs),
-    ...editedMoves(state),
-    ...moves.map(
-      move => ({type: 'grant-permit', kind: 'move', ...move}) as const,
-    ),
-    ...waves.map(
-      wave => ({type: 'grant-permit', kind: 'reboot', ...wave}) as const,
-    ),
-  ].slice(0, GRANTS_PER_ROUND);
-}
-
-function repairs(state: State, nowMs: number): BodyOf<'grant-permit'>[] {
-  return Object.values(state.hosts)
-    .filter(
-      ({phase, permit, lostAtMs}) =>
-        phase === 'failed' &&
-        !permit &&
-        nowMs - (lostAtMs ?? nowMs) >= REPAIR_AFTER_MS,
-    )
-    .map(({id}) => ({type: 'grant-permit', kind: 'reboot', host: id}));
-}
-
-/** Moves that an edit of the pools table asks for. */
-function editedMoves(state: State): BodyOf<'grant-permit'>[] {
-  return Object.values(state.tables.pools).flatMap(pool =>
-    pool.hosts.flatMap(id => {
-      const host = state.hosts[id];
-      if (!host || host.permit || host.pool === pool.name) return [];
-      const targetPool = pool.name;
-      return [
-        {type: 'grant-permit', kind: 'move', host: id, targetPool} as const,
-      ];
-    }),
-  );
-}
-
 /**
  * Drops what the reducers would refuse: permits past a budget, and starts
  * past a team's limit. The reducers check again when the change is applied.
--- a/packages/policy/src/reclaim.ts
+++ b/packages/policy/src/reclaim.ts
@@ -65,12 +65,21 @@
 
 /** Keeps reclaims of live attempts; a late checkpoint becomes a stop. */
 function continued(input: ReclaimInput): Map<string, Reclaim> {
-  const {running, reclaims, claimants, nowMs} = input;
+  const {running, reclaims, claimants, workers, estimator, nowMs} = input;
   const next = new Map<string, Reclaim>();
+  const free = new Map(workers.map(({host, free}) => [host.id, free.cores]));
   for (const job of running) {
     const old = reclaims.get(job.id);
     if (!old || old.token !== job.token) continue;
-    if (old.stage === 'throttle' && claimants.length === 0) continue;
+    if (old.stage === 'throttle' && claimants.length === 0) {
+      // Full speed again only once the worker has the cores for it.
+      const cores = estimator.corrected(job).cores * (1 - THROTTLED_PART);
+      const left = (free.get(job.host!) ?? Infinity) - cores;
+      if (left >= 0) {
+        free.set(job.host!, left);
+        continue;
+      }
+    }
     const late = nowMs - old.sinceMs >= CHECKPOINT_TIMEOUT_MS;
     next.set(
       job.id,
--- /dev/null
+++ b/packages/policy/test/decide.test.ts
@@ -0,0 +1,237 @@
+import {
+  apply,
+  EMPTY_STATE,
+  failureDomain,
+  poolSchema,
+  routeSchema,
+  teamSchema,
+  type ChangeBody,
+  type Job,
+  type State,
+} from '@lentildrift/model';
+import {
+  changesOf,
+  check,
+  defaultPolicies,
+  EMPTY_MEMORY,
+  estimate,
+  fairShares,
+  FirstFit,
+  FixedSpare,
+  GreedyWaves,
+  PatientMoves,
+  propose,
+  StaticSlices,
+  weightsSchema,
+  type Memory,
+  type Policies,
+} from '@lentildrift/policy';
+import fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+
+const NO_SIGHT = {hosts: [], tasks: [], drained: [], rebooted: []};
+const PLAIN: Policies = {
+  shares: new StaticSlices(),
+  placement: new FirstFit(),
+  moves: new FixedSpare(),
+  waves: new GreedyWaves(),
+};
+
+interface Plan {
+  readonly failed: readonly number[];
+  readonly jobs: readonly {
+    team: number;
+    cores: number;
+    urgent: boolean;
+    place: boolean;
+  }[];
+  readonly minAvailable: number;
+  readonly limit: number;
+}
+
+const plans: fc.Arbitrary<Plan> = fc.record({
+  failed: fc.uniqueArray(fc.nat(8), {maxLength: 4}),
+  jobs: fc.array(
+    fc.record({
+      team: fc.nat(2),
+      cores: fc.integer({min: 1, max: 20}),
+      urgent: fc.boolean(),
+      place: fc.boolean(),
+    }),
+    {minLength: 5, maxLength: 60},
+  ),
+  minAvailable: fc.integer({min: 0, max: 6}),
+  limit: fc.integer({min: 0, max: 12}),
+});
+
+/** Nine hosts in three racks: eight workers and one spare. */
+function build({failed, jobs, minAvailable, limit}: Plan): State {
+  let state = EMPTY_STATE;
+  const run = (body: ChangeBody) => {
+    state = apply(state, {atMs: state.nowMs + 1, body}).state;
+  };
+  const ids = [...Array(9).keys()].map(i => `host-${i}`);
+  const edit = {
+    basedOn: 0,
+    teams: [1, 2, 4].map((share, t) =>
+      teamSchema.parse({name: `team-${t}`, share, limit}),
+    ),
+    pools: [
+      poolSchema.parse({
+        name: 'pool',
+        kind: 'jobs',
+        hosts: ids.slice(0, 8),
+        minAvailable,
+      }),
+      poolSchema.parse({name: 'spare', kind: 'spare', hosts: ids.slice(8)}),
+    ],
+    routes: [routeSchema.parse({name: 'q', pool: 'pool', service: 's'})],
+  };
+  run({type: 'command', requestId: 'e', command: {type: 'edit', edit}});
+  const facts = {dataCentre: 'd', cores: 16, memoryMiB: 100, accelerators: 0};
+  const hosts = ids.map((id, i) => ({id, rack: `r${i % 3}`, ...facts}));
+  run({type: 'observe-hosts', hosts: hosts.map(h => ({...h, healthy: true}))});
+  jobs.forEach(({team, cores, urgent}, i) =>
+    run({
+      type: 'submit-jobs',
+      team: `team-${team}`,
+      jobs: [
+        {
+          id: `j${i}`,
+          queue: 'q',
+          declared: {cores, memoryMiB: 1, accelerators: 0},
+          runTimeMs: 1,
+          urgent,
+          command: '',
+        },
+      ],
+    }),
+  );
+  const placed = jobs.flatMap(({place, cores}, i) =>
+    place && cores <= 4 ? [{job: `j${i}`, host: `host-${i % 8}`}] : [],
+  );
+  run({type: 'place-jobs', placements: placed});
+  const lost = failed.map(i => ({...hosts[i]!, healthy: false}));
+  run({type: 'observe-hosts', hosts: lost});
+  const deadlineMs = 60 * 24 * 3600_000;
+  const wave = {type: 'open-wave' as const, wave: 'w', deadlineMs};
+  run({type: 'command', requestId: 'w', command: wave});
+  return state;
+}
+
+function decide(policies: Policies, state: State, memory = EMPTY_MEMORY) {
+  const weights = weightsSchema.parse({});
+  const round = {state, sight: NO_SIGHT, memory, weights, callDemand: {}};
+  const estimated = estimate({...round, nowMs: state.nowMs + 120_000});
+  return propose(policies, estimated);
+}
+
+describe('decisions', () => {
+  test('our own proposals pass the check whole, and no baseline breaks a promise through it', () => {
+    let placements = 0;
+    let grants = 0;
+    fc.assert(
+      fc.property(plans, plan => {
+        const state = build(plan);
+        const ours = decide(defaultPolicies(), state);
+        const checked = check(state, ours);
+        expect(checked.grants).toEqual(ours.grants);
+        expect(checked.placements).toEqual(ours.placements);
+        placements += ours.placements.length;
+        grants += ours.grants.length;
+        for (const proposal of [ours, decide(PLAIN, state)]) {
+          let next = state;
+          for (const body of changesOf(check(state, proposal))) {
+            const result = apply(next, {atMs: next.nowMs, body});
+            expect(result.answer.ok).toBe(true);
+            next = result.state;
+          }
+          for (const held of Object.values(next.jobs.running)) {
+            expect(held).toBeLessThanOrEqual(plan.limit);
+          }
+          const open = Object.values(next.hosts).filter(
+            h =>
+              h.pool === 'pool' &&
+              h.permit &&
+              state.hosts[h.id]!.phase === 'serving',
+          );
+          expect(new Set(open.map(failureDomain)).size).toBeLessThan(2);
+        }
+      }),
+      {numRuns: 150, seed: 5},
+    );
+    expect(placements).toBeGreaterThan(500);
+    expect(grants).toBeGreaterThan(100);
+  });
+
+  test('no placement puts more on a worker than it has, by the estimates', () => {
+    fc.assert(
+      fc.property(plans, plan => {
+        const state = build(plan);
+        const {placements} = decide(defaultPolicies(), state);
+        const used = new Map<string, number>();
+        const jobs = Object.values(state.jobs.buckets).flatMap(bucket =>
+          Object.values(bucket),
+        );
+        const byId = new Map(jobs.map(job => [job.id, job]));
+        const start = (host: string, job: Job) =>
+          used.set(host, (used.get(host) ?? 0) + job.declared.cores);
+        for (const job of jobs) if (job.token) start(job.host!, job);
+        for (const {job, host} of placements) {
+          start(host, byId.get(job)!);
+          expect(used.get(host)).toBeLessThanOrEqual(16);
+        }
+      }),
+      {numRuns: 100, seed: 6},
+    );
+  });
+
+  test('fair shares never exceed the pool or a want, and leave nothing idle that is wanted', () => {
+    const team = fc.record({
+      team: fc.uuid(),
+      weight: fc.double({min: 0.1, max: 10, noNaN: true}),
+      wanted: fc.double({min: 0, max: 2, noNaN: true}),
+    });
+    fc.assert(
+      fc.property(fc.array(team, {minLength: 1, maxLength: 12}), teams => {
+        const fair = fairShares(teams);
+        const given = [...fair.values()].reduce((a, b) => a + b, 0);
+        const wanted = teams.reduce((sum, t) => sum + t.wanted, 0);
+        expect(given).toBeCloseTo(Math.min(1, wanted), 6);
+        const unmet = teams.filter(t => fair.get(t.team)! < t.wanted - 1e-9);
+        for (const {team: name, weight, wanted: most} of teams) {
+          expect(fair.get(name)!).toBeLessThanOrEqual(most + 1e-9);
+          for (const poor of unmet) {
+            const mine = fair.get(name)! / weight;
+            expect(mine).toBeLessThanOrEqual(
+              fair.get(poor.team)! / poor.weight + 1e-9,
+            );
+          }
+        }
+      }),
+      {numRuns: 200, seed: 8},
+    );
+  });
+
+  test('a burst that is over within ten minutes moves no host', () => {
+    const jobs = [...Array(60).keys()].map(i => ({
+      team: i % 3,
+      cores: 10,
+      urgent: false,
+      place: false,
+    }));
+    const state = build({failed: [], jobs, minAvailable: 0, limit: 12});
+    const weights = weightsSchema.parse({});
+    const moves = new PatientMoves();
+    let memory: Memory = EMPTY_MEMORY;
+    const choose = (nowMs: number) => {
+      const base = {state, sight: NO_SIGHT, weights, callDemand: {}, nowMs};
+      const {loads, ...rest} = estimate({...base, memory});
+      ({memory} = rest);
+      return moves.choose({...memory, state, pools: loads, nowMs, weights});
+    };
+    expect(choose(0)).toEqual([]);
+    expect(choose(9.9 * 60_000)).toEqual([]);
+    expect(choose(10 * 60_000)).toEqual([{host: 'host-8', targetPool: 'pool'}]);
+  });
+});
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -2,3 +2,4 @@
 export * from './policy.js';
 export * from './trial.js';
 export * from './workload.js';
+export * from './round.js';
