--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -1,6 +1,5 @@
 /** The pure part of a decision round: estimate, propose and check. */
 import {
-  apply,
   isAvailable,
   jobLimitOf,
   jobOf,
@@ -12,7 +11,7 @@
 } from '@lentildrift/model';
 import {createEstimator, type Estimator} from './estimate.js';
 import {evidence, faultyWorkers} from './fault.js';
-import {proposeGrants} from './grant.js';
+import {checkGrants, proposeGrants} from './grant.js';
 import type {Memory, Reclaim} from './memory.js';
 import {
   isAmple,
@@ -231,16 +230,11 @@
  * past a team's limit. The reducers check again when the change is applied.
  */
 export function check(state: State, proposal: Proposal): Proposal {
-  let scratch = state;
-  const grants = proposal.grants.filter(body => {
-    const {state: next, answer} = apply(scratch, {atMs: state.nowMs, body});
-    if (answer.ok) scratch = next;
-    return answer.ok;
-  });
+  const {grants, hosts} = checkGrants(state, proposal.grants);
   const left = new Map<string, number>();
   const placements = proposal.placements.filter(({job: id, host}) => {
     const job = jobOf(state.jobs, id);
-    if (!job || scratch.hosts[host]?.phase !== 'serving') return false;
+    if (!job || hosts.get(host)?.phase !== 'serving') return false;
     const free = leftOf(state, left, job);
     left.set(job.team, free - 1);
     return free > 0;
--- a/packages/policy/src/grant.ts
+++ b/packages/policy/src/grant.ts
@@ -1,12 +1,17 @@
 /** Proposals of permits: repairs, edited moves, moves and waves. */
-import type {BodyOf, State} from '@lentildrift/model';
+import {
+  refusalAmong,
+  type BodyOf,
+  type Host,
+  type State,
+} from '@lentildrift/model';
 import {REPAIR_AFTER_MS} from './absorb.js';
 import type {MovePolicy, PoolLoad} from './move.js';
 import type {Situation} from './situation.js';
 import type {WavePolicy} from './wave.js';
 
 /** Permits asked for in one round; the rest follow in the next. */
-const GRANTS_PER_ROUND = 64;
+const GRANTS_PER_ROUND = 32;
 
 type Grant = BodyOf<'grant-permit'>;
 
@@ -75,3 +80,39 @@
     }),
   );
 }
+
+/** The permits that the budgets allow one after the other. */
+export function checkGrants(
+  state: State,
+  grants: readonly Grant[],
+): {grants: Grant[]; hosts: ReadonlyMap<string, Host>} {
+  const hosts = new Map(Object.entries(state.hosts));
+  const pools = new Map<string, Host[]>();
+  for (const host of hosts.values()) {
+    const members = pools.get(host.pool);
+    if (members) members.push(host);
+    else pools.set(host.pool, [host]);
+  }
+  const allowed = grants.filter(body => {
+    const host = hosts.get(body.host);
+    const pool = state.tables.pools[host?.pool ?? ''];
+    if (!host || host.permit) return false;
+    const members = pools.get(host.pool)!;
+    const others = members.filter(other => other.id !== host.id);
+    if (pool && refusalAmong(pool, host, others)) return false;
+    const taken = underPermit(host, body, state);
+    hosts.set(host.id, taken);
+    pools.set(host.pool, [...others, taken]);
+    return true;
+  });
+  return {grants: allowed, hosts};
+}
+
+/** The host as the grant would leave it; the token is not known yet. */
+function underPermit(host: Host, body: Grant, {nowMs}: State): Host {
+  const {kind, targetPool, wave} = body;
+  const token = Number.MAX_SAFE_INTEGER;
+  const permit = {kind, token, grantedAtMs: nowMs, targetPool, wave};
+  const phase = host.phase === 'failed' ? 'failed' : 'draining';
+  return {...host, phase, permit};
+}
--- a/packages/testkit/src/round.ts
+++ b/packages/testkit/src/round.ts
@@ -1,5 +1,10 @@
 /** Times one decision round at growing sizes of the fleet. */
-import {apply, type ChangeBody, type State} from '@lentildrift/model';
+import {
+  apply,
+  occupyingJobs,
+  type ChangeBody,
+  type State,
+} from '@lentildrift/model';
 import {
   absorb,
   changesOf,
@@ -29,6 +34,8 @@
 /** Jobs that run, and that wait, for each worker. */
 const RUNNING_PER_WORKER = 5;
 const QUEUED_PER_WORKER = 2;
+/** One running job in so many is seen to run for the first time. */
+const STARTS_SEEN = 20;
 const ROUNDS = 12;
 
 export interface RoundTime {
@@ -148,6 +155,12 @@
     run({type: 'submit-jobs', team: `team-${team}`, jobs});
   }
   run({type: 'place-jobs', placements});
+  const steps = occupyingJobs(state.jobs).flatMap(({id, token}, i) =>
+    i % STARTS_SEEN === 0
+      ? []
+      : [{job: id, token: token!, to: 'running'} as const],
+  );
+  run({type: 'step-jobs', steps});
   const deadlineMs = 50 * 24 * 3600_000;
   const command = {type: 'open-wave' as const, wave: 'wave', deadlineMs};
   run({type: 'command', requestId: 'wave', command});
