--- a/packages/policy/src/estimate.ts
+++ b/packages/policy/src/estimate.ts
@@ -67,7 +67,15 @@
 export function createEstimator(memory: Memory, sight: Sight): Estimator {
   const tasks = tasksByJob(sight);
 
+  const corrections = new Map<Job, Size>();
+
   function corrected(job: Job): Size {
+    let size = corrections.get(job);
+    if (!size) corrections.set(job, (size = correct(job)));
+    return size;
+  }
+
+  function correct(job: Job): Size {
     const ratio = memory.ratios.get(`${job.team}/${job.queue}`);
     const {declared} = job;
     if (!ratio) return declared;
--- a/packages/policy/src/grant.ts
+++ b/packages/policy/src/grant.ts
@@ -11,7 +11,7 @@
 import type {WavePolicy} from './wave.js';
 
 /** Permits asked for in one round; the rest follow in the next. */
-const GRANTS_PER_ROUND = 32;
+const GRANTS_PER_ROUND = 16;
 
 type Grant = BodyOf<'grant-permit'>;
 
