--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -17,6 +17,7 @@
   isAmple,
   isShort,
   PatientMoves,
+  shortageLoad,
   since,
   type MovePolicy,
   type PoolLoad,
@@ -87,7 +88,13 @@
         ? jobDemand(pool, estimator)
         : (situation.callDemand[pool.name] ?? 0),
   }));
-  const shortages = since(memory.shortages, loads, isShort, nowMs);
+  const load = shortageLoad(situation.weights);
+  const shortages = since(
+    memory.shortages,
+    loads,
+    (pool, before) => isShort(pool, before, load),
+    nowMs,
+  );
   const surpluses = since(memory.surpluses, loads, isAmple, nowMs);
   const moved = joinTimes(state, memory, nowMs);
   return {
--- a/packages/policy/src/move.ts
+++ b/packages/policy/src/move.ts
@@ -56,7 +56,7 @@
   override choose(input: MoveInput): MoveProposal[] {
     const proposals: MoveProposal[] = [];
     const taken = new Set<string>();
-    for (const pool of byShortage(input.pools)) {
+    for (const pool of byShortage(input.pools, shortageLoad(input.weights))) {
       if (!outweighs(pool, input) || pool.arriving >= ARRIVALS) continue;
       const host = chooseHost(pool, input, taken);
       if (!host) continue;
@@ -67,14 +67,14 @@
   }
 }
 
-function byShortage(pools: readonly PoolLoad[]): PoolLoad[] {
+function byShortage(pools: readonly PoolLoad[], load: number): PoolLoad[] {
   return pools
-    .filter(pool => pool.kind !== 'spare' && shortOf(pool) > 0)
-    .sort((a, b) => shortOf(b) - shortOf(a));
+    .filter(pool => pool.kind !== 'spare' && shortOf(pool, load) > 0)
+    .sort((a, b) => shortOf(b, load) - shortOf(a, load));
 }
 
-function shortOf(pool: PoolLoad): number {
-  return pool.demandHosts - pool.available - pool.arriving;
+function shortOf(pool: PoolLoad, load: number): number {
+  return pool.demandHosts - (pool.available + pool.arriving) * load;
 }
 
 function outweighs(pool: PoolLoad, input: MoveInput): boolean {
@@ -83,7 +83,8 @@
   const lastedMs = input.nowMs - since;
   if (lastedMs < LASTING_MS) return false;
   const {moves, shareNearness, bufferCost} = input.weights;
-  const gain = Math.min(1, shortOf(pool)) * lastedMs;
+  const gain =
+    Math.min(1, shortOf(pool, shortageLoad(input.weights))) * lastedMs;
   const weight = moves / Math.max(0.01, (shareNearness + bufferCost) / 2);
   return gain > MOVE_COST_HOST_MS * Math.max(0.5, weight);
 }
@@ -156,9 +157,24 @@
   return next;
 }
 
+/** Load from which on a pool is short for users who weigh idle hosts more. */
+const THRIFTY_LOAD = 0.7;
+
+/**
+ * Load from which on a pool is short of hosts: a user who weighs idle spare
+ * hosts more than moves puts them to work before a pool is full.
+ */
+export function shortageLoad({bufferCost, moves}: Weights): number {
+  return bufferCost > moves ? THRIFTY_LOAD : 1;
+}
+
 /** A shortage ends only once demand is well below the pool. */
-export function isShort(pool: PoolLoad, before: boolean): boolean {
-  return pool.demandHosts > pool.available * (before ? 0.9 : 1);
+export function isShort(
+  pool: PoolLoad,
+  before: boolean,
+  load: number,
+): boolean {
+  return pool.demandHosts > pool.available * load * (before ? 0.9 : 1);
 }
 
 /** Whether the pool could give a host away and stay well above its demand. */
