--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -141,7 +141,9 @@
   };
   const reclaims = new Map<string, Reclaim>();
   const grants = proposeGrants(policies.moves, policies.waves, round);
-  const leaving = new Set(grants.map(({host}) => host));
+  // A host whose permit will be refused stays open to jobs in this round.
+  const allowed = checkGrants(round.state, grants).grants;
+  const leaving = new Set(allowed.map(({host}) => host));
   for (const pool of round.loads) {
     if (pool.queued.length === 0 && pool.running.length === 0) continue;
     const workers = workersOf(pool, round, leaving);
