--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -1,5 +1,5 @@
 /** The control role: its tasks, and the services that stand before them. */
-import type {Slice, State} from '@lentildrift/model';
+import {allJobs, type Slice, type State} from '@lentildrift/model';
 import type {Log} from '@lentildrift/observe';
 import {
   ControlService,
@@ -205,7 +205,7 @@
 
   override async jobs({team}: JobsRequest) {
     await this.parts.freshness.confirm();
-    const all = Object.values(this.parts.replica.state().jobs);
+    const all = allJobs(this.parts.replica.state().jobs);
     return {jobs: all.filter(job => job.team === team)};
   }
 }
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -9,3 +9,4 @@
 export * from './process.js';
 export type {Peers, Proposals} from './propose.js';
 export * from './transport.js';
+export * from './planner/index.js';
--- a/packages/control/src/operators.ts
+++ b/packages/control/src/operators.ts
@@ -1,5 +1,11 @@
 /** Operators' commands and reads. */
-import {parseKey, verifyKey, hashSecret, type Answer} from '@lentildrift/model';
+import {
+  allJobs,
+  parseKey,
+  verifyKey,
+  hashSecret,
+  type Answer,
+} from '@lentildrift/model';
 import {
   ServiceError,
   type CommandRequest,
@@ -70,7 +76,7 @@
     case 'hosts':
       return Object.values(state.hosts);
     case 'jobs':
-      return Object.values(state.jobs);
+      return allJobs(state.jobs);
     case 'waves':
       return Object.values(state.waves);
     case 'upstreams':
--- a/packages/model/src/state.ts
+++ b/packages/model/src/state.ts
@@ -1,9 +1,9 @@
 /** The replicated state: one immutable value. */
 import {z} from 'zod';
 import {answersSchema} from './answer.js';
+import {EMPTY_BOOK, jobBookSchema} from './book.js';
 import {claimsSchema} from './claim.js';
 import {hostSchema, waveSchema} from './host.js';
-import {jobSchema} from './job.js';
 import {keySchema} from './key.js';
 import {sessionSchema, slicesSchema} from './session.js';
 import {EMPTY_TABLES, tablesSchema} from './table.js';
@@ -18,10 +18,12 @@
   slices: slicesSchema,
   answers: answersSchema,
   claims: claimsSchema,
-  jobs: z.record(z.string(), jobSchema),
+  jobs: jobBookSchema,
   waves: z.record(z.string(), waveSchema),
   /** Last fencing token handed out. */
   fence: z.number().int().nonnegative(),
+  /** Token of the newest planner; commands of older ones are fenced. */
+  planner: z.number().int().nonnegative().default(0),
 });
 export type State = z.infer<typeof stateSchema>;
 
@@ -35,7 +37,8 @@
   slices: {},
   answers: [],
   claims: {},
-  jobs: {},
+  jobs: EMPTY_BOOK,
   waves: {},
   fence: 0,
+  planner: 0,
 };
--- a/packages/model/src/work.ts
+++ b/packages/model/src/work.ts
@@ -1,18 +1,43 @@
 /** Reducers of jobs: submit, place, step, cancel, park; quarantine of workers. */
 import type {BodyOf} from './change.js';
-import {occupiesWorker, type Job} from './job.js';
+import {allJobs, editBook, type BookEditor, type JobBook} from './book.js';
+import {isFinal, occupiesWorker, type Job} from './job.js';
 import {fail, succeed, type Result} from './result.js';
 import type {State} from './state.js';
+import type {Tables} from './table.js';
 
 /** Distinct workers on which a job may fail before it is parked. */
 export const ATTEMPTS_BEFORE_PARKING = 3;
 
+/** Lease under which the platform runs tasks; a lost worker's end with it. */
+export const TASK_LEASE_MS = 10_000;
+
+/** Allowance for clock drift between the leader and the platform. */
+const LEASE_MARGIN_MS = 500;
+
+/** Finished jobs kept for readers and against resent submissions. */
+export const FINISHED_JOBS_KEPT = 8192;
+
+/** Finished jobs are dropped in batches, so that few changes sort them. */
+const FINISHED_JOBS_SLACK = 1024;
+
+/** Jobs that may wait, run or be parked at one time. */
+export const UNFINISHED_JOBS_MAX = 50_000;
+
 /** Accepts the jobs; one that is known already is left as it is. */
 export function submitJobs(state: State, body: BodyOf<'submit-jobs'>): Result {
-  const jobs = {...state.jobs};
+  const jobs = editBook(state.jobs);
+  const fresh = body.jobs.filter(spec => !jobs.get(spec.id)).length;
+  if (jobs.unfinished() + fresh > UNFINISHED_JOBS_MAX) {
+    return fail(
+      state,
+      'limit',
+      `more than ${UNFINISHED_JOBS_MAX} jobs would be unfinished`,
+    );
+  }
   for (const spec of body.jobs) {
-    if (Object.hasOwn(jobs, spec.id)) continue;
-    jobs[spec.id] = {
+    if (jobs.get(spec.id)) continue;
+    jobs.set({
       ...spec,
       team: body.team,
       phase: 'queued',
@@ -20,9 +45,9 @@
       failedOn: [],
       cancelRequested: false,
       checkpointed: false,
-    };
+    });
   }
-  return succeed({...state, jobs});
+  return succeed({...state, jobs: jobs.close()});
 }
 
 /**
@@ -30,43 +55,56 @@
  * and cancelled once the attempt is known to have ended.
  */
 export function cancelJobs(state: State, body: BodyOf<'cancel-jobs'>): Result {
-  const jobs = {...state.jobs};
+  const jobs = editBook(state.jobs);
   let count = 0;
   for (const id of body.jobs) {
-    const job = jobs[id];
+    const job = jobs.get(id);
     if (!job || job.team !== body.team || isFinal(job)) continue;
-    jobs[id] = occupiesWorker(job)
-      ? {...job, cancelRequested: true}
-      : {...job, phase: 'cancelled', endedAtMs: state.nowMs};
+    jobs.set(
+      occupiesWorker(job)
+        ? {...job, cancelRequested: true}
+        : {...job, phase: 'cancelled', endedAtMs: state.nowMs},
+    );
     count++;
   }
-  return succeed({...state, jobs}, String(count));
+  return succeed({...state, jobs: bounded(jobs)}, String(count));
 }
 
-/** Starts attempts; each gets a fencing token of its own. */
+/**
+ * Starts attempts; each gets a fencing token of its own. A placement that
+ * would pass its team's limit is left out.
+ */
 export function placeJobs(state: State, body: BodyOf<'place-jobs'>): Result {
-  const jobs = {...state.jobs};
+  const jobs = editBook(state.jobs);
   let fence = state.fence;
   for (const {job: id, host: hostId} of body.placements) {
-    const job = jobs[id];
+    const job = jobs.get(id);
     const host = state.hosts[hostId];
     if (job?.phase !== 'queued') continue;
     if (host?.phase !== 'serving' || host.quarantined) continue;
+    if (jobs.running(job.team) >= jobLimitOf(state.tables, job.team)) continue;
     fence++;
-    jobs[id] = {...job, phase: 'starting', host: hostId, token: fence};
+    jobs.set({
+      ...job,
+      phase: 'starting',
+      host: hostId,
+      token: fence,
+      placedAtMs: state.nowMs,
+    });
   }
-  return succeed({...state, jobs, fence});
+  return succeed({...state, jobs: jobs.close(), fence});
 }
 
 /** Moves attempts on; a step with a stale token is ignored. */
 export function stepJobs(state: State, body: BodyOf<'step-jobs'>): Result {
-  const jobs = {...state.jobs};
+  const jobs = editBook(state.jobs);
   for (const step of body.steps) {
-    const job = jobs[step.job];
+    const job = jobs.get(step.job);
     if (!job || !occupiesWorker(job) || job.token !== step.token) continue;
-    jobs[job.id] = nextJob(job, step, state.nowMs);
+    if (step.to === 'lost' && !leaseLapsed(state, job)) continue;
+    jobs.set(nextJob(job, step, state.nowMs));
   }
-  return succeed({...state, jobs});
+  return succeed({...state, jobs: bounded(jobs)});
 }
 
 function nextJob(
@@ -74,10 +112,10 @@
   step: BodyOf<'step-jobs'>['steps'][number],
   nowMs: number,
 ): Job {
-  const {host, token: _, ...rest} = job;
+  const {host, token: _, placedAtMs: _at, ...rest} = job;
   switch (step.to) {
     case 'running':
-      return {...job, phase: 'running', startedAtMs: nowMs};
+      return {...job, phase: 'running', startedAtMs: job.startedAtMs ?? nowMs};
     case 'done':
       return {...rest, phase: 'done', endedAtMs: nowMs};
     case 'failed':
@@ -114,12 +152,12 @@
 
 /** Sets queued jobs aside with the reason, so that they block no other. */
 export function parkJobs(state: State, body: BodyOf<'park-jobs'>): Result {
-  const jobs = {...state.jobs};
+  const jobs = editBook(state.jobs);
   for (const {job: id, reason} of body.jobs) {
-    const job = jobs[id];
-    if (job?.phase === 'queued') jobs[id] = {...job, phase: 'parked', reason};
+    const job = jobs.get(id);
+    if (job?.phase === 'queued') jobs.set({...job, phase: 'parked', reason});
   }
-  return succeed({...state, jobs});
+  return succeed({...state, jobs: jobs.close()});
 }
 
 export function quarantine(state: State, body: BodyOf<'quarantine'>): Result {
@@ -129,6 +167,30 @@
   return succeed({...state, hosts: {...state.hosts, [host.id]: set}});
 }
 
-function isFinal(job: Job): boolean {
-  return ['done', 'failed', 'cancelled'].includes(job.phase);
+/** Whether a lost worker can no longer be running the job's attempt. */
+export function leaseLapsed(state: State, job: Job): boolean {
+  const host = state.hosts[job.host ?? ''];
+  if (!host) return true;
+  if (host.lostAtMs === undefined) return false;
+  const fromMs = Math.max(host.lostAtMs, job.placedAtMs ?? 0);
+  return state.nowMs >= fromMs + TASK_LEASE_MS + LEASE_MARGIN_MS;
+}
+
+/** Upper limit of the team's running jobs. */
+export function jobLimitOf(tables: Tables, team: string): number {
+  const row = tables.teams[team];
+  return row?.jobLimit ?? row?.limit ?? 0;
+}
+
+/** The edited book without the oldest of too many finished jobs. */
+function bounded(jobs: BookEditor): JobBook {
+  const book = jobs.close();
+  if (book.finished <= FINISHED_JOBS_KEPT + FINISHED_JOBS_SLACK) return book;
+  const finished = allJobs(book)
+    .filter(isFinal)
+    .sort((a, b) => (a.endedAtMs ?? 0) - (b.endedAtMs ?? 0));
+  const trimmed = editBook(book);
+  const dropped = finished.length - FINISHED_JOBS_KEPT;
+  for (const {id} of finished.slice(0, dropped)) trimmed.remove(id);
+  return trimmed.close();
 }
--- a/packages/testkit/src/fleet.ts
+++ b/packages/testkit/src/fleet.ts
@@ -1,136 +1,99 @@
-/** States of a given size, for measurements. */
+/** Tables and hosts of a fleet of a given size. */
 import {
   apply,
   EMPTY_STATE,
-  hashSecret,
   poolSchema,
   routeSchema,
   teamSchema,
-  type ChangeBody,
-  type Command,
+  type ObservedHost,
   type State,
 } from '@lentildrift/model';
 
+const WORKERS_PER_RACK = 4;
+const CORES = 64;
+
 export interface FleetSize {
-  readonly hosts: number;
+  readonly workers: number;
+  /** Pools that serve, without the spare pool. */
   readonly pools: number;
+  readonly spares: number;
   readonly teams: number;
-  readonly routes: number;
-  readonly keys: number;
-  readonly jobs: number;
-  readonly sessions: number;
-  /** Answers to operators that are on record. */
-  readonly answers: number;
+  readonly dataCentres: number;
+  readonly memoryMiB: number;
 }
 
-const HOSTS_PER_RACK = 4;
+export const ARCHERS: FleetSize = {
+  workers: 35,
+  pools: 5,
+  spares: 3,
+  teams: 6,
+  dataCentres: 3,
+  memoryMiB: 256 * 1024,
+};
 
-/** A valid state of about the given size, built through `apply` alone. */
-export function buildFleet(size: FleetSize, dataCentres = 3): State {
-  let state = EMPTY_STATE;
-  const step = (body: ChangeBody) => {
-    const result = apply(state, {atMs: 1_700_000_000_000, body});
-    if (!result.answer.ok) throw new Error(result.answer.message);
-    state = result.state;
-  };
-  let requests = 0;
-  const command = (each: Command) =>
-    step({type: 'command', requestId: `request-${++requests}`, command: each});
+export const GARDENS: FleetSize = {...ARCHERS, memoryMiB: 128 * 1024};
 
-  command({type: 'edit', edit: fleetTables(size)});
-  step({type: 'observe-hosts', hosts: observedHosts(size.hosts, dataCentres)});
-  for (let i = 0; i < size.keys; i++) command(giveKey(i, size.teams));
-  for (let i = 0; i < size.sessions; i++) {
-    step({type: 'open-session', session: `session-${i}`, entryHost: `e-${i}`});
-  }
-  if (size.sessions > 0) step(evenSlices(size));
-  if (size.jobs > 0) step(submitJobs(size));
-  while (requests < size.answers) {
-    command({type: 'withdraw-key', keyId: keyId(0)});
-  }
-  return state;
+export interface Fleet {
+  readonly size: FleetSize;
+  readonly hosts: readonly Omit<ObservedHost, 'healthy'>[];
+  readonly state: State;
 }
 
-function fleetTables(size: FleetSize) {
-  const hostsOf = (pool: number) =>
-    range(size.hosts)
-      .filter(host => host % size.pools === pool)
-      .map(host => `host-${host}`);
-  return {
-    basedOn: 0,
-    teams: range(size.teams).map(i =>
-      teamSchema.parse({name: `team-${i}`, share: 1, limit: 1000}),
-    ),
-    pools: range(size.pools).map(i =>
-      poolSchema.parse({
-        name: `pool-${i}`,
-        kind: i % 2 === 0 ? 'calls' : 'jobs',
-        hosts: hostsOf(i),
-        minAvailable: Math.floor((hostsOf(i).length * 3) / 4),
-      }),
-    ),
-    routes: range(size.routes).map(i =>
-      routeSchema.parse({
-        name: `route-${i}`,
-        pool: `pool-${i % size.pools}`,
-        service: `service-${i % size.pools}`,
-      }),
-    ),
-  };
-}
+/** Shares of teams: a few large ones, then many small ones. */
+const SHARES = [3, 3, 2, 1, 1, 1];
 
-function observedHosts(count: number, dataCentres: number) {
-  return range(count).map(i => ({
-    id: `host-${i}`,
-    dataCentre: `dc-${i % dataCentres}`,
-    rack: `rack-${Math.floor(i / HOSTS_PER_RACK)}`,
-    cores: 64,
-    memoryMiB: 262_144,
-    accelerators: 0,
-    healthy: true,
-  }));
-}
-
-function keyId(index: number): string {
-  return index.toString(16).padStart(12, '0');
+/** Builds the fleet with every host healthy and in service. */
+export function buildFleet(size: FleetSize): Fleet {
+  const hosts = [...Array(size.workers).keys()].map(i => hostAt(size, i));
+  const serving = hosts.slice(0, size.workers - size.spares);
+  const pools = [...Array(size.pools).keys()].map(p => {
+    const own = serving.filter((_, i) => i % size.pools === p);
+    return poolSchema.parse({
+      name: `pool-${p}`,
+      kind: 'jobs',
+      hosts: own.map(host => host.id),
+      minAvailable: Math.max(0, own.length - 2),
+    });
+  });
+  const spare = poolSchema.parse({
+    name: 'spare',
+    kind: 'spare',
+    hosts: hosts.slice(serving.length).map(host => host.id),
+  });
+  const routes = pools.map((pool, p) =>
+    routeSchema.parse({name: `queue-${p}`, pool: pool.name, service: 'work'}),
+  );
+  const teams = [...Array(size.teams).keys()].map(t =>
+    teamSchema.parse({
+      name: `team-${t}`,
+      share: SHARES[t % SHARES.length],
+      limit: 10_000,
+    }),
+  );
+  const edit = {basedOn: 0, pools: [...pools, spare], routes, teams};
+  let {state} = apply(EMPTY_STATE, {
+    atMs: 0,
+    body: {
+      type: 'command',
+      requestId: 'tables',
+      command: {type: 'edit', edit},
+    },
+  });
+  const seen = hosts.map(host => ({...host, healthy: true}));
+  const body = {type: 'observe-hosts' as const, hosts: seen};
+  ({state} = apply(state, {atMs: 0, body}));
+  return {size, hosts, state};
 }
 
-function giveKey(index: number, teams: number): Command {
-  const subject = {kind: 'team' as const, team: `team-${index % teams}`};
-  const secretHash = hashSecret(String(index));
-  return {type: 'give-key', keyId: keyId(index), subject, secretHash};
-}
-
-function evenSlices(size: FleetSize): ChangeBody {
-  const amount = Math.floor(1000 / size.sessions);
-  return {
-    type: 'set-slices',
-    slices: range(size.teams).flatMap(team =>
-      range(size.sessions).map(session => ({
-        team: `team-${team}`,
-        session: `session-${session}`,
-        basedOn: 0,
-        amount,
-      })),
-    ),
-  };
-}
-
-function submitJobs(size: FleetSize): ChangeBody {
+function hostAt(size: FleetSize, i: number): Omit<ObservedHost, 'healthy'> {
+  const rack = Math.floor(i / WORKERS_PER_RACK);
+  const isSpare = i >= size.workers - size.spares;
   return {
-    type: 'submit-jobs',
-    team: 'team-0',
-    jobs: range(size.jobs).map(i => ({
-      id: `job-${i}`,
-      queue: `route-${i % size.routes}`,
-      declared: {cores: 2, memoryMiB: 4096, accelerators: 0},
-      runTimeMs: 60_000,
-      urgent: false,
-      command: '',
-    })),
+    id: `${isSpare ? 'spare' : 'worker'}-${i}`,
+    dataCentre: `dc-${rack % size.dataCentres}`,
+    rack: `rack-${rack}`,
+    cores: CORES,
+    memoryMiB: size.memoryMiB,
+    accelerators: 0,
   };
 }
-
-export function range(count: number): number[] {
-  return Array.from({length: count}, (_, index) => index);
-}
--- a/packages/testkit/src/slopes.ts
+++ b/packages/testkit/src/slopes.ts
@@ -8,7 +8,7 @@
 } from '@lentildrift/model';
 import {syncRequestSchema} from '@lentildrift/protocol';
 import {fitLine, medianMs, type Fit, type Point} from './fit.js';
-import {buildFleet, range, type FleetSize} from './fleet.js';
+import {buildState, range, type FleetSize} from './sized.js';
 
 /** A fleet like today's. */
 export const BASE: FleetSize = {
@@ -65,7 +65,7 @@
 ): Slope {
   const points = SIZES[dimension].map(x => ({
     x,
-    y: value(buildFleet({...base, [dimension]: x}, 11)),
+    y: value(buildState({...base, [dimension]: x}, 11)),
   }));
   return {name, per: dimension, unit, points, fit: fitLine(points)};
 }
