--- a/packages/testkit/src/measure.ts
+++ b/packages/testkit/src/measure.ts
@@ -5,6 +5,7 @@
 
 /** Loaded on demand, since each brings packages of its own. */
 const MEASUREMENTS: Record<string, () => Promise<Measurement>> = {
+  slopes: async () => (await import('./slopes.js')).measureSlopes,
   policy: async () => (await import('./policy.js')).measurePolicy,
   entry: async () => (await import('./bench/entry.js')).measureEntry,
 };
--- a/packages/testkit/src/slopes.ts
+++ b/packages/testkit/src/slopes.ts
@@ -6,8 +6,10 @@
   projectView,
   type State,
 } from '@lentildrift/model';
+import {DemandPolicy, type Holder} from '@lentildrift/control';
 import {syncRequestSchema} from '@lentildrift/protocol';
 import {fitLine, medianMs, type Fit, type Point} from './fit.js';
+import {measureRounds} from './round.js';
 import {buildState, range, type FleetSize} from './sized.js';
 
 /** A fleet like today's. */
@@ -148,6 +150,26 @@
   return grown / copies.length;
 }
 
+const policy = new DemandPolicy();
+
+/** Time to divide every team's limit between all sessions. */
+function divideMs(state: State): number {
+  const teams = Object.values(state.tables.teams).map(team => ({
+    limit: team.limit,
+    holders: Object.values(state.sessions).map<Holder>((session, index) => {
+      const slice = state.slices[team.name]?.[session.id];
+      const use = {
+        running: index % 5,
+        demand: index % 9,
+        generation: slice?.generation ?? 0,
+        ceiling: slice?.amount ?? 0,
+      };
+      return {session: session.id, phase: session.phase, slice, use};
+    }),
+  }));
+  return medianMs(() => teams.forEach(team => policy.decide(team)), REPEATS);
+}
+
 /** The slopes of the replicated state and of the messages about it. */
 export function measureStateSlopes(): Slope[] {
   const dimensions = Object.keys(SIZES) as (keyof FleetSize)[];
@@ -162,5 +184,46 @@
     measureSlope('apply observation', 'ms', 'hosts', observeMs),
     measureSlope('apply command', 'ms', 'answers', commandMs),
     measureSlope('view difference', 'ms', 'hosts', viewDeltaMs),
+    measureSlope('divide limits', 'ms', 'teams', divideMs),
+    measureSlope('divide limits', 'ms', 'sessions', divideMs, {
+      ...BASE,
+      teams: TARGET.teams,
+    }),
   ];
 }
+
+/** Measures every slope, prints the table and returns the figures. */
+export async function measureSlopes(): Promise<object> {
+  const slopes = measureStateSlopes();
+  const rounds = measureRounds();
+  printRow(['slope', 'per', 'unit', 'values', 'per unit', 'at 0', 'residual']);
+  for (const {name, per, unit, points, fit} of slopes) {
+    const digits = unit === 'ms' ? 3 : 0;
+    printRow([
+      name,
+      per,
+      unit,
+      points.map(({x, y}) => `${x}: ${y.toFixed(digits)}`).join(', '),
+      fit.slope.toPrecision(3),
+      fit.intercept.toFixed(digits),
+      `${(fit.residual * 100).toFixed(1)} %`,
+    ]);
+  }
+  const times = rounds.times.map(
+    ({workers, medianMs}) => `${workers}: ${medianMs.toFixed(1)}`,
+  );
+  printRow([
+    'decision round',
+    'workers',
+    'ms',
+    times.join(', '),
+    rounds.msPerWorker.toPrecision(3),
+    rounds.interceptMs.toFixed(1),
+    `${rounds.residualMs.toFixed(1)} ms`,
+  ]);
+  return {measure: 'slopes', slopes, rounds};
+}
+
+function printRow(cells: readonly string[]): void {
+  process.stdout.write(`| ${cells.join(' | ')} |\n`);
+}
