Tell the claims of one idempotency key apart by attempt

Cause, found by reading: a settlement named only team, key and session. After a claim with an unknown outcome the entry settles it as not-run; if that settlement is processed late, for instance by a control process that was frozen, and the caller has resent the key through the same entry meanwhile, it freed the second claim while its request ran, so that a third send could run again. Ruled out: holding the key at the entry until the settlement is acknowledged, since a request given up by its client may still be processed. Change: each claim carries an attempt, and a settlement concerns only its own attempt.

--- a/packages/control/src/claims.ts
+++ b/packages/control/src/claims.ts
@@ -109,10 +109,9 @@
   const claims = waiting.flatMap(({request}) =>
     request.claims.map(claim => ({...claim, session: request.session})),
   );
-  // A second `not-run` could free a key that was claimed again meanwhile.
-  const idempotent = claims.every(({verdict}) => verdict === 'ran');
   try {
-    await proposals.propose({type: 'settle', claims}, {idempotent});
+    // A later claim of the key is another attempt, which this leaves alone.
+    await proposals.propose({type: 'settle', claims}, {idempotent: true});
     for (const {reply} of waiting) reply.resolve();
   } catch (error) {
     for (const {reply} of waiting) reply.reject(error as Error);
--- a/packages/control/test/control.test.ts
+++ b/packages/control/test/control.test.ts
@@ -168,7 +168,7 @@
 describe('claims', () => {
   const claim = (session: string, key: string) => ({
     session,
-    claims: [{team: 'juniors', key}],
+    claims: [{team: 'juniors', key, attempt: session}],
   });
 
   it('two entries that claim one key at once do not both win', async () => {
@@ -185,7 +185,15 @@
     await settle(
       control.settle({
         session: 's1',
-        claims: [{team: 'juniors', key: 'k0', verdict: 'ran', status: 201}],
+        claims: [
+          {
+            team: 'juniors',
+            key: 'k0',
+            attempt: 's1',
+            verdict: 'ran',
+            status: 201,
+          },
+        ],
       }),
     );
     const again = await settle(roles.at('c').control.claim(claim('s3', 'k0')));
--- a/packages/entry/src/once.ts
+++ b/packages/entry/src/once.ts
@@ -14,6 +14,7 @@
   SettleRequest,
 } from '@lentildrift/protocol';
 import type {TaskSystem} from '@lentildrift/task';
+import {randomUUID} from 'node:crypto';
 import type {Cell} from './cell.js';
 import {
   extend,
@@ -46,10 +47,18 @@
 interface Want {
   readonly team: string;
   readonly key: string;
+  /** Tells this claim of the key from earlier and later ones. */
+  readonly attempt: string;
   /** Answered without an argument when the key is claimed. */
   readonly answer: (refusal?: Refusal, kept?: KeptResponse) => void;
 }
 
+interface OpenClaim {
+  readonly attempt: string;
+  /** Absent until the claim is answered. */
+  readonly session?: string;
+}
+
 type Settlement = SettleRequest['claims'][number] & {readonly session: string};
 
 type OnceMessage =
@@ -71,8 +80,8 @@
 export function createOnce(options: OnceOptions): Once {
   const {tasks, log, control, session} = options;
   const keep = createKeep();
-  /** Claims of this entry host that are open, by ID, with their sessions. */
-  const open = new Map<string, string>();
+  /** Claims of this entry host that are open, by ID. */
+  const open = new Map<string, OpenClaim>();
   let wants: Want[] = [];
   let settlements: Settlement[] = [];
   let timer: NodeJS.Timeout | undefined;
@@ -119,7 +128,7 @@
     if (kept) return item.answer(duplicate('ran'), kept);
     // Control could not tell two claims of one batch apart.
     if (open.has(id)) return item.answer(duplicate('may-have-run'));
-    open.set(id, '');
+    open.set(id, {attempt: item.attempt});
     wants.push(item);
     schedule(BATCH_MS);
   }
@@ -133,7 +142,7 @@
       const error = new Error('no session');
       return answerClaims(batch, '', {error});
     }
-    const claims = batch.map(({team, key}) => ({team, key}));
+    const claims = batch.map(({team, key, attempt}) => ({team, key, attempt}));
     const post = (result: Result) =>
       task.post({type: 'claimed', wants: batch, session: held, result});
     void control
@@ -161,7 +170,7 @@
         open.delete(id);
         item.answer(duplicate(taken.phase === 'ran' ? 'ran' : 'may-have-run'));
       } else {
-        open.set(id, held);
+        open.set(id, {attempt: item.attempt, session: held});
         item.answer();
       }
     }
@@ -169,10 +178,16 @@
 
   /** The claim may have been committed although no answer came. */
   function abandon(item: Want, held: string): void {
-    const {team, key} = item;
+    const {team, key, attempt} = item;
     open.delete(claimId(team, key));
     if (held !== '')
-      addSettlement({team, key, verdict: 'not-run', session: held});
+      addSettlement({
+        team,
+        key,
+        attempt,
+        verdict: 'not-run',
+        session: held,
+      });
     const text = 'the idempotency key could not be claimed';
     item.answer(refuse('stale', text, {retryAfterMs: RETRY_AFTER_MS}));
   }
@@ -184,8 +199,9 @@
     const {verdict, status, kept} = outcome;
     if (kept) keep.set(id, kept, performance.now() + CLAIM_WINDOW_MS);
     // A claim whose request may have run stays as it is.
-    if (!held || verdict === 'may-have-run') return;
-    addSettlement({team, key, verdict, status, session: held});
+    if (held?.session === undefined || verdict === 'may-have-run') return;
+    const {session: own, attempt} = held;
+    addSettlement({team, key, attempt, verdict, status, session: own});
   }
 
   function addSettlement(settlement: Settlement): void {
@@ -250,7 +266,12 @@
         if (late && !refusal) settle(team, key, {verdict: 'not-run'});
         resolve({refusal, kept});
       };
-      if (!task.post({type: 'want', want: {team, key, answer}})) {
+      if (
+        !task.post({
+          type: 'want',
+          want: {team, key, attempt: randomUUID(), answer},
+        })
+      ) {
         answer(refuse('stopping', 'this entry host is stopping'));
       }
     });
--- a/packages/model/src/change.ts
+++ b/packages/model/src/change.ts
@@ -87,7 +87,12 @@
   z.object({
     type: z.literal('claim'),
     claims: z.array(
-      z.object({team: z.string(), key: z.string(), session: z.string()}),
+      z.object({
+        team: z.string(),
+        key: z.string(),
+        session: z.string(),
+        attempt: z.string(),
+      }),
     ),
   }),
   z.object({
@@ -97,6 +102,7 @@
         team: z.string(),
         key: z.string(),
         session: z.string(),
+        attempt: z.string(),
         /** `not-run` removes the claim, so that the caller may resend. */
         verdict: z.enum(['not-run', 'ran']),
         status: z.number().int().optional(),
--- a/packages/model/src/claim.ts
+++ b/packages/model/src/claim.ts
@@ -8,6 +8,9 @@
   team: z.string(),
   key: z.string(),
   session: z.string(),
+  /** Chosen by the entry for each claim, so that a late message about an
+   * earlier claim of the key is told from one about this claim. */
+  attempt: z.string(),
   phase: z.enum(['claimed', 'ran']),
   /** HTTP status of the first answer, once it is known. */
   status: z.number().int().optional(),
--- a/packages/model/src/settle.ts
+++ b/packages/model/src/settle.ts
@@ -13,7 +13,7 @@
 import type {State} from './state.js';
 
 /**
- * Claims each key that is free; the detail is `Taken` as JSON: the positions
+ * Claims each key that is free, or held by the same attempt; the detail is `Taken` as JSON: the positions
  * of the claims that were taken already. Expired claims are removed from the
  * shards touched, and from one more in turn, so that all shards are visited.
  */
@@ -21,14 +21,15 @@
   const draft = createDraft(state.claims);
   const expiresAtMs = state.nowMs + CLAIM_WINDOW_MS;
   const taken: Taken = [];
-  body.claims.forEach(({team, key, session}, index) => {
+  body.claims.forEach(({team, key, session, attempt}, index) => {
     const id = claimId(team, key);
     const shard = draft.shard(claimShard(id), state.nowMs);
     const held = Object.hasOwn(shard, id) ? shard[id] : undefined;
+    if (held?.attempt === attempt) return;
     if (held) {
       taken.push({index, phase: held.phase, status: held.status});
     } else {
-      shard[id] = {team, key, session, phase: 'claimed', expiresAtMs};
+      shard[id] = {team, key, session, attempt, phase: 'claimed', expiresAtMs};
     }
   });
   const swept = String(state.revision % CLAIM_SHARDS);
@@ -36,14 +37,14 @@
   return succeed({...state, claims: draft.finish()}, JSON.stringify(taken));
 }
 
-/** Records outcomes; only the session that made a claim may settle it. */
+/** Records outcomes; only the attempt that made a claim may settle it. */
 export function settleClaims(state: State, body: BodyOf<'settle'>): Result {
   const draft = createDraft(state.claims);
   for (const item of body.claims) {
     const id = claimId(item.team, item.key);
     const shard = draft.shard(claimShard(id), state.nowMs);
     const claim = Object.hasOwn(shard, id) ? shard[id] : undefined;
-    if (!claim || claim.session !== item.session) continue;
+    if (!claim || claim.attempt !== item.attempt) continue;
     if (item.verdict === 'ran') {
       shard[id] = {...claim, phase: 'ran', status: item.status};
     } else if (claim.phase === 'claimed') {
--- a/packages/model/test/state.test.ts
+++ b/packages/model/test/state.test.ts
@@ -48,9 +48,10 @@
 });
 
 describe('claims', () => {
-  const claim = (key: string, session = 's') => ({
+  let attempts = 0;
+  const claim = (key: string, attempt = `a${attempts++}`) => ({
     type: 'claim' as const,
-    claims: [{team: 't', key, session}],
+    claims: [{team: 't', key, session: 's', attempt}],
   });
   const isFree = (answer: Answer) => answer.ok && answer.detail === '[]';
 
@@ -71,18 +72,23 @@
 
   it('of a request that ran are not freed by a late or foreign settlement', () => {
     const {run} = machine(1);
-    const settle = (verdict: 'ran' | 'not-run', session = 's') =>
+    const settle = (verdict: 'ran' | 'not-run', attempt: string) =>
       run({
         type: 'settle',
-        claims: [{team: 't', key: 'k', session, verdict, status: 200}],
+        claims: [
+          {team: 't', key: 'k', session: 's', attempt, verdict, status: 200},
+        ],
       });
-    run(claim('k'));
+    run(claim('k', 'first'));
     settle('not-run', 'other');
     expect(isFree(run(claim('k')))).toBe(false);
-    settle('not-run');
-    expect(isFree(run(claim('k')))).toBe(true);
-    settle('ran');
-    settle('not-run');
+    settle('not-run', 'first');
+    expect(isFree(run(claim('k', 'second')))).toBe(true);
+    // A repeated settlement of the first attempt, in the same session.
+    settle('not-run', 'first');
+    expect(isFree(run(claim('k')))).toBe(false);
+    settle('ran', 'second');
+    settle('not-run', 'second');
     const taken = run(claim('k'));
     expect(taken.ok && taken.detail).toBe(
       '[{"index":0,"phase":"ran","status":200}]',
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -66,7 +66,9 @@
 
 export const claimRequestSchema = z.object({
   session: z.string(),
-  claims: z.array(z.object({team: z.string(), key: z.string()})).min(1),
+  claims: z
+    .array(z.object({team: z.string(), key: z.string(), attempt: z.string()}))
+    .min(1),
 });
 export type ClaimRequest = z.infer<typeof claimRequestSchema>;
 
@@ -88,6 +90,7 @@
     z.object({
       team: z.string(),
       key: z.string(),
+      attempt: z.string(),
       verdict: z.enum(['not-run', 'ran']),
       status: z.number().int().optional(),
     }),
--- a/packages/protocol/test/service.test.ts
+++ b/packages/protocol/test/service.test.ts
@@ -188,7 +188,7 @@
     ]);
     const claim = control.claim({
       session: 's',
-      claims: [{team: 't', key: 'k'}],
+      claims: [{team: 't', key: 'k', attempt: 'a'}],
     });
     await expect(claim).rejects.toMatchObject({verdict: 'may-have-run'});
     expect(seen).toEqual(['claim']);
