Give calls to upstreams on joining hosts, and bring the operators' page up to date

Cause: without a platform no host is ever observed, so every host stays joining and every call was refused as no-upstream, seen with three control and two entry processes started by hand after the operators' page. An upstream that announces itself proves that its host works; the availability budget still counts the host only once it is observed.

--- a/packages/entry/src/directory.ts
+++ b/packages/entry/src/directory.ts
@@ -6,6 +6,7 @@
   mergeRoster,
   pruneRoster,
   upstreamId,
+  type HostPhase,
   type Roster,
   type RosterItem,
   type RosterRecord,
@@ -127,12 +128,19 @@
   return {...state, outgoing};
 }
 
+/**
+ * A joining host counts as available only once the platform has seen it
+ * healthy, but its upstream, which announces itself, already takes calls. So a
+ * site without a platform can serve calls.
+ */
+const IN_SERVICE: ReadonlySet<HostPhase> = new Set(['serving', 'joining']);
+
 function buildDirectory(state: RosterState, nowMs: number): Directory {
   const directory = new Map<string, RosterRecord[]>();
   for (const record of liveUpstreams(state.roster, nowMs)) {
     const {pool, service, host} = record.announcement;
     const held = state.view.hosts[host];
-    if (held?.pool !== pool || held.phase !== 'serving') continue;
+    if (held?.pool !== pool || !IN_SERVICE.has(held.phase)) continue;
     const key = directoryKey(pool, service);
     const list = directory.get(key);
     if (list) list.push(record);
--- /dev/null
+++ b/packages/entry/test/directory.test.ts
@@ -0,0 +1,46 @@
+import {describe, expect, it} from 'vitest';
+import {createRoster, directoryKey} from '../dist/src/directory.js';
+import {EMPTY_VIEW, hostPhaseSchema, type RosterItem} from '@lentildrift/model';
+import {startTasks} from '@lentildrift/task';
+
+const PHASES = hostPhaseSchema.options;
+
+/** Hosts of pool `lanes`, one in each phase, each with a live upstream. */
+async function directoryOfAllPhases(announcedPool = 'lanes') {
+  const tasks = startTasks(() => undefined);
+  const roster = createRoster(tasks);
+  const items: RosterItem[] = PHASES.map((phase, index) => ({
+    announcement: {
+      pool: announcedPool,
+      service: 'booking',
+      host: phase,
+      address: `127.0.0.1:${index + 1}`,
+      incarnation: 1,
+      sequence: 1,
+      leaseMs: 5000,
+    },
+    left: false,
+    ageMs: 0,
+  }));
+  const hosts = Object.fromEntries(
+    PHASES.map(phase => [phase, {pool: 'lanes', phase}]),
+  );
+  roster.task.post({type: 'merge', items});
+  roster.task.post({type: 'view', view: {...EMPTY_VIEW, revision: 1, hosts}});
+  await roster.task.stop();
+  tasks.stop();
+  const found = roster.directory.value.get(
+    directoryKey(announcedPool, 'booking'),
+  );
+  return (found ?? []).map(({announcement}) => announcement.host).sort();
+}
+
+describe('the directory of upstreams', () => {
+  it('gives no calls to hosts on their way out, and some to hosts that joined', async () => {
+    expect(await directoryOfAllPhases()).toEqual(['joining', 'serving']);
+  });
+
+  it('gives no calls to an upstream that announces a pool that is not its own', async () => {
+    expect(await directoryOfAllPhases('rota')).toEqual([]);
+  });
+});
--- a/packages/settings/src/table.ts
+++ b/packages/settings/src/table.ts
@@ -118,7 +118,7 @@
   memberId: optional(
     name,
     NAME_RANGE,
-    'Member ID of this process in the control group; the host name if absent. A host that lost its disk needs a new one',
+    'Name of this process in --control-members; the host name if absent',
   ),
   controlMembers: optional(
     members,
