--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -56,7 +56,7 @@
     await Promise.all(clients.map(client => client.close()));
   }
 
-  return {port: entry.port, stop};
+  return {...entry, stop};
 }
 
 /** Passes finished calls on to the recorder. */
