--- /dev/null
+++ b/packages/testkit/src/process/relay.ts
@@ -0,0 +1,62 @@
+/** A TCP relay that counts the bytes which it passes on. */
+import {
+  connect,
+  createServer,
+  type AddressInfo,
+  type Server,
+  type Socket,
+} from 'node:net';
+import {LOOPBACK} from './port.js';
+
+/** Bytes of TCP payload; the headers of IP and TCP are not included. */
+export interface Traffic {
+  readonly sentBytes: number;
+  readonly receivedBytes: number;
+}
+
+export interface Relay {
+  readonly port: number;
+  /** As seen by the process that connects to the relay. */
+  traffic(): Traffic;
+  stop(): Promise<void>;
+}
+
+export async function startRelay(target: number): Promise<Relay> {
+  let sentBytes = 0;
+  let receivedBytes = 0;
+  const sockets = new Set<Socket>();
+
+  const server = createServer({noDelay: true}, near => {
+    const far = connect({port: target, host: LOOPBACK, noDelay: true});
+    near.on('data', chunk => (sentBytes += chunk.length));
+    far.on('data', chunk => (receivedBytes += chunk.length));
+    near.pipe(far);
+    far.pipe(near);
+    for (const [socket, other] of [
+      [near, far],
+      [far, near],
+    ] as const) {
+      sockets.add(socket);
+      socket.on('error', () => other.destroy());
+      socket.on('close', () => {
+        sockets.delete(socket);
+        other.destroy();
+      });
+    }
+  });
+  await listen(server);
+
+  return {
+    port: (server.address() as AddressInfo).port,
+    traffic: () => ({sentBytes, receivedBytes}),
+    stop: () =>
+      new Promise(resolve => {
+        server.close(() => resolve());
+        for (const socket of sockets) socket.destroy();
+      }),
+  };
+}
+
+function listen(server: Server): Promise<void> {
+  return new Promise(resolve => server.listen(0, LOOPBACK, resolve));
+}
--- /dev/null
+++ b/packages/testkit/test/recovery.test.ts
@@ -0,0 +1,125 @@
+import {
+  CHECKERS,
+  startDaemon,
+  startStage,
+  type Stage,
+} from '@lentildrift/testkit';
+import type {Answer} from '@lentildrift/model';
+import {readFile, writeFile} from 'node:fs/promises';
+import {join} from 'node:path';
+import {afterEach, describe, expect, it} from 'vitest';
+
+const LIMIT_MS = 60_000;
+const EDITS = 300;
+
+let stage: Stage | undefined;
+afterEach(() => stage?.stop());
+
+async function voters(control: string): Promise<readonly string[]> {
+  return (await stage!.operator.status(control))?.voters ?? [];
+}
+
+function expectNoRevert(): void {
+  const verdict = CHECKERS['no-revert'](stage!.history.events());
+  expect(verdict.violations).toEqual([]);
+  expect(verdict.examined).toBeGreaterThan(0);
+}
+
+describe('real processes that lose hosts, disks or everything', () => {
+  it(
+    'keep every edit when a host is lost right after a disk was repaired',
+    async () => {
+      stage = await startStage({entries: 1});
+      const {operator, controls, entries} = stage;
+      const leader = await operator.leader();
+      const [wiped, second] = controls.filter(name => name !== leader);
+      const old = (await operator.status(wiped!))!.member;
+      await stage.daemon(wiped!).kill();
+      await stage.wipe(wiped!);
+      await stage.edit(1, 'even');
+      await stage.start(wiped!);
+      const repaired = async () => {
+        const now = await voters(leader);
+        const anew = now.some(id => id.startsWith(`${wiped}~`) && id !== old);
+        return now.length === 3 && anew && !now.includes(old);
+      };
+      await expect.poll(repaired, {timeout: 20_000}).toBe(true);
+
+      await stage.daemon(second!).kill();
+      expect(await stage.edit(2, 'odd')).toMatchObject({ok: true, version: 3});
+      await stage.ready(entries[0]!, 'odd');
+      await operator.audit([leader, wiped!]);
+      expectNoRevert();
+    },
+    LIMIT_MS,
+  );
+
+  it(
+    'hold the same tables and first answers when all restart after 300 edits',
+    async () => {
+      stage = await startStage({entries: 2});
+      const {operator, controls, entries} = stage;
+      const answers = new Map<number, Answer>();
+      for (let base = 1; base <= EDITS; base++) {
+        const service = base % 2 === 0 ? 'odd' : 'even';
+        answers.set(base, await stage.edit(base, service, `edit-${base}`));
+      }
+      const lost = await stage.edit(5, 'odd', 'too-late');
+      expect(lost).toMatchObject({ok: false, code: 'conflict'});
+      const before = await operator.audit(controls);
+      expect(new Set(before).size).toBe(1);
+
+      const all = [...controls, ...entries.map(({name}) => name)];
+      await Promise.all(all.map(name => stage!.daemon(name).kill()));
+      await Promise.all(all.map(name => stage!.start(name)));
+      await operator.leader();
+      expect(await operator.audit(controls)).toEqual(before);
+      for (let base = 1; base <= EDITS; base += 23) {
+        const again = await stage.edit(base, 'odd', `edit-${base}`);
+        expect(again).toEqual(answers.get(base));
+      }
+      expect(await stage.edit(5, 'odd', 'too-late')).toEqual(lost);
+      expect(await operator.audit(controls)).toEqual(before);
+      // Version 301 sends calls to `odd`.
+      for (const entry of entries) await stage.ready(entry, 'odd');
+      expectNoRevert();
+    },
+    LIMIT_MS,
+  );
+
+  it(
+    'refuse a folder in use or damaged, with one clear line, and go on',
+    async () => {
+      stage = await startStage({entries: 1});
+      const {operator, controls} = stage;
+      const leader = await operator.leader();
+      const hurt = controls.find(name => name !== leader)!;
+      const flags = {...stage.flags(hurt), 'control-port': '0'};
+      const twin = startDaemon('twin', flags);
+      expect((await twin.exit)[0]).toBe(1);
+      expect(twin.lines).toHaveLength(1);
+      expect(twin.lines[0]!.text).toContain('in use by another process');
+
+      await stage.daemon(hurt).kill();
+      const path = join(stage.folder(hurt), 'log');
+      const bytes = await readFile(path);
+      bytes[bytes.length >> 2]! ^= 0xff;
+      await writeFile(path, bytes);
+      const damaged = startDaemon('damaged', stage.flags(hurt));
+      expect((await damaged.exit)[0]).toBe(1);
+      expect(damaged.lines).toHaveLength(1);
+      expect(damaged.lines[0]!.text).toContain(path);
+      expect(await readFile(path)).toEqual(bytes);
+
+      expect(await stage.edit(1, 'even')).toMatchObject({ok: true});
+      await stage.wipe(hurt);
+      await stage.start(hurt);
+      await expect
+        .poll(() => stage!.operator.status(hurt), {timeout: 20_000})
+        .toMatchObject({role: 'follower', version: 2});
+      await operator.audit(controls);
+      expectNoRevert();
+    },
+    LIMIT_MS,
+  );
+});
