Give consensus messages and syncs connections of their own

Cause: each process kept four connections to a control process for all of its messages. Proposals, claims and settlements hold one until their change is committed. With the leader killed under load, the only other follower had four proposals waiting at the new leader, so its acknowledgements of log entries queued behind the proposals that needed them: no commit, the leader stepped down after an election timeout, and the next one met the same. Ruled out: slow start of the election (the first leader of term 2 was in office 2.0 s after the kill), and the load on the machine (the same trial without requests that need a claim took one election). Change: deliver, readIndex and sync use connections of their own. The new test of the service fails without the change (run), and the scenario of the killed leader now bounds the answer to an edit by 7 s.

--- a/packages/protocol/src/client.ts
+++ b/packages/protocol/src/client.ts
@@ -26,19 +26,43 @@
 }
 
 const CONNECTIONS_PER_PROCESS = 4;
+/**
+ * Connections of their own for `deliver`, `readIndex` and `sync`, of which
+ * each caller sends one at a time. Proposals and claims hold a connection
+ * until their change is committed; consensus messages that queued behind them
+ * kept that commit, and the leader's office, from going on.
+ */
+const URGENT_CONNECTIONS = 3;
 
 type Rpc = ReturnType<typeof createTRPCClient<AppRouter>>;
 
 /** A client of one control process, over connections that it keeps open. */
 export function createServiceClient(options: ClientOptions): ServiceClient {
-  const {address, clusterSecret, timeoutMs} = options;
-  const agent = new Agent({
-    connections: CONNECTIONS_PER_PROCESS,
+  const agent = createAgent(options, CONNECTIONS_PER_PROCESS);
+  const urgentAgent = createAgent(options, URGENT_CONNECTIONS);
+  const rpc = createRpc(options, agent);
+  const urgent = createRpc(options, urgentAgent);
+  return {
+    control: new RemoteControl(rpc, urgent),
+    peer: new RemotePeer(rpc, urgent),
+    close: async () => {
+      await Promise.all([agent.destroy(), urgentAgent.destroy()]);
+    },
+  };
+}
+
+function createAgent({timeoutMs}: ClientOptions, connections: number): Agent {
+  return new Agent({
+    connections,
     pipelining: 1,
     // Shorter than the whole, so that a failed connect is told as such.
     connect: {timeout: Math.ceil(timeoutMs / 2)},
   });
-  const rpc = createTRPCClient<AppRouter>({
+}
+
+function createRpc(options: ClientOptions, dispatcher: Agent): Rpc {
+  const {address, clusterSecret, timeoutMs} = options;
+  return createTRPCClient<AppRouter>({
     links: [
       httpLink({
         url: `http://${address}`,
@@ -46,21 +70,19 @@
         fetch: (url, init) =>
           undiciFetch(url as string, {
             ...(init as object),
-            dispatcher: agent,
+            dispatcher,
             signal: AbortSignal.timeout(timeoutMs),
           }) as never,
       }),
     ],
   });
-  return {
-    control: new RemoteControl(rpc),
-    peer: new RemotePeer(rpc),
-    close: () => agent.destroy(),
-  };
 }
 
 class RemoteControl extends ControlService {
-  constructor(private readonly rpc: Rpc) {
+  constructor(
+    private readonly rpc: Rpc,
+    private readonly urgent: Rpc,
+  ) {
     super();
   }
 
@@ -73,7 +95,7 @@
   }
 
   override sync(request: message.SyncRequest) {
-    return attempt(this.rpc.control.sync.mutate(request));
+    return attempt(this.urgent.control.sync.mutate(request));
   }
 
   override claim(request: message.ClaimRequest) {
@@ -108,12 +130,15 @@
 }
 
 class RemotePeer extends PeerService {
-  constructor(private readonly rpc: Rpc) {
+  constructor(
+    private readonly rpc: Rpc,
+    private readonly urgent: Rpc,
+  ) {
     super();
   }
 
   override deliver(request: message.DeliverRequest) {
-    return attempt(this.rpc.peer.deliver.mutate(request));
+    return attempt(this.urgent.peer.deliver.mutate(request));
   }
 
   override propose(request: message.ProposeRequest) {
@@ -121,7 +146,7 @@
   }
 
   override readIndex() {
-    return attempt(this.rpc.peer.readIndex.mutate());
+    return attempt(this.urgent.peer.readIndex.mutate());
   }
 
   override report(request: message.ReportRequest) {
--- a/packages/protocol/test/service.test.ts
+++ b/packages/protocol/test/service.test.ts
@@ -66,6 +66,7 @@
   return createServiceClient({address, clusterSecret, timeoutMs});
 }
 
+const closedSession = {ok: false, code: 'session-closed'} as const;
 const entryHost = 'entry-1';
 const job = {
   id: 'j',
@@ -113,6 +114,48 @@
     expect(seen).toEqual([]);
   });
 
+  it('does not keep consensus and leases waiting behind changes in hand', async () => {
+    const service = Object.create(PeerService.prototype) as PeerService;
+    let begun = 0;
+    const held = new Promise<never>((_, reject) =>
+      setTimeout(() => reject(new Error('no majority')), TIMEOUT_MS),
+    );
+    held.catch(() => undefined);
+    service.propose = () => {
+      begun += 1;
+      return held;
+    };
+    service.deliver = async () => undefined;
+    service.readIndex = async () => ({revision: 7});
+    const own = await startServiceServer({
+      tasks,
+      control: fakeControl({sync: async () => closedSession}, seen),
+      peer: service,
+      clusterSecret: SECRET,
+      host: '127.0.0.1',
+      port: 0,
+    });
+    const {control, peer, close} = createServiceClient({
+      address: `127.0.0.1:${own.port}`,
+      clusterSecret: SECRET,
+      timeoutMs: TIMEOUT_MS,
+    });
+    const body = {type: 'start-planner' as const};
+    const changes = Array.from({length: 8}, () => peer.propose({body}));
+    const ends = Promise.allSettled(changes);
+    await expect.poll(() => begun).toBeGreaterThan(3);
+    const startMs = performance.now();
+    await peer.deliver({from: 'c2', messages: []});
+    expect(await peer.readIndex()).toEqual({revision: 7});
+    const sync = {session: 's', revision: 0, use: {}, roster: []};
+    const answer = await control.sync({...sync, rosterVersion: 0});
+    expect(answer).toEqual(closedSession);
+    expect(performance.now() - startMs).toBeLessThan(TIMEOUT_MS / 2);
+    await close();
+    await ends;
+    await own.stop();
+  });
+
   it('says not-run only of a request that cannot have arrived', async () => {
     handlers.submit = async () => {
       throw new ServiceError('unavailable', 'no leader');
--- a/packages/testkit/test/process.test.ts
+++ b/packages/testkit/test/process.test.ts
@@ -15,6 +15,8 @@
 /** Lease of an entry host, with 1 % of clock drift. */
 const LEASE_MS = 3030;
 const ELECTION_MIN_MS = 1500;
+/** Bound of an edit across one election. */
+const EDIT_MS = 7000;
 
 let stage: Stage | undefined;
 afterEach(() => stage?.stop());
@@ -44,11 +46,13 @@
       }, 8);
       await sleep(1000);
       const old = await operator.leader();
+      const killedMs = performance.now();
       const killed = stage.daemon(old).kill();
       const racing = await Promise.all([
         stage.edit(1, 'odd', 'a'),
         stage.edit(1, 'odd', 'b'),
       ]);
+      expect(performance.now() - killedMs).toBeLessThan(EDIT_MS);
       await killed;
       expect(racing.filter(({ok}) => ok)).toHaveLength(1);
       const next = await operator.leader();
