--- a/packages/testkit/test/recovery.test.ts
+++ b/packages/testkit/test/recovery.test.ts
@@ -94,8 +94,7 @@
       const {operator, controls} = stage;
       const leader = await operator.leader();
       const hurt = controls.find(name => name !== leader)!;
-      const flags = {...stage.flags(hurt), 'control-port': '0'};
-      const twin = startDaemon('twin', flags);
+      const twin = startDaemon('twin', stage.flags(hurt));
       expect((await twin.exit)[0]).toBe(1);
       expect(twin.lines).toHaveLength(1);
       expect(twin.lines[0]!.text).toContain('in use by another process');
