Measure the state of the system over processes on loopback

measure -- state prints edits in force at eight entry hosts, the time without a leader, restarts, the cost of idle processes and the reach of idle slices.

--- a/packages/testkit/src/measure.ts
+++ b/packages/testkit/src/measure.ts
@@ -7,6 +7,7 @@
 const MEASUREMENTS: Record<string, () => Promise<Measurement>> = {
   policy: async () => (await import('./policy.js')).measurePolicy,
   entry: async () => (await import('./bench/entry.js')).measureEntry,
+  state: async () => (await import('./state/state.js')).measureState,
 };
 
 const name = process.argv[2] ?? '';
--- a/packages/testkit/src/process/stage.ts
+++ b/packages/testkit/src/process/stage.ts
@@ -33,7 +33,8 @@
   ready(entry: EntryHost, service: Service, timeoutMs?: number): Promise<void>;
 }
 
-function tablesFor(basedOn: number, service: Service): TableEdit {
+/** The edit of one version; the service of the route shows which it is. */
+export function tablesFor(basedOn: number, service: Service): TableEdit {
   const pool = {
     name: POOL,
     kind: 'calls',
--- /dev/null
+++ b/packages/testkit/src/state/state.ts
@@ -0,0 +1,104 @@
+/** `measure -- state`: the system as processes on loopback. */
+import {startStage} from '../process/index.js';
+import {measureBurst, type Burst} from './burst.js';
+import {measureForce, type EditsInForce} from './force.js';
+import {measureIdle, type Cost, type IdleCost} from './idle.js';
+import {measureVacancy, type Vacancy} from './office.js';
+import {measureRestarts, type Restart} from './restart.js';
+import {printRows, spreadText, type Row} from './table.js';
+
+const ENTRY_COUNTS = [1, 4, 8] as const;
+/** Bounds of the target, on a node. */
+const TARGET = {
+  editMs: 7000,
+  corePercent: 4.5,
+  memoryMB: 256,
+  trafficKBPerSecond: 19,
+};
+
+interface Figures {
+  readonly idle: readonly IdleCost[];
+  readonly edits: EditsInForce;
+  readonly burst: Burst;
+  readonly vacancy: Vacancy;
+  readonly restarts: readonly Restart[];
+}
+
+export async function measureState(): Promise<object> {
+  const restarts = await measureRestarts();
+  const stage = await startStage({
+    entries: Math.max(...ENTRY_COUNTS),
+    startedEntries: 1,
+    counted: true,
+  });
+  try {
+    const idle: IdleCost[] = [];
+    let started = 1;
+    for (const count of ENTRY_COUNTS) {
+      const all = stage.entries.slice(0, count);
+      await stage.startEntries(all.slice(started).map(({name}) => name));
+      started = count;
+      for (const entry of all) await stage.ready(entry, 'odd');
+      idle.push(
+        await measureIdle(
+          stage,
+          all.map(({name}) => name),
+        ),
+      );
+    }
+    const edits = await measureForce(stage);
+    const burst = await measureBurst(stage);
+    const vacancy = await measureVacancy(stage);
+    const figures = {idle, edits, burst, vacancy, restarts};
+    printRows(rowsOf(figures));
+    return {target: TARGET, withinTarget: judge(figures), ...figures};
+  } finally {
+    await stage.stop();
+  }
+}
+
+function rowsOf({idle, edits, burst, vacancy, restarts}: Figures): Row[] {
+  return [
+    ['edit in force, each of 8 entries', spreadText(edits.everyEntryMs)],
+    ['edit in force, last of 8 entries', spreadText(edits.lastEntryMs)],
+    ['edit answered', spreadText(edits.answerMs)],
+    ['leader killed: until the next', spreadText(vacancy.withoutLeaderMs)],
+    ['leader killed: until a command', spreadText(vacancy.commandMs)],
+    ['leader killed: terms passed', vacancy.terms.join(', ')],
+    ['burst: 90 % of highest reached', spreadText(burst.reachedMs)],
+    ['burst: running at once', burst.atOnce.join(', ')],
+    ['burst: running at most', burst.highest.join(', ')],
+    ...restarts.map(({changes, snapshots, loadedMs, leadsMs, readMs}): Row => [
+      `restart, ${changes} changes, ${snapshots ? 'with' : 'no'} snapshots`,
+      `loaded ${loadedMs} ms, leads ${leadsMs} ms, read ${readMs} ms`,
+    ]),
+    ...idle.flatMap(({entries, leader, follower, entry}): Row[] => [
+      [`idle leader, ${entries} entries`, costText(leader)],
+      [`idle follower, ${entries} entries`, costText(follower)],
+      [`idle entry, ${entries} entries`, costText(entry)],
+    ]),
+  ];
+}
+
+function costText(cost: Cost): string {
+  const {corePercent, memoryMB, sentKBPerSecond, receivedKBPerSecond} = cost;
+  return `${corePercent} % of a core, ${memoryMB} MB, sent ${sentKBPerSecond} KB/s, received ${receivedKBPerSecond} KB/s`;
+}
+
+/** Traffic of a node counts both directions. */
+function judge({idle, edits}: Figures) {
+  const costs = idle.flatMap(({leader, follower, entry}) => [
+    leader,
+    follower,
+    entry,
+  ]);
+  return {
+    edits: edits.everyEntryMs.max <= TARGET.editMs,
+    core: costs.every(c => c.corePercent <= TARGET.corePercent),
+    memory: costs.every(c => c.memoryMB <= TARGET.memoryMB),
+    traffic: costs.every(
+      c =>
+        c.sentKBPerSecond + c.receivedKBPerSecond <= TARGET.trafficKBPerSecond,
+    ),
+  };
+}
