Tell control at once when an entry lowers a ceiling

Cause: an entry that was asked for idle slots lowered its ceiling in one sync and reported that in the next regular one, up to a second later, so that the entry with the burst waited for two sync intervals. Ruled out: the leader's decision (urgent reports are decided within 100 ms) and growth of the bursting entry (it syncs early while it is short). Change: a renewal that lowers a ceiling brings the next sync forward. The new test of the admission fails without the change by its second count.

--- a/packages/entry/src/admission.ts
+++ b/packages/entry/src/admission.ts
@@ -24,10 +24,14 @@
   readonly lease: Cell<number>;
 }
 
-/** `onShort` is called when a team's slice is smaller than its demand. */
+/**
+ * `onNews` is called when control should hear of the slices at once: a team's
+ * slice is smaller than its demand, or an entry has given up a part of one
+ * for which another may be waiting.
+ */
 export function createAdmission(
   tasks: TaskSystem,
-  onShort: () => void,
+  onNews: () => void,
 ): Admission {
   const ledger = createLedger();
   const lease = createCell(ledger.freshUntilMs());
@@ -51,7 +55,7 @@
         lease.value = ledger.freshUntilMs();
         return;
       case 'renew':
-        ledger.renew(message.renewal);
+        if (ledger.renew(message.renewal)) onNews();
         lease.value = ledger.freshUntilMs();
         return;
       case 'use':
@@ -64,7 +68,7 @@
     const result = ledger.admit(team, performance.now());
     // A team that holds its whole limit cannot get more from control.
     const refusedForSlice = !isGrant(result) && result.code === 'over-limit';
-    if (refusedForSlice && ledger.ceiling(team) < limit) onShort();
+    if (refusedForSlice && ledger.ceiling(team) < limit) onNews();
     message.answer(result);
   }
 
--- a/packages/entry/src/ledger.ts
+++ b/packages/entry/src/ledger.ts
@@ -30,7 +30,8 @@
   release(grant: Grant): void;
   /** Starts a session with no slices; calls of the one before count no more. */
   open(session: string): void;
-  renew(renewal: Renewal): void;
+  /** Returns whether a ceiling went down, so that slots can be taken back. */
+  renew(renewal: Renewal): boolean;
   /** Use of each team; the demand is measured anew from here on. */
   report(): Record<string, TeamUse>;
   /** Most calls that may run for the team here. */
@@ -102,8 +103,9 @@
     accounts = new Map();
   }
 
-  function renew(renewal: Renewal): void {
-    if (renewal.session !== session) return;
+  function renew(renewal: Renewal): boolean {
+    if (renewal.session !== session) return false;
+    let lowered = false;
     const {slices, targets, sentMs} = renewal;
     for (const [team, slice] of Object.entries(slices)) {
       const held = account(team);
@@ -115,10 +117,12 @@
       }
       const target = targets[team];
       if (target !== undefined && slice.generation === held.generation) {
+        lowered ||= target < held.ceiling;
         held.ceiling = Math.min(held.ceiling, target);
       }
     }
     freshUntilMs = Math.max(freshUntilMs, sentMs + FRESHNESS_LEASE_MS);
+    return lowered;
   }
 
   function report(): Record<string, TeamUse> {
--- a/packages/entry/test/ledger.test.ts
+++ b/packages/entry/test/ledger.test.ts
@@ -1,6 +1,8 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import type {TeamUse} from '@lentildrift/protocol';
+import {startTasks} from '@lentildrift/task';
+import {createAdmission} from '../src/admission.js';
 import {
   createLedger,
   isGrant,
@@ -108,6 +110,25 @@
     expect(ledger.ceiling('club')).toBe(3);
   });
 
+  it('does not keep idle slots until the next regular sync when it is asked for them', async () => {
+    const tasks = startTasks(() => undefined);
+    let news = 0;
+    const {task} = createAdmission(tasks, () => (news += 1));
+    task.post({type: 'open', session: 's'});
+    const slices = {club: {amount: 4, generation: 7}};
+    const base = {session: 's', sentMs: 0, slices, targets: {}};
+    const lower = {...base, targets: {club: 1}};
+    const counts: number[] = [];
+    for (const renewal of [base, lower, lower]) {
+      task.post({type: 'renew', renewal});
+      await task.ask<unknown>(reply => ({type: 'use', reply}), 1000);
+      counts.push(news);
+    }
+    // Told once: the same target again is no news.
+    expect(counts).toEqual([0, 1, 1]);
+    tasks.stop();
+  });
+
   it('does not mix the running calls of two sessions', () => {
     const ledger = createLedger();
     const slices = {club: {amount: 1, generation: 1}};
