Spread entry hosts over the control processes in the test cluster

All entry hosts asked c1 first, which made one control process look dearer than a fleet that asks the control process of its own data centre.

--- a/packages/testkit/src/process/cluster.ts
+++ b/packages/testkit/src/process/cluster.ts
@@ -88,6 +88,8 @@
       return `${to}=${LOOPBACK}:${port}`;
     });
     const isControl = controls.includes(name);
+    // Entry hosts are spread over the control processes, as over data centres.
+    if (!isControl) rotate(members, entryNames.indexOf(name));
     const port = String(ports.get(name));
     return {
       roles: isControl ? 'control' : 'entry',
@@ -181,6 +183,10 @@
   };
 }
 
+function rotate<T>(list: T[], by: number): void {
+  list.unshift(...list.splice(by % list.length));
+}
+
 function names(prefix: string, count: number): string[] {
   return Array.from({length: count}, (_, index) => `${prefix}${index + 1}`);
 }
