--- a/packages/testkit/src/measure.ts
+++ b/packages/testkit/src/measure.ts
@@ -8,6 +8,7 @@
   slopes: async () => (await import('./slopes.js')).measureSlopes,
   policy: async () => (await import('./policy.js')).measurePolicy,
   entry: async () => (await import('./bench/entry.js')).measureEntry,
+  state: async () => (await import('./state/state.js')).measureState,
 };
 
 const name = process.argv[2] ?? '';
