Run the planner in the daemon, over a platform stand-in when embedded

The planner was not started by any role. A pool of calls without reported demand counted as idle, so its hosts could have been moved to jobs; it now counts as in use.

--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -13,9 +13,11 @@
   NamedIdentity,
   PeerChannels,
   startControlProcess,
+  startPlanner,
   stateMachine,
   type Control,
   type PeerClients,
+  type PlannerOptions,
   type StateReplica,
 } from '@lentildrift/control';
 import {
@@ -26,6 +28,7 @@
   type State,
 } from '@lentildrift/model';
 import type {Log} from '@lentildrift/observe';
+import {HttpPlatform, type Platform} from '@lentildrift/platform';
 import type {ControlService} from '@lentildrift/protocol';
 import {SettingsError, type Settings} from '@lentildrift/settings';
 import {openDisk} from '@lentildrift/storage';
@@ -44,6 +47,16 @@
   | 'clusterSecret'
   | 'operatorKeyHash'
   | 'dataFolder'
+> &
+  Partial<PlannerSettings>;
+
+export type PlannerSettings = Pick<
+  Settings,
+  | 'platformAddress'
+  | 'weightBufferCost'
+  | 'weightRollOutTime'
+  | 'weightMoves'
+  | 'weightShareNearness'
 >;
 
 export interface RoleContext {
@@ -53,6 +66,11 @@
   onFatal(error: Error): void;
 }
 
+export interface ControlContext extends RoleContext {
+  /** Used instead of the platform at the address of the settings. */
+  readonly platform?: Platform;
+}
+
 export interface ControlRole {
   readonly service: ControlService;
   readonly replica: StateReplica;
@@ -72,7 +90,7 @@
  */
 export async function startControl(
   settings: ControlSettings,
-  context: RoleContext,
+  context: ControlContext,
 ): Promise<ControlRole> {
   const {tasks, log} = context;
   const {clusterSecret, controlAddress: host, controlPort: port} = settings;
@@ -98,12 +116,14 @@
     await replica.stop();
     throw error;
   });
+  const planner = plannerOf(settings, context, replica);
   const ended = new AbortController();
   void giveOperatorKey(settings, role, log, ended.signal);
   log.info('control-listening', {address: host, port: role.port});
 
   async function stop(): Promise<void> {
     ended.abort();
+    await planner?.stop();
     await group.stop();
     // Hands leadership over while this process still answers its peers.
     await replica.stop();
@@ -115,6 +135,41 @@
   return {service: role.control, replica, port: role.port, stop};
 }
 
+/** Starts the planner if there is a platform; it acts while it leads. */
+function plannerOf(
+  settings: ControlSettings,
+  {tasks, log, platform}: ControlContext,
+  replica: StateReplica,
+): {stop(): Promise<void>} | undefined {
+  const weights = weightsOf(settings);
+  if (platform) return startPlanner({replica, platform, tasks, log, weights});
+  const {platformAddress} = settings;
+  if (platformAddress === undefined) return undefined;
+  const remote = new HttpPlatform({url: `http://${platformAddress}`});
+  const planner = startPlanner({
+    replica,
+    platform: remote,
+    tasks,
+    log,
+    weights,
+  });
+
+  async function stop(): Promise<void> {
+    await planner.stop();
+    await remote.close();
+  }
+
+  return {stop};
+}
+
+function weightsOf(settings: ControlSettings): PlannerOptions['weights'] {
+  const {weightBufferCost: bufferCost = 1, weightRollOutTime: rollOut = 1} =
+    settings;
+  const {weightMoves: moves = 1, weightShareNearness: shareNearness = 1} =
+    settings;
+  return {bufferCost, rollOut, moves, shareNearness};
+}
+
 function ownName({memberId, hostName}: ControlSettings): string {
   return memberId ?? hostName;
 }
--- a/packages/daemon/src/embedded.ts
+++ b/packages/daemon/src/embedded.ts
@@ -6,17 +6,29 @@
   type Subject,
 } from '@lentildrift/model';
 import type {Log} from '@lentildrift/observe';
-import {sampleTables, startUpstream} from '@lentildrift/sample';
+import {
+  FakePlatform,
+  SAMPLE_HOSTS,
+  sampleTables,
+  startUpstream,
+} from '@lentildrift/sample';
 import {startTasks} from '@lentildrift/task';
 import {randomBytes, randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {startControl, type ControlRole} from './control.js';
+import {
+  startControl,
+  type ControlRole,
+  type PlannerSettings,
+} from './control.js';
 import {startEntryRole} from './entry.js';
 
 const LOOPBACK = '127.0.0.1';
 const SECRET_BYTES = 24;
 const LEAD_POLL_MS = 20;
 
+/** Length of a reboot of a sample host. */
+const REBOOT_MS = 3000;
+
 export interface EmbeddedOptions {
   readonly log: Log;
   readonly entryPort: number;
@@ -28,6 +40,8 @@
   /** Loopback addresses of the roles; absent means 127.0.0.1. */
   readonly entryAddress?: string;
   readonly controlAddress?: string;
+  /** Settings of the planner; an address of a platform is not used. */
+  readonly planner?: Partial<PlannerSettings>;
 }
 
 export interface Embedded {
@@ -49,8 +63,14 @@
     log.error('task-failed', {task, error: error.message}),
   );
   const operator = createKey();
+  const platform = new FakePlatform({
+    hosts: SAMPLE_HOSTS,
+    now: () => performance.now(),
+    rebootMs: REBOOT_MS,
+  });
   const control = await startControl(
     {
+      ...options.planner,
       hostName: 'control-1',
       memberId: undefined,
       dataFolder,
@@ -60,7 +80,7 @@
       clusterSecret: randomBytes(SECRET_BYTES).toString('hex'),
       operatorKeyHash: operator,
     },
-    {tasks, log, onFatal},
+    {tasks, log, onFatal, platform},
   );
   await leads(control);
   const {teamKey, poolKey} = await prepare(control);
@@ -108,7 +128,7 @@
   while (replica.status().role !== 'leader') await sleep(LEAD_POLL_MS);
 }
 
-/** Applies the sample tables, shows the sample host and gives the keys. */
+/** Applies the sample tables, shows the sample hosts and gives the keys. */
 async function prepare({replica}: ControlRole) {
   const propose = (body: ChangeBody) =>
     replica.propose({atMs: Date.now(), body});
@@ -123,20 +143,9 @@
   if (replica.state().tables.version === 0) {
     await run({type: 'edit', edit: sampleTables()});
   }
-  await propose({
-    type: 'observe-hosts',
-    hosts: [
-      {
-        id: 'sample-1',
-        dataCentre: 'dc-1',
-        rack: 'rack-1',
-        cores: 4,
-        memoryMiB: 4096,
-        accelerators: 0,
-        healthy: true,
-      },
-    ],
-  });
+  // The sample upstream can then announce itself before the first round.
+  const hosts = SAMPLE_HOSTS.map(host => ({...host, healthy: true}));
+  await propose({type: 'observe-hosts', hosts});
   return {
     teamKey: await give({kind: 'team', team: 'juniors'}),
     poolKey: await give({kind: 'pool', pool: 'booking'}),
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -11,6 +11,18 @@
 import {endFatal, live, watchUncaught} from './life.js';
 import {startRoles, type Running} from './roles.js';
 
+const SAMPLE_JOB = JSON.stringify({
+  jobs: [
+    {
+      id: 'recount-1',
+      queue: 'recounts',
+      declared: {cores: 2, memoryMiB: 512},
+      runTimeMs: 5000,
+      command: 'sleep 5000',
+    },
+  ],
+});
+
 function readSettings(): Settings | undefined {
   try {
     return parseSettings(process.argv.slice(2));
@@ -31,12 +43,14 @@
     controlAddress,
     controlPort,
     dataFolder,
+    planner: settings,
     onFatal: error => endFatal(log, error),
   });
   const entry = endpoint(entryAddress, embedded.entryPort);
   const server = endpoint(controlAddress, embedded.controlPort);
   process.stdout.write(
     `ready; try: curl -H 'Authorization: Bearer ${embedded.teamKey}' http://${entry}/call/lanes/today\n` +
+      `jobs: curl -H 'Authorization: Bearer ${embedded.teamKey}' -d '${SAMPLE_JOB}' http://${entry}/jobs\n` +
       `operators: LENTILDRIFT_KEY=${embedded.operatorKey} LENTILDRIFT_SERVER=${server} npm run -s lentildrift -- status\n`,
   );
   return embedded;
--- a/packages/daemon/test/roles.test.ts
+++ b/packages/daemon/test/roles.test.ts
@@ -6,7 +6,12 @@
 import {createKey, type Command} from '@lentildrift/model';
 import {createLog} from '@lentildrift/observe';
 import {createServiceClient} from '@lentildrift/protocol';
-import {sampleTables} from '@lentildrift/sample';
+import {
+  FakePlatform,
+  SAMPLE_HOSTS,
+  sampleTables,
+  startPlatformServer,
+} from '@lentildrift/sample';
 import {startTasks} from '@lentildrift/task';
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
@@ -112,6 +117,34 @@
     tasks.stop();
   });
 
+  it('observe the hosts of the platform whose address is set', async () => {
+    const platform = new FakePlatform({
+      hosts: SAMPLE_HOSTS,
+      now: () => performance.now(),
+    });
+    const server = await startPlatformServer(platform);
+    const tasks = startTasks(() => undefined);
+    const settings = await controlSettings('c1');
+    const platformAddress = new URL(server.url).host;
+    const control = await startControl(
+      {...settings, platformAddress},
+      {tasks, log: SILENT, onFatal},
+    );
+    const {replica} = control;
+    await expect
+      .poll(() => replica.status().role, {timeout: 8000})
+      .toBe('leader');
+    const command = {type: 'edit' as const, edit: sampleTables()};
+    const body = {type: 'command' as const, requestId: 'edit', command};
+    await replica.propose({atMs: Date.now(), body});
+    await expect
+      .poll(() => replica.state().hosts['worker-1']?.phase, {timeout: 5000})
+      .toBe('serving');
+    await control.stop();
+    await server.stop();
+    tasks.stop();
+  }, 20_000);
+
   it('do not serve a member whose group was never founded', async () => {
     const tasks = startTasks(() => undefined);
     const control = await startControl(
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -79,15 +79,19 @@
     const target = permit.targetPool ?? pool;
     arriving.set(target, (arriving.get(target) ?? 0) + 1);
   }
-  const loads = [...groupByPool(state).values()].map(pool => ({
-    ...pool,
-    available: pool.hosts.filter(isAvailable).length,
-    arriving: arriving.get(pool.name) ?? 0,
-    demandHosts:
+  const loads = [...groupByPool(state).values()].map(pool => {
+    const available = pool.hosts.filter(isAvailable).length;
+    const demandHosts =
       pool.kind === 'jobs'
         ? jobDemand(pool, estimator)
-        : (situation.callDemand[pool.name] ?? 0),
-  }));
+        : callDemand(pool, available, situation);
+    return {
+      ...pool,
+      available,
+      arriving: arriving.get(pool.name) ?? 0,
+      demandHosts,
+    };
+  });
   const load = shortageLoad(situation.weights);
   const shortages = since(
     memory.shortages,
@@ -105,6 +109,15 @@
   };
 }
 
+/** A pool whose calls are not reported counts as in use, so it lends no host. */
+function callDemand(
+  {name, kind}: PoolSight,
+  available: number,
+  situation: Situation,
+): number {
+  return situation.callDemand[name] ?? (kind === 'calls' ? available : 0);
+}
+
 /** Hosts' worth of work that runs or waits in the pool. */
 function jobDemand(pool: PoolSight, estimator: Estimator): number {
   const sizes = pool.hosts.filter(host => host.cores > 0);
