Grant the permits of a round in one change

Each of a round's 16 permits copied all hosts and was a log entry of its own. One change now decides them in turn over one copy. The decision is shared with the single permit; a property test compares both.

--- a/packages/model/src/apply.ts
+++ b/packages/model/src/apply.ts
@@ -1,7 +1,7 @@
 /** The transition of the replicated state. */
 import type {Change, ChangeBody} from './change.js';
 import {applyCommand} from './edit.js';
-import {grantPermit, observeHosts, stepHost} from './permit.js';
+import {grantPermit, grantPermits, observeHosts, stepHost} from './permit.js';
 import {succeed, type Result} from './result.js';
 import {makeClaims, settleClaims} from './settle.js';
 import {closeSession, endSession, openSession, setSlices} from './slice.js';
@@ -52,6 +52,8 @@
       return observeHosts(state, body);
     case 'grant-permit':
       return grantPermit(state, body);
+    case 'grant-permits':
+      return grantPermits(state, body);
     case 'step-host':
       return stepHost(state, body);
     case 'submit-jobs':
--- a/packages/model/src/change.ts
+++ b/packages/model/src/change.ts
@@ -57,6 +57,14 @@
 });
 export type JobStep = z.infer<typeof jobStepSchema>;
 
+export const permitRequestSchema = z.object({
+  host: z.string(),
+  kind: z.enum(['drain', 'move', 'reboot']),
+  targetPool: z.string().optional(),
+  wave: z.string().optional(),
+});
+export type PermitRequest = z.infer<typeof permitRequestSchema>;
+
 export const changeBodySchema = z.discriminatedUnion('type', [
   /** The first change of a leader's term; changes nothing. */
   z.object({type: z.literal('noop')}),
@@ -107,12 +115,11 @@
     type: z.literal('observe-hosts'),
     hosts: z.array(observedHostSchema),
   }),
+  z.object({type: z.literal('grant-permit'), ...permitRequestSchema.shape}),
+  /** Several at once: those that a budget forbids are left out. */
   z.object({
-    type: z.literal('grant-permit'),
-    host: z.string(),
-    kind: z.enum(['drain', 'move', 'reboot']),
-    targetPool: z.string().optional(),
-    wave: z.string().optional(),
+    type: z.literal('grant-permits'),
+    grants: z.array(permitRequestSchema),
   }),
   /** A step of a host under its permit; a stale token is refused. */
   z.object({
--- a/packages/model/src/permit.ts
+++ b/packages/model/src/permit.ts
@@ -3,7 +3,7 @@
  * check of availability budgets: nothing else takes a host out of service.
  */
 import {occupyingJobs} from './book.js';
-import type {BodyOf} from './change.js';
+import type {BodyOf, PermitRequest} from './change.js';
 import {failureDomain, type Host, type HostPhase, type Permit} from './host.js';
 import {fail, succeed, type Result} from './result.js';
 import type {State} from './state.js';
@@ -42,19 +42,75 @@
   return {...rest, phase, lostAtMs: lostAtMs ?? nowMs};
 }
 
-export interface PermitRequest {
-  readonly host: string;
-  readonly kind: Permit['kind'];
-  readonly targetPool?: string;
-  readonly wave?: string;
-}
-
 /**
  * Grants a permit if the pool's budget holds without the host. A move that
  * the tables do not ask for yet is written into them by the same change, so
  * that desired and actual placement stay in agreement.
  */
 export function grantPermit(state: State, request: PermitRequest): Result {
+  const result = decidePermit(state, request, hostsOf(state));
+  if ('answer' in result) return result;
+  const {taken, ...rest} = result;
+  return succeed(
+    {...state, ...rest, hosts: {...state.hosts, [taken.id]: taken}},
+    String(rest.fence),
+  );
+}
+
+/**
+ * Grants one permit after the other, each on the state that the ones before
+ * it left. Copying the hosts once matters: 16 copies of 2,200 took 40 ms.
+ */
+export function grantPermits(
+  state: State,
+  {grants}: BodyOf<'grant-permits'>,
+): Result {
+  const hosts = {...state.hosts};
+  const members = groupHosts(hosts);
+  let next: State = {...state, hosts};
+  let granted = 0;
+  for (const request of grants) {
+    const result = decidePermit(next, request, pool => members.get(pool) ?? []);
+    if ('answer' in result) continue;
+    const {taken, ...rest} = result;
+    hosts[taken.id] = taken;
+    const others = members.get(taken.pool)!.filter(({id}) => id !== taken.id);
+    members.set(taken.pool, [...others, taken]);
+    next = {...next, ...rest};
+    granted++;
+  }
+  return succeed(next, String(granted));
+}
+
+function groupHosts(hosts: State['hosts']): Map<string, Host[]> {
+  const pools = new Map<string, Host[]>();
+  for (const id in hosts) {
+    const host = hosts[id]!;
+    const members = pools.get(host.pool);
+    if (members) members.push(host);
+    else pools.set(host.pool, [host]);
+  }
+  return pools;
+}
+
+/** The hosts that are in a pool. */
+type Members = (pool: string) => readonly Host[];
+
+function hostsOf(state: State): Members {
+  return pool => Object.values(state.hosts).filter(host => host.pool === pool);
+}
+
+interface Grant {
+  readonly taken: Host;
+  readonly tables: Tables;
+  readonly fence: number;
+}
+
+function decidePermit(
+  state: State,
+  request: PermitRequest,
+  members: Members,
+): Grant | Result {
   const host = state.hosts[request.host];
   if (!host) return fail(state, 'unknown', `unknown host "${request.host}"`);
   if (host.permit) {
@@ -63,31 +119,22 @@
   const wrong =
     request.kind === 'move' ? moveRefusal(state, host, request) : undefined;
   if (wrong) return wrong;
-  const refusal = budgetRefusal(state, host);
+  const refusal = budgetRefusal(state, host, members);
   if (refusal) return fail(state, 'budget', refusal);
-  const token = state.fence + 1;
+  const fence = state.fence + 1;
   const permit: Permit = {
     kind: request.kind,
-    token,
+    token: fence,
     grantedAtMs: state.nowMs,
     targetPool: request.targetPool,
     wave: request.wave,
   };
   const phase = host.phase === 'failed' ? 'failed' : 'draining';
-  const taken: Host = {...host, permit, phase};
   const tables =
     request.kind === 'move'
       ? withHostIn(state.tables, host.id, request.targetPool!)
       : state.tables;
-  return succeed(
-    {
-      ...state,
-      tables,
-      fence: token,
-      hosts: {...state.hosts, [host.id]: taken},
-    },
-    String(token),
-  );
+  return {taken: {...host, permit, phase}, tables, fence};
 }
 
 function moveRefusal(
@@ -145,14 +192,16 @@
 }
 
 /** Why the budget forbids taking `host` out of service; else undefined. */
-export function budgetRefusal(state: State, host: Host): string | undefined {
+export function budgetRefusal(
+  state: State,
+  host: Host,
+  members: Members = hostsOf(state),
+): string | undefined {
   // A failed host already costs its pool everything that it can.
   if (host.phase === 'failed') return undefined;
   const pool = state.tables.pools[host.pool];
   if (!pool) return undefined;
-  const others = Object.values(state.hosts).filter(
-    other => other.pool === host.pool && other.id !== host.id,
-  );
+  const others = members(host.pool).filter(other => other.id !== host.id);
   return refusalAmong(pool, host, others);
 }
 
--- a/packages/model/test/permit.test.ts
+++ b/packages/model/test/permit.test.ts
@@ -226,4 +226,40 @@
       expect(available).toHaveLength(to === 'serving' ? 5 : 4);
     }
   });
+
+  test('permits granted in one change are not those that one by one would be granted', () => {
+    const request = fc.oneof(
+      fc.record({host, kind: fc.constantFrom('drain', 'reboot')}),
+      fc.record({host, kind: fc.constant('move'), targetPool: pool}),
+    );
+    let refused = 0;
+    fc.assert(
+      fc.property(fc.array(request, {maxLength: 12}), requests => {
+        const grants = requests.map(each => ({
+          ...(each as {kind: 'drain' | 'move' | 'reboot'}),
+          host: `host-${each.host}`,
+        }));
+        const start = run(fleet(), {
+          type: 'observe-hosts',
+          hosts: [seen(3, false)],
+        }).state;
+        let single = start;
+        let granted = 0;
+        for (const each of grants) {
+          const body = {type: 'grant-permit' as const, ...each};
+          const result = apply(single, {atMs: start.nowMs, body});
+          single = result.state;
+          if (result.answer.ok) granted++;
+          else refused++;
+        }
+        const body = {type: 'grant-permits' as const, grants};
+        const batch = apply(start, {atMs: start.nowMs, body});
+        expect(batch.answer).toMatchObject({detail: String(granted)});
+        const revision = single.revision;
+        expect({...batch.state, revision}).toEqual(single);
+      }),
+      {numRuns: 200, seed: 9},
+    );
+    expect(refused).toBeGreaterThan(200);
+  });
 });
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -273,10 +273,13 @@
   return left.get(team) ?? jobLimitOf(state.tables, team) - held;
 }
 
-/** The changes of a proposal, at most one of each kind but for permits. */
+/** The changes of a proposal, at most one of each kind but for quarantine. */
 export function changesOf(proposal: Proposal): ChangeBody[] {
   const {grants, placements, parked, quarantines} = proposal;
-  const changes: ChangeBody[] = [...grants];
+  const changes: ChangeBody[] = [];
+  if (grants.length > 0) {
+    changes.push({type: 'grant-permits', grants: [...grants]});
+  }
   for (const {host, reason} of quarantines) {
     changes.push({type: 'quarantine', host, reason});
   }
--- a/packages/policy/test/decide.test.ts
+++ b/packages/policy/test/decide.test.ts
@@ -144,6 +144,10 @@
           for (const body of changesOf(check(state, proposal))) {
             const result = apply(next, {atMs: next.nowMs, body});
             expect(result.answer.ok).toBe(true);
+            if (body.type === 'grant-permits') {
+              const detail = String(body.grants.length);
+              expect(result.answer).toMatchObject({detail});
+            }
             next = result.state;
           }
           for (const held of Object.values(next.jobs.running)) {
