Pause between costly decision rounds while nothing is urgent

Rounds came every second whatever they cost. The next one now waits until the time that the last kept the core busy is 4.5 % of the time between them, at most 8 s, unless urgent work waits; the check for that remains once a second. The fleets of today (3 ms a round) keep rounds of 1 s.

--- /dev/null
+++ b/packages/control/src/planner/pace.ts
@@ -0,0 +1,20 @@
+/** The pause between decision rounds. */
+import {unfinishedJobs, type State} from '@lentildrift/model';
+
+/** Part of a core that decision rounds may take, by the design's limit. */
+const CORE_PART = 0.045;
+
+/** Longest time for which ends of jobs and losses of hosts go unnoticed. */
+const MAX_PAUSE_MS = 8000;
+
+/** Time from the start of a round that kept the core busy to the next one. */
+export function pauseAfterMs(busyMs: number): number {
+  return Math.min(MAX_PAUSE_MS, busyMs / CORE_PART);
+}
+
+/** Whether urgent work waits, or has started and was not seen to run yet. */
+export function hasUrgentWork(state: State): boolean {
+  return unfinishedJobs(state.jobs).some(
+    ({urgent, phase}) => urgent && (phase === 'queued' || phase === 'starting'),
+  );
+}
--- a/packages/control/src/planner/planner.ts
+++ b/packages/control/src/planner/planner.ts
@@ -12,9 +12,10 @@
 } from '@lentildrift/policy';
 import type {Reply, TaskSystem} from '@lentildrift/task';
 import type {StateReplica} from '../machine.js';
+import {hasUrgentWork, pauseAfterMs} from './pace.js';
 import {LeadershipLost, runRound} from './round.js';
 
-const ROUND_INTERVAL_MS = 1000;
+const TICK_INTERVAL_MS = 1000;
 
 export interface PlannerOptions {
   readonly replica: StateReplica;
@@ -39,6 +40,8 @@
   readonly term: number;
   readonly leader: number;
   readonly memory: Memory;
+  /** Time of the monotonic clock before which only urgent work needs a round. */
+  readonly pausedUntilMs: number;
 }
 
 interface Tick {
@@ -57,7 +60,7 @@
     initial: undefined,
     async handle(term, {reply}) {
       waiting = false;
-      const next = await tick(options, term, log);
+      const next = await tick(options, term, log, reply !== undefined);
       reply?.resolve(undefined);
       return next;
     },
@@ -67,7 +70,7 @@
     if (waiting) return;
     waiting = true;
     task.post({type: 'tick'});
-  }, ROUND_INTERVAL_MS);
+  }, TICK_INTERVAL_MS);
 
   return {
     round: () => task.ask(reply => ({type: 'tick', reply}), ROUND_TIMEOUT_MS),
@@ -82,9 +85,15 @@
   options: PlannerOptions,
   before: Term | undefined,
   log: Log,
+  asked: boolean,
 ): Promise<Term | undefined> {
-  const {role, term} = options.replica.status();
+  const {replica} = options;
+  const {role, term} = replica.status();
   if (role !== 'leader') return undefined;
+  const paused = performance.now() < (before?.pausedUntilMs ?? 0);
+  if (paused && !asked && before?.term === term) {
+    if (!hasUrgentWork(replica.state())) return before;
+  }
   try {
     const current = before?.term === term ? before : await begin(options, term);
     return await run(options, current, log);
@@ -101,6 +110,7 @@
   log: Log,
 ): Promise<Term> {
   const started = performance.now();
+  const load = performance.eventLoopUtilization();
   const {memory, changes, commands} = await runRound({
     replica: options.replica,
     platform: options.platform,
@@ -110,9 +120,11 @@
     now: options.now ?? Date.now,
     ...current,
   });
+  const busyMs = performance.eventLoopUtilization(load).active;
+  const pauseMs = Math.round(pauseAfterMs(busyMs));
   const elapsedMs = Math.round(performance.now() - started);
-  log.debug('round', {changes, commands, elapsedMs});
-  return {...current, memory};
+  log.debug('round', {changes, commands, elapsedMs, pauseMs});
+  return {...current, memory, pausedUntilMs: started + pauseMs};
 }
 
 /** Takes a token above all others, by which older planners are fenced. */
@@ -123,7 +135,12 @@
   const body = {type: 'start-planner'} as const;
   const {answer} = await replica.propose({atMs: now(), body});
   if (!answer.ok) throw new LeadershipLost(answer.message);
-  return {term, leader: Number(answer.detail), memory: EMPTY_MEMORY};
+  return {
+    term,
+    leader: Number(answer.detail),
+    memory: EMPTY_MEMORY,
+    pausedUntilMs: 0,
+  };
 }
 
 function isLeadershipLoss(error: unknown): error is Error {
