--- a/packages/control/src/planner/pace.ts
+++ b/packages/control/src/planner/pace.ts
@@ -12,9 +12,13 @@
   return Math.min(MAX_PAUSE_MS, busyMs / CORE_PART);
 }
 
-/** Whether urgent work waits, or has started and was not seen to run yet. */
-export function hasUrgentWork(state: State): boolean {
-  return unfinishedJobs(state.jobs).some(
-    ({urgent, phase}) => urgent && (phase === 'queued' || phase === 'starting'),
-  );
+/** Pools where urgent work waits, or started and was not seen to run yet. */
+export function urgentPools(state: State): Set<string> {
+  const pools = new Set<string>();
+  for (const {urgent, phase, queue} of unfinishedJobs(state.jobs)) {
+    if (!urgent || (phase !== 'queued' && phase !== 'starting')) continue;
+    const pool = state.tables.routes[queue]?.pool;
+    if (pool !== undefined) pools.add(pool);
+  }
+  return pools;
 }
--- a/packages/control/src/planner/planner.ts
+++ b/packages/control/src/planner/planner.ts
@@ -12,7 +12,7 @@
 } from '@lentildrift/policy';
 import type {Reply, TaskSystem} from '@lentildrift/task';
 import type {StateReplica} from '../machine.js';
-import {hasUrgentWork, pauseAfterMs} from './pace.js';
+import {pauseAfterMs, urgentPools} from './pace.js';
 import {LeadershipLost, runRound} from './round.js';
 
 const TICK_INTERVAL_MS = 1000;
@@ -90,13 +90,13 @@
   const {replica} = options;
   const {role, term} = replica.status();
   if (role !== 'leader') return undefined;
-  const paused = performance.now() < (before?.pausedUntilMs ?? 0);
-  if (paused && !asked && before?.term === term) {
-    if (!hasUrgentWork(replica.state())) return before;
-  }
+  const paused =
+    !asked && before?.term === term && performance.now() < before.pausedUntilMs;
+  const scope = paused ? urgentPools(replica.state()) : undefined;
+  if (scope?.size === 0) return before;
   try {
     const current = before?.term === term ? before : await begin(options, term);
-    return await run(options, current, log);
+    return await run(options, current, log, scope);
   } catch (error) {
     if (!isLeadershipLoss(error)) throw error;
     log.info('planner-stopped', {term, reason: error.message});
@@ -108,6 +108,7 @@
   options: PlannerOptions,
   current: Term,
   log: Log,
+  scope?: ReadonlySet<string>,
 ): Promise<Term> {
   const started = performance.now();
   const load = performance.eventLoopUtilization();
@@ -119,12 +120,15 @@
     callDemand: options.callDemand?.() ?? {},
     now: options.now ?? Date.now,
     ...current,
+    scope,
   });
   const busyMs = performance.eventLoopUtilization(load).active;
   const pauseMs = Math.round(pauseAfterMs(busyMs));
   const elapsedMs = Math.round(performance.now() - started);
   log.debug('round', {changes, commands, elapsedMs, pauseMs});
-  return {...current, memory, pausedUntilMs: started + pauseMs};
+  // Whole rounds keep their pace, however much urgent work there is.
+  const pausedUntilMs = scope ? current.pausedUntilMs : started + pauseMs;
+  return {...current, memory, pausedUntilMs};
 }
 
 /** Takes a token above all others, by which older planners are fenced. */
--- a/packages/control/src/planner/round.ts
+++ b/packages/control/src/planner/round.ts
@@ -44,6 +44,8 @@
   /** Term in which the planner started. */
   readonly term: number;
   readonly callDemand: Readonly<Record<string, number>>;
+  /** Pools that alone are decided about. */
+  readonly scope?: ReadonlySet<string> | undefined;
   /** Wall time, in ms. */
   readonly now: () => number;
 }
@@ -109,7 +111,7 @@
 }
 
 async function observe(input: RoundInput): Promise<Observed> {
-  const {replica, platform, leader, now, weights, callDemand} = input;
+  const {replica, platform, leader, now, weights, callDemand, scope} = input;
   assertLeading(input);
   const sight: Sight = await platform.observe(leader);
   assertLeading(input);
@@ -118,7 +120,8 @@
   await commitAll(input, hostSteps(replica.state(), sight, now()));
   const state = replica.state();
   const nowMs = Math.max(state.nowMs, now());
-  const situation = {state, sight, memory, nowMs, weights, callDemand};
+  const facts = {state, sight, memory, nowMs, weights, callDemand};
+  const situation = {...facts, scope};
   return {...input, situation};
 }
 
--- a/packages/control/test/planner.test.ts
+++ b/packages/control/test/planner.test.ts
@@ -1,8 +1,10 @@
 import {SoloReplica} from '@lentildrift/consensus';
 import {startPlanner, stateMachine} from '@lentildrift/control';
 import {
+  apply,
   EMPTY_STATE,
   jobSpecSchema,
+  tableEditSchema,
   type Answer,
   type Change,
   type State,
@@ -30,7 +32,14 @@
 }
 
 test('costly rounds take more than their part of a core, or hold urgent work up', async () => {
-  const initial: State = EMPTY_STATE;
+  const routes = [{name: 'work', pool: 'workers', service: 'work'}];
+  const pools = [{name: 'workers', kind: 'jobs', hosts: [], minAvailable: 0}];
+  const edit = tableEditSchema.parse({basedOn: 0, pools, routes});
+  const command = {type: 'edit' as const, edit};
+  const tables = {type: 'command' as const, requestId: 'edit', command};
+  const first = apply(EMPTY_STATE, {atMs: 0, body: tables});
+  expect(first.answer.ok).toBe(true);
+  const initial: State = first.state;
   const replica = new SoloReplica<State, Change, Answer>({
     ...stateMachine,
     initial,
--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -70,7 +70,7 @@
 
 /** Sums up what is asked of each pool. */
 export function estimate(situation: Situation): Estimate {
-  const {state, sight, memory, nowMs} = situation;
+  const {state, sight, memory, nowMs, scope} = situation;
   const estimator = createEstimator(memory, sight);
   const arriving = new Map<string, number>();
   for (const id in state.hosts) {
@@ -79,7 +79,9 @@
     const target = permit.targetPool ?? pool;
     arriving.set(target, (arriving.get(target) ?? 0) + 1);
   }
-  const loads = [...groupByPool(state).values()].map(pool => {
+  const pools = [...groupByPool(state).values()];
+  const decided = scope ? pools.filter(({name}) => scope.has(name)) : pools;
+  const loads = decided.map(pool => {
     const available = pool.hosts.filter(isAvailable).length;
     const demandHosts =
       pool.kind === 'jobs'
@@ -92,6 +94,8 @@
       demandHosts,
     };
   });
+  // Shortages and moves are judged over all pools, in whole rounds.
+  if (scope) return {...situation, estimator, loads};
   const load = shortageLoad(situation.weights);
   const shortages = since(
     memory.shortages,
@@ -152,8 +156,10 @@
     parked: [] as BodyOf<'park-jobs'>['jobs'],
     orders: [] as TaskOrder[],
   };
-  const reclaims = new Map<string, Reclaim>();
-  const grants = proposeGrants(policies.moves, policies.waves, round);
+  const reclaims = reclaimsElsewhere(round);
+  const grants = round.scope
+    ? []
+    : proposeGrants(policies.moves, policies.waves, round);
   // A host whose permit will be refused stays open to jobs in this round.
   const allowed = checkGrants(round.state, grants).grants;
   const leaving = new Set(allowed.map(({host}) => host));
@@ -170,6 +176,16 @@
   };
 }
 
+/** Reclaims in pools that are not decided about: those stay as they are. */
+function reclaimsElsewhere({scope, memory, loads}: Estimate) {
+  const reclaims = new Map<string, Reclaim>(scope ? memory.reclaims : []);
+  if (reclaims.size === 0) return reclaims;
+  for (const pool of loads) {
+    for (const {id} of pool.running) reclaims.delete(id);
+  }
+  return reclaims;
+}
+
 function proposeJobs(
   policies: Policies,
   round: Estimate,
--- a/packages/policy/src/situation.ts
+++ b/packages/policy/src/situation.ts
@@ -39,6 +39,8 @@
   readonly weights: Weights;
   /** Hosts' worth of calls that each pool of kind `calls` is asked for. */
   readonly callDemand: Readonly<Record<string, number>>;
+  /** Pools that alone are decided about; no permit is proposed then. */
+  readonly scope?: ReadonlySet<string> | undefined;
 }
 
 /** One pool with its hosts and jobs, gathered once in each round. */
