Prove budgets, one pool and isolation by scenarios on the fakes

Eight YAML scenarios run through the reducers, the planner and the platform stand-in on a virtual clock. Each names the mechanisms without which its checkers must find a violation; weakened variants of them stand in testkit only. The budget checker now also judges open failure domains, and takes availability from what the platform does in truth; one-pool counts a pool whose tasks still run on a host.

--- a/packages/testkit/src/history.ts
+++ b/packages/testkit/src/history.ts
@@ -83,6 +83,16 @@
     /** Hosts of the pool that still served, and those its budget asks for. */
     available: z.number().int(),
     minAvailable: z.number().int(),
+    /** Failure domains of the pool that are opened then, this host's too. */
+    domains: z.array(z.string()).optional(),
+  }),
+  /** An attempt of a job ended on a worker, or failed there. */
+  z.object({
+    type: z.literal('task-ended'),
+    ...at,
+    job: z.string(),
+    host: z.string(),
+    failed: z.boolean(),
   }),
   /** A member took office as leader. */
   z.object({
--- /dev/null
+++ b/packages/testkit/test/proof.test.ts
@@ -0,0 +1,31 @@
+import {FLEET_MECHANISMS, fleetProofs} from '@lentildrift/testkit';
+import {describe, expect, test} from 'vitest';
+
+const proofs = [...fleetProofs().values()];
+
+describe('scenarios of the fleet', () => {
+  test.each(proofs)(
+    'no promise is broken in $name, and its checkers find what a weakened mechanism breaks',
+    async ({run, mechanisms}) => {
+      const whole = await run();
+      expect(whole.violations).toEqual([]);
+      expect(whole.unmet).toEqual([]);
+      // A history without events of an invariant would prove nothing.
+      expect(whole.verdicts.budget.examined).toBeGreaterThan(0);
+      expect(whole.verdicts['one-pool'].examined).toBeGreaterThan(0);
+      for (const mechanism of mechanisms) {
+        const weak = await run(mechanism);
+        expect({mechanism, violations: weak.violations}).not.toEqual({
+          mechanism,
+          violations: [],
+        });
+      }
+    },
+    60_000,
+  );
+
+  test('no mechanism is without a scenario that needs it', () => {
+    const needed = proofs.flatMap(({mechanisms}) => mechanisms);
+    expect([...new Set(needed)].sort()).toEqual([...FLEET_MECHANISMS].sort());
+  });
+});
