--- a/packages/policy/src/decide.ts
+++ b/packages/policy/src/decide.ts
@@ -70,7 +70,7 @@
 
 /** Sums up what is asked of each pool. */
 export function estimate(situation: Situation): Estimate {
-  const {state, sight, memory, nowMs} = situation;
+  const {state, sight, memory, nowMs, scope} = situation;
   const estimator = createEstimator(memory, sight);
   const arriving = new Map<string, number>();
   for (const id in state.hosts) {
@@ -79,15 +79,23 @@
     const target = permit.targetPool ?? pool;
     arriving.set(target, (arriving.get(target) ?? 0) + 1);
   }
-  const loads = [...groupByPool(state).values()].map(pool => ({
-    ...pool,
-    available: pool.hosts.filter(isAvailable).length,
-    arriving: arriving.get(pool.name) ?? 0,
-    demandHosts:
+  const pools = [...groupByPool(state).values()];
+  const decided = scope ? pools.filter(({name}) => scope.has(name)) : pools;
+  const loads = decided.map(pool => {
+    const available = pool.hosts.filter(isAvailable).length;
+    const demandHosts =
       pool.kind === 'jobs'
         ? jobDemand(pool, estimator)
-        : (situation.callDemand[pool.name] ?? 0),
-  }));
+        : callDemand(pool, available, situation);
+    return {
+      ...pool,
+      available,
+      arriving: arriving.get(pool.name) ?? 0,
+      demandHosts,
+    };
+  });
+  // Shortages and moves are judged over all pools, in whole rounds.
+  if (scope) return {...situation, estimator, loads};
   const load = shortageLoad(situation.weights);
   const shortages = since(
     memory.shortages,
@@ -105,6 +113,15 @@
   };
 }
 
+/** A pool whose calls are not reported counts as in use, so it lends no host. */
+function callDemand(
+  {name, kind}: PoolSight,
+  available: number,
+  situation: Situation,
+): number {
+  return situation.callDemand[name] ?? (kind === 'calls' ? available : 0);
+}
+
 /** Hosts' worth of work that runs or waits in the pool. */
 function jobDemand(pool: PoolSight, estimator: Estimator): number {
   const sizes = pool.hosts.filter(host => host.cores > 0);
@@ -139,8 +156,10 @@
     parked: [] as BodyOf<'park-jobs'>['jobs'],
     orders: [] as TaskOrder[],
   };
-  const reclaims = new Map<string, Reclaim>();
-  const grants = proposeGrants(policies.moves, policies.waves, round);
+  const reclaims = reclaimsElsewhere(round);
+  const grants = round.scope
+    ? []
+    : proposeGrants(policies.moves, policies.waves, round);
   // A host whose permit will be refused stays open to jobs in this round.
   const allowed = checkGrants(round.state, grants).grants;
   const leaving = new Set(allowed.map(({host}) => host));
@@ -157,6 +176,16 @@
   };
 }
 
+/** Reclaims in pools that are not decided about: those stay as they are. */
+function reclaimsElsewhere({scope, memory, loads}: Estimate) {
+  const reclaims = new Map<string, Reclaim>(scope ? memory.reclaims : []);
+  if (reclaims.size === 0) return reclaims;
+  for (const pool of loads) {
+    for (const {id} of pool.running) reclaims.delete(id);
+  }
+  return reclaims;
+}
+
 function proposeJobs(
   policies: Policies,
   round: Estimate,
@@ -260,10 +289,13 @@
   return left.get(team) ?? jobLimitOf(state.tables, team) - held;
 }
 
-/** The changes of a proposal, at most one of each kind but for permits. */
+/** The changes of a proposal, at most one of each kind but for quarantine. */
 export function changesOf(proposal: Proposal): ChangeBody[] {
   const {grants, placements, parked, quarantines} = proposal;
-  const changes: ChangeBody[] = [...grants];
+  const changes: ChangeBody[] = [];
+  if (grants.length > 0) {
+    changes.push({type: 'grant-permits', grants: [...grants]});
+  }
   for (const {host, reason} of quarantines) {
     changes.push({type: 'quarantine', host, reason});
   }
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -12,3 +12,10 @@
 export * from './scenario/random.js';
 export * from './scenario/run.js';
 export * from './scenario/schema.js';
+export {
+  fleetProofs,
+  MECHANISMS as FLEET_MECHANISMS,
+  type Mechanism as FleetMechanism,
+  type Proof,
+  type ProofRun,
+} from './proof/index.js';
