Confirm the regular syncs of entries by the leader's heartbeats

Ruled out: a longer sync interval, since the lease is 3 s and slices follow demand through syncs. Change: a sync that nobody waits for is confirmed by the next regular heartbeat round, at most 500 ms later; one that is short of slots, carries announcements or needs the whole view still begins a round at once. The random fault runs confirm reads in both ways and find none stale; a step test counts messages.

--- a/packages/consensus/src/node.ts
+++ b/packages/consensus/src/node.ts
@@ -27,6 +27,14 @@
   readonly snapshot: {readonly index: number; readonly offset: number};
 }
 
+/** A read that waits for a majority to answer a heartbeat round. */
+export interface Read {
+  readonly id: number;
+  readonly round: number;
+  /** Needs no round of its own before the next regular heartbeat. */
+  readonly patient: boolean;
+}
+
 /** A write under way, and what is durable once it is done. */
 export interface Pending {
   readonly seq: number;
@@ -63,7 +71,7 @@
   readonly votes: readonly string[];
   readonly peers: Readonly<Record<string, Peer>>;
   readonly round: number;
-  readonly reads: readonly {id: number; round: number}[];
+  readonly reads: readonly Read[];
   readonly transfer: {to: string; untilMs: number; sent: boolean} | undefined;
   /** A snapshot being received. */
   readonly incoming: {index: number; text: string} | undefined;
@@ -76,7 +84,7 @@
       readonly type: 'propose';
       readonly changes: readonly {id: number; text: string}[];
     }
-  | {readonly type: 'read'; readonly id: number}
+  | {readonly type: 'read'; readonly id: number; readonly patient: boolean}
   | {
       readonly type: 'members';
       readonly id: number;
--- a/packages/consensus/src/raft.ts
+++ b/packages/consensus/src/raft.ts
@@ -20,6 +20,7 @@
   Replica,
   type Applied,
   type Committed,
+  type ReadOptions,
   type ReplicaStatus,
 } from './replica.js';
 import type {RaftOptions} from './option.js';
@@ -100,8 +101,8 @@
     });
   }
 
-  override readIndex(): Promise<number> {
-    return this.requests.read(id => this.post({type: 'read', id}));
+  override readIndex({patient = false}: ReadOptions = {}): Promise<number> {
+    return this.requests.read(id => this.post({type: 'read', id, patient}));
   }
 
   override reached(revision: number): Promise<void> {
--- a/packages/consensus/src/read.ts
+++ b/packages/consensus/src/read.ts
@@ -4,16 +4,18 @@
 import {broadcast} from './replicate.js';
 import type {Turn} from './turn.js';
 
-export function read(turn: Turn, id: number): void {
+export function read(turn: Turn, id: number, patient: boolean): void {
   const {node} = turn;
   if (node.role !== 'leader') {
     turn.effects.push({type: 'refused', id, reason: ''});
     return;
   }
   // One round at a time: later reads share the next one.
-  const waiting = node.reads.length > 0;
-  node.reads = [...node.reads, {id, round: node.round + 1}];
-  if (!waiting && node.rules.confirmsReads()) broadcast(turn);
+  const underWay = node.reads.some(({round}) => round <= node.round);
+  node.reads = [...node.reads, {id, round: node.round + 1, patient}];
+  // A group of one has no heartbeats that a patient read could wait for.
+  const due = !patient || majority(node.members) === 1;
+  if (due && !underWay && node.rules.confirmsReads()) broadcast(turn);
   answerReads(turn);
 }
 
@@ -34,6 +36,9 @@
   const {revision} = committed;
   for (const {id} of ready) turn.effects.push({type: 'read', id, revision});
   if (ready.length === 0 || node.reads.length === 0) return;
-  if (node.reads.every(({round}) => round > node.round)) broadcast(turn);
+  const underWay = node.reads.some(({round}) => round <= node.round);
+  const due = node.reads.some(({patient}) => !patient);
+  if (underWay || !due) return;
+  broadcast(turn);
   answerReads(turn);
 }
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -56,6 +56,14 @@
   }
 }
 
+export interface ReadOptions {
+  /**
+   * Waits for the next regular heartbeat round instead of beginning one. Reads
+   * that recur, such as those of entry hosts, then cost no messages.
+   */
+  readonly patient?: boolean;
+}
+
 export abstract class Replica<S, C, A> {
   /** The applied state. */
   abstract state(): S;
@@ -70,7 +78,7 @@
    * confirmed by a round to a majority that began after it. Rejects with
    * `NotLeader` when this replica does not lead or cannot confirm it.
    */
-  abstract readIndex(): Promise<number>;
+  abstract readIndex(options?: ReadOptions): Promise<number>;
   /** Resolves once the applied state includes `revision`. */
   abstract reached(revision: number): Promise<void>;
   /** Calls `listener` for each applied change; returns a way to end that. */
--- a/packages/consensus/src/step.ts
+++ b/packages/consensus/src/step.ts
@@ -67,7 +67,7 @@
       propose(turn, input.changes);
       return;
     case 'read':
-      read(turn, input.id);
+      read(turn, input.id, input.patient);
       return;
     case 'members':
       proposeMembers(turn, input.id, input.change);
--- a/packages/consensus/test/cluster.ts
+++ b/packages/consensus/test/cluster.ts
@@ -60,6 +60,7 @@
   private readonly founders: string[];
   private wipes = 0;
   private starts = 0;
+  private readsBegun = 0;
   private proposed = 0;
 
   constructor(private readonly options: ClusterOptions) {
@@ -145,8 +146,10 @@
   /** Reads, and checks that the read is not stale. */
   async read(host: Host): Promise<boolean> {
     const floor = this.history.acknowledgedRevision();
+    // Both ways of confirming a read must hold under every fault.
+    const patient = this.readsBegun++ % 2 === 1;
     try {
-      this.history.read(floor, await host.replica!.readIndex());
+      this.history.read(floor, await host.replica!.readIndex({patient}));
       return true;
     } catch {
       return false;
--- a/packages/consensus/test/step.test.ts
+++ b/packages/consensus/test/step.test.ts
@@ -73,6 +73,25 @@
     expect(node().role).toBe('follower');
   });
 
+  it('spends messages on patient reads, or answers them from an older round', () => {
+    const {run, hear, node} = lead();
+    run(4004, {type: 'persisted', seq: node().seq});
+    hear(4005, {type: 'appended', ok: true, match: 3, round: node().round});
+    const before = node().round;
+    const sent = (effects: readonly Effect[]) =>
+      effects.filter(({type}) => type === 'send').length;
+    for (let id = 1; id <= 20; id++) {
+      expect(sent(run(4010, {type: 'read', id, patient: true}))).toBe(0);
+    }
+    const answered = (effects: readonly Effect[]) =>
+      effects.filter(({type}) => type === 'read').length;
+    const old = {type: 'appended', ok: true, match: 3, round: before};
+    expect(answered(hear(4020, old))).toBe(0);
+    run(node().heartbeatAtMs, {type: 'tick'});
+    const next = {...old, round: before + 1};
+    expect(answered(hear(node().nowMs + 5, next))).toBe(20);
+  });
+
   it('commits an entry of an older term by counting replicas', () => {
     const ok = {type: 'appended', ok: true, match: 2, round: 1};
     const strict = lead();
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -64,6 +64,7 @@
   const {member} = replica.status();
   const proposals = createProposals({replica, peers, tasks});
   const freshness = createFreshness({replica, peers, tasks});
+  const patience = createFreshness({replica, peers, tasks, patient: true});
   const policy = options.policy ?? new DemandPolicy();
   const limits = createLimits({replica, proposals, policy, tasks, log});
   const roster = createRoster({member, peers, tasks});
@@ -82,6 +83,7 @@
     replica,
     proposals,
     freshness,
+    patience,
     limits,
     roster,
     sessions,
@@ -96,6 +98,7 @@
     for (const part of [claims, sessions, limits, roster, views]) {
       await part.stop();
     }
+    await patience.stop();
     await freshness.stop();
     await proposals.stop();
   }
@@ -112,6 +115,8 @@
   readonly replica: StateReplica;
   readonly proposals: Proposals;
   readonly freshness: Freshness;
+  /** For reads that may wait for the leader's next heartbeat. */
+  readonly patience: Freshness;
   readonly limits: Limits;
   readonly roster: RosterTask;
   readonly sessions: Sessions;
@@ -148,9 +153,10 @@
   }
 
   override async sync(request: SyncRequest): Promise<SyncResponse> {
-    const {freshness, replica, roster, sessions, views} = this.parts;
+    const {freshness, patience, replica, roster, sessions, views} = this.parts;
     const {session, use} = request;
-    const readIndex = await freshness.confirm();
+    const reads = isPressing(request) ? freshness : patience;
+    const readIndex = await reads.confirm();
     if (!isOpen(replica.state(), session)) return CLOSED;
     roster.merge(request.roster, true);
     if (hasSlices(replica.state(), session)) {
@@ -210,6 +216,14 @@
   }
 }
 
+/** A sync that an entry host or a caller waits for. */
+function isPressing({revision, use, roster}: SyncRequest): boolean {
+  const short = Object.values(use).some(
+    ({demand, ceiling}) => demand > ceiling,
+  );
+  return revision === 0 || short || roster.length > 0;
+}
+
 const CLOSED: SyncResponse = {ok: false, code: 'session-closed'};
 
 function isOpen(state: State, session: string): boolean {
--- a/packages/control/src/freshness.ts
+++ b/packages/control/src/freshness.ts
@@ -34,6 +34,8 @@
   readonly replica: StateReplica;
   readonly peers: Peers;
   readonly tasks: TaskSystem;
+  /** Rounds are the leader's regular heartbeats, so they cost no messages. */
+  readonly patient?: boolean;
 }
 
 export function createFreshness(options: FreshnessOptions): Freshness {
@@ -54,7 +56,7 @@
   }
 
   const task = tasks.spawn<FreshnessState, FreshnessMessage>({
-    name: 'freshness',
+    name: options.patient ? 'patient-freshness' : 'freshness',
     initial: {running: false, waiting: []},
     handle(state, message, self) {
       if (message.type === 'finished') return startRound(state.waiting, self);
@@ -82,12 +84,12 @@
 
 /** Asks the leader itself; a follower's own index would prove nothing. */
 async function readIndex(options: FreshnessOptions): Promise<number> {
-  const {replica, peers} = options;
+  const {replica, peers, patient = false} = options;
   const {role, leader} = replica.status();
-  if (role === 'leader') return replica.readIndex();
+  if (role === 'leader') return replica.readIndex({patient});
   const peer = leader === undefined ? undefined : peers.get(leader);
   if (!peer) throw new ServiceError('unavailable', 'no leader is known');
-  return (await peer.readIndex()).revision;
+  return (await peer.readIndex({patient})).revision;
 }
 
 /** A read index changes nothing, so that its failure is always `not-run`. */
--- a/packages/control/src/peer.ts
+++ b/packages/control/src/peer.ts
@@ -7,6 +7,7 @@
   type JoinResponse,
   type ProposeRequest,
   type ProposeResponse,
+  type ReadIndexRequest,
   type ReadIndexResponse,
   type ReportRequest,
   type ReportResponse,
@@ -44,9 +45,11 @@
     return proposeHere(this.options.replica, body);
   }
 
-  override async readIndex(): Promise<ReadIndexResponse> {
+  override async readIndex(
+    request: ReadIndexRequest,
+  ): Promise<ReadIndexResponse> {
     try {
-      return {revision: await this.options.replica.readIndex()};
+      return {revision: await this.options.replica.readIndex(request)};
     } catch (error) {
       throw toServiceError(error);
     }
--- a/packages/protocol/src/client.ts
+++ b/packages/protocol/src/client.ts
@@ -145,8 +145,8 @@
     return attempt(this.rpc.peer.propose.mutate(request));
   }
 
-  override readIndex() {
-    return attempt(this.urgent.peer.readIndex.mutate());
+  override readIndex(request: message.ReadIndexRequest) {
+    return attempt(this.urgent.peer.readIndex.mutate(request));
   }
 
   override report(request: message.ReportRequest) {
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -162,6 +162,11 @@
   revision: count,
 });
 export type ProposeResponse = z.infer<typeof proposeResponseSchema>;
+export const readIndexRequestSchema = z.object({
+  /** Waits for the leader's next regular heartbeat round. */
+  patient: z.boolean(),
+});
+export type ReadIndexRequest = z.infer<typeof readIndexRequestSchema>;
 export const readIndexResponseSchema = z.object({revision: count});
 export type ReadIndexResponse = z.infer<typeof readIndexResponseSchema>;
 
--- a/packages/protocol/src/router.ts
+++ b/packages/protocol/src/router.ts
@@ -3,7 +3,6 @@
 import {timingSafeEqual, createHash} from 'node:crypto';
 import {initTRPC, TRPCError} from '@trpc/server';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
-import {z} from 'zod';
 import * as message from './message.js';
 import {
   ServiceError,
@@ -98,7 +97,9 @@
     propose: member
       .input(message.proposeRequestSchema)
       .mutation(({input}) => service.propose(input)),
-    readIndex: member.input(z.undefined()).mutation(() => service.readIndex()),
+    readIndex: member
+      .input(message.readIndexRequestSchema)
+      .mutation(({input}) => service.readIndex(input)),
     report: member
       .input(message.reportRequestSchema)
       .mutation(({input}) => service.report(input)),
--- a/packages/protocol/src/service.ts
+++ b/packages/protocol/src/service.ts
@@ -20,6 +20,7 @@
   OpenSessionResponse,
   ProposeRequest,
   ProposeResponse,
+  ReadIndexRequest,
   ReadIndexResponse,
   ReadRequest,
   ReadResponse,
@@ -64,7 +65,7 @@
 export abstract class PeerService {
   abstract deliver(request: DeliverRequest): Promise<void>;
   abstract propose(request: ProposeRequest): Promise<ProposeResponse>;
-  abstract readIndex(): Promise<ReadIndexResponse>;
+  abstract readIndex(request: ReadIndexRequest): Promise<ReadIndexResponse>;
   abstract report(request: ReportRequest): Promise<ReportResponse>;
   abstract gossip(request: GossipRequest): Promise<void>;
   abstract join(request: JoinRequest): Promise<JoinResponse>;
--- a/packages/protocol/test/service.test.ts
+++ b/packages/protocol/test/service.test.ts
@@ -146,7 +146,7 @@
     await expect.poll(() => begun).toBeGreaterThan(3);
     const startMs = performance.now();
     await peer.deliver({from: 'c2', messages: []});
-    expect(await peer.readIndex()).toEqual({revision: 7});
+    expect(await peer.readIndex({patient: false})).toEqual({revision: 7});
     const sync = {session: 's', revision: 0, use: {}, roster: []};
     const answer = await control.sync({...sync, rosterVersion: 0});
     expect(answer).toEqual(closedSession);
