Test that urgent work is in time between whole rounds

The rounds that a pausing planner runs for urgent work alone had no test of the whole way: reclaim, start, and the end of throttling afterwards.

--- a/packages/testkit/test/planner.test.ts
+++ b/packages/testkit/test/planner.test.ts
@@ -193,7 +193,10 @@
     expect(rig.platform.runningTasks()).toBe(0);
   });
 
-  test('urgent work on a full fleet starts within 9.6 s', async () => {
+  test.each([
+    {when: 'in whole rounds', paused: false},
+    {when: 'in rounds between them', paused: true},
+  ])('urgent work on a full fleet waits over 9.6 s $when', async ({paused}) => {
     const rig = await startRig();
     // Teams fill the pool with work whose memory only a checkpoint frees.
     const declared = {cores: 8, memoryMiB: 60_000, accelerators: 0};
@@ -204,6 +207,7 @@
       await rig.submit(team, jobs);
     }
     await rig.runUntil(() => false, 30).catch(() => undefined);
+    rig.pause.on = paused;
     const urgent = [...Array(6).keys()].map(i =>
       jobSpec(`urgent-${i}`, {declared, urgent: true}),
     );
@@ -214,6 +218,15 @@
     );
     expect(seconds).toBeLessThanOrEqual(9);
     expect(rig.platform.doubleRuns).toBe(0);
+    // Work that was held back for it goes on at full speed in the end.
+    rig.pause.on = false;
+    await rig.runUntil(() => true, 1);
+    await rig.runUntil(() => true, 1);
+    const {tasks} = rig.platform.look(0);
+    expect(tasks.length).toBeGreaterThan(0);
+    expect(
+      tasks.filter(each => each.throttled && each.phase === 'running'),
+    ).toEqual([]);
   });
 
   test('a worker that is cut off does not run a job a second time', async () => {
--- a/packages/testkit/test/rig.ts
+++ b/packages/testkit/test/rig.ts
@@ -4,6 +4,7 @@
   LeadershipLost,
   runRound,
   stateMachine,
+  urgentPools,
   type RoundResult,
 } from '@lentildrift/control';
 import {
@@ -50,6 +51,8 @@
   const {size = ARCHERS, policies = defaultPolicies()} = options;
   const fleet = buildFleet(size);
   const clock = {nowMs: 0};
+  /** Set while rounds decide only about pools with urgent work. */
+  const pause = {on: false};
   const platform = new FakePlatform({
     hosts: fleet.hosts,
     now: () => clock.nowMs,
@@ -83,6 +86,7 @@
       leader: token,
       term: 1,
       callDemand: {},
+      scope: pause.on ? urgentPools(replica.state()) : undefined,
       now: () => clock.nowMs,
     });
   }
@@ -120,6 +124,7 @@
   return {
     fleet,
     clock,
+    pause,
     platform,
     replica,
     maxAway,
