Run whole clusters on the paused clock from scenario files

The checkers had no history to judge but hand-made ones. The testkit now runs real replicas, control roles and entry hosts in one process, over a seeded network and upstreams that record when work begins and ends. Entry hosts take a connector, a listener and their rules as objects, so that no socket is needed; the product uses undici and node:http as before.

--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -112,5 +112,5 @@
     await entry.stop();
     await client.close();
   }
-  return {port: entry.port, stop};
+  return {...entry, stop};
 }
--- a/packages/entry/src/admission.ts
+++ b/packages/entry/src/admission.ts
@@ -3,6 +3,7 @@
 import type {TeamUse} from '@lentildrift/protocol';
 import type {Reply, Task, TaskSystem} from '@lentildrift/task';
 import {createCell, type Cell} from './cell.js';
+import type {EntryRules} from './rules.js';
 import {createLedger, isGrant, type Grant, type Renewal} from './ledger.js';
 
 export type AdmissionMessage =
@@ -28,8 +29,9 @@
 export function createAdmission(
   tasks: TaskSystem,
   onShort: () => void,
+  rules?: EntryRules,
 ): Admission {
-  const ledger = createLedger();
+  const ledger = createLedger(rules);
   const lease = createCell(ledger.freshUntilMs());
   const task = tasks.spawn<undefined, AdmissionMessage>({
     name: 'admission',
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -1,50 +1,61 @@
-/** One sending of a request over the connection of a lease. */
-import type {Client, Dispatcher} from 'undici';
-import type {Readable} from 'node:stream';
+/** The product's connections to upstreams, by `undici`. */
+import {Client, type Dispatcher} from 'undici';
+import {
+  Connection,
+  Connector,
+  type Attempt,
+  type AttemptEvents,
+  type AttemptRequest,
+} from './connection.js';
 
-export interface AttemptRequest {
-  readonly method: string;
-  readonly path: string;
-  readonly headers: string[];
-  readonly body: Readable | null;
-}
+/** A host that does not accept within this time counts as unreachable. */
+const CONNECT_TIMEOUT_MS = 1000;
+/** An idle connection is closed before usual upstreams close it themselves. */
+const IDLE_CONNECTION_MS = 4000;
 
-/** Why an attempt failed. */
-export interface AttemptFailure {
-  readonly error: Error;
-  /** Whether a byte of the request may have been written. */
-  readonly written: boolean;
+class AbortedAttempt extends Error {
+  override readonly name = 'AbortedAttempt';
 }
 
-export interface AttemptEvents {
-  /** Asked immediately before the first byte is written. */
-  mayStart(): boolean;
-  head(status: number, headers: readonly (Buffer | string)[]): void;
-  /** Returns false when no more data should be read until `resume`. */
-  data(chunk: Buffer): boolean;
-  /** Called once, unless the attempt was aborted. */
-  end(failure?: AttemptFailure): void;
-  /** Called once, when the connection is free again or closed. */
-  closed(): void;
+class StartRefused extends Error {
+  override readonly name = 'StartRefused';
 }
 
-export interface Attempt {
-  /** Whether a byte of the request may have been written. */
-  written(): boolean;
-  resume(): void;
-  /** Gives up; no byte is written from here on, and no event follows but `closed`. */
-  abort(): void;
+export class UndiciConnector extends Connector {
+  override connect(address: string): Connection {
+    return new UndiciConnection(
+      new Client(`http://${address}`, {
+        pipelining: 1,
+        connect: {timeout: CONNECT_TIMEOUT_MS},
+        // Deadlines are kept by the forwarder.
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        keepAliveTimeout: IDLE_CONNECTION_MS,
+        keepAliveMaxTimeout: IDLE_CONNECTION_MS,
+      }),
+    );
+  }
 }
 
-class AbortedAttempt extends Error {
-  override readonly name = 'AbortedAttempt';
-}
+class UndiciConnection extends Connection {
+  constructor(private readonly client: Client) {
+    super();
+  }
 
-class StartRefused extends Error {
-  override readonly name = 'StartRefused';
+  override get destroyed(): boolean {
+    return this.client.destroyed;
+  }
+
+  override send(request: AttemptRequest, events: AttemptEvents): Attempt {
+    return startAttempt(this.client, request, events);
+  }
+
+  override destroy(): Promise<void> {
+    return this.client.destroy();
+  }
 }
 
-export function startAttempt(
+function startAttempt(
   client: Client,
   request: AttemptRequest,
   events: AttemptEvents,
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -32,6 +32,7 @@
 import {declaredLength, framingProblem} from './header.js';
 import {isGrant, type Grant} from './ledger.js';
 import type {Once} from './once.js';
+import type {EntryRules} from './rules.js';
 import {isLease, type Lease, type UpstreamMessage} from './upstream.js';
 
 export interface CallContext {
@@ -40,6 +41,7 @@
   readonly view: Cell<View>;
   readonly directory: Cell<Directory>;
   readonly once: Once;
+  readonly rules: EntryRules;
 }
 
 const CALL_PATH = /^\/call\/([^/?]+)(.*)$/;
@@ -49,6 +51,7 @@
   const {once} = context;
   const forwarding = {
     upstreams: context.upstreams,
+    rules: context.rules,
     recheck: (exchange: Selected) => recheck(context, exchange),
     reselect: (exchange: Selected, tried: readonly string[]) =>
       acquire(context, exchange, tried),
@@ -178,6 +181,7 @@
   context: CallContext,
   exchange: Selected,
 ): Refusal | undefined {
+  if (!context.rules.checksAgain()) return undefined;
   if (performance.now() >= context.admission.lease.value) {
     return refuse('stale', 'this entry host has no current configuration');
   }
--- a/packages/entry/src/directory.ts
+++ b/packages/entry/src/directory.ts
@@ -13,6 +13,7 @@
 } from '@lentildrift/model';
 import type {Reply, Task, TaskSystem} from '@lentildrift/task';
 import {createCell, type Cell} from './cell.js';
+import {EntryRules} from './rules.js';
 
 /** Pool and service to the upstreams in service. */
 export type Directory = ReadonlyMap<string, readonly RosterRecord[]>;
@@ -51,9 +52,16 @@
 export function createRoster(
   tasks: TaskSystem,
   onChange: (directory: Directory) => void = () => undefined,
+  rules = new EntryRules(),
 ): RosterTask {
   const directory = createCell<Directory>(new Map());
 
+  function forget(state: RosterState): RosterState {
+    if (rules.keepsTombstones()) return state;
+    const kept = [...state.roster].filter(([, {left}]) => !left);
+    return {...state, roster: new Map(kept)};
+  }
+
   function publish(state: RosterState): RosterState {
     directory.value = buildDirectory(state, performance.now());
     onChange(directory.value);
@@ -67,9 +75,9 @@
       switch (message.type) {
         case 'announce':
           message.reply.resolve(isNews(state.roster, message.item));
-          return publish(announce(state, message.item));
+          return publish(forget(announce(state, message.item)));
         case 'merge':
-          return publish(merge(state, message.items));
+          return publish(forget(merge(state, message.items)));
         case 'view':
           return publish({...state, view: message.view});
         case 'collect':
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -7,15 +7,18 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createAdmission} from './admission.js';
 import {handleAnnounce} from './announce.js';
+import {UndiciConnector} from './attempt.js';
 import {answerJson, answerKept, answerRefusal, statusOf} from './answer.js';
 import {callPipe} from './call.js';
+import type {Connector} from './connection.js';
 import {createRoster} from './directory.js';
 import type {Exchange, Forwarded} from './exchange.js';
 import {FailoverControl} from './failover.js';
 import {handleJobs, isJobsPath} from './jobs.js';
-import {createListener} from './listener.js';
+import {createListener, type Listener} from './listener.js';
 import {NullObserver, type CallObserver} from './observer.js';
 import {createOnce} from './once.js';
+import {EntryRules} from './rules.js';
 import {createSync} from './sync.js';
 import {createUpstreams} from './upstream.js';
 
@@ -35,11 +38,18 @@
   readonly metrics?: () => string | Promise<string>;
   /** How long `/health` is unavailable before the server stops listening. */
   readonly noticeMs?: number;
+  /** Connections to upstreams; by `undici` when absent. */
+  readonly connector?: Connector;
+  /** Makes what takes calls; a server of `node:http` when absent. */
+  readonly listener?: typeof createListener;
+  readonly rules?: EntryRules;
 }
 
 export interface Entry {
   /** Port that the entry host listens on. */
   readonly port: number;
+  /** Version of the tables that the entry host holds; 0 for none. */
+  version(): number;
   /** Stops without interrupting calls. */
   stop(): Promise<void>;
 }
@@ -49,13 +59,19 @@
   const {tasks, log} = options;
   const observer = options.observer ?? new NullObserver();
   const control = new FailoverControl([options.control].flat());
-  const admission = createAdmission(tasks, () => sync.hurry());
-  const upstreams = createUpstreams(tasks);
-  const roster = createRoster(tasks, directory => {
-    const records = [...directory.values()].flat();
-    const addresses = records.map(each => each.announcement.address);
-    upstreams.post({type: 'retain', addresses: new Set(addresses)});
-  });
+  const rules = options.rules ?? new EntryRules();
+  const connector = options.connector ?? new UndiciConnector();
+  const admission = createAdmission(tasks, () => sync.hurry(), rules);
+  const upstreams = createUpstreams(tasks, connector);
+  const roster = createRoster(
+    tasks,
+    directory => {
+      const records = [...directory.values()].flat();
+      const addresses = records.map(each => each.announcement.address);
+      upstreams.post({type: 'retain', addresses: new Set(addresses)});
+    },
+    rules,
+  );
   const sync = createSync({
     tasks,
     log,
@@ -67,11 +83,12 @@
   const {view, session} = sync;
   const {lease} = admission;
   const {directory} = roster;
-  const once = createOnce({tasks, log, control, session});
-  const calls = callPipe({admission, upstreams, view, directory, once});
+  const once = createOnce({tasks, log, control, session, rules});
+  const calls = callPipe({admission, upstreams, view, directory, once, rules});
   let stopping = false;
 
-  const listener = createListener(tasks, (request, response) => {
+  const listen = options.listener ?? createListener;
+  const listener: Listener = listen(tasks, (request, response) => {
     handle(request, response).catch(error => {
       log.error('call-failed', {error: String(error)});
       const refusal = refuse('internal', 'internal error', {
@@ -157,7 +174,9 @@
     stopping = true;
     const {noticeMs = 0} = options;
     if (noticeMs > 0) await new Promise(done => setTimeout(done, noticeMs));
-    const left = await listener.drain(DRAIN_LIMIT_MS);
+    const left = await listener.drain(
+      rules.waitsForCalls() ? DRAIN_LIMIT_MS : 0,
+    );
     if (left > 0) log.warn('calls-interrupted', {calls: left});
     await once.stop();
     await sync.stop();
@@ -167,5 +186,9 @@
   }
 
   let stopped: Promise<void> | undefined;
-  return {port, stop: () => (stopped ??= stopAll())};
+  return {
+    port,
+    version: () => view.value.version,
+    stop: () => (stopped ??= stopAll()),
+  };
 }
--- a/packages/entry/src/forward.ts
+++ b/packages/entry/src/forward.ts
@@ -2,22 +2,28 @@
  * Forwards a call: attempts within the rules on repetition, the deadline, and
  * the passing on of the response.
  */
-import {refuse, type Refusal, type Route} from '@lentildrift/model';
+import {refuse, type Refusal, type Verdict} from '@lentildrift/model';
 import {pass, stop, type Step} from '@lentildrift/pipe';
 import type {Task} from '@lentildrift/task';
-import {startAttempt, type Attempt, type AttemptFailure} from './attempt.js';
 import {BodyTooLarge, refuseBody, streamBody} from './body.js';
+import type {Attempt, AttemptFailure} from './connection.js';
 import {extend, type Forwarded, type Selected} from './exchange.js';
 import {requestHeaders} from './header.js';
 import {createRelay} from './relay.js';
-import type {Lease, LeaseOutcome, UpstreamMessage} from './upstream.js';
+import type {EntryRules} from './rules.js';
+import {
+  isLease,
+  type Lease,
+  type LeaseOutcome,
+  type UpstreamMessage,
+} from './upstream.js';
 
 /** Further upstreams that one call may try. */
 const MAX_ATTEMPTS = 3;
-const SAFE_METHODS = new Set(['GET', 'HEAD', 'OPTIONS']);
 
 export interface ForwardContext {
   readonly upstreams: Task<UpstreamMessage>;
+  readonly rules: EntryRules;
   /** Why the call may not be sent any more; asked before the first byte. */
   recheck(exchange: Selected): Refusal | undefined;
   /** Another lease for the call, on none of the addresses tried. */
@@ -27,12 +33,6 @@
   ): Promise<Lease | Refusal>;
 }
 
-/** Whether a request that may have run may be sent again. */
-export function mayRepeat(route: Route, method: string): boolean {
-  if (route.repeat === 'once') return false;
-  return route.repeat === 'idempotent' || SAFE_METHODS.has(method);
-}
-
 export function forward(
   context: ForwardContext,
   exchange: Selected,
@@ -74,7 +74,7 @@
     let outcome: LeaseOutcome = 'unused';
     openLeases += 1;
     tried.push(lease.address);
-    const current = startAttempt(lease.client, outgoing, {
+    const current = lease.connection.send(outgoing, {
       mayStart() {
         refused = ended ? undefined : context.recheck(exchange);
         if (!ended && !refused) outcome = 'reached';
@@ -105,24 +105,25 @@
     const {body} = outgoing;
     const intact = body === null || (!failure.written && !body.destroyed);
     const allowed = isUnreachable(failure) || failure.written;
-    const repeatable = !failure.written || mayRepeat(route, method);
+    const repeatable =
+      !failure.written || context.rules.mayRepeat(route, method);
     const more = tried.length < MAX_ATTEMPTS;
     if (!intact || !allowed || !repeatable || !more) {
       return finish(stop(refusal));
     }
     const next = await context.reselect(exchange, tried);
     if (ended) return returnUnused(next);
-    if (!('client' in next)) return finish(stop(refusal));
+    if (!isLease(next)) return finish(stop(refusal));
     send(next);
   }
 
   function returnUnused(lease: Lease | Refusal): void {
-    if (!('client' in lease)) return;
+    if (!isLease(lease)) return;
     context.upstreams.post({type: 'release', lease, outcome: 'unused'});
   }
 
   function failureRefusal(failure: AttemptFailure): Refusal {
-    const verdict = mayHaveRun ? 'may-have-run' : 'not-run';
+    const verdict = context.rules.verdict(mayHaveRun);
     const {error} = failure;
     if (outgoing.body?.errored instanceof BodyTooLarge) {
       return {...refuseBody(route.maxBodyBytes), verdict};
@@ -134,10 +135,13 @@
     return refuse('upstream-failed', 'the upstream failed', {verdict});
   }
 
+  function verdictNow(): Verdict {
+    return context.rules.verdict(mayHaveRun || attempt?.written() === true);
+  }
+
   function onDeadline(): void {
     if (relay.started()) return finishBroken();
-    const verdict =
-      mayHaveRun || attempt?.written() ? 'may-have-run' : 'not-run';
+    const verdict = verdictNow();
     const text = `no answer within ${route.timeoutMs} ms`;
     finish(stop(refuse('timeout', text, {verdict})));
   }
@@ -149,14 +153,14 @@
       return finish(pass(extend(exchange, relay.result(complete))));
     }
     if (relay.started()) return finishBroken();
-    const verdict =
-      mayHaveRun || attempt?.written() ? 'may-have-run' : 'not-run';
+    const verdict = verdictNow();
     finish(stop(refuse('upstream-failed', 'the caller left', {verdict})));
   }
 
   /** Closes the caller's connection, so that no response looks complete. */
   function finishBroken(): void {
-    response.destroy();
+    if (context.rules.breaksCaller()) response.destroy();
+    else response.end();
     finish(pass(extend(exchange, relay.result(false))));
   }
 
--- a/packages/entry/src/ledger.ts
+++ b/packages/entry/src/ledger.ts
@@ -4,8 +4,8 @@
  */
 import {refuse, type Refusal, type Slice} from '@lentildrift/model';
 import type {TeamUse} from '@lentildrift/protocol';
+import {EntryRules} from './rules.js';
 
-export const FRESHNESS_LEASE_MS = 3000;
 /** A refused call counts as demand for this long: callers try again soon. */
 const REFUSED_DEMAND_MS = 100;
 const RETRY_AFTER_MS = 1000;
@@ -51,7 +51,7 @@
   return 'session' in result;
 }
 
-export function createLedger(): Ledger {
+export function createLedger(rules = new EntryRules()): Ledger {
   let session: string | undefined;
   let freshUntilMs = -Infinity;
   let accounts = new Map<string, TeamAccount>();
@@ -107,9 +107,7 @@
     const {slices, targets, sentMs} = renewal;
     for (const [team, slice] of Object.entries(slices)) {
       const held = account(team);
-      // Control may already have taken back what a lowered ceiling freed, so
-      // the ceiling rises only on a generation newer than the reported one.
-      if (slice.generation > held.generation) {
+      if (rules.raisesCeiling(slice.generation, held.generation)) {
         held.generation = slice.generation;
         held.ceiling = slice.amount;
       }
@@ -118,7 +116,7 @@
         held.ceiling = Math.min(held.ceiling, target);
       }
     }
-    freshUntilMs = Math.max(freshUntilMs, sentMs + FRESHNESS_LEASE_MS);
+    freshUntilMs = Math.max(freshUntilMs, rules.leaseEndMs(sentMs));
   }
 
   function report(): Record<string, TeamUse> {
--- a/packages/entry/src/once.ts
+++ b/packages/entry/src/once.ts
@@ -22,6 +22,7 @@
   type KeptResponse,
 } from './exchange.js';
 import {createKeep} from './keep.js';
+import type {EntryRules} from './rules.js';
 
 /** Claims that arrive within this time go to control as one batch. */
 const BATCH_MS = 5;
@@ -66,6 +67,7 @@
   readonly log: Log;
   readonly control: ControlService;
   readonly session: Cell<string | undefined>;
+  readonly rules: EntryRules;
 }
 
 export function createOnce(options: OnceOptions): Once {
@@ -208,7 +210,7 @@
 
   function claim(exchange: Admitted): Step<Claimed> | Promise<Step<Claimed>> {
     const key = exchange.request.headers['idempotency-key'];
-    if (exchange.route.repeat !== 'once' || key === undefined) {
+    if (!options.rules.claimsFirst(exchange.route) || key === undefined) {
       return pass(exchange);
     }
     if (typeof key !== 'string' || key === '' || key.length > MAX_KEY_LENGTH) {
--- a/packages/entry/src/upstream.ts
+++ b/packages/entry/src/upstream.ts
@@ -6,15 +6,11 @@
   type RosterRecord,
 } from '@lentildrift/model';
 import type {Task, TaskSystem} from '@lentildrift/task';
-import {Client} from 'undici';
+import type {Connection, Connector} from './connection.js';
 
-/** A host that does not accept within this time counts as unreachable. */
-const CONNECT_TIMEOUT_MS = 1000;
 const FIRST_EXCLUSION_MS = 250;
 const LONGEST_EXCLUSION_MS = 10_000;
 const RETRY_AFTER_MS = 1000;
-/** An idle connection is closed before usual upstreams close it themselves. */
-const IDLE_CONNECTION_MS = 4000;
 
 /** How a use of a lease ended, for the upstream's health. */
 export type LeaseOutcome = 'reached' | 'unreachable' | 'unused';
@@ -23,7 +19,7 @@
 export interface Lease {
   readonly address: string;
   readonly host: string;
-  readonly client: Client;
+  readonly connection: Connection;
 }
 
 export type UpstreamMessage =
@@ -42,7 +38,7 @@
 interface UpstreamState {
   incarnation: number;
   busy: number;
-  readonly idle: Client[];
+  readonly idle: Connection[];
   failures: number;
   excludedUntilMs: number;
 }
@@ -50,17 +46,19 @@
 interface Connections {
   readonly upstreams: Map<string, UpstreamState>;
   readonly busyByHost: Map<string, number>;
-  /** Every client that has not been destroyed. */
-  readonly clients: Set<Client>;
+  /** Every connection that has not been destroyed. */
+  readonly connections: Set<Connection>;
+  readonly connector: Connector;
 }
 
 export function isLease(result: Lease | Refusal): result is Lease {
-  return 'client' in result;
+  return 'connection' in result;
 }
 
 /** `random` yields numbers from 0 up to 1 for the choice of two. */
 export function createUpstreams(
   tasks: TaskSystem,
+  connector: Connector,
   random: () => number = Math.random,
 ): Task<UpstreamMessage> {
   return tasks.spawn<Connections, UpstreamMessage>({
@@ -68,7 +66,8 @@
     initial: {
       upstreams: new Map(),
       busyByHost: new Map(),
-      clients: new Set(),
+      connections: new Set(),
+      connector,
     },
     handle(state, message) {
       switch (message.type) {
@@ -85,7 +84,7 @@
       return state;
     },
     async afterStop(state) {
-      await Promise.all([...state.clients].map(client => client.destroy()));
+      await Promise.all([...state.connections].map(each => each.destroy()));
     },
   });
 }
@@ -174,21 +173,9 @@
   held.busy += 1;
   state.busyByHost.set(host, load(state, record) + 1);
   // The connection used last is the least likely to have been closed.
-  const client = held.idle.pop() ?? connect(address);
-  state.clients.add(client);
-  return {address, host, client};
-}
-
-function connect(address: string): Client {
-  return new Client(`http://${address}`, {
-    pipelining: 1,
-    connect: {timeout: CONNECT_TIMEOUT_MS},
-    // Deadlines are kept by the forwarder.
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    keepAliveTimeout: IDLE_CONNECTION_MS,
-    keepAliveMaxTimeout: IDLE_CONNECTION_MS,
-  });
+  const connection = held.idle.pop() ?? state.connector.connect(address);
+  state.connections.add(connection);
+  return {address, host, connection};
 }
 
 function release(
@@ -198,8 +185,9 @@
 ): void {
   const held = upstream(state, lease.address);
   held.busy -= 1;
-  if (lease.client.destroyed) state.clients.delete(lease.client);
-  else held.idle.push(lease.client);
+  const {connection} = lease;
+  if (connection.destroyed) state.connections.delete(connection);
+  else held.idle.push(connection);
   const busy = (state.busyByHost.get(lease.host) ?? 1) - 1;
   if (busy === 0) state.busyByHost.delete(lease.host);
   else state.busyByHost.set(lease.host, busy);
@@ -219,9 +207,9 @@
 function retain(state: Connections, addresses: ReadonlySet<string>): void {
   for (const [address, held] of state.upstreams) {
     if (addresses.has(address)) continue;
-    for (const client of held.idle.splice(0)) {
-      state.clients.delete(client);
-      void client.destroy();
+    for (const connection of held.idle.splice(0)) {
+      state.connections.delete(connection);
+      void connection.destroy();
     }
     if (held.busy === 0) state.upstreams.delete(address);
   }
--- /dev/null
+++ b/packages/testkit/src/cluster/weak.ts
@@ -0,0 +1,150 @@
+/** Weakened variants of the product's mechanisms, for proofs that checks fail without them. */
+import {Rules, type Machine} from '@lentildrift/consensus';
+import {stateMachine} from '@lentildrift/control';
+import {EntryRules} from '@lentildrift/entry';
+import {
+  sliceTotal,
+  type Answer,
+  type Change,
+  type State,
+  type Verdict,
+} from '@lentildrift/model';
+
+/** What a cluster is made of; the product's own parts by default. */
+export interface Mechanisms {
+  readonly rules?: Rules;
+  readonly entryRules?: EntryRules;
+  readonly machine?: Machine<State, Change, Answer>;
+  /** Whether a host that lost its disk comes back under a new member ID. */
+  readonly reusesMemberId?: boolean;
+}
+
+class WithoutReadRound extends Rules {
+  override stepsDown(): boolean {
+    return false;
+  }
+  override confirmsReads(): boolean {
+    return false;
+  }
+}
+
+class WithoutSync extends Rules {
+  override waitsForSync(): boolean {
+    return false;
+  }
+}
+
+class WithoutLease extends EntryRules {
+  override leaseEndMs(): number {
+    return Infinity;
+  }
+}
+
+class WithoutSecondCheck extends EntryRules {
+  override checksAgain(): boolean {
+    return false;
+  }
+}
+
+class WithoutGenerations extends EntryRules {
+  override raisesCeiling(): boolean {
+    return true;
+  }
+}
+
+class RepeatingAlways extends EntryRules {
+  override mayRepeat(): boolean {
+    return true;
+  }
+}
+
+class RefusingFalsely extends EntryRules {
+  override verdict(): Verdict {
+    return 'not-run';
+  }
+}
+
+class WithoutClaims extends EntryRules {
+  override claimsFirst(): boolean {
+    return false;
+  }
+}
+
+class WithoutTombstones extends EntryRules {
+  override keepsTombstones(): boolean {
+    return false;
+  }
+}
+
+class EndingBrokenAnswers extends EntryRules {
+  override breaksCaller(): boolean {
+    return false;
+  }
+}
+
+class WithoutDrain extends EntryRules {
+  override waitsForCalls(): boolean {
+    return false;
+  }
+}
+
+/** Gives slices as they are asked for, whatever they sum up to. */
+const withoutSliceSum: Machine<State, Change, Answer> = {
+  ...stateMachine,
+  apply(state, change) {
+    if (change.body.type !== 'set-slices') {
+      return stateMachine.apply(state, change);
+    }
+    const raised = Object.fromEntries(
+      Object.entries(state.tables.teams).map(([name, team]) => [
+        name,
+        {...team, limit: team.limit * 3 + sliceTotal(state.slices, name)},
+      ]),
+    );
+    const tables = {...state.tables, teams: raised};
+    const result = stateMachine.apply({...state, tables}, change);
+    return {...result, state: {...result.state, tables: state.tables}};
+  },
+};
+
+/** Runs a resent command again, as if it had come for the first time. */
+const withoutRecordedAnswers: Machine<State, Change, Answer> = {
+  ...stateMachine,
+  apply(state, change) {
+    const result = stateMachine.apply({...state, answers: []}, change);
+    return {...result, state: {...result.state, answers: []}};
+  },
+};
+
+/** Takes an edit whatever version it is based on. */
+const withoutVersions: Machine<State, Change, Answer> = {
+  ...stateMachine,
+  apply(state, change) {
+    const {body} = change;
+    if (body.type !== 'command' || body.command.type !== 'edit') {
+      return stateMachine.apply(state, change);
+    }
+    const edit = {...body.command.edit, basedOn: state.tables.version};
+    const command = {...body.command, edit};
+    return stateMachine.apply(state, {...change, body: {...body, command}});
+  },
+};
+
+/** Mechanism to what the cluster is made of without it. */
+export const WITHOUT: Readonly<Record<string, Mechanisms>> = {
+  'freshness-lease': {entryRules: new WithoutLease()},
+  'second-check': {entryRules: new WithoutSecondCheck()},
+  'ceiling-generations': {entryRules: new WithoutGenerations()},
+  'retry-only-on-proof': {entryRules: new RepeatingAlways()},
+  'true-verdicts': {entryRules: new RefusingFalsely()},
+  'claim-before-forwarding': {entryRules: new WithoutClaims()},
+  tombstones: {entryRules: new WithoutTombstones()},
+  'broken-connections': {entryRules: new EndingBrokenAnswers()},
+  drain: {entryRules: new WithoutDrain()},
+  'read-round': {rules: new WithoutReadRound()},
+  'sync-before-acknowledge': {rules: new WithoutSync()},
+  'new-member-id': {reusesMemberId: true},
+  'slice-sum': {machine: withoutSliceSum},
+  'recorded-answers': {machine: withoutRecordedAnswers},
+  'table-versions': {machine: withoutVersions},
+};
--- /dev/null
+++ b/packages/testkit/src/scenario/act.ts
@@ -0,0 +1,211 @@
+/** Carries out one step of a scenario on a cluster. */
+import type {Announcement} from '@lentildrift/model';
+import {teamSchema} from '@lentildrift/model';
+import type {Cluster} from '../cluster/cluster.js';
+import {outside} from '../cluster/owner.js';
+import type {Step, StepOf} from './schema.js';
+
+const COMMAND_BATCH = 50;
+
+/** Returns what the step expected and did not find. */
+export function act(cluster: Cluster, step: Step): string | undefined {
+  switch (step.do) {
+    case 'edit':
+      edit(cluster, step);
+      return;
+    case 'race':
+      race(cluster, step);
+      return;
+    case 'cut':
+      cut(cluster, step);
+      return;
+    case 'heal':
+      cluster.network.heal();
+      return;
+    case 'faults':
+      cluster.network.faults = step.faults;
+      return;
+    case 'resend':
+      cluster.operators.resend(step.request);
+      return;
+    case 'commands':
+      void sendCommands(cluster, step.count);
+      return;
+    case 'give-key':
+      void cluster.giveKey(step.team, {kind: 'team', team: step.team});
+      return;
+    case 'withdraw-key':
+      cluster.withdrawKey(step.team);
+      return;
+    case 'announce':
+      announce(cluster, step);
+      return;
+    case 'load':
+      load(cluster, step);
+      return;
+    case 'call':
+      cluster.callers.send(step);
+      return;
+    case 'expect':
+      return unmet(cluster, step);
+    default:
+      for (const name of resolve(cluster, step.host)) host(cluster, step, name);
+  }
+  return undefined;
+}
+
+type HostStep = StepOf<
+  'start' | 'kill' | 'freeze' | 'thaw' | 'stop' | 'wipe' | 'leave'
+>;
+
+function host(cluster: Cluster, step: HostStep, name: string): void {
+  const process = cluster.control(name) ?? cluster.entry(name);
+  switch (step.do) {
+    case 'start':
+      return cluster.startHost(name);
+    case 'kill':
+      return cluster.kill(name);
+    case 'freeze':
+      return process?.owner?.freeze();
+    case 'thaw':
+      return process?.owner?.thaw();
+    case 'stop':
+      return cluster.stopHost(name);
+    case 'leave':
+      return cluster.leave(name);
+    case 'wipe':
+      void cluster.wipe(name);
+  }
+}
+
+/** Names of the hosts that are meant at this time. */
+export function resolve(cluster: Cluster, host: string): string[] {
+  const leader = cluster.leader()?.name;
+  const processes = [...cluster.controls, ...cluster.entries];
+  switch (host) {
+    case 'leader':
+      return leader === undefined ? [] : [leader];
+    case 'follower':
+      return cluster.controls
+        .filter(({name, replica}) => replica && name !== leader)
+        .map(({name}) => name)
+        .slice(0, 1);
+    case 'down':
+      return [
+        ...processes.filter(({owner}) => !owner),
+        ...cluster.upstreams.filter(({up}) => !up),
+      ].map(({name}) => name);
+    case 'frozen':
+      return processes
+        .filter(({owner}) => owner?.isFrozen())
+        .map(({name}) => name);
+    default:
+      return [host];
+  }
+}
+
+function edit(cluster: Cluster, step: StepOf<'edit'>): void {
+  const tables = cluster.tables();
+  if (!tables) return;
+  const basedOn = tables.version - step.versionsBack;
+  sendEdit(cluster, step.request, step.team, step.limit, basedOn, 0);
+}
+
+function sendEdit(
+  cluster: Cluster,
+  request: string,
+  team: string,
+  limit: number,
+  basedOn: number,
+  first: number,
+): void {
+  const rows = Object.values(cluster.tables()!.teams).filter(
+    ({name}) => name !== team,
+  );
+  const teams = [...rows, teamSchema.parse({name: team, share: 1, limit})];
+  void cluster.edit(request, {teams}, basedOn, first);
+}
+
+function race(cluster: Cluster, {at, team, limits}: StepOf<'race'>): void {
+  const basedOn = cluster.tables()?.version;
+  if (basedOn === undefined) return;
+  limits.forEach((limit, index) =>
+    sendEdit(cluster, `race-${at}-${index}`, team, limit, basedOn, index),
+  );
+}
+
+function cut(cluster: Cluster, step: StepOf<'cut'>): void {
+  const groups = {
+    controls: cluster.controls.map(({name}) => name),
+    entries: cluster.entries.map(({name}) => name),
+    upstreams: cluster.upstreams.map(({name}) => name),
+    operators: ['operator'],
+  };
+  const others =
+    step.from === 'all' ? Object.values(groups).flat() : groups[step.from];
+  for (const name of resolve(cluster, step.host)) {
+    for (const other of others) {
+      if (other === name) continue;
+      if (step.direction !== 'in') cluster.network.cut(name, other);
+      if (step.direction !== 'out') cluster.network.cut(other, name);
+    }
+  }
+}
+
+/** Withdraws an unknown key again and again, which changes only the record. */
+async function sendCommands(cluster: Cluster, count: number): Promise<void> {
+  const command = {type: 'withdraw-key' as const, keyId: 'none'};
+  for (let sent = 0; sent < count; sent += COMMAND_BATCH) {
+    const batch = Array.from({length: COMMAND_BATCH}, (_, i) =>
+      cluster.operators.command(`command-${sent + i}`, command),
+    );
+    await Promise.all(batch);
+  }
+}
+
+function announce(cluster: Cluster, step: StepOf<'announce'>): void {
+  for (const name of resolve(cluster, step.host)) {
+    const late: Announcement | undefined = cluster.announced.get(name)?.at(-1);
+    if (!late) continue;
+    for (let n = 0; n < step.repeat; n++) {
+      const send = () => cluster.announce(late, false, step.entry);
+      outside(() => setTimeout(send, n * step.everyMs));
+    }
+  }
+}
+
+/** Sends calls at random times, with the given mean rate. */
+function load(cluster: Cluster, step: StepOf<'load'>): void {
+  const {random, callers} = cluster;
+  const {perSecond, forMs, runMs} = step;
+  const calls = Math.round((perSecond * forMs) / 1000);
+  for (let n = 0; n < calls; n++) {
+    const spec = {...step, runMs: random.int(...runMs)};
+    outside(() => setTimeout(() => callers.send(spec), random.int(0, forMs)));
+  }
+}
+
+function unmet(cluster: Cluster, step: StepOf<'expect'>): string | undefined {
+  const {call, verdict, status, answered, request, ok, leader} = step;
+  const problems: string[] = [];
+  const compare = (what: string, wanted: unknown, found: unknown) => {
+    if (wanted === undefined || wanted === found) return;
+    problems.push(`${what} is ${String(found)}, not ${String(wanted)}`);
+  };
+  if (call !== undefined) {
+    const result = cluster.callers.result(call);
+    compare(`verdict of ${call}`, verdict, result?.verdict);
+    compare(`status of ${call}`, status, result?.status);
+  }
+  if (request !== undefined) {
+    compare(`answer to ${request}`, ok, cluster.operators.answer(request)?.ok);
+  }
+  compare('presence of a leader', leader, cluster.leader() !== undefined);
+  const found = cluster.callers.answered();
+  if (answered !== undefined && found < answered) {
+    problems.push(`${found} calls were answered, not ${answered}`);
+  }
+  return problems.length > 0
+    ? `at ${step.at} ms: ${problems.join('; ')}`
+    : undefined;
+}
--- /dev/null
+++ b/packages/testkit/src/scenario/run.ts
@@ -0,0 +1,71 @@
+/** Runs a scenario on the paused clock and judges its history. */
+import {CHECKERS, INVARIANTS, type Invariant} from '../check/index.js';
+import {Cluster} from '../cluster/cluster.js';
+import type {Mechanisms} from '../cluster/weak.js';
+import {act} from './act.js';
+import type {Scenario} from './schema.js';
+
+/** The invariants that these runs are about; the others are the planner's. */
+export const PROVEN: readonly Invariant[] = INVARIANTS.filter(
+  name => name !== 'budget' && name !== 'one-pool',
+);
+
+export interface RunOptions {
+  readonly seed: number;
+  readonly mechanisms?: Mechanisms;
+  advance(ms: number): Promise<unknown>;
+}
+
+export interface RunResult {
+  /** Violations of any invariant, each after the invariant's name. */
+  readonly violations: readonly string[];
+  /** Expectations of the scenario that were not met, and process failures. */
+  readonly failures: readonly string[];
+  /** Events that each invariant speaks of. */
+  readonly examined: Readonly<Record<string, number>>;
+  /** Calls that were answered by an upstream. */
+  readonly answered: number;
+}
+
+export async function runScenario(
+  scenario: Scenario,
+  options: RunOptions,
+): Promise<RunResult> {
+  const {controls, entries, upstreams, slots, teams, lastsMs} = scenario;
+  const cluster = new Cluster({
+    ...options,
+    teams,
+    size: {controls, entries, upstreams, slots},
+  });
+  const failures: string[] = [];
+  try {
+    await cluster.start();
+    cluster.network.faults = scenario.faults;
+    const steps = [...scenario.steps].sort((a, b) => a.at - b.at);
+    let now = 0;
+    for (const step of steps) {
+      if (step.at > now) await cluster.advance(step.at - now);
+      now = Math.max(now, step.at);
+      const problem = act(cluster, step);
+      if (problem) failures.push(problem);
+    }
+    await cluster.advance(lastsMs - now);
+  } finally {
+    await cluster.stop();
+  }
+  return judge(cluster, failures);
+}
+
+function judge(cluster: Cluster, unmet: readonly string[]): RunResult {
+  const events = cluster.history.events();
+  const violations: string[] = [];
+  const examined: Record<string, number> = {};
+  for (const name of PROVEN) {
+    const verdict = CHECKERS[name](events);
+    examined[name] = verdict.examined;
+    violations.push(...verdict.violations.map(text => `${name}: ${text}`));
+  }
+  const answered = cluster.callers.answered();
+  const failures = [...unmet, ...cluster.failures];
+  return {violations, failures, examined, answered};
+}
