--- a/packages/entry/src/ledger.ts
+++ b/packages/entry/src/ledger.ts
@@ -79,7 +79,7 @@
       });
     }
     const held = account(team);
-    if (held.running >= held.ceiling) {
+    if (!rules.admits(held.running, held.ceiling)) {
       countRefused(held, nowMs);
       return refuse('over-limit', `team "${team}" is at its limit`, {
         retryAfterMs: RETRY_AFTER_MS,
--- a/packages/entry/src/rules.ts
+++ b/packages/entry/src/rules.ts
@@ -15,6 +15,11 @@
     return sentMs + FRESHNESS_LEASE_MS;
   }
 
+  /** Whether one more call of a team may run. */
+  admits(running: number, ceiling: number): boolean {
+    return running < ceiling;
+  }
+
   /**
    * Control may already have taken back what a lowered ceiling freed, so the
    * ceiling rises only on a generation newer than the reported one.
--- a/packages/testkit/src/cluster/caller.ts
+++ b/packages/testkit/src/cluster/caller.ts
@@ -78,7 +78,9 @@
     const {team, route} = spec;
     const call = attempt === 0 ? request : `${request}-${attempt}`;
     const key = context.keyOf(team);
-    const once = spec.once ? request : undefined;
+    const safe = spec.method === 'GET' && !spec.once;
+    // A call that is not safe to repeat runs at most once, with a key or not.
+    const once = safe ? undefined : spec.once ? request : call;
     teams.set(call, team);
     requests.set(call, request);
     const sent = {call, entry: host.name, team, keyId: key.id};
@@ -89,7 +91,7 @@
       [CALL_HEADER]: call,
       [RUN_HEADER]: String(spec.runMs),
       ...(spec.breaks ? {[BREAK_HEADER]: spec.breaks} : {}),
-      ...(once ? {'idempotency-key': once} : {}),
+      ...(spec.once ? {'idempotency-key': request} : {}),
     };
     const url = `/call/${route}/`;
     const onEnd = (answer?: Answered) =>
--- a/packages/testkit/src/cluster/weak.ts
+++ b/packages/testkit/src/cluster/weak.ts
@@ -1,6 +1,11 @@
 /** Weakened variants of the product's mechanisms, for proofs that checks fail without them. */
 import {Rules, type Machine} from '@lentildrift/consensus';
-import {stateMachine} from '@lentildrift/control';
+import {
+  LimitPolicy,
+  stateMachine,
+  type LimitDecision,
+  type LimitInput,
+} from '@lentildrift/control';
 import {EntryRules} from '@lentildrift/entry';
 import {
   sliceTotal,
@@ -14,6 +19,7 @@
 export interface Mechanisms {
   readonly rules?: Rules;
   readonly entryRules?: EntryRules;
+  readonly policy?: LimitPolicy;
   readonly machine?: Machine<State, Change, Answer>;
   /** Whether a host that lost its disk comes back under a new member ID. */
   readonly reusesMemberId?: boolean;
@@ -46,6 +52,12 @@
   }
 }
 
+class AdmittingAll extends EntryRules {
+  override admits(): boolean {
+    return true;
+  }
+}
+
 class WithoutGenerations extends EntryRules {
   override raisesCeiling(): boolean {
     return true;
@@ -130,10 +142,45 @@
   },
 };
 
+/** Returns the slices of a closed session at once, while its calls still run. */
+const withoutHold: Machine<State, Change, Answer> = {
+  ...stateMachine,
+  apply(state, change) {
+    const result = stateMachine.apply(state, change);
+    const {body} = change;
+    if (body.type !== 'close-session') return result;
+    const ended = {
+      atMs: change.atMs,
+      body: {...body, type: 'end-session' as const},
+    };
+    const after = stateMachine.apply(result.state, ended).state;
+    return {...result, state: {...after, revision: result.state.revision}};
+  },
+};
+
+/** Asks for the whole limit for every session; only `apply` is in its way. */
+export class GreedyPolicy extends LimitPolicy {
+  protected override divide(): readonly number[] {
+    return [];
+  }
+
+  override decide({limit, holders}: LimitInput): LimitDecision {
+    const slices = holders
+      .filter(({phase}) => phase === 'open')
+      .map(({session, slice}) => ({
+        session,
+        basedOn: slice?.generation ?? 0,
+        amount: limit,
+      }));
+    return {targets: new Map(), slices};
+  }
+}
+
 /** Mechanism to what the cluster is made of without it. */
 export const WITHOUT: Readonly<Record<string, Mechanisms>> = {
   'freshness-lease': {entryRules: new WithoutLease()},
   'second-check': {entryRules: new WithoutSecondCheck()},
+  'slice-admission': {entryRules: new AdmittingAll()},
   'ceiling-generations': {entryRules: new WithoutGenerations()},
   'retry-only-on-proof': {entryRules: new RepeatingAlways()},
   'true-verdicts': {entryRules: new RefusingFalsely()},
@@ -144,6 +191,7 @@
   'read-round': {rules: new WithoutReadRound()},
   'sync-before-acknowledge': {rules: new WithoutSync()},
   'new-member-id': {reusesMemberId: true},
+  'session-hold': {machine: withoutHold},
   'slice-sum': {machine: withoutSliceSum},
   'recorded-answers': {machine: withoutRecordedAnswers},
   'table-versions': {machine: withoutVersions},
--- a/packages/testkit/src/scenario/run.ts
+++ b/packages/testkit/src/scenario/run.ts
@@ -1,7 +1,7 @@
 /** Runs a scenario on the paused clock and judges its history. */
 import {CHECKERS, INVARIANTS, type Invariant} from '../check/index.js';
 import {Cluster} from '../cluster/cluster.js';
-import type {Mechanisms} from '../cluster/weak.js';
+import {GreedyPolicy, type Mechanisms} from '../cluster/weak.js';
 import {act} from './act.js';
 import type {Scenario} from './schema.js';
 
@@ -32,8 +32,10 @@
   options: RunOptions,
 ): Promise<RunResult> {
   const {controls, entries, upstreams, slots, teams, lastsMs} = scenario;
+  const policy = scenario.policy === 'greedy' ? new GreedyPolicy() : undefined;
   const cluster = new Cluster({
     ...options,
+    mechanisms: {policy, ...options.mechanisms},
     teams,
     size: {controls, entries, upstreams, slots},
   });
