--- /dev/null
+++ b/packages/testkit/src/command/perform.ts
@@ -0,0 +1,50 @@
+/** Starts `vitest` for runs on the paused clock and collects their reports. */
+import {mkdtemp, readdir, readFile, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {startVitest} from 'vitest/node';
+import {reportSchema, SHARDS, type Report, type Run} from './job.js';
+
+const FOLDER = fileURLToPath(new URL('.', import.meta.url));
+
+export async function perform(runs: Run[]): Promise<Report[]> {
+  const folder = await mkdtemp(join(tmpdir(), 'lentildrift-proof-'));
+  try {
+    const vitest = await startVitest('test', [], {
+      root: FOLDER,
+      config: false,
+      watch: false,
+      include: ['*.run.js'],
+      maxWorkers: SHARDS,
+      minWorkers: 1,
+      reporters: [{}],
+      provide: {runs, folder},
+    });
+    const errors = vitest.state.getUnhandledErrors();
+    const failed = vitest.state.getCountOfFailedTests();
+    await vitest.close();
+    // The outcome of the runs decides about the exit code, not the runner.
+    process.exitCode = 0;
+    const reports = await readReports(folder);
+    if (failed > 0 || errors.length > 0 || reports.length !== runs.length) {
+      throw new Error(
+        `${reports.length} of ${runs.length} runs ended: ${errors.map(String).join('; ')}`,
+      );
+    }
+    return reports;
+  } finally {
+    await rm(folder, {recursive: true});
+  }
+}
+
+async function readReports(folder: string): Promise<Report[]> {
+  const reports: Report[] = [];
+  for (const name of await readdir(folder)) {
+    const text = await readFile(join(folder, name), 'utf8');
+    for (const line of text.split('\n')) {
+      if (line) reports.push(reportSchema.parse(JSON.parse(line)));
+    }
+  }
+  return reports;
+}
--- /dev/null
+++ b/packages/testkit/src/command/shard.ts
@@ -0,0 +1,38 @@
+/** One part of the runs, within `vitest` for its paused clock. */
+import {appendFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {expect, inject, it, vi} from 'vitest';
+import {WITHOUT} from '../cluster/weak.js';
+import {loadScenarios} from '../scenario/load.js';
+import {randomScenario} from '../scenario/random.js';
+import {runScenario, type RunResult} from '../scenario/run.js';
+import {SHARDS, type Run} from './job.js';
+
+const scenarios = new Map(loadScenarios().map(each => [each.name, each]));
+
+export function runShard(index: number): void {
+  const file = join(inject('folder'), `${index}.jsonl`);
+  const own = inject('runs').filter((_, n) => n % SHARDS === index);
+  it('runs', {timeout: 0}, async () => {
+    for (const run of own) {
+      const report = {run, ...(await runOne(run))};
+      appendFileSync(file, JSON.stringify(report) + '\n');
+    }
+    expect(own.length).toBeGreaterThanOrEqual(0);
+  });
+}
+
+async function runOne({scenario, seed, without}: Run): Promise<RunResult> {
+  const chosen = scenario ? scenarios.get(scenario)! : randomScenario(seed);
+  const mechanisms = without ? WITHOUT[without] : undefined;
+  vi.useFakeTimers();
+  try {
+    const advance = (ms: number) => vi.advanceTimersByTimeAsync(ms);
+    return await runScenario(chosen, {seed, mechanisms, advance});
+  } catch (error) {
+    const failures = [String((error as Error).stack)];
+    return {violations: [], failures, examined: {}, answered: 0};
+  } finally {
+    vi.useRealTimers();
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/command/shard0.run.ts
@@ -0,0 +1,4 @@
+/** Part 0 of the runs. */
+import {runShard} from './shard.js';
+
+runShard(0);
--- /dev/null
+++ b/packages/testkit/src/scenario/random.ts
@@ -0,0 +1,133 @@
+/** Scenarios made from a seed: random faults over a fixed load. */
+import {Random} from '../cluster/random.js';
+import {scenarioSchema, type Scenario} from './schema.js';
+
+const FAULTS_UNTIL_MS = 24_000;
+const LOAD_UNTIL_MS = 30_000;
+const LASTS_MS = 45_000;
+/** Calls are answered again by then, and are counted up to here. */
+const SETTLED_MS = 44_000;
+const STEPS = {from: 4, to: 12};
+
+type RawStep = Record<string, unknown>;
+
+export function randomScenario(seed: number): Scenario {
+  const random = new Random(seed ^ 0x5eed);
+  const steps = [...fixedLoad(), ...settle()];
+  const count = random.int(STEPS.from, STEPS.to);
+  for (let n = 0; n < count; n++) {
+    const at = random.int(1000, FAULTS_UNTIL_MS);
+    steps.push(...disturb(random, at, n));
+  }
+  return scenarioSchema.parse({
+    name: `seed-${seed}`,
+    about: 'Random faults.',
+    invariant: 'limit',
+    seeds: [seed],
+    teams: {club: 12, juniors: 4},
+    faults: {
+      lossPercent: random.pick([0, 0, 2, 8]),
+      duplicatePercent: random.pick([0, 0, 2, 8]),
+      minDelayMs: 1,
+      maxDelayMs: random.pick([3, 20, 100]),
+      reorder: random.chance(50),
+    },
+    lastsMs: LASTS_MS,
+    steps,
+  });
+}
+
+function fixedLoad(): RawStep[] {
+  const load = {at: 0, do: 'load', forMs: LOAD_UNTIL_MS};
+  const book = {route: 'book', method: 'POST', once: true, resends: 4};
+  return [
+    {...load, perSecond: 15, runMs: [20, 600]},
+    {...load, perSecond: 8, runMs: [20, 1500], team: 'juniors'},
+    {...load, perSecond: 5, runMs: [20, 300], method: 'POST'},
+    {...load, perSecond: 6, runMs: [20, 400], ...book},
+    {...load, perSecond: 2, runMs: [20, 400], ...book, breaks: 'before-answer'},
+    {...load, perSecond: 1, runMs: [20, 400], breaks: 'in-answer'},
+  ];
+}
+
+/** Ends all faults; then the group must lead and answer again. */
+function settle(): RawStep[] {
+  const at = FAULTS_UNTIL_MS + 1000;
+  const load = {do: 'load', perSecond: 5, runMs: [10, 50], forMs: 3000};
+  return [
+    {at, do: 'heal'},
+    {at, do: 'thaw', host: 'frozen'},
+    {at, do: 'faults', faults: {}},
+    {at: at + 100, do: 'start', host: 'down'},
+    {...load, at: SETTLED_MS - 4000},
+    {at: SETTLED_MS, do: 'expect', leader: true, answered: 100},
+  ];
+}
+
+/** One fault at `at`, and for some its end after a while. */
+function disturb(random: Random, at: number, index: number): RawStep[] {
+  const control = random.pick(['leader', 'follower', 'c1', 'c2', 'c3']);
+  const entry = random.pick(['e1', 'e2', 'e3']);
+  const upstream = random.pick(['u1', 'u2', 'u3']);
+  const host = random.pick([control, entry]);
+  const later = Math.min(FAULTS_UNTIL_MS, at + random.int(100, 10_000));
+  const direction = random.pick(['both', 'both', 'in', 'out']);
+  const limit = random.int(4, 16);
+  const request = `edit-${index}`;
+  switch (random.int(0, 12)) {
+    case 0:
+    case 1:
+      return [
+        {at, do: 'kill', host},
+        {at: later, do: 'start', host: 'down'},
+      ];
+    case 2:
+    case 3:
+      return [
+        {at, do: 'freeze', host},
+        {at: later, do: 'thaw', host: 'frozen'},
+      ];
+    case 4:
+      return [
+        {at, do: 'cut', host: control, from: 'controls', direction},
+        {at: later, do: 'heal'},
+      ];
+    case 5:
+      return [
+        {at, do: 'cut', host: entry, from: 'controls', direction},
+        {at: later, do: 'heal'},
+      ];
+    case 6:
+      return [
+        {at, do: 'stop', host},
+        {at: later, do: 'start', host: 'down'},
+      ];
+    case 7:
+      return [
+        {at, do: 'kill', host: upstream},
+        {at: later, do: 'start', host: upstream},
+      ];
+    case 8:
+      return [
+        {at, do: 'edit', limit, request},
+        {at: later, do: 'resend', request},
+      ];
+    case 9:
+      return [{at, do: 'race', limits: [limit, limit + 2, limit + 4]}];
+    case 10:
+      return [
+        {at, do: 'withdraw-key', team: 'juniors'},
+        {at: later, do: 'give-key', team: 'juniors'},
+      ];
+    case 11:
+      return [
+        {at, do: 'leave', host: 'u3'},
+        {at: later, do: 'announce', host: 'u3', repeat: 5, everyMs: 2000},
+      ];
+    default: {
+      const forMs = 2000;
+      const burst = {perSecond: 60, forMs, runMs: [50, 800]};
+      return [{at, do: 'load', entry, ...burst}];
+    }
+  }
+}
