Settle only the claim that is meant, so that no booking runs twice

An entry host whose request under a key may have run gave up a later claim on the same key, for want of an answer, and settled it as not run; control took that for the first claim, since both came from one session, and freed the key. Claims now carry a number within their session, and a settlement names it.

--- a/packages/entry/src/once.ts
+++ b/packages/entry/src/once.ts
@@ -47,6 +47,7 @@
 interface Want {
   readonly team: string;
   readonly key: string;
+  readonly attempt: number;
   /** Answered without an argument when the key is claimed. */
   readonly answer: (refusal?: Refusal, kept?: KeptResponse) => void;
 }
@@ -62,6 +63,11 @@
 
 type Result = ClaimResponse | {readonly error: Error};
 
+interface OpenClaim {
+  readonly session: string;
+  readonly attempt: number;
+}
+
 export interface OnceOptions {
   readonly tasks: TaskSystem;
   readonly log: Log;
@@ -73,8 +79,9 @@
 export function createOnce(options: OnceOptions): Once {
   const {tasks, log, control, session} = options;
   const keep = createKeep();
-  /** Claims of this entry host that are open, by ID, with their sessions. */
-  const open = new Map<string, string>();
+  /** Claims of this entry host that are open, by ID. */
+  const open = new Map<string, OpenClaim>();
+  let attempts = 0;
   let wants: Want[] = [];
   let settlements: Settlement[] = [];
   let timer: NodeJS.Timeout | undefined;
@@ -121,7 +128,7 @@
     if (kept) return item.answer(duplicate('ran'), kept);
     // Control could not tell two claims of one batch apart.
     if (open.has(id)) return item.answer(duplicate('may-have-run'));
-    open.set(id, '');
+    open.set(id, {session: '', attempt: item.attempt});
     wants.push(item);
     schedule(BATCH_MS);
   }
@@ -135,7 +142,11 @@
       const error = new Error('no session');
       return answerClaims(batch, '', {error});
     }
-    const claims = batch.map(({team, key}) => ({team, key}));
+    const claims = batch.map(({team, key, attempt}) => ({
+      team,
+      key,
+      attempt,
+    }));
     const post = (result: Result) =>
       task.post({type: 'claimed', wants: batch, session: held, result});
     void control
@@ -163,7 +174,7 @@
         open.delete(id);
         item.answer(duplicate(taken.phase === 'ran' ? 'ran' : 'may-have-run'));
       } else {
-        open.set(id, held);
+        open.set(id, {session: held, attempt: item.attempt});
         item.answer();
       }
     }
@@ -171,10 +182,16 @@
 
   /** The claim may have been committed although no answer came. */
   function abandon(item: Want, held: string): void {
-    const {team, key} = item;
+    const {team, key, attempt} = item;
     open.delete(claimId(team, key));
     if (held !== '')
-      addSettlement({team, key, verdict: 'not-run', session: held});
+      addSettlement({
+        team,
+        key,
+        attempt,
+        verdict: 'not-run',
+        session: held,
+      });
     const text = 'the idempotency key could not be claimed';
     item.answer(refuse('stale', text, {retryAfterMs: RETRY_AFTER_MS}));
   }
@@ -186,8 +203,8 @@
     const {verdict, status, kept} = outcome;
     if (kept) keep.set(id, kept, performance.now() + CLAIM_WINDOW_MS);
     // A claim whose request may have run stays as it is.
-    if (!held || verdict === 'may-have-run') return;
-    addSettlement({team, key, verdict, status, session: held});
+    if (!held || held.session === '' || verdict === 'may-have-run') return;
+    addSettlement({team, key, verdict, status, ...held});
   }
 
   function addSettlement(settlement: Settlement): void {
@@ -252,7 +269,8 @@
         if (late && !refusal) settle(team, key, {verdict: 'not-run'});
         resolve({refusal, kept});
       };
-      if (!task.post({type: 'want', want: {team, key, answer}})) {
+      const want = {team, key, attempt: ++attempts, answer};
+      if (!task.post({type: 'want', want})) {
         answer(refuse('stopping', 'this entry host is stopping'));
       }
     });
--- a/packages/model/src/change.ts
+++ b/packages/model/src/change.ts
@@ -85,7 +85,12 @@
   z.object({
     type: z.literal('claim'),
     claims: z.array(
-      z.object({team: z.string(), key: z.string(), session: z.string()}),
+      z.object({
+        team: z.string(),
+        key: z.string(),
+        session: z.string(),
+        attempt: z.number().int().optional(),
+      }),
     ),
   }),
   z.object({
@@ -95,6 +100,8 @@
         team: z.string(),
         key: z.string(),
         session: z.string(),
+        /** The claim that is settled; an earlier one of the session stays. */
+        attempt: z.number().int().optional(),
         /** `not-run` removes the claim, so that the caller may resend. */
         verdict: z.enum(['not-run', 'ran']),
         status: z.number().int().optional(),
--- a/packages/model/src/claim.ts
+++ b/packages/model/src/claim.ts
@@ -8,6 +8,8 @@
   team: z.string(),
   key: z.string(),
   session: z.string(),
+  /** Number of the claim within its session. */
+  attempt: z.number().int().optional(),
   phase: z.enum(['claimed', 'ran']),
   /** HTTP status of the first answer, once it is known. */
   status: z.number().int().optional(),
--- a/packages/model/src/settle.ts
+++ b/packages/model/src/settle.ts
@@ -21,14 +21,21 @@
   const draft = createDraft(state.claims);
   const expiresAtMs = state.nowMs + CLAIM_WINDOW_MS;
   const taken: Taken = [];
-  body.claims.forEach(({team, key, session}, index) => {
+  body.claims.forEach(({team, key, session, attempt}, index) => {
     const id = claimId(team, key);
     const shard = draft.shard(claimShard(id), state.nowMs);
     const held = Object.hasOwn(shard, id) ? shard[id] : undefined;
     if (held) {
       taken.push({index, phase: held.phase, status: held.status});
     } else {
-      shard[id] = {team, key, session, phase: 'claimed', expiresAtMs};
+      shard[id] = {
+        team,
+        key,
+        session,
+        attempt,
+        phase: 'claimed',
+        expiresAtMs,
+      };
     }
   });
   const swept = String(state.revision % CLAIM_SHARDS);
@@ -36,14 +43,19 @@
   return succeed({...state, claims: draft.finish()}, JSON.stringify(taken));
 }
 
-/** Records outcomes; only the session that made a claim may settle it. */
+/**
+ * Records outcomes. Only the session that made a claim may settle it, and only
+ * under the claim's own number: a session that gives up a later claim on the
+ * same key must not free the key of a request that may have run.
+ */
 export function settleClaims(state: State, body: BodyOf<'settle'>): Result {
   const draft = createDraft(state.claims);
   for (const item of body.claims) {
     const id = claimId(item.team, item.key);
     const shard = draft.shard(claimShard(id), state.nowMs);
     const claim = Object.hasOwn(shard, id) ? shard[id] : undefined;
-    if (!claim || claim.session !== item.session) continue;
+    if (claim?.session !== item.session) continue;
+    if (claim.attempt !== item.attempt) continue;
     if (item.verdict === 'ran') {
       shard[id] = {...claim, phase: 'ran', status: item.status};
     } else if (claim.phase === 'claimed') {
--- a/packages/model/test/state.test.ts
+++ b/packages/model/test/state.test.ts
@@ -88,6 +88,24 @@
       '[{"index":0,"phase":"ran","status":200}]',
     );
   });
+
+  it('of a request that may have run are not freed when the same entry gives up a later claim', () => {
+    const {run} = machine(1);
+    const make = (attempt: number) => {
+      const row = {team: 't', key: 'k', session: 's', attempt};
+      return run({type: 'claim', claims: [row]});
+    };
+    const giveUp = (attempt: number) => {
+      const row = {team: 't', key: 'k', session: 's', attempt};
+      const claims = [{...row, verdict: 'not-run' as const}];
+      return run({type: 'settle', claims});
+    };
+    expect(isFree(make(1))).toBe(true);
+    giveUp(2);
+    expect(isFree(make(3))).toBe(false);
+    giveUp(1);
+    expect(isFree(make(4))).toBe(true);
+  });
 });
 
 describe('a command', () => {
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -66,7 +66,16 @@
 
 export const claimRequestSchema = z.object({
   session: z.string(),
-  claims: z.array(z.object({team: z.string(), key: z.string()})).min(1),
+  claims: z
+    .array(
+      z.object({
+        team: z.string(),
+        key: z.string(),
+        /** Number of the claim within its session. */
+        attempt: z.number().int().optional(),
+      }),
+    )
+    .min(1),
 });
 export type ClaimRequest = z.infer<typeof claimRequestSchema>;
 
@@ -88,6 +97,8 @@
     z.object({
       team: z.string(),
       key: z.string(),
+      /** Number of the claim that is settled. */
+      attempt: z.number().int().optional(),
       verdict: z.enum(['not-run', 'ran']),
       status: z.number().int().optional(),
     }),
