--- a/packages/control/src/roster.ts
+++ b/packages/control/src/roster.ts
@@ -8,13 +8,17 @@
   type RosterItem,
   type RosterRecord,
 } from '@lentildrift/model';
-import type {Reply, TaskSystem} from '@lentildrift/task';
+import type {Reply, Task, TaskSystem} from '@lentildrift/task';
 import {randomInt} from 'node:crypto';
 import type {Peers} from './propose.js';
+import {delay, withDeadline} from './time.js';
 
 /** News reaches the peers within 200 ms, with time for the way. */
 const GOSSIP_DELAY_MS = 100;
-/** Repairs what lost gossip left out. */
+/** A leave must reach every entry within 2 s, so lost gossip is sent again. */
+const GOSSIP_TIMEOUT_MS = 400;
+const MAX_RESENDS = 10;
+/** Repairs what a peer missed while it was down. */
 const EXCHANGE_INTERVAL_MS = 10_000;
 const ASK_TIMEOUT_MS = 1000;
 /** Versions of two processes must not be mistaken for each other. */
@@ -31,6 +35,8 @@
   | {type: 'since'; version: number; reply: Reply<RosterNews>}
   | {type: 'live'; reply: Reply<readonly RosterRecord[]>}
   | {type: 'gossip'}
+  /** News did not reach a peer. */
+  | {type: 'missed'; peer: string; ids: ReadonlySet<string>; resends: number}
   | {type: 'exchange'};
 
 interface RosterState {
@@ -85,11 +91,16 @@
           message.reply.resolve(liveUpstreams(state.roster, now()));
           return state;
         case 'gossip':
-          send(
-            options,
-            itemsOf(state, id => state.unsent.has(id)),
-          );
+          for (const peer of options.peers.keys()) {
+            sendNews(options, state, peer, state.unsent, 0, self);
+          }
           return {...state, unsent: new Set()};
+        case 'missed':
+          if (message.resends < MAX_RESENDS) {
+            const {peer, ids, resends} = message;
+            sendNews(options, state, peer, ids, resends + 1, self);
+          }
+          return state;
         case 'exchange': {
           const next = prune(state);
           send(
@@ -168,6 +179,26 @@
   return {...state, roster, versions: new Map(kept)};
 }
 
+/** Sends records by ID, so that a resend carries what is known by then. */
+function sendNews(
+  {member, peers}: RosterOptions,
+  state: RosterState,
+  peer: string,
+  ids: ReadonlySet<string>,
+  resends: number,
+  self: Task<RosterMessage>,
+): void {
+  const roster = itemsOf(state, id => ids.has(id));
+  const gossip = peers.get(peer)?.gossip({from: member, roster});
+  if (!gossip) return;
+  const late = 'no answer to gossip';
+  withDeadline(gossip, GOSSIP_TIMEOUT_MS, late).catch(async () => {
+    // A refused connection fails at once; the peer may be restarting.
+    await delay(GOSSIP_DELAY_MS);
+    self.post({type: 'missed', peer, ids, resends});
+  });
+}
+
 function send({member, peers}: RosterOptions, items: RosterItem[]): void {
   if (items.length === 0) return;
   for (const peer of peers.values()) {
