--- a/packages/testkit/src/cluster/cluster.ts
+++ b/packages/testkit/src/cluster/cluster.ts
@@ -267,7 +267,7 @@
         leader?.replica && nextChange(leader.replica, host.member, old);
       if (leader && leader !== host && !change) return;
       if (change) {
-        leader!.owner!.run(() =>
+        void leader!.owner!.run(() =>
           leader!.replica!.changeMembers(change).catch(() => undefined),
         );
       }
