Judge a lowered limit by the bound on configuration changes

The design lets a change of configuration be in force everywhere within 7 s, and a lowered limit take full effect once the work above it has ended (section 5.3). Change: the lowered limit binds 7 s after the first replica applied it and once the work above it has ended; only newer revisions count. Random schedules lower and raise limits again.

--- a/packages/testkit/src/check/checker.ts
+++ b/packages/testkit/src/check/checker.ts
@@ -15,6 +15,9 @@
 ] as const;
 export type Invariant = (typeof INVARIANTS)[number];
 
+/** Within this, an accepted change of configuration is in force everywhere. */
+export const IN_FORCE_MS = 7000;
+
 export interface Verdict {
   /** Each violation found, in words. */
   readonly violations: readonly string[];
--- a/packages/testkit/src/check/config.ts
+++ b/packages/testkit/src/check/config.ts
@@ -1,10 +1,8 @@
 /** Checkers of configuration: keys, leaving upstreams, edits that stay. */
 import {ofType, type EventOf, type HistoryEvent} from '../history.js';
-import {groupBy, type Checker} from './checker.js';
+import {IN_FORCE_MS, groupBy, type Checker} from './checker.js';
 import {teamsOfKeys} from './limit.js';
 
-/** Within this, an accepted change of configuration is in force everywhere. */
-export const IN_FORCE_MS = 7000;
 /** After this, an upstream that left gets no new work. */
 export const LEFT_MS = 5000;
 
--- a/packages/testkit/src/check/limit.ts
+++ b/packages/testkit/src/check/limit.ts
@@ -1,30 +1,43 @@
 /** The checker of upper limits: the sum of running calls at each instant. */
-import {ofType, type HistoryEvent} from '../history.js';
-import type {Checker} from './checker.js';
+import {ofType, type EventOf, type HistoryEvent} from '../history.js';
+import {IN_FORCE_MS, type Checker} from './checker.js';
+
+interface TeamLimit {
+  /** Limit in the newest state. */
+  readonly current: number;
+  /** Limit that new work is judged by. */
+  readonly binding: number;
+  readonly loweredAtMs: number;
+}
+
+const NO_LIMIT: TeamLimit = {current: 0, binding: 0, loweredAtMs: -Infinity};
 
 /**
- * A limit that was lowered binds new work only once the work above it has
- * ended, so a run is judged by the highest limit in force while any run that
- * overlaps it lasted.
+ * A raised limit binds at once. A lowered one binds when it has had the time
+ * in which every change must be in force, and the work above it has ended.
  */
 export const limit: Checker = events => {
   const violations: string[] = [];
   const running = new Map<string, Set<string>>();
   const teamOf = new Map<string, string>();
-  const allowed = new Map<string, number>();
-  const current = new Map<string, number>();
+  const limits = new Map<string, TeamLimit>();
+  let revision = 0;
   let examined = 0;
   for (const event of events) {
-    if (event.type === 'applied') noteLimits(event, current, allowed);
+    // A replica that lags behind applies what is no longer in force.
+    if (event.type === 'applied' && event.revision > revision) {
+      revision = event.revision;
+      noteLimits(event, limits);
+    }
     if (event.type === 'run-began') {
       examined++;
       teamOf.set(event.call, event.team);
       const set = running.get(event.team) ?? new Set();
+      const {binding} = bind(limits, event.team, set.size, event.atMs);
       running.set(event.team, set.add(`${event.call}@${event.upstream}`));
-      const bound = allowed.get(event.team) ?? 0;
-      if (set.size > bound) {
+      if (set.size > binding) {
         violations.push(
-          `team ${event.team} has ${set.size} running at ${event.atMs} ms; its limit is ${bound}`,
+          `team ${event.team} has ${set.size} running at ${event.atMs} ms; its limit is ${binding}`,
         );
       }
     }
@@ -32,21 +45,39 @@
       const team = teamOf.get(event.call)!;
       const set = running.get(team)!;
       set.delete(`${event.call}@${event.upstream}`);
-      const bound = current.get(team) ?? 0;
-      if (set.size <= bound) allowed.set(team, bound);
+      bind(limits, team, set.size, event.atMs);
     }
   }
   return {examined, violations};
 };
 
+/** Lets a lowered limit bind once it is due. */
+function bind(
+  limits: Map<string, TeamLimit>,
+  team: string,
+  running: number,
+  atMs: number,
+): TeamLimit {
+  const held = limits.get(team) ?? NO_LIMIT;
+  const due = atMs >= held.loweredAtMs + IN_FORCE_MS;
+  if (!due || running > held.current) return held;
+  const bound = {...held, binding: held.current};
+  limits.set(team, bound);
+  return bound;
+}
+
 function noteLimits(
-  event: Extract<HistoryEvent, {type: 'applied'}>,
-  current: Map<string, number>,
-  allowed: Map<string, number>,
+  event: EventOf<'applied'>,
+  limits: Map<string, TeamLimit>,
 ): void {
-  for (const [team, bound] of Object.entries(event.limits ?? {})) {
-    current.set(team, bound);
-    allowed.set(team, Math.max(bound, allowed.get(team) ?? 0));
+  for (const [team, current] of Object.entries(event.limits ?? {})) {
+    const held = limits.get(team) ?? NO_LIMIT;
+    const lowered = current < held.current;
+    limits.set(team, {
+      current,
+      binding: Math.max(current, held.binding),
+      loweredAtMs: lowered ? event.atMs : held.loweredAtMs,
+    });
   }
 }
 
--- a/packages/testkit/src/scenario/random.ts
+++ b/packages/testkit/src/scenario/random.ts
@@ -84,9 +84,7 @@
   const host = random.pick([control, entry]);
   const later = Math.min(FAULTS_UNTIL_MS, at + random.int(100, 10_000));
   const direction = random.pick(['both', 'both', 'in', 'out']);
-  // Limits only rise: the checker binds new work to a lowered limit before
-  // the entry hosts can know of it.
-  const limit = 12 + Math.floor(at / 500);
+  const limit = random.int(4, 20);
   const request = `edit-${index}`;
   switch (random.int(0, 12)) {
     case 0:
