--- a/packages/testkit/src/measure.ts
+++ b/packages/testkit/src/measure.ts
@@ -6,6 +6,7 @@
 /** Loaded on demand, since each brings packages of its own. */
 const MEASUREMENTS: Record<string, () => Promise<Measurement>> = {
   policy: async () => (await import('./policy.js')).measurePolicy,
+  traffic: async () => (await import('./bench/traffic.js')).measureTraffic,
   entry: async () => (await import('./bench/entry.js')).measureEntry,
 };
 
