Send only changed use and slices in syncs, and order use by sync number

A sync listed every team in both directions: 18,214 B/s sent and 11,443 B/s received by an entry host at 280 teams with no calls. An entry now sends the use that changed since the sync that this control process acknowledged; control answers with the slices that changed since the entry's view and with targets not yet reached. All of it is exchanged with another process, a new session or an incomplete process. Targets name the generation that they apply to.

The property test found that a process that an entry had left reported its old use to a new leader over newer use. Reports now carry the sync number, and older rows only fill gaps.

--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -1,5 +1,5 @@
 /** The control role: its tasks, and the services that stand before them. */
-import {allJobs, type Slice, type State} from '@lentildrift/model';
+import {allJobs, type State} from '@lentildrift/model';
 import type {Log} from '@lentildrift/observe';
 import {
   ControlService,
@@ -149,20 +149,20 @@
 
   override async sync(request: SyncRequest): Promise<SyncResponse> {
     const {freshness, replica, roster, sessions, views} = this.parts;
-    const {session, use} = request;
+    const {session} = request;
     const readIndex = await freshness.confirm();
     if (!isOpen(replica.state(), session)) return CLOSED;
     roster.merge(request.roster, true);
     if (hasSlices(replica.state(), session)) {
-      sessions.heard(session, use);
+      sessions.heard(request);
     } else {
       // Without slices the entry could admit nothing until its next sync.
-      await sessions.report(session, use).catch(() => undefined);
+      await sessions.report(request).catch(() => undefined);
       // The leader has committed its slices; this replica may lag behind.
       await freshness.confirm();
     }
-    const [targets, news] = await Promise.all([
-      sessions.targets(session),
+    const [useAnswer, news] = await Promise.all([
+      sessions.answer(request),
       roster.since(request.rosterVersion),
     ]);
     const state = replica.state();
@@ -170,9 +170,8 @@
     return {
       ok: true,
       readIndex,
-      view: await views.since(state, request.revision),
-      slices: slicesOf(state, session),
-      targets: {...targets},
+      ...(await views.since(state, request.revision, session)),
+      ...useAnswer,
       roster: news.items,
       rosterVersion: news.version,
     };
@@ -216,14 +215,6 @@
   return state.sessions[session]?.phase === 'open';
 }
 
-function slicesOf(state: State, session: string): Record<string, Slice> {
-  const held = Object.entries(state.slices).flatMap(([team, bySession]) => {
-    const slice = bySession[session];
-    return slice ? [[team, slice] as const] : [];
-  });
-  return Object.fromEntries(held);
-}
-
 function hasSlices(state: State, session: string): boolean {
   return Object.values(state.slices).some(held => Object.hasOwn(held, session));
 }
--- a/packages/control/src/limits.ts
+++ b/packages/control/src/limits.ts
@@ -7,13 +7,14 @@
   ServiceError,
   type ReportRequest,
   type ReportResponse,
+  type Use,
 } from '@lentildrift/protocol';
 import type {Reply, Task, TaskSystem} from '@lentildrift/task';
 import type {Log} from '@lentildrift/observe';
 import type {Holder, LimitPolicy} from './limit.js';
 import type {StateReplica} from './machine.js';
 import type {Proposals} from './propose.js';
-import {isUrgent, type Use} from './use.js';
+import {isUrgent} from './use.js';
 
 const REBALANCE_INTERVAL_MS = 500;
 /** Bounds the changes that urgent reports cause. */
@@ -26,6 +27,8 @@
 
 interface Reported {
   readonly heardMs: number;
+  /** Highest sync number reported. */
+  readonly sequence: number;
   readonly use: Use;
 }
 
@@ -123,7 +126,7 @@
   const now = performance.now();
   // Every session gets the full time again: this leader heard none before.
   const reported = Object.keys(replica.state().sessions).map(
-    id => [id, {heardMs: now, use: {}}] as const,
+    id => [id, {heardMs: now, sequence: 0, use: {}}] as const,
   );
   const {deciding} = state;
   return {...IDLE, deciding, term: leading, reported: new Map(reported)};
@@ -141,15 +144,18 @@
   const now = performance.now();
   const reported = new Map(state.reported);
   let urgent = false;
-  for (const {session, ageMs, use} of request.sessions) {
+  for (const {session, ageMs, sequence, use} of request.sessions) {
     const old = reported.get(session);
-    const merged = {...old?.use, ...use};
+    // A process that the entry has left knows nothing newer.
+    const late = old !== undefined && sequence < old.sequence;
+    const merged = late ? {...use, ...old.use} : {...old?.use, ...use};
     // A session without use has no slices yet, and cannot admit anything.
     const before =
       Object.keys(old?.use ?? {}).length > 0 ? old?.use : undefined;
     urgent ||= isUrgent(before, merged);
     const heardMs = Math.max(old?.heardMs ?? -Infinity, now - ageMs);
-    reported.set(session, {heardMs, use: merged});
+    const newest = Math.max(old?.sequence ?? 0, sequence);
+    reported.set(session, {heardMs, sequence: newest, use: merged});
   }
   const next = {...state, reported};
   if (!urgent) {
@@ -228,7 +234,9 @@
     const holders = holdersOf(state, held, team);
     const decision = options.policy.decide({limit, holders});
     slices.push(...decision.slices.map(each => ({team, ...each})));
-    for (const [session, target] of decision.targets) {
+    for (const [session, ceiling] of decision.targets) {
+      const generation = state.slices[team]?.[session]?.generation ?? 0;
+      const target = {ceiling, generation};
       targets[session] = {...targets[session], [team]: target};
     }
   }
@@ -261,7 +269,11 @@
       if (now - since >= CLOSED_HOLD_MS) send(options, 'end-session', id);
       continue;
     }
-    const known = state.reported.get(id) ?? {heardMs: now, use: {}};
+    const known = state.reported.get(id) ?? {
+      heardMs: now,
+      sequence: 0,
+      use: {},
+    };
     reported.set(id, known);
     if (now - known.heardMs >= SILENT_CLOSE_MS) {
       send(options, 'close-session', id);
--- a/packages/control/src/sessions.ts
+++ b/packages/control/src/sessions.ts
@@ -3,15 +3,18 @@
  * it to the leader: every 500 ms what changed, and at once what is urgent.
  */
 import {
+  changedUse,
   type ReportRequest,
   type ReportResponse,
-  type TeamUse,
+  type SyncRequest,
+  type SyncResponse,
+  type Use,
 } from '@lentildrift/protocol';
 import type {Reply, Task, TaskSystem} from '@lentildrift/task';
 import type {StateReplica} from './machine.js';
 import type {Limits} from './limits.js';
 import type {Peers} from './propose.js';
-import {isUrgent, type Use} from './use.js';
+import {isUrgent} from './use.js';
 
 export const REPORT_INTERVAL_MS = 500;
 const ASK_TIMEOUT_MS = 1500;
@@ -20,19 +23,34 @@
 
 interface Heard {
   readonly heardMs: number;
+  /** The last sync that `use` takes in. */
+  readonly sequence: number;
+  /** Whether `use` holds every team that the entry reported. */
+  readonly complete: boolean;
+  /** The last sync that held all use. */
+  readonly wholeSequence: number;
   readonly use: Use;
   /** What the leader has of `use`. */
   readonly reported: Use;
-  readonly targets: Readonly<Record<string, number>>;
+  readonly targets: Targets;
   /** Whether it synced since the last report that arrived. */
   readonly unsent: boolean;
 }
 
-type Targets = Readonly<Record<string, number>>;
+type Targets = ReportResponse['targets'][string];
+
+/** The part of a sync that is about use. */
+export type UseSync = Pick<
+  SyncRequest,
+  'session' | 'sequence' | 'useSince' | 'use'
+>;
+
+/** The part of the answer to a sync that is about use. */
+export type UseAnswer = Pick<SyncResponse & {ok: true}, 'targets' | 'useHeld'>;
 
 type SessionsMessage =
-  | {type: 'heard'; session: string; use: Use; reply?: Reply<void>}
-  | {type: 'targets'; session: string; reply: Reply<Targets>}
+  | {type: 'heard'; sync: UseSync; reply?: Reply<void>}
+  | {type: 'answer'; sync: UseSync; reply: Reply<UseAnswer>}
   | {type: 'tick'}
   | {
       type: 'reported';
@@ -53,11 +71,11 @@
 }
 
 export interface Sessions {
-  heard(session: string, use: Use): void;
+  heard(sync: UseSync): void;
   /** Resolves once a report that holds the session's use was tried. */
-  report(session: string, use: Use): Promise<void>;
-  /** Ceilings that the leader wants for the session, by team. */
-  targets(session: string): Promise<Targets>;
+  report(sync: UseSync): Promise<void>;
+  /** What to tell the entry that sent the sync, after it was heard. */
+  answer(sync: UseSync): Promise<UseAnswer>;
   stop(): Promise<void>;
 }
 
@@ -85,15 +103,15 @@
           const waiting = message.reply
             ? [...state.waiting, message.reply]
             : state.waiting;
-          const next = {...record(state, message), waiting};
-          const before = state.heard.get(message.session)?.use;
-          const urgent = message.reply || isUrgent(before, message.use);
+          const next = {...record(state, message.sync), waiting};
+          const {session} = message.sync;
+          const before = state.heard.get(session)?.use;
+          const after = next.heard.get(session)!.use;
+          const urgent = message.reply || isUrgent(before, after);
           return urgent ? startReport(options, next, self) : next;
         }
-        case 'targets':
-          message.reply.resolve(
-            state.heard.get(message.session)?.targets ?? {},
-          );
+        case 'answer':
+          message.reply.resolve(answerTo(state, message.sync));
           return state;
         case 'tick':
           return startReport(options, forget(state), self);
@@ -110,15 +128,12 @@
     REPORT_INTERVAL_MS,
   );
   return {
-    heard: (session, use) => void task.post({type: 'heard', session, use}),
-    report: (session, use) =>
-      task.ask<void>(
-        reply => ({type: 'heard', session, use, reply}),
-        ASK_TIMEOUT_MS,
-      ),
-    targets: session =>
-      task.ask<Targets>(
-        reply => ({type: 'targets', session, reply}),
+    heard: sync => void task.post({type: 'heard', sync}),
+    report: sync =>
+      task.ask<void>(reply => ({type: 'heard', sync, reply}), ASK_TIMEOUT_MS),
+    answer: sync =>
+      task.ask<UseAnswer>(
+        reply => ({type: 'answer', sync, reply}),
         ASK_TIMEOUT_MS,
       ),
     stop: () => {
@@ -128,21 +143,45 @@
   };
 }
 
-function record(
-  state: SessionsState,
-  {session, use}: {session: string; use: Use},
-): SessionsState {
+function record(state: SessionsState, sync: UseSync): SessionsState {
+  const {session, sequence, useSince} = sync;
   const old = state.heard.get(session);
+  // A sync that was overtaken brings nothing that the later one did not.
+  if (old && sequence <= old.sequence) return state;
+  const whole = useSince === 0;
+  const follows = old?.complete === true && useSince <= old.sequence;
   const heard = new Map(state.heard).set(session, {
     heardMs: performance.now(),
-    use,
-    reported: old?.reported ?? {},
+    sequence,
+    complete: whole || follows,
+    wholeSequence: whole ? sequence : (old?.wholeSequence ?? 0),
+    use: whole ? sync.use : {...old?.use, ...sync.use},
+    // Another process may have reported other use of the session meanwhile.
+    reported: whole ? {} : (old?.reported ?? {}),
     targets: old?.targets ?? {},
     unsent: true,
   });
   return {...state, heard};
 }
 
+function answerTo(state: SessionsState, sync: UseSync): UseAnswer {
+  const heard = state.heard.get(sync.session);
+  if (!heard) return {targets: {}, useHeld: false};
+  const useHeld = heard.complete && heard.sequence >= sync.sequence;
+  return {targets: unmet(heard.targets, heard.use), useHeld};
+}
+
+/** Without the targets that the entry has reached or that a grant overtook. */
+function unmet(targets: Targets, use: Use): Targets {
+  const left = Object.entries(targets).filter(([team, target]) => {
+    const held = Object.hasOwn(use, team) ? use[team] : undefined;
+    if (!held || held.generation < target.generation) return true;
+    const same = held.generation === target.generation;
+    return same && held.ceiling > target.ceiling;
+  });
+  return Object.fromEntries(left);
+}
+
 function forget(state: SessionsState): SessionsState {
   const oldest = performance.now() - FORGET_AFTER_MS;
   const kept = [...state.heard].filter(([, {heardMs}]) => heardMs > oldest);
@@ -187,28 +226,15 @@
   sent: ReadonlyMap<string, Heard>,
 ): ReportRequest {
   const now = performance.now();
-  const sessions = [...sent].map(([session, {heardMs, use, reported}]) => ({
+  const sessions = [...sent].map(([session, each]) => ({
     session,
-    ageMs: Math.max(0, now - heardMs),
-    use: changedUse(use, reported),
+    ageMs: Math.max(0, now - each.heardMs),
+    sequence: each.sequence,
+    use: changedUse(each.use, each.reported),
   }));
   return {from, sessions};
 }
 
-function changedUse(use: Use, reported: Use): Record<string, TeamUse> {
-  const changed = Object.entries(use).filter(([team, next]) => {
-    const old = reported[team];
-    return (
-      !old ||
-      old.running !== next.running ||
-      old.demand !== next.demand ||
-      old.generation !== next.generation ||
-      old.ceiling !== next.ceiling
-    );
-  });
-  return Object.fromEntries(changed);
-}
-
 function finishReport(
   state: SessionsState,
   message: Extract<SessionsMessage, {type: 'reported'}>,
@@ -222,7 +248,7 @@
     if (!now) continue;
     heard.set(session, {
       ...now,
-      reported: each.use,
+      reported: each.sequence >= now.wholeSequence ? each.use : {},
       targets: response.targets[session] ?? {},
       unsent: now !== each,
     });
--- a/packages/control/src/use.ts
+++ b/packages/control/src/use.ts
@@ -1,8 +1,5 @@
 /** Use reports of entry sessions. */
-import type {TeamUse} from '@lentildrift/protocol';
-
-/** Team to use. */
-export type Use = Readonly<Record<string, TeamUse>>;
+import type {Use} from '@lentildrift/protocol';
 
 /**
  * Whether a report should not wait for the next interval: the session is new,
@@ -11,7 +8,7 @@
 export function isUrgent(before: Use | undefined, after: Use): boolean {
   if (!before) return true;
   return Object.entries(after).some(([team, next]) => {
-    const old = before[team];
+    const old = Object.hasOwn(before, team) ? before[team] : undefined;
     const short = next.demand > next.ceiling;
     if (!old) return short;
     const shorter = short && next.demand > old.demand;
--- a/packages/control/src/views.ts
+++ b/packages/control/src/views.ts
@@ -1,8 +1,13 @@
-/** The task that holds recent views, from which entry hosts get differences. */
+/**
+ * The task that holds recent views and slices, from which entry hosts get
+ * differences.
+ */
 import {
   diffViews,
   EMPTY_VIEW,
   projectView,
+  type Slice,
+  type Slices,
   type State,
   type View,
   type ViewDelta,
@@ -13,24 +18,39 @@
 const VIEWS_KEPT = 256;
 const ASK_TIMEOUT_MS = 1000;
 
+/** What an entry session needs to get from one revision to another. */
+export interface News {
+  readonly view: ViewDelta;
+  /** Slices of the session that changed. */
+  readonly slices: Record<string, Slice>;
+}
+
 interface Since {
   readonly type: 'since';
   readonly state: State;
   readonly revision: number;
-  readonly reply: Reply<ViewDelta>;
+  readonly session: string;
+  readonly reply: Reply<News>;
 }
 
+interface Recent {
+  readonly view: View;
+  readonly slices: Slices;
+}
+
+const NOTHING: Recent = {view: EMPTY_VIEW, slices: {}};
+
 interface ViewsState {
   /** State of the newest view. */
   readonly state: State;
   readonly newest: View;
-  /** Views that were handed out, by revision. */
-  readonly recent: ReadonlyMap<number, View>;
+  /** What was handed out, by revision. */
+  readonly recent: ReadonlyMap<number, Recent>;
 }
 
 export interface Views {
   /** What leads from `revision` to `state`, or to a newer one. */
-  since(state: State, revision: number): Promise<ViewDelta>;
+  since(state: State, revision: number, session: string): Promise<News>;
   stop(): Promise<void>;
 }
 
@@ -38,18 +58,27 @@
   const newest = projectView(state);
   const task = tasks.spawn<ViewsState, Since>({
     name: 'views',
-    initial: {state, newest, recent: new Map([[newest.revision, newest]])},
+    initial: {
+      state,
+      newest,
+      recent: new Map([
+        [newest.revision, {view: newest, slices: state.slices}],
+      ]),
+    },
     handle(held, message) {
       const next = advance(held, message.state);
-      const older = next.recent.get(message.revision) ?? EMPTY_VIEW;
-      message.reply.resolve(diffViews(older, next.newest));
+      const older = next.recent.get(message.revision) ?? NOTHING;
+      message.reply.resolve({
+        view: diffViews(older.view, next.newest),
+        slices: diffSlices(older.slices, next.state.slices, message.session),
+      });
       return next;
     },
   });
   return {
-    since: (later, revision) =>
-      task.ask<ViewDelta>(
-        reply => ({type: 'since', state: later, revision, reply}),
+    since: (later, revision, session) =>
+      task.ask<News>(
+        reply => ({type: 'since', state: later, revision, session, reply}),
         ASK_TIMEOUT_MS,
       ),
     stop: () => task.stop(),
@@ -59,7 +88,11 @@
 function advance(held: ViewsState, state: State): ViewsState {
   if (state.revision <= held.state.revision) return held;
   const newest = nextView(held, state);
-  const recent = new Map(held.recent).set(newest.revision, newest);
+  const {slices} = state;
+  const recent = new Map(held.recent).set(newest.revision, {
+    view: newest,
+    slices,
+  });
   if (recent.size > VIEWS_KEPT) recent.delete([...recent.keys()][0]!);
   return {state, newest, recent};
 }
@@ -74,3 +107,20 @@
     ? {...held.newest, revision: state.revision}
     : projectView(state, held.newest);
 }
+
+/** Slices of `session` that are new or changed, compared by identity. */
+function diffSlices(
+  older: Slices,
+  newer: Slices,
+  session: string,
+): Record<string, Slice> {
+  if (older === newer) return {};
+  const changed = Object.entries(newer).flatMap(([team, held]) => {
+    if (!Object.hasOwn(held, session)) return [];
+    const before = Object.hasOwn(older, team) ? older[team]! : {};
+    const old = Object.hasOwn(before, session) ? before[session] : undefined;
+    const slice = held[session]!;
+    return old === slice ? [] : [[team, slice] as const];
+  });
+  return Object.fromEntries(changed);
+}
--- a/packages/control/test/control.test.ts
+++ b/packages/control/test/control.test.ts
@@ -32,9 +32,12 @@
   return entry;
 }
 
+let sequence = 1_000_000;
 const syncRequest = (session: string, rest: object = {}) => ({
   session,
   revision: 0,
+  sequence: ++sequence,
+  useSince: 0,
   use: {},
   roster: [],
   rosterVersion: 0,
@@ -165,6 +168,49 @@
   });
 });
 
+describe('use in syncs', () => {
+  const use = (demand: number, generation: number) => ({
+    juniors: {running: 0, demand, generation, ceiling: 10},
+  });
+
+  it('a process that lacks earlier use does not acknowledge a difference', async () => {
+    const {session, control} = await openEntry('b');
+    await pass(1000);
+    entries[0]!.halt();
+    const held = async (at: typeof control, rest: object) => {
+      const answer = await settle(at.sync(syncRequest(session, rest)));
+      return answer.ok && answer.useHeld;
+    };
+    expect(await held(control, {useSince: 0})).toBe(true);
+    expect(await held(control, {useSince: sequence})).toBe(true);
+    const other = roles.at('c').control;
+    expect(await held(other, {useSince: sequence})).toBe(false);
+    expect(await held(other, {useSince: sequence})).toBe(false);
+    expect(await held(other, {useSince: 0})).toBe(true);
+    // The entry came back after a sync that this process has not seen.
+    expect(await held(control, {useSince: sequence})).toBe(false);
+  });
+
+  it('a late sync changes no slice', async () => {
+    const {session, control} = await openEntry('b');
+    await pass(1000);
+    entries[0]!.halt();
+    const slice = () => group.replica('a').state().slices['juniors']![session]!;
+    const {generation} = slice();
+    const send = (rest: object) =>
+      settle(control.sync(syncRequest(session, {...rest, revision: 0})));
+    await send({sequence: 3_000_000, use: use(1, generation)});
+    await pass(1000);
+    const before = slice();
+    await send({sequence: 2_000_000, use: use(30, generation)});
+    await pass(1000);
+    expect(slice()).toEqual(before);
+    await send({sequence: 3_000_001, use: use(30, slice().generation)});
+    await pass(1000);
+    expect(slice().amount).toBeGreaterThan(before.amount);
+  });
+});
+
 describe('claims', () => {
   const claim = (session: string, key: string) => ({
     session,
--- a/packages/entry/src/ledger.ts
+++ b/packages/entry/src/ledger.ts
@@ -3,7 +3,7 @@
  * slice, the ceiling and the running calls. No I/O; times are arguments.
  */
 import {refuse, type Refusal, type Slice} from '@lentildrift/model';
-import type {TeamUse} from '@lentildrift/protocol';
+import type {Target, TeamUse} from '@lentildrift/protocol';
 
 export const FRESHNESS_LEASE_MS = 3000;
 /** A refused call counts as demand for this long: callers try again soon. */
@@ -22,7 +22,7 @@
   readonly sentMs: number;
   readonly slices: Readonly<Record<string, Slice>>;
   /** Ceilings to lower, by team. */
-  readonly targets: Readonly<Record<string, number>>;
+  readonly targets: Readonly<Record<string, Target>>;
 }
 
 export interface Ledger {
@@ -113,10 +113,11 @@
         held.generation = slice.generation;
         held.ceiling = slice.amount;
       }
-      const target = targets[team];
-      if (target !== undefined && slice.generation === held.generation) {
-        held.ceiling = Math.min(held.ceiling, target);
-      }
+    }
+    for (const [team, target] of Object.entries(targets)) {
+      const held = accounts.get(team);
+      if (held?.generation !== target.generation) continue;
+      held.ceiling = Math.min(held.ceiling, target.ceiling);
     }
     freshUntilMs = Math.max(freshUntilMs, sentMs + FRESHNESS_LEASE_MS);
   }
--- a/packages/entry/src/sync.ts
+++ b/packages/entry/src/sync.ts
@@ -1,7 +1,12 @@
 /** The task that owns the session and keeps the entry host in step with control. */
 import {EMPTY_VIEW, patchView, type View} from '@lentildrift/model';
 import type {Log} from '@lentildrift/observe';
-import type {SyncResponse, TeamUse} from '@lentildrift/protocol';
+import {
+  changedUse,
+  type SyncResponse,
+  type TeamUse,
+  type Use,
+} from '@lentildrift/protocol';
 import type {Reply, Task, TaskSystem} from '@lentildrift/task';
 import type {AdmissionMessage} from './admission.js';
 import {createCell, type Cell} from './cell.js';
@@ -19,10 +24,20 @@
   /** Ends the session; no sync follows. */
   | {type: 'close'; reply: Reply<void>};
 
+/** Use that the control process at `position` holds. */
+interface Acknowledged {
+  readonly position: number;
+  readonly sequence: number;
+  readonly use: Use;
+}
+
 interface SyncState {
   readonly session?: string;
-  /** Set when a whole view must be asked for. */
+  /** Set when the whole view and all slices must be asked for. */
   readonly whole: boolean;
+  /** Sequence number of the last sync. */
+  readonly sequence: number;
+  readonly acknowledged?: Acknowledged;
   readonly rosterVersion: number;
   /** Control process that the roster version belongs to. */
   readonly position: number;
@@ -65,7 +80,13 @@
 
   const task = tasks.spawn<SyncState, SyncMessage>({
     name: 'sync',
-    initial: {whole: false, rosterVersion: 0, position: 0, closed: false},
+    initial: {
+      whole: false,
+      sequence: 0,
+      rosterVersion: 0,
+      position: 0,
+      closed: false,
+    },
     async handle(state, message) {
       if (message.type === 'close') return close(state, message.reply);
       queued = false;
@@ -77,8 +98,10 @@
     },
   });
 
-  async function attempt(state: SyncState): Promise<SyncState> {
+  async function attempt(previous: SyncState): Promise<SyncState> {
     startedMs = performance.now();
+    // A failed sync may still arrive, so that it uses up its number.
+    const state = {...previous, sequence: previous.sequence + 1};
     try {
       return await syncOnce(await openIfNeeded(state));
     } catch (error) {
@@ -94,12 +117,11 @@
     session.value = opened.session;
     admission.post({type: 'open', session: opened.session});
     log.info('session-opened', {session: opened.session});
-    return {...state, session: opened.session};
+    const {session: id} = opened;
+    return {...state, session: id, whole: true, acknowledged: undefined};
   }
 
   async function syncOnce(state: SyncState): Promise<SyncState> {
-    const position = control.position();
-    const sameProcess = position === state.position;
     const sentMs = performance.now();
     const use = await admission.ask<Record<string, TeamUse>>(
       reply => ({type: 'use', reply}),
@@ -109,19 +131,29 @@
       reply => ({type: 'collect', reply}),
       ASK_TIMEOUT_MS,
     );
+    // Read last: a call that fails meanwhile moves on to the next process.
+    const position = control.position();
+    const sameProcess = position === state.position;
+    const {acknowledged: last} = state;
+    const known = last?.position === position ? last : undefined;
+    const {sequence} = state;
     const response = await control.sync({
       session: state.session!,
       revision: state.whole ? 0 : view.value.revision,
-      use,
+      sequence,
+      useSince: known?.sequence ?? 0,
+      use: known ? changedUse(use, known.use) : use,
       roster: outgoing.items,
       rosterVersion: sameProcess ? state.rosterVersion : 0,
     });
     if (!response.ok) return forget(state);
     roster.post({type: 'acknowledge', sent: outgoing});
     roster.post({type: 'merge', items: response.roster});
-    const {rosterVersion} = response;
+    const {rosterVersion, useHeld} = response;
+    const acknowledged = useHeld ? {position, sequence, use} : undefined;
+    if (!useHeld) hurry();
     const whole = !takeView(state, response, sentMs);
-    return {...state, whole, rosterVersion, position};
+    return {...state, whole, rosterVersion, position, acknowledged};
   }
 
   /** The session was closed: the next sync opens a new one, at once. */
--- a/packages/entry/test/sync.test.ts
+++ b/packages/entry/test/sync.test.ts
@@ -110,6 +110,30 @@
     });
   });
 
+  it('sends only use that changed, and all of it when control lacks some', async () => {
+    const stack = setUp();
+    const slice = {amount: 5, generation: 1};
+    stack.first.slices = {club: slice, juniors: slice};
+    await start(stack);
+    await vi.advanceTimersByTimeAsync(1000);
+    const last = () => stack.first.syncs.at(-1)!;
+    expect(Object.keys(last().use)).toEqual(['club', 'juniors']);
+    await vi.advanceTimersByTimeAsync(1000);
+    expect(last()).toMatchObject({use: {}, useSince: last().sequence - 1});
+    expect(await admitted(stack)).toBe(true);
+    stack.first.useHeld = false;
+    const {length} = stack.first.syncs;
+    await vi.advanceTimersByTimeAsync(1100);
+    const [changed, all] = stack.first.syncs.slice(length);
+    expect(Object.keys(changed!.use)).toEqual(['club']);
+    expect(all).toMatchObject({useSince: 0});
+    expect(Object.keys(all!.use)).toEqual(['club', 'juniors']);
+    stack.first.down = true;
+    await vi.advanceTimersByTimeAsync(1100);
+    expect(stack.second.syncs[0]).toMatchObject({useSince: 0, revision: 0});
+    expect(Object.keys(stack.second.syncs[0]!.use)).toHaveLength(2);
+  });
+
   it('moves to another control process, and asks it for its whole roster', async () => {
     const stack = setUp();
     await start(stack);
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -4,3 +4,4 @@
 export {createServiceServer, SECRET_HEADER} from './router.js';
 export * from './server.js';
 export * from './service.js';
+export * from './use.js';
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -28,8 +28,15 @@
 
 export const syncRequestSchema = z.object({
   session: z.string(),
-  /** Revision of the entry's view; 0 asks for the whole view. */
+  /** Revision of the entry's view and slices; 0 asks for all of them. */
   revision: count,
+  /** Grows with each sync of a session, so that a late one is recognised. */
+  sequence: z.number().int().positive(),
+  /**
+   * Last sync whose use this control process acknowledged: `use` holds what
+   * changed since; 0 if it holds all.
+   */
+  useSince: count,
   use: z.record(z.string(), teamUseSchema),
   /** Announcements and leaves received since the last sync that succeeded. */
   roster: z.array(rosterItemSchema),
@@ -38,15 +45,22 @@
 });
 export type SyncRequest = z.infer<typeof syncRequestSchema>;
 
+/** A ceiling to go down to; it applies only to the slice of its generation. */
+export const targetSchema = z.object({ceiling: count, generation: count});
+export type Target = z.infer<typeof targetSchema>;
+
 export const syncResponseSchema = z.discriminatedUnion('ok', [
   z.object({
     ok: z.literal(true),
     /** The lease counts only if the view includes this revision. */
     readIndex: count,
     view: viewDeltaSchema,
+    /** Slices that changed from `view.from` to `view.to`. */
     slices: z.record(z.string(), sliceSchema),
-    /** Teams whose ceiling the entry should lower, and to what. */
-    targets: z.record(z.string(), count),
+    /** Teams whose ceiling the entry has not lowered as it should. */
+    targets: z.record(z.string(), targetSchema),
+    /** `false` if this process lacks earlier use: the entry must send all. */
+    useHeld: z.boolean(),
     roster: z.array(rosterItemSchema),
     rosterVersion: count,
   }),
@@ -170,14 +184,16 @@
       session: z.string(),
       /** Time since its last sync arrived. */
       ageMs: z.number().nonnegative(),
+      /** Its number: an entry may have gone over to another process since. */
+      sequence: count,
       use: z.record(z.string(), teamUseSchema),
     }),
   ),
 });
 export type ReportRequest = z.infer<typeof reportRequestSchema>;
 export const reportResponseSchema = z.object({
-  /** Session, then team, to the ceiling that the leader wants. */
-  targets: z.record(z.string(), z.record(z.string(), count)),
+  /** Session, then team, to what the leader wants. */
+  targets: z.record(z.string(), z.record(z.string(), targetSchema)),
 });
 export type ReportResponse = z.infer<typeof reportResponseSchema>;
 
--- a/packages/testkit/src/bench/host.ts
+++ b/packages/testkit/src/bench/host.ts
@@ -75,6 +75,7 @@
       view: {from: request.revision, to: 1, version: 1, ...changes},
       slices: {bench: {amount: limit, generation: 1}},
       targets: {},
+      useHeld: true,
       roster: [{announcement, left: false, ageMs: 0}],
       rosterVersion: 1,
     };
--- a/packages/testkit/src/bench/traffic.ts
+++ b/packages/testkit/src/bench/traffic.ts
@@ -97,19 +97,22 @@
 async function announce(port: number, key: string, address: string) {
   const name = 'bench';
   const at = {pool: name, service: name, host: name, address};
-  const {body, statusCode} = await request(`http://${LOOPBACK}:${port}/announce`, {
-    method: 'POST',
-    headers: {
-      authorization: `Bearer ${key}`,
-      'content-type': 'application/json',
+  const {body, statusCode} = await request(
+    `http://${LOOPBACK}:${port}/announce`,
+    {
+      method: 'POST',
+      headers: {
+        authorization: `Bearer ${key}`,
+        'content-type': 'application/json',
+      },
+      body: JSON.stringify({
+        ...at,
+        incarnation: 1,
+        sequence: 1,
+        leaseMs: LEASE_MS,
+      }),
     },
-    body: JSON.stringify({
-      ...at,
-      incarnation: 1,
-      sequence: 1,
-      leaseMs: LEASE_MS,
-    }),
-  });
+  );
   await body.dump();
   if (statusCode >= 300) throw new Error(`announce: status ${statusCode}`);
 }
--- a/packages/testkit/src/slopes.ts
+++ b/packages/testkit/src/slopes.ts
@@ -101,7 +101,7 @@
   );
 }
 
-/** A sync request of an entry host that has used every team's slice. */
+/** A sync request that lists every team, as the first one after a failover. */
 function syncRequest(state: State) {
   const use = Object.keys(state.tables.teams).map(team => [
     team,
@@ -110,6 +110,8 @@
   return {
     session: '00000000-0000-0000-0000-000000000000',
     revision: state.revision,
+    sequence: 1,
+    useSince: 0,
     use: Object.fromEntries(use),
     roster: [],
     rosterVersion: 1,
