Report the burn of objectives that entry hosts recorded

The report topic answered {}: no entry passed its recorded calls on. An entry now adds to a sync, at most every 5 s, the buckets that changed since the last such sync that the process took, and all of them for another process or one that lost its use. Control keeps them per entry process and answers the merged burn report. The schema of the series moved to model, since protocol may not depend on observe. A caller that leaves is reported as such, so that it does not burn the objective.

roles.test.ts runs lentildrift report against a control and an entry role on loopback and sees a burned objective.

--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -20,6 +20,7 @@
 } from '@lentildrift/protocol';
 import type {TaskSystem} from '@lentildrift/task';
 import {randomUUID} from 'node:crypto';
+import {createBurn, type BurnTask} from './burn.js';
 import {createClaims, type Claims} from './claims.js';
 import {createFreshness, type Freshness} from './freshness.js';
 import {DemandPolicy, type LimitPolicy} from './limit.js';
@@ -70,7 +71,8 @@
   const sessions = createSessions({member, replica, peers, limits, tasks});
   const views = createViews(replica.state(), tasks);
   const claims = createClaims(tasks, proposals);
-  const report = options.report ?? (() => ({}));
+  const burn = createBurn(tasks);
+  const report = options.report ?? (() => burn.report(replica.state()));
   const operators = createOperators({
     replica,
     freshness,
@@ -87,13 +89,14 @@
     sessions,
     views,
     claims,
+    burn,
     operators,
   };
   const {deliver = () => undefined, admit = () => undefined} = options;
 
   async function stop(): Promise<void> {
     // Tasks that others ask stop last.
-    for (const part of [claims, sessions, limits, roster, views]) {
+    for (const part of [claims, burn, sessions, limits, roster, views]) {
       await part.stop();
     }
     await freshness.stop();
@@ -117,6 +120,7 @@
   readonly sessions: Sessions;
   readonly views: Views;
   readonly claims: Claims;
+  readonly burn: BurnTask;
   readonly operators: Operators;
 }
 
@@ -148,11 +152,12 @@
   }
 
   override async sync(request: SyncRequest): Promise<SyncResponse> {
-    const {freshness, replica, roster, sessions, views} = this.parts;
+    const {burn, freshness, replica, roster, sessions, views} = this.parts;
     const {session} = request;
     const readIndex = await freshness.confirm();
     if (!isOpen(replica.state(), session)) return CLOSED;
     roster.merge(request.roster, true);
+    if (request.burn) burn.take(request.burn, request.sequence);
     if (hasSlices(replica.state(), session)) {
       sessions.heard(request);
     } else {
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -47,6 +47,7 @@
     host,
     port,
     observer: new Recording(recorder),
+    burn: sinceMs => recorder.series(sinceMs),
     metrics: () => recorder.metrics.text(),
   });
   log.info('entry-listening', {address: host, port: entry.port});
--- a/packages/daemon/test/roles.test.ts
+++ b/packages/daemon/test/roles.test.ts
@@ -1,3 +1,4 @@
+import {runProgram} from '@lentildrift/command';
 import {
   startControl,
   startEntryRole,
@@ -106,6 +107,20 @@
     };
     // The key reaches the entry with its next sync; no upstream announced.
     await expect.poll(call, {timeout: 5000}).toBe('no-upstream');
+    // Calls that failed burn the objective in what operators are shown.
+    const report = async () => {
+      let text = '';
+      const code = await runProgram(['report'], {
+        env: {LENTILDRIFT_KEY: operator.text, LENTILDRIFT_SERVER: address},
+        readFile: () => '',
+        write: shown => (text += shown),
+        writeError: shown => (text += shown),
+      });
+      return `${code} ${text}`;
+    };
+    await expect
+      .poll(report, {timeout: 10_000, interval: 500})
+      .toMatch(/^0 ROUTE[^]*\nlanes +juniors +0\.\d+ +-[\d.]+ of /);
     await client.close();
     await entry.stop();
     await control.stop();
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -16,7 +16,7 @@
 import {createListener} from './listener.js';
 import {NullObserver, type CallObserver} from './observer.js';
 import {createOnce} from './once.js';
-import {createSync} from './sync.js';
+import {createSync, type BurnSource} from './sync.js';
 import {createUpstreams} from './upstream.js';
 
 /** Calls end by their deadline; the rest is for passing on the answer. */
@@ -31,6 +31,8 @@
   readonly host: string;
   readonly port: number;
   readonly observer?: CallObserver;
+  /** Recorded calls, for the report of control. */
+  readonly burn?: BurnSource;
   /** Text of `/metrics`; without it the path is not found. */
   readonly metrics?: () => string | Promise<string>;
   /** How long `/health` is unavailable before the server stops listening. */
@@ -63,6 +65,7 @@
     entryHost: options.entryHost,
     admission: admission.task,
     roster: roster.task,
+    burn: options.burn,
   });
   const {view, session} = sync;
   const {lease} = admission;
@@ -126,6 +129,7 @@
     };
     const outcome = await calls.run(exchange);
     if (!outcome.ok) {
+      exchange.facts.callerLeft ||= response.destroyed;
       const {kept} = exchange.facts;
       if (kept) answerKept(request, response, kept);
       else answerRefusal(request, response, outcome.refusal);
@@ -135,18 +139,20 @@
 
   function observe(exchange: Exchange, outcome: Outcome<Forwarded>): void {
     const {arrivedMs, facts} = exchange;
-    const {route, team, kept} = facts;
+    const {route, team, kept, callerLeft} = facts;
     const durationMs = performance.now() - arrivedMs;
     if (outcome.ok) {
       const {verdict, status, complete} = outcome.value;
-      observer.finished({route, team, verdict, status, complete, durationMs});
+      const common = {route, team, callerLeft, verdict, durationMs};
+      observer.finished({...common, status, complete});
       return;
     }
     const {verdict, code} = outcome.refusal;
     const complete = !exchange.response.destroyed;
     const sent = kept?.status ?? statusOf(outcome.refusal);
     const status = complete ? sent : 0;
-    const common = {route, team, verdict, status, complete, durationMs};
+    const base = {route, team, callerLeft, verdict, durationMs};
+    const common = {...base, status, complete};
     observer.finished(kept ? common : {...common, code});
   }
 
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -7,6 +7,8 @@
 export interface CallFacts {
   route?: string;
   team?: string;
+  /** Set when the caller went away before its response was complete. */
+  callerLeft?: boolean;
   /** First response to the same claimed request. */
   kept?: KeptResponse;
 }
--- a/packages/entry/src/forward.ts
+++ b/packages/entry/src/forward.ts
@@ -144,6 +144,7 @@
 
   function onCallerGone(): void {
     if (ended) return;
+    exchange.facts.callerLeft = !response.writableFinished;
     if (relay.ended()) {
       const complete = response.writableFinished;
       return finish(pass(extend(exchange, relay.result(complete))));
--- a/packages/entry/src/observer.ts
+++ b/packages/entry/src/observer.ts
@@ -13,6 +13,8 @@
   readonly status: number;
   /** Whether the caller was sent the complete response. */
   readonly complete: boolean;
+  /** Whether the caller went away before that. */
+  readonly callerLeft?: boolean;
   readonly durationMs: number;
 }
 
--- a/packages/entry/src/sync.ts
+++ b/packages/entry/src/sync.ts
@@ -1,8 +1,14 @@
 /** The task that owns the session and keeps the entry host in step with control. */
-import {EMPTY_VIEW, patchView, type View} from '@lentildrift/model';
+import {
+  EMPTY_VIEW,
+  patchView,
+  type BurnSeries,
+  type View,
+} from '@lentildrift/model';
 import type {Log} from '@lentildrift/observe';
 import {
   changedUse,
+  type SyncRequest,
   type SyncResponse,
   type TeamUse,
   type Use,
@@ -12,18 +18,30 @@
 import {createCell, type Cell} from './cell.js';
 import type {Outgoing, RosterMessage} from './directory.js';
 import type {FailoverControl} from './failover.js';
+import {randomUUID} from 'node:crypto';
 
 export const SYNC_INTERVAL_MS = 1000;
 /** Least time between the starts of two syncs that were asked for early. */
 const EARLY_SYNC_GAP_MS = 50;
+/** Recorded calls may be this much older in the report. */
+const BURN_INTERVAL_MS = 5000;
 const ASK_TIMEOUT_MS = 1000;
 const CLOSE_TIMEOUT_MS = 5000;
 
+export type BurnSource = (sinceMs?: number) => BurnSeries[];
+
 export type SyncMessage =
   | {type: 'sync'}
   /** Ends the session; no sync follows. */
   | {type: 'close'; reply: Reply<void>};
 
+/** Recorded calls that the control process at `position` holds. */
+interface BurnSent {
+  readonly position: number;
+  /** Wall-clock time up to which it holds them. */
+  readonly untilMs: number;
+}
+
 /** Use that the control process at `position` holds. */
 interface Acknowledged {
   readonly position: number;
@@ -38,6 +56,7 @@
   /** Sequence number of the last sync. */
   readonly sequence: number;
   readonly acknowledged?: Acknowledged;
+  readonly burnSent?: BurnSent;
   readonly rosterVersion: number;
   /** Control process that the roster version belongs to. */
   readonly position: number;
@@ -51,6 +70,8 @@
   readonly entryHost: string;
   readonly admission: Task<AdmissionMessage>;
   readonly roster: Task<RosterMessage>;
+  /** Recorded calls; with `sinceMs` of the wall clock only what is newer. */
+  readonly burn?: BurnSource;
 }
 
 export interface Sync {
@@ -70,6 +91,7 @@
   const {tasks, log, control, admission, roster} = options;
   const view = createCell<View>(EMPTY_VIEW);
   const session = createCell<string | undefined>(undefined);
+  const burnSourceId = randomUUID();
   let interval: NodeJS.Timeout | undefined;
   let early: NodeJS.Timeout | undefined;
   let startedMs = -Infinity;
@@ -137,6 +159,8 @@
     const {acknowledged: last} = state;
     const known = last?.position === position ? last : undefined;
     const {sequence} = state;
+    const untilMs = Date.now();
+    const burn = dueBurn(state, position, untilMs);
     const response = await control.sync({
       session: state.session!,
       revision: state.whole ? 0 : view.value.revision,
@@ -145,6 +169,7 @@
       use: known ? changedUse(use, known.use) : use,
       roster: outgoing.items,
       rosterVersion: sameProcess ? state.rosterVersion : 0,
+      ...burn,
     });
     if (!response.ok) return forget(state);
     roster.post({type: 'acknowledge', sent: outgoing});
@@ -153,7 +178,24 @@
     const acknowledged = useHeld ? {position, sequence, use} : undefined;
     if (!useHeld) hurry();
     const whole = !takeView(state, response, sentMs);
-    return {...state, whole, rosterVersion, position, acknowledged};
+    // A process that lost the use has lost the recorded calls, too.
+    const taken = burn ? {position, untilMs} : state.burnSent;
+    const burnSent = useHeld ? taken : undefined;
+    const next = {...state, whole, rosterVersion, position, acknowledged};
+    return {...next, burnSent};
+  }
+
+  /** Recorded calls that this process lacks, every `BURN_INTERVAL_MS`. */
+  function dueBurn(
+    {burnSent}: SyncState,
+    position: number,
+    nowMs: number,
+  ): Pick<SyncRequest, 'burn'> | undefined {
+    if (!options.burn) return undefined;
+    const known = burnSent?.position === position ? burnSent : undefined;
+    if (known && nowMs - known.untilMs < BURN_INTERVAL_MS) return undefined;
+    const series = options.burn(known?.untilMs);
+    return {burn: {source: burnSourceId, series}};
   }
 
   /** The session was closed: the next sync opens a new one, at once. */
--- a/packages/entry/test/forward.test.ts
+++ b/packages/entry/test/forward.test.ts
@@ -30,8 +30,8 @@
       await expect(response.text()).rejects.toThrow();
     }
     expect(stack.observer.calls).toMatchObject([
-      {verdict: 'ran', complete: false},
-      {verdict: 'ran', complete: false},
+      {verdict: 'ran', complete: false, callerLeft: undefined},
+      {verdict: 'ran', complete: false, callerLeft: undefined},
     ]);
   });
 
@@ -142,6 +142,22 @@
     await until(() => upstream.sockets.size === 0);
     await new Promise(resolve => setTimeout(resolve, 50));
     expect((await stack.call('/lanes/')).status).toBe(200);
+    const [gone] = stack.observer.calls.filter(({status}) => status === 0);
+    expect(gone).toMatchObject({callerLeft: true, complete: false});
+  });
+
+  it('does not blame the upstream when a caller leaves amid the response', async () => {
+    await stack.upstream(socket =>
+      socket.write('HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nhalf'),
+    );
+    const caller = new AbortController();
+    const response = await stack.call('/lanes/', {signal: caller.signal});
+    caller.abort();
+    await expect(response.text()).rejects.toThrow();
+    await until(() => stack.observer.calls.length === 1);
+    expect(stack.observer.calls).toMatchObject([
+      {status: 200, complete: false, callerLeft: true},
+    ]);
   });
 
   it('reads no more from the upstream than a slow caller takes', async () => {
@@ -164,7 +180,9 @@
     await once(socket, 'readable');
     await until(() => closed);
     expect(sent).toBeLessThan(100_000_000);
-    expect(stack.observer.calls).toMatchObject([{complete: false}]);
+    expect(stack.observer.calls).toMatchObject([
+      {complete: false, callerLeft: undefined},
+    ]);
     socket.destroy();
   });
 
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -8,6 +8,7 @@
   unfinishedJobs,
   type JobBook,
 } from './book.js';
+export * from './burn.js';
 export * from './change.js';
 export * from './claim.js';
 export * from './host.js';
--- a/packages/observe/src/burn.ts
+++ b/packages/observe/src/burn.ts
@@ -3,33 +3,30 @@
  * Buckets start at multiples of `BUCKET_MS` of the wall clock, so that those
  * of several entry hosts can be added.
  */
-import type {RefusalCode} from '@lentildrift/model';
+import {
+  BUCKET_MS,
+  BUCKETS_KEPT,
+  LONG_WINDOW_MS,
+  type BurnBucket,
+  type BurnSeries,
+  type RefusalCode,
+} from '@lentildrift/model';
 import {z} from 'zod';
 
-export const BUCKET_MS = 30_000;
+export {
+  BUCKET_MS,
+  BUCKETS_KEPT,
+  burnBucketSchema,
+  burnSeriesSchema,
+  LONG_WINDOW_MS,
+  type BurnBucket,
+  type BurnSeries,
+} from '@lentildrift/model';
+
 export const SHORT_WINDOW_MS = 5 * 60 * 1000;
-export const LONG_WINDOW_MS = 60 * 60 * 1000;
-/** Buckets that the long window needs. */
-export const BUCKETS_KEPT = LONG_WINDOW_MS / BUCKET_MS;
 
 const count = z.number().int().nonnegative();
 
-export const burnBucketSchema = z.object({
-  /** Wall-clock start of the bucket, in milliseconds. */
-  startMs: count,
-  good: count,
-  bad: count,
-});
-export type BurnBucket = z.infer<typeof burnBucketSchema>;
-
-/** Recorded calls of one route and team. */
-export const burnSeriesSchema = z.object({
-  route: z.string(),
-  team: z.string(),
-  buckets: z.array(burnBucketSchema).max(BUCKETS_KEPT),
-});
-export type BurnSeries = z.infer<typeof burnSeriesSchema>;
-
 export const burnWindowSchema = z.object({
   calls: count,
   bad: count,
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -1,6 +1,7 @@
 /** Messages between processes, as schemas. */
 import {
   answerSchema,
+  burnSeriesSchema,
   changeBodySchema,
   commandSchema,
   jobSchema,
@@ -42,6 +43,14 @@
   roster: z.array(rosterItemSchema),
   /** Version of the roster that the entry last received; 0 asks for all. */
   rosterVersion: count,
+  /** Recorded calls that changed; absent when they are not due. */
+  burn: z
+    .object({
+      /** Entry process that recorded them. */
+      source: z.string(),
+      series: z.array(burnSeriesSchema),
+    })
+    .optional(),
 });
 export type SyncRequest = z.infer<typeof syncRequestSchema>;
 
