--- a/packages/control/test/control.test.ts
+++ b/packages/control/test/control.test.ts
@@ -211,6 +211,33 @@
   });
 });
 
+describe('the burn report', () => {
+  it('counts no call twice when syncs are repeated, late or of a new session', async () => {
+    const key = group.giveOperatorKey();
+    const {session, control} = await openEntry('b');
+    await pass(1000);
+    entries[0]!.halt();
+    const startMs = Math.floor(Date.now() / 30_000) * 30_000;
+    const send = async (to: string, number: number, bad: number) => {
+      const buckets = [{startMs, good: 1, bad}];
+      const series = [{route: 'lanes', team: 'juniors', buckets}];
+      const burn = {source: 'process-1', series};
+      const request = syncRequest(to, {sequence: number, burn});
+      await settle(control.sync(request));
+    };
+    await send(session, 2_000_001, 2);
+    await send(session, 2_000_003, 5);
+    const next = await openEntry('b');
+    entries[1]!.halt();
+    await send(next.session, 2_000_004, 6);
+    await send(next.session, 2_000_003, 5);
+    const {body} = await settle(control.read({key, topic: 'report'}));
+    expect(body).toMatchObject({
+      burn: [{team: 'juniors', short: {calls: 7, bad: 6}}],
+    });
+  });
+});
+
 describe('claims', () => {
   const claim = (session: string, key: string) => ({
     session,
--- a/packages/testkit/src/bench/traffic.ts
+++ b/packages/testkit/src/bench/traffic.ts
@@ -1,7 +1,7 @@
 /** The measurement `traffic`: bytes between one entry host and control. */
 import {SoloReplica} from '@lentildrift/consensus';
 import {stateMachine, startControlProcess} from '@lentildrift/control';
-import {startEntry} from '@lentildrift/entry';
+import {CallObserver, startEntry, type FinishedCall} from '@lentildrift/entry';
 import {
   createKey,
   poolSchema,
@@ -9,7 +9,7 @@
   teamSchema,
   type Command,
 } from '@lentildrift/model';
-import {createLog} from '@lentildrift/observe';
+import {CallRecorder, createLog} from '@lentildrift/observe';
 import {createServiceClient} from '@lentildrift/protocol';
 import {startTasks} from '@lentildrift/task';
 import {createServer as createHttpServer} from 'node:http';
@@ -29,6 +29,14 @@
 const TIMEOUT_MS = 2000;
 const CLUSTER_SECRET = 'cluster-secret-of-measurement';
 
+class Recording extends CallObserver {
+  readonly recorder = new CallRecorder();
+
+  override finished(call: FinishedCall): void {
+    this.recorder.record(call);
+  }
+}
+
 interface Bytes {
   sent: number;
   received: number;
@@ -163,7 +171,10 @@
     clusterSecret: CLUSTER_SECRET,
     timeoutMs: TIMEOUT_MS,
   });
+  const observer = new Recording();
   const entry = await startEntry({
+    observer,
+    burn: sinceMs => observer.recorder.series(sinceMs),
     control: client.control,
     tasks,
     log,
