Merge syncs by difference and the burn report; acknowledge a leave once control has it

Now 204 means that control took the sync; else the answer is 503 stale with may-have-run, and the upstream tries again, through another entry host if need be.

--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -1,5 +1,5 @@
 /** The control role: its tasks, and the services that stand before them. */
-import {allJobs, type Slice, type State} from '@lentildrift/model';
+import {allJobs, type State} from '@lentildrift/model';
 import type {Log} from '@lentildrift/observe';
 import {
   ControlService,
@@ -20,6 +20,7 @@
 } from '@lentildrift/protocol';
 import type {TaskSystem} from '@lentildrift/task';
 import {randomUUID} from 'node:crypto';
+import {createBurn, type BurnTask} from './burn.js';
 import {createClaims, type Claims} from './claims.js';
 import {createFreshness, type Freshness} from './freshness.js';
 import {DemandPolicy, type LimitPolicy} from './limit.js';
@@ -71,7 +72,8 @@
   const sessions = createSessions({member, replica, peers, limits, tasks});
   const views = createViews(replica.state(), tasks);
   const claims = createClaims(tasks, proposals);
-  const report = options.report ?? (() => ({}));
+  const burn = createBurn(tasks);
+  const report = options.report ?? (() => burn.report(replica.state()));
   const operators = createOperators({
     replica,
     freshness,
@@ -89,13 +91,14 @@
     sessions,
     views,
     claims,
+    burn,
     operators,
   };
   const {deliver = () => undefined, admit = () => undefined} = options;
 
   async function stop(): Promise<void> {
     // Tasks that others ask stop last.
-    for (const part of [claims, sessions, limits, roster, views]) {
+    for (const part of [claims, burn, sessions, limits, roster, views]) {
       await part.stop();
     }
     await patience.stop();
@@ -122,6 +125,7 @@
   readonly sessions: Sessions;
   readonly views: Views;
   readonly claims: Claims;
+  readonly burn: BurnTask;
   readonly operators: Operators;
 }
 
@@ -153,22 +157,24 @@
   }
 
   override async sync(request: SyncRequest): Promise<SyncResponse> {
-    const {freshness, patience, replica, roster, sessions, views} = this.parts;
-    const {session, use} = request;
+    const {burn, freshness, patience, replica, roster, sessions, views} =
+      this.parts;
+    const {session} = request;
     const reads = isPressing(request) ? freshness : patience;
     const readIndex = await reads.confirm();
     if (!isOpen(replica.state(), session)) return CLOSED;
     roster.merge(request.roster, true);
+    if (request.burn) burn.take(request.burn, request.sequence);
     if (hasSlices(replica.state(), session)) {
-      sessions.heard(session, use);
+      sessions.heard(request);
     } else {
       // Without slices the entry could admit nothing until its next sync.
-      await sessions.report(session, use).catch(() => undefined);
+      await sessions.report(request).catch(() => undefined);
       // The leader has committed its slices; this replica may lag behind.
       await freshness.confirm();
     }
-    const [targets, news] = await Promise.all([
-      sessions.targets(session),
+    const [useAnswer, news] = await Promise.all([
+      sessions.answer(request),
       roster.since(request.rosterVersion),
     ]);
     const state = replica.state();
@@ -176,9 +182,8 @@
     return {
       ok: true,
       readIndex,
-      view: await views.since(state, request.revision),
-      slices: slicesOf(state, session),
-      targets: {...targets},
+      ...(await views.since(state, request.revision, session)),
+      ...useAnswer,
       roster: news.items,
       rosterVersion: news.version,
     };
@@ -230,14 +235,6 @@
   return state.sessions[session]?.phase === 'open';
 }
 
-function slicesOf(state: State, session: string): Record<string, Slice> {
-  const held = Object.entries(state.slices).flatMap(([team, bySession]) => {
-    const slice = bySession[session];
-    return slice ? [[team, slice] as const] : [];
-  });
-  return Object.fromEntries(held);
-}
-
 function hasSlices(state: State, session: string): boolean {
   return Object.values(state.slices).some(held => Object.hasOwn(held, session));
 }
--- a/packages/entry/src/announce.ts
+++ b/packages/entry/src/announce.ts
@@ -10,13 +10,14 @@
 
 const MAX_ANNOUNCEMENT_BYTES = 4096;
 const ASK_TIMEOUT_MS = 1000;
+const RETRY_AFTER_MS = 1000;
 
 export interface AnnounceContext {
   readonly view: Cell<View>;
   readonly lease: Cell<number>;
   readonly roster: Task<RosterMessage>;
-  /** Tells control; resolves when a sync has been attempted. */
-  flush(): Promise<void>;
+  /** Tells control; resolves with whether it was told. */
+  flush(): Promise<boolean>;
 }
 
 /** Handles `POST /announce`, or `POST /leave` if `left`. */
@@ -59,6 +60,15 @@
     reply => ({type: 'announce', item, reply}),
     ASK_TIMEOUT_MS,
   );
-  if (news) await context.flush();
+  // An upstream that leaves must know that every entry host will hear of it;
+  // else it tries again, if need be through another entry host.
+  if (news && !(await context.flush())) {
+    const text = 'control could not be told; send it again';
+    const refusal = refuse('stale', text, {
+      verdict: 'may-have-run',
+      retryAfterMs: RETRY_AFTER_MS,
+    });
+    return answerRefusal(request, response, refusal);
+  }
   response.writeHead(204).end();
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -19,7 +19,7 @@
 import {NullObserver, type CallObserver} from './observer.js';
 import {createOnce} from './once.js';
 import {EntryRules} from './rules.js';
-import {createSync} from './sync.js';
+import {createSync, type BurnSource} from './sync.js';
 import {createUpstreams} from './upstream.js';
 
 /** Calls end by their deadline; the rest is for passing on the answer. */
@@ -34,6 +34,8 @@
   readonly host: string;
   readonly port: number;
   readonly observer?: CallObserver;
+  /** Recorded calls, for the report of control. */
+  readonly burn?: BurnSource;
   /** Text of `/metrics`; without it the path is not found. */
   readonly metrics?: () => string | Promise<string>;
   /** How long `/health` is unavailable before the server stops listening. */
@@ -79,6 +81,7 @@
     entryHost: options.entryHost,
     admission: admission.task,
     roster: roster.task,
+    burn: options.burn,
   });
   const {view, session} = sync;
   const {lease} = admission;
@@ -143,6 +146,7 @@
     };
     const outcome = await calls.run(exchange);
     if (!outcome.ok) {
+      exchange.facts.callerLeft ||= response.destroyed;
       const {kept} = exchange.facts;
       if (kept) answerKept(request, response, kept);
       else answerRefusal(request, response, outcome.refusal);
@@ -152,18 +156,20 @@
 
   function observe(exchange: Exchange, outcome: Outcome<Forwarded>): void {
     const {arrivedMs, facts} = exchange;
-    const {route, team, kept} = facts;
+    const {route, team, kept, callerLeft} = facts;
     const durationMs = performance.now() - arrivedMs;
     if (outcome.ok) {
       const {verdict, status, complete} = outcome.value;
-      observer.finished({route, team, verdict, status, complete, durationMs});
+      const common = {route, team, callerLeft, verdict, durationMs};
+      observer.finished({...common, status, complete});
       return;
     }
     const {verdict, code} = outcome.refusal;
     const complete = !exchange.response.destroyed;
     const sent = kept?.status ?? statusOf(outcome.refusal);
     const status = complete ? sent : 0;
-    const common = {route, team, verdict, status, complete, durationMs};
+    const base = {route, team, callerLeft, verdict, durationMs};
+    const common = {...base, status, complete};
     observer.finished(kept ? common : {...common, code});
   }
 
--- a/packages/entry/src/ledger.ts
+++ b/packages/entry/src/ledger.ts
@@ -3,7 +3,7 @@
  * slice, the ceiling and the running calls. No I/O; times are arguments.
  */
 import {refuse, type Refusal, type Slice} from '@lentildrift/model';
-import type {TeamUse} from '@lentildrift/protocol';
+import type {Target, TeamUse} from '@lentildrift/protocol';
 import {EntryRules} from './rules.js';
 
 /** A refused call counts as demand for this long: callers try again soon. */
@@ -22,7 +22,7 @@
   readonly sentMs: number;
   readonly slices: Readonly<Record<string, Slice>>;
   /** Ceilings to lower, by team. */
-  readonly targets: Readonly<Record<string, number>>;
+  readonly targets: Readonly<Record<string, Target>>;
 }
 
 export interface Ledger {
@@ -115,11 +115,12 @@
         held.generation = slice.generation;
         held.ceiling = slice.amount;
       }
-      const target = targets[team];
-      if (target !== undefined && slice.generation === held.generation) {
-        lowered ||= target < held.ceiling;
-        held.ceiling = Math.min(held.ceiling, target);
-      }
+    }
+    for (const [team, target] of Object.entries(targets)) {
+      const held = accounts.get(team);
+      if (held?.generation !== target.generation) continue;
+      lowered ||= target.ceiling < held.ceiling;
+      held.ceiling = Math.min(held.ceiling, target.ceiling);
     }
     freshUntilMs = Math.max(freshUntilMs, rules.leaseEndMs(sentMs));
     return lowered;
--- a/packages/protocol/test/service.test.ts
+++ b/packages/protocol/test/service.test.ts
@@ -147,7 +147,14 @@
     const startMs = performance.now();
     await peer.deliver({from: 'c2', messages: []});
     expect(await peer.readIndex({patient: false})).toEqual({revision: 7});
-    const sync = {session: 's', revision: 0, use: {}, roster: []};
+    const sync = {
+      session: 's',
+      revision: 0,
+      sequence: 1,
+      useSince: 0,
+      use: {},
+      roster: [],
+    };
     const answer = await control.sync({...sync, rosterVersion: 0});
     expect(answer).toEqual(closedSession);
     expect(performance.now() - startMs).toBeLessThan(TIMEOUT_MS / 2);
--- a/packages/testkit/src/measure.ts
+++ b/packages/testkit/src/measure.ts
@@ -7,6 +7,7 @@
 const MEASUREMENTS: Record<string, () => Promise<Measurement>> = {
   slopes: async () => (await import('./slopes.js')).measureSlopes,
   policy: async () => (await import('./policy.js')).measurePolicy,
+  traffic: async () => (await import('./bench/traffic.js')).measureTraffic,
   entry: async () => (await import('./bench/entry.js')).measureEntry,
   state: async () => (await import('./state/state.js')).measureState,
 };
