--- a/packages/entry/test/ledger.test.ts
+++ b/packages/entry/test/ledger.test.ts
@@ -117,7 +117,7 @@
     task.post({type: 'open', session: 's'});
     const slices = {club: {amount: 4, generation: 7}};
     const base = {session: 's', sentMs: 0, slices, targets: {}};
-    const lower = {...base, targets: {club: 1}};
+    const lower = {...base, targets: {club: {ceiling: 1, generation: 7}}};
     const counts: number[] = [];
     for (const renewal of [base, lower, lower]) {
       task.post({type: 'renew', renewal});
