--- a/packages/command/test/table.test.ts
+++ b/packages/command/test/table.test.ts
@@ -88,7 +88,7 @@
       'a pool named like a property of every object',
       'pool: booking',
       'pool: constructor',
-      /^14:5 routes\[0\]\.pool: unknown pool "constructor"/,
+      /^14:5 routes\[0\]\.pool: is a reserved name/,
     ],
     [
       'a route to a spare pool',
--- a/packages/model/src/table.ts
+++ b/packages/model/src/table.ts
@@ -7,7 +7,9 @@
   .regex(
     /^[a-z0-9][a-z0-9.-]{0,62}$/,
     'must be 1 to 63 characters of a-z, 0-9, "." or "-", starting with a letter or digit',
-  );
+  )
+  // Rows are looked up by name in plain objects, which inherit this one.
+  .refine(name => !(name in Object.prototype), 'is a reserved name');
 
 export const MAX_CALL_TIMEOUT_MS = 30_000;
 export const MAX_BODY_BYTES = 64 * 1024 * 1024;
--- a/packages/testkit/src/prove.ts
+++ b/packages/testkit/src/prove.ts
@@ -3,10 +3,19 @@
 import {WITHOUT} from './cluster/weak.js';
 import type {Report, Run} from './command/job.js';
 import {perform} from './command/perform.js';
+import {
+  fleetProofs,
+  MECHANISMS as FLEET_MECHANISMS,
+  type Mechanism as FleetMechanism,
+  type Proof,
+  type ProofRun,
+} from './proof/index.js';
 import {loadScenarios} from './scenario/load.js';
 import {PROVEN} from './scenario/proven.js';
 import type {Scenario} from './scenario/schema.js';
 
+const FLEET_INVARIANTS = ['budget', 'one-pool', 'isolation'] as const;
+
 interface Options {
   readonly list?: boolean;
   readonly without?: string;
@@ -29,22 +38,82 @@
 
 async function prove(name: string | undefined, options: Options) {
   const all = loadScenarios();
-  if (options.list) return list(all);
+  const fleet = [...fleetProofs().values()];
+  if (options.list) {
+    list(all);
+    return listFleet(fleet);
+  }
   const {without} = options;
   const chosen = all.filter(each => name === undefined || each.name === name);
-  if (chosen.length === 0) throw new Error(`no scenario "${name}"`);
-  if (without !== undefined && !Object.hasOwn(WITHOUT, without)) {
-    throw new Error(`no mechanism "${without}"`);
+  const proofs = fleet.filter(each => name === undefined || each.name === name);
+  if (chosen.length + proofs.length === 0) {
+    throw new Error(`no scenario "${name}"`);
   }
+  checkMechanism(without, chosen, proofs);
+  if (chosen.length > 0) await proveCluster(chosen, without);
+  if (proofs.length > 0) await proveFleet(proofs, without as FleetMechanism);
+}
+
+/** A mechanism must belong to what is run, or it could not be found out. */
+function checkMechanism(
+  without: string | undefined,
+  scenarios: readonly Scenario[],
+  proofs: readonly Proof[],
+): void {
+  if (without === undefined) return;
+  const known = [
+    ...(scenarios.length > 0 ? Object.keys(WITHOUT) : []),
+    ...(proofs.length > 0 ? FLEET_MECHANISMS : []),
+  ];
+  if (!known.includes(without)) throw new Error(`no mechanism "${without}"`);
+  if (scenarios.length > 0 && proofs.length > 0) {
+    throw new Error('--without needs the name of one scenario');
+  }
+}
+
+async function proveCluster(chosen: readonly Scenario[], without?: string) {
   const runs: Run[] = chosen.flatMap(scenario =>
     scenario.seeds.map(seed => ({scenario: scenario.name, seed, without})),
   );
   const reports = await perform(runs);
-  for (const invariant of PROVEN) summarise(invariant, chosen, reports);
+  const invariants = PROVEN.filter(
+    invariant =>
+      chosen.some(each => each.invariant === invariant) ||
+      reports.some(({examined}) => (examined[invariant] ?? 0) > 0),
+  );
+  for (const invariant of invariants) summarise(invariant, chosen, reports);
   for (const report of reports) printFaults(report);
   if (reports.some(isBad)) process.exitCode = 1;
 }
 
+async function proveFleet(
+  proofs: readonly Proof[],
+  without?: FleetMechanism,
+): Promise<void> {
+  const runs: {name: string; result: ProofRun}[] = [];
+  for (const {name, run} of proofs) {
+    runs.push({name, result: await run(without)});
+  }
+  for (const invariant of FLEET_INVARIANTS) {
+    const verdicts = runs.map(({result}) => result.verdicts[invariant]);
+    const events = verdicts.reduce((sum, each) => sum + each.examined, 0);
+    const violations = verdicts.flatMap(each => each.violations).length;
+    printLine(invariant, proofs.length, proofs.length, events, violations);
+  }
+  for (const {name, result} of runs) {
+    const faults = [...result.violations, ...result.unmet];
+    for (const text of faults.slice(0, FAULTS_SHOWN)) print(`${name}: ${text}`);
+    if (faults.length > 0) process.exitCode = 1;
+  }
+}
+
+function listFleet(proofs: readonly Proof[]): void {
+  print(FLEET_INVARIANTS.join(', '));
+  for (const {name, mechanisms, about} of proofs) {
+    print(`  ${name} [${mechanisms.join(', ')}] ${about}`);
+  }
+}
+
 function summarise(
   invariant: string,
   scenarios: readonly Scenario[],
@@ -59,8 +128,18 @@
   const violations = reports
     .flatMap(report => report.violations)
     .filter(text => text.startsWith(`${invariant}: `));
+  printLine(invariant, own.length, seeds, events, violations.length);
+}
+
+function printLine(
+  invariant: string,
+  scenarios: number,
+  runs: number,
+  events: number,
+  violations: number,
+): void {
   print(
-    `${invariant.padEnd(14)} ${own.length} scenarios, ${seeds} seeds, ${events} events examined, ${violations.length} violations`,
+    `${invariant.padEnd(14)} ${scenarios} scenarios, ${runs} runs, ${events} events examined, ${violations} violations`,
   );
 }
 
