Let calls wait briefly for their team's slice instead of refusing the first

With a low limit and several entry hosts, a host without demand holds no slot, so the first call there was always refused and only its retry served; a family that books one lane would meet that every time. Ruled out: a larger even reserve, which cannot give every host a slot when the limit is below the number of hosts. Change: a call beyond the slice, but not beyond the limit, waits up to 500 ms, at most 64 calls a team, while an early sync asks for slots.

--- a/packages/entry/src/admission.ts
+++ b/packages/entry/src/admission.ts
@@ -5,6 +5,7 @@
 import {createCell, type Cell} from './cell.js';
 import type {EntryRules} from './rules.js';
 import {createLedger, isGrant, type Grant, type Renewal} from './ledger.js';
+import {createQueue} from './queue.js';
 
 export type AdmissionMessage =
   | {
@@ -15,10 +16,14 @@
       answer: (result: Grant | Refusal) => void;
     }
   | {type: 'release'; grant: Grant}
+  /** Calls that waited for a slice may have waited too long. */
+  | {type: 'expire'}
   | {type: 'open'; session: string}
   | {type: 'renew'; renewal: Renewal}
   | {type: 'use'; reply: Reply<Record<string, TeamUse>>};
 
+type Admit = AdmissionMessage & {type: 'admit'};
+
 export interface Admission {
   readonly task: Task<AdmissionMessage>;
   /** End of the freshness lease, on the monotonic clock, in milliseconds. */
@@ -37,6 +42,8 @@
 ): Admission {
   const ledger = createLedger(rules);
   const lease = createCell(ledger.freshUntilMs());
+  const queue = createQueue<Admit>();
+  let timer: NodeJS.Timeout | undefined;
   const task = tasks.spawn<undefined, AdmissionMessage>({
     name: 'admission',
     initial: undefined,
@@ -44,6 +51,7 @@
       handle(message);
       return state;
     },
+    afterStop: () => clearTimeout(timer),
   });
 
   function handle(message: AdmissionMessage): void {
@@ -51,7 +59,11 @@
       case 'admit':
         return admit(message);
       case 'release':
-        return ledger.release(message.grant);
+        ledger.release(message.grant);
+        return serveQueue();
+      case 'expire':
+        timer = undefined;
+        return expire();
       case 'open':
         ledger.open(message.session);
         lease.value = ledger.freshUntilMs();
@@ -59,19 +71,50 @@
       case 'renew':
         if (ledger.renew(message.renewal)) onNews();
         lease.value = ledger.freshUntilMs();
+        serveQueue();
+        // Control may have had no time yet to decide about those that wait.
+        if (queue.size() > 0) onNews();
         return;
       case 'use':
         return message.reply.resolve(ledger.report());
     }
   }
 
-  function admit(message: AdmissionMessage & {type: 'admit'}): void {
+  function admit(message: Admit): void {
     const {team, limit} = message;
-    const result = ledger.admit(team, performance.now());
-    // A team that holds its whole limit cannot get more from control.
+    const now = performance.now();
+    const result = ledger.admit(team, now);
     const refusedForSlice = !isGrant(result) && result.code === 'over-limit';
-    if (refusedForSlice && ledger.ceiling(team) < limit) onNews();
-    message.answer(result);
+    // A team that holds its whole limit cannot get more from control.
+    if (!refusedForSlice || ledger.ceiling(team) >= limit) {
+      return message.answer(result);
+    }
+    onNews();
+    if (!queue.add(team, message, now)) return message.answer(result);
+    arm();
+  }
+
+  function serveQueue(): void {
+    queue.serve(({team, answer}) => {
+      if (!ledger.hasRoom(team, performance.now())) return false;
+      answer(ledger.admit(team, performance.now()));
+      return true;
+    });
+  }
+
+  function expire(): void {
+    const now = performance.now();
+    for (const {team, answer} of queue.expired(now)) {
+      answer(ledger.admit(team, now));
+    }
+    arm();
+  }
+
+  function arm(): void {
+    const next = queue.nextMs();
+    if (timer || next === undefined) return;
+    const waitMs = Math.max(0, Math.ceil(next - performance.now()));
+    timer = setTimeout(() => task.post({type: 'expire'}), waitMs);
   }
 
   return {task, lease};
--- a/packages/entry/src/ledger.ts
+++ b/packages/entry/src/ledger.ts
@@ -27,6 +27,8 @@
 
 export interface Ledger {
   admit(team: string, nowMs: number): Grant | Refusal;
+  /** Whether `admit` would grant a call. */
+  hasRoom(team: string, nowMs: number): boolean;
   release(grant: Grant): void;
   /** Starts a session with no slices; calls of the one before count no more. */
   open(session: string): void;
@@ -73,6 +75,12 @@
     return found;
   }
 
+  function hasRoom(team: string, nowMs: number): boolean {
+    if (session === undefined || nowMs >= freshUntilMs) return false;
+    const held = account(team);
+    return rules.admits(held.running, held.ceiling);
+  }
+
   function admit(team: string, nowMs: number): Grant | Refusal {
     if (session === undefined || nowMs >= freshUntilMs) {
       return refuse('stale', 'this entry host has no current configuration', {
@@ -139,6 +147,7 @@
 
   return {
     admit,
+    hasRoom,
     release,
     open,
     renew,
--- a/packages/entry/test/delta.test.ts
+++ b/packages/entry/test/delta.test.ts
@@ -179,6 +179,8 @@
           }
           for (const host of entries) TEAMS.forEach(t => host.finish(t));
           await pass(3000);
+          // Calls that waited for a slice may have been admitted meanwhile.
+          for (const host of entries) TEAMS.forEach(t => host.finish(t));
           calm = true;
           await pass(4000);
           // The next leader knows the use of idle teams only from what each
--- a/packages/entry/test/directory.test.ts
+++ b/packages/entry/test/directory.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {createRoster, directoryKey} from '../dist/src/directory.js';
+import {createRoster, directoryKey} from '../src/directory.js';
 import {EMPTY_VIEW, hostPhaseSchema, type RosterItem} from '@lentildrift/model';
 import {startTasks} from '@lentildrift/task';
 
