Report the use of a sync before its read is confirmed

The report is soft state and checked by generation, so it needs no confirmed read. Tests of control and entry pass; the measurement is not repeated yet.

--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -160,14 +160,15 @@
     const {burn, freshness, patience, replica, roster, sessions, views} =
       this.parts;
     const {session} = request;
+    const known = hasSlices(replica.state(), session);
+    // Others may wait for what this entry gave up: the leader hears of it now.
+    if (known) sessions.heard(request);
     const reads = isPressing(request) ? freshness : patience;
     const readIndex = await reads.confirm();
     if (!isOpen(replica.state(), session)) return CLOSED;
     roster.merge(request.roster, true);
     if (request.burn) burn.take(request.burn, request.sequence);
-    if (hasSlices(replica.state(), session)) {
-      sessions.heard(request);
-    } else {
+    if (!known) {
       // Without slices the entry could admit nothing until its next sync.
       await sessions.report(request).catch(() => undefined);
       // The leader has committed its slices; this replica may lag behind.
