Run the job queues on the users' platform: first path

The product had one task a job and decided once a second. This adds the replicated state of job queues (queue), pure scheduling decisions (scheduling), framed links between processes (link), the leader, its contacts with workers and the membership of the group (dispatch), and the adapter (platform).

--- a/packages/consensus/src/raft.ts
+++ b/packages/consensus/src/raft.ts
@@ -7,7 +7,7 @@
  */
 import type {LogRecord, Snapshot} from '@lentildrift/storage';
 import {TaskStopped, type Task} from '@lentildrift/task';
-import type {MemberChange} from './members.js';
+import {majority, type MemberChange} from './members.js';
 import type {PeerMessage} from './message.js';
 import {
   deadline,
@@ -89,6 +89,16 @@
     return statusOf(this.node, this.options.machine.revision(this.current));
   }
 
+  override leads(): boolean {
+    const {role, members, peers, rules, id} = this.node;
+    if (this.ended || role !== 'leader') return false;
+    const sinceMs = performance.now() - rules.minElectionMs;
+    const heard = members.voters.filter(
+      voter => voter === id || (peers[voter]?.heardMs ?? -Infinity) > sinceMs,
+    );
+    return heard.length >= majority(members);
+  }
+
   override propose(change: C): Promise<Committed<A>> {
     const text = this.options.codec.encodeChange(change);
     return this.requests.change(id => {
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -68,6 +68,12 @@
   /** The applied state. */
   abstract state(): S;
   abstract status(): ReplicaStatus;
+  /**
+   * Whether it leads and a majority has answered within the shortest election
+   * timeout. Unlike `status` it takes the present time into account, so that
+   * a process that was frozen notices before anything else runs.
+   */
+  abstract leads(): boolean;
   /**
    * Resolves once the change is durable on a majority and applied here.
    * Rejects with `NotLeader` or `OutcomeUnknown`.
--- /dev/null
+++ b/packages/dispatch/src/locate.ts
@@ -0,0 +1,45 @@
+/** The filters that every call passes: `locate → authorise`. */
+import {
+  findQueue,
+  findTeam,
+  type Queue,
+  type Tables,
+} from '@lentildrift/queue';
+import {refuse, type Refusal} from './request.js';
+
+export interface Call {
+  readonly host: string;
+  readonly path: string;
+  readonly key?: string | undefined;
+}
+
+export interface Located {
+  readonly queue: Queue;
+  /** Empty if the call concerns the queue itself. */
+  readonly jobId: string;
+  readonly team: string | undefined;
+}
+
+export function locate(tables: Tables, call: Call): Located | Refusal {
+  const queue = findQueue(tables, call.host, call.path);
+  if (!queue) return refuse('no-queue', `no queue at ${call.path}`);
+  const jobId = call.path.slice(queue.prefix.length);
+  return authorise(tables, call, queue, jobId);
+}
+
+function authorise(
+  tables: Tables,
+  {key}: Call,
+  queue: Queue,
+  jobId: string,
+): Located | Refusal {
+  const team = key === undefined ? undefined : findTeam(tables, key);
+  if (!team && !queue.open) {
+    return refuse('unauthorised', 'the key is not in force');
+  }
+  return {queue, jobId, team: team?.name};
+}
+
+export function isRefusal(found: Located | Refusal): found is Refusal {
+  return 'type' in found;
+}
--- /dev/null
+++ b/packages/dispatch/src/view.ts
@@ -0,0 +1,45 @@
+/** Answers to reads, as functions of the state. */
+import {isWaveDone, type Job, type State} from '@lentildrift/queue';
+import {isRefusal, locate} from './locate.js';
+import {refuse, type Reply, type RequestOf} from './request.js';
+
+export type Read = RequestOf<'inspect'> | RequestOf<'tables'> | RequestOf<'wave'>;
+
+export function answerRead(state: State, request: Read): Reply {
+  switch (request.type) {
+    case 'inspect':
+      return inspect(state, request);
+    case 'tables':
+      if (state.tables.version > 0) {
+        return {type: 'tables', document: state.tables.document};
+      }
+      return refuse('unavailable', 'there are no tables yet');
+    case 'wave': {
+      const wave = state.waves.get(request.id);
+      if (!wave) return refuse('unknown', `no wave ${request.id}`);
+      return {type: 'wave', done: isWaveDone(wave)};
+    }
+  }
+}
+
+function inspect(state: State, request: RequestOf<'inspect'>): Reply {
+  const found = locate(state.tables, request);
+  if (isRefusal(found)) return found;
+  if (found.jobId === '') return countWaiting(state, found.queue.name);
+  const job = state.jobs.get(found.jobId);
+  if (!job) return refuse('unknown', `no job ${found.jobId}`);
+  return {type: 'job', phase: shownPhase(job)};
+}
+
+function countWaiting(state: State, queue: string): Reply {
+  let count = 0;
+  for (const {spec, phase, started} of state.jobs.values()) {
+    if (spec.queue === queue && phase === 'active' && !started) count++;
+  }
+  return {type: 'waiting', count};
+}
+
+function shownPhase({phase, started}: Job) {
+  if (phase !== 'active') return phase;
+  return started ? 'running' : 'queued';
+}
--- /dev/null
+++ b/packages/link/src/server.ts
@@ -0,0 +1,161 @@
+/** The accepting side of links: one task for each connection. */
+import {createServer, type Server, type Socket} from 'node:net';
+import type {Log} from '@lentildrift/observe';
+import type {Task, TaskSystem} from '@lentildrift/task';
+import {createFrameDecoder, encodeFrame} from './frame.js';
+import {LinkMessage} from './message.js';
+import {
+  MAX_UNSENT_BYTES,
+  PING_INTERVAL_MS,
+  SILENCE_LIMIT_MS,
+} from './timing.js';
+
+export interface LinkServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly tasks: TaskSystem;
+  readonly log: Log;
+  /** Answers a request; a rejection is reported to the sender as failure. */
+  onRequest(from: string, body: unknown): Promise<unknown>;
+  /** Takes a message without an answer; must not wait for what it causes. */
+  onPost(from: string, kind: string, body: unknown): void;
+  /** Posts to send to each process that connects. */
+  greeting(): {kind: string; body: unknown};
+}
+
+export interface LinkServer {
+  readonly port: number;
+  /** Sends to every connected process. */
+  broadcast(kind: string, body: unknown): void;
+  stop(): Promise<void>;
+}
+
+type Message =
+  | {type: 'data'; chunk: Buffer}
+  | {type: 'send'; frame: Buffer}
+  | {type: 'closed'};
+
+interface Session {
+  readonly name: string;
+}
+
+/** Rejects if the port cannot be listened on. */
+export async function startLinkServer(
+  options: LinkServerOptions,
+): Promise<LinkServer> {
+  const sessions = new Set<Task<Message>>();
+  const sockets = new Set<Socket>();
+  let nextId = 1;
+
+  function accept(socket: Socket): void {
+    sockets.add(socket);
+    const session = spawnSession(options, socket, `link-in-${nextId++}`);
+    sessions.add(session);
+    socket.on('data', chunk => session.post({type: 'data', chunk}));
+    socket.on('error', error =>
+      options.log.debug('link-error', {reason: error.message}),
+    );
+    socket.on('close', () => {
+      sockets.delete(socket);
+      sessions.delete(session);
+      void session.stop();
+    });
+  }
+
+  const server = createServer({noDelay: true}, accept);
+  await listen(server, options.host, options.port);
+  const address = server.address();
+  return {
+    port: typeof address === 'object' && address ? address.port : options.port,
+    broadcast(kind, body) {
+      const frame = encodeFrame({type: 'post', kind, body});
+      for (const session of sessions) session.post({type: 'send', frame});
+    },
+    async stop() {
+      const closed = new Promise<void>(resolve => server.close(() => resolve()));
+      for (const socket of sockets) socket.destroy();
+      await closed;
+    },
+  };
+}
+
+function listen(server: Server, host: string, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+}
+
+function spawnSession(
+  options: LinkServerOptions,
+  socket: Socket,
+  name: string,
+): Task<Message> {
+  const decoder = createFrameDecoder();
+  socket.setTimeout(SILENCE_LIMIT_MS + PING_INTERVAL_MS, () =>
+    socket.destroy(),
+  );
+
+  function send(message: LinkMessage): void {
+    write(socket, encodeFrame(message));
+  }
+
+  function answer(from: string, id: number, body: unknown): void {
+    options.onRequest(from, body).then(
+      reply => send({type: 'reply', id, body: reply}),
+      (error: Error) => send({type: 'failure', id, reason: error.message}),
+    );
+  }
+
+  function take(session: Session, message: LinkMessage): Session {
+    switch (message.type) {
+      case 'hello': {
+        const {kind, body} = options.greeting();
+        send({type: 'post', kind, body});
+        return {name: message.name};
+      }
+      case 'ping':
+        send({type: 'pong'});
+        return session;
+      case 'request':
+        answer(session.name, message.id, message.body);
+        return session;
+      case 'post':
+        options.onPost(session.name, message.kind, message.body);
+        return session;
+      default:
+        return session;
+    }
+  }
+
+  return options.tasks.spawn<Session, Message>({
+    name,
+    initial: {name: ''},
+    handle(session, message) {
+      if (message.type === 'send') write(socket, message.frame);
+      if (message.type !== 'data') return session;
+      try {
+        return decoder
+          .push(message.chunk)
+          .map(value => LinkMessage.parse(value))
+          .reduce(take, session);
+      } catch (error) {
+        options.log.warn('link-refused', {
+          peer: session.name,
+          reason: (error as Error).message,
+        });
+        socket.destroy();
+        return session;
+      }
+    },
+  });
+}
+
+function write(socket: Socket, frame: Buffer): void {
+  if (socket.destroyed) return;
+  if (socket.writableLength > MAX_UNSENT_BYTES) socket.destroy();
+  else socket.write(frame);
+}
--- /dev/null
+++ b/packages/queue/src/apply.ts
@@ -0,0 +1,148 @@
+/** The state machine: `apply(state, change)`, pure and deterministic. */
+import type {Change, Event, EventOf, Outcome} from './change.js';
+import {Draft} from './draft.js';
+import type {Job} from './job.js';
+import {compact, endRun, loseRun, startRun} from './run.js';
+import type {State} from './state.js';
+import {workerKey} from './worker.js';
+
+export interface Applied {
+  readonly state: State;
+  /** One for each event. */
+  readonly outcomes: readonly Outcome[];
+}
+
+export function apply(state: State, change: Change): Applied {
+  const draft = new Draft(state);
+  const outcomes = change.events.map(event => applyEvent(draft, event));
+  return {state: draft.finish(), outcomes};
+}
+
+function applyEvent(draft: Draft, event: Event): Outcome {
+  switch (event.type) {
+    case 'tables':
+      return edit(draft, event);
+    case 'submit':
+      return submit(draft, event);
+    case 'cancel':
+      return cancel(draft, event);
+    case 'worker':
+      return announce(draft, event);
+    case 'worker-gone':
+      return removeWorker(draft, event);
+    case 'start':
+      return start(draft, event);
+    case 'ends':
+      return end(draft, event);
+    case 'lost':
+      for (const row of event.runs) loseRun(draft, row);
+      return 'applied';
+    case 'forget':
+      for (const id of event.jobs) draft.deleteJob(id);
+      return 'applied';
+    case 'wave':
+      if (draft.wave(event.wave.id)) return 'known';
+      draft.setWave(event.wave);
+      return 'applied';
+    case 'upkeep':
+      return setUpkeep(draft, event);
+  }
+}
+
+/** The highest version wins, whoever sends it. */
+function edit(draft: Draft, {tables}: EventOf<'tables'>): Outcome {
+  const {version, document} = draft.tables;
+  if (tables.version < version) return 'overtaken';
+  if (tables.version === version) {
+    return tables.document === document ? 'known' : 'conflict';
+  }
+  draft.tables = tables;
+  return 'applied';
+}
+
+function submit(draft: Draft, {job: spec, atMs}: EventOf<'submit'>): Outcome {
+  if (draft.job(spec.id)) return 'known';
+  draft.setJob({
+    spec,
+    acceptedAtMs: atMs,
+    phase: 'active',
+    started: false,
+    tasks: {},
+    done: {},
+  });
+  return 'applied';
+}
+
+function cancel(draft: Draft, {job: id}: EventOf<'cancel'>): Outcome {
+  const job = draft.job(id);
+  if (!job) return 'unknown';
+  if (job.phase !== 'active') return 'known';
+  draft.setJob(compact({...job, phase: 'cancelled'}));
+  return 'applied';
+}
+
+function announce(draft: Draft, {worker}: EventOf<'worker'>): Outcome {
+  const known = draft.worker(worker.id);
+  if (known && known.bornMs > worker.bornMs) return 'overtaken';
+  const same = known?.bornMs === worker.bornMs;
+  // A worker that has left does not come back within its incarnation.
+  if (same && known.phase === 'gone') return 'overtaken';
+  if (same && worker.phase !== 'gone' && worker.sequence < known.sequence) {
+    return 'overtaken';
+  }
+  if (known && !same) endRunsOn(draft, workerKey(known));
+  draft.setWorker({...worker, cursor: same ? known.cursor : 0});
+  return 'applied';
+}
+
+function removeWorker(
+  draft: Draft,
+  {worker: key}: EventOf<'worker-gone'>,
+): Outcome {
+  const known = draft.worker(key.slice(0, key.lastIndexOf('@')));
+  if (!known || workerKey(known) !== key) return 'unknown';
+  endRunsOn(draft, key);
+  draft.deleteWorker(known.id);
+  return 'applied';
+}
+
+function endRunsOn(draft: Draft, worker: string): void {
+  for (const job of [...draft.allJobs()]) {
+    const rest = withoutRunsOn(job, worker);
+    if (rest !== job) draft.setJob(compact(rest));
+  }
+}
+
+function withoutRunsOn(job: Job, worker: string): Job {
+  let tasks: Job['tasks'] | undefined;
+  for (const [key, task] of Object.entries(job.tasks)) {
+    const runs = task.runs.filter(run => run.worker !== worker);
+    if (runs.length === task.runs.length) continue;
+    tasks ??= {...job.tasks};
+    tasks[key] = {...task, runs};
+  }
+  return tasks ? {...job, tasks} : job;
+}
+
+function start(draft: Draft, {runs}: EventOf<'start'>): Outcome {
+  const outcomes = runs.map(row => startRun(draft, row));
+  return outcomes.every(each => each === 'applied') ? 'applied' : 'conflict';
+}
+
+function end(draft: Draft, event: EventOf<'ends'>): Outcome {
+  const {worker: key, upTo, ends} = event;
+  const known = draft.worker(key.slice(0, key.lastIndexOf('@')));
+  if (!known || workerKey(known) !== key) return 'unknown';
+  if (upTo <= known.cursor) return 'known';
+  for (const row of ends) endRun(draft, key, row);
+  draft.setWorker({...known, cursor: upTo});
+  return 'applied';
+}
+
+function setUpkeep(draft: Draft, event: EventOf<'upkeep'>): Outcome {
+  const wave = draft.wave(event.wave);
+  if (!wave?.hosts[event.host]) return 'unknown';
+  const hosts = {...wave.hosts, [event.host]: event.upkeep};
+  draft.setWave({...wave, hosts});
+  return 'applied';
+}
--- /dev/null
+++ b/packages/queue/src/state.ts
@@ -0,0 +1,53 @@
+/** The replicated state of the job queues. */
+import {z} from 'zod';
+import {Job} from './job.js';
+import {NO_TABLES, Tables} from './table.js';
+import {Wave} from './wave.js';
+import {Worker} from './worker.js';
+
+export const StoredState = z.object({
+  revision: z.int().nonnegative(),
+  tables: Tables,
+  jobs: z.array(Job),
+  workers: z.array(Worker),
+  waves: z.array(Wave),
+});
+export type StoredState = z.infer<typeof StoredState>;
+
+export interface State {
+  /** Number of changes applied. */
+  readonly revision: number;
+  readonly tables: Tables;
+  readonly jobs: ReadonlyMap<string, Job>;
+  /** By ID; at most one incarnation each. */
+  readonly workers: ReadonlyMap<string, Worker>;
+  readonly waves: ReadonlyMap<number, Wave>;
+}
+
+export const EMPTY_STATE: State = {
+  revision: 0,
+  tables: NO_TABLES,
+  jobs: new Map(),
+  workers: new Map(),
+  waves: new Map(),
+};
+
+export function toStored(state: State): StoredState {
+  return {
+    revision: state.revision,
+    tables: state.tables,
+    jobs: [...state.jobs.values()],
+    workers: [...state.workers.values()],
+    waves: [...state.waves.values()],
+  };
+}
+
+export function fromStored(stored: StoredState): State {
+  return {
+    revision: stored.revision,
+    tables: stored.tables,
+    jobs: new Map(stored.jobs.map(job => [job.spec.id, job])),
+    workers: new Map(stored.workers.map(worker => [worker.id, worker])),
+    waves: new Map(stored.waves.map(wave => [wave.id, wave])),
+  };
+}
--- /dev/null
+++ b/packages/queue/src/wave.ts
@@ -0,0 +1,26 @@
+/** Maintenance waves and moves of hosts between pools. */
+import {z} from 'zod';
+
+export const Upkeep = z.enum(['due', 'begun', 'done']);
+export type Upkeep = z.infer<typeof Upkeep>;
+
+export const Wave = z.object({
+  id: z.number(),
+  /** Time until which every host should have had its upkeep. */
+  durationMs: z.number().nonnegative(),
+  /** Most hosts that may be down for this wave at once. */
+  atOnce: z.int().positive(),
+  /** Unix time at the leader that accepted the wave. */
+  acceptedAtMs: z.number(),
+  hosts: z.record(z.string(), Upkeep),
+});
+export type Wave = z.infer<typeof Wave>;
+
+export function isWaveDone(wave: Wave): boolean {
+  return Object.values(wave.hosts).every(upkeep => upkeep === 'done');
+}
+
+export function hostsDown(wave: Wave): string[] {
+  const hosts = Object.entries(wave.hosts);
+  return hosts.filter(([, upkeep]) => upkeep === 'begun').map(([id]) => id);
+}
--- /dev/null
+++ b/packages/scheduling/src/budget.ts
@@ -0,0 +1,25 @@
+/** The availability budget of tasks that last. */
+import {positionOf, taskKey, taskName} from '@lentildrift/queue';
+import type {LiveRun} from './load.js';
+
+/** Whether the task is at work on the worker, as last reported. */
+export type AtWork = (task: string, worker: string) => boolean;
+
+/**
+ * Whether a run that lasts may be stopped: fewer others of its step than the
+ * budget are away for any reason. Without a budget, one at a time.
+ */
+export function mayStop(live: LiveRun, isAtWork: AtWork): boolean {
+  const {job, key, step} = live;
+  const position = positionOf(key);
+  let away = 0;
+  for (let index = 0; index < step.count; index++) {
+    if (index === position.index) continue;
+    const other = taskKey({...position, index});
+    const task = job.tasks[other];
+    const name = taskName(job.spec.id, other);
+    const working = task?.runs.some(run => isAtWork(name, run.worker));
+    if (!working) away++;
+  }
+  return away < Math.max(1, step.mayMiss);
+}
--- /dev/null
+++ b/packages/scheduling/src/place.ts
@@ -0,0 +1,87 @@
+/** The choice of a worker for a task. */
+import {
+  fits,
+  rackOf,
+  subtract,
+  type Size,
+  type Step,
+  type Worker,
+} from '@lentildrift/queue';
+
+/** A worker that may get new runs, and what is free on it. */
+export interface Candidate {
+  readonly key: string;
+  readonly worker: Worker;
+  readonly free: Size;
+  /** Chosen only if nothing else fits. */
+  readonly doubtful: boolean;
+}
+
+export interface PlaceInput {
+  readonly step: Step;
+  readonly size: Size;
+  readonly candidates: readonly Candidate[];
+  /** Workers where a run of this task has failed. */
+  readonly failedOn: readonly string[];
+  /** Rack of the other members of a gang, if any are placed. */
+  readonly gangRack?: string | undefined;
+}
+
+export abstract class Placement {
+  abstract choose(input: PlaceInput): Candidate | undefined;
+}
+
+export function meetsLabel({label}: Step, {labels}: Worker): boolean {
+  return label === undefined || labels.includes(label);
+}
+
+/** Baseline: the first worker with room. */
+export class FirstFit extends Placement {
+  override choose({step, size, candidates}: PlaceInput): Candidate | undefined {
+    return candidates.find(
+      ({worker, free}) => meetsLabel(step, worker) && fits(size, free),
+    );
+  }
+}
+
+/**
+ * The worker with the most free cores, so that a worker that turns slow or
+ * fails everything holds few tasks. Workers where the task has failed, doubtful
+ * ones and those on another rack than the data come last.
+ */
+export class Spread extends Placement {
+  override choose(input: PlaceInput): Candidate | undefined {
+    const {step, size, candidates} = input;
+    let best: Candidate | undefined;
+    let bestScore = -Infinity;
+    for (const candidate of candidates) {
+      const {worker, free} = candidate;
+      if (!fits(size, free) || !meetsLabel(step, worker)) continue;
+      const score = scoreOf(candidate, input);
+      if (score <= bestScore) continue;
+      best = candidate;
+      bestScore = score;
+    }
+    return best;
+  }
+}
+
+/** Larger than any share of free cores, so that these decide first. */
+const FAILED_BEFORE = -8;
+const DOUBTFUL = -4;
+const OTHER_RACK = -2;
+
+function scoreOf(candidate: Candidate, input: PlaceInput): number {
+  const {worker, free, key} = candidate;
+  const {cpuMillis} = worker.capacity;
+  let score = cpuMillis > 0 ? free.cpuMillis / cpuMillis : 0;
+  if (input.failedOn.includes(key)) score += FAILED_BEFORE;
+  if (candidate.doubtful) score += DOUBTFUL;
+  const wanted = input.step.rack ?? input.gangRack;
+  if (wanted !== undefined && rackOf(worker) !== wanted) score += OTHER_RACK;
+  return score;
+}
+
+export function take(candidate: Candidate, size: Size): Candidate {
+  return {...candidate, free: subtract(candidate.free, size)};
+}
--- a/packages/storage/src/disk.ts
+++ b/packages/storage/src/disk.ts
@@ -25,14 +25,22 @@
 const SNAPSHOT_FILE = 'snapshot';
 const Batch = z.array(LogWrite);
 
-/** Opens or creates the data folder and holds its lock until `close`. */
+/** Takes the lock of a data folder. */
+export type FolderLocker = (folder: string) => Promise<FolderLock>;
+
+/**
+ * Opens or creates the data folder and holds its lock until `close`. A
+ * deployment that runs one process for each folder, on a system without
+ * abstract sockets, passes a `locker` of its own.
+ */
 export async function openDisk(
   folder: string,
   groupId: string,
   source?: IdentitySource,
+  locker: FolderLocker = lockFolder,
 ): Promise<{identity: Identity; store: DiskStore}> {
   await mkdir(folder, {recursive: true});
-  const lock = await lockFolder(folder);
+  const lock = await locker(folder);
   try {
     const identity = await openIdentity(folder, groupId, source);
     return {identity, store: new DiskStore(folder, lock)};
