Divide hosts between pools by demand, and maintain idle hosts first

Cause of AVAIL on the rota: a run being stopped still counted as at work when the next one of its step was to be stopped, if another part had stopped it. Presence now knows every stop and ignores silent workers.

--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -20,13 +20,14 @@
 } from '@lentildrift/queue';
 import {
   DeadlineOrder,
+  ElasticPools,
   isQuarantined,
   learn,
   measureLoad,
   NO_DURATIONS,
   observeEnds,
   plan,
-  Spread,
+  Pack,
   type Candidate,
   type Durations,
   type Health,
@@ -35,16 +36,21 @@
   type Load,
   type Placement,
   type Plan,
+  type PoolPolicy,
 } from '@lentildrift/scheduling';
 import type {Reply, Task, TaskSystem} from '@lentildrift/task';
 import {createAdvice, type Advice} from './advice.js';
 import {openContact, type Contact, type ContactNews} from './contact.js';
 import {judge} from './directory.js';
 import type {WorkerDriver} from './driver.js';
+import {createInventory} from './inventory.js';
 import {createMaintenance, type Maintenance} from './maintenance.js';
+import {createPresence, type Presence} from './presence.js';
 import type {Adviser, HostProvider} from './provider.js';
+import {createRebalance, type Rebalance} from './rebalance.js';
 import {isSurplus, liveRunId, lostRow, reconcile, runId} from './reconcile.js';
 import {
+  DUTY_PAUSE_MS,
   LEFT_GRACE_MS,
   RETRY_PAUSE_MS,
   ROUND_INTERVAL_MS,
@@ -68,6 +74,7 @@
   readonly metrics: Metrics;
   readonly order?: JobOrder;
   readonly placement?: Placement;
+  readonly pools?: PoolPolicy;
   /** Whether this process still leads, as far as it can know. */
   isLeader(): boolean;
 }
@@ -107,7 +114,7 @@
 export function startLeader(options: LeaderOptions): Leader {
   const {replica, token, driver, tasks, log, metrics} = options;
   const order = options.order ?? new DeadlineOrder();
-  const placement = options.placement ?? new Spread();
+  const placement = options.placement ?? new Pack();
   const startedTasks = metrics.counter(
     'lentildrift_task_starts_total',
     'Runs that were ordered.',
@@ -124,6 +131,7 @@
     1,
   );
 
+  const openedMs = performance.now();
   const contacts = new Map<string, Contact>();
   const surveyed = new Set<string>();
   const recordedEnds = new Map<string, number>();
@@ -163,15 +171,39 @@
     log,
     onChange: touch,
   });
+  const presence: Presence = createPresence({
+    isAnswering: key => contacts.get(key)?.isAnswering() ?? false,
+    isStopping: id => stopOrders.has(id),
+  });
+  const inventory = createInventory(options.hosts, log);
+  const duty = {holder: options.holder, token};
   const maintenance: Maintenance = createMaintenance({
     replica,
-    duty: {holder: options.holder, token},
-    hosts: options.hosts,
+    duty,
+    provider: options.hosts,
+    inventory,
+    presence,
     log,
+    isMoving: host => rebalance.isHeld(host),
     commit: event => enqueue(event),
     stopRun: live => stopRun(live.run.worker, liveRunId(live), live),
     isLeader: options.isLeader,
   });
+  const rebalance: Rebalance = createRebalance({
+    policy: options.pools ?? new ElasticPools(),
+    provider: options.hosts,
+    inventory,
+    duty,
+    log,
+    state,
+    confirm: () => replica.readIndex(),
+    isLeader: options.isLeader,
+    onWorkerGone: worker => enqueue({type: 'worker-gone', worker}),
+    isInWave: host => maintenance.isHeld(host),
+    isUsable: worker =>
+      worker.phase === 'ready' &&
+      (contacts.get(workerKey(worker))?.isAnswering() ?? false),
+  });
 
   function handle(message: Message): void {
     switch (message.type) {
@@ -368,7 +400,7 @@
       log.warn('stray-run', {worker: key, task: name, run});
       contacts.get(key)!.stop(name, run);
     }
-    maintenance.observe(key, said);
+    presence.observe(key, said);
     touch();
   }
 
@@ -446,7 +478,7 @@
       const key = workerKey(worker);
       const contact = contacts.get(key);
       if (worker.phase !== 'ready' || !contact?.isAnswering()) continue;
-      if (!surveyed.has(key) || maintenance.isHeld(worker)) continue;
+      if (!surveyed.has(key) || isHeld(worker.host)) continue;
       const doubtful = isQuarantined(health, key, nowMs);
       const candidate = {key, worker, free: worker.capacity, doubtful};
       (doubtful ? bad : usable).push(candidate);
@@ -455,6 +487,10 @@
     return bad.length > usable.length ? [...usable, ...bad] : usable;
   }
 
+  function isHeld(host: string): boolean {
+    return maintenance.isHeld(host) || rebalance.isHeld(host);
+  }
+
   function poolWorkers(pool: string): Worker[] {
     return [...state().workers.values()].filter(
       worker => worker.pool === pool && worker.phase === 'ready',
@@ -551,6 +587,7 @@
       contacts.delete(key);
       surveyed.delete(key);
       recordedEnds.delete(key);
+      presence.forget(key);
       void contact.end();
     }
   }
@@ -585,7 +622,10 @@
     syncContacts();
     stopSurplus();
     expire();
-    maintenance.tick(loadNow());
+    if (performance.now() - openedMs > DUTY_PAUSE_MS) {
+      maintenance.tick(loadNow());
+      rebalance.tick(loadNow());
+    }
     dirty = true;
     if (!outstanding) round();
   }
@@ -640,6 +680,7 @@
       clearTimeout(roundTimer);
       clearTimeout(tickTimer);
       maintenance.stop();
+      rebalance.stop();
       for (const {reply} of queue) {
         reply?.reject(new Error('no longer the leader'));
       }
--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -6,22 +6,26 @@
 import {
   hostsDown,
   isWaveDone,
-  taskName,
   workerKey,
   type Event,
   type Wave,
   type Worker,
 } from '@lentildrift/queue';
 import {mayStop, type LiveRun, type Load} from '@lentildrift/scheduling';
-import type {Report} from './driver.js';
+import type {Inventory} from './inventory.js';
 import type {QueueReplica} from './leader.js';
-import type {Duty, HostProvider, ProvidedHost} from './provider.js';
+import type {Presence} from './presence.js';
+import type {Duty, HostProvider} from './provider.js';
 
 export interface MaintenanceOptions {
   readonly replica: QueueReplica;
   readonly duty: Duty;
-  readonly hosts: HostProvider;
+  readonly provider: HostProvider;
+  readonly inventory: Inventory;
+  readonly presence: Presence;
   readonly log: Log;
+  /** Whether a move between pools is under way. */
+  isMoving(host: string): boolean;
   commit(event: Event): void;
   stopRun(live: LiveRun): void;
   isLeader(): boolean;
@@ -29,25 +33,23 @@
 
 export interface Maintenance {
   /** Whether the worker gets no new runs because its host is to be emptied. */
-  isHeld(worker: Worker): boolean;
-  observe(worker: string, report: Report): void;
+  isHeld(host: string): boolean;
   tick(load: Load): void;
   stop(): void;
 }
 
-/**
- * A new leader gives no order to hosts before an order of the last one cannot
- * be under way any more.
- */
-const DUTY_PAUSE_MS = 3500;
 /** Longest wait for the tasks that do not last to end by themselves. */
 const EMPTYING_MS = 3500;
-/** The provider's list is read this often while a wave is open. */
-const LIST_INTERVAL_MS = 1000;
 /** Pause before an order that was turned away is given again. */
 const RETRY_MS = 500;
 /** Hosts that are emptied ahead of those that may go down. */
 const AHEAD = 1;
+/** Time that the upkeep of a host takes, its emptying included. */
+const HOST_MS = 5000;
+/** A wave is to be done this long before its deadline. */
+const RESERVE_MS = 4000;
+/** Part of a pool's hosts in use that may be emptied at once. */
+const POOL_SHARE = 1 / 3;
 
 /** What this leader knows of a host that it empties or maintains. */
 interface Work {
@@ -62,15 +64,7 @@
 
 export function createMaintenance(options: MaintenanceOptions): Maintenance {
   const {replica, log} = options;
-  const openedMs = performance.now();
   const works = new Map<string, Work>();
-  /** Lasting tasks that are at work, by worker. */
-  const atWork = new Map<string, ReadonlySet<string>>();
-  /** Where tasks were last stopped, until they are at work elsewhere. */
-  const stopped = new Map<string, string>();
-  let listed: {hosts: ReadonlyMap<string, ProvidedHost>; atMs: number} | undefined;
-  let listing = false;
-  let listedMs = -Infinity;
   let ended = false;
 
   function tick(load: Load): void {
@@ -78,40 +72,23 @@
       wave => !isWaveDone(wave),
     );
     if (open.length === 0 || ended) return;
-    refreshList();
-    if (performance.now() - openedMs < DUTY_PAUSE_MS) return;
+    options.inventory.refresh();
     for (const wave of open) advance(wave, load);
   }
 
-  function refreshList(): void {
-    const nowMs = performance.now();
-    if (listing || nowMs - listedMs < LIST_INTERVAL_MS) return;
-    listing = true;
-    listedMs = nowMs;
-    options.hosts.list().then(
-      hosts => {
-        listing = false;
-        listed = {hosts: new Map(hosts.map(host => [host.id, host])), atMs: nowMs};
-      },
-      (error: Error) => {
-        listing = false;
-        log.info('hosts-unlisted', {reason: error.message});
-      },
-    );
-  }
-
   function advance(wave: Wave, load: Load): void {
+    const listed = options.inventory.hosts();
     if (!listed) return;
     const down = hostsDown(wave);
     for (const host of down) followUp(wave, host);
     for (const [host, upkeep] of Object.entries(wave.hosts)) {
-      if (upkeep !== 'due' || listed.hosts.has(host)) continue;
+      if (upkeep !== 'due' || listed.has(host)) continue;
       if (works.has(host) && works.get(host)!.phase !== 'emptying') continue;
       log.info('host-left', {wave: wave.id, host});
       works.delete(host);
       finish(wave, host);
     }
-    select(wave, down.length);
+    select(wave, down.length, load);
     for (const [host, work] of works) {
       if (work.wave === wave.id && work.phase === 'emptying') {
         empty(wave, host, work, load);
@@ -119,29 +96,61 @@
     }
   }
 
-  /** Chooses hosts to empty: as many as may go down, and a few ahead. */
-  function select(wave: Wave, down: number): void {
+  /**
+   * Chooses hosts to empty: idle ones at any time, and hosts in use when the
+   * wave would be late otherwise, few of one pool at a time.
+   */
+  function select(wave: Wave, down: number, load: Load): void {
+    const due = dueHosts(wave);
     const chosen = [...works.values()].filter(
       work => work.wave === wave.id && work.phase !== 'down',
     ).length;
     let room = wave.atOnce + AHEAD - down - chosen;
-    for (const [host, upkeep] of Object.entries(wave.hosts)) {
+    const idle = due.filter(host => !isInUse(host, load));
+    const busy = isPressed(wave, due.length)
+      ? due.filter(host => isInUse(host, load))
+      : [];
+    for (const host of [...idle, ...busy]) {
       if (room <= 0) return;
-      if (upkeep !== 'due' || works.has(host)) continue;
-      if (listed?.hosts.get(host)?.state !== 'up') continue;
-      works.set(host, {
+      if (busy.includes(host) && !hasPoolRoom(host)) continue;
+      works.set(host, newWork(wave, 'emptying'));
+      room--;
+      log.info('host-emptying', {
         wave: wave.id,
-        sinceMs: performance.now(),
-        worker: undefined,
-        phase: 'emptying',
-        retryAtMs: 0,
-        orderedMs: 0,
+        host,
+        idle: !busy.includes(host),
       });
-      room--;
-      log.info('host-emptying', {wave: wave.id, host});
     }
   }
 
+  function dueHosts(wave: Wave): string[] {
+    const hosts = Object.entries(wave.hosts)
+      .filter(([, upkeep]) => upkeep === 'due')
+      .map(([host]) => host);
+    return hosts.filter(host => {
+      const state = options.inventory.hosts()?.get(host)?.state;
+      return state === 'up' && !works.has(host) && !options.isMoving(host);
+    });
+  }
+
+  function isInUse(host: string, load: Load): boolean {
+    const worker = workerOn(host);
+    return worker !== undefined && load.byWorker.has(workerKey(worker));
+  }
+
+  function isPressed({acceptedAtMs, durationMs, atOnce}: Wave, due: number) {
+    const leftMs = acceptedAtMs + durationMs - Date.now();
+    return leftMs < Math.ceil(due / atOnce) * HOST_MS + RESERVE_MS;
+  }
+
+  function hasPoolRoom(host: string): boolean {
+    const pool = workerOn(host)?.pool;
+    const workers = [...replica.state().workers.values()];
+    const members = workers.filter(worker => worker.pool === pool);
+    const held = members.filter(worker => works.has(worker.host)).length;
+    return held + 1 <= Math.max(1, Math.floor(members.length * POOL_SHARE));
+  }
+
   function workerOn(host: string): Worker | undefined {
     let newest: Worker | undefined;
     for (const worker of replica.state().workers.values()) {
@@ -156,9 +165,9 @@
     const key = worker && workerKey(worker);
     const runs = load.runs.filter(({run}) => run.worker === key);
     for (const live of runs) {
-      if (!live.step.lasting || !mayStop(live, isAtWork)) continue;
-      stopped.set(taskName(live.job.spec.id, live.key), live.run.worker);
-      options.stopRun(live);
+      if (live.step.lasting && mayStop(live, options.presence.isAtWork)) {
+        options.stopRun(live);
+      }
     }
     const nowMs = performance.now();
     const lasting = runs.some(({step}) => step.lasting);
@@ -172,11 +181,6 @@
     void begin(wave, host, work, key);
   }
 
-  function isAtWork(task: string, worker: string): boolean {
-    if (stopped.get(task) === worker) return false;
-    return atWork.get(worker)?.has(task) ?? false;
-  }
-
   async function begin(
     wave: Wave,
     host: string,
@@ -203,11 +207,14 @@
       // A process that was frozen finds out here that it no longer leads.
       await replica.readIndex();
       if (!options.isLeader() || ended) return;
-      const answer = await options.hosts.maintain(host, wave.id, options.duty);
+      const answer = await options.provider.maintain(host, wave.id, options.duty);
       log.info('upkeep-ordered', {wave: wave.id, host, answer});
       if (answer === 'accepted') {
         work.phase = 'down';
         work.orderedMs = performance.now();
+        if (work.worker !== undefined) {
+          options.commit({type: 'worker-gone', worker: work.worker});
+        }
       } else if (answer === 'busy' || answer === 'refused') {
         works.delete(host);
         await replica.propose({
@@ -228,14 +235,7 @@
     if (!work) {
       // Ordered by an earlier leader, or about to be: repeated, since the
       // provider answers alike when it has done it.
-      work = {
-        wave: wave.id,
-        sinceMs: performance.now(),
-        worker: undefined,
-        phase: 'ordering',
-        retryAtMs: 0,
-        orderedMs: 0,
-      };
+      work = newWork(wave, 'ordering');
       works.set(host, work);
       void order(wave, host, work);
       return;
@@ -257,8 +257,9 @@
     if (work.worker !== undefined) {
       if (worker && workerKey(worker) !== work.worker) return true;
     }
-    if (!listed || listed.atMs < work.orderedMs) return false;
-    const state = listed.hosts.get(host)?.state;
+    const listed = options.inventory.hosts();
+    if (!listed || options.inventory.askedMs() < work.orderedMs) return false;
+    const state = listed.get(host)?.state;
     return state === undefined || (state === 'up' && work.worker === undefined);
   }
 
@@ -272,13 +273,7 @@
   }
 
   return {
-    isHeld: worker => works.has(worker.host),
-    observe(worker, report) {
-      const tasks = report.running
-        .filter(({percent}) => percent >= 100)
-        .map(({task}) => task);
-      atWork.set(worker, new Set(tasks));
-    },
+    isHeld: host => works.has(host),
     tick,
     stop() {
       ended = true;
@@ -286,3 +281,13 @@
   };
 }
 
+function newWork(wave: Wave, phase: Work['phase']): Work {
+  return {
+    wave: wave.id,
+    sinceMs: performance.now(),
+    worker: undefined,
+    phase,
+    retryAtMs: 0,
+    orderedMs: 0,
+  };
+}
--- /dev/null
+++ b/packages/dispatch/src/rebalance.ts
@@ -0,0 +1,239 @@
+/** Moves hosts between pools: only idle ones, one order at a time each. */
+import type {Log} from '@lentildrift/observe';
+import {NO_SIZE, workerKey, type State, type Worker} from '@lentildrift/queue';
+import {
+  measureDemand,
+  type Load,
+  type Move,
+  type PoolHost,
+  type PoolPolicy,
+  type PoolView,
+} from '@lentildrift/scheduling';
+import type {Inventory} from './inventory.js';
+import type {Duty, HostProvider, ProvidedHost} from './provider.js';
+
+export interface RebalanceOptions {
+  readonly policy: PoolPolicy;
+  readonly provider: HostProvider;
+  readonly inventory: Inventory;
+  readonly duty: Duty;
+  readonly log: Log;
+  state(): State;
+  /** Rejects if this process does not lead any more. */
+  confirm(): Promise<unknown>;
+  isLeader(): boolean;
+  /** The incarnation has ended with its host's move. */
+  onWorkerGone(worker: string): void;
+  /** Whether a wave empties the host or has it down. */
+  isInWave(host: string): boolean;
+  /** Whether the worker can get runs, apart from its host's duties. */
+  isUsable(worker: Worker): boolean;
+}
+
+export interface Rebalance {
+  /** Whether the host gets no new runs because it is to be moved. */
+  isHeld(host: string): boolean;
+  tick(load: Load): void;
+  stop(): void;
+}
+
+/** A host has to be idle this long before it may leave its pool. */
+const IDLE_MS = 1200;
+/** A start may be on its way to the record when a host is chosen. */
+const SETTLE_MS = 150;
+/** A host that does not appear in its new pool by then is looked up again. */
+const ARRIVAL_MS = 4000;
+const RETRY_MS = 500;
+
+interface Transfer {
+  readonly move: Move;
+  readonly sinceMs: number;
+  /** Incarnation that ran on the host before. */
+  readonly worker: string | undefined;
+  phase: 'settling' | 'ordering' | 'moving';
+  retryAtMs: number;
+  orderedMs: number;
+}
+
+export function createRebalance(options: RebalanceOptions): Rebalance {
+  const {inventory, log} = options;
+  const transfers = new Map<string, Transfer>();
+  const idleSince = new Map<string, number>();
+  let ended = false;
+
+  function tick(load: Load): void {
+    inventory.refresh();
+    const hosts = inventory.hosts();
+    if (!hosts || ended) return;
+    const byHost = workersByHost(options.state());
+    for (const [host, transfer] of transfers) {
+      advance(host, transfer, byHost, load);
+    }
+    const views = survey(hosts, byHost, load);
+    for (const move of options.policy.decide(views)) {
+      begin(move, byHost.get(move.host));
+    }
+  }
+
+  function survey(
+    hosts: ReadonlyMap<string, ProvidedHost>,
+    byHost: ReadonlyMap<string, Worker>,
+    load: Load,
+  ): PoolView[] {
+    const {tables} = options.state();
+    const demands = measureDemand(options.state(), load, Date.now());
+    return tables.pools.map(({name, standby}) => ({
+      name,
+      standby,
+      serving: servingIn(name, standby, hosts, byHost, load),
+      arriving: arrivingIn(name),
+      demand: demands.get(name) ?? {reserved: NO_SIZE, waiting: NO_SIZE},
+    }));
+  }
+
+  function servingIn(
+    pool: string,
+    standby: boolean,
+    hosts: ReadonlyMap<string, ProvidedHost>,
+    byHost: ReadonlyMap<string, Worker>,
+    load: Load,
+  ): PoolHost[] {
+    const serving: PoolHost[] = [];
+    for (const {id, pool: listed, state, capacity} of hosts.values()) {
+      if (transfers.has(id) || options.isInWave(id)) continue;
+      const worker = byHost.get(id);
+      if (standby) {
+        if (listed !== pool || state !== 'up' || worker) continue;
+        serving.push({id, capacity, idle: true});
+        continue;
+      }
+      if (worker?.pool !== pool || !options.isUsable(worker)) continue;
+      serving.push({id, capacity, idle: isIdle(id, worker, load)});
+    }
+    return serving;
+  }
+
+  function arrivingIn(pool: string): number {
+    let count = 0;
+    for (const {move} of transfers.values()) if (move.to === pool) count++;
+    return count;
+  }
+
+  function isIdle(host: string, worker: Worker, load: Load): boolean {
+    const nowMs = performance.now();
+    if (load.byWorker.has(workerKey(worker))) {
+      idleSince.delete(host);
+      return false;
+    }
+    const since = idleSince.get(host) ?? nowMs;
+    idleSince.set(host, since);
+    return nowMs - since >= IDLE_MS;
+  }
+
+  function begin(move: Move, worker: Worker | undefined): void {
+    log.info('move-chosen', {...move});
+    transfers.set(move.host, {
+      move,
+      sinceMs: performance.now(),
+      worker: worker && workerKey(worker),
+      phase: 'settling',
+      retryAtMs: 0,
+      orderedMs: 0,
+    });
+  }
+
+  function advance(
+    host: string,
+    transfer: Transfer,
+    byHost: ReadonlyMap<string, Worker>,
+    load: Load,
+  ): void {
+    const nowMs = performance.now();
+    if (transfer.phase === 'settling') {
+      if (nowMs - transfer.sinceMs < SETTLE_MS) return;
+      if (transfer.worker !== undefined && load.byWorker.has(transfer.worker)) {
+        drop(host, 'a run was started');
+      } else if (nowMs >= transfer.retryAtMs) {
+        void order(host, transfer);
+      }
+      return;
+    }
+    if (transfer.phase !== 'moving') return;
+    if (hasArrived(host, transfer, byHost.get(host))) {
+      drop(host, 'arrived');
+    }
+  }
+
+  function hasArrived(
+    host: string,
+    {move, worker: before, orderedMs}: Transfer,
+    worker: Worker | undefined,
+  ): boolean {
+    if (worker && workerKey(worker) !== before) return true;
+    const listed = inventory.hosts()?.get(host);
+    if (inventory.askedMs() < orderedMs) return false;
+    if (!listed) return true;
+    if (listed.state === 'up' && listed.pool === move.to && !worker) {
+      // In standby nothing announces itself.
+      return listed.worker === '' || performance.now() - orderedMs > ARRIVAL_MS;
+    }
+    return performance.now() - orderedMs > 2 * ARRIVAL_MS;
+  }
+
+  async function order(host: string, transfer: Transfer): Promise<void> {
+    transfer.phase = 'ordering';
+    try {
+      // A process that was frozen finds out here that it no longer leads.
+      await options.confirm();
+      if (!options.isLeader() || ended) return;
+      const {to} = transfer.move;
+      const answer = await options.provider.move(host, to, options.duty);
+      log.info('move-ordered', {...transfer.move, answer});
+      if (answer === 'accepted') {
+        transfer.phase = 'moving';
+        transfer.orderedMs = performance.now();
+        if (transfer.worker !== undefined) {
+          options.onWorkerGone(transfer.worker);
+        }
+      } else if (answer === 'slow-down') {
+        retry(transfer);
+      } else {
+        drop(host, answer);
+      }
+    } catch (error) {
+      // It may have been carried out: the host stays held, and the order is
+      // repeated, which has no effect on a host that is there already.
+      log.info('move-unanswered', {host, reason: (error as Error).message});
+      retry(transfer);
+    }
+  }
+
+  function retry(transfer: Transfer): void {
+    transfer.phase = 'settling';
+    transfer.retryAtMs = performance.now() + RETRY_MS;
+  }
+
+  function drop(host: string, reason: string): void {
+    log.info('move-ended', {host, reason});
+    transfers.delete(host);
+    idleSince.delete(host);
+  }
+
+  return {
+    isHeld: host => transfers.has(host),
+    tick,
+    stop() {
+      ended = true;
+    },
+  };
+}
+
+function workersByHost(state: State): Map<string, Worker> {
+  const byHost = new Map<string, Worker>();
+  for (const worker of state.workers.values()) {
+    if (worker.host === '' || worker.phase === 'gone') continue;
+    const known = byHost.get(worker.host);
+    if (!known || worker.bornMs > known.bornMs) byHost.set(worker.host, worker);
+  }
+  return byHost;
+}
--- a/packages/dispatch/src/timing.ts
+++ b/packages/dispatch/src/timing.ts
@@ -25,3 +25,8 @@
 export const LEFT_GRACE_MS = 500;
 /** A worker that neither announces itself nor answers is forgotten. */
 export const WORKER_EXPIRY_MS = 60_000;
+/**
+ * A new leader gives no order to hosts before an order of the last one cannot
+ * be under way any more.
+ */
+export const DUTY_PAUSE_MS = 3500;
--- a/packages/scheduling/src/budget.ts
+++ b/packages/scheduling/src/budget.ts
@@ -1,9 +1,9 @@
 /** The availability budget of tasks that last. */
-import {positionOf, taskKey, taskName} from '@lentildrift/queue';
+import {positionOf, taskKey, taskName, type Run} from '@lentildrift/queue';
 import type {LiveRun} from './load.js';
 
-/** Whether the task is at work on the worker, as last reported. */
-export type AtWork = (task: string, worker: string) => boolean;
+/** Whether the run of a task is at work, as last reported. */
+export type AtWork = (task: string, run: Run) => boolean;
 
 /**
  * Whether a run that lasts may be stopped: fewer others of its step than the
@@ -16,10 +16,9 @@
   for (let index = 0; index < step.count; index++) {
     if (index === position.index) continue;
     const other = taskKey({...position, index});
-    const task = job.tasks[other];
     const name = taskName(job.spec.id, other);
-    const working = task?.runs.some(run => isAtWork(name, run.worker));
-    if (!working) away++;
+    const runs = job.tasks[other]?.runs ?? [];
+    if (!runs.some(run => isAtWork(name, run))) away++;
   }
   return away < Math.max(1, step.mayMiss);
 }
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -5,3 +5,5 @@
 export * from './place.js';
 export * from './plan.js';
 export * from './budget.js';
+export * from './demand.js';
+export * from './pools.js';
--- a/packages/scheduling/src/place.ts
+++ b/packages/scheduling/src/place.ts
@@ -45,11 +45,13 @@
 }
 
 /**
- * The worker with the most free cores, so that a worker that turns slow or
- * fails everything holds few tasks. Workers where the task has failed, doubtful
- * ones and those on another rack than the data come last.
+ * Chooses by a score. Workers where the task has failed, doubtful ones and
+ * those on another rack than the data come last.
  */
-export class Spread extends Placement {
+abstract class Scored extends Placement {
+  /** Between 0 and 1; the highest is chosen. */
+  protected abstract preference(candidate: Candidate): number;
+
   override choose(input: PlaceInput): Candidate | undefined {
     const {step, size, candidates} = input;
     let best: Candidate | undefined;
@@ -57,7 +59,7 @@
     for (const candidate of candidates) {
       const {worker, free} = candidate;
       if (!fits(size, free) || !meetsLabel(step, worker)) continue;
-      const score = scoreOf(candidate, input);
+      const score = this.preference(candidate) + penalty(candidate, input);
       if (score <= bestScore) continue;
       best = candidate;
       bestScore = score;
@@ -66,19 +68,41 @@
   }
 }
 
-/** Larger than any share of free cores, so that these decide first. */
+/**
+ * The worker with the most free cores, so that a worker that turns slow or
+ * fails everything holds few tasks.
+ */
+export class Spread extends Scored {
+  protected override preference(candidate: Candidate): number {
+    return freeShare(candidate);
+  }
+}
+
+/** The fullest worker, so that others become idle and can leave the pool. */
+export class Pack extends Scored {
+  protected override preference(candidate: Candidate): number {
+    return 1 - freeShare(candidate);
+  }
+}
+
+function freeShare({worker, free}: Candidate): number {
+  const {cpuMillis} = worker.capacity;
+  return cpuMillis > 0 ? free.cpuMillis / cpuMillis : 0;
+}
+
+/** Larger than any preference, so that these decide first. */
 const FAILED_BEFORE = -8;
 const DOUBTFUL = -4;
 const OTHER_RACK = -2;
 
-function scoreOf(candidate: Candidate, input: PlaceInput): number {
-  const {worker, free, key} = candidate;
-  const {cpuMillis} = worker.capacity;
-  let score = cpuMillis > 0 ? free.cpuMillis / cpuMillis : 0;
-  if (input.failedOn.includes(key)) score += FAILED_BEFORE;
+function penalty(candidate: Candidate, input: PlaceInput): number {
+  let score = 0;
+  if (input.failedOn.includes(candidate.key)) score += FAILED_BEFORE;
   if (candidate.doubtful) score += DOUBTFUL;
   const wanted = input.step.rack ?? input.gangRack;
-  if (wanted !== undefined && rackOf(worker) !== wanted) score += OTHER_RACK;
+  if (wanted !== undefined && rackOf(candidate.worker) !== wanted) {
+    score += OTHER_RACK;
+  }
   return score;
 }
 
