Count the spread of steps over workers as demand for hosts

Cause: a pool was left with fewer hosts than a lasting step may be spread over, so that one of its tasks waited for 20 s and its budget kept a host of the wave from being emptied. Seen as waitingCores of an idle pool and host-not-empty.

--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -6,6 +6,7 @@
 import {
   hostsDown,
   isWaveDone,
+  taskName,
   workerKey,
   type Event,
   type Wave,
@@ -42,12 +43,14 @@
 const EMPTYING_MS = 3500;
 /** Pause before an order that was turned away is given again. */
 const RETRY_MS = 500;
+/** Interval of the log lines on a host that does not become empty. */
+const REPORT_MS = 2000;
 /** Hosts that are emptied ahead of those that may go down. */
 const AHEAD = 1;
 /** Time that the upkeep of a host takes, its emptying included. */
 const HOST_MS = 5000;
 /** A wave is to be done this long before its deadline. */
-const RESERVE_MS = 4000;
+const RESERVE_MS = 7000;
 /** Part of a pool's hosts in use that may be emptied at once. */
 const POOL_SHARE = 1 / 3;
 
@@ -60,6 +63,7 @@
   phase: 'emptying' | 'recording' | 'ordering' | 'down';
   retryAtMs: number;
   orderedMs: number;
+  reportedMs: number;
 }
 
 export function createMaintenance(options: MaintenanceOptions): Maintenance {
@@ -173,6 +177,7 @@
     const lasting = runs.some(({step}) => step.lasting);
     const waited = nowMs - work.sinceMs >= EMPTYING_MS;
     const empty = runs.length === 0 || (waited && !lasting);
+    if (!empty) reportWait(host, work, runs);
     if (!empty || nowMs < work.retryAtMs) return;
     const down = [...works.values()].filter(
       other => other.wave === wave.id && other.phase !== 'emptying',
@@ -181,6 +186,32 @@
     void begin(wave, host, work, key);
   }
 
+  /** Says now and then what keeps a host from being empty. */
+  function reportWait(
+    host: string,
+    work: Work,
+    runs: readonly LiveRun[],
+  ): void {
+    const nowMs = performance.now();
+    if (nowMs - Math.max(work.sinceMs, work.reportedMs) < REPORT_MS) return;
+    work.reportedMs = nowMs;
+    const {isAtWork} = options.presence;
+    for (const live of runs) {
+      const {job, key, step, run} = live;
+      const task = taskName(job.spec.id, key);
+      log.info('host-not-empty', {
+        host,
+        task,
+        lasting: step.lasting,
+        filler: step.filler,
+        count: step.count,
+        mayMiss: step.mayMiss,
+        atWork: isAtWork(task, run),
+        mayStop: mayStop(live, isAtWork),
+      });
+    }
+  }
+
   async function begin(
     wave: Wave,
     host: string,
@@ -289,5 +320,6 @@
     phase,
     retryAtMs: 0,
     orderedMs: 0,
+    reportedMs: 0,
   };
 }
--- a/packages/dispatch/src/rebalance.ts
+++ b/packages/dispatch/src/rebalance.ts
@@ -1,8 +1,9 @@
 /** Moves hosts between pools: only idle ones, one order at a time each. */
 import type {Log} from '@lentildrift/observe';
-import {NO_SIZE, workerKey, type State, type Worker} from '@lentildrift/queue';
+import {workerKey, type State, type Worker} from '@lentildrift/queue';
 import {
   measureDemand,
+  NO_DEMAND,
   type Load,
   type Move,
   type PoolHost,
@@ -38,12 +39,14 @@
 }
 
 /** A host has to be idle this long before it may leave its pool. */
-const IDLE_MS = 1200;
+const IDLE_MS = 2500;
 /** A start may be on its way to the record when a host is chosen. */
 const SETTLE_MS = 150;
 /** A host that does not appear in its new pool by then is looked up again. */
 const ARRIVAL_MS = 4000;
 const RETRY_MS = 500;
+/** Interval of the log lines on the pools. */
+const REPORT_MS = 1000;
 
 interface Transfer {
   readonly move: Move;
@@ -60,6 +63,7 @@
   const transfers = new Map<string, Transfer>();
   const idleSince = new Map<string, number>();
   let ended = false;
+  let reportedMs = -Infinity;
 
   function tick(load: Load): void {
     inventory.refresh();
@@ -70,11 +74,30 @@
       advance(host, transfer, byHost, load);
     }
     const views = survey(hosts, byHost, load);
+    report(views);
     for (const move of options.policy.decide(views)) {
       begin(move, byHost.get(move.host));
     }
   }
 
+  /** Sizes and demand of the pools, for the log. */
+  function report(views: readonly PoolView[]): void {
+    const nowMs = performance.now();
+    if (nowMs - reportedMs < REPORT_MS) return;
+    reportedMs = nowMs;
+    for (const {name, serving, arriving, demand} of views) {
+      log.info('pool', {
+        pool: name,
+        serving: serving.length,
+        idle: serving.filter(({idle}) => idle).length,
+        arriving,
+        reservedCores: Math.round(demand.reserved.cpuMillis / 1000),
+        waitingCores: Math.round(demand.waiting.cpuMillis / 1000),
+        reservedMb: demand.reserved.memoryMb,
+      });
+    }
+  }
+
   function survey(
     hosts: ReadonlyMap<string, ProvidedHost>,
     byHost: ReadonlyMap<string, Worker>,
@@ -87,7 +110,7 @@
       standby,
       serving: servingIn(name, standby, hosts, byHost, load),
       arriving: arrivingIn(name),
-      demand: demands.get(name) ?? {reserved: NO_SIZE, waiting: NO_SIZE},
+      demand: demands.get(name) ?? NO_DEMAND,
     }));
   }
 
--- a/packages/scheduling/src/demand.ts
+++ b/packages/scheduling/src/demand.ts
@@ -17,9 +17,15 @@
   readonly reserved: Size;
   /** Of tasks whose turn has come and that do not run. */
   readonly waiting: Size;
+  /** Hosts over which the limits of tasks on one worker spread a step. */
+  readonly spread: number;
 }
 
-const NO_DEMAND: Demand = {reserved: NO_SIZE, waiting: NO_SIZE};
+export const NO_DEMAND: Demand = {
+  reserved: NO_SIZE,
+  waiting: NO_SIZE,
+  spread: 0,
+};
 
 /** Demand by pool. */
 export function measureDemand(
@@ -29,7 +35,7 @@
 ): ReadonlyMap<string, Demand> {
   const pools = new Map(state.tables.queues.map(row => [row.name, row.pool]));
   const demands = new Map<string, Demand>();
-  const put = (queue: string, part: keyof Demand, size: Size) => {
+  const put = (queue: string, part: 'reserved' | 'waiting', size: Size) => {
     const pool = pools.get(queue);
     if (pool === undefined) return;
     const known = demands.get(pool) ?? NO_DEMAND;
@@ -42,10 +48,22 @@
     if (job.phase !== 'active') continue;
     const size = waitingSize(job, nowMs);
     if (size !== NO_SIZE) put(job.spec.queue, 'waiting', size);
+    const pool = pools.get(job.spec.queue);
+    const known = pool === undefined ? undefined : demands.get(pool);
+    const spread = spreadOf(job);
+    if (pool === undefined || !known || known.spread >= spread) continue;
+    demands.set(pool, {...known, spread});
   }
   return demands;
 }
 
+function spreadOf({spec}: Job): number {
+  const hosts = spec.steps.map(({count, maxPerWorker}) =>
+    maxPerWorker > 0 ? Math.ceil(count / maxPerWorker) : 1,
+  );
+  return Math.max(...hosts);
+}
+
 function waitingSize(job: Job, nowMs: number): Size {
   let total = NO_SIZE;
   for (let occurrence = 0; occurrence < timesOf(job.spec); occurrence++) {
--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -95,7 +95,7 @@
 function hostsFor({serving, demand}: PoolView): number {
   const sample = serving[0];
   if (!sample) return MIN_HOSTS;
-  const {reserved, waiting} = demand;
+  const {reserved, waiting, spread} = demand;
   const cores =
     (reserved.cpuMillis + waiting.cpuMillis) /
     Math.max(1, sample.capacity.cpuMillis);
@@ -103,5 +103,5 @@
     (reserved.memoryMb + waiting.memoryMb) /
     Math.max(1, sample.capacity.memoryMb);
   const filled = Math.ceil(Math.max(cores, memory) / FILL);
-  return Math.max(MIN_HOSTS, filled + HEADROOM_HOSTS);
+  return Math.max(MIN_HOSTS, spread, filled + HEADROOM_HOSTS);
 }
