Put moves on record and empty hosts that other pools need

Orders are now on record by host, which also keeps a new leader from placing runs on a host that is about to move.

--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -50,6 +50,7 @@
 import {createRebalance, type Rebalance} from './rebalance.js';
 import {isSurplus, liveRunId, lostRow, reconcile, runId} from './reconcile.js';
 import {
+  DUTY_MEMORY_MS,
   DUTY_PAUSE_MS,
   LEFT_GRACE_MS,
   RETRY_PAUSE_MS,
@@ -132,6 +133,8 @@
   );
 
   const openedMs = performance.now();
+  const takeoverMs = Date.now();
+  const earlierDuties = replica.state().duties;
   const contacts = new Map<string, Contact>();
   const surveyed = new Set<string>();
   const recordedEnds = new Map<string, number>();
@@ -185,6 +188,7 @@
     presence,
     log,
     isMoving: host => rebalance.isHeld(host),
+    isGuarded,
     commit: event => enqueue(event),
     stopRun: live => stopRun(live.run.worker, liveRunId(live), live),
     isLeader: options.isLeader,
@@ -196,7 +200,8 @@
     duty,
     log,
     state,
-    confirm: () => replica.readIndex(),
+    record: duty => commitOwn({type: 'duty', duty}),
+    isGuarded,
     isLeader: options.isLeader,
     onWorkerGone: worker => enqueue({type: 'worker-gone', worker}),
     isInWave: host => maintenance.isHeld(host),
@@ -487,6 +492,17 @@
     return bad.length > usable.length ? [...usable, ...bad] : usable;
   }
 
+  /** Holders of duties take turns with a host only after a pause. */
+  function isGuarded(host: string): boolean {
+    if (performance.now() - openedMs > DUTY_PAUSE_MS) return false;
+    const last = earlierDuties.get(host);
+    return last !== undefined && takeoverMs - last.atMs < DUTY_MEMORY_MS;
+  }
+
+  function commitOwn(event: Event): Promise<Outcome> {
+    return new Promise((resolve, reject) => enqueue(event, {resolve, reject}));
+  }
+
   function isHeld(host: string): boolean {
     return maintenance.isHeld(host) || rebalance.isHeld(host);
   }
@@ -622,10 +638,8 @@
     syncContacts();
     stopSurplus();
     expire();
-    if (performance.now() - openedMs > DUTY_PAUSE_MS) {
-      maintenance.tick(loadNow());
-      rebalance.tick(loadNow());
-    }
+    maintenance.tick(loadNow());
+    rebalance.tick(loadNow());
     dirty = true;
     if (!outstanding) round();
   }
--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -27,6 +27,8 @@
   readonly log: Log;
   /** Whether a move between pools is under way. */
   isMoving(host: string): boolean;
+  /** Whether an order of an earlier leader may still be under way. */
+  isGuarded(host: string): boolean;
   commit(event: Event): void;
   stopRun(live: LiveRun): void;
   isLeader(): boolean;
@@ -133,7 +135,8 @@
       .map(([host]) => host);
     return hosts.filter(host => {
       const state = options.inventory.hosts()?.get(host)?.state;
-      return state === 'up' && !works.has(host) && !options.isMoving(host);
+      if (works.has(host) || options.isMoving(host)) return false;
+      return state === 'up' && !options.isGuarded(host);
     });
   }
 
@@ -235,8 +238,11 @@
   async function order(wave: Wave, host: string, work: Work): Promise<void> {
     work.phase = 'ordering';
     try {
-      // A process that was frozen finds out here that it no longer leads.
-      await replica.readIndex();
+      // The next leader has to know, and a process that was frozen finds out
+      // here that it no longer leads.
+      await replica.propose({
+        events: [{type: 'duty', duty: {host, atMs: Date.now()}}],
+      });
       if (!options.isLeader() || ended) return;
       const answer = await options.provider.maintain(host, wave.id, options.duty);
       log.info('upkeep-ordered', {wave: wave.id, host, answer});
@@ -263,6 +269,7 @@
   /** Notices that a host is back, or repeats an order without an answer. */
   function followUp(wave: Wave, host: string): void {
     let work = works.get(host);
+    if (!work && options.isGuarded(host)) return;
     if (!work) {
       // Ordered by an earlier leader, or about to be: repeated, since the
       // provider answers alike when it has done it.
--- a/packages/dispatch/src/rebalance.ts
+++ b/packages/dispatch/src/rebalance.ts
@@ -1,6 +1,11 @@
 /** Moves hosts between pools: only idle ones, one order at a time each. */
 import type {Log} from '@lentildrift/observe';
-import {workerKey, type State, type Worker} from '@lentildrift/queue';
+import {
+  workerKey,
+  type Duty as DutyRecord,
+  type State,
+  type Worker,
+} from '@lentildrift/queue';
 import {
   measureDemand,
   NO_DEMAND,
@@ -20,8 +25,10 @@
   readonly duty: Duty;
   readonly log: Log;
   state(): State;
-  /** Rejects if this process does not lead any more. */
-  confirm(): Promise<unknown>;
+  /** Makes the order known to the next leader; rejects if it cannot. */
+  record(duty: DutyRecord): Promise<unknown>;
+  /** Whether an order of an earlier leader may still be under way. */
+  isGuarded(host: string): boolean;
   isLeader(): boolean;
   /** The incarnation has ended with its host's move. */
   onWorkerGone(worker: string): void;
@@ -42,6 +49,8 @@
 const IDLE_MS = 2500;
 /** A start may be on its way to the record when a host is chosen. */
 const SETTLE_MS = 150;
+/** Longest wait for the tasks of a host that another pool needs. */
+const EMPTYING_MS = 3000;
 /** A host that does not appear in its new pool by then is looked up again. */
 const ARRIVAL_MS = 4000;
 const RETRY_MS = 500;
@@ -53,6 +62,8 @@
   readonly sinceMs: number;
   /** Incarnation that ran on the host before. */
   readonly worker: string | undefined;
+  /** Whether the next leader would know of it. */
+  recorded: boolean;
   phase: 'settling' | 'ordering' | 'moving';
   retryAtMs: number;
   orderedMs: number;
@@ -70,6 +81,7 @@
     const hosts = inventory.hosts();
     if (!hosts || ended) return;
     const byHost = workersByHost(options.state());
+    inherit();
     for (const [host, transfer] of transfers) {
       advance(host, transfer, byHost, load);
     }
@@ -80,6 +92,18 @@
     }
   }
 
+  /** Moves that an earlier leader ordered are held and ordered again. */
+  function inherit(): void {
+    for (const {host, to} of options.state().duties.values()) {
+      if (to === undefined || transfers.has(host)) continue;
+      log.info('move-inherited', {host, to});
+      transfers.set(host, {
+        ...newTransfer({host, from: '', to}, undefined),
+        recorded: true,
+      });
+    }
+  }
+
   /** Sizes and demand of the pools, for the log. */
   function report(views: readonly PoolView[]): void {
     const nowMs = performance.now();
@@ -124,14 +148,22 @@
     const serving: PoolHost[] = [];
     for (const {id, pool: listed, state, capacity} of hosts.values()) {
       if (transfers.has(id) || options.isInWave(id)) continue;
+      if (options.isGuarded(id)) continue;
       const worker = byHost.get(id);
       if (standby) {
         if (listed !== pool || state !== 'up' || worker) continue;
-        serving.push({id, capacity, idle: true});
+        serving.push({id, capacity, idle: true, pinned: false, usedMillis: 0});
         continue;
       }
       if (worker?.pool !== pool || !options.isUsable(worker)) continue;
-      serving.push({id, capacity, idle: isIdle(id, worker, load)});
+      const key = workerKey(worker);
+      serving.push({
+        id,
+        capacity,
+        idle: isIdle(id, worker, load),
+        pinned: load.pinned.has(key),
+        usedMillis: load.byWorker.get(key)?.cpuMillis ?? 0,
+      });
     }
     return serving;
   }
@@ -155,14 +187,10 @@
 
   function begin(move: Move, worker: Worker | undefined): void {
     log.info('move-chosen', {...move});
-    transfers.set(move.host, {
-      move,
-      sinceMs: performance.now(),
-      worker: worker && workerKey(worker),
-      phase: 'settling',
-      retryAtMs: 0,
-      orderedMs: 0,
-    });
+    transfers.set(
+      move.host,
+      newTransfer(move, worker && workerKey(worker)),
+    );
   }
 
   function advance(
@@ -171,14 +199,8 @@
     byHost: ReadonlyMap<string, Worker>,
     load: Load,
   ): void {
-    const nowMs = performance.now();
     if (transfer.phase === 'settling') {
-      if (nowMs - transfer.sinceMs < SETTLE_MS) return;
-      if (transfer.worker !== undefined && load.byWorker.has(transfer.worker)) {
-        drop(host, 'a run was started');
-      } else if (nowMs >= transfer.retryAtMs) {
-        void order(host, transfer);
-      }
+      settle(host, transfer, load);
       return;
     }
     if (transfer.phase !== 'moving') return;
@@ -187,6 +209,20 @@
     }
   }
 
+  function settle(host: string, transfer: Transfer, load: Load): void {
+    const nowMs = performance.now();
+    const {worker, sinceMs, recorded} = transfer;
+    if (nowMs < transfer.retryAtMs || options.isGuarded(host)) return;
+    if (worker !== undefined && !recorded) {
+      if (nowMs - sinceMs < SETTLE_MS) return;
+      if (load.byWorker.has(worker)) {
+        if (nowMs - sinceMs > EMPTYING_MS) drop(host, 'not empty in time');
+        return;
+      }
+    }
+    void order(host, transfer);
+  }
+
   function hasArrived(
     host: string,
     {move, worker: before, orderedMs}: Transfer,
@@ -206,10 +242,11 @@
   async function order(host: string, transfer: Transfer): Promise<void> {
     transfer.phase = 'ordering';
     try {
+      const {to} = transfer.move;
       // A process that was frozen finds out here that it no longer leads.
-      await options.confirm();
+      await options.record({host, to, atMs: Date.now()});
+      transfer.recorded = true;
       if (!options.isLeader() || ended) return;
-      const {to} = transfer.move;
       const answer = await options.provider.move(host, to, options.duty);
       log.info('move-ordered', {...transfer.move, answer});
       if (answer === 'accepted') {
@@ -238,8 +275,14 @@
 
   function drop(host: string, reason: string): void {
     log.info('move-ended', {host, reason});
+    const recorded = transfers.get(host)?.recorded;
     transfers.delete(host);
     idleSince.delete(host);
+    if (!recorded) return;
+    options.record({host, atMs: Date.now()}).catch((error: Error) =>
+      // The next leader orders the move again, which changes nothing.
+      log.info('duty-unrecorded', {host, reason: error.message}),
+    );
   }
 
   return {
@@ -251,6 +294,18 @@
   };
 }
 
+function newTransfer(move: Move, worker: string | undefined): Transfer {
+  return {
+    move,
+    sinceMs: performance.now(),
+    worker,
+    recorded: false,
+    phase: 'settling',
+    retryAtMs: 0,
+    orderedMs: 0,
+  };
+}
+
 function workersByHost(state: State): Map<string, Worker> {
   const byHost = new Map<string, Worker>();
   for (const worker of state.workers.values()) {
--- a/packages/dispatch/src/timing.ts
+++ b/packages/dispatch/src/timing.ts
@@ -30,3 +30,8 @@
  * be under way any more.
  */
 export const DUTY_PAUSE_MS = 3500;
+/**
+ * Orders to hosts before this time are no concern of a new leader, even if the
+ * time of day differs by seconds between the leaders.
+ */
+export const DUTY_MEMORY_MS = DUTY_PAUSE_MS + 6000;
--- a/packages/queue/src/apply.ts
+++ b/packages/queue/src/apply.ts
@@ -46,6 +46,9 @@
       return 'applied';
     case 'upkeep':
       return setUpkeep(draft, event);
+    case 'duty':
+      draft.setDuty(event.duty);
+      return 'applied';
   }
 }
 
--- a/packages/queue/src/change.ts
+++ b/packages/queue/src/change.ts
@@ -6,7 +6,7 @@
 import {JobSpec} from './job.js';
 import {Tables} from './table.js';
 import {Worker} from './worker.js';
-import {Upkeep, Wave} from './wave.js';
+import {Duty, Upkeep, Wave} from './wave.js';
 
 /** How a run ended, as its worker lists it. */
 export const EndKind = z.enum([
@@ -59,6 +59,8 @@
     host: z.string(),
     upkeep: Upkeep,
   }),
+  /** An order to a host is about to be given, or was carried out. */
+  z.object({type: z.literal('duty'), duty: Duty}),
 ]);
 export type Event = z.infer<typeof Event>;
 export type EventOf<T extends Event['type']> = Extract<Event, {type: T}>;
--- a/packages/queue/src/draft.ts
+++ b/packages/queue/src/draft.ts
@@ -1,7 +1,7 @@
 /** A state under change; only the maps that change are copied. */
 import type {Job} from './job.js';
 import type {State} from './state.js';
-import type {Wave} from './wave.js';
+import type {Duty, Wave} from './wave.js';
 import type {Worker} from './worker.js';
 
 export class Draft {
@@ -9,6 +9,7 @@
   private jobs: Map<string, Job> | undefined;
   private workers: Map<string, Worker> | undefined;
   private waves: Map<number, Wave> | undefined;
+  private duties: Map<string, Duty> | undefined;
 
   constructor(private readonly base: State) {
     this.tables = base.tables;
@@ -55,6 +56,11 @@
     this.waves.set(wave.id, wave);
   }
 
+  setDuty(duty: Duty): void {
+    this.duties ??= new Map(this.base.duties);
+    this.duties.set(duty.host, duty);
+  }
+
   finish(): State {
     return {
       revision: this.base.revision + 1,
@@ -62,6 +68,7 @@
       jobs: this.jobs ?? this.base.jobs,
       workers: this.workers ?? this.base.workers,
       waves: this.waves ?? this.base.waves,
+      duties: this.duties ?? this.base.duties,
     };
   }
 }
--- a/packages/queue/src/state.ts
+++ b/packages/queue/src/state.ts
@@ -2,7 +2,7 @@
 import {z} from 'zod';
 import {Job} from './job.js';
 import {NO_TABLES, Tables} from './table.js';
-import {Wave} from './wave.js';
+import {Duty, Wave} from './wave.js';
 import {Worker} from './worker.js';
 
 export const StoredState = z.object({
@@ -11,6 +11,7 @@
   jobs: z.array(Job),
   workers: z.array(Worker),
   waves: z.array(Wave),
+  duties: z.array(Duty),
 });
 export type StoredState = z.infer<typeof StoredState>;
 
@@ -22,6 +23,8 @@
   /** By ID; at most one incarnation each. */
   readonly workers: ReadonlyMap<string, Worker>;
   readonly waves: ReadonlyMap<number, Wave>;
+  /** By host. */
+  readonly duties: ReadonlyMap<string, Duty>;
 }
 
 export const EMPTY_STATE: State = {
@@ -30,6 +33,7 @@
   jobs: new Map(),
   workers: new Map(),
   waves: new Map(),
+  duties: new Map(),
 };
 
 export function toStored(state: State): StoredState {
@@ -39,6 +43,7 @@
     jobs: [...state.jobs.values()],
     workers: [...state.workers.values()],
     waves: [...state.waves.values()],
+    duties: [...state.duties.values()],
   };
 }
 
@@ -49,5 +54,6 @@
     jobs: new Map(stored.jobs.map(job => [job.spec.id, job])),
     workers: new Map(stored.workers.map(worker => [worker.id, worker])),
     waves: new Map(stored.waves.map(wave => [wave.id, wave])),
+    duties: new Map(stored.duties.map(duty => [duty.host, duty])),
   };
 }
--- a/packages/queue/src/wave.ts
+++ b/packages/queue/src/wave.ts
@@ -24,3 +24,13 @@
   const hosts = Object.entries(wave.hosts);
   return hosts.filter(([, upkeep]) => upkeep === 'begun').map(([id]) => id);
 }
+
+/** The last order to a host, so that the next leader knows of it. */
+export const Duty = z.object({
+  host: z.string(),
+  /** Pool that the host moves to; absent once it is there, and for upkeep. */
+  to: z.string().optional(),
+  /** Unix time at the leader that gave the order. */
+  atMs: z.number(),
+});
+export type Duty = z.infer<typeof Duty>;
--- a/packages/scheduling/src/load.ts
+++ b/packages/scheduling/src/load.ts
@@ -26,6 +26,8 @@
   /** Reserved by worker key. */
   readonly byWorker: ReadonlyMap<string, Size>;
   readonly byTeam: ReadonlyMap<string, Size>;
+  /** Workers that run a task that lasts. */
+  readonly pinned: ReadonlySet<string>;
   /** Runs of a step of one occurrence on a worker, by `spreadKey`. */
   readonly spread: ReadonlyMap<string, number>;
 }
@@ -56,12 +58,14 @@
 export function measureLoad(state: State): Load {
   const byWorker = new Map<string, Size>();
   const byTeam = new Map<string, Size>();
+  const pinned = new Set<string>();
   const spread = new Map<string, number>();
   const runs = liveRuns(state);
   for (const {job, key, step, run} of runs) {
     const {worker} = run;
     const {team, id} = job.spec;
     byWorker.set(worker, add(byWorker.get(worker) ?? NO_SIZE, reservation(step)));
+    if (step.lasting) pinned.add(worker);
     if (team !== undefined) {
       byTeam.set(team, add(byTeam.get(team) ?? NO_SIZE, step.size));
     }
@@ -69,5 +73,5 @@
     const at = spreadKey(id, stepKey(position.occurrence, position.step), worker);
     spread.set(at, (spread.get(at) ?? 0) + 1);
   }
-  return {runs, byWorker, byTeam, spread};
+  return {runs, byWorker, byTeam, pinned, spread};
 }
--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -8,6 +8,10 @@
   readonly capacity: Size;
   /** Nothing runs on it, and nothing has for a while. */
   readonly idle: boolean;
+  /** A task that lasts runs on it. */
+  readonly pinned: boolean;
+  /** Thousandths of a core that are reserved on it. */
+  readonly usedMillis: number;
 }
 
 export interface PoolView {
@@ -47,27 +51,29 @@
 
 /**
  * Each pool gets the hosts that its demand fills and one more. Short pools are
- * served from standby first, then from hosts that another pool does not need;
- * hosts that no pool needs go to standby.
+ * served from standby first, then with hosts that another pool does not need,
+ * the emptiest first; idle hosts that no pool needs go to standby.
  */
 export class ElasticPools extends PoolPolicy {
   override decide(pools: readonly PoolView[]): Move[] {
     const standby = pools.find(pool => pool.standby);
     const active = pools.filter(pool => !pool.standby);
     const wanted = new Map(active.map(pool => [pool.name, hostsFor(pool)]));
-    const surplus: {host: PoolHost; pool: PoolView}[] = [];
+    const surplus: Source[] = [];
     for (const pool of active) {
       const extra = sizeOf(pool) - wanted.get(pool.name)!;
-      const idle = pool.serving.filter(host => host.idle);
-      for (const host of idle.slice(0, Math.max(0, extra))) {
-        surplus.push({host, pool});
-      }
+      const spare = pool.serving
+        .filter(host => !host.pinned)
+        .sort((a, b) => a.usedMillis - b.usedMillis)
+        .slice(0, Math.max(0, extra));
+      for (const host of spare) surplus.push({host, pool});
     }
+    surplus.sort((a, b) => a.host.usedMillis - b.host.usedMillis);
     const reserve = (standby?.serving ?? []).map(host => ({
       host,
       pool: standby!,
     }));
-    const source = [...reserve, ...surplus];
+    const source: Source[] = [...reserve, ...surplus];
     const moves: Move[] = [];
     const short = active
       .map(pool => ({pool, missing: wanted.get(pool.name)! - sizeOf(pool)}))
@@ -81,13 +87,18 @@
     }
     if (!standby) return moves;
     for (const {host, pool} of source) {
-      if (pool === standby) continue;
+      if (pool === standby || !host.idle) continue;
       moves.push({host: host.id, from: pool.name, to: standby.name});
     }
     return moves;
   }
 }
 
+interface Source {
+  readonly host: PoolHost;
+  readonly pool: PoolView;
+}
+
 function sizeOf({serving, arriving}: PoolView): number {
   return serving.length + arriving;
 }
