--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -235,7 +235,8 @@
         return;
       case 'rejected':
         outstanding = false;
-        for (const {reply} of message.batch.queued) reply?.reject(message.error);
+        for (const {reply} of message.batch.queued)
+          reply?.reject(message.error);
         log.warn('change-lost', {reason: message.error.message});
     }
   }
@@ -367,7 +368,12 @@
       startedMs.set(id, performance.now());
       return;
     }
-    log.info('start-refused', {worker: key, task: name, run, reason: answer.reason});
+    log.info('start-refused', {
+      worker: key,
+      task: name,
+      run,
+      reason: answer.reason,
+    });
     advice.refused(name, answer.reason);
     // It may have run, or its end may wait for a report to be noticed.
     if (answer.reason === 'withdrawn' || answer.reason === 'superseded') return;
@@ -444,8 +450,7 @@
     queue = [];
     const events = queued.map(({event}) => event);
     const base = state();
-    const projected =
-      events.length > 0 ? apply(base, {events}).state : base;
+    const projected = events.length > 0 ? apply(base, {events}).state : base;
     const decided = decide(projected);
     roundTime.record({}, performance.now() - begunMs);
     advice.request(decided.unadvised, poolWorkers);
@@ -627,7 +632,9 @@
   }
 
   function workerOf({run}: LiveRun): Worker | undefined {
-    return state().workers.get(run.worker.slice(0, run.worker.lastIndexOf('@')));
+    return state().workers.get(
+      run.worker.slice(0, run.worker.lastIndexOf('@')),
+    );
   }
 
   // Time
--- a/packages/dispatch/src/local.ts
+++ b/packages/dispatch/src/local.ts
@@ -145,9 +145,7 @@
     const {jobId} = found;
     const outcome = await leader.commit({type: 'cancel', job: jobId});
     log.info('job-cancelled', {request: id, job: jobId, outcome});
-    return outcome === 'unknown'
-      ? refuse('unknown', `no job ${jobId}`)
-      : DONE;
+    return outcome === 'unknown' ? refuse('unknown', `no job ${jobId}`) : DONE;
   }
 
   async function edit(id: string, {tables}: RequestOf<'edit'>): Promise<Reply> {
@@ -226,4 +224,3 @@
 export function isNotLeader(error: unknown): boolean {
   return error instanceof NotLeader;
 }
-
--- a/packages/dispatch/src/locate.ts
+++ b/packages/dispatch/src/locate.ts
@@ -1,10 +1,5 @@
 /** The filters that every call passes: `locate → authorise`. */
-import {
-  findQueue,
-  findTeam,
-  type Queue,
-  type Tables,
-} from '@lentildrift/queue';
+import {findQueue, findTeam, type Queue, type Tables} from '@lentildrift/queue';
 import {refuse, type Refusal} from './request.js';
 
 export interface Call {
--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -244,7 +244,11 @@
         events: [{type: 'duty', duty: {host, atMs: Date.now()}}],
       });
       if (!options.isLeader() || ended) return;
-      const answer = await options.provider.maintain(host, wave.id, options.duty);
+      const answer = await options.provider.maintain(
+        host,
+        wave.id,
+        options.duty,
+      );
       log.info('upkeep-ordered', {wave: wave.id, host, answer});
       if (answer === 'accepted') {
         work.phase = 'down';
--- a/packages/dispatch/src/provider.ts
+++ b/packages/dispatch/src/provider.ts
@@ -18,7 +18,8 @@
   readonly token: number;
 }
 
-export type HostAnswer = 'accepted' | 'busy' | 'fenced' | 'refused' | 'slow-down';
+export type HostAnswer =
+  'accepted' | 'busy' | 'fenced' | 'refused' | 'slow-down';
 
 /** A rejection of any call says nothing about what has taken effect. */
 export abstract class HostProvider {
--- a/packages/dispatch/src/rebalance.ts
+++ b/packages/dispatch/src/rebalance.ts
@@ -188,10 +188,7 @@
 
   function begin(move: Move, worker: Worker | undefined): void {
     log.info('move-chosen', {...move});
-    transfers.set(
-      move.host,
-      newTransfer(move, worker && workerKey(worker)),
-    );
+    transfers.set(move.host, newTransfer(move, worker && workerKey(worker)));
   }
 
   function advance(
--- a/packages/dispatch/src/reconcile.ts
+++ b/packages/dispatch/src/reconcile.ts
@@ -52,9 +52,12 @@
     .filter(({number}) => number > cursor)
     .sort((a, b) => a.number - b.number);
   if (ends.length > 0) {
-    const rows = ends.map(
-      ({task, run, how, checkpoint}): EndRow => [task, run, how, checkpoint],
-    );
+    const rows = ends.map(({task, run, how, checkpoint}): EndRow => [
+      task,
+      run,
+      how,
+      checkpoint,
+    ]);
     const upTo = ends.at(-1)!.number;
     events.push({type: 'ends', worker: key, upTo, ends: rows});
   }
--- a/packages/dispatch/src/remote.ts
+++ b/packages/dispatch/src/remote.ts
@@ -3,13 +3,7 @@
 import type {Log} from '@lentildrift/observe';
 import {z} from 'zod';
 import type {Mesh} from './mesh.js';
-import {
-  QueueService,
-  refuse,
-  Reply,
-  Request,
-  type Refusal,
-} from './request.js';
+import {QueueService, refuse, Reply, Request, type Refusal} from './request.js';
 
 /** A request on its way between processes. */
 export const Envelope = z.object({
--- a/packages/dispatch/src/view.ts
+++ b/packages/dispatch/src/view.ts
@@ -3,7 +3,8 @@
 import {isRefusal, locate} from './locate.js';
 import {refuse, type Reply, type RequestOf} from './request.js';
 
-export type Read = RequestOf<'inspect'> | RequestOf<'tables'> | RequestOf<'wave'>;
+export type Read =
+  RequestOf<'inspect'> | RequestOf<'tables'> | RequestOf<'wave'>;
 
 export function answerRead(state: State, request: Read): Reply {
   switch (request.type) {
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -72,7 +72,9 @@
       for (const session of sessions) session.post({type: 'send', frame});
     },
     async stop() {
-      const closed = new Promise<void>(resolve => server.close(() => resolve()));
+      const closed = new Promise<void>(resolve =>
+        server.close(() => resolve()),
+      );
       for (const socket of sockets) socket.destroy();
       await closed;
     },
--- a/packages/queue/src/table.ts
+++ b/packages/queue/src/table.ts
@@ -74,11 +74,26 @@
 /** Why the tables contradict themselves, or undefined if they do not. */
 export function contradiction(tables: Tables): string | undefined {
   return (
-    repeated('pool', tables.pools.map(pool => pool.name)) ??
-    repeated('queue', tables.queues.map(queue => queue.name)) ??
-    repeated('team', tables.teams.map(team => team.name)) ??
-    repeated('key', tables.teams.flatMap(team => [...new Set(team.keys)])) ??
-    repeated('address', tables.queues.map(q => `${q.host} ${q.prefix}`)) ??
+    repeated(
+      'pool',
+      tables.pools.map(pool => pool.name),
+    ) ??
+    repeated(
+      'queue',
+      tables.queues.map(queue => queue.name),
+    ) ??
+    repeated(
+      'team',
+      tables.teams.map(team => team.name),
+    ) ??
+    repeated(
+      'key',
+      tables.teams.flatMap(team => [...new Set(team.keys)]),
+    ) ??
+    repeated(
+      'address',
+      tables.queues.map(q => `${q.host} ${q.prefix}`),
+    ) ??
     unknownPool(tables)
   );
 }
--- a/packages/scheduling/src/load.ts
+++ b/packages/scheduling/src/load.ts
@@ -64,13 +64,20 @@
   for (const {job, key, step, run} of runs) {
     const {worker} = run;
     const {team, id} = job.spec;
-    byWorker.set(worker, add(byWorker.get(worker) ?? NO_SIZE, reservation(step)));
+    byWorker.set(
+      worker,
+      add(byWorker.get(worker) ?? NO_SIZE, reservation(step)),
+    );
     if (step.lasting) pinned.add(worker);
     if (team !== undefined) {
       byTeam.set(team, add(byTeam.get(team) ?? NO_SIZE, step.size));
     }
     const position = positionOf(key);
-    const at = spreadKey(id, stepKey(position.occurrence, position.step), worker);
+    const at = spreadKey(
+      id,
+      stepKey(position.occurrence, position.step),
+      worker,
+    );
     spread.set(at, (spread.get(at) ?? 0) + 1);
   }
   return {runs, byWorker, byTeam, pinned, spread};
--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -230,7 +230,8 @@
   if (allowed) candidates = candidates.filter(({key}) => allowed.has(key));
   if (step.maxPerWorker > 0) {
     candidates = candidates.filter(
-      ({key}) => (ledger.spread.get(spreadAt(turn, key)) ?? 0) < step.maxPerWorker,
+      ({key}) =>
+        (ledger.spread.get(spreadAt(turn, key)) ?? 0) < step.maxPerWorker,
     );
   }
   const {failedOn} = task;
@@ -274,4 +275,3 @@
   };
   return fits(add(row.used, size), limit);
 }
-
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -2,7 +2,7 @@
 
 export default defineConfig({
   test: {
-    include: ['packages/*/test/**/*.test.ts'],
+    include: ['{packages/*,platform}/test/**/*.test.ts'],
     testTimeout: 30_000,
     // Several scenarios start real processes; more workers would starve them.
     maxWorkers: 6,
