Test waves, moves, membership and the state of the queues

Found by a test: a host of a wave that was missing from a list read before the wave was opened counted as gone, and its upkeep as done. The list now has to be younger than the wave.

--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -71,6 +71,7 @@
 export function createMaintenance(options: MaintenanceOptions): Maintenance {
   const {replica, log} = options;
   const works = new Map<string, Work>();
+  const waveSeenMs = new Map<number, number>();
   let ended = false;
 
   function tick(load: Load): void {
@@ -83,8 +84,11 @@
   }
 
   function advance(wave: Wave, load: Load): void {
+    const seenMs = waveSeenMs.get(wave.id) ?? performance.now();
+    waveSeenMs.set(wave.id, seenMs);
     const listed = options.inventory.hosts();
-    if (!listed) return;
+    // An older list may lack hosts that were added since.
+    if (!listed || options.inventory.askedMs() < seenMs) return;
     const down = hostsDown(wave);
     for (const host of down) followUp(wave, host);
     for (const [host, upkeep] of Object.entries(wave.hosts)) {
--- a/packages/dispatch/test/bench.ts
+++ b/packages/dispatch/test/bench.ts
@@ -5,6 +5,7 @@
   Change,
   JobSpec,
   Outcome,
+  Queue,
   State,
   Step,
   Tables,
@@ -21,24 +22,25 @@
 } from '../src/index.js';
 import {FakeFleet, FakeHosts, type FleetOptions} from './standin.js';
 
+const QUEUE: Queue = {
+  name: 'q',
+  host: 'h',
+  prefix: '/q/',
+  pool: 'p',
+  timeoutMs: 3000,
+  targetMs: 600,
+  stretch: 1.6,
+  maxAttempts: 2,
+  priority: 0,
+  open: true,
+};
+
 export const TABLES: Tables = {
   version: 1,
-  queues: [
-    {
-      name: 'q',
-      host: 'h',
-      prefix: '/q/',
-      pool: 'p',
-      timeoutMs: 3000,
-      targetMs: 600,
-      stretch: 1.6,
-      maxAttempts: 2,
-      priority: 0,
-      open: true,
-    },
-  ],
+  queues: [QUEUE, {...QUEUE, name: 'r', prefix: '/r/', pool: 'r'}],
   pools: [
     {name: 'p', guardsCapacity: false, standby: false},
+    {name: 'r', guardsCapacity: false, standby: false},
     {name: 'standby', guardsCapacity: false, standby: true},
   ],
   teams: [],
--- /dev/null
+++ b/packages/dispatch/test/hosts.test.ts
@@ -0,0 +1,208 @@
+import {ElasticPools, FixedPools} from '@lentildrift/scheduling';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
+import {job, openBench, worker, type Bench} from './bench.js';
+
+let bench: Bench;
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+
+afterEach(async () => {
+  expect(bench.fleet.violations).toEqual([]);
+  await bench.stop();
+  vi.useRealTimers();
+});
+
+const LASTING = {lasting: true, maxPerWorker: 1, mayMiss: 1};
+
+async function openWave(hosts: string[], atOnce: number, durationMs = 20_000) {
+  void bench.leader.commit({
+    type: 'wave',
+    wave: {
+      id: 1,
+      durationMs,
+      atOnce,
+      acceptedAtMs: Date.now(),
+      hosts: Object.fromEntries(hosts.map(host => [host, 'due'])),
+    },
+  });
+  await bench.run(100);
+}
+
+function upkeeps(): string[] {
+  const {hosts} = bench.replica.state().waves.get(1)!;
+  return Object.values(hosts);
+}
+
+describe('a wave', () => {
+  it('maintains every host, never more at once than it allows', async () => {
+    bench = await openBench();
+    const names = ['w1', 'w2', 'w3', 'w4', 'w5'];
+    for (const name of names) await bench.join(worker(name));
+    await openWave(names.map(name => `m-${name}`), 2);
+    await bench.run(18_000);
+    expect(upkeeps()).toEqual(Array(5).fill('done'));
+    expect(bench.hosts.mostDown).toBe(2);
+    expect(bench.hosts.orders).toHaveLength(5);
+  });
+
+  it('takes away one task of a lasting step at a time', async () => {
+    bench = await openBench({
+      behave: task => ({
+        durationMs: task.startsWith('l') ? Infinity : 1000,
+        lasting: task.startsWith('l'),
+      }),
+    });
+    const names = ['w1', 'w2', 'w3', 'w4'];
+    for (const name of names) await bench.join(worker(name));
+    await bench.submit(job('l', {...LASTING, count: 3}));
+    await bench.run(1000);
+    await openWave(names.map(name => `m-${name}`), 4, 5000);
+    let fewest = 3;
+    for (let turn = 0; turn < 300; turn++) {
+      await bench.run(50);
+      const running = [0, 1, 2].filter(
+        index => bench.fleet.running(`l.0.0.${index}`).length > 0,
+      );
+      fewest = Math.min(fewest, running.length);
+    }
+    expect(fewest).toBe(2);
+    expect(upkeeps()).toEqual(Array(4).fill('done'));
+  });
+
+  it('goes on under a new leader, which waits before its orders', async () => {
+    bench = await openBench();
+    const names = ['w1', 'w2', 'w3'];
+    for (const name of names) await bench.join(worker(name));
+    await openWave(names.map(name => `m-${name}`), 1);
+    for (let turn = 0; bench.hosts.orders.length === 0; turn++) {
+      expect(turn).toBeLessThan(200);
+      await bench.run(10);
+    }
+    const before = bench.hosts.orders.length;
+    expect(before).toBe(1);
+    const changedMs = performance.now();
+    await bench.replaceLeader();
+    await bench.run(18_000);
+    expect(upkeeps()).toEqual(Array(3).fill('done'));
+    const again = bench.hosts.orders
+      .slice(before)
+      .find(({host}) => host === bench.hosts.orders[0]!.host);
+    if (again) expect(again.atMs - changedMs).toBeGreaterThan(3000);
+    const tokens = bench.hosts.orders.map(({duty}) => duty.token);
+    expect(tokens).toEqual([...tokens].sort());
+  });
+
+  it('does not take a host for gone by a list from before the wave', async () => {
+    bench = await openBench();
+    // The list is read now, and again only a second later.
+    await bench.run(50);
+    await bench.join(worker('w1'));
+    await openWave(['m-w1'], 1);
+    await bench.run(6000);
+    expect(upkeeps()).toEqual(['done']);
+    expect(bench.hosts.orders).toHaveLength(1);
+  });
+
+  it('is done without a host that has left the provider', async () => {
+    bench = await openBench();
+    await bench.join(worker('w1'));
+    await openWave(['m-w1', 'm-unknown'], 1);
+    await bench.run(8000);
+    expect(upkeeps()).toEqual(['done', 'done']);
+  });
+});
+
+/** Every fourth task of job `a`. */
+function isLong(task: string): boolean {
+  return task.startsWith('a') && Number(task.split('.').at(-1)) % 4 === 0;
+}
+
+describe('pools', () => {
+  const idle = ['w1', 'w2', 'w3', 'w4', 'w5', 'w6', 'w7'];
+
+  it('send idle hosts to standby and get them back for demand', async () => {
+    bench = await openBench({pools: new ElasticPools()});
+    for (const name of idle) await bench.join(worker(name));
+    await bench.run(8000);
+    const pools = () => [...bench.hosts.hosts.values()].map(({pool}) => pool);
+    expect(pools().filter(pool => pool === 'p')).toHaveLength(2);
+    await bench.submit(job('a', {count: 16}));
+    await bench.run(4000);
+    expect(pools().filter(pool => pool === 'p').length).toBeGreaterThan(3);
+    await bench.run(4000);
+    expect(bench.phase('a')).toBe('completed');
+  });
+
+  it('never move a host with a run on it', async () => {
+    bench = await openBench({
+      pools: new ElasticPools(),
+      behave: () => ({durationMs: 4000}),
+    });
+    for (const name of idle) await bench.join(worker(name));
+    for (let n = 0; n < 10; n++) {
+      await bench.submit(job(`a${n}`, {count: 1 + (n % 5)}));
+      await bench.run(700);
+    }
+    await bench.run(10_000);
+    expect(bench.hosts.orders.length).toBeGreaterThan(0);
+  });
+
+  it('empty a host in use before it goes to a pool that is short', async () => {
+    bench = await openBench({
+      pools: new ElasticPools(),
+      behave: task => ({durationMs: isLong(task) ? 3000 : 500}),
+    });
+    for (const name of idle) await bench.join(worker(name));
+    // One task stays on every host of the pool, which needs half of them.
+    await bench.submit(job('a', {count: 28}));
+    await bench.run(900);
+    await bench.submit({...job('b', {count: 30}), queue: 'r'});
+    await bench.run(15_000);
+    expect(bench.phase('b')).toBe('completed');
+    const moved = bench.hosts.orders.filter(({what}) => what === 'move r');
+    expect(moved.length).toBeGreaterThan(0);
+  });
+
+  it('let a new leader know which hosts are about to move', async () => {
+    bench = await openBench({pools: new ElasticPools()});
+    for (const name of idle) await bench.join(worker(name));
+    // Until the first order is out.
+    for (let turn = 0; bench.hosts.orders.length === 0; turn++) {
+      expect(turn).toBeLessThan(500);
+      await bench.run(10);
+    }
+    const moving = bench.hosts.orders.map(({host}) => host);
+    await bench.replaceLeader();
+    const duties = bench.replica.state().duties;
+    for (const host of moving) expect(duties.get(host)).toBeDefined();
+    await bench.submit(job('a', {count: 8}));
+    await bench.run(6000);
+    expect(bench.phase('a')).toBe('completed');
+  });
+
+  it('keep enough hosts for a step that spreads over them', async () => {
+    bench = await openBench({
+      pools: new ElasticPools(),
+      behave: () => ({durationMs: Infinity, lasting: true}),
+    });
+    for (const name of idle) await bench.join(worker(name));
+    // The pool has shrunk to its smallest size by then.
+    await bench.run(8000);
+    const size = {cpuMillis: 500, memoryMb: 100, gpus: 0};
+    await bench.submit(job('l', {...LASTING, count: 4, size}));
+    await bench.run(12_000);
+    const running = [0, 1, 2, 3].filter(
+      index => bench.fleet.running(`l.0.0.${index}`).length > 0,
+    );
+    expect(running).toHaveLength(4);
+  });
+
+  it('stay as they are with the fixed policy', async () => {
+    bench = await openBench({pools: new FixedPools()});
+    for (const name of idle) await bench.join(worker(name));
+    await bench.run(8000);
+    expect(bench.hosts.orders).toEqual([]);
+  });
+});
--- /dev/null
+++ b/packages/queue/test/apply.test.ts
@@ -0,0 +1,329 @@
+import {describe, expect, it} from 'vitest';
+import {
+  apply,
+  contradiction,
+  EMPTY_STATE,
+  findQueue,
+  fromStored,
+  NO_TABLES,
+  Step,
+  StoredState,
+  toStored,
+  type Event,
+  type Outcome,
+  type State,
+  type Tables,
+  type Worker,
+} from '../src/index.js';
+
+const TABLES: Tables = {
+  ...NO_TABLES,
+  version: 3,
+  document: 'three',
+  pools: [{name: 'p', guardsCapacity: false, standby: false}],
+  queues: [
+    {
+      name: 'q',
+      host: 'h',
+      prefix: '/q/',
+      pool: 'p',
+      timeoutMs: 1000,
+      targetMs: 100,
+      stretch: 2,
+      maxAttempts: 2,
+      priority: 0,
+      open: true,
+    },
+  ],
+};
+
+const WORKER: Worker = {
+  id: 'w',
+  bornMs: 10,
+  host: 'm',
+  pool: 'p',
+  address: '10.0.0.1:1',
+  dataCentre: 'a',
+  capacity: {cpuMillis: 1000, memoryMb: 1000, gpus: 0},
+  labels: [],
+  phase: 'ready',
+  sequence: 1,
+  cursor: 0,
+};
+const KEY = 'w@10';
+
+function step(more: Partial<Step> = {}): Step {
+  return Step.parse({
+    count: 1,
+    size: {cpuMillis: 1, memoryMb: 1, gpus: 0},
+    ...more,
+  });
+}
+
+function run(state: State, ...events: Event[]): [State, readonly Outcome[]] {
+  const applied = apply(state, {events});
+  return [applied.state, applied.outcomes];
+}
+
+function submit(id: string, ...steps: Step[]): Event {
+  return {
+    type: 'submit',
+    atMs: 0,
+    job: {id, queue: 'q', payload: 'p', steps},
+  };
+}
+
+function start(task: string, number = 1, worker = KEY): Event {
+  return {type: 'start', runs: [[task, number, worker]]};
+}
+
+function end(
+  upTo: number,
+  task: string,
+  how: 'done' | 'failed' | 'stopped',
+  number = 1,
+): Event {
+  return {type: 'ends', worker: KEY, upTo, ends: [[task, number, how, '']]};
+}
+
+const [BASE] = run(
+  EMPTY_STATE,
+  {type: 'tables', tables: TABLES},
+  {type: 'worker', worker: WORKER},
+);
+
+describe('tables', () => {
+  it('keep the highest version whoever sends it', () => {
+    const older = {...TABLES, version: 2};
+    const [state, outcomes] = run(BASE, {type: 'tables', tables: older});
+    expect(outcomes).toEqual(['overtaken']);
+    expect(state.tables.version).toBe(3);
+  });
+
+  it('take the same content again and refuse other content', () => {
+    const other = {...TABLES, document: 'other'};
+    const [state, outcomes] = run(
+      BASE,
+      {type: 'tables', tables: TABLES},
+      {type: 'tables', tables: other},
+    );
+    expect(outcomes).toEqual(['known', 'conflict']);
+    expect(state.tables.document).toBe('three');
+  });
+
+  it('contradict themselves by unknown pools, shared keys and addresses', () => {
+    const [queue] = TABLES.queues;
+    const team = {name: 't', keys: ['k'], weight: 1, cap: WORKER.capacity};
+    expect(contradiction(TABLES)).toBeUndefined();
+    expect(
+      contradiction({...TABLES, queues: [{...queue!, pool: 'x'}]}),
+    ).toMatch('unknown pool x');
+    expect(
+      contradiction({...TABLES, queues: [queue!, {...queue!, name: 'r'}]}),
+    ).toMatch('address');
+    expect(
+      contradiction({...TABLES, teams: [team, {...team, name: 'u'}]}),
+    ).toMatch('key k');
+  });
+
+  it('route by the longest prefix', () => {
+    const [queue] = TABLES.queues;
+    const longer = {...queue!, name: 'r', prefix: '/q/x/'};
+    const tables = {...TABLES, queues: [queue!, longer]};
+    expect(findQueue(tables, 'h', '/q/x/1')?.name).toBe('r');
+    expect(findQueue(tables, 'h', '/q/y')?.name).toBe('q');
+    expect(findQueue(tables, 'other', '/q/y')).toBeUndefined();
+  });
+});
+
+describe('a job', () => {
+  it('is one job however often it is submitted', () => {
+    const [state, outcomes] = run(
+      BASE,
+      submit('a', step()),
+      submit('a', step()),
+    );
+    expect(outcomes).toEqual(['applied', 'known']);
+    expect(state.jobs.size).toBe(1);
+  });
+
+  it('is completed by the last of its tasks only', () => {
+    const [state] = run(
+      BASE,
+      submit('a', step({count: 2})),
+      start('a.0.0.0'),
+      start('a.0.0.1'),
+      end(1, 'a.0.0.0', 'done'),
+    );
+    expect(state.jobs.get('a')!.phase).toBe('active');
+    const [done] = run(state, end(2, 'a.0.0.1', 'done'));
+    expect(done.jobs.get('a')!.phase).toBe('completed');
+  });
+
+  it('does not count one end of a task twice', () => {
+    const [state, outcomes] = run(
+      BASE,
+      submit('a', step({count: 2})),
+      start('a.0.0.0'),
+      end(1, 'a.0.0.0', 'done'),
+      end(1, 'a.0.0.0', 'done'),
+      end(2, 'a.0.0.0', 'done'),
+    );
+    expect(outcomes[3]).toBe('known');
+    expect(state.jobs.get('a')!.phase).toBe('active');
+  });
+
+  it('fails after its queue’s attempts, and only by failures', () => {
+    const [state] = run(
+      BASE,
+      submit('a', step()),
+      start('a.0.0.0'),
+      end(1, 'a.0.0.0', 'failed'),
+      start('a.0.0.0', 2),
+      end(2, 'a.0.0.0', 'stopped', 2),
+      start('a.0.0.0', 3),
+    );
+    expect(state.jobs.get('a')!.phase).toBe('active');
+    const [failed] = run(state, end(3, 'a.0.0.0', 'failed', 3));
+    expect(failed.jobs.get('a')!.phase).toBe('failed');
+  });
+
+  it('that lasts is neither completed nor failed by its ends', () => {
+    const [state] = run(
+      BASE,
+      submit('a', step({lasting: true})),
+      start('a.0.0.0'),
+      end(1, 'a.0.0.0', 'done'),
+      start('a.0.0.0', 2),
+      end(2, 'a.0.0.0', 'failed', 2),
+      start('a.0.0.0', 3),
+      end(3, 'a.0.0.0', 'failed', 3),
+    );
+    expect(state.jobs.get('a')!.phase).toBe('active');
+  });
+
+  it('that is cancelled starts nothing and keeps its phase', () => {
+    const [state, outcomes] = run(
+      BASE,
+      submit('a', step()),
+      {type: 'cancel', job: 'a'},
+      start('a.0.0.0'),
+      submit('a', step()),
+      {type: 'cancel', job: 'unknown'},
+    );
+    expect(outcomes.slice(1)).toEqual([
+      'applied',
+      'conflict',
+      'known',
+      'unknown',
+    ]);
+    expect(state.jobs.get('a')!.phase).toBe('cancelled');
+  });
+
+  it('has all members of a gang done by the end of one', () => {
+    const [state] = run(
+      BASE,
+      submit('a', step({count: 3, gang: true})),
+      start('a.0.0.0'),
+      start('a.0.0.1'),
+      start('a.0.0.2'),
+      end(1, 'a.0.0.1', 'done'),
+    );
+    expect(state.jobs.get('a')!.phase).toBe('completed');
+  });
+});
+
+describe('a run', () => {
+  it('is refused beside another of its task unless copies are allowed', () => {
+    const [, outcomes] = run(
+      BASE,
+      submit('a', step()),
+      submit('b', step({speculative: true})),
+      start('a.0.0.0'),
+      start('a.0.0.0', 2),
+      start('b.0.0.0'),
+      start('b.0.0.0', 2),
+    );
+    expect(outcomes.slice(2)).toEqual([
+      'applied',
+      'conflict',
+      'applied',
+      'applied',
+    ]);
+  });
+
+  it('is refused on an incarnation that is not the present one', () => {
+    const [, outcomes] = run(
+      BASE,
+      submit('a', step()),
+      start('a.0.0.0', 1, 'w@9'),
+    );
+    expect(outcomes[1]).toBe('conflict');
+  });
+
+  it('ends with its worker’s incarnation', () => {
+    const [state] = run(BASE, submit('a', step()), start('a.0.0.0'), {
+      type: 'worker',
+      worker: {...WORKER, bornMs: 20},
+    });
+    expect(state.jobs.get('a')!.tasks['0.0.0']!.runs).toEqual([]);
+    const [, outcomes] = run(state, start('a.0.0.0', 2, 'w@20'));
+    expect(outcomes).toEqual(['applied']);
+  });
+
+  it('that was taken for lost still completes its task by a late end', () => {
+    const [state] = run(
+      BASE,
+      submit('a', step()),
+      start('a.0.0.0'),
+      {type: 'lost', runs: [['a.0.0.0', 1, KEY]]},
+      end(1, 'a.0.0.0', 'done'),
+    );
+    expect(state.jobs.get('a')!.phase).toBe('completed');
+  });
+});
+
+describe('a worker', () => {
+  it('is not revived or put back by a delayed announcement', () => {
+    const draining = {...WORKER, phase: 'draining', sequence: 5} as const;
+    const [state, outcomes] = run(
+      BASE,
+      {type: 'worker', worker: {...WORKER, bornMs: 5}},
+      {type: 'worker', worker: draining},
+      {type: 'worker', worker: {...WORKER, sequence: 4}},
+      {type: 'worker', worker: {...draining, phase: 'gone'}},
+      {type: 'worker', worker: {...WORKER, sequence: 9}},
+    );
+    expect(outcomes).toEqual([
+      'overtaken',
+      'applied',
+      'overtaken',
+      'applied',
+      'overtaken',
+    ]);
+    expect(state.workers.get('w')!.phase).toBe('gone');
+  });
+});
+
+describe('the state', () => {
+  it('is the same after a snapshot', () => {
+    const [state] = run(
+      BASE,
+      submit('a', step({count: 2})),
+      start('a.0.0.0'),
+      {type: 'duty', duty: {host: 'm', to: 'p', atMs: 1}},
+      {
+        type: 'wave',
+        wave: {
+          id: 1,
+          durationMs: 1,
+          atOnce: 1,
+          acceptedAtMs: 0,
+          hosts: {m: 'due'},
+        },
+      },
+    );
+    const text = JSON.stringify(toStored(state));
+    expect(fromStored(StoredState.parse(JSON.parse(text)))).toEqual(state);
+  });
+});
