Accept nothing before the group can lose a disk; test processes over loopback

Found by a test: a group that was just founded acknowledged tables and jobs with one voter, whose disk could still be lost. It now accepts nothing before as many voters are in as the seeds allow.

--- a/packages/consensus/src/raft.ts
+++ b/packages/consensus/src/raft.ts
@@ -89,7 +89,7 @@
     return statusOf(this.node, this.options.machine.revision(this.current));
   }
 
-  override leads(): boolean {
+  override isConfirmedLeader(): boolean {
     const {role, members, peers, rules, id} = this.node;
     if (this.ended || role !== 'leader') return false;
     const sinceMs = performance.now() - rules.minElectionMs;
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -73,7 +73,9 @@
    * timeout. Unlike `status` it takes the present time into account, so that
    * a process that was frozen notices before anything else runs.
    */
-  abstract leads(): boolean;
+  isConfirmedLeader(): boolean {
+    return this.status().role === 'leader';
+  }
   /**
    * Resolves once the change is durable on a majority and applied here.
    * Rejects with `NotLeader` or `OutcomeUnknown`.
--- a/packages/consensus/src/solo.ts
+++ b/packages/consensus/src/solo.ts
@@ -33,10 +33,6 @@
     };
   }
 
-  override leads(): boolean {
-    return true;
-  }
-
   override async propose(change: C): Promise<Committed<A>> {
     const {state, answer} = this.machine.apply(this.current, change);
     this.current = state;
--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -8,6 +8,7 @@
   startRaft,
   type Machine,
   type RaftReplica,
+  type ReplicaStatus,
 } from '@lentildrift/consensus';
 import {startLinkServer} from '@lentildrift/link';
 import type {Log, Metrics} from '@lentildrift/observe';
@@ -104,6 +105,9 @@
 
 export interface QueueControl {
   readonly service: QueueService;
+  status(): ReplicaStatus;
+  /** Whether this process leads, see `Replica.isConfirmedLeader`. */
+  isConfirmedLeader(): boolean;
   refreshSeeds(): void;
   stop(): Promise<void>;
 }
@@ -186,6 +190,8 @@
 
   return {
     service,
+    status: () => replica.status(),
+    isConfirmedLeader: () => replica.isConfirmedLeader(),
     refreshSeeds: () => mesh.refresh(),
     async stop() {
       await membership.stop();
@@ -250,9 +256,18 @@
   let current: {term: number; leader: Leader; queues: LocalQueues} | undefined;
   let preparing: number | undefined;
 
+  /**
+   * A group that is being founded accepts nothing before the loss of a disk
+   * can be borne; later it never has fewer voters.
+   */
+  function isFormed(voters: readonly string[]): boolean {
+    const {seeds, losses} = options;
+    return voters.length >= Math.min(votersFor(losses), seeds().length);
+  }
+
   function update(): void {
-    const {role, term} = replica.status();
-    const leads = role === 'leader';
+    const {role, term, voters} = replica.status();
+    const leads = role === 'leader' && isFormed(voters);
     if (current && (!leads || current.term !== term)) {
       const {leader} = current;
       current = undefined;
@@ -284,7 +299,8 @@
       ...options,
       replica,
       token: term,
-      isLeader: () => replica.status().term === term && replica.leads(),
+      isLeader: () =>
+        replica.status().term === term && replica.isConfirmedLeader(),
     });
     const queues = createLocalQueues({...options, replica, leader});
     current = {term, leader, queues};
--- a/packages/dispatch/test/bench.ts
+++ b/packages/dispatch/test/bench.ts
@@ -14,12 +14,7 @@
 import {FixedPools, type PoolPolicy} from '@lentildrift/scheduling';
 import {startTasks} from '@lentildrift/task';
 import {vi} from 'vitest';
-import {
-  Adviser,
-  queueMachine,
-  startLeader,
-  type Leader,
-} from '../src/index.js';
+import {Adviser, queueMachine, startLeader, type Leader} from '../src/index.js';
 import {FakeFleet, FakeHosts, type FleetOptions} from './standin.js';
 
 const QUEUE: Queue = {
--- /dev/null
+++ b/packages/dispatch/test/control.test.ts
@@ -0,0 +1,241 @@
+/** Control and entry processes over loopback, on the real clock. */
+import {createLog, createMetrics} from '@lentildrift/observe';
+import {MemoryDisk, MemoryStore} from '@lentildrift/storage';
+import {startTasks} from '@lentildrift/task';
+import {createServer} from 'node:net';
+import {afterEach, describe, expect, it, vi} from 'vitest';
+import {
+  Adviser,
+  startQueueControl,
+  startQueueEntry,
+  type QueueControl,
+  type QueueEntry,
+  type Reply,
+  type Request,
+} from '../src/index.js';
+import {job, TABLES} from './bench.js';
+import {FakeFleet, FakeHosts} from './standin.js';
+
+const HOST = '127.0.0.1';
+
+class NoAdviser extends Adviser {
+  override async advise(): Promise<never> {
+    throw new Error('no advice');
+  }
+}
+
+interface Process {
+  control: QueueControl | undefined;
+  readonly address: string;
+  member: string;
+  disk: MemoryDisk;
+}
+
+const processes: Process[] = [];
+const entries: QueueEntry[] = [];
+
+afterEach(async () => {
+  vi.restoreAllMocks();
+  await Promise.all(entries.splice(0).map(entry => entry.stop()));
+  await Promise.all(processes.splice(0).map(each => each.control?.stop()));
+});
+
+async function freePorts(count: number): Promise<number[]> {
+  const servers = Array.from({length: count}, () => createServer());
+  for (const server of servers) {
+    await new Promise<void>(resolve => server.listen(0, HOST, resolve));
+  }
+  const ports = servers.map(
+    server => (server.address() as {port: number}).port,
+  );
+  for (const server of servers) {
+    await new Promise(resolve => server.close(resolve));
+  }
+  return ports;
+}
+
+const log = createLog('error', {}, () => {});
+
+async function start(
+  process: Process,
+  seeds: readonly string[],
+  firstStart: boolean,
+): Promise<void> {
+  const fleet = new FakeFleet();
+  process.control = await startQueueControl({
+    member: process.member,
+    store: new MemoryStore(process.disk),
+    seeds: () => seeds,
+    firstStart,
+    losses: 1,
+    driver: fleet,
+    hosts: new FakeHosts(fleet, () => {}),
+    adviser: new NoAdviser(),
+    tasks: startTasks(() => {}),
+    log,
+    metrics: createMetrics(),
+    holder: process.address,
+    onFatal: error => {
+      throw error;
+    },
+  });
+}
+
+async function openGroup(): Promise<QueueEntry> {
+  const ports = await freePorts(3);
+  const seeds = ports.map(port => `${HOST}:${port}`);
+  for (const address of seeds) {
+    processes.push({
+      control: undefined,
+      address,
+      member: `${address}/first`,
+      disk: new MemoryDisk(),
+    });
+  }
+  await Promise.all(processes.map(each => start(each, seeds, true)));
+  const entry = startQueueEntry({
+    name: 'entry',
+    seeds: () => seeds,
+    tasks: startTasks(() => {}),
+    log,
+  });
+  entries.push(entry);
+  return entry;
+}
+
+/** Asks until there is an answer other than a refusal to answer. */
+async function ask(entry: QueueEntry, request: Request): Promise<Reply> {
+  for (let attempt = 0; attempt < 15; attempt++) {
+    const reply = await entry.service.handle(`r-${attempt}`, request);
+    if (reply.type !== 'refused' || reply.reason !== 'unavailable') {
+      return reply;
+    }
+  }
+  throw new Error('unavailable for too long');
+}
+
+const EDIT: Request = {type: 'edit', tables: TABLES};
+
+function submit(id: string): Request {
+  const {payload, steps} = job(id);
+  return {type: 'submit', host: 'h', path: `/q/${id}`, payload, steps};
+}
+
+function inspect(path: string): Request {
+  return {type: 'inspect', host: 'h', path};
+}
+
+/** The process that leads, found by who answers without passing on. */
+async function leaderOf(): Promise<Process> {
+  for (let turn = 0; turn < 100; turn++) {
+    for (const each of processes) {
+      const status = each.control?.status();
+      if (status?.role === 'leader') return each;
+    }
+    await new Promise(resolve => setTimeout(resolve, 50));
+  }
+  throw new Error('no leader');
+}
+
+describe('a group of control processes', () => {
+  it('takes jobs through an entry and keeps them when its leader ends', async () => {
+    const entry = await openGroup();
+    expect(await ask(entry, EDIT)).toEqual({type: 'done'});
+    expect(await ask(entry, submit('a'))).toEqual({type: 'done'});
+    expect(entry.isReady()).toBe(true);
+    const leader = await leaderOf();
+    await leader.control!.stop();
+    leader.control = undefined;
+    expect(await ask(entry, inspect('/q/a'))).toEqual({
+      type: 'job',
+      phase: 'queued',
+    });
+    expect(await ask(entry, inspect('/q/'))).toEqual({
+      type: 'waiting',
+      count: 1,
+    });
+    expect(await ask(entry, inspect('/q/b'))).toMatchObject({
+      reason: 'unknown',
+    });
+    expect(await ask(entry, inspect('/r'))).toMatchObject({
+      reason: 'no-queue',
+    });
+  }, 20_000);
+
+  it('makes a member without its disk a voter again, twice in a row', async () => {
+    const entry = await openGroup();
+    await ask(entry, EDIT);
+    await ask(entry, submit('a'));
+    const seeds = processes.map(({address}) => address);
+    for (const life of ['second', 'third']) {
+      const leader = await leaderOf();
+      await leader.control!.stop();
+      leader.disk = new MemoryDisk();
+      leader.member = `${leader.address}/${life}`;
+      await start(leader, seeds, false);
+      await vi.waitFor(
+        () => {
+          const {voters} = leader.control!.status();
+          expect([...voters].sort()).toEqual(
+            processes.map(({member}) => member).sort(),
+          );
+        },
+        {timeout: 8000, interval: 50},
+      );
+    }
+    expect(await ask(entry, inspect('/q/a'))).toMatchObject({type: 'job'});
+  }, 30_000);
+
+  it('never founds a group on a disk that was lost', async () => {
+    const [port] = await freePorts(1);
+    const address = `${HOST}:${port}`;
+    const alone: Process = {
+      control: undefined,
+      address,
+      member: `${address}/x`,
+      disk: new MemoryDisk(),
+    };
+    processes.push(alone);
+    await start(alone, [address], false);
+    await new Promise(resolve => setTimeout(resolve, 1500));
+    expect(alone.control!.status().voters).toEqual([]);
+    const reply = await alone.control!.service.handle('r', EDIT);
+    expect(reply).toMatchObject({reason: 'unavailable', verdict: 'not-run'});
+  }, 20_000);
+
+  it('does not trust its leadership after a leap of the clock', async () => {
+    await openGroup();
+    const leader = await leaderOf();
+    await vi.waitFor(() =>
+      expect(leader.control!.status().voters).toHaveLength(3),
+    );
+    expect(leader.control!.isConfirmedLeader()).toBe(true);
+    const real = performance.now.bind(performance);
+    vi.spyOn(performance, 'now').mockImplementation(() => real() + 5000);
+    expect(leader.control!.status().role).toBe('leader');
+    expect(leader.control!.isConfirmedLeader()).toBe(false);
+  }, 20_000);
+});
+
+describe('an entry without a leader', () => {
+  it('says within the budget that nothing was done, and when to come back', async () => {
+    const [port] = await freePorts(1);
+    const entry = startQueueEntry({
+      name: 'entry',
+      seeds: () => [`${HOST}:${port}`],
+      tasks: startTasks(() => {}),
+      log,
+    });
+    entries.push(entry);
+    const begunMs = performance.now();
+    const reply = await entry.service.handle('r', submit('a'));
+    expect(performance.now() - begunMs).toBeLessThan(1500);
+    expect(reply).toMatchObject({
+      type: 'refused',
+      reason: 'unavailable',
+      verdict: 'not-run',
+      retryAfterMs: expect.any(Number),
+    });
+    expect(entry.isReady()).toBe(false);
+  });
+});
--- a/packages/dispatch/test/hosts.test.ts
+++ b/packages/dispatch/test/hosts.test.ts
@@ -40,7 +40,10 @@
     bench = await openBench();
     const names = ['w1', 'w2', 'w3', 'w4', 'w5'];
     for (const name of names) await bench.join(worker(name));
-    await openWave(names.map(name => `m-${name}`), 2);
+    await openWave(
+      names.map(name => `m-${name}`),
+      2,
+    );
     await bench.run(18_000);
     expect(upkeeps()).toEqual(Array(5).fill('done'));
     expect(bench.hosts.mostDown).toBe(2);
@@ -58,7 +61,11 @@
     for (const name of names) await bench.join(worker(name));
     await bench.submit(job('l', {...LASTING, count: 3}));
     await bench.run(1000);
-    await openWave(names.map(name => `m-${name}`), 4, 5000);
+    await openWave(
+      names.map(name => `m-${name}`),
+      4,
+      5000,
+    );
     let fewest = 3;
     for (let turn = 0; turn < 300; turn++) {
       await bench.run(50);
@@ -75,7 +82,10 @@
     bench = await openBench();
     const names = ['w1', 'w2', 'w3'];
     for (const name of names) await bench.join(worker(name));
-    await openWave(names.map(name => `m-${name}`), 1);
+    await openWave(
+      names.map(name => `m-${name}`),
+      1,
+    );
     for (let turn = 0; bench.hosts.orders.length === 0; turn++) {
       expect(turn).toBeLessThan(200);
       await bench.run(10);
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -1,6 +1,12 @@
 import {workerKey} from '@lentildrift/queue';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
-import {job, openBench, worker, type Bench, type BenchOptions} from './bench.js';
+import {
+  job,
+  openBench,
+  worker,
+  type Bench,
+  type BenchOptions,
+} from './bench.js';
 
 let bench: Bench;
 
@@ -76,7 +82,9 @@
     await bench.submit(job('a'));
     await bench.run(3000);
     expect(bench.phase('a')).toBe('completed');
-    expect(bench.fleet.starts.filter(({task}) => task === 'a.0.0.0')).toHaveLength(1);
+    expect(
+      bench.fleet.starts.filter(({task}) => task === 'a.0.0.0'),
+    ).toHaveLength(1);
   });
 
   it('whose order has no answer is not started elsewhere', async () => {
--- a/packages/dispatch/test/presence.test.ts
+++ b/packages/dispatch/test/presence.test.ts
@@ -47,7 +47,13 @@
       bornMs: 1,
       clockMs: 0,
       running: [
-        {task: `l.0.0.${index}`, run: 1, checkpoint: '', percent: 100, measure: 0},
+        {
+          task: `l.0.0.${index}`,
+          run: 1,
+          checkpoint: '',
+          percent: 100,
+          measure: 0,
+        },
       ],
       ended: [],
     });
--- /dev/null
+++ b/packages/scheduling/test/plan.test.ts
@@ -0,0 +1,340 @@
+import {
+  apply,
+  EMPTY_STATE,
+  JobSpec,
+  NO_TABLES,
+  workerKey,
+  type Event,
+  type Queue,
+  type State,
+  type Worker,
+} from '@lentildrift/queue';
+import {describe, expect, it} from 'vitest';
+import {
+  ArrivalOrder,
+  DeadlineOrder,
+  expectedMs,
+  isQuarantined,
+  learn,
+  measureDemand,
+  measureLoad,
+  NO_DURATIONS,
+  observeEnds,
+  Pack,
+  plan,
+  QUARANTINE_MS,
+  Spread,
+  type Advised,
+  type PlanInput,
+} from '../src/index.js';
+
+const QUEUE: Queue = {
+  name: 'q',
+  host: 'h',
+  prefix: '/q/',
+  pool: 'p',
+  timeoutMs: 1000,
+  targetMs: 500,
+  stretch: 1.5,
+  maxAttempts: 2,
+  priority: 0,
+  open: true,
+};
+
+function worker(id: string, more: Partial<Worker> = {}): Worker {
+  return {
+    id,
+    bornMs: 1,
+    host: id,
+    pool: 'p',
+    address: `${id}:1`,
+    dataCentre: 'a',
+    capacity: {cpuMillis: 4000, memoryMb: 4000, gpus: 0},
+    labels: [],
+    phase: 'ready',
+    sequence: 1,
+    cursor: 0,
+    ...more,
+  };
+}
+
+interface StepDraft {
+  count?: number;
+  cpu?: number;
+  estimateMs?: number;
+  after?: number[];
+  gang?: boolean;
+  sameRack?: boolean;
+  label?: string;
+  rack?: string;
+  maxPerWorker?: number;
+  filler?: boolean;
+}
+
+function submit(
+  id: string,
+  steps: StepDraft[],
+  more: {atMs?: number; team?: string; schedule?: JobSpec['schedule']} = {},
+): Event {
+  const {atMs = 0, ...rest} = more;
+  return {
+    type: 'submit',
+    atMs,
+    job: JobSpec.parse({
+      id,
+      queue: 'q',
+      payload: '',
+      ...rest,
+      steps: steps.map(({cpu = 1000, ...step}) => ({
+        count: 1,
+        estimateMs: 1000,
+        ...step,
+        size: {cpuMillis: cpu, memoryMb: 100, gpus: 0},
+      })),
+    }),
+  };
+}
+
+function stateOf(workers: Worker[], ...events: Event[]): State {
+  const team = {
+    name: 't',
+    keys: ['k'],
+    weight: 1,
+    cap: {cpuMillis: 2500, memoryMb: 0, gpus: 0},
+  };
+  const tables = {
+    ...NO_TABLES,
+    version: 1,
+    queues: [QUEUE],
+    pools: [{name: 'p', guardsCapacity: false, standby: false}],
+    teams: [team],
+  };
+  return apply(EMPTY_STATE, {
+    events: [
+      {type: 'tables', tables},
+      ...workers.map(row => ({type: 'worker', worker: row}) as const),
+      ...events,
+    ],
+  }).state;
+}
+
+function decide(state: State, more: Partial<PlanInput> = {}) {
+  return plan({
+    state,
+    load: measureLoad(state),
+    workers: [...state.workers.values()].map(row => ({
+      key: workerKey(row),
+      worker: row,
+      free: row.capacity,
+      doubtful: false,
+    })),
+    nowMs: 0,
+    durations: NO_DURATIONS,
+    advised: new Map(),
+    order: new DeadlineOrder(),
+    placement: new Spread(),
+    ...more,
+  });
+}
+
+function tasks(state: State, more?: Partial<PlanInput>): string[] {
+  return decide(state, more).starts.map(([task]) => task);
+}
+
+describe('a round', () => {
+  it('starts no step before those that it waits for', () => {
+    const state = stateOf([worker('w')], submit('a', [{}, {after: [0]}]));
+    expect(tasks(state)).toEqual(['a.0.0.0']);
+  });
+
+  it('keeps the reservations within the capacity of every worker', () => {
+    const state = stateOf(
+      [worker('w'), worker('v')],
+      submit('a', [{count: 20, cpu: 1500}]),
+    );
+    const {starts, short} = decide(state);
+    expect(starts).toHaveLength(4);
+    expect(short.has('p')).toBe(true);
+  });
+
+  it('counts runs that are on record against the capacity', () => {
+    const state = stateOf(
+      [worker('w')],
+      submit('b', [{cpu: 3500}]),
+      {type: 'start', runs: [['b.0.0.0', 1, 'w@1']]},
+      submit('a', [{cpu: 1000}]),
+    );
+    expect(tasks(state)).toEqual([]);
+  });
+
+  it('never lets a team exceed its cap', () => {
+    const state = stateOf(
+      [worker('w'), worker('v')],
+      submit('a', [{count: 6}], {team: 't'}),
+    );
+    expect(tasks(state)).toHaveLength(2);
+  });
+
+  it('reserves no cores for fillers', () => {
+    const state = stateOf(
+      [worker('w')],
+      submit('a', [{count: 3, cpu: 4000, filler: true}]),
+    );
+    expect(tasks(state)).toHaveLength(3);
+  });
+
+  it('spreads a step over workers as its limit says', () => {
+    const state = stateOf(
+      [worker('w'), worker('v')],
+      submit('a', [{count: 4, maxPerWorker: 1}]),
+    );
+    expect(tasks(state)).toHaveLength(2);
+  });
+
+  it('uses only workers with the label', () => {
+    const state = stateOf(
+      [worker('w'), worker('v', {labels: ['fast']})],
+      submit('a', [{count: 2, label: 'fast'}]),
+    );
+    const {starts} = decide(state);
+    expect(starts.map(([, , key]) => key)).toEqual(['v@1', 'v@1']);
+  });
+
+  it('prefers the rack of the data', () => {
+    const state = stateOf(
+      [worker('w', {labels: ['r1-1']}), worker('v', {labels: ['r1-2']})],
+      submit('a', [{rack: 'r1-2'}]),
+    );
+    expect(decide(state).starts[0]![2]).toBe('v@1');
+  });
+
+  it('places a gang as a whole, under one run number, or not at all', () => {
+    const small = stateOf([worker('w')], submit('a', [{count: 5, gang: true}]));
+    expect(tasks(small)).toEqual([]);
+    const large = stateOf(
+      [worker('w'), worker('v')],
+      submit('a', [{count: 5, gang: true}]),
+    );
+    const {starts} = decide(large);
+    expect(starts).toHaveLength(5);
+    expect(new Set(starts.map(([, run]) => run))).toEqual(new Set([1]));
+  });
+
+  it('starts occurrences when they are due', () => {
+    const schedule = {startAtMs: 1000, intervalMs: 500, times: 3};
+    const state = stateOf([worker('w')], submit('a', [{}], {schedule}));
+    expect(tasks(state, {nowMs: 999})).toEqual([]);
+    expect(tasks(state, {nowMs: 1600})).toEqual(['a.0.0.0', 'a.1.0.0']);
+  });
+
+  it('waits for advice where the queue demands it', () => {
+    const base = stateOf([worker('w'), worker('v')], submit('a', [{count: 2}]));
+    const advice = {decideMs: 1, perWorkerMs: 1, validMs: 1000};
+    const tables = {...base.tables, queues: [{...QUEUE, advice}]};
+    const state = {...base, tables};
+    const without = decide(state);
+    expect(without.starts).toEqual([]);
+    expect(without.unadvised).toEqual([{step: 'a.0.0', pool: 'p'}]);
+    const advised: Advised = new Map([['a.0.0', new Set(['v@1'])]]);
+    const {starts} = decide(state, {advised});
+    expect(starts.map(([, , key]) => key)).toEqual(['v@1', 'v@1']);
+  });
+});
+
+describe('the order', () => {
+  const two = [
+    submit('late', [{estimateMs: 1000}], {atMs: 0}),
+    submit('fresh', [{estimateMs: 1000}], {atMs: 9000}),
+  ];
+
+  it('puts a job that can be in time before one that cannot', () => {
+    const one = worker('w', {
+      capacity: {cpuMillis: 1000, memoryMb: 1000, gpus: 0},
+    });
+    const state = stateOf([one], ...two);
+    expect(tasks(state, {nowMs: 9500})).toEqual(['fresh.0.0.0']);
+    const order = new ArrivalOrder();
+    expect(tasks(state, {nowMs: 9500, order})).toEqual(['late.0.0.0']);
+  });
+
+  it('still starts a late job when there is room', () => {
+    const state = stateOf([worker('w')], ...two);
+    expect(tasks(state, {nowMs: 9500})).toHaveLength(2);
+  });
+});
+
+describe('the placement', () => {
+  const state = stateOf(
+    [worker('w'), worker('v')],
+    submit('b', [{}]),
+    {type: 'start', runs: [['b.0.0.0', 1, 'w@1']]},
+    submit('a', [{}]),
+  );
+
+  it('packs, so that other workers become idle', () => {
+    const {starts} = decide(state, {placement: new Pack()});
+    expect(starts[0]![2]).toBe('w@1');
+  });
+
+  it('spreads, so that a bad worker holds few tasks', () => {
+    expect(decide(state).starts[0]![2]).toBe('v@1');
+  });
+
+  it('avoids workers where the task has failed', () => {
+    const failed = apply(state, {
+      events: [
+        {type: 'start', runs: [['a.0.0.0', 1, 'v@1']]},
+        {
+          type: 'ends',
+          worker: 'v@1',
+          upTo: 1,
+          ends: [['a.0.0.0', 1, 'failed', '']],
+        },
+      ],
+    }).state;
+    expect(decide(failed).starts[0]!.slice(1)).toEqual([2, 'w@1']);
+  });
+});
+
+describe('durations', () => {
+  it('follow the history more than the estimate', () => {
+    let durations = NO_DURATIONS;
+    for (let n = 0; n < 50; n++) durations = learn(durations, 'q', 1000);
+    const [step] = (
+      submit('a', [{estimateMs: 16_000}]) as {job: JobSpec} & Event
+    ).job.steps;
+    expect(expectedMs(durations, 'q', step!)).toBeCloseTo(2000, 0);
+    expect(expectedMs(NO_DURATIONS, 'q', step!)).toBe(16_000);
+  });
+});
+
+describe('health', () => {
+  it('doubts a worker after failures of two jobs without a success', () => {
+    let health = observeEnds(new Map(), 'w', [['a.0.0.0', 1, 'failed', '']], 0);
+    expect(isQuarantined(health, 'w', 1)).toBe(false);
+    health = observeEnds(health, 'w', [['a.0.0.1', 1, 'failed', '']], 0);
+    expect(isQuarantined(health, 'w', 1)).toBe(false);
+    health = observeEnds(health, 'w', [['b.0.0.0', 1, 'failed', '']], 0);
+    expect(isQuarantined(health, 'w', 1)).toBe(true);
+    expect(isQuarantined(health, 'w', QUARANTINE_MS)).toBe(false);
+    health = observeEnds(health, 'w', [['c.0.0.0', 1, 'done', '']], 0);
+    expect(isQuarantined(health, 'w', 1)).toBe(false);
+  });
+});
+
+describe('demand', () => {
+  it('is what runs and what waits for a worker, and no later step', () => {
+    const state = stateOf(
+      [worker('w')],
+      submit('a', [
+        {count: 3, maxPerWorker: 1},
+        {count: 9, after: [0]},
+      ]),
+      {type: 'start', runs: [['a.0.0.0', 1, 'w@1']]},
+    );
+    const demand = measureDemand(state, measureLoad(state), 0).get('p')!;
+    expect(demand.reserved.cpuMillis).toBe(1000);
+    expect(demand.waiting.cpuMillis).toBe(2000);
+    expect(demand.spread).toBe(3);
+  });
+});
