--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -45,6 +45,7 @@
 import type {WorkerDriver} from './driver.js';
 import {createInventory} from './inventory.js';
 import {createMaintenance, type Maintenance} from './maintenance.js';
+import {createPacing, type Pacing} from './pacing.js';
 import {createPresence, type Presence} from './presence.js';
 import type {Adviser, HostProvider} from './provider.js';
 import {createRebalance, type Rebalance} from './rebalance.js';
@@ -178,6 +179,7 @@
     isAnswering: key => contacts.get(key)?.isAnswering() ?? false,
     isStopping: id => stopOrders.has(id),
   });
+  const pacing: Pacing = createPacing(log);
   const inventory = createInventory(options.hosts, log);
   const duty = {holder: options.holder, token};
   const maintenance: Maintenance = createMaintenance({
@@ -412,6 +414,7 @@
       contacts.get(key)!.stop(name, run);
     }
     presence.observe(key, said);
+    pacing.observe(contacts.get(key)!, said, recorded);
     touch();
   }
 
@@ -609,6 +612,7 @@
       surveyed.delete(key);
       recordedEnds.delete(key);
       presence.forget(key);
+      pacing.forget(contact.worker.id);
       void contact.end();
     }
   }
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -252,6 +252,26 @@
   });
 });
 
+describe('fillers', () => {
+  it('give way to serving tasks within the bound, and come back', async () => {
+    await open({behave: () => ({durationMs: Infinity, lasting: true})}, 1);
+    const fake = bench.fleet.byAddress.get('w1:1')!;
+    const lasting = {lasting: true};
+    await bench.submit(
+      job('l', {...lasting, tailTargetMs: 40}, {...lasting, filler: true}),
+    );
+    await bench.run(1500);
+    expect(fake.paces.size).toBe(0);
+    fake.tailMs = 60;
+    await bench.run(2500);
+    expect(fake.paces.get('l.0.1.0')).toBe(0);
+    fake.tailMs = 10;
+    await bench.run(8000);
+    expect(fake.paces.get('l.0.1.0')).toBe(100);
+    expect(fake.paces.has('l.0.0.0')).toBe(false);
+  });
+});
+
 describe('ends', () => {
   it('are acknowledged only once they are on record', async () => {
     await open({behave: () => ({durationMs: 100})}, 1);
--- a/packages/dispatch/test/standin.ts
+++ b/packages/dispatch/test/standin.ts
@@ -60,6 +60,9 @@
   leaseUntilMs = 0;
   readonly runs = new Map<string, FakeRun>();
   readonly highest = new Map<string, number>();
+  readonly paces = new Map<string, number>();
+  /** Tail that serving tasks report. */
+  tailMs = 0;
   ended: {
     number: number;
     task: string;
@@ -159,7 +162,7 @@
             ? 100
             : 0
           : 50,
-        measure: 0,
+        measure: this.tailMs,
       })),
       ended: [...this.ended],
     };
@@ -248,8 +251,14 @@
     return this.order(target, worker => worker.stop(order));
   }
 
-  override async pace(): Promise<OrderAnswer> {
-    return {ok: true};
+  override pace(
+    target: Target,
+    {task, percent}: RunOrder & {percent: number},
+  ): Promise<OrderAnswer> {
+    return this.order(target, worker => {
+      worker.paces.set(task, percent);
+      return {ok: true};
+    });
   }
 
   override forget(): void {}
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -7,3 +7,4 @@
 export * from './budget.js';
 export * from './demand.js';
 export * from './pools.js';
+export * from './pace.js';
