--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -43,9 +43,9 @@
 }
 
 /** Hosts kept beyond the demand, since a move takes longer than a task. */
-const HEADROOM_HOSTS = 1;
+const HEADROOM_HOSTS = 2;
 /** A pool is never left with fewer hosts. */
-const MIN_HOSTS = 2;
+const MIN_HOSTS = 3;
 /** Share of a host that can be filled in practice. */
 const FILL = 0.85;
 
@@ -113,6 +113,6 @@
   const memory =
     (reserved.memoryMb + waiting.memoryMb) /
     Math.max(1, sample.capacity.memoryMb);
-  const filled = Math.ceil(Math.max(cores, memory) / FILL);
-  return Math.max(MIN_HOSTS, spread, filled + HEADROOM_HOSTS);
+  const filled = Math.max(cores, memory) / FILL;
+  return Math.max(MIN_HOSTS, spread, Math.ceil(filled + HEADROOM_HOSTS));
 }
