Split the leader, finish begun jobs first, forget old jobs

Order: of the jobs that can be in time those that have begun come first, then those with the most time left.

The leader's knowledge of runs, its directory and its orders are modules of their own now, with behaviour as it was. Ended jobs are forgotten after 180 s.

--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -9,7 +9,6 @@
 import {
   apply,
   splitTaskName,
-  taskName,
   workerKey,
   type Change,
   type Event,
@@ -40,24 +39,24 @@
 } from '@lentildrift/scheduling';
 import type {Reply, Task, TaskSystem} from '@lentildrift/task';
 import {createAdvice, type Advice} from './advice.js';
-import {openContact, type Contact, type ContactNews} from './contact.js';
-import {judge} from './directory.js';
+import type {ContactNews} from './contact.js';
 import type {WorkerDriver} from './driver.js';
 import {createInventory} from './inventory.js';
 import {createMaintenance, type Maintenance} from './maintenance.js';
+import {createOrders, type Orders} from './orders.js';
 import {createPacing, type Pacing} from './pacing.js';
 import {createPresence, type Presence} from './presence.js';
 import type {Adviser, HostProvider} from './provider.js';
 import {createRebalance, type Rebalance} from './rebalance.js';
-import {isSurplus, liveRunId, lostRow, reconcile, runId} from './reconcile.js';
+import {liveRunId, reconcile, runId} from './reconcile.js';
+import {createRegistry, type Registry} from './registry.js';
+import {createRunBook} from './runbook.js';
 import {
   DUTY_MEMORY_MS,
   DUTY_PAUSE_MS,
-  LEFT_GRACE_MS,
-  RETRY_PAUSE_MS,
+  RETAIN_MS,
   ROUND_INTERVAL_MS,
   TICK_MS,
-  WORKER_EXPIRY_MS,
 } from './timing.js';
 
 export type QueueReplica = Replica<State, Change, readonly Outcome[]>;
@@ -117,37 +116,18 @@
   const {replica, token, driver, tasks, log, metrics} = options;
   const order = options.order ?? new DeadlineOrder();
   const placement = options.placement ?? new Pack();
-  const startedTasks = metrics.counter(
-    'lentildrift_task_starts_total',
-    'Runs that were ordered.',
-    1,
-  );
   const roundTime: Latency = metrics.latency(
     'lentildrift_round_duration_seconds',
     'Processor time of a decision round.',
     1,
   );
-  const firstStart: Latency = metrics.latency(
-    'lentildrift_first_start_seconds',
-    'Time from the acceptance of a job to its first order.',
-    1,
-  );
-
   const openedMs = performance.now();
   const takeoverMs = Date.now();
   const earlierDuties = replica.state().duties;
-  const contacts = new Map<string, Contact>();
   const surveyed = new Set<string>();
   const recordedEnds = new Map<string, number>();
-  const heardMs = new Map<string, number>();
-  const leftMs = new Map<string, number>();
-  /** Runs that an earlier leader ordered; a survey settles them. */
-  const inherited = new Set(measureLoad(replica.state()).runs.map(liveRunId));
-  const settledMs = new Map<string, number>();
-  const startedMs = new Map<string, number>();
-  const seen = new Set<string>();
-  const stopOrders = new Set<string>();
-  const rebirths = new Set<string>();
+  const endedMs = new Map<string, number>();
+  const runs = createRunBook(measureLoad(replica.state()).runs.map(liveRunId));
   let queue: Queued[] = [];
   let health: Health = new Map();
   let durations: Durations = NO_DURATIONS;
@@ -175,9 +155,34 @@
     log,
     onChange: touch,
   });
+  const orders: Orders = createOrders({
+    ...options,
+    runs,
+    advice,
+    state,
+    onNews: news => void task.post({type: 'news', news}),
+    onClosed({worker}) {
+      const key = workerKey(worker);
+      surveyed.delete(key);
+      recordedEnds.delete(key);
+      presence.forget(key);
+      pacing.forget(worker.id);
+    },
+    onImpossible: row => enqueue({type: 'lost', runs: [row]}),
+  });
+  const registry: Registry = createRegistry({
+    token,
+    driver,
+    runs,
+    log,
+    state,
+    runsOn,
+    contactOf: orders.contactOf,
+    enqueue,
+  });
   const presence: Presence = createPresence({
-    isAnswering: key => contacts.get(key)?.isAnswering() ?? false,
-    isStopping: id => stopOrders.has(id),
+    isAnswering: orders.isAnswering,
+    isStopping: id => runs.isStopping(id),
   });
   const pacing: Pacing = createPacing(log);
   const inventory = createInventory(options.hosts, log);
@@ -192,7 +197,7 @@
     isMoving: host => rebalance.isHeld(host),
     isGuarded,
     commit: event => enqueue(event),
-    stopRun: live => stopRun(live.run.worker, liveRunId(live), live),
+    stopRun: orders.stop,
     isLeader: options.isLeader,
   });
   const rebalance: Rebalance = createRebalance({
@@ -208,8 +213,7 @@
     onWorkerGone: worker => enqueue({type: 'worker-gone', worker}),
     isInWave: host => maintenance.isHeld(host),
     isUsable: worker =>
-      worker.phase === 'ready' &&
-      (contacts.get(workerKey(worker))?.isAnswering() ?? false),
+      worker.phase === 'ready' && orders.isAnswering(workerKey(worker)),
   });
 
   function handle(message: Message): void {
@@ -218,10 +222,10 @@
         enqueue(message.event, message.reply);
         return;
       case 'announce':
-        announced(message.worker, message.reply);
+        registry.announce(message.worker, message.reply);
         return;
       case 'leave':
-        left(message.worker, message.reply);
+        registry.leave(message.worker, message.reply);
         return;
       case 'news':
         take(message.news);
@@ -255,6 +259,10 @@
     return cachedLoad.load;
   }
 
+  function runsOn(key: string): LiveRun[] {
+    return loadNow().runs.filter(live => live.run.worker === key);
+  }
+
   function touch(): void {
     dirty = true;
     if (outstanding || roundTimer || ended) return;
@@ -269,84 +277,10 @@
     touch();
   }
 
-  // Announcements
-
-  function announced(worker: Worker, reply: Reply<void>): void {
-    const known = state().workers.get(worker.id);
-    const news = judge(known, worker);
-    if (news !== 'stale') heardMs.set(workerKey(worker), performance.now());
-    if (news === 'stale' || news === 'alive') {
-      reply.resolve();
-      return;
-    }
-    if (news !== 'reborn') {
-      record(worker, reply);
-      return;
-    }
-    void withdrawUnseen(known!, worker, reply);
-  }
-
-  function record(worker: Worker, reply: Reply<void>): void {
-    enqueue(
-      {type: 'worker', worker},
-      {resolve: () => reply.resolve(), reject: error => reply.reject(error)},
-    );
-  }
-
-  /**
-   * An order to the old incarnation that is still under way would be carried
-   * out by the new one, which has seen no token and no run. Each run that the
-   * old one was not seen to have is stopped at the new one first.
-   */
-  async function withdrawUnseen(
-    old: Worker,
-    worker: Worker,
-    reply: Reply<void>,
-  ): Promise<void> {
-    const key = workerKey(worker);
-    if (rebirths.has(key)) {
-      reply.reject(new Error(`${key} is being taken over`));
-      return;
-    }
-    rebirths.add(key);
-    await contacts.get(workerKey(old))?.end();
-    const unseen = loadNow().runs.filter(
-      live => live.run.worker === workerKey(old) && !seen.has(liveRunId(live)),
-    );
-    const target = {id: worker.id, address: worker.address};
-    for (const live of unseen) {
-      const order = {
-        task: taskName(live.job.spec.id, live.key),
-        run: live.run.number,
-        token,
-      };
-      while (!ended) {
-        const done = await driver.stop(target, order).then(
-          () => true,
-          () => false,
-        );
-        if (done) break;
-        await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
-      }
-    }
-    rebirths.delete(key);
-    if (ended) reply.reject(new Error('no longer the leader'));
-    else record(worker, reply);
-  }
-
-  function left(id: string, reply: Reply<void>): void {
-    const known = state().workers.get(id);
-    if (!known || known.phase === 'gone') {
-      reply.resolve();
-      return;
-    }
-    record({...known, phase: 'gone'}, reply);
-  }
-
   // Reports
 
   function take(news: ContactNews): void {
-    if (!contacts.has(news.key)) return;
+    if (!orders.contactOf(news.key)) return;
     switch (news.type) {
       case 'report':
         report(news);
@@ -358,16 +292,16 @@
         startSettled(news);
         return;
       case 'stop':
-        settledMs.set(runId(news.task, news.run), performance.now());
+        runs.settle(runId(news.task, news.run));
     }
   }
 
   function startSettled(news: Extract<ContactNews, {type: 'start'}>): void {
     const {key, task: name, run, answer} = news;
     const id = runId(name, run);
-    settledMs.set(id, performance.now());
+    runs.settle(id);
     if (answer.ok) {
-      startedMs.set(id, performance.now());
+      runs.begin(id);
       return;
     }
     log.info('start-refused', {
@@ -384,20 +318,17 @@
 
   function report(news: Extract<ContactNews, {type: 'report'}>): void {
     const {key, report: said, sentMs} = news;
-    const worker = contacts.get(key)!.worker;
-    const current = state().workers.get(worker.id);
+    const contact = orders.contactOf(key)!;
+    const current = state().workers.get(contact.worker.id);
     if (!current || workerKey(current) !== key) return;
-    const recorded = loadNow().runs.filter(live => live.run.worker === key);
+    const recorded = runsOn(key);
     const cursor = Math.max(recordedEnds.get(key) ?? 0, current.cursor);
     const findings = reconcile({
-      state: state(),
       worker: current,
       report: said,
       recorded,
       cursor,
-      // A run may be on record before the message that leads to its order.
-      isSettled: id =>
-        inherited.has(id) || (settledMs.get(id) ?? Infinity) < sentMs,
+      isSettled: id => runs.isSettled(id, sentMs),
     });
     if (!surveyed.has(key)) {
       surveyed.add(key);
@@ -407,14 +338,14 @@
         recorded: recorded.length,
       });
     }
-    for (const id of findings.present) seen.add(id);
+    for (const id of findings.present) runs.see(id);
     for (const event of findings.events) takeFinding(key, event);
     for (const {task: name, run} of findings.strays) {
       log.warn('stray-run', {worker: key, task: name, run});
-      contacts.get(key)!.stop(name, run);
+      contact.stop(name, run);
     }
     presence.observe(key, said);
-    pacing.observe(contacts.get(key)!, said, recorded);
+    pacing.observe(contact, said, recorded);
     touch();
   }
 
@@ -431,7 +362,7 @@
 
   function noteEnd(key: string, name: string, run: number, how: string): void {
     const id = runId(name, run);
-    const began = startedMs.get(id);
+    const began = runs.begunMs(id);
     const job = state().jobs.get(splitTaskName(name).job);
     if (how === 'done' && began !== undefined && job && run === 1) {
       const took = performance.now() - began;
@@ -489,8 +420,7 @@
     const bad: Candidate[] = [];
     for (const worker of projected.workers.values()) {
       const key = workerKey(worker);
-      const contact = contacts.get(key);
-      if (worker.phase !== 'ready' || !contact?.isAnswering()) continue;
+      if (worker.phase !== 'ready' || !orders.isAnswering(key)) continue;
       if (!surveyed.has(key) || isHeld(worker.host)) continue;
       const doubtful = isQuarantined(health, key, nowMs);
       const candidate = {key, worker, free: worker.capacity, doubtful};
@@ -527,18 +457,18 @@
       reply?.resolve(outcomes[at]!);
       followUp(event, outcomes[at]!);
     });
-    for (const row of batch.starts) orderStart(row);
-    syncContacts();
-    stopSurplus();
+    for (const row of batch.starts) orders.start(row);
+    orders.sync();
+    orders.stopSurplus(loadNow().runs);
     if (queue.length > 0 || dirty || batch.starts.length > 0) touch();
   }
 
   function followUp(event: Event, outcome: Outcome): void {
     if (event.type === 'ends') {
-      contacts.get(event.worker)?.acknowledge(event.upTo);
-      for (const [name, run] of event.ends) forget(runId(name, run));
+      orders.contactOf(event.worker)?.acknowledge(event.upTo);
+      for (const [name, run] of event.ends) runs.forget(runId(name, run));
     } else if (event.type === 'lost') {
-      for (const [name, run] of event.runs) forget(runId(name, run));
+      for (const [name, run] of event.runs) runs.forget(runId(name, run));
     } else if (event.type === 'worker' && outcome === 'applied') {
       const {worker} = event;
       log.info('worker-changed', {
@@ -551,142 +481,37 @@
     }
   }
 
-  function forget(id: string): void {
-    inherited.delete(id);
-    settledMs.delete(id);
-    startedMs.delete(id);
-    seen.delete(id);
-    stopOrders.delete(id);
-  }
-
-  function orderStart([name, run, key]: StartRow): void {
-    const contact = contacts.get(key);
-    const {job: id, key: place} = splitTaskName(name);
-    const job = state().jobs.get(id);
-    const record = job?.tasks[place];
-    if (!job || !record?.runs.some(each => each.number === run)) return;
-    if (!contact) {
-      enqueue({type: 'lost', runs: [[name, run, key]]});
-      return;
-    }
-    startedTasks.add({});
-    if (run === 1) {
-      log.info('task-started', {task: name, worker: key});
-      firstStart.record({}, Date.now() - job.acceptedAtMs);
-    } else {
-      log.info('task-restarted', {task: name, run, worker: key});
-    }
-    const ticket = advice.ticket(name, contact.worker.id);
-    contact.start({
-      task: name,
-      run,
-      payload: job.spec.payload,
-      checkpoint: record.checkpoint,
-      ...(ticket !== undefined && {ticket}),
-    });
-  }
-
-  /** One contact for each incarnation in the directory. */
-  function syncContacts(): void {
-    const wanted = new Set<string>();
-    for (const worker of state().workers.values()) {
-      const key = workerKey(worker);
-      wanted.add(key);
-      if (contacts.has(key)) continue;
-      contacts.set(
-        key,
-        openContact({
-          worker,
-          token,
-          driver,
-          tasks,
-          log,
-          isLeader: options.isLeader,
-          onNews: news => void task.post({type: 'news', news}),
-        }),
-      );
-    }
-    for (const [key, contact] of contacts) {
-      if (wanted.has(key)) continue;
-      contacts.delete(key);
-      surveyed.delete(key);
-      recordedEnds.delete(key);
-      presence.forget(key);
-      pacing.forget(contact.worker.id);
-      void contact.end();
-    }
-  }
-
-  function stopSurplus(): void {
-    for (const live of loadNow().runs) {
-      const worker = workerOf(live);
-      const leaving = worker?.phase === 'draining' && live.step.lasting;
-      if (!isSurplus(live) && !leaving) continue;
-      stopRun(live.run.worker, liveRunId(live), live);
-    }
-  }
-
-  function stopRun(key: string, id: string, live: LiveRun): void {
-    const contact = contacts.get(key);
-    if (!contact || stopOrders.has(id)) return;
-    stopOrders.add(id);
-    const name = taskName(live.job.spec.id, live.key);
-    log.info('task-stopped', {task: name, run: live.run.number, worker: key});
-    contact.stop(name, live.run.number);
-  }
-
-  function workerOf({run}: LiveRun): Worker | undefined {
-    return state().workers.get(
-      run.worker.slice(0, run.worker.lastIndexOf('@')),
-    );
-  }
-
   // Time
 
   function tick(): void {
     tickTimer = setTimeout(() => task.post({type: 'tick'}), TICK_MS);
     if (!options.isLeader()) return;
-    syncContacts();
-    stopSurplus();
-    expire();
+    orders.sync();
+    orders.stopSurplus(loadNow().runs);
+    registry.expire();
+    forgetJobs();
     maintenance.tick(loadNow());
     rebalance.tick(loadNow());
     dirty = true;
     if (!outstanding) round();
   }
 
-  function expire(): void {
+  /** Ended jobs are kept for those that still ask for them. */
+  function forgetJobs(): void {
     const nowMs = performance.now();
-    for (const worker of state().workers.values()) {
-      const key = workerKey(worker);
-      const contact = contacts.get(key);
-      if (!contact) continue;
-      if (worker.phase === 'gone') {
-        const since = leftMs.get(key) ?? nowMs;
-        leftMs.set(key, since);
-        if (nowMs - since > LEFT_GRACE_MS) {
-          leftMs.delete(key);
-          enqueue({type: 'worker-gone', worker: key});
-        }
-        continue;
-      }
-      if (contact.isAnswering() || nowMs < contact.lapsedAtMs()) continue;
-      expireRuns(key);
-      if (!heardMs.has(key)) heardMs.set(key, nowMs);
-      if (nowMs - heardMs.get(key)! > WORKER_EXPIRY_MS) {
-        enqueue({type: 'worker-gone', worker: key});
-      }
+    const old: string[] = [];
+    for (const {spec, phase, tasks: left} of state().jobs.values()) {
+      if (phase === 'active' || Object.keys(left).length > 0) continue;
+      const since = endedMs.get(spec.id) ?? nowMs;
+      endedMs.set(spec.id, since);
+      if (nowMs - since > RETAIN_MS) old.push(spec.id);
     }
+    if (old.length === 0) return;
+    for (const id of old) endedMs.delete(id);
+    enqueue({type: 'forget', jobs: old});
   }
 
-  function expireRuns(key: string): void {
-    const runs = loadNow().runs.filter(live => live.run.worker === key);
-    if (runs.length === 0) return;
-    log.info('lease-lapsed', {worker: key, runs: runs.length});
-    enqueue({type: 'lost', runs: runs.map(lostRow)});
-  }
-
-  syncContacts();
+  orders.sync();
   task.post({type: 'tick'});
   log.info('leading', {
     token,
@@ -706,10 +531,11 @@
       clearTimeout(tickTimer);
       maintenance.stop();
       rebalance.stop();
+      registry.stop();
       for (const {reply} of queue) {
         reply?.reject(new Error('no longer the leader'));
       }
-      await Promise.all([...contacts.values()].map(contact => contact.end()));
+      await orders.end();
       await task.stop();
     },
   };
--- a/packages/dispatch/src/reconcile.ts
+++ b/packages/dispatch/src/reconcile.ts
@@ -1,6 +1,11 @@
 /** Compares what a worker reports with what is on record for it. */
-import type {EndRow, Event, State, Worker} from '@lentildrift/queue';
-import {splitTaskName, taskName, workerKey} from '@lentildrift/queue';
+import {
+  taskName,
+  workerKey,
+  type EndRow,
+  type Event,
+  type Worker,
+} from '@lentildrift/queue';
 import type {LiveRun} from '@lentildrift/scheduling';
 import type {Report} from './driver.js';
 
@@ -26,7 +31,6 @@
 }
 
 export interface ReconcileInput {
-  readonly state: State;
   readonly worker: Worker;
   readonly report: Report;
   /** Runs on record for this worker. */
@@ -80,7 +84,3 @@
 export function lostRow({job, key, run}: LiveRun): [string, number, string] {
   return [taskName(job.spec.id, key), run.number, run.worker];
 }
-
-export function jobOf(state: State, task: string) {
-  return state.jobs.get(splitTaskName(task).job);
-}
--- /dev/null
+++ b/packages/dispatch/src/registry.ts
@@ -0,0 +1,157 @@
+/** Takes workers into the directory and out of it. */
+import type {Log} from '@lentildrift/observe';
+import {
+  taskName,
+  workerKey,
+  type Event,
+  type Outcome,
+  type State,
+  type Worker,
+} from '@lentildrift/queue';
+import type {LiveRun} from '@lentildrift/scheduling';
+import type {Reply} from '@lentildrift/task';
+import type {Contact} from './contact.js';
+import {judge} from './directory.js';
+import type {WorkerDriver} from './driver.js';
+import {liveRunId, lostRow} from './reconcile.js';
+import type {RunBook} from './runbook.js';
+import {LEFT_GRACE_MS, RETRY_PAUSE_MS, WORKER_EXPIRY_MS} from './timing.js';
+
+export interface RegistryOptions {
+  readonly token: number;
+  readonly driver: WorkerDriver;
+  readonly runs: RunBook;
+  readonly log: Log;
+  state(): State;
+  /** Runs on record for a worker. */
+  runsOn(worker: string): readonly LiveRun[];
+  contactOf(worker: string): Contact | undefined;
+  enqueue(event: Event, reply?: Reply<Outcome>): void;
+}
+
+export interface Registry {
+  announce(worker: Worker, reply: Reply<void>): void;
+  leave(id: string, reply: Reply<void>): void;
+  /** Takes workers off that have left, and runs whose lease has lapsed. */
+  expire(): void;
+  stop(): void;
+}
+
+export function createRegistry(options: RegistryOptions): Registry {
+  const {token, driver, runs, log, state, enqueue} = options;
+  const heardMs = new Map<string, number>();
+  const leftMs = new Map<string, number>();
+  const rebirths = new Set<string>();
+  let ended = false;
+
+  function announce(worker: Worker, reply: Reply<void>): void {
+    const known = state().workers.get(worker.id);
+    const news = judge(known, worker);
+    if (news !== 'stale') heardMs.set(workerKey(worker), performance.now());
+    if (news === 'stale' || news === 'alive') {
+      reply.resolve();
+      return;
+    }
+    if (news === 'reborn') void withdrawUnseen(known!, worker, reply);
+    else record(worker, reply);
+  }
+
+  function record(worker: Worker, reply: Reply<void>): void {
+    enqueue(
+      {type: 'worker', worker},
+      {resolve: () => reply.resolve(), reject: error => reply.reject(error)},
+    );
+  }
+
+  /**
+   * An order to the old incarnation that is still under way would be carried
+   * out by the new one, which has seen no token and no run. Each run that the
+   * old one was not seen to have is stopped at the new one first.
+   */
+  async function withdrawUnseen(
+    old: Worker,
+    worker: Worker,
+    reply: Reply<void>,
+  ): Promise<void> {
+    const key = workerKey(worker);
+    if (rebirths.has(key)) {
+      reply.reject(new Error(`${key} is being taken over`));
+      return;
+    }
+    rebirths.add(key);
+    const oldKey = workerKey(old);
+    await options.contactOf(oldKey)?.end();
+    const unseen = options
+      .runsOn(oldKey)
+      .filter(live => !runs.isSeen(liveRunId(live)));
+    for (const live of unseen) await withdraw(live, worker);
+    rebirths.delete(key);
+    if (ended) reply.reject(new Error('no longer the leader'));
+    else record(worker, reply);
+  }
+
+  async function withdraw(live: LiveRun, worker: Worker): Promise<void> {
+    const target = {id: worker.id, address: worker.address};
+    const task = taskName(live.job.spec.id, live.key);
+    const run = live.run.number;
+    while (!ended) {
+      try {
+        await driver.stop(target, {task, run, token});
+        return;
+      } catch (error) {
+        const reason = (error as Error).message;
+        log.debug('stop-unanswered', {worker: worker.id, task, run, reason});
+      }
+      await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
+    }
+  }
+
+  function leave(id: string, reply: Reply<void>): void {
+    const known = state().workers.get(id);
+    if (!known || known.phase === 'gone') reply.resolve();
+    else record({...known, phase: 'gone'}, reply);
+  }
+
+  function expire(): void {
+    for (const worker of state().workers.values()) {
+      if (worker.phase === 'gone') expireLeft(worker);
+      else expireSilent(worker);
+    }
+  }
+
+  function expireLeft(worker: Worker): void {
+    const nowMs = performance.now();
+    const key = workerKey(worker);
+    const since = leftMs.get(key) ?? nowMs;
+    leftMs.set(key, since);
+    if (nowMs - since <= LEFT_GRACE_MS) return;
+    leftMs.delete(key);
+    enqueue({type: 'worker-gone', worker: key});
+  }
+
+  function expireSilent(worker: Worker): void {
+    const nowMs = performance.now();
+    const key = workerKey(worker);
+    const contact = options.contactOf(key);
+    if (!contact || contact.isAnswering()) return;
+    if (nowMs < contact.lapsedAtMs()) return;
+    const lapsed = options.runsOn(key);
+    if (lapsed.length > 0) {
+      log.info('lease-lapsed', {worker: key, runs: lapsed.length});
+      enqueue({type: 'lost', runs: lapsed.map(lostRow)});
+    }
+    if (!heardMs.has(key)) heardMs.set(key, nowMs);
+    if (nowMs - heardMs.get(key)! <= WORKER_EXPIRY_MS) return;
+    heardMs.delete(key);
+    enqueue({type: 'worker-gone', worker: key});
+  }
+
+  return {
+    announce,
+    leave,
+    expire,
+    stop() {
+      ended = true;
+    },
+  };
+}
--- a/packages/dispatch/src/timing.ts
+++ b/packages/dispatch/src/timing.ts
@@ -35,3 +35,5 @@
  * time of day differs by seconds between the leaders.
  */
 export const DUTY_MEMORY_MS = DUTY_PAUSE_MS + 2500;
+/** Ended jobs are known for longer than callers may ask for them. */
+export const RETAIN_MS = 180_000;
--- a/packages/scheduling/src/order.ts
+++ b/packages/scheduling/src/order.ts
@@ -34,10 +34,12 @@
 const LATE_FACTOR = 3;
 
 /**
- * Jobs that can still meet their objective come first, those with the latest
- * possible start soonest; then those that earn a little, the shortest first;
- * then the rest by age. Tasks that last come before all of them, because they
- * serve users all the time.
+ * Jobs that can still meet their objective come first: of those that have
+ * begun the most urgent, then of the others those with the most time left.
+ * Under overload this finishes what was begun, and capacity is not spent on
+ * jobs that are about to be late. Next come jobs that earn a little, the
+ * shortest first, then the rest by age. Tasks that last come before all of
+ * them, because they serve users all the time.
  */
 export class DeadlineOrder extends JobOrder {
   override rank(input: OrderInput): number {
@@ -48,7 +50,9 @@
     const dueMs = dueAtMs(job, occurrence);
     const objectiveMs = queue.stretch * path + queue.targetMs;
     const slackMs = dueMs + objectiveMs - nowMs - rest;
-    if (slackMs >= -SLACK_TOLERANCE_MS) return slackMs;
+    if (slackMs >= -SLACK_TOLERANCE_MS) {
+      return job.started ? slackMs - CLASS / 2 : -slackMs;
+    }
     const lateMs = dueMs + LATE_FACTOR * objectiveMs - nowMs - rest;
     if (lateMs >= 0) return CLASS + rest;
     return 2 * CLASS + Math.max(0, dueMs % CLASS);
--- a/packages/scheduling/src/place.ts
+++ b/packages/scheduling/src/place.ts
@@ -2,7 +2,6 @@
 import {
   fits,
   rackOf,
-  subtract,
   type Size,
   type Step,
   type Worker,
@@ -105,7 +104,3 @@
   }
   return score;
 }
-
-export function take(candidate: Candidate, size: Size): Candidate {
-  return {...candidate, free: subtract(candidate.free, size)};
-}
