Wait for withdrawn runs to end before a reborn worker gets others

Cause, found by random interleavings: a stop that the new incarnation answered may still be ending a run that a late order had started there, and the run was off the record at once, so its successor ran beside it. The directory takes the incarnation only once it lists none of these runs, and records the ends that it lists in the same change.

--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -3,7 +3,9 @@
 import {
   taskName,
   workerKey,
+  type EndRow,
   type Event,
+  type EventOf,
   type Outcome,
   type State,
   type Worker,
@@ -12,8 +14,8 @@
 import type {Reply} from '@lentildrift/task';
 import type {Contact} from './contact.js';
 import {judge} from './directory.js';
-import type {WorkerDriver} from './driver.js';
-import {liveRunId, lostRow} from './reconcile.js';
+import type {Report, WorkerDriver} from './driver.js';
+import {liveRunId, lostRow, runId} from './reconcile.js';
 import type {RunBook} from './runbook.js';
 import {LEFT_GRACE_MS, RETRY_PAUSE_MS, WORKER_EXPIRY_MS} from './timing.js';
 
@@ -42,12 +44,18 @@
   const heardMs = new Map<string, number>();
   const leftMs = new Map<string, number>();
   const rebirths = new Set<string>();
+  /** Birth of the newest incarnation heard of, by worker ID. */
+  const newestMs = new Map<string, number>();
   let ended = false;
 
   function announce(worker: Worker, reply: Reply<void>): void {
     const known = state().workers.get(worker.id);
     const news = judge(known, worker);
-    if (news !== 'stale') heardMs.set(workerKey(worker), performance.now());
+    if (news !== 'stale') {
+      heardMs.set(workerKey(worker), performance.now());
+      const newest = newestMs.get(worker.id) ?? 0;
+      newestMs.set(worker.id, Math.max(newest, worker.bornMs));
+    }
     if (news === 'stale' || news === 'alive') {
       reply.resolve();
       return;
@@ -85,16 +93,24 @@
       .runsOn(oldKey)
       .filter(live => !runs.isSeen(liveRunId(live)));
     for (const live of unseen) await withdraw(live, worker);
+    const ends =
+      unseen.length > 0 ? await untilGone(unseen, worker) : undefined;
     rebirths.delete(key);
-    if (ended) reply.reject(new Error('no longer the leader'));
-    else record(worker, reply);
+    if (ended || ends === 'reborn') {
+      reply.reject(new Error(`${key} is not in reach any more`));
+      return;
+    }
+    record(worker, reply);
+    // In the same change: a run that the new incarnation has completed must
+    // not be started again before its end is on record.
+    if (ends) enqueue(ends);
   }
 
   async function withdraw(live: LiveRun, worker: Worker): Promise<void> {
     const target = {id: worker.id, address: worker.address};
     const task = taskName(live.job.spec.id, live.key);
     const run = live.run.number;
-    while (!ended) {
+    while (!ended && !isOvertaken(worker)) {
       try {
         await driver.stop(target, {task, run, token});
         return;
@@ -102,10 +118,43 @@
         const reason = (error as Error).message;
         log.debug('stop-unanswered', {worker: worker.id, task, run, reason});
       }
-      await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
+      await pause();
     }
   }
 
+  /**
+   * Waits until the incarnation lists none of the runs, which a stop that was
+   * answered may still be ending. Returns the ends that it lists.
+   */
+  async function untilGone(
+    unseen: readonly LiveRun[],
+    worker: Worker,
+  ): Promise<EventOf<'ends'> | undefined | 'reborn'> {
+    const target = {id: worker.id, address: worker.address};
+    const ids = new Set(unseen.map(liveRunId));
+    while (!ended && !isOvertaken(worker)) {
+      try {
+        const order = {token, cursor: 0, waitMs: 0};
+        const report = await driver.hold(target, order);
+        if (report.bornMs !== worker.bornMs) return 'reborn';
+        const left = report.running.some(row =>
+          ids.has(runId(row.task, row.run)),
+        );
+        if (!left) return endsOf(worker, report);
+      } catch (error) {
+        const reason = (error as Error).message;
+        log.debug('look-unanswered', {worker: worker.id, reason});
+      }
+      await pause();
+    }
+    return 'reborn';
+  }
+
+  /** Whether a later incarnation has announced itself. */
+  function isOvertaken(worker: Worker): boolean {
+    return (newestMs.get(worker.id) ?? 0) > worker.bornMs;
+  }
+
   function leave(id: string, reply: Reply<void>): void {
     const known = state().workers.get(id);
     if (!known || known.phase === 'gone') reply.resolve();
@@ -155,3 +204,23 @@
     },
   };
 }
+
+function endsOf(worker: Worker, {ended}: Report): EventOf<'ends'> | undefined {
+  if (ended.length === 0) return undefined;
+  const rows = [...ended].sort((a, b) => a.number - b.number);
+  return {
+    type: 'ends',
+    worker: workerKey(worker),
+    upTo: rows.at(-1)!.number,
+    ends: rows.map(({task, run, how, checkpoint}): EndRow => [
+      task,
+      run,
+      how,
+      checkpoint,
+    ]),
+  };
+}
+
+function pause(): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
+}
