Answer requests across a change of leader instead of giving them up

An entry sent a request to a control process without a leader, which kept it for 0.9 s while the entry gave the attempt up after 0.7 s and had to call the outcome unknown. A process that came to lead went on looking for another leader for the requests that waited there. Links to a host that was still without power hung for up to 0.65 s, which split a vote after a start of all hosts. Ruled out: lost commits; the log of the next leader had every job that was accepted. Change: a process without a leader says so at once; requests are sent again until the caller's deadline, since each names what it is about; a process asks itself again in each attempt; a peer that connects is connected to at once; reads are never said to have run.

--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -55,6 +55,8 @@
   override readonly minElectionMs = 550;
   override readonly maxElectionMs = 950;
   override readonly startupShare = 0.35;
+  /** A batch of events, or one edit of large tables. */
+  override readonly maxChangeBytes = 4 * 1024 * 1024;
 }
 
 class StateCodec extends JsonCodec<State, Change> {
@@ -157,6 +159,8 @@
     tasks,
     log,
     greeting: () => ({kind: STATUS, body: statusOf(replica)}),
+    // A peer that has just started: what waits for it need not wait longer.
+    onPeer: from => mesh.linkTo(addressOf(from))?.reconnect(),
     onRequest: (_from, body) => service.takeEnvelope(Envelope.parse(body)),
     onPost(from, kind, body) {
       if (kind === RAFT) receive(replica, from, body, log);
@@ -316,6 +320,7 @@
   };
 }
 
+/** Asks the queues here while this process leads, and the leader otherwise. */
 class ControlService extends QueueService {
   private readonly remote: RemoteService;
 
@@ -325,20 +330,26 @@
     private readonly log: Log,
   ) {
     super();
-    this.remote = new RemoteService(mesh, log, false);
+    this.remote = new RemoteService({
+      mesh,
+      log,
+      local: (id, request) => this.handleHere(id, request),
+    });
   }
 
-  override async handle(id: string, request: Request): Promise<Reply> {
-    const reply = await this.handleHere(id, request);
-    return reply ?? this.remote.handle(id, request);
+  override handle(
+    id: string,
+    request: Request,
+    budgetMs: number,
+  ): Promise<Reply> {
+    return this.remote.handle(id, request, budgetMs);
   }
 
   async takeEnvelope(envelope: Envelope): Promise<EnvelopeReply> {
     const {id, request, relay} = envelope;
     const reply = await this.handleHere(id, request);
     if (reply) return {type: 'reply', reply};
-    if (!relay) return {type: 'not-leader'};
-    return {type: 'reply', reply: await this.remote.handle(id, request)};
+    return relay ? this.remote.relay(envelope) : {type: 'not-leader'};
   }
 
   /** Undefined if this process does not lead and has done nothing. */
--- a/packages/dispatch/src/entry.ts
+++ b/packages/dispatch/src/entry.ts
@@ -34,7 +34,7 @@
   });
 
   return {
-    service: new RemoteService(mesh, log),
+    service: new RemoteService({mesh, log}),
     isReady() {
       if (mesh.hasLeader()) leaderMs = performance.now();
       return performance.now() - leaderMs < READY_GRACE_MS;
--- a/packages/dispatch/src/remote.ts
+++ b/packages/dispatch/src/remote.ts
@@ -1,9 +1,16 @@
-/** The queues' service at the leader, reached through links. */
+/** The queues' service at whichever process leads, reached through links. */
 import {NotSent, type Link} from '@lentildrift/link';
 import type {Log} from '@lentildrift/observe';
 import {z} from 'zod';
 import type {Mesh} from './mesh.js';
-import {QueueService, refuse, Reply, Request, type Refusal} from './request.js';
+import {
+  isRead,
+  QueueService,
+  refuse,
+  Reply,
+  Request,
+  type Refusal,
+} from './request.js';
 
 /** A request on its way between processes. */
 export const Envelope = z.object({
@@ -17,18 +24,20 @@
 
 export const EnvelopeReply = z.discriminatedUnion('type', [
   z.object({type: z.literal('reply'), reply: Reply}),
-  /** The receiver does not lead and has done nothing. */
+  /** The receiver does not lead, and nothing was done. */
   z.object({type: z.literal('not-leader')}),
 ]);
 export type EnvelopeReply = z.infer<typeof EnvelopeReply>;
 
 /**
- * A request waits this long for a leader and its answer. Callers and workers
- * ask elsewhere after a second, so a longer wait serves nobody.
+ * A request that was never sent waits this long for a leader: workers and
+ * operators ask elsewhere after a second, and callers can too.
  */
-export const REQUEST_BUDGET_MS = 900;
+const SEEK_MS = 900;
 /** A link that is silent this long is not worth the rest of the budget. */
 const ATTEMPT_MS = 700;
+/** A relay answers before the sender has given its attempt up. */
+const RELAY_MS = 400;
 /** Pause before the leader is looked for again. */
 const LOOK_PAUSE_MS = 20;
 /** When a caller that was turned away may find a leader again. */
@@ -36,55 +45,99 @@
 
 type Attempt = Reply | 'not-leader' | 'not-sent' | 'unanswered';
 
+export interface RemoteOptions {
+  readonly mesh: Mesh;
+  readonly log: Log;
+  /**
+   * Asks the queues of this process; undefined if it does not lead and has
+   * done nothing.
+   */
+  local?(id: string, request: Request): Promise<Reply | undefined>;
+}
+
+/**
+ * Every request names what it is about (a job, a version, an announcement),
+ * so that it has its effect once however often it is sent. One that may have
+ * been lost on its way is therefore sent again, until the budget is used up.
+ */
 export class RemoteService extends QueueService {
-  constructor(
-    private readonly mesh: Mesh,
-    private readonly log: Log,
-    private readonly mayRelay = true,
-  ) {
+  constructor(private readonly options: RemoteOptions) {
     super();
   }
 
-  override async handle(id: string, request: Request): Promise<Reply> {
-    const untilMs = performance.now() + REQUEST_BUDGET_MS;
+  override async handle(
+    id: string,
+    request: Request,
+    budgetMs: number,
+  ): Promise<Reply> {
+    const begunMs = performance.now();
     let uncertain = false;
-    while (performance.now() < untilMs) {
-      const leader = this.mesh.leader();
-      const link = leader ?? this.relay();
-      if (!link) {
-        await pause();
-        continue;
-      }
-      const leftMs = Math.max(1, untilMs - performance.now());
-      const envelope = {id, request, relay: leader === undefined};
-      const attempt = await this.attempt(link, envelope, leftMs);
+    for (let attempts = 0; ; attempts++) {
+      const spentMs = performance.now() - begunMs;
+      const limitMs = uncertain ? budgetMs : Math.min(budgetMs, SEEK_MS);
+      if (spentMs >= limitMs) break;
+      const attempt = await this.attempt(
+        {id, request, relay: false},
+        attempts,
+        Math.min(budgetMs - spentMs, ATTEMPT_MS),
+      );
       if (typeof attempt === 'object') return truthful(attempt, uncertain);
-      uncertain ||= attempt === 'unanswered';
+      if (attempt === 'unanswered' && !isRead(request)) uncertain = true;
       await pause();
     }
-    this.log.info('request-given-up', {request: id, uncertain});
+    this.options.log.info('request-given-up', {request: id, uncertain});
     return refuse('unavailable', 'no leader answered in time', {
       verdict: uncertain ? 'may-have-run' : 'not-run',
       retryAfterMs: RETRY_AFTER_MS,
     });
   }
 
-  private relay(): Link | undefined {
-    return this.mayRelay ? this.mesh.open()[0] : undefined;
+  /** Passes on what was sent to a process that does not lead. */
+  async relay({id, request}: Envelope): Promise<EnvelopeReply> {
+    const leader = this.options.mesh.leader();
+    if (!leader) return {type: 'not-leader'};
+    const attempt = await this.send(
+      leader,
+      {id, request, relay: false},
+      RELAY_MS,
+    );
+    if (typeof attempt === 'object') return {type: 'reply', reply: attempt};
+    if (attempt !== 'unanswered') return {type: 'not-leader'};
+    const reply = refuse('unavailable', 'the leader did not answer the relay', {
+      verdict: 'may-have-run',
+    });
+    return {type: 'reply', reply};
   }
 
   private async attempt(
+    envelope: Envelope,
+    attempts: number,
+    timeoutMs: number,
+  ): Promise<Attempt> {
+    const {mesh, local} = this.options;
+    const here = await local?.(envelope.id, envelope.request);
+    if (here) return settled(here);
+    const leader = mesh.leader();
+    if (leader) return this.send(leader, envelope, timeoutMs);
+    // Another process may be in touch with a leader that this one is not.
+    const open = local ? [] : mesh.open();
+    const link = open[attempts % Math.max(1, open.length)];
+    if (!link) return 'not-sent';
+    return this.send(link, {...envelope, relay: true}, timeoutMs);
+  }
+
+  private async send(
     link: Link,
     envelope: Envelope,
-    leftMs: number,
+    timeoutMs: number,
   ): Promise<Attempt> {
     try {
-      const said = await link.request(envelope, Math.min(leftMs, ATTEMPT_MS));
+      const said = await link.request(envelope, timeoutMs);
       const answer = EnvelopeReply.parse(said);
-      return answer.type === 'reply' ? answer.reply : 'not-leader';
+      return answer.type === 'reply' ? settled(answer.reply) : 'not-leader';
     } catch (error) {
       if (error instanceof NotSent) return 'not-sent';
-      this.log.debug('attempt-unanswered', {
+      this.options.log.debug('attempt-unanswered', {
         request: envelope.id,
         peer: link.address,
         reason: (error as Error).message,
@@ -94,6 +147,15 @@
   }
 }
 
+/** A leader that lost its office on the way knows no outcome. */
+function settled(reply: Reply): Attempt {
+  const unknown =
+    reply.type === 'refused' &&
+    reply.reason === 'unavailable' &&
+    reply.verdict === 'may-have-run';
+  return unknown ? 'unanswered' : reply;
+}
+
 /** An earlier attempt without an answer may still have its effect. */
 function truthful(reply: Reply, uncertain: boolean): Reply {
   if (reply.type !== 'refused' || !uncertain) return reply;
--- a/packages/dispatch/src/request.ts
+++ b/packages/dispatch/src/request.ts
@@ -71,10 +71,22 @@
 ]);
 export type Reply = z.infer<typeof Reply>;
 
+/** Whether the request changes nothing. */
+export function isRead({type}: Request): boolean {
+  return type === 'inspect' || type === 'tables' || type === 'wave';
+}
+
 /** The service of the queues, in this process or behind a link. */
 export abstract class QueueService {
-  /** Never rejects: a failure is a refusal with its verdict. */
-  abstract handle(id: string, request: Request): Promise<Reply>;
+  /**
+   * Never rejects: a failure is a refusal with its verdict, at the latest when
+   * the budget is used up.
+   */
+  abstract handle(
+    id: string,
+    request: Request,
+    budgetMs: number,
+  ): Promise<Reply>;
 }
 
 export function refuse(
--- a/packages/dispatch/test/control.test.ts
+++ b/packages/dispatch/test/control.test.ts
@@ -106,7 +106,7 @@
 /** Asks until there is an answer other than a refusal to answer. */
 async function ask(entry: QueueEntry, request: Request): Promise<Reply> {
   for (let attempt = 0; attempt < 15; attempt++) {
-    const reply = await entry.service.handle(`r-${attempt}`, request);
+    const reply = await entry.service.handle(`r-${attempt}`, request, 900);
     if (reply.type !== 'refused' || reply.reason !== 'unavailable') {
       return reply;
     }
@@ -199,7 +199,7 @@
     await start(alone, [address], false);
     await new Promise(resolve => setTimeout(resolve, 1500));
     expect(alone.control!.status().voters).toEqual([]);
-    const reply = await alone.control!.service.handle('r', EDIT);
+    const reply = await alone.control!.service.handle('r', EDIT, 900);
     expect(reply).toMatchObject({reason: 'unavailable', verdict: 'not-run'});
   }, 20_000);
 
@@ -228,7 +228,7 @@
     });
     entries.push(entry);
     const begunMs = performance.now();
-    const reply = await entry.service.handle('r', submit('a'));
+    const reply = await entry.service.handle('r', submit('a'), 3000);
     expect(performance.now() - begunMs).toBeLessThan(1500);
     expect(reply).toMatchObject({
       type: 'refused',
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -47,6 +47,8 @@
   request(body: unknown, timeoutMs: number): Promise<unknown>;
   /** Sends without an answer; lost if the link is down. */
   post(kind: string, body: unknown): void;
+  /** The peer is known to be up: connects at once if the link is down. */
+  reconnect(): void;
   stop(): Promise<void>;
 }
 
@@ -58,6 +60,7 @@
 
 type Message =
   | {type: 'connect'}
+  | {type: 'reconnect'}
   | {type: 'opened'; socket: Socket}
   | {type: 'data'; socket: Socket; chunk: Buffer}
   | {type: 'closed'; socket: Socket; reason: string}
@@ -94,6 +97,8 @@
       switch (message.type) {
         case 'connect':
           return begin();
+        case 'reconnect':
+          return reconnect(connection);
         case 'opened':
           return opened(connection, message.socket);
         case 'data':
@@ -132,6 +137,14 @@
     return {...DOWN, socket, decoder: createFrameDecoder()};
   }
 
+  /** An attempt that began before the peer was up may hang. */
+  function reconnect(connection: Connection): Connection {
+    if (connection.open || stopped) return connection;
+    clearTimeout(retry);
+    connection.socket?.destroy();
+    return begin();
+  }
+
   function opened(connection: Connection, socket: Socket): Connection {
     if (socket !== connection.socket) return connection;
     current = socket;
@@ -250,6 +263,9 @@
     isOpen: () => current !== undefined,
     request,
     post: (kind, body) => void send({type: 'post', kind, body}),
+    reconnect() {
+      if (current === undefined) task.post({type: 'reconnect'});
+    },
     async stop() {
       stopped = true;
       await task.stop();
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -19,6 +19,8 @@
   onRequest(from: string, body: unknown): Promise<unknown>;
   /** Takes a message without an answer; must not wait for what it causes. */
   onPost(from: string, kind: string, body: unknown): void;
+  /** A process has connected and said its name. */
+  onPeer?(from: string): void;
   /** Posts to send to each process that connects. */
   greeting(): {kind: string; body: unknown};
 }
@@ -117,6 +119,7 @@
       case 'hello': {
         const {kind, body} = options.greeting();
         send({type: 'post', kind, body});
+        options.onPeer?.(message.name);
         return {name: message.name};
       }
       case 'ping':
--- a/packages/link/test/link.test.ts
+++ b/packages/link/test/link.test.ts
@@ -9,6 +9,7 @@
   MAX_FRAME_BYTES,
   NotSent,
   openLink,
+  RECONNECT_MS,
   SILENCE_LIMIT_MS,
   startLinkServer,
   Unanswered,
@@ -169,4 +170,33 @@
     header.writeUInt32BE(MAX_FRAME_BYTES + 1);
     expect(() => createFrameDecoder().push(header)).toThrow(BadFrame);
   });
+
+  it('connects at once when the peer is known to be up', async () => {
+    const probe = createServer();
+    const port = await new Promise<number>(resolve =>
+      probe.listen(0, HOST, () => {
+        resolve((probe.address() as {port: number}).port);
+      }),
+    );
+    await new Promise(resolve => probe.close(resolve));
+    link = open(port);
+    // The first attempt is refused, and the next would come after a pause.
+    await new Promise(resolve => setTimeout(resolve, 30));
+    const peers: string[] = [];
+    server = await startLinkServer({
+      host: HOST,
+      port,
+      tasks,
+      log,
+      onRequest: async () => null,
+      onPost: () => {},
+      onPeer: from => peers.push(from),
+      greeting: () => ({kind: 'hello', body: 1}),
+    });
+    link.reconnect();
+    const begunMs = performance.now();
+    await until(() => peers.length > 0);
+    expect(peers).toEqual(['client']);
+    expect(performance.now() - begunMs).toBeLessThan(RECONNECT_MS / 2);
+  });
 });
