Serve jobs with the least time left first, and free hosts for it

Change: least slack first, late jobs by their work; durations with the spread between and within steps, kept in the log for the next leader; hosts go to work in time before late work, only if they are expected to be empty within 0.3 s, and leave after 0.6 s idle. Orders to hosts are recorded with the process that gave them, and a new leader waits only for processes that may still run.

--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -24,9 +24,10 @@
 } from '@lentildrift/queue';
 import type {LogStore} from '@lentildrift/storage';
 import type {TaskSystem} from '@lentildrift/task';
-import {randomInt} from 'node:crypto';
+import {randomBytes, randomInt} from 'node:crypto';
 import {z} from 'zod';
 import type {WorkerDriver} from './driver.js';
+import {watchDuties, type Duties} from './duties.js';
 import {startLeader, type Leader} from './leader.js';
 import {createLocalQueues, type LocalQueues} from './local.js';
 import {startMembership} from './membership.js';
@@ -131,6 +132,7 @@
   const {member, tasks, log} = options;
   const self = addressOf(member);
   const [host = '', port = ''] = self.split(':');
+  const process = `${member}#${randomBytes(4).toString('hex')}`;
   const mesh = createMesh({
     name: member,
     self,
@@ -151,14 +153,24 @@
     rules: options.rules ?? new QueueRules(),
     onFatal: options.onFatal,
   });
-  const leadership = followLeadership(options, replica);
+  const duties = watchDuties({
+    replica,
+    process,
+    hasEnded(other) {
+      const address = addressOf(other);
+      if (address === self) return other !== process;
+      const now = mesh.processAt(address);
+      return now !== undefined && now !== other;
+    },
+  });
+  const leadership = followLeadership({...options, process, duties}, replica);
   const service = new ControlService(leadership, mesh, log);
   const server = await startLinkServer({
     host,
     port: Number(port),
     tasks,
     log,
-    greeting: () => ({kind: STATUS, body: statusOf(replica)}),
+    greeting: () => ({kind: STATUS, body: statusOf(replica, process)}),
     // A peer that has just started: what waits for it need not wait longer.
     onPeer: from => mesh.linkTo(addressOf(from))?.reconnect(),
     onRequest: (_from, body) => service.takeEnvelope(Envelope.parse(body)),
@@ -185,7 +197,7 @@
       learners: status.learners.length,
     });
     mesh.refresh([...status.voters, ...status.learners]);
-    server.broadcast(STATUS, statusOf(replica));
+    server.broadcast(STATUS, statusOf(replica, process));
     leadership.update();
   });
   const {voters, learners} = replica.status();
@@ -201,6 +213,7 @@
       await membership.stop();
       await replica.stop();
       unobserve();
+      duties.stop();
       await leadership.stop();
       await server.stop();
       await mesh.stop();
@@ -208,10 +221,11 @@
   };
 }
 
-function statusOf(replica: QueueRaft): GroupStatus {
+function statusOf(replica: QueueRaft, process: string): GroupStatus {
   const {member, term, leader, voters, learners} = replica.status();
   return {
     member,
+    process,
     term,
     voters: [...voters],
     learners: [...learners],
@@ -253,7 +267,7 @@
 
 /** Starts and ends the leader's task as leadership comes and goes. */
 function followLeadership(
-  options: QueueControlOptions,
+  options: QueueControlOptions & {process: string; duties: Duties},
   replica: QueueRaft,
 ): Leadership {
   const {log} = options;
--- /dev/null
+++ b/packages/dispatch/src/duties.ts
@@ -0,0 +1,48 @@
+/** Keeps orders of successive leaders to one host apart. */
+import type {Change, Outcome, State} from '@lentildrift/queue';
+import type {Replica} from '@lentildrift/consensus';
+import {DUTY_PAUSE_MS} from './timing.js';
+
+export interface Duties {
+  /** Whether an order of another process to the host may be under way. */
+  isGuarded(host: string): boolean;
+  stop(): void;
+}
+
+export interface DutiesOptions {
+  readonly replica: Replica<State, Change, readonly Outcome[]>;
+  /** This process, as the records of its orders name it. */
+  readonly process: string;
+  /** Whether a process that gave an order has certainly ended. */
+  hasEnded(process: string): boolean;
+}
+
+/**
+ * Orders of a process that has ended are not under way, and neither are those
+ * of this process. Others are waited for, counted on the steady clock from
+ * when their record was applied here.
+ */
+export function watchDuties(options: DutiesOptions): Duties {
+  const {replica, process} = options;
+  const appliedMs = new Map<string, number>();
+  const openedMs = performance.now();
+
+  const unwatch = replica.watch(({change}) => {
+    for (const event of change.events) {
+      if (event.type !== 'duty' || event.duty.done) continue;
+      appliedMs.set(event.duty.host, performance.now());
+    }
+  });
+
+  return {
+    isGuarded(host) {
+      const duty = replica.state().duties.get(host);
+      if (!duty || duty.by === process) return false;
+      // What came with a snapshot is from before this process.
+      const sinceMs = appliedMs.get(host) ?? openedMs;
+      if (performance.now() - sinceMs > DUTY_PAUSE_MS) return false;
+      return !options.hasEnded(duty.by);
+    },
+    stop: unwatch,
+  };
+}
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -9,7 +9,10 @@
 import {
   apply,
   dueAtMs,
+  positionOf,
   splitTaskName,
+  stepKey,
+  taskName,
   timesOf,
   workerKey,
   type Change,
@@ -24,7 +27,8 @@
   isQuarantined,
   learn,
   measureLoad,
-  NO_DURATIONS,
+  durationsFrom,
+  expectedMs,
   objectiveMs,
   observeEnds,
   plan,
@@ -44,6 +48,7 @@
 import {takeBatch, type Batch, type Queued} from './batch.js';
 import type {ContactNews} from './contact.js';
 import type {WorkerDriver} from './driver.js';
+import type {Duties} from './duties.js';
 import {createInventory} from './inventory.js';
 import {createMaintenance, type Maintenance} from './maintenance.js';
 import {createOrders, type Orders} from './orders.js';
@@ -55,10 +60,9 @@
 import {createRegistry, type Registry} from './registry.js';
 import {createRunBook} from './runbook.js';
 import {
-  DUTY_MEMORY_MS,
-  DUTY_PAUSE_MS,
   RETAIN_MS,
   ROUND_INTERVAL_MS,
+  STATISTICS_MS,
   TICK_MS,
 } from './timing.js';
 
@@ -70,6 +74,9 @@
   readonly token: number;
   /** Name of this process towards the provider of hosts. */
   readonly holder: string;
+  /** Name of this start of the process, in the records of its orders. */
+  readonly process: string;
+  readonly duties: Duties;
   readonly driver: WorkerDriver;
   readonly hosts: HostProvider;
   readonly adviser: Adviser;
@@ -104,6 +111,8 @@
 
 /** Longest wait for a commit; leadership is lost well before. */
 const COMMIT_TIMEOUT_MS = 10_000;
+/** Part of a run's duration that is expected once it is over. */
+const OVERDUE_SHARE = 0.25;
 /** Hosts are not divided more often, however many rounds find no room. */
 const DIVIDE_PAUSE_MS = 30;
 
@@ -116,16 +125,14 @@
     'Processor time of a decision round.',
     1,
   );
-  const openedMs = performance.now();
-  const takeoverMs = Date.now();
-  const earlierDuties = replica.state().duties;
   const surveyed = new Set<string>();
   const recordedEnds = new Map<string, number>();
   const endedMs = new Map<string, number>();
   const runs = createRunBook(measureLoad(replica.state()).runs.map(liveRunId));
   let queue: Queued[] = [];
   let health: Health = new Map();
-  let durations: Durations = NO_DURATIONS;
+  let durations: Durations = durationsFrom(replica.state().statistics.values());
+  let statisticsMs = performance.now();
   let outstanding = false;
   let dividedMs = -Infinity;
   let dirty = true;
@@ -183,9 +190,12 @@
   const pacing: Pacing = createPacing(log);
   const inventory = createInventory(options.hosts, log);
   const duty = {holder: options.holder, token};
+  const {process} = options;
+  const isGuarded = (host: string) => options.duties.isGuarded(host);
   const maintenance: Maintenance = createMaintenance({
     replica,
     duty,
+    process,
     provider: options.hosts,
     inventory,
     presence,
@@ -203,12 +213,13 @@
     duty,
     log,
     state,
-    record: duty => commitOwn({type: 'duty', duty}),
+    record: duty => commitOwn({type: 'duty', duty: {...duty, by: process}}),
     isGuarded,
     isLeader: options.isLeader,
     onWorkerGone: worker => enqueue({type: 'worker-gone', worker}),
     isInWave: host => maintenance.isHeld(host),
     isUsable,
+    emptyInMs,
     durations: () => durations,
   });
 
@@ -358,8 +369,14 @@
     const began = runs.begunMs(id);
     const job = state().jobs.get(splitTaskName(name).job);
     if (how === 'done' && began !== undefined && job && run === 1) {
-      const took = performance.now() - began;
-      durations = learn(durations, job.spec.queue, took);
+      const {job: id, key: place} = splitTaskName(name);
+      const {occurrence, step} = positionOf(place);
+      durations = learn(durations, {
+        queue: job.spec.queue,
+        stepName: taskName(id, stepKey(occurrence, step)),
+        step: job.spec.steps[step]!,
+        durationMs: performance.now() - began,
+      });
     }
     if (how !== 'done') {
       log.info('run-ended', {worker: key, task: name, run, how});
@@ -423,6 +440,23 @@
     return bad.length > usable.length ? [...usable, ...bad] : usable;
   }
 
+  function emptyInMs(worker: string, load: Load): number {
+    const own = load.runs.filter(({run}) => run.worker === worker);
+    return Math.max(0, ...own.map(remainingMs));
+  }
+
+  /** Expected time until a run ends, counted from its confirmed start. */
+  function remainingMs(live: LiveRun): number {
+    const {job, step} = live;
+    if (step.lasting) return Infinity;
+    const lastsMs = expectedMs(durations, job.spec.queue, step);
+    const begunMs = runs.begunMs(liveRunId(live));
+    if (begunMs === undefined) return lastsMs;
+    const leftMs = begunMs + lastsMs - performance.now();
+    // What lasts longer than expected will go on for a while.
+    return Math.max(leftMs, OVERDUE_SHARE * lastsMs);
+  }
+
   /** Whether the worker can get runs, apart from its host's duties. */
   function isUsable(worker: Worker): boolean {
     const key = workerKey(worker);
@@ -430,13 +464,6 @@
     return surveyed.has(key);
   }
 
-  /** Holders of duties take turns with a host only after a pause. */
-  function isGuarded(host: string): boolean {
-    if (performance.now() - openedMs > DUTY_PAUSE_MS) return false;
-    const last = earlierDuties.get(host);
-    return last !== undefined && takeoverMs - last.atMs < DUTY_MEMORY_MS;
-  }
-
   function commitOwn(event: Event): Promise<Outcome> {
     return new Promise((resolve, reject) => enqueue(event, {resolve, reject}));
   }
@@ -534,12 +561,25 @@
     orders.stopSurplus(loadNow().runs);
     registry.expire();
     forgetJobs();
+    recordStatistics();
     maintenance.tick(loadNow());
     divideHosts();
     dirty = true;
     if (!outstanding) round();
   }
 
+  /** The next leader begins with what this one has learnt. */
+  function recordStatistics(): void {
+    const nowMs = performance.now();
+    if (nowMs - statisticsMs < STATISTICS_MS) return;
+    statisticsMs = nowMs;
+    const recorded = state().statistics;
+    const rows = [...durations.byQueue.values()].filter(
+      row => recorded.get(row.queue)?.mean !== row.mean,
+    );
+    if (rows.length > 0) enqueue({type: 'statistics', rows});
+  }
+
   function divideHosts(): void {
     const nowMs = performance.now();
     if (nowMs - dividedMs < DIVIDE_PAUSE_MS) return;
--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -21,6 +21,8 @@
 export interface MaintenanceOptions {
   readonly replica: QueueReplica;
   readonly duty: Duty;
+  /** This start of the process, for the records of orders. */
+  readonly process: string;
   readonly provider: HostProvider;
   readonly inventory: Inventory;
   readonly presence: Presence;
@@ -69,7 +71,7 @@
 }
 
 export function createMaintenance(options: MaintenanceOptions): Maintenance {
-  const {replica, log} = options;
+  const {replica, process, log} = options;
   const works = new Map<string, Work>();
   const waveSeenMs = new Map<number, number>();
   let ended = false;
@@ -245,7 +247,12 @@
       // The next leader has to know, and a process that was frozen finds out
       // here that it no longer leads.
       await replica.propose({
-        events: [{type: 'duty', duty: {host, atMs: Date.now()}}],
+        events: [
+          {
+            type: 'duty',
+            duty: {host, by: process, done: false, atMs: Date.now()},
+          },
+        ],
       });
       if (!options.isLeader() || ended) return;
       const answer = await options.provider.maintain(
--- a/packages/dispatch/src/mesh.ts
+++ b/packages/dispatch/src/mesh.ts
@@ -7,6 +7,8 @@
 /** What a control process tells everyone who connects. */
 export const GroupStatus = z.object({
   member: z.string(),
+  /** Differs at each start of the process. */
+  process: z.string(),
   term: z.int().nonnegative(),
   leader: z.string().optional(),
   voters: z.array(z.string()),
@@ -39,6 +41,8 @@
   open(): Link[];
   /** Link to the leader, if it is known and the link is open. */
   leader(): Link | undefined;
+  /** What runs at the address now; undefined if there is no link to it. */
+  processAt(address: string): string | undefined;
   /** Whether any process knows a leader. */
   hasLeader(): boolean;
   /** Opens links to the members that are known now, and closes the others. */
@@ -125,6 +129,7 @@
     linkTo: address => links.get(address),
     open: () => [...links.values()].filter(link => link.isOpen()),
     leader,
+    processAt: address => statuses.get(address)?.process,
     hasLeader: () => leaderAddress() !== undefined,
     refresh,
     async stop() {
--- a/packages/dispatch/src/rebalance.ts
+++ b/packages/dispatch/src/rebalance.ts
@@ -29,7 +29,7 @@
   readonly log: Log;
   state(): State;
   /** Makes the order known to the next leader; rejects if it cannot. */
-  record(duty: DutyRecord): Promise<unknown>;
+  record(duty: Omit<DutyRecord, 'by'>): Promise<unknown>;
   /** Whether an order of an earlier leader may still be under way. */
   isGuarded(host: string): boolean;
   isLeader(): boolean;
@@ -39,6 +39,8 @@
   isInWave(host: string): boolean;
   /** Whether the worker can get runs, apart from its host's duties. */
   isUsable(worker: Worker): boolean;
+  /** Expected time until nothing runs on the worker. */
+  emptyInMs(worker: string, load: Load): number;
   /** What is known of the durations of tasks. */
   durations(): Durations;
 }
@@ -50,12 +52,15 @@
   stop(): void;
 }
 
-/** A host has to be idle this long before it may leave its pool. */
-const IDLE_MS = 2500;
+/**
+ * A host has to be idle this long before it may go to standby: a move costs
+ * about as much as a second in a pool.
+ */
+const IDLE_MS = 600;
 /** A start may be on its way to the record when a host is chosen. */
 const SETTLE_MS = 150;
 /** Longest wait for the tasks of a host that another pool needs. */
-const EMPTYING_MS = 3000;
+const EMPTYING_MS = 1500;
 /** A host that does not appear in its new pool by then is looked up again. */
 const ARRIVAL_MS = 4000;
 const RETRY_MS = 500;
@@ -103,8 +108,8 @@
 
   /** Moves that an earlier leader ordered are held and ordered again. */
   function inherit(): void {
-    for (const {host, to} of options.state().duties.values()) {
-      if (to === undefined || transfers.has(host)) continue;
+    for (const {host, to, done} of options.state().duties.values()) {
+      if (to === undefined || done || transfers.has(host)) continue;
       log.info('move-inherited', {host, to});
       transfers.set(host, {
         ...newTransfer({host, from: '', to}, undefined),
@@ -183,6 +188,7 @@
         worker: key,
         free: subtract(host.capacity, load.byWorker.get(key) ?? NO_SIZE),
         idle: isIdle(id, worker, load),
+        emptyInMs: options.emptyInMs(key, load),
         pinned: guarded || load.pinned.has(key),
       });
     }
@@ -208,6 +214,7 @@
       labels,
       free: capacity,
       idle: false,
+      emptyInMs: 0,
       pinned: false,
       barredFrom: barred.get(id) ?? NO_POOLS,
     };
@@ -293,7 +300,7 @@
     try {
       const {to} = transfer.move;
       // A process that was frozen finds out here that it no longer leads.
-      await options.record({host, to, atMs: Date.now()});
+      await options.record({host, to, done: false, atMs: Date.now()});
       transfer.recorded = true;
       if (!options.isLeader() || ended) return;
       const answer = await options.provider.move(host, to, options.duty);
@@ -329,11 +336,12 @@
 
   function drop(host: string, reason: string): void {
     log.info('move-ended', {host, reason});
-    const recorded = transfers.get(host)?.recorded;
+    const {recorded, move} = transfers.get(host)!;
     transfers.delete(host);
     idleSince.delete(host);
     if (!recorded) return;
-    options.record({host, atMs: Date.now()}).catch((error: Error) =>
+    const duty = {host, to: move.to, done: true, atMs: Date.now()};
+    options.record(duty).catch((error: Error) =>
       // The next leader orders the move again, which changes nothing.
       log.info('duty-unrecorded', {host, reason: error.message}),
     );
--- a/packages/dispatch/src/timing.ts
+++ b/packages/dispatch/src/timing.ts
@@ -26,14 +26,11 @@
 /** A worker that neither announces itself nor answers is forgotten. */
 export const WORKER_EXPIRY_MS = 60_000;
 /**
- * A new leader gives no order to hosts before an order of the last one cannot
- * be under way any more.
+ * Two leaders do not order one host within this time: the platform takes their
+ * orders for a conflict within 3 s.
  */
 export const DUTY_PAUSE_MS = 3500;
-/**
- * Orders to hosts before this time are no concern of a new leader, even if the
- * time of day differs by seconds between the leaders.
- */
-export const DUTY_MEMORY_MS = DUTY_PAUSE_MS + 2500;
+/** What was learnt of durations is recorded this often, if it changed. */
+export const STATISTICS_MS = 2000;
 /** Ended jobs are known for longer than callers may ask for them. */
 export const RETAIN_MS = 180_000;
--- a/packages/dispatch/test/bench.ts
+++ b/packages/dispatch/test/bench.ts
@@ -19,6 +19,7 @@
 import {startTasks} from '@lentildrift/task';
 import {vi} from 'vitest';
 import {Adviser, queueMachine, startLeader, type Leader} from '../src/index.js';
+import {watchDuties} from '../src/duties.js';
 import {FakeFleet, FakeHosts, type FleetOptions} from './standin.js';
 
 const QUEUE: Queue = {
@@ -133,6 +134,8 @@
   readonly replica: SlowReplica;
   readonly lines: string[];
   leader: Leader;
+  /** Whether the processes of earlier leaders are known to have ended. */
+  setEnded(ended: boolean): void;
   /** Announces a worker and adds it to the stand-in. */
   join(worker: Worker): Promise<void>;
   /** Ends the leader and starts the next one on the same state. */
@@ -155,6 +158,7 @@
     void settle(bench.leader.announce(born));
   });
   let token = 0;
+  let hasEnded = false;
 
   function lead(): Leader {
     const own = ++token;
@@ -162,6 +166,12 @@
       replica,
       token: own,
       holder: `host-${own}`,
+      process: `host-${own}`,
+      duties: watchDuties({
+        replica,
+        process: `host-${own}`,
+        hasEnded: () => hasEnded,
+      }),
       driver: fleet,
       hosts,
       adviser: new NoAdviser(),
@@ -195,6 +205,7 @@
     replica,
     lines,
     leader: lead(),
+    setEnded: ended => (hasEnded = ended),
     async join(row) {
       fleet.add(row);
       hosts.hosts.set(row.host, {
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -72,6 +72,19 @@
   });
 });
 
+describe('a new leader', () => {
+  it('begins with what the last one learnt of durations', async () => {
+    await open({behave: () => ({durationMs: 700})});
+    for (let n = 0; n < 4; n++) await bench.submit(job(`a${n}`, {count: 2}));
+    await bench.run(4000);
+    await bench.replaceLeader();
+    const learnt = bench.replica.state().statistics.get('q')!;
+    expect(learnt.count).toBeGreaterThan(4);
+    expect(Math.exp(learnt.mean)).toBeGreaterThan(600);
+    expect(Math.exp(learnt.mean)).toBeLessThan(900);
+  });
+});
+
 describe('a run', () => {
   it('is not taken for lost by a report between its record and its order', async () => {
     await open({}, 1);
--- a/packages/dispatch/test/remote.test.ts
+++ b/packages/dispatch/test/remote.test.ts
@@ -43,6 +43,7 @@
     linkTo: () => undefined,
     open: () => open,
     leader: () => leader,
+    processAt: () => undefined,
     hasLeader: () => leader !== undefined,
     refresh: () => {},
     stop: async () => {},
--- a/packages/queue/src/apply.ts
+++ b/packages/queue/src/apply.ts
@@ -49,6 +49,9 @@
     case 'duty':
       draft.setDuty(event.duty);
       return 'applied';
+    case 'statistics':
+      for (const row of event.rows) draft.setStatistics(row);
+      return 'applied';
   }
 }
 
--- a/packages/queue/src/change.ts
+++ b/packages/queue/src/change.ts
@@ -6,6 +6,7 @@
 import {JobSpec} from './job.js';
 import {Tables} from './table.js';
 import {Worker} from './worker.js';
+import {Statistics} from './statistics.js';
 import {Duty, Upkeep, Wave} from './wave.js';
 
 /** How a run ended, as its worker lists it. */
@@ -61,6 +62,8 @@
   }),
   /** An order to a host is about to be given, or was carried out. */
   z.object({type: z.literal('duty'), duty: Duty}),
+  /** What the leader has learnt, for the next one. */
+  z.object({type: z.literal('statistics'), rows: z.array(Statistics)}),
 ]);
 export type Event = z.infer<typeof Event>;
 export type EventOf<T extends Event['type']> = Extract<Event, {type: T}>;
--- a/packages/queue/src/draft.ts
+++ b/packages/queue/src/draft.ts
@@ -1,6 +1,7 @@
 /** A state under change; only the maps that change are copied. */
 import type {Job} from './job.js';
 import type {State} from './state.js';
+import type {Statistics} from './statistics.js';
 import type {Duty, Wave} from './wave.js';
 import type {Worker} from './worker.js';
 
@@ -10,6 +11,7 @@
   private workers: Map<string, Worker> | undefined;
   private waves: Map<number, Wave> | undefined;
   private duties: Map<string, Duty> | undefined;
+  private statistics: Map<string, Statistics> | undefined;
 
   constructor(private readonly base: State) {
     this.tables = base.tables;
@@ -61,6 +63,11 @@
     this.duties.set(duty.host, duty);
   }
 
+  setStatistics(row: Statistics): void {
+    this.statistics ??= new Map(this.base.statistics);
+    this.statistics.set(row.queue, row);
+  }
+
   finish(): State {
     return {
       revision: this.base.revision + 1,
@@ -69,6 +76,7 @@
       workers: this.workers ?? this.base.workers,
       waves: this.waves ?? this.base.waves,
       duties: this.duties ?? this.base.duties,
+      statistics: this.statistics ?? this.base.statistics,
     };
   }
 }
--- a/packages/queue/src/state.ts
+++ b/packages/queue/src/state.ts
@@ -2,6 +2,7 @@
 import {z} from 'zod';
 import {Job} from './job.js';
 import {NO_TABLES, Tables} from './table.js';
+import {Statistics} from './statistics.js';
 import {Duty, Wave} from './wave.js';
 import {Worker} from './worker.js';
 
@@ -12,6 +13,7 @@
   workers: z.array(Worker),
   waves: z.array(Wave),
   duties: z.array(Duty),
+  statistics: z.array(Statistics).default([]),
 });
 export type StoredState = z.infer<typeof StoredState>;
 
@@ -25,6 +27,8 @@
   readonly waves: ReadonlyMap<number, Wave>;
   /** By host. */
   readonly duties: ReadonlyMap<string, Duty>;
+  /** By queue. */
+  readonly statistics: ReadonlyMap<string, Statistics>;
 }
 
 export const EMPTY_STATE: State = {
@@ -34,6 +38,7 @@
   workers: new Map(),
   waves: new Map(),
   duties: new Map(),
+  statistics: new Map(),
 };
 
 export function toStored(state: State): StoredState {
@@ -44,6 +49,7 @@
     workers: [...state.workers.values()],
     waves: [...state.waves.values()],
     duties: [...state.duties.values()],
+    statistics: [...state.statistics.values()],
   };
 }
 
@@ -55,5 +61,6 @@
     workers: new Map(stored.workers.map(worker => [worker.id, worker])),
     waves: new Map(stored.waves.map(wave => [wave.id, wave])),
     duties: new Map(stored.duties.map(duty => [duty.host, duty])),
+    statistics: new Map(stored.statistics.map(row => [row.queue, row])),
   };
 }
--- a/packages/queue/src/wave.ts
+++ b/packages/queue/src/wave.ts
@@ -28,8 +28,12 @@
 /** The last order to a host, so that the next leader knows of it. */
 export const Duty = z.object({
   host: z.string(),
-  /** Pool that the host moves to; absent once it is there, and for upkeep. */
+  /** Pool that the host moves to; absent for upkeep. */
   to: z.string().optional(),
+  /** Process of the leader that gave the order. */
+  by: z.string(),
+  /** It was carried out, or given up before it was ordered. */
+  done: z.boolean(),
   /** Unix time at the leader that gave the order. */
   atMs: z.number(),
 });
--- a/packages/scheduling/src/demand.ts
+++ b/packages/scheduling/src/demand.ts
@@ -17,6 +17,7 @@
 } from '@lentildrift/queue';
 import {expectedMs, type Durations} from './estimate.js';
 import {reservation, type Load} from './load.js';
+import {isLate} from './order.js';
 
 /** Equal tasks of one step that wait for workers. */
 export interface Waiting {
@@ -28,6 +29,8 @@
   readonly maxPerWorker: number;
   /** Tasks of the step that run, by worker key; only if there is a limit. */
   readonly running: ReadonlyMap<string, number>;
+  /** Their job cannot meet its objective any more. */
+  readonly late: boolean;
 }
 
 export interface Demand {
@@ -84,7 +87,9 @@
       }));
     }
     if (job.phase !== 'active') continue;
-    const rows = waitingSteps(job, nowMs, size => room.take(job, size));
+    const rows = waitingSteps({job, queue, nowMs, durations}, size =>
+      room.take(job, size),
+    );
     if (rows.length === 0) continue;
     change(queue.pool, ({waiting}) => ({waiting: [...waiting, ...rows]}));
   }
@@ -135,11 +140,18 @@
   };
 }
 
+interface WaitingInput {
+  readonly job: Job;
+  readonly queue: Queue;
+  readonly nowMs: number;
+  readonly durations: Durations;
+}
+
 function waitingSteps(
-  job: Job,
-  nowMs: number,
+  input: WaitingInput,
   take: (size: Size) => boolean,
 ): Waiting[] {
+  const {job, nowMs} = input;
   const rows: Waiting[] = [];
   for (let occurrence = 0; occurrence < timesOf(job.spec); occurrence++) {
     if (dueAtMs(job, occurrence) > nowMs) break;
@@ -147,7 +159,8 @@
       const done = job.done[stepKey(occurrence, at)] ?? 0;
       if (done >= step.count || !isStepReady(job, occurrence, at)) return;
       const row = waitingOf(job, occurrence, at, step, take);
-      if (row.count > 0) rows.push(row);
+      if (row.count === 0) return;
+      rows.push({...row, late: isLate({...input, occurrence})});
     });
   }
   return rows;
@@ -159,7 +172,7 @@
   at: number,
   step: Step,
   take: (size: Size) => boolean,
-): Waiting {
+): Omit<Waiting, 'late'> {
   const running = new Map<string, number>();
   let count = 0;
   for (let index = 0; index < step.count; index++) {
--- a/packages/scheduling/src/order.ts
+++ b/packages/scheduling/src/order.ts
@@ -6,7 +6,7 @@
   type Job,
   type Queue,
 } from '@lentildrift/queue';
-import {expectedMs, type Durations} from './estimate.js';
+import {expectedMs, longestMs, type Durations} from './estimate.js';
 
 export interface OrderInput {
   readonly job: Job;
@@ -30,36 +30,49 @@
 
 /** Spacing of classes; larger than any time within one. */
 const CLASS = 1e9;
-/** A job earns a little until this multiple of its objective. */
-const LATE_FACTOR = 3;
+/**
+ * A job counts as late once it is expected to miss its objective by this part
+ * of it. Expectations are off by half on average, and to give a job up that
+ * could be in time costs more than to try one that cannot.
+ */
+const TOLERANCE = 0.5;
 
 /**
- * Jobs that can still meet their objective come first: of those that have
- * begun the most urgent, then of the others those with the most time left.
- * Under overload this finishes what was begun, and capacity is not spent on
- * jobs that are about to be late. Next come jobs that earn a little, the
- * shortest first, then the rest by age. Tasks that last come before all of
- * them, because they serve users all the time.
+ * Tasks that last come first, because they serve users all the time. Then come
+ * jobs that can meet their objective, those with the least time left first:
+ * demand rises for seconds only, so that most of the others can wait for
+ * hosts that are on their way. Late jobs follow, the shortest work first.
  */
 export class DeadlineOrder extends JobOrder {
   override rank(input: OrderInput): number {
-    const {job, occurrence, nowMs} = input;
-    if (isLasting(job)) return -CLASS;
-    const rest = pathMs(input, true);
-    const dueMs = dueAtMs(job, occurrence);
-    const allowedMs = objectiveMs(input);
-    const slackMs = dueMs + allowedMs - nowMs - rest;
-    if (slackMs >= -SLACK_TOLERANCE_MS) {
-      return job.started ? slackMs - CLASS / 2 : -slackMs;
-    }
-    const lateMs = dueMs + LATE_FACTOR * allowedMs - nowMs - rest;
-    if (lateMs >= 0) return CLASS + rest;
-    return 2 * CLASS + Math.max(0, dueMs % CLASS);
+    if (isLasting(input.job)) return -CLASS;
+    return isLate(input) ? CLASS + workMs(input) : slackMs(input);
   }
 }
 
-/** Expectations are too rough to give a job up at the exact millisecond. */
-const SLACK_TOLERANCE_MS = 200;
+/** Time that is left when all goes as expected; negative if it will be late. */
+function slackMs(input: OrderInput): number {
+  const {job, occurrence, nowMs} = input;
+  const endMs = dueAtMs(job, occurrence) + objectiveMs(input);
+  return endMs - nowMs - pathMs(input, true);
+}
+
+/** Whether the occurrence can hardly meet its objective any more. */
+export function isLate(input: OrderInput): boolean {
+  if (isLasting(input.job)) return false;
+  return slackMs(input) < -TOLERANCE * objectiveMs(input);
+}
+
+/** Milliseconds of a core that the occurrence still takes. */
+function workMs({job, queue, occurrence, durations}: OrderInput): number {
+  let total = 0;
+  job.spec.steps.forEach((step, at) => {
+    if (isStepDone(job, occurrence, at)) return;
+    const cores = step.size.cpuMillis / 1000;
+    total += step.count * cores * expectedMs(durations, queue.name, step);
+  });
+  return total;
+}
 
 /** Time from when an occurrence is due until its last task should end. */
 export function objectiveMs(input: OrderInput): number {
@@ -75,7 +88,7 @@
   job.spec.steps.forEach((step, at) => {
     const begin = Math.max(0, ...step.after.map(other => ends[other] ?? 0));
     const skip = remaining && isStepDone(job, occurrence, at);
-    const lasts = skip ? 0 : expectedMs(durations, queue.name, step);
+    const lasts = skip ? 0 : longestMs(durations, queue.name, step);
     ends[at] = begin + lasts;
     longest = Math.max(longest, ends[at]);
   });
--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -42,7 +42,13 @@
  * Free room that each pool keeps, in hosts: what is submitted while a host is
  * on its way has to run somewhere.
  */
-const HEADROOM_HOSTS = 1.5;
+const HEADROOM_HOSTS = 1;
+
+/**
+ * A host in use is emptied for another pool only if that is expected to take
+ * less time than this; others may be empty sooner.
+ */
+const MAX_EMPTYING_MS = 300;
 
 /** A pool with the waiting tasks packed onto its hosts. */
 interface Plot {
@@ -59,8 +65,8 @@
 /**
  * Each pool gets the hosts that its waiting tasks fill, with their labels and
  * limits, and some room for what is about to come. Short pools are served from
- * standby first, then with hosts that another pool does not need, the emptiest
- * first; idle hosts that no pool needs go to standby.
+ * standby first, then with hosts that another pool does not need, those that
+ * are empty soonest first; idle hosts that no pool needs go to standby.
  */
 export class ElasticPools extends PoolPolicy {
   constructor(private readonly headroomHosts = HEADROOM_HOSTS) {
@@ -68,6 +74,26 @@
   }
 
   override decide(pools: readonly PoolView[]): Move[] {
+    // Work that is late anyway must not keep hosts from work in time.
+    const urgent = pools.map(withoutLate);
+    const first = this.divide(urgent).moves;
+    const second = this.divide(first.reduce(carryOut, pools));
+    const moves = [...first, ...second.moves];
+    const standby = pools.find(pool => pool.standby);
+    if (!standby) return moves;
+    for (const {host, pool} of second.spare) {
+      if (pool.standby || !host.idle) continue;
+      if (host.barredFrom.has(standby.name)) continue;
+      moves.push({host: host.id, from: pool.name, to: standby.name});
+    }
+    return moves;
+  }
+
+  /** Moves that the pools need, and hosts that no pool needs. */
+  private divide(pools: readonly PoolView[]): {
+    moves: Move[];
+    spare: Source[];
+  } {
     const standby = pools.find(pool => pool.standby);
     const plots = pools.filter(pool => !pool.standby).map(plot);
     const sources: Source[] = (standby?.serving ?? []).map(host => ({
@@ -80,20 +106,34 @@
         pool: each.pool,
       })),
     );
-    surplus.sort((a, b) => usedMillis(a.host) - usedMillis(b.host));
+    surplus.sort((a, b) => a.host.emptyInMs - b.host.emptyInMs);
     sources.push(...surplus);
     const moves: Move[] = [];
     supply(plots, sources, moves, this.headroomHosts);
-    if (!standby) return moves;
-    for (const {host, pool} of sources) {
-      if (pool === standby || !host.idle) continue;
-      if (host.barredFrom.has(standby.name)) continue;
-      moves.push({host: host.id, from: pool.name, to: standby.name});
-    }
-    return moves;
+    return {moves, spare: sources};
   }
 }
 
+function withoutLate(pool: PoolView): PoolView {
+  const waiting = pool.demand.waiting.filter(({late}) => !late);
+  return {...pool, demand: {...pool.demand, waiting}};
+}
+
+/** The pools once the host is on its way. */
+function carryOut(pools: readonly PoolView[], move: Move): PoolView[] {
+  const source = pools.find(({name}) => name === move.from);
+  const host = source?.serving.find(({id}) => id === move.host);
+  return pools.map(pool => {
+    if (pool.name === move.from) {
+      const serving = pool.serving.filter(({id}) => id !== move.host);
+      return {...pool, serving};
+    }
+    if (pool.name !== move.to || !host) return pool;
+    const empty = {...host, free: host.capacity, worker: undefined};
+    return {...pool, arriving: [...pool.arriving, empty]};
+  });
+}
+
 function plot(pool: PoolView): Plot {
   const rooms = [...pool.serving, ...pool.arriving].map(openRoom);
   return {pool, ...pack(rooms, pool.demand.waiting)};
@@ -192,7 +232,8 @@
   if (left.length > 0) return [];
   const movable = rooms
     .filter(({host, taken}) => !taken && !host.pinned && host.worker)
-    .sort((a, b) => usedMillis(a.host) - usedMillis(b.host));
+    .filter(({host}) => host.emptyInMs <= MAX_EMPTYING_MS)
+    .sort((a, b) => a.host.emptyInMs - b.host.emptyInMs);
   const surplus: PoolHost[] = [];
   let free = totalFree(rooms);
   for (const room of movable) {
@@ -202,7 +243,3 @@
   }
   return surplus;
 }
-
-function usedMillis({capacity, free}: PoolHost): number {
-  return capacity.cpuMillis - free.cpuMillis;
-}
--- a/packages/scheduling/src/room.ts
+++ b/packages/scheduling/src/room.ts
@@ -13,6 +13,8 @@
   readonly labels: readonly string[];
   /** Nothing runs on it, and nothing has for a while. */
   readonly idle: boolean;
+  /** Expected time until nothing runs on it, if it gets nothing new. */
+  readonly emptyInMs: number;
   /** It may not leave its pool. */
   readonly pinned: boolean;
   /** Pools that the provider does not let it join. */
--- a/packages/testkit/src/measure.ts
+++ b/packages/testkit/src/measure.ts
@@ -9,6 +9,7 @@
   policy: async () => (await import('./policy.js')).measurePolicy,
   traffic: async () => (await import('./bench/traffic.js')).measureTraffic,
   entry: async () => (await import('./bench/entry.js')).measureEntry,
+  jobs: async () => (await import('./jobs/measure.js')).measureJobs,
   state: async () => (await import('./state/state.js')).measureState,
 };
 
