Count the leader's lease from when its heartbeats were sent

The answers of its followers and of the log had waited for it, and their arrival renewed its trust in itself. Ruled out: the shorter guard of hosts; the order came 3.7 s after the takeover, and the old guard would have let the successor act as well. A lost commit: the record of the order was committed before the freeze. Also: new tasks go to the first worker in a fixed order, later if they would keep it in use alone, and the trial of the jobs treats tasks that last as such.

--- a/packages/consensus/src/raft.ts
+++ b/packages/consensus/src/raft.ts
@@ -45,6 +45,11 @@
   private readonly observers = new Set<(status: ReplicaStatus) => void>();
   private timer: {at: number; handle: NodeJS.Timeout} | undefined;
   private compactedAt: number;
+  /** When the latest heartbeat rounds began, on both clocks. */
+  private readonly rounds = new Map<
+    number,
+    {steadyMs: number; wallMs: number}
+  >();
   private ended = false;
 
   /** Use `startRaft`. */
@@ -90,15 +95,38 @@
   }
 
   override isConfirmedLeader(): boolean {
-    const {role, members, peers, rules, id} = this.node;
+    const {role, members, peers, id} = this.node;
     if (this.ended || role !== 'leader') return false;
-    const sinceMs = performance.now() - rules.minElectionMs;
     const heard = members.voters.filter(
-      voter => voter === id || (peers[voter]?.heardMs ?? -Infinity) > sinceMs,
+      voter => voter === id || this.isRecent(peers[voter]?.round),
     );
     return heard.length >= majority(members);
   }
 
+  /**
+   * Whether the heartbeat round began within the shortest election timeout.
+   * Answers may have waited while this process was frozen, so their arrival
+   * says nothing. The time of day counts too: the steady clock may stand
+   * still while a host is suspended.
+   */
+  private isRecent(round: number | undefined): boolean {
+    const begun = round === undefined ? undefined : this.rounds.get(round);
+    if (!begun) return false;
+    const {minElectionMs} = this.node.rules;
+    const steadyMs = performance.now() - begun.steadyMs;
+    const wallMs = Math.abs(Date.now() - begun.wallMs);
+    return steadyMs < minElectionMs && wallMs < minElectionMs;
+  }
+
+  private noteRound(round: number): void {
+    const nowMs = performance.now();
+    this.rounds.set(round, {steadyMs: nowMs, wallMs: Date.now()});
+    for (const [earlier, {steadyMs}] of this.rounds) {
+      if (nowMs - steadyMs < this.node.rules.minElectionMs) break;
+      this.rounds.delete(earlier);
+    }
+  }
+
   override propose(change: C): Promise<Committed<A>> {
     const text = this.options.codec.encodeChange(change);
     return this.requests.change(id => {
@@ -209,6 +237,7 @@
     if (body.type === 'propose') this.proposals = [];
     const next = step(node, {...body, nowMs: performance.now()});
     this.node = next.node;
+    if (next.node.round !== node.round) this.noteRound(next.node.round);
     this.perform(next.effects);
     if (node.role === 'leader' && next.node.role !== 'leader') {
       this.requests.lostLeadership();
--- a/packages/consensus/test/mechanism.test.ts
+++ b/packages/consensus/test/mechanism.test.ts
@@ -201,6 +201,24 @@
     }
   });
 
+  it('lease: answers that waited for a frozen leader renew its trust', async () => {
+    const {cluster, leader, others} = await startCluster();
+    const {network} = cluster;
+    const {member, replica} = leader;
+    expect(replica!.isConfirmedLeader()).toBe(true);
+    network.hold(member);
+    // Time for one heartbeat round.
+    await advance(600);
+    for (const other of others) network.cut(member, other.member);
+    await advance(300);
+    network.release(member);
+    // Longer than an election since the round, not since its answers.
+    await advance(1250);
+    expect(replica!.status().role).toBe('leader');
+    expect(replica!.isConfirmedLeader()).toBe(false);
+    await cluster.stop();
+  });
+
   it('stop: the group waits for an election instead of a hand-over', async () => {
     const {cluster, leader} = await startCluster();
     const stopping = leader.replica!.stop();
--- a/packages/consensus/test/network.ts
+++ b/packages/consensus/test/network.ts
@@ -38,6 +38,7 @@
   readonly sentByType = new Map<PeerMessage['type'], number>();
   private readonly receivers = new Map<string, Receiver>();
   private readonly cuts = new Set<string>();
+  private readonly held = new Map<string, (() => void)[]>();
 
   constructor(private readonly random: Random) {}
 
@@ -61,6 +62,17 @@
     }
   }
 
+  /** Keeps what arrives for `to` until `release`, as while it is frozen. */
+  hold(to: string): void {
+    this.held.set(to, []);
+  }
+
+  release(to: string): void {
+    const messages = this.held.get(to) ?? [];
+    this.held.delete(to);
+    for (const deliver of messages) deliver();
+  }
+
   heal(): void {
     this.cuts.clear();
   }
@@ -91,7 +103,10 @@
     const delayMs = this.random.int(1, this.faults.maxDelayMs);
     setTimeout(() => {
       if (this.cuts.has(`${from}>${to}`)) return;
-      this.receivers.get(to)?.(from, [message]);
+      const receive = () => this.receivers.get(to)?.(from, [message]);
+      const held = this.held.get(to);
+      if (held) held.push(receive);
+      else receive();
     }, delayMs);
   }
 }
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -189,7 +189,11 @@
   });
   const pacing: Pacing = createPacing(log);
   const inventory = createInventory(options.hosts, log);
-  const duty = {holder: options.holder, token};
+  const duty = {
+    holder: options.holder,
+    token,
+    isCurrent: () => !ended && options.isLeader(),
+  };
   const {process} = options;
   const isGuarded = (host: string) => options.duties.isGuarded(host);
   const maintenance: Maintenance = createMaintenance({
@@ -413,10 +417,11 @@
   }
 
   function decide(projected: State): Plan {
+    const load = projected === state() ? loadNow() : measureLoad(projected);
     return plan({
       state: projected,
-      load: projected === state() ? loadNow() : measureLoad(projected),
-      workers: candidates(projected),
+      load,
+      workers: candidates(projected, load),
       nowMs: Date.now(),
       durations,
       advised: advice.allowed(),
@@ -425,7 +430,7 @@
     });
   }
 
-  function candidates(projected: State): Candidate[] {
+  function candidates(projected: State, load: Load): Candidate[] {
     const nowMs = performance.now();
     const usable: Candidate[] = [];
     const bad: Candidate[] = [];
@@ -433,7 +438,13 @@
       const key = workerKey(worker);
       if (!isUsable(worker) || isHeld(worker.host)) continue;
       const doubtful = isQuarantined(health, key, nowMs);
-      const candidate = {key, worker, free: worker.capacity, doubtful};
+      const candidate = {
+        key,
+        worker,
+        free: worker.capacity,
+        emptyInMs: emptyInMs(key, load),
+        doubtful,
+      };
       (doubtful ? bad : usable).push(candidate);
     }
     // With most workers in doubt, the jobs are the likelier cause.
--- a/packages/dispatch/src/provider.ts
+++ b/packages/dispatch/src/provider.ts
@@ -17,6 +17,11 @@
 export interface Duty {
   readonly holder: string;
   readonly token: number;
+  /**
+   * Whether the order may still be given; asked when it is about to leave,
+   * since the process may have been frozen meanwhile.
+   */
+  isCurrent(): boolean;
 }
 
 export type HostAnswer =
--- a/packages/scheduling/src/place.ts
+++ b/packages/scheduling/src/place.ts
@@ -12,6 +12,8 @@
   readonly key: string;
   readonly worker: Worker;
   readonly free: Size;
+  /** Expected time until nothing runs on it, if it gets nothing new. */
+  readonly emptyInMs: number;
   /** Chosen only if nothing else fits. */
   readonly doubtful: boolean;
 }
@@ -19,6 +21,8 @@
 export interface PlaceInput {
   readonly step: Step;
   readonly size: Size;
+  /** Expected duration of the task. */
+  readonly durationMs: number;
   readonly candidates: readonly Candidate[];
   /** Workers where a run of this task has failed. */
   readonly failedOn: readonly string[];
@@ -49,16 +53,21 @@
  */
 abstract class Scored extends Placement {
   /** Between 0 and 1; the highest is chosen. */
-  protected abstract preference(candidate: Candidate): number;
+  protected abstract preference(
+    candidate: Candidate,
+    input: PlaceInput,
+    position: number,
+  ): number;
 
   override choose(input: PlaceInput): Candidate | undefined {
     const {step, size, candidates} = input;
     let best: Candidate | undefined;
     let bestScore = -Infinity;
-    for (const candidate of candidates) {
+    for (const [position, candidate] of candidates.entries()) {
       const {worker, free} = candidate;
       if (!fits(size, free) || !meetsLabel(step, worker)) continue;
-      const score = this.preference(candidate) + penalty(candidate, input);
+      const score =
+        this.preference(candidate, input, position) + penalty(candidate, input);
       if (score <= bestScore) continue;
       best = candidate;
       bestScore = score;
@@ -77,10 +86,24 @@
   }
 }
 
-/** The fullest worker, so that others become idle and can leave the pool. */
+/** Positions that a worker loses if the task keeps it in use all alone. */
+const EXTENSION_POSITIONS = 3;
+
+/**
+ * The first worker in a fixed order, so that those behind become idle and can
+ * leave the pool. A worker that the task keeps in use beyond what runs there
+ * anyway comes somewhat later.
+ */
 export class Pack extends Scored {
-  protected override preference(candidate: Candidate): number {
-    return 1 - freeShare(candidate);
+  protected override preference(
+    {emptyInMs}: Candidate,
+    {durationMs}: PlaceInput,
+    position: number,
+  ): number {
+    const share = durationMs > 0 ? emptyInMs / durationMs : 1;
+    // Nothing is known of a task that lasts but that it stays.
+    const alone = Number.isFinite(durationMs) ? Math.max(0, 1 - share) : 0;
+    return 1 / (1 + position + EXTENSION_POSITIONS * alone);
   }
 }
 
--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -24,7 +24,7 @@
   type Task,
   type Team,
 } from '@lentildrift/queue';
-import type {Durations} from './estimate.js';
+import {expectedMs, type Durations} from './estimate.js';
 import {reservation, spreadKey, type Load} from './load.js';
 import type {JobOrder} from './order.js';
 import type {Candidate, Placement} from './place.js';
@@ -176,7 +176,7 @@
       }
       continue;
     }
-    reserve(ledger, turn, chosen, size);
+    reserve(ledger, turn, chosen, size, durationOf(input, turn));
     const name = taskName(job.spec.id, key);
     ledger.starts.push([name, task.lastRun + 1, chosen.key]);
   }
@@ -211,7 +211,8 @@
       return;
     }
     if (step.sameRack) gangRack ??= rackOf(chosen.worker);
-    reserve(ledger, turn, chosen, reservation(step));
+    const size = reservation(step);
+    reserve(ledger, turn, chosen, size, durationOf(input, turn));
     rows.push([taskName(job.spec.id, keys[index]!), run, chosen.key]);
   }
   ledger.starts.push(...rows);
@@ -235,8 +236,18 @@
     );
   }
   const {failedOn} = task;
-  const size = reservation(step);
-  return input.placement.choose({step, size, candidates, failedOn, gangRack});
+  return input.placement.choose({
+    step,
+    size: reservation(step),
+    durationMs: durationOf(input, turn),
+    candidates,
+    failedOn,
+    gangRack,
+  });
+}
+
+function durationOf({durations}: PlanInput, {queue, step}: Turn): number {
+  return step.lasting ? Infinity : expectedMs(durations, queue.name, step);
 }
 
 function spreadAt({job, occurrence, at}: Turn, worker: string): string {
@@ -248,11 +259,18 @@
   turn: Turn,
   {key}: Candidate,
   size: Size,
+  durationMs: number,
 ): void {
   const {queue, job, step} = turn;
   const list = ledger.byPool.get(queue.pool)!;
   const next = list.map(each =>
-    each.key === key ? {...each, free: subtract(each.free, size)} : each,
+    each.key === key
+      ? {
+          ...each,
+          free: subtract(each.free, size),
+          emptyInMs: Math.max(each.emptyInMs, durationMs),
+        }
+      : each,
   );
   ledger.byPool.set(queue.pool, next);
   const at = spreadAt(turn, key);
--- a/packages/scheduling/test/plan.test.ts
+++ b/packages/scheduling/test/plan.test.ts
@@ -34,6 +34,7 @@
       key: workerKey(row),
       worker: row,
       free: row.capacity,
+      emptyInMs: 0,
       doubtful: false,
     })),
     nowMs: 0,
--- a/packages/testkit/src/jobs/trial.ts
+++ b/packages/testkit/src/jobs/trial.ts
@@ -101,7 +101,16 @@
       load = measureLoad(state);
       noteJobEnds(before, state, ended, nowMs, endedMs);
     }
-    const decided = decide(options, state, load, hosts, nowMs, durations);
+    const left = remaining(state, running, durations, nowMs);
+    const emptyInMs = (worker: string) => left.get(worker) ?? 0;
+    const decided = decide(options, {
+      state,
+      load,
+      hosts,
+      nowMs,
+      durations,
+      emptyInMs,
+    });
     if (decided.starts.length > 0) {
       const runs = [...decided.starts];
       state = apply(state, {events: [{type: 'start', runs}]}).state;
@@ -110,10 +119,16 @@
     }
     if (decided.short.size > 0 || nowMs - dividedMs >= DIVIDE_MS) {
       dividedMs = nowMs;
-      const left = remaining(state, running, durations, nowMs);
-      const emptyInMs = (worker: string) => left.get(worker) ?? 0;
+      const soon = remaining(state, running, durations, nowMs);
       load = measureLoad(state);
-      hosts.divide(options.pools, state, load, nowMs, durations, emptyInMs);
+      hosts.divide(
+        options.pools,
+        state,
+        load,
+        nowMs,
+        durations,
+        worker => soon.get(worker) ?? 0,
+      );
     }
     const tookMs = performance.now() - begunMs;
     roundsMs += tookMs;
@@ -150,19 +165,26 @@
   return apply(EMPTY_STATE, {events}).state;
 }
 
+/** What a round knows. */
+interface Moment {
+  readonly state: State;
+  readonly load: Load;
+  readonly hosts: Hosts;
+  readonly nowMs: number;
+  readonly durations: Durations;
+  readonly emptyInMs: (worker: string) => number;
+}
+
 function decide(
   {order, placement}: TrialOptions,
-  state: State,
-  load: Load,
-  hosts: Hosts,
-  nowMs: number,
-  durations: Durations,
+  {state, load, hosts, nowMs, durations, emptyInMs}: Moment,
 ) {
   const workers = [...state.workers.values()]
     .map(worker => ({
       key: workerKey(worker),
       worker,
       free: worker.capacity,
+      emptyInMs: emptyInMs(workerKey(worker)),
       doubtful: false,
     }))
     .filter(({key}) => !hosts.isHeld(key));
@@ -203,9 +225,11 @@
     const {job, key} = splitTaskName(name);
     const {spec} = state.jobs.get(job)!;
     const step = spec.steps[positionOf(key).step]!;
-    const lastsMs = step.lasting
-      ? Infinity
-      : expectedMs(durations, spec.queue, step);
+    if (step.lasting) {
+      left.set(worker, Infinity);
+      continue;
+    }
+    const lastsMs = expectedMs(durations, spec.queue, step);
     const ranMs = nowMs - (endMs - durationMs);
     const leftMs = Math.max(lastsMs - ranMs, OVERDUE_SHARE * lastsMs);
     left.set(worker, Math.max(left.get(worker) ?? 0, leftMs));
