Adopt recorded moves only when the leader takes over

Callers saw: work waited while more than 100 of 246 hosts of grown lanes were cordoned; hosts were moved again right after they had arrived. Cause: each tick adopted every recorded, unfinished move without an entry of its own. The entry of a finished move is removed at once, but the record of its end is committed later. If that took longer than the time to the next tick, the leader took its own finished move for one of an earlier leader, ordered it again and kept the host cordoned. Change: the moves of earlier leaders are read once, when the leader starts. Each later tick records the end of the moves that the state lists as unfinished and that this leader does not carry out. A rejected record is thus repeated, unless the next move of the host has begun. Records are committed in the order of the queue, so a late end cannot replace the next move; a test checks this order. Tests: on the parent commit, "order a host once and use it on arrival while commits are slow" fails with "expected [ m-w1, m-w1, m-w1, ...(23) ] to deeply equal [ Array(7) ]", and "have the end of a move recorded after its record was rejected once" with "to have a length of 1 but got 3". A new assertion, that a leader has adopted the moves as soon as it starts, fails there with "to have a length of 4 but got +0".

--- a/packages/dispatch/src/rebalancer.ts
+++ b/packages/dispatch/src/rebalancer.ts
@@ -30,7 +30,10 @@
   readonly issuer: OrderIssuer;
   readonly log: Log;
   state(): State;
-  /** Records the order, for the next leader; rejects if it was not recorded. */
+  /**
+   * Records the order, for the next leader; rejects if it was not recorded.
+   * Records are committed in the order of the calls.
+   */
   recordOrder(order: Omit<HostOrder, 'by'>): Promise<unknown>;
   /**
    * Whether an order of an earlier leader to the host may still be in flight.
@@ -106,7 +109,9 @@
 export function createRebalancer(options: RebalancerOptions): Rebalancer {
   const {inventory, log} = options;
   /** By host. */
-  const ongoingMoves = new Map<string, OngoingMove>();
+  const ongoingMoves = collectRecordedMoves(options.state(), log);
+  /** Hosts whose last move has ended and whose record of this is undecided. */
+  const endsBeingRecorded = new Set<string>();
   /** Monotonic time since which a host has been idle, by host. */
   const idleSinceMs = new Map<string, number>();
   /** Pools that the provider refused to move a host to, by host. */
@@ -120,10 +125,10 @@
     const hosts = inventory.hosts();
     if (!hosts || isStopped) return;
     const byHost = newestWorkersByHost(options.state());
-    adoptRecordedMoves();
     for (const [host, ongoing] of ongoingMoves) {
       advanceMove(host, ongoing, byHost, load);
     }
+    recordEnds();
     const views = collectPoolViews(hosts, byHost, load);
     logPools(views);
     for (const move of options.policy.decide(views)) {
@@ -132,18 +137,26 @@
   }
 
   /**
-   * Adopts unfinished moves that an earlier leader recorded, to order them
-   * again.
+   * Records the end of each move that the state still lists as unfinished. A
+   * rejected record is repeated, unless the host has begun its next move, which
+   * replaces it.
    */
-  function adoptRecordedMoves(): void {
+  function recordEnds(): void {
     for (const {host, to, done} of options.state().hostOrders.values()) {
       if (to === undefined || done || ongoingMoves.has(host)) continue;
-      log.info('move-inherited', {host, to});
-      ongoingMoves.set(host, {
-        ...createOngoingMove({host, from: '', to}, undefined),
-        isRecorded: true,
-      });
+      if (!endsBeingRecorded.has(host)) void recordEnd(host, to);
+    }
+  }
+
+  async function recordEnd(host: string, to: string): Promise<void> {
+    endsBeingRecorded.add(host);
+    try {
+      await options.recordOrder({host, to, done: true, atMs: Date.now()});
+    } catch (error) {
+      const reason = (error as Error).message;
+      log.info('host-order-unrecorded', {host, reason});
     }
+    endsBeingRecorded.delete(host);
   }
 
   /** Logs the sizes and the demand of the pools at intervals. */
@@ -376,18 +389,11 @@
     );
   }
 
-  /** Ends the move and records its end if the order was recorded. */
+  /** Ends the move; the next tick records its end if the order was recorded. */
   function endMove(host: string, reason: string): void {
     log.info('move-ended', {host, reason});
-    const {isRecorded, move} = ongoingMoves.get(host)!;
     ongoingMoves.delete(host);
     idleSinceMs.delete(host);
-    if (!isRecorded) return;
-    const record = {host, to: move.to, done: true, atMs: Date.now()};
-    options.recordOrder(record).catch((error: Error) =>
-      // The next leader then orders the move again, which changes nothing.
-      log.info('host-order-unrecorded', {host, reason: error.message}),
-    );
   }
 
   return {
@@ -399,6 +405,28 @@
   };
 }
 
+/**
+ * Returns the unfinished moves that earlier leaders recorded, to order them
+ * again. They are read once, before this leader records moves of its own: later
+ * the state lags behind this leader's moves, so an unfinished move in it may
+ * have ended.
+ */
+function collectRecordedMoves(
+  state: State,
+  log: Log,
+): Map<string, OngoingMove> {
+  const moves = new Map<string, OngoingMove>();
+  for (const {host, to, done} of state.hostOrders.values()) {
+    if (to === undefined || done) continue;
+    log.info('move-inherited', {host, to});
+    moves.set(host, {
+      ...createOngoingMove({host, from: '', to}, undefined),
+      isRecorded: true,
+    });
+  }
+  return moves;
+}
+
 function createOngoingMove(
   move: Move,
   worker: string | undefined,
--- a/packages/dispatch/test/harness.ts
+++ b/packages/dispatch/test/harness.ts
@@ -103,6 +103,8 @@
   acceptsProposals = true;
   /** Number of proposals that are still to be refused. */
   refusalsLeft = 0;
+  /** Whether to refuse the change, in addition to `refusalsLeft`. */
+  refuses: (change: Change) => boolean = () => false;
 
   override async propose(
     change: Change,
@@ -112,6 +114,7 @@
       this.refusalsLeft--;
       throw new ChangeRefused('refused for the test');
     }
+    if (this.refuses(change)) throw new ChangeRefused('refused for the test');
     const committed = await super.propose(change);
     if (this.delayMs > 0) {
       await new Promise(resolve => setTimeout(resolve, this.delayMs));
--- a/packages/dispatch/test/hosts.test.ts
+++ b/packages/dispatch/test/hosts.test.ts
@@ -1,6 +1,7 @@
 /**
  * Tests maintenance waves and moves of hosts between pools, on the fake clock.
  */
+import type {HostOrder} from '@lentildrift/queue';
 import {ElasticPools, FixedPools} from '@lentildrift/scheduling';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import {job, createHarness, worker, type Harness} from './harness.js';
@@ -153,6 +154,10 @@
   return task.startsWith('a') && Number(task.split('.').at(-1)) % 4 === 0;
 }
 
+function isAdoption(logLine: string): boolean {
+  return logLine.includes('event=move-inherited');
+}
+
 describe('pools', () => {
   const workerNames = Array.from({length: 9}, (_, n) => `w${n}`);
 
@@ -218,6 +223,7 @@
     }
     const moving = harness.hosts.orders.map(({host}) => host);
     await harness.replaceLeader();
+    expect(harness.logLines.filter(isAdoption)).toHaveLength(moving.length);
     const hostOrders = harness.replica.state().hostOrders;
     for (const host of moving) expect(hostOrders.get(host)).toBeDefined();
     await harness.submit(job('a', {count: 8}));
@@ -225,6 +231,84 @@
     expect(harness.phase('a')).toBe('completed');
   });
 
+  // A move whose end was queued behind a slow commit was taken for one of an
+  // earlier leader and ordered again, which kept the host cordoned.
+  it('order a host once and use it on arrival while commits are slow', async () => {
+    harness = await createHarness({
+      pools: new ElasticPools(),
+      behave: () => ({durationMs: 4000}),
+    });
+    for (const name of workerNames) await harness.addWorker(worker(name));
+    await harness.advance(12_000);
+    harness.replica.delayMs = 400;
+    const firstCount = harness.hosts.orders.length;
+    // One task for each core of the nine hosts.
+    await harness.submit(job('a', {count: 36}));
+    await harness.advance(7000);
+    const hosts = harness.hosts.orders
+      .slice(firstCount)
+      .map(({host}) => host)
+      .sort();
+    expect(hosts.length).toBeGreaterThan(5);
+    expect(hosts).toEqual([...new Set(hosts)]);
+    for (const host of hosts) {
+      const starts = harness.fleet.starts.filter(({worker}) =>
+        worker.startsWith(`${host}-`),
+      );
+      expect(starts.length, `starts on ${host}`).toBeGreaterThan(0);
+    }
+    expect(harness.logLines.filter(isAdoption)).toEqual([]);
+  });
+
+  // A late record of the end of a host's last move must not replace the record
+  // of its next move, which the next leader would then not know.
+  it('have the end of a move recorded before the next move of the host', async () => {
+    harness = await createHarness({
+      pools: new ElasticPools(),
+      behave: () => ({durationMs: 500}),
+    });
+    const records: HostOrder[] = [];
+    harness.replica.onApply(({change}) => {
+      for (const event of change.events) {
+        if (event.type === 'duty') records.push(event.duty);
+      }
+    });
+    harness.replica.delayMs = 400;
+    for (const name of workerNames) await harness.addWorker(worker(name));
+    for (let n = 0; n < 6; n++) {
+      await harness.submit({
+        ...job(`a${n}`, {count: 36}),
+        queue: n % 2 === 0 ? 'q' : 'r',
+      });
+      await harness.advance(3000);
+    }
+    const hosts = [...new Set(records.map(({host}) => host))];
+    expect(records.length).toBeGreaterThan(2 * hosts.length);
+    for (const host of hosts) {
+      const own = records.filter(record => record.host === host);
+      const expected = own.map((_, index) => index % 2 === 1);
+      expect(own.map(({done}) => done)).toEqual(expected);
+    }
+  });
+
+  it('have the end of a move recorded after its record was rejected once', async () => {
+    harness = await createHarness({pools: new ElasticPools()});
+    for (const name of workerNames) await harness.addWorker(worker(name));
+    let refusedHost: string | undefined;
+    harness.replica.refuses = ({events}) => {
+      const end = events.find(each => each.type === 'duty' && each.duty.done);
+      if (refusedHost !== undefined || end?.type !== 'duty') return false;
+      refusedHost = end.duty.host;
+      return true;
+    };
+    await harness.advance(15_000);
+    expect(refusedHost).toBeDefined();
+    const order = harness.replica.state().hostOrders.get(refusedHost!);
+    expect(order?.done).toBe(true);
+    const sent = harness.hosts.orders.filter(({host}) => host === refusedHost);
+    expect(sent).toHaveLength(1);
+  });
+
   it('have enough hosts for a step that allows one task per worker', async () => {
     harness = await createHarness({
       pools: new ElasticPools(),
