Start unscheduled jobs whatever the clock says

What callers saw: jobs that had been accepted in the seconds before the clock of the leader's host was set back waited as long as the clock had gone back, with workers free.

Cause: a job without a schedule counted as due once the wall clock had reached its time of acceptance. After a step back, or under a leader whose clock is behind the one that accepted the job, that time lies in the future.

Only the occurrences of a schedule have a due time now.

--- a/packages/queue/src/job.ts
+++ b/packages/queue/src/job.ts
@@ -181,6 +181,15 @@
   return schedule.startAtMs + occurrence * schedule.intervalMs;
 }
 
+/**
+ * Whether the occurrence may start. A job without a schedule may do so from its
+ * acceptance on, even if the clock was set back since, or if it was accepted by
+ * a leader whose clock is ahead.
+ */
+export function isDue(job: Job, occurrence: number, nowMs: number): boolean {
+  return !job.spec.schedule || dueAtMs(job, occurrence) <= nowMs;
+}
+
 /** Whether all tasks of the step have completed. */
 export function isStepDone(job: Job, occurrence: number, step: number) {
   const total = job.spec.steps[step]?.count ?? Infinity;
--- a/packages/scheduling/src/demand.ts
+++ b/packages/scheduling/src/demand.ts
@@ -4,8 +4,8 @@
  */
 import {
   add,
-  dueAtMs,
   fits,
+  isDue,
   isLongRunning,
   isStepReady,
   occurrenceCount,
@@ -180,7 +180,7 @@
     occurrence < occurrenceCount(job.spec);
     occurrence++
   ) {
-    if (dueAtMs(job, occurrence) > nowMs) break;
+    if (!isDue(job, occurrence, nowMs)) break;
     job.spec.steps.forEach((step, index) => {
       const done = job.done[stepKey(occurrence, index)] ?? 0;
       if (done >= step.count || !isStepReady(job, occurrence, index)) return;
--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -5,8 +5,8 @@
  */
 import {
   add,
-  dueAtMs,
   fits,
+  isDue,
   isStepReady,
   NEW_TASK,
   occurrenceCount,
@@ -88,7 +88,7 @@
       occurrence < occurrenceCount(job.spec);
       occurrence++
     ) {
-      if (dueAtMs(job, occurrence) > nowMs) break;
+      if (!isDue(job, occurrence, nowMs)) break;
       let rank: number | undefined;
       job.spec.steps.forEach((step, stepIndex) => {
         if (!hasWaitingTask(job, occurrence, stepIndex, step)) return;
--- a/packages/scheduling/test/plan.test.ts
+++ b/packages/scheduling/test/plan.test.ts
@@ -132,6 +132,11 @@
     expect(new Set(starts.map(([, run]) => run))).toEqual(new Set([1]));
   });
 
+  it('starts a job without a schedule at once although the clock was set back since its acceptance', () => {
+    const state = stateOf([worker('w')], submit('a', [{}], {atMs: 5000}));
+    expect(startedTasks(state, {nowMs: 2600})).toEqual(['a.0.0.0']);
+  });
+
   it('starts an occurrence only once it is due', () => {
     const schedule = {startAtMs: 1000, intervalMs: 500, times: 3};
     const state = stateOf([worker('w')], submit('a', [{}], {schedule}));
--- a/packages/scheduling/test/pools.test.ts
+++ b/packages/scheduling/test/pools.test.ts
@@ -38,6 +38,11 @@
     expect(demand.waiting[0]!.running).toEqual(new Map([[workerKey(w), 1]]));
   });
 
+  it('counts a job without a schedule although the clock was set back since its acceptance', () => {
+    const state = stateOf([], submit('a', [{}], {atMs: 5000}));
+    expect(waitingCounts(demandOf(state, 2600))).toEqual([1]);
+  });
+
   it('leaves out tasks that the upper limit of the team keeps from running', () => {
     const state = stateOf([], submit('a', [{count: 5}], {team: 't'}));
     expect(waitingCounts(demandOf(state))).toEqual([2]);
