List a metric once when it is requested again

A control process that leads a second time requests its metrics a second time. The text at /metrics then described each of them twice, which scrapers refuse, and the figures of the first term stood beside those of the second.

Cause: every request added a family, without a look at its name. A second request now returns the existing metric, so a later leader continues it.

The new test of observe.test.ts failed on the parent commit: "expected [ …(6) ] to have a length of 3 but got 6".

--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -31,6 +31,10 @@
   record(labels: Labels, durationMs: number): void;
 }
 
+/**
+ * A second request for a metric returns the existing one, so that a part of the
+ * process that starts again continues its metrics.
+ */
 export interface Metrics {
   counter(name: string, help: string, maxSeries: number): Counter;
   gauge(name: string, help: string, maxSeries: number): Gauge;
@@ -45,8 +49,13 @@
 
 export function createMetrics(): Metrics {
   const families: MetricFamily[] = [];
+  const counters = new Map<string, Counter>();
+  const gauges = new Map<string, Gauge>();
+  const latencies = new Map<string, Latency>();
 
   function counter(name: string, help: string, maxSeries: number): Counter {
+    const known = counters.get(name);
+    if (known) return known;
     const values = new Map<string, number>();
     const add = (labels: Labels, by = 1) => {
       if (!(by >= 0)) throw new RangeError(`counter ${name} cannot fall`);
@@ -55,20 +64,28 @@
     };
     const formatLines = () => formatValues(name, values);
     families.push({name, help, type: 'counter', formatLines});
-    return {add};
+    const created = {add};
+    counters.set(name, created);
+    return created;
   }
 
   function gauge(name: string, help: string, maxSeries: number): Gauge {
+    const known = gauges.get(name);
+    if (known) return known;
     const values = new Map<string, number>();
     const set = (labels: Labels, value: number) => {
       values.set(chooseSeriesKey(values, labels, maxSeries), value);
     };
     const formatLines = () => formatValues(name, values);
     families.push({name, help, type: 'gauge', formatLines});
-    return {set};
+    const created = {set};
+    gauges.set(name, created);
+    return created;
   }
 
   function latency(name: string, help: string, maxSeries: number): Latency {
+    const known = latencies.get(name);
+    if (known) return known;
     const series = new Map<string, LatencySeries>();
     const record = (labels: Labels, durationMs: number) => {
       const key = chooseSeriesKey(series, labels, maxSeries);
@@ -83,7 +100,9 @@
         formatLatencySeries(name, key, value),
       );
     families.push({name, help, type: 'summary', formatLines});
-    return {record};
+    const created = {record};
+    latencies.set(name, created);
+    return created;
   }
 
   function text(): string {
--- a/packages/observe/test/observe.test.ts
+++ b/packages/observe/test/observe.test.ts
@@ -70,6 +70,21 @@
     );
   });
 
+  it('lists a metric once that was requested again', () => {
+    // A process that leads a second time requests its metrics a second time;
+    // a scraper refuses a text that describes one metric twice.
+    const metrics = createMetrics();
+    for (let i = 0; i < 2; i++) {
+      metrics.counter('a_total', 'Things.', 1).add({});
+      metrics.gauge('b', 'Level.', 1).set({}, i);
+      metrics.latency('c_seconds', 'Time.', 1).record({}, 10);
+    }
+    const lines = metrics.text().split('\n');
+    expect(lines.filter(line => line.startsWith('# HELP'))).toHaveLength(3);
+    expect(lines).toContain('a_total 2');
+    expect(lines).toContain('c_seconds_count 2');
+  });
+
   it('has a limited number of series when callers send many label values', () => {
     const metrics = createMetrics();
     const counter = metrics.counter('a_total', 'Things.', 5);
