Record the lag of the event loop and log its stalls

Timers that expire late look like silence of other processes. Nothing showed whether a process had been busy or frozen, or its peer really silent (hypotheses 3 and 4 of docs/incidents/lost-and-short.md).

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /** Entry point of the daemon `lentildriftd`. */
-import {createLog, type Log} from '@lentildrift/observe';
+import {createLog, watchEventLoop, type Log} from '@lentildrift/observe';
 import {
   EXIT_USAGE_ERROR,
   parseSettings,
@@ -68,6 +68,7 @@
   const {hostName, logLevel, embedded} = settings;
   const log = createLog(logLevel, {host: hostName});
   exitOnUncaughtError(log);
+  watchEventLoop({log});
   runUntilSignal(log, signal =>
     embedded
       ? startEmbeddedMode(settings, log)
--- a/packages/observe/src/index.ts
+++ b/packages/observe/src/index.ts
@@ -1,4 +1,5 @@
 export * from './burn.js';
+export * from './event-loop.js';
 export * from './log.js';
 export * from './metrics.js';
 export * from './recorder.js';
