Show what the leader does, each second and by phase

- lentildrift_leader_phase_seconds: time of each part of the leader's work, nested parts counted once.
- Age of the oldest event of a change, time of a commit, events in a change.
- lentildrift_moves_total by stage and outcome, adopted moves included.
- `leader` and `fleet` lines, each at most once a second: counts and time by phase since the last line, and every listed host in one class.
- `takeover`, once for each leader: from its election to its first order.

--- a/packages/dispatch/src/batch.ts
+++ b/packages/dispatch/src/batch.ts
@@ -9,6 +9,8 @@
 export interface QueuedEvent {
   readonly event: Event;
   readonly reply?: Reply<Outcome>;
+  /** Monotonic time at which the event was queued. */
+  readonly queuedMs: number;
 }
 
 /** The content of one change, with the replies that wait for its commit. */
--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -297,6 +297,8 @@
   const {log} = options;
   let current: {term: number; leader: Leader; queues: LocalQueues} | undefined;
   let confirmingTerm: number | undefined;
+  /** Term that this process was last elected for, and the monotonic time. */
+  let elected = {term: 0, atMs: 0};
 
   /**
    * Whether the group has enough voters to tolerate the loss of disks. A new
@@ -319,6 +321,9 @@
       log.info('not-leading', {term});
       void leader.stop();
     }
+    if (role === 'leader' && elected.term !== term) {
+      elected = {term, atMs: performance.now()};
+    }
     if (!leads || current || confirmingTerm === term) return;
     confirmingTerm = term;
     void confirmLeadership(term);
@@ -347,6 +352,7 @@
       ...options,
       replica,
       token: term,
+      electedMs: elected.atMs,
       isLeader: () =>
         replica.status().term === term && replica.isConfirmedLeader(),
     });
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -47,9 +47,11 @@
 import type {Reply, Task, TaskSystem} from '@lentildrift/task';
 import {createAdviceCache, type AdviceCache} from './advice.js';
 import {takeBatch, type Batch, type QueuedEvent} from './batch.js';
+import {countHosts} from './census.js';
 import {createDispatcher, type Dispatcher} from './dispatcher.js';
 import type {WorkerDriver} from './driver.js';
 import type {HostOrderGuard} from './host-order-guard.js';
+import {createInstruments} from './instruments.js';
 import {createInventory} from './inventory.js';
 import {createMaintenance, type Maintenance} from './maintenance.js';
 import {createPacing, type Pacing} from './pacing.js';
@@ -93,6 +95,8 @@
   readonly order?: JobOrder;
   readonly placement?: Placement;
   readonly pools?: PoolPolicy;
+  /** Monotonic time at which this process was elected, for its log lines. */
+  readonly electedMs?: number;
   /** Whether this process is still the leader, by its own knowledge. */
   isLeader(): boolean;
 }
@@ -143,6 +147,8 @@
   const {replica, token, driver, tasks, log, metrics} = options;
   const order = options.order ?? new DeadlineOrder();
   const placement = options.placement ?? new PackPlacement();
+  const instruments = createInstruments(options);
+  const {time} = instruments;
   const roundTime: Latency = metrics.latency(
     'lentildrift_round_duration_seconds',
     'Processor time of a decision round.',
@@ -253,6 +259,7 @@
       commitEvent({type: 'duty', duty: {...order, by: processId}}),
     hasForeignOrder,
     isLeader: options.isLeader,
+    recordMove: instruments.recordMove,
     onWorkerGone: worker => enqueue({type: 'worker-gone', worker}),
     isInWave: host => maintenance.isCordoned(host),
     isUsable,
@@ -272,7 +279,7 @@
         registry.leave(message.worker, message.reply);
         return;
       case 'session-event':
-        handleSessionEvent(message.event);
+        time('report', () => handleSessionEvent(message.event));
         return;
       case 'round':
         runRound();
@@ -281,7 +288,9 @@
         handleTick();
         return;
       case 'committed':
-        handleCommitted(message.batch, message.outcomes);
+        time('committed', () =>
+          handleCommitted(message.batch, message.outcomes),
+        );
         return;
       case 'rejected':
         handleRejected(message.batch, message.error);
@@ -295,7 +304,8 @@
   function currentLoad(): Load {
     const current = state();
     if (cachedLoad?.state !== current) {
-      cachedLoad = {state: current, load: measureLoad(current)};
+      const load = time('load', () => measureLoad(current));
+      cachedLoad = {state: current, load};
     }
     return cachedLoad.load;
   }
@@ -314,7 +324,8 @@
   }
 
   function enqueue(event: Event, reply?: Reply<Outcome>): void {
-    queuedEvents.push(reply ? {event, reply} : {event});
+    const queuedMs = performance.now();
+    queuedEvents.push({event, queuedMs, ...(reply && {reply})});
     scheduleRound();
   }
 
@@ -376,6 +387,7 @@
     });
     if (!reconciledWorkers.has(key)) {
       reconciledWorkers.add(key);
+      instruments.recordReconciled();
       log.info('worker-reconciled', {
         worker: key,
         running: report.running.length,
@@ -440,7 +452,10 @@
     queuedEvents = rest;
     const events = queued.map(({event}) => event);
     const base = state();
-    const projected = events.length > 0 ? apply(base, {events}).state : base;
+    const projected =
+      events.length > 0
+        ? time('apply', () => apply(base, {events}).state)
+        : base;
     const decision = decide(projected);
     roundTime.record({}, performance.now() - startMs);
     advice.request(decision.stepsAwaitingAdvice, readyWorkersOf);
@@ -456,24 +471,41 @@
       starts,
       hasUnplacedTasks: decision.shortPools.size > 0,
     };
+    const recordSettled = instruments.recordProposal(
+      events.length,
+      queued[0]?.queuedMs,
+    );
     replica.propose({events}).then(
-      ({answer}) => task.post({type: 'committed', batch, outcomes: answer}),
-      (error: Error) => task.post({type: 'rejected', batch, error}),
+      ({answer}) => {
+        recordSettled('committed');
+        task.post({type: 'committed', batch, outcomes: answer});
+      },
+      (error: Error) => {
+        recordSettled('rejected');
+        task.post({type: 'rejected', batch, error});
+      },
     );
   }
 
   function decide(projected: State): Plan {
-    const load = projected === state() ? currentLoad() : measureLoad(projected);
-    return plan({
+    const load =
+      projected === state()
+        ? currentLoad()
+        : time('load', () => measureLoad(projected));
+    const workers = time('candidates', () =>
+      collectCandidates(projected, load),
+    );
+    const round = {
       state: projected,
       load,
-      workers: collectCandidates(projected, load),
+      workers,
       nowMs: Date.now(),
       durations,
       advisedWorkers: advice.advisedWorkers(),
       order,
       placement,
-    });
+    };
+    return time('plan', () => plan(round));
   }
 
   function collectCandidates(projected: State, load: Load): Candidate[] {
@@ -553,8 +585,8 @@
       followUp(event, outcomes[at]!);
     });
     for (const row of batch.starts) dispatcher.start(row);
-    dispatcher.syncSessions();
-    dispatcher.stopSurplus(currentLoad().runs);
+    instruments.recordOrders(batch.starts.length);
+    updateSessions();
     if (batch.hasUnplacedTasks) rebalancePools();
     if (queuedEvents.length > 0 || dirty || batch.starts.length > 0)
       scheduleRound();
@@ -627,13 +659,13 @@
 
   function handleTick(): void {
     tickTimer = setTimeout(() => task.post({type: 'tick'}), TICK_INTERVAL_MS);
+    reportState();
     if (!options.isLeader()) return;
-    dispatcher.syncSessions();
-    dispatcher.stopSurplus(currentLoad().runs);
-    registry.expire();
+    updateSessions();
+    time('registry', () => registry.expire());
     forgetEndedJobs();
     recordStatistics();
-    maintenance.tick(currentLoad());
+    time('maintenance', () => maintenance.tick(currentLoad()));
     rebalancePools();
     dirty = true;
     if (!isCommitPending) runRound();
@@ -655,7 +687,41 @@
     const nowMs = performance.now();
     if (nowMs - poolsRebalancedMs < REBALANCE_PAUSE_MS) return;
     poolsRebalancedMs = nowMs;
-    rebalancer.tick(currentLoad());
+    time('rebalance', () => rebalancer.tick(currentLoad()));
+  }
+
+  function updateSessions(): void {
+    time('sessions', () => {
+      dispatcher.syncSessions();
+      dispatcher.stopSurplus(currentLoad().runs);
+    });
+  }
+
+  /** Logs the state of the leader and of the fleet at intervals. */
+  function reportState(): void {
+    const queue = {
+      queued: queuedEvents.length,
+      oldestMs: queuedEvents[0]?.queuedMs,
+      isCurrent: options.isLeader(),
+    };
+    instruments.report(queue, () => {
+      const hosts = inventory.hosts();
+      const {workers, tables} = state();
+      const standby = tables.pools.filter(pool => pool.standby);
+      return (
+        hosts && {
+          ...countHosts({
+            hosts,
+            workers: workers.values(),
+            standbyPools: new Set(standby.map(({name}) => name)),
+            isUsable,
+            isAnswering: dispatcher.isAnswering,
+            isMoving: host => rebalancer.isCordoned(host),
+            isInWave: host => maintenance.isCordoned(host),
+          }),
+        }
+      );
+    });
   }
 
   /**
@@ -697,6 +763,7 @@
       maintenance.stop();
       rebalancer.stop();
       registry.stop();
+      instruments.stop();
       for (const {reply} of queuedEvents) {
         reply?.reject(new Error('this process is no longer the leader'));
       }
--- a/packages/dispatch/src/rebalancer.ts
+++ b/packages/dispatch/src/rebalancer.ts
@@ -20,6 +20,7 @@
   type PoolPolicy,
   type PoolView,
 } from '@lentildrift/scheduling';
+import type {MoveStage} from './instruments.js';
 import type {Inventory} from './inventory.js';
 import type {HostProvider, OrderIssuer, ProvidedHost} from './provider.js';
 
@@ -37,6 +38,8 @@
    */
   hasForeignOrder(host: string): boolean;
   isLeader(): boolean;
+  /** Counts a move that has come to this stage. */
+  recordMove(stage: MoveStage, outcome: string): void;
   /** Called when a worker incarnation has ended because its host moves. */
   onWorkerGone(worker: string): void;
   /** Whether the host is being emptied or is down for a maintenance wave. */
@@ -139,6 +142,7 @@
     for (const {host, to, done} of options.state().hostOrders.values()) {
       if (to === undefined || done || ongoingMoves.has(host)) continue;
       log.info('move-inherited', {host, to});
+      options.recordMove('adopted', 'adopted');
       ongoingMoves.set(host, {
         ...createOngoingMove({host, from: '', to}, undefined),
         isRecorded: true,
@@ -265,6 +269,7 @@
 
   function beginMove(move: Move, worker: Worker | undefined, load: Load): void {
     log.info('move-chosen', {...move});
+    options.recordMove('chosen', 'chosen');
     const ongoing = createOngoingMove(move, worker && workerKey(worker));
     ongoingMoves.set(move.host, ongoing);
     orderIfReady(move.host, ongoing, load);
@@ -343,6 +348,7 @@
       if (!options.isLeader() || isStopped) return;
       const answer = await options.provider.move(host, to, options.issuer);
       log.info('move-ordered', {...ongoing.move, answer});
+      options.recordMove('ordered', answer);
       if (answer === 'accepted') {
         ongoing.phase = 'moving';
         ongoing.orderedMs = performance.now();
@@ -360,6 +366,7 @@
       // and the order is repeated, which has no effect on a host already in the
       // pool.
       log.info('move-unanswered', {host, reason: (error as Error).message});
+      options.recordMove('ordered', 'unanswered');
       scheduleRetry(ongoing);
     }
   }
@@ -379,6 +386,7 @@
   /** Ends the move and records its end if the order was recorded. */
   function endMove(host: string, reason: string): void {
     log.info('move-ended', {host, reason});
+    options.recordMove('ended', reason);
     const {isRecorded, move} = ongoingMoves.get(host)!;
     ongoingMoves.delete(host);
     idleSinceMs.delete(host);
