--- a/packages/dispatch/src/rebalancer.ts
+++ b/packages/dispatch/src/rebalancer.ts
@@ -20,6 +20,7 @@
   type PoolPolicy,
   type PoolView,
 } from '@lentildrift/scheduling';
+import type {MoveStage} from './instruments.js';
 import type {Inventory} from './inventory.js';
 import type {HostProvider, OrderIssuer, ProvidedHost} from './provider.js';
 
@@ -40,6 +41,8 @@
    */
   hasForeignOrder(host: string): boolean;
   isLeader(): boolean;
+  /** Counts a move that has come to this stage. */
+  recordMove(stage: MoveStage, outcome: string): void;
   /** Called when a worker incarnation has ended because its host moves. */
   onWorkerGone(worker: string): void;
   /** Whether the host is being emptied or is down for a maintenance wave. */
@@ -109,7 +112,7 @@
 export function createRebalancer(options: RebalancerOptions): Rebalancer {
   const {inventory, log} = options;
   /** By host. */
-  const ongoingMoves = collectRecordedMoves(options.state(), log);
+  const ongoingMoves = collectRecordedMoves(options);
   /** Hosts whose last move has ended and whose record of this is undecided. */
   const endsBeingRecorded = new Set<string>();
   /** Monotonic time since which a host has been idle, by host. */
@@ -278,6 +281,7 @@
 
   function beginMove(move: Move, worker: Worker | undefined, load: Load): void {
     log.info('move-chosen', {...move});
+    options.recordMove('chosen', 'chosen');
     const ongoing = createOngoingMove(move, worker && workerKey(worker));
     ongoingMoves.set(move.host, ongoing);
     orderIfReady(move.host, ongoing, load);
@@ -356,6 +360,7 @@
       if (!options.isLeader() || isStopped) return;
       const answer = await options.provider.move(host, to, options.issuer);
       log.info('move-ordered', {...ongoing.move, answer});
+      options.recordMove('ordered', answer);
       if (answer === 'accepted') {
         ongoing.phase = 'moving';
         ongoing.orderedMs = performance.now();
@@ -373,6 +378,7 @@
       // and the order is repeated, which has no effect on a host already in the
       // pool.
       log.info('move-unanswered', {host, reason: (error as Error).message});
+      options.recordMove('ordered', 'unanswered');
       scheduleRetry(ongoing);
     }
   }
@@ -392,6 +398,7 @@
   /** Ends the move; the next tick records its end if the order was recorded. */
   function endMove(host: string, reason: string): void {
     log.info('move-ended', {host, reason});
+    options.recordMove('ended', reason);
     ongoingMoves.delete(host);
     idleSinceMs.delete(host);
   }
@@ -411,14 +418,16 @@
  * the state lags behind this leader's moves, so an unfinished move in it may
  * have ended.
  */
-function collectRecordedMoves(
-  state: State,
-  log: Log,
-): Map<string, OngoingMove> {
+function collectRecordedMoves({
+  state,
+  log,
+  recordMove,
+}: RebalancerOptions): Map<string, OngoingMove> {
   const moves = new Map<string, OngoingMove>();
-  for (const {host, to, done} of state.hostOrders.values()) {
+  for (const {host, to, done} of state().hostOrders.values()) {
     if (to === undefined || done) continue;
     log.info('move-inherited', {host, to});
+    recordMove('adopted', 'adopted');
     moves.set(host, {
       ...createOngoingMove({host, from: '', to}, undefined),
       isRecorded: true,
