Apply a long log in several turns of the event loop

Callers saw: after a power loss of all hosts no request was accepted for several seconds.

The new leader sent no heartbeat meanwhile, and the followers, which did the same, found their election timers expired before they read what the leader had sent.

Evidence: the pause follows the first election of a member only.

The replica now takes the entries from the log itself, for at most 5 ms in one turn, and continues by a message to its own task, so that heartbeats, answers and timers run between the slices. A proposal that is committed when leadership ends is answered once it is applied, instead of as unknown.

The random faults run with one entry a turn now.

--- a/packages/consensus/src/context.ts
+++ b/packages/consensus/src/context.ts
@@ -3,7 +3,6 @@
 import type {LogRecord, LogWrite, Snapshot} from '@lentildrift/storage';
 import {
   appendTo,
-  recordsBetween,
   lastEntry,
   positionAt,
   truncateFrom,
@@ -172,17 +171,6 @@
   node.electionDeadlineMs = node.nowMs + waitMs;
 }
 
-/** Applies the entries that are committed and durable on this member. */
-export function applyCommitted(ctx: StepContext): void {
-  const {node} = ctx;
-  if (node.appliedIndex < node.log.base.index) return;
-  const lastIndex = Math.min(node.commitIndex, node.durableIndex);
-  if (lastIndex <= node.appliedIndex) return;
-  const records = recordsBetween(node.log, node.appliedIndex, lastIndex);
-  node.appliedIndex = lastIndex;
-  ctx.effects.push({type: 'apply', records});
-}
-
 /**
  * Handles that all writes up to `seq` are durable: restores an installed
  * snapshot, advances `durableIndex` and sends the deferred messages.
--- a/packages/consensus/src/follower.ts
+++ b/packages/consensus/src/follower.ts
@@ -3,7 +3,6 @@
 import type {MessageOf} from './message.js';
 import {
   becomeFollower,
-  applyCommitted,
   installSnapshot,
   resetElectionTimer,
   send,
@@ -51,7 +50,6 @@
   if (firstNew >= 0) appendRecords(ctx, records.slice(firstNew));
   const match = prevIndex + records.length;
   node.commitIndex = Math.max(node.commitIndex, Math.min(commit, match));
-  applyCommitted(ctx);
   sendAfterSync(ctx, {type: 'appended', to, ok: true, match, round});
 }
 
@@ -70,7 +68,6 @@
   ) {
     node.incomingSnapshot = undefined;
     node.commitIndex = Math.max(node.commitIndex, index);
-    applyCommitted(ctx);
     const match = index;
     sendAfterSync(ctx, {type: 'appended', to, ok: true, match, round});
     return;
--- a/packages/consensus/src/leader.ts
+++ b/packages/consensus/src/leader.ts
@@ -13,7 +13,6 @@
 } from './replication.js';
 import {
   becomeFollower,
-  applyCommitted,
   send,
   appendRecords,
   type StepContext,
@@ -99,7 +98,6 @@
   if (index <= node.commitIndex || !entry) return;
   if (!node.rules.canCommitByCount(entry.term, node.term)) return;
   node.commitIndex = index;
-  applyCommitted(ctx);
   answerReads(ctx);
 }
 
--- a/packages/consensus/src/log.ts
+++ b/packages/consensus/src/log.ts
@@ -23,7 +23,11 @@
 
 /** Returns the entry at `index`, or `undefined` if the log does not hold it. */
 export function positionAt(log: Log, index: number): LogPosition | undefined {
-  if (index === log.base.index) return log.base;
+  return index === log.base.index ? log.base : recordAt(log, index);
+}
+
+/** Returns the entry at `index`, unless it was discarded or does not exist. */
+export function recordAt(log: Log, index: number): LogRecord | undefined {
   return log.records[index - log.base.index - 1];
 }
 
@@ -50,16 +54,6 @@
   return result;
 }
 
-/** Returns the entries after index `after` up to and including `upTo`. */
-export function recordsBetween(
-  log: Log,
-  after: number,
-  upTo: number,
-): LogRecord[] {
-  const {index} = log.base;
-  return log.records.slice(after - index, upTo - index);
-}
-
 export function appendTo(log: Log, records: readonly LogRecord[]): Log {
   return {base: log.base, records: log.records.concat(records)};
 }
--- a/packages/consensus/src/node.ts
+++ b/packages/consensus/src/node.ts
@@ -6,7 +6,7 @@
   Snapshot,
   StoredLog,
 } from '@lentildrift/storage';
-import {lastEntry, LOG_START, type Log} from './log.js';
+import {lastEntry, LOG_START, recordAt, type Log} from './log.js';
 import {Membership, EMPTY_MEMBERSHIP, type MemberChange} from './members.js';
 import type {PeerMessage} from './message.js';
 import {Rules} from './rules.js';
@@ -69,6 +69,10 @@
   /** Index of the entry that set the membership. */
   readonly membershipIndex: number;
   readonly commitIndex: number;
+  /**
+   * Index of the last entry in the applied state. It follows the commit index
+   * with a delay, since the replica applies a long log in several turns.
+   */
   readonly appliedIndex: number;
   /** Index of the last entry that is durable on this member. */
   readonly durableIndex: number;
@@ -129,7 +133,6 @@
       readonly snapshot: Snapshot;
     }
   | {readonly type: 'send'; readonly message: PeerMessage}
-  | {readonly type: 'apply'; readonly records: readonly LogRecord[]}
   | {readonly type: 'restore'; readonly snapshot: Snapshot}
   | {
       readonly type: 'accepted';
@@ -238,6 +241,16 @@
     .membership;
 }
 
+/**
+ * The next entry to apply: the first one after the applied index, once it is
+ * committed and durable on this member.
+ */
+export function nextToApply(node: Node): LogRecord | undefined {
+  const index = node.appliedIndex + 1;
+  if (index > Math.min(node.commitIndex, node.durableIndex)) return undefined;
+  return recordAt(node.log, index);
+}
+
 /** The monotonic time at which the member next needs a `tick` event. */
 export function nextTickMs(node: Node): number {
   return node.role === 'leader'
--- a/packages/consensus/src/raft.ts
+++ b/packages/consensus/src/raft.ts
@@ -8,10 +8,12 @@
  */
 import type {LogRecord, Snapshot} from '@lentildrift/storage';
 import {TaskStoppedError, type Task} from '@lentildrift/task';
+import {recordAt} from './log.js';
 import {quorumSize, type MemberChange} from './members.js';
 import type {PeerMessage} from './message.js';
 import {
   nextTickMs,
+  nextToApply,
   membershipAt,
   type RaftEvent,
   type Effect,
@@ -35,10 +37,13 @@
 /** Longest wait on `stop` until another member has become leader. */
 const TRANSFER_TIMEOUT_MS = 1500;
 
+/** `apply` continues to apply entries in a later turn. */
+type TaskMessage = RaftEvent | {readonly type: 'apply'};
+
 export class RaftReplica<S, C, A> extends Replica<S, C, A> {
   private node: Node;
   private appliedState: S;
-  private readonly task: Task<RaftEvent>;
+  private readonly task: Task<TaskMessage>;
   private readonly writer: Writer;
   private readonly requests: PendingRequests<A>;
   private proposals: {id: number; text: string}[] = [];
@@ -53,6 +58,7 @@
     number,
     {monotonicMs: number; wallClockMs: number}
   >();
+  private isApplyScheduled = false;
   private isStopped = false;
 
   /** Call `startRaft` instead. */
@@ -73,12 +79,14 @@
       onCompacted: snapshot => this.post({type: 'compacted', snapshot}),
       onFailure: error => this.fail(error),
     });
-    this.task = tasks.spawn<Node, RaftEvent>({
+    this.task = tasks.spawn<Node, TaskMessage>({
       name: `replica-${options.member}`,
       initial: node,
-      handle: (state, event) => {
+      handle: (state, message) => {
         try {
-          return this.handle(state, event);
+          return message.type === 'apply'
+            ? this.continueApplying()
+            : this.handle(state, message);
         } catch (error) {
           // An invariant is broken, and going on could spread the damage.
           this.fail(error as Error);
@@ -241,8 +249,8 @@
     this.options.onFatal(error);
   }
 
-  private post(event: RaftEvent): void {
-    if (this.isStopped || !this.task.post(event)) {
+  private post(message: TaskMessage): void {
+    if (this.isStopped || !this.task.post(message)) {
       this.requests.rejectAll(new TaskStoppedError(this.task.name));
     }
   }
@@ -254,13 +262,16 @@
     this.node = next.node;
     if (next.node.round !== node.round) this.recordRound(next.node.round);
     this.performEffects(next.effects);
+    // Entries stay in order: while a later turn is to apply the next ones, no
+    // other event does.
+    if (!this.isApplyScheduled) this.applySlice();
     if (node.role === 'leader' && next.node.role !== 'leader') {
-      this.requests.onLeadershipLost();
+      this.requests.onLeadershipLost(next.node.commitIndex);
     }
     this.notifyStatusListeners(node, next.node);
     this.compactIfDue();
     this.scheduleTick();
-    return next.node;
+    return this.node;
   }
 
   private performEffects(effects: readonly Effect[]): void {
@@ -286,15 +297,12 @@
       case 'install':
         this.writer.add(effect);
         return;
-      case 'apply':
-        for (const record of effect.records) this.apply(record);
-        return;
       case 'restore':
         this.appliedState = this.options.codec.decodeState(
           effect.snapshot.state,
         );
         this.compactedRevision = effect.snapshot.revision;
-        this.requests.onRevisionApplied(effect.snapshot.revision);
+        this.requests.onRestored(effect.snapshot.revision);
         return;
       case 'accepted':
         this.requests.onAccepted(effect.id, effect.index, effect.term);
@@ -308,6 +316,32 @@
     }
   }
 
+  private continueApplying(): Node {
+    this.isApplyScheduled = false;
+    if (this.isStopped) return this.node;
+    this.applySlice();
+    this.compactIfDue();
+    return this.node;
+  }
+
+  /**
+   * Applies committed entries until none is left or the slice has ended, and
+   * leaves the rest to a later turn. Applies at least one entry.
+   */
+  private applySlice(): void {
+    const endMs = performance.now() + this.node.rules.applySliceMs;
+    let record = nextToApply(this.node);
+    while (record && !this.isStopped) {
+      this.apply(record);
+      this.node = {...this.node, appliedIndex: record.index};
+      record = nextToApply(this.node);
+      if (performance.now() >= endMs) break;
+    }
+    if (!record) return;
+    this.isApplyScheduled = true;
+    this.post({type: 'apply'});
+  }
+
   private apply(record: LogRecord): void {
     const {stateMachine, codec} = this.options;
     if (record.kind !== 'change') {
@@ -338,7 +372,7 @@
     const changesPerSnapshot =
       options.changesPerSnapshot ?? DEFAULT_CHANGES_PER_SNAPSHOT;
     if (revision - this.compactedRevision < changesPerSnapshot) return;
-    const last = node.log.records[node.appliedIndex - node.log.base.index - 1];
+    const last = recordAt(node.log, node.appliedIndex);
     if (!last) return;
     this.compactedRevision = revision;
     const snapshot: Snapshot = {
--- a/packages/consensus/src/requests.ts
+++ b/packages/consensus/src/requests.ts
@@ -27,10 +27,16 @@
   onCommitted(record: LogRecord, answer: A | undefined): void;
   onRevisionApplied(revision: number): void;
   /**
-   * Rejects the proposed requests with `OutcomeUnknown`, because the next
-   * leader may or may not commit them.
+   * Rejects the requests proposed after log index `commitIndex` with
+   * `OutcomeUnknown`, because the next leader may or may not commit them. The
+   * others are answered once they are applied.
    */
-  onLeadershipLost(): void;
+  onLeadershipLost(commitIndex: number): void;
+  /**
+   * Rejects the proposed requests with `OutcomeUnknown`: a snapshot, which
+   * holds no answers, has taken the place of their entries.
+   */
+  onRestored(revision: number): void;
   /** Rejects all pending requests and all later ones. */
   rejectAll(error: Error): void;
 }
@@ -68,6 +74,21 @@
     );
   }
 
+  function onRevisionApplied(revision: number): void {
+    const ready = revisionWaiters.filter(waiter => waiter.revision <= revision);
+    if (ready.length === 0) return;
+    revisionWaiters = revisionWaiters.filter(
+      waiter => waiter.revision > revision,
+    );
+    for (const waiter of ready) waiter.request.resolve(undefined as never);
+  }
+
+  function rejectProposedAfter(lastIndex: number): void {
+    for (const [index, id] of [...byIndex]) {
+      if (index > lastIndex) pop(id)?.reject(unknownError());
+    }
+  }
+
   return {
     submitChange: submit,
     submitMemberChange: submit,
@@ -99,18 +120,11 @@
       if (request.term === term) request.resolve({answer, revision} as never);
       else request.reject(unknownError());
     },
-    onRevisionApplied(revision) {
-      const ready = revisionWaiters.filter(
-        waiter => waiter.revision <= revision,
-      );
-      if (ready.length === 0) return;
-      revisionWaiters = revisionWaiters.filter(
-        waiter => waiter.revision > revision,
-      );
-      for (const waiter of ready) waiter.request.resolve(undefined as never);
-    },
-    onLeadershipLost() {
-      for (const id of [...byIndex.values()]) pop(id)?.reject(unknownError());
+    onRevisionApplied,
+    onLeadershipLost: rejectProposedAfter,
+    onRestored(revision) {
+      rejectProposedAfter(0);
+      onRevisionApplied(revision);
     },
     rejectAll(error) {
       stopError ??= error;
--- a/packages/consensus/src/rules.ts
+++ b/packages/consensus/src/rules.ts
@@ -28,6 +28,13 @@
    * a little behind need no snapshot.
    */
   readonly retainedRecords: number = 500;
+  /**
+   * Time for which entries are applied in one turn of the event loop; at least
+   * one entry is. A restarted member learns from one message that its whole log
+   * is committed. Applied in one turn, it would take longer than the election
+   * timeout of the others.
+   */
+  readonly applySliceMs: number = 5;
 
   /** Pre-vote: a member raises its term only if a majority would elect it. */
   isPreVoteEnabled(): boolean {
--- a/packages/consensus/src/step.ts
+++ b/packages/consensus/src/step.ts
@@ -35,7 +35,6 @@
 import {replicateToReadyPeers} from './replication.js';
 import {
   becomeFollower,
-  applyCommitted,
   onPersisted,
   updateBallot,
   send,
@@ -86,7 +85,6 @@
     case 'persisted':
       onPersisted(ctx, event.seq);
       if (node.durableWriteSeq === node.lastWriteSeq) countOwnVote(ctx);
-      applyCommitted(ctx);
       advanceCommit(ctx);
       return;
     case 'compacted':
--- a/packages/consensus/test/cluster.ts
+++ b/packages/consensus/test/cluster.ts
@@ -17,15 +17,6 @@
 export type Values = readonly string[];
 export type TestReplica = RaftReplica<Values, string, number>;
 
-const stateMachine: StateMachine<Values, string, number> = {
-  initial: [],
-  apply: (state, change) => ({
-    state: [...state, change],
-    answer: state.length + 1,
-  }),
-  revision: state => state.length,
-};
-
 export interface Host {
   readonly name: string;
   member: string;
@@ -43,6 +34,8 @@
   readonly snapshotEvery?: number;
   /** Returns the member ID of a host after the given number of disk losses. */
   readonly memberId?: (host: string, wipes: number) => string;
+  /** Called for each change that a member applies. */
+  readonly onApplying?: () => void;
   /** Advances the time by `ms` milliseconds. */
   readonly advance: (ms: number) => Promise<unknown>;
 }
@@ -58,6 +51,14 @@
   private readonly tasks: TaskSystem;
   private readonly memberId: (host: string, wipes: number) => string;
   private readonly initialVoters: string[];
+  private readonly stateMachine: StateMachine<Values, string, number> = {
+    initial: [],
+    apply: (state, change) => {
+      this.options.onApplying?.();
+      return {state: [...state, change], answer: state.length + 1};
+    },
+    revision: state => state.length,
+  };
   private wipes = 0;
   private startCount = 0;
   private readCount = 0;
@@ -196,7 +197,7 @@
       member,
       group: 'test',
       seed: this.options.seed * 1009 + ++this.startCount,
-      stateMachine,
+      stateMachine: this.stateMachine,
       codec: new JsonCodec(),
       store,
       transport: this.network.transport(member),
--- a/packages/consensus/test/weakened-rules.ts
+++ b/packages/consensus/test/weakened-rules.ts
@@ -1,11 +1,15 @@
 /** Weakened variants of the safety mechanisms, and rules with small limits. */
 import {Rules} from '@lentildrift/consensus';
 
-/** Small limits, so that short runs send many appends and snapshot parts. */
+/**
+ * Small limits, so that short runs send many appends and snapshot parts and
+ * apply one entry a turn.
+ */
 export class SmallRules extends Rules {
   override readonly retainedRecords = 5;
   override readonly snapshotChunkBytes = 64;
   override readonly maxAppendRecords = 3;
+  override readonly applySliceMs = 0;
 }
 
 export class WithoutPreVote extends Rules {
