Queue lost runs and removed workers once while they are being committed

Callers saw: slow answers under load; commits got slower the longer they took. Cause: the check of leases on each tick, the check of departed workers and each report derive `lost` and `worker-gone` from the replicated state, which does not change before the commit. They queued the same events again until then: one row for each run and tick. Change: a queue for derived events leaves out what is queued or being committed. An event may be queued again after it is decided, so a rejected one is repeated by the check that found it. Tests: the replica of the harness can apply changes late.

--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -66,6 +66,7 @@
   TICK_INTERVAL_MS,
 } from './timing.js';
 import {createRunTracker} from './tracker.js';
+import {createDerivedEventQueue} from './undecided.js';
 
 export type QueueReplica = Replica<State, Change, readonly Outcome[]>;
 
@@ -184,6 +185,7 @@
       clearTimeout(tickTimer);
     },
   });
+  const enqueueDerived = createDerivedEventQueue(enqueue);
   const advice: AdviceCache = createAdviceCache({
     adviser: options.adviser,
     log,
@@ -202,7 +204,7 @@
       readiness.forget(key);
       pacing.forget(worker.id);
     },
-    onUndeliverable: row => enqueue({type: 'lost', runs: [row]}),
+    onUndeliverable: row => enqueueDerived({type: 'lost', runs: [row]}),
   });
   const registry: Registry = createRegistry({
     token,
@@ -213,6 +215,7 @@
     recordedRuns,
     sessionOf: dispatcher.sessionOf,
     enqueue,
+    enqueueDerived,
   });
   const readiness: Readiness = createReadiness({
     isAnswering: dispatcher.isAnswering,
@@ -253,7 +256,7 @@
       commitEvent({type: 'duty', duty: {...order, by: processId}}),
     hasForeignOrder,
     isLeader: options.isLeader,
-    onWorkerGone: worker => enqueue({type: 'worker-gone', worker}),
+    onWorkerGone: worker => enqueueDerived({type: 'worker-gone', worker}),
     isInWave: host => maintenance.isCordoned(host),
     isUsable,
     emptyInMs,
@@ -357,7 +360,7 @@
     // After these answers the task may have run. Its run is not reported lost
     // here: a later report shows its end, or that it is lost.
     if (answer.reason === 'withdrawn' || answer.reason === 'superseded') return;
-    enqueue({type: 'lost', runs: [[name, run, key]]});
+    enqueueDerived({type: 'lost', runs: [[name, run, key]]});
   }
 
   function handleReport(event: Extract<SessionEvent, {type: 'report'}>): void {
@@ -401,6 +404,8 @@
         observeEnd(key, name, run, how);
     } else if (event.type === 'lost') {
       log.info('runs-lost', {worker: key, count: event.runs.length});
+      enqueueDerived(event);
+      return;
     }
     enqueue(event);
   }
--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -18,6 +18,7 @@
 import type {WorkerSession} from './session.js';
 import {LEFT_GRACE_MS, RETRY_PAUSE_MS, WORKER_EXPIRY_MS} from './timing.js';
 import type {RunTracker} from './tracker.js';
+import type {DerivedEvent} from './undecided.js';
 
 export interface RegistryOptions {
   readonly token: number;
@@ -29,6 +30,8 @@
   recordedRuns(worker: string): readonly LiveRun[];
   sessionOf(worker: string): WorkerSession | undefined;
   enqueue(event: Event, reply?: Reply<Outcome>): void;
+  /** Queues the event unless it already waits for its commit. */
+  enqueueDerived(event: DerivedEvent): void;
 }
 
 export interface Registry {
@@ -45,7 +48,7 @@
 }
 
 export function createRegistry(options: RegistryOptions): Registry {
-  const {token, driver, runs, log, state, enqueue} = options;
+  const {token, driver, runs, log, state, enqueue, enqueueDerived} = options;
   /** Monotonic time of the last announcement, by `workerKey`. */
   const lastHeardMs = new Map<string, number>();
   const departedMs = new Map<string, number>();
@@ -194,7 +197,7 @@
     departedMs.set(key, since);
     if (nowMs - since <= LEFT_GRACE_MS) return;
     departedMs.delete(key);
-    enqueue({type: 'worker-gone', worker: key});
+    enqueueDerived({type: 'worker-gone', worker: key});
   }
 
   function expireUnreachable(worker: Worker): void {
@@ -210,12 +213,12 @@
     const expiredRuns = options.recordedRuns(key);
     if (expiredRuns.length > 0) {
       log.info('lease-lapsed', {worker: key, runs: expiredRuns.length});
-      enqueue({type: 'lost', runs: expiredRuns.map(toLostRow)});
+      enqueueDerived({type: 'lost', runs: expiredRuns.map(toLostRow)});
     }
     if (!lastHeardMs.has(key)) lastHeardMs.set(key, nowMs);
     if (nowMs - lastHeardMs.get(key)! <= WORKER_EXPIRY_MS) return;
     lastHeardMs.delete(key);
-    enqueue({type: 'worker-gone', worker: key});
+    enqueueDerived({type: 'worker-gone', worker: key});
   }
 
   return {
--- a/packages/dispatch/test/harness.ts
+++ b/packages/dispatch/test/harness.ts
@@ -93,12 +93,16 @@
   };
 }
 
-/** Applies a change at once and resolves the proposal `delayMs` later. */
+/**
+ * Applies a change `commitDelayMs` after its proposal and resolves the proposal
+ * `delayMs` later.
+ */
 export class TestReplica extends SoloReplica<
   State,
   Change,
   readonly Outcome[]
 > {
+  commitDelayMs = 0;
   delayMs = 0;
   acceptsProposals = true;
   /** Number of proposals that are still to be refused. */
@@ -115,6 +119,9 @@
       throw new ChangeRefused('refused for the test');
     }
     if (this.refuses(change)) throw new ChangeRefused('refused for the test');
+    if (this.commitDelayMs > 0) {
+      await new Promise(resolve => setTimeout(resolve, this.commitDelayMs));
+    }
     const committed = await super.propose(change);
     if (this.delayMs > 0) {
       await new Promise(resolve => setTimeout(resolve, this.delayMs));
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -20,6 +20,18 @@
   }
 }
 
+/** Tasks of the runs that are recorded as lost from now on. */
+function collectLostTasks(): string[] {
+  const lost: string[] = [];
+  harness.replica.onApply(({change}) => {
+    for (const event of change.events) {
+      if (event.type !== 'lost') continue;
+      lost.push(...event.runs.map(([task]) => task));
+    }
+  });
+  return lost;
+}
+
 beforeEach(() => {
   vi.useFakeTimers();
 });
@@ -152,6 +164,30 @@
     expect(harness.fleet.running('a.0.0.0')).toHaveLength(1);
   });
 
+  // Queued again on each tick, the event filled the changes while commits were
+  // slow, which slowed them further.
+  it('is recorded as lost once while commits are slow', async () => {
+    await createCluster({behave: () => ({durationMs: 60_000})}, 1);
+    await harness.submit(job('a', {count: 3}));
+    await harness.advance(500);
+    const lost = collectLostTasks();
+    harness.fleet.byAddress.get('w1:1')!.link = 'cut';
+    harness.replica.commitDelayMs = 1000;
+    await harness.advance(15_000);
+    expect(lost.sort()).toEqual(['a.0.0.0', 'a.0.0.1', 'a.0.0.2']);
+  });
+
+  it('that its worker does not have is recorded as lost once while commits are slow', async () => {
+    await createCluster({behave: () => ({durationMs: 60_000})}, 1);
+    await harness.submit(job('a'));
+    const lost = collectLostTasks();
+    await harness.advance(500);
+    harness.replica.commitDelayMs = 3000;
+    harness.fleet.byAddress.get('w1:1')!.runs.delete('a.0.0.0');
+    await harness.advance(12_000);
+    expect(lost).toEqual(['a.0.0.0']);
+  });
+
   it('loses its lease when only the answers of its worker are lost', async () => {
     await createCluster({behave: () => ({durationMs: 60_000})});
     await harness.submit(job('a'));
@@ -202,6 +238,20 @@
     expect(harness.replica.state().workers.get('w1')!.phase).toBe('draining');
   });
 
+  it('that has left is removed once while commits are slow', async () => {
+    await createCluster({}, 1);
+    let removals = 0;
+    harness.replica.onApply(({change}) => {
+      const gone = change.events.filter(({type}) => type === 'worker-gone');
+      removals += gone.length;
+    });
+    void harness.leader.leave('w1');
+    await harness.advance(300);
+    harness.replica.commitDelayMs = 2000;
+    await harness.advance(6000);
+    expect(removals).toBe(1);
+  });
+
   it('that fails every run is avoided', async () => {
     await createCluster({
       behave: (_task, _run, {worker: {id}}) =>
