Keep a maintenance operation until its result is recorded

Callers saw: hosts of a wave ordered down again and out of use after they had returned; waves that take longer the slower commits are. Cause: the operation was dropped when its host had returned or the order was refused, while the state listed the host as down until the commit. The next tick took the host for one that an earlier leader had ordered down, ordered its maintenance again and cordoned it. A rejected record had the same effect. The record that a host has left was queued on each tick until its commit. Change: an operation that is over is kept, without a cordon, until the state shows its result. Each tick derives the record again, and the queue of derived events leaves it out while it waits for its commit. Tests: with commits of 400 ms, on the parent commit, "orders the maintenance of each host once while commits are slow" fails with "expected [ done, due, due ] to deeply equal [ done, done, done ]", "orders again a host that was busy, but only after it is recorded as due" with "expected [ due ] to deeply equal [ done ]", "has the return of a host recorded after its record was rejected once" with "to have a length of 1 but got 2", and "records once that a host has left while commits are slow" with "expected 4 to be 1".

--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -241,7 +241,7 @@
     log,
     isMoving: host => rebalancer.isCordoned(host),
     hasForeignOrder,
-    commit: event => enqueue(event),
+    enqueueDerived,
     stopRun: dispatcher.stop,
     isLeader: options.isLeader,
   });
--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -9,7 +9,7 @@
   isWaveDone,
   taskName,
   workerKey,
-  type Event,
+  type MaintenanceStatus,
   type Wave,
   type Worker,
 } from '@lentildrift/queue';
@@ -18,6 +18,7 @@
 import type {QueueReplica} from './leader.js';
 import type {HostProvider, OrderIssuer} from './provider.js';
 import type {Readiness} from './readiness.js';
+import type {DerivedEvent} from './undecided.js';
 
 export interface MaintenanceOptions {
   readonly replica: QueueReplica;
@@ -36,8 +37,8 @@
    * Whether an order of an earlier leader to the host may still be in flight.
    */
   hasForeignOrder(host: string): boolean;
-  /** Queues the event for the next change, without waiting for it. */
-  commit(event: Event): void;
+  /** Queues the event unless it already waits for its commit. */
+  enqueueDerived(event: DerivedEvent): void;
   stopRun(live: LiveRun): void;
   isLeader(): boolean;
 }
@@ -75,7 +76,10 @@
   readonly sinceMs: number;
   /** Key of the worker incarnation on the host before its maintenance. */
   formerWorker: string | undefined;
-  phase: 'emptying' | 'recording' | 'ordering' | 'down';
+  /** `over`: only the record of the operation's result is missing. */
+  phase: 'emptying' | 'recording' | 'ordering' | 'down' | 'over';
+  /** Status of the host's maintenance once the operation is over. */
+  result: MaintenanceStatus;
   /** Earliest time of the next order; 0 if no order is to be repeated. */
   retryAtMs: number;
   /** Time at which the host provider accepted the order. */
@@ -93,6 +97,7 @@
   let isStopped = false;
 
   function tick(load: Load): void {
+    recordResults();
     const open = [...replica.state().waves.values()].filter(
       wave => !isWaveDone(wave),
     );
@@ -101,6 +106,23 @@
     for (const wave of open) advanceWave(wave, load);
   }
 
+  /**
+   * Records the results of operations until the state shows them. The operation
+   * is kept until then, since the state alone would call for another one.
+   */
+  function recordResults(): void {
+    if (isStopped) return;
+    for (const [host, {wave, phase, result: upkeep}] of operations) {
+      if (phase !== 'over') continue;
+      const recorded = replica.state().waves.get(wave)?.hosts[host];
+      if (recorded === undefined || recorded === upkeep) {
+        operations.delete(host);
+      } else {
+        options.enqueueDerived({type: 'upkeep', wave, host, upkeep});
+      }
+    }
+  }
+
   function advanceWave(wave: Wave, load: Load): void {
     const seenMs = waveSeenMs.get(wave.id) ?? performance.now();
     waveSeenMs.set(wave.id, seenMs);
@@ -115,8 +137,7 @@
       if (operations.has(host) && operations.get(host)!.phase !== 'emptying')
         continue;
       log.info('host-left', {wave: wave.id, host});
-      operations.delete(host);
-      recordDone(wave, host);
+      operations.set(host, createOperation(wave, 'over'));
     }
     chooseHosts(wave, down.length, load);
     for (const [host, operation] of operations) {
@@ -133,7 +154,7 @@
   function chooseHosts(wave: Wave, down: number, load: Load): void {
     const due = listDueHosts(wave);
     const inProgress = [...operations.values()].filter(
-      other => other.wave === wave.id && other.phase !== 'down',
+      other => other.wave === wave.id && isBeforeDown(other),
     ).length;
     let openSlots = wave.atOnce + HOSTS_EMPTIED_AHEAD - down - inProgress;
     const idle = due.filter(host => !isInUse(host, load));
@@ -187,7 +208,7 @@
     const workers = [...replica.state().workers.values()];
     const poolWorkers = workers.filter(worker => worker.pool === pool);
     const cordonedCount = poolWorkers.filter(worker =>
-      operations.has(worker.host),
+      isCordoned(worker.host),
     ).length;
     return (
       cordonedCount + 1 <=
@@ -229,7 +250,7 @@
     if (!canBegin) logBlockingRuns(host, operation, runs);
     if (!canBegin || nowMs < operation.retryAtMs) return;
     const down = [...operations.values()].filter(
-      other => other.wave === wave.id && other.phase !== 'emptying',
+      other => other.wave === wave.id && isDownOrOrdered(other),
     ).length;
     if (down >= wave.atOnce || hostsDown(wave).length >= wave.atOnce) return;
     void recordBegin(wave, host, operation, key);
@@ -313,13 +334,14 @@
         operation.phase = 'down';
         operation.orderedMs = performance.now();
         if (operation.formerWorker !== undefined) {
-          options.commit({type: 'worker-gone', worker: operation.formerWorker});
+          options.enqueueDerived({
+            type: 'worker-gone',
+            worker: operation.formerWorker,
+          });
         }
       } else if (answer === 'busy' || answer === 'refused') {
-        operations.delete(host);
-        await replica.propose({
-          events: [{type: 'upkeep', wave: wave.id, host, upkeep: 'due'}],
-        });
+        operation.phase = 'over';
+        operation.result = 'due';
       } else {
         operation.retryAtMs = performance.now() + RETRY_PAUSE_MS;
       }
@@ -330,7 +352,8 @@
   }
 
   /**
-   * Repeats an order without an answer, or records that the host has returned.
+   * Repeats an order without an answer, or ends the operation once the host has
+   * returned.
    */
   function advanceDownHost(wave: Wave, host: string): void {
     let operation = operations.get(host);
@@ -351,9 +374,8 @@
       return;
     }
     if (operation.phase !== 'down' || !hasReturned(host, operation)) return;
-    operations.delete(host);
     log.info('host-back', {wave: wave.id, host});
-    recordDone(wave, host);
+    operation.phase = 'over';
   }
 
   /**
@@ -374,18 +396,13 @@
     );
   }
 
-  /** Records that the wave needs no more work on the host. */
-  function recordDone(wave: Wave, host: string): void {
-    options.commit({
-      type: 'upkeep',
-      wave: wave.id,
-      host,
-      upkeep: 'done',
-    });
+  function isCordoned(host: string): boolean {
+    const operation = operations.get(host);
+    return operation !== undefined && operation.phase !== 'over';
   }
 
   return {
-    isCordoned: host => operations.has(host),
+    isCordoned,
     tick,
     stop() {
       isStopped = true;
@@ -402,8 +419,18 @@
     sinceMs: performance.now(),
     formerWorker: undefined,
     phase,
+    result: 'done',
     retryAtMs: 0,
     orderedMs: 0,
     loggedMs: 0,
   };
 }
+
+/** Whether the host is still to be ordered down. */
+function isBeforeDown({phase}: HostOperation): boolean {
+  return phase !== 'down' && phase !== 'over';
+}
+
+function isDownOrOrdered({phase}: HostOperation): boolean {
+  return phase !== 'emptying' && phase !== 'over';
+}
--- a/packages/dispatch/src/undecided.ts
+++ b/packages/dispatch/src/undecided.ts
@@ -7,7 +7,7 @@
 import type {Reply} from '@lentildrift/task';
 
 /** Events that such checks derive from the replicated state. */
-export type DerivedEvent = EventOf<'lost' | 'worker-gone'>;
+export type DerivedEvent = EventOf<'lost' | 'worker-gone' | 'upkeep'>;
 
 /**
  * Returns a function that queues an event unless the same event is queued or
--- a/packages/dispatch/test/fakes.ts
+++ b/packages/dispatch/test/fakes.ts
@@ -357,6 +357,8 @@
     atMs: number;
   }[] = [];
   readonly hosts = new Map<string, ProvidedHost>();
+  /** Hosts whose next maintenance is answered with `busy`. */
+  readonly busyHosts = new Set<string>();
   /** Largest number of hosts that were down for maintenance at once. */
   maxDown = 0;
   private downCount = 0;
@@ -381,6 +383,7 @@
   ): Promise<HostAnswer> {
     await sleep(2);
     this.recordOrder(host, `upkeep ${wave}`, issuer);
+    if (this.busyHosts.delete(host)) return 'busy';
     this.downCount++;
     this.maxDown = Math.max(this.maxDown, this.downCount);
     this.restart(host, this.hosts.get(host)!.pool, 'upkeep', 2000);
--- a/packages/dispatch/test/hosts.test.ts
+++ b/packages/dispatch/test/hosts.test.ts
@@ -140,6 +140,69 @@
     expect(harness.hosts.orders).toHaveLength(1);
   });
 
+  // The state lists a host as down until the commit that records its return, so
+  // its maintenance was ordered again and its host stayed cordoned.
+  it('orders the maintenance of each host once while commits are slow', async () => {
+    harness = await createHarness();
+    const names = ['w1', 'w2', 'w3'];
+    for (const name of names) await harness.addWorker(worker(name));
+    harness.replica.commitDelayMs = 400;
+    await openWave(
+      names.map(name => `m-${name}`),
+      1,
+    );
+    await harness.advance(25_000);
+    expect(maintenanceStatuses()).toEqual(['done', 'done', 'done']);
+    const hosts = harness.hosts.orders.map(({host}) => host);
+    expect(hosts.sort()).toEqual(names.map(name => `m-${name}`));
+  });
+
+  it('orders again a host that was busy, but only after it is recorded as due', async () => {
+    harness = await createHarness();
+    await harness.addWorker(worker('w1'));
+    harness.replica.commitDelayMs = 400;
+    harness.hosts.busyHosts.add('m-w1');
+    await openWave(['m-w1'], 1);
+    await harness.advance(15_000);
+    expect(maintenanceStatuses()).toEqual(['done']);
+    expect(harness.hosts.orders).toHaveLength(2);
+  });
+
+  it('has the return of a host recorded after its record was rejected once', async () => {
+    harness = await createHarness();
+    await harness.addWorker(worker('w1'));
+    let hasRefused = false;
+    harness.replica.refuses = ({events}) => {
+      const isReturn = events.some(
+        each => each.type === 'upkeep' && each.upkeep === 'done',
+      );
+      if (hasRefused || !isReturn) return false;
+      hasRefused = true;
+      return true;
+    };
+    await openWave(['m-w1'], 1);
+    await harness.advance(12_000);
+    expect(hasRefused).toBe(true);
+    expect(maintenanceStatuses()).toEqual(['done']);
+    expect(harness.hosts.orders).toHaveLength(1);
+  });
+
+  it('records once that a host has left while commits are slow', async () => {
+    harness = await createHarness();
+    await harness.addWorker(worker('w1'));
+    let records = 0;
+    harness.replica.onApply(({change}) => {
+      for (const event of change.events) {
+        if (event.type === 'upkeep' && event.host === 'm-unknown') records++;
+      }
+    });
+    harness.replica.commitDelayMs = 400;
+    await openWave(['m-w1', 'm-unknown'], 1);
+    await harness.advance(12_000);
+    expect(maintenanceStatuses()).toEqual(['done', 'done']);
+    expect(records).toBe(1);
+  });
+
   it('is done without a host that the provider does not list', async () => {
     harness = await createHarness();
     await harness.addWorker(worker('w1'));
