--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -68,6 +68,7 @@
   TICK_INTERVAL_MS,
 } from './timing.js';
 import {createRunTracker} from './tracker.js';
+import {createDerivedEventQueue} from './undecided.js';
 
 export type QueueReplica = Replica<State, Change, readonly Outcome[]>;
 
@@ -190,6 +191,7 @@
       clearTimeout(tickTimer);
     },
   });
+  const enqueueDerived = createDerivedEventQueue(enqueue);
   const advice: AdviceCache = createAdviceCache({
     adviser: options.adviser,
     log,
@@ -208,7 +210,7 @@
       readiness.forget(key);
       pacing.forget(worker.id);
     },
-    onUndeliverable: row => enqueue({type: 'lost', runs: [row]}),
+    onUndeliverable: row => enqueueDerived({type: 'lost', runs: [row]}),
   });
   const registry: Registry = createRegistry({
     token,
@@ -219,6 +221,7 @@
     recordedRuns,
     sessionOf: dispatcher.sessionOf,
     enqueue,
+    enqueueDerived,
   });
   const readiness: Readiness = createReadiness({
     isAnswering: dispatcher.isAnswering,
@@ -244,7 +247,7 @@
     log,
     isMoving: host => rebalancer.isCordoned(host),
     hasForeignOrder,
-    commit: event => enqueue(event),
+    enqueueDerived,
     stopRun: dispatcher.stop,
     isLeader: options.isLeader,
   });
@@ -260,7 +263,7 @@
     hasForeignOrder,
     isLeader: options.isLeader,
     recordMove: instruments.recordMove,
-    onWorkerGone: worker => enqueue({type: 'worker-gone', worker}),
+    onWorkerGone: worker => enqueueDerived({type: 'worker-gone', worker}),
     isInWave: host => maintenance.isCordoned(host),
     isUsable,
     emptyInMs,
@@ -368,7 +371,7 @@
     // After these answers the task may have run. Its run is not reported lost
     // here: a later report shows its end, or that it is lost.
     if (answer.reason === 'withdrawn' || answer.reason === 'superseded') return;
-    enqueue({type: 'lost', runs: [[name, run, key]]});
+    enqueueDerived({type: 'lost', runs: [[name, run, key]]});
   }
 
   function handleReport(event: Extract<SessionEvent, {type: 'report'}>): void {
@@ -413,6 +416,8 @@
         observeEnd(key, name, run, how);
     } else if (event.type === 'lost') {
       log.info('runs-lost', {worker: key, count: event.runs.length});
+      enqueueDerived(event);
+      return;
     }
     enqueue(event);
   }
