Decide for each pool whether quarantined workers are used

What callers saw: tasks that could run waited for up to 5 s in a pool whose only free workers were quarantined, while most workers of the other pools were free.

Cause: quarantined workers were left out unless they outnumbered the usable workers of all pools together. The rebalancer still counted their free cores as capacity of the pool, so the pool got no other host.

The rule "most workers are quarantined" now holds for each pool, and a worker that gets no runs offers the pool policy no free capacity, so that the policy and the placement count the same capacity. Both tests failed on the parent commit: "expected 'active' to be 'completed'" (leader.test.ts and hosts.test.ts).

--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -25,6 +25,7 @@
 import {
   DeadlineOrder,
   ElasticPools,
+  findAvoidedWorkers,
   isQuarantined,
   recordDuration,
   measureLoad,
@@ -256,6 +257,7 @@
     onWorkerGone: worker => enqueue({type: 'worker-gone', worker}),
     isInWave: host => maintenance.isCordoned(host),
     isUsable,
+    avoidedWorkers: () => findAvoided(listAvailableWorkers(state())),
     emptyInMs,
     durations: () => durations,
   });
@@ -477,27 +479,34 @@
   }
 
   function collectCandidates(projected: State, load: Load): Candidate[] {
+    const workers = listAvailableWorkers(projected);
+    const avoided = findAvoided(workers);
     const nowMs = performance.now();
-    const usable: Candidate[] = [];
-    const quarantinedCandidates: Candidate[] = [];
-    for (const worker of projected.workers.values()) {
-      const key = workerKey(worker);
-      if (!isUsable(worker) || isCordoned(worker.host)) continue;
-      const quarantined = isQuarantined(health, key, nowMs);
-      const candidate = {
+    return workers
+      .map(worker => ({key: workerKey(worker), worker}))
+      .filter(({key}) => !avoided.has(key))
+      .map(({key, worker}) => ({
         key,
         worker,
         free: worker.capacity,
         emptyInMs: emptyInMs(key, load),
-        quarantined,
-      };
-      (quarantined ? quarantinedCandidates : usable).push(candidate);
-    }
-    // If most workers are quarantined, the failures are more likely caused by
-    // the jobs, so the quarantined workers are used as well.
-    return quarantinedCandidates.length > usable.length
-      ? [...usable, ...quarantinedCandidates]
-      : usable;
+        quarantined: isQuarantined(health, key, nowMs),
+      }));
+  }
+
+  /** Workers that can get runs, unless they are avoided after failures. */
+  function listAvailableWorkers({workers}: State): Worker[] {
+    return [...workers.values()].filter(
+      worker => isUsable(worker) && !isCordoned(worker.host),
+    );
+  }
+
+  function findAvoided(workers: readonly Worker[]): ReadonlySet<string> {
+    const rows = workers.map(worker => ({
+      key: workerKey(worker),
+      pool: worker.pool,
+    }));
+    return findAvoidedWorkers(health, rows, performance.now());
   }
 
   function emptyInMs(worker: string, load: Load): number {
--- a/packages/dispatch/src/rebalancer.ts
+++ b/packages/dispatch/src/rebalancer.ts
@@ -46,6 +46,8 @@
    * host prevents that.
    */
   isUsable(worker: Worker): boolean;
+  /** Keys of the workers that get no runs because runs failed on them. */
+  avoidedWorkers(): ReadonlySet<string>;
   /** Expected time until all runs on the worker have ended. */
   emptyInMs(worker: string, load: Load): number;
   /** The durations of tasks learnt so far. */
@@ -181,10 +183,11 @@
       Date.now(),
       options.durations(),
     );
+    const avoided = options.avoidedWorkers();
     return tables.pools.map(({name, standby}) => ({
       name,
       standby,
-      serving: collectServingHosts(name, standby, hosts, byHost, load),
+      serving: collectServingHosts(name, standby, hosts, byHost, load, avoided),
       arriving: collectArrivingHosts(name, hosts),
       demand: demands.get(name) ?? NO_DEMAND,
     }));
@@ -197,6 +200,7 @@
     hosts: ReadonlyMap<string, ProvidedHost>,
     byHost: ReadonlyMap<string, Worker>,
     load: Load,
+    avoided: ReadonlySet<string>,
   ): PoolHost[] {
     const serving: PoolHost[] = [];
     for (const host of hosts.values()) {
@@ -215,10 +219,16 @@
       serving.push({
         ...toPoolHost(host),
         worker: key,
-        free: subtract(host.capacity, load.byWorker.get(key) ?? ZERO_SIZE),
+        free: avoided.has(key)
+          ? ZERO_SIZE
+          : subtract(host.capacity, load.byWorker.get(key) ?? ZERO_SIZE),
         idle: isIdle(id, worker, load),
         emptyInMs: options.emptyInMs(key, load),
-        pinned: hasForeignOrder || load.workersWithLongRunningTasks.has(key),
+        // A worker that is avoided is of no use to another pool either.
+        pinned:
+          hasForeignOrder ||
+          avoided.has(key) ||
+          load.workersWithLongRunningTasks.has(key),
       });
     }
     return serving;
--- a/packages/dispatch/test/hosts.test.ts
+++ b/packages/dispatch/test/hosts.test.ts
@@ -242,6 +242,31 @@
     expect(running).toHaveLength(5);
   });
 
+  it('get another host for tasks for which only avoided workers have capacity', async () => {
+    const faulty = ['w1', 'w2'];
+    harness = await createHarness({
+      pools: new ElasticPools(),
+      behave: (task, _run, {worker: {id}}) => {
+        if (task.startsWith('long')) return {durationMs: 60_000};
+        const how = faulty.includes(id) ? 'failed' : 'done';
+        return {durationMs: 50, how};
+      },
+    });
+    const size = {cpuMillis: 4000, memoryMb: 100, gpus: 0};
+    for (const name of ['w3', 'w4']) await harness.addWorker(worker(name));
+    await harness.submit(job('long', {size, count: 2}));
+    await harness.advance(500);
+    for (const name of faulty) await harness.addWorker(worker(name));
+    for (const id of ['x1', 'x2']) await harness.submit(job(id));
+    await harness.advance(500);
+    for (const id of ['x1', 'x2']) expect(harness.phase(id)).toBe('failed');
+    await harness.submit(job('a', {count: 4}));
+    for (const name of ['r1', 'r2', 'r3'])
+      await harness.addWorker(worker(name, {pool: 'r'}));
+    await harness.advance(4000);
+    expect(harness.phase('a')).toBe('completed');
+  });
+
   it('keep their hosts under the fixed policy', async () => {
     harness = await createHarness({pools: new FixedPools()});
     for (const name of workerNames) await harness.addWorker(worker(name));
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -218,6 +218,23 @@
       expect(harness.phase(`a${n}`)).toBe('completed');
   });
 
+  it('that is quarantined is used if most of its pool is, whatever the other pools have', async () => {
+    await createCluster({
+      behave: task => ({
+        durationMs: 100,
+        how: task.startsWith('bad') ? 'failed' : 'done',
+      }),
+    });
+    await harness.addWorker(worker('r1', {pool: 'r'}));
+    for (const id of ['bad1', 'bad2'])
+      await harness.submit({...job(id), queue: 'r'});
+    await harness.advance(1000);
+    await harness.submit({...job('a'), queue: 'r'});
+    await harness.advance(1000);
+    expect(harness.phase('bad1')).toBe('failed');
+    expect(harness.phase('a')).toBe('completed');
+  });
+
   it('that restarts does not carry out an order meant for its old incarnation', async () => {
     await createCluster({behave: () => ({durationMs: 5000})}, 1);
     const old = harness.fleet.byAddress.get('w1:1')!;
--- a/packages/scheduling/src/health.ts
+++ b/packages/scheduling/src/health.ts
@@ -63,3 +63,29 @@
 export function isQuarantined(health: Health, worker: string, nowMs: number) {
   return (health.get(worker)?.quarantinedUntilMs ?? 0) > nowMs;
 }
+
+/**
+ * Returns the keys of the quarantined workers that get no runs. Where most
+ * workers of a pool are quarantined, the failures are more likely caused by the
+ * jobs of the pool, so none of its workers is avoided. `workers` are those that
+ * can get runs otherwise.
+ */
+export function findAvoidedWorkers(
+  health: Health,
+  workers: readonly {readonly key: string; readonly pool: string}[],
+  nowMs: number,
+): ReadonlySet<string> {
+  const counts = new Map<string, {total: number; quarantined: string[]}>();
+  for (const {key, pool} of workers) {
+    const count = counts.get(pool) ?? {total: 0, quarantined: []};
+    count.total++;
+    if (isQuarantined(health, key, nowMs)) count.quarantined.push(key);
+    counts.set(pool, count);
+  }
+  const avoided = new Set<string>();
+  for (const {total, quarantined} of counts.values()) {
+    if (2 * quarantined.length > total) continue;
+    for (const key of quarantined) avoided.add(key);
+  }
+  return avoided;
+}
