Edit the maps of the queue state without copying them

Cause: each change copied the whole maps of jobs, workers and host orders, although it altered a few entries. Nothing told which entries differ between two states, so that every user of a state had to scan all of it.

Change: `PersistentMap`, a hash trie that shares unchanged branches between versions, iterates in the order of insertion like `Map` (the stored form and the order of decisions stay the same), and finds the differences between two versions in time that depends on their number.

--- a/packages/queue/src/draft.ts
+++ b/packages/queue/src/draft.ts
@@ -1,17 +1,18 @@
 /** A mutable draft of the next state, with copy-on-write maps. */
 import type {Job} from './job.js';
+import type {MapEditor} from './persistent-map.js';
 import type {State} from './state.js';
 import type {DurationStatistics} from './statistics.js';
 import type {HostOrder, Wave} from './wave.js';
 import type {Worker} from './worker.js';
 
-/** Collects updates to a state; copies a map only when it is first changed. */
+/** Collects updates to a state; edits a map only once an entry changes. */
 export class Draft {
   tables;
-  private jobs: Map<string, Job> | undefined;
-  private workers: Map<string, Worker> | undefined;
+  private jobs: MapEditor<Job> | undefined;
+  private workers: MapEditor<Worker> | undefined;
   private waves: Map<number, Wave> | undefined;
-  private hostOrders: Map<string, HostOrder> | undefined;
+  private hostOrders: MapEditor<HostOrder> | undefined;
   private statistics: Map<string, DurationStatistics> | undefined;
 
   constructor(private readonly base: State) {
@@ -22,8 +23,9 @@
     return (this.jobs ?? this.base.jobs).get(id);
   }
 
-  allJobs(): Iterable<Job> {
-    return (this.jobs ?? this.base.jobs).values();
+  /** All jobs with the updates so far, in no particular order. */
+  allJobs(): readonly Job[] {
+    return (this.jobs?.finish() ?? this.base.jobs).unorderedValues();
   }
 
   worker(id: string): Worker | undefined {
@@ -35,22 +37,22 @@
   }
 
   setJob(job: Job): void {
-    this.jobs ??= new Map(this.base.jobs);
+    this.jobs ??= this.base.jobs.edit();
     this.jobs.set(job.spec.id, job);
   }
 
   deleteJob(id: string): void {
-    this.jobs ??= new Map(this.base.jobs);
+    this.jobs ??= this.base.jobs.edit();
     this.jobs.delete(id);
   }
 
   setWorker(worker: Worker): void {
-    this.workers ??= new Map(this.base.workers);
+    this.workers ??= this.base.workers.edit();
     this.workers.set(worker.id, worker);
   }
 
   deleteWorker(id: string): void {
-    this.workers ??= new Map(this.base.workers);
+    this.workers ??= this.base.workers.edit();
     this.workers.delete(id);
   }
 
@@ -60,7 +62,7 @@
   }
 
   setHostOrder(order: HostOrder): void {
-    this.hostOrders ??= new Map(this.base.hostOrders);
+    this.hostOrders ??= this.base.hostOrders.edit();
     this.hostOrders.set(order.host, order);
   }
 
@@ -74,10 +76,10 @@
     return {
       revision: this.base.revision + 1,
       tables: this.tables,
-      jobs: this.jobs ?? this.base.jobs,
-      workers: this.workers ?? this.base.workers,
+      jobs: this.jobs?.finish() ?? this.base.jobs,
+      workers: this.workers?.finish() ?? this.base.workers,
       waves: this.waves ?? this.base.waves,
-      hostOrders: this.hostOrders ?? this.base.hostOrders,
+      hostOrders: this.hostOrders?.finish() ?? this.base.hostOrders,
       statistics: this.statistics ?? this.base.statistics,
     };
   }
--- a/packages/queue/src/index.ts
+++ b/packages/queue/src/index.ts
@@ -1,6 +1,7 @@
 export * from './apply.js';
 export * from './change.js';
 export * from './job.js';
+export * from './persistent-map.js';
 export * from './size.js';
 export * from './state.js';
 export * from './statistics.js';
--- a/packages/queue/src/state.ts
+++ b/packages/queue/src/state.ts
@@ -1,6 +1,7 @@
 /** The replicated state of the job queues, in memory and as stored. */
 import {z} from 'zod';
 import {Job} from './job.js';
+import {PersistentMap} from './persistent-map.js';
 import {EMPTY_TABLES, Tables} from './table.js';
 import {DurationStatistics} from './statistics.js';
 import {HostOrder, Wave} from './wave.js';
@@ -24,13 +25,13 @@
   readonly revision: number;
   readonly tables: Tables;
   /** By job ID. */
-  readonly jobs: ReadonlyMap<string, Job>;
+  readonly jobs: PersistentMap<Job>;
   /** By worker ID; the latest known incarnation of each worker. */
-  readonly workers: ReadonlyMap<string, Worker>;
+  readonly workers: PersistentMap<Worker>;
   /** By wave ID. */
   readonly waves: ReadonlyMap<number, Wave>;
   /** The latest order to each host, by host. */
-  readonly hostOrders: ReadonlyMap<string, HostOrder>;
+  readonly hostOrders: PersistentMap<HostOrder>;
   /** By queue name. */
   readonly statistics: ReadonlyMap<string, DurationStatistics>;
 }
@@ -38,10 +39,10 @@
 export const EMPTY_STATE: State = {
   revision: 0,
   tables: EMPTY_TABLES,
-  jobs: new Map(),
-  workers: new Map(),
+  jobs: PersistentMap.empty(),
+  workers: PersistentMap.empty(),
   waves: new Map(),
-  hostOrders: new Map(),
+  hostOrders: PersistentMap.empty(),
   statistics: new Map(),
 };
 
@@ -50,10 +51,10 @@
   return {
     revision: state.revision,
     tables: state.tables,
-    jobs: [...state.jobs.values()],
-    workers: [...state.workers.values()],
+    jobs: state.jobs.values(),
+    workers: state.workers.values(),
     waves: [...state.waves.values()],
-    duties: [...state.hostOrders.values()],
+    duties: state.hostOrders.values(),
     statistics: [...state.statistics.values()],
   };
 }
@@ -63,10 +64,14 @@
   return {
     revision: stored.revision,
     tables: stored.tables,
-    jobs: new Map(stored.jobs.map(job => [job.spec.id, job])),
-    workers: new Map(stored.workers.map(worker => [worker.id, worker])),
+    jobs: PersistentMap.from(stored.jobs.map(job => [job.spec.id, job])),
+    workers: PersistentMap.from(
+      stored.workers.map(worker => [worker.id, worker]),
+    ),
     waves: new Map(stored.waves.map(wave => [wave.id, wave])),
-    hostOrders: new Map(stored.duties.map(order => [order.host, order])),
+    hostOrders: PersistentMap.from(
+      stored.duties.map(order => [order.host, order]),
+    ),
     statistics: new Map(stored.statistics.map(row => [row.queue, row])),
   };
 }
