Keep hosts up that are to get a run whose start is being committed

Cause: a host counted as empty while the start of a run on it waited for its commit. Moves waited 150 ms for such starts, which is too short once commits are slow; maintenance did not wait. Change: the leader keeps the workers of the starts that are being committed. A worker among them counts as in use for idle times, moves and maintenance. A cordoned host gets no further starts, so the fixed wait of moves is not needed any more.

--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -172,6 +172,8 @@
   );
   let statisticsRecordedMs = performance.now();
   let isCommitPending = false;
+  /** Workers, by `workerKey`, with runs in the change being committed. */
+  let startingWorkers: ReadonlySet<string> = new Set();
   let poolsRebalancedMs = -Infinity;
   /** Whether something has changed that the next round may act on. */
   let dirty = true;
@@ -250,6 +252,7 @@
     hasForeignOrder,
     enqueueDerived,
     stopRun: dispatcher.stop,
+    hasPendingStart,
     isLeader: options.isLeader,
   });
   const rebalancer: Rebalancer = createRebalancer({
@@ -268,6 +271,7 @@
     isInWave: host => maintenance.isCordoned(host),
     isUsable,
     avoidedWorkers: () => findAvoided(listAvailableWorkers(state())),
+    hasPendingStart,
     emptyInMs,
     durations: () => durations,
   });
@@ -473,6 +477,7 @@
     if (events.length === 0) return;
     if (queuedEvents.length > 0) dirty = true;
     isCommitPending = true;
+    startingWorkers = new Set(starts.map(([, , worker]) => worker));
     const batch = {
       queued,
       starts,
@@ -577,6 +582,11 @@
     return reconciledWorkers.has(key);
   }
 
+  /** Whether a run on the worker is decided and not yet in the state. */
+  function hasPendingStart(worker: string): boolean {
+    return startingWorkers.has(worker);
+  }
+
   function commitEvent(event: Event): Promise<Outcome> {
     return new Promise((resolve, reject) => enqueue(event, {resolve, reject}));
   }
@@ -594,6 +604,7 @@
 
   function handleCommitted(batch: Batch, outcomes: readonly Outcome[]): void {
     isCommitPending = false;
+    startingWorkers = new Set();
     batch.queued.forEach(({event, reply}, at) => {
       reply?.resolve(outcomes[at]!);
       followUp(event, outcomes[at]!);
@@ -614,6 +625,7 @@
    */
   function handleRejected({queued}: Batch, error: Error): void {
     isCommitPending = false;
+    startingWorkers = new Set();
     log.warn('change-rejected', {reason: error.message, events: queued.length});
     for (const {event, reply} of queued) {
       reply?.reject(error);
--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -40,6 +40,8 @@
   /** Queues the event unless it already waits for its commit. */
   enqueueDerived(event: DerivedEvent): void;
   stopRun(live: LiveRun): void;
+  /** Whether a run on the worker is decided and not yet in the state. */
+  hasPendingStart(worker: string): boolean;
   isLeader(): boolean;
 }
 
@@ -246,7 +248,10 @@
     const nowMs = performance.now();
     const hasLongRunningTasks = runs.some(({step}) => step.lasting);
     const isWaitOver = nowMs - operation.sinceMs >= MAX_EMPTYING_MS;
-    const canBegin = runs.length === 0 || (isWaitOver && !hasLongRunningTasks);
+    const hasPendingStart = key !== undefined && options.hasPendingStart(key);
+    const canBegin =
+      !hasPendingStart &&
+      (runs.length === 0 || (isWaitOver && !hasLongRunningTasks));
     if (!canBegin) logBlockingRuns(host, operation, runs);
     if (!canBegin || nowMs < operation.retryAtMs) return;
     const down = [...operations.values()].filter(
--- a/packages/dispatch/src/rebalancer.ts
+++ b/packages/dispatch/src/rebalancer.ts
@@ -54,6 +54,8 @@
   isUsable(worker: Worker): boolean;
   /** Keys of the workers that get no runs because runs failed on them. */
   avoidedWorkers(): ReadonlySet<string>;
+  /** Whether a run on the worker is decided and not yet in the state. */
+  hasPendingStart(worker: string): boolean;
   /** Expected time until all runs on the worker have ended. */
   emptyInMs(worker: string, load: Load): number;
   /** The durations of tasks learnt so far. */
@@ -75,11 +77,6 @@
  * about as much as one second of the host in a pool.
  */
 const MIN_IDLE_MS = 600;
-/**
- * How long a move waits for starts that were decided before the host was chosen
- * and are not yet recorded.
- */
-const START_IN_FLIGHT_MS = 150;
 /** Longest wait for the runs on a host to end that another pool needs. */
 const MAX_EMPTYING_MS = 1500;
 /**
@@ -277,10 +274,15 @@
     };
   }
 
+  /** Whether the worker has no runs, and gets none once its host is cordoned. */
+  function isEmpty(worker: string, load: Load): boolean {
+    return !load.byWorker.has(worker) && !options.hasPendingStart(worker);
+  }
+
   /** Whether the worker has had no runs for `MIN_IDLE_MS`. */
   function isIdle(host: string, worker: Worker, load: Load): boolean {
     const nowMs = performance.now();
-    if (load.byWorker.has(workerKey(worker))) {
+    if (!isEmpty(workerKey(worker), load)) {
       idleSinceMs.delete(host);
       return false;
     }
@@ -323,8 +325,7 @@
     }
     if (nowMs < ongoing.retryAtMs || options.hasForeignOrder(host)) return;
     if (formerWorker !== undefined && !isRecorded) {
-      if (nowMs - sinceMs < START_IN_FLIGHT_MS) return;
-      if (load.byWorker.has(formerWorker)) {
+      if (!isEmpty(formerWorker, load)) {
         if (nowMs - sinceMs > MAX_EMPTYING_MS)
           endMove(host, 'not empty in time');
         return;
--- a/packages/dispatch/test/hosts.test.ts
+++ b/packages/dispatch/test/hosts.test.ts
@@ -203,6 +203,22 @@
     expect(records).toBe(1);
   });
 
+  it.each([0, 200, 400, 600, 800, 1000])(
+    'does not order a host down that is to get a run while commits are slow, job after %i ms',
+    async submitAfterMs => {
+      harness = await createHarness();
+      await harness.addWorker(worker('w1'));
+      harness.replica.commitDelayMs = 400;
+      await openWave(['m-w1'], 1);
+      await harness.advance(400 + submitAfterMs);
+      await harness.submit(job('a'));
+      await harness.advance(15_000);
+      expect(maintenanceStatuses()).toEqual(['done']);
+      expect(harness.phase('a')).toBe('completed');
+      expect(harness.fleet.starts).toHaveLength(1);
+    },
+  );
+
   it('is done without a host that the provider does not list', async () => {
     harness = await createHarness();
     await harness.addWorker(worker('w1'));
@@ -372,6 +388,22 @@
     expect(sent).toHaveLength(1);
   });
 
+  // A start that waited for its commit did not count as a run on its host, so
+  // the host was moved or maintained with the run on it.
+  it('do not lose a host that is to get a run while commits are slow', async () => {
+    harness = await createHarness({pools: new ElasticPools()});
+    for (const name of workerNames) await harness.addWorker(worker(name));
+    harness.replica.commitDelayMs = 400;
+    for (let n = 0; n < 16; n++) {
+      await harness.submit({
+        ...job(`a${n}`, {count: 12}),
+        queue: n % 2 === 0 ? 'q' : 'r',
+      });
+      await harness.advance(1500);
+    }
+    expect(harness.hosts.orders.length).toBeGreaterThan(workerNames.length);
+  });
+
   it('have enough hosts for a step that allows one task per worker', async () => {
     harness = await createHarness({
       pools: new ElasticPools(),
