Repeat the removal of a moved or maintained worker until it is recorded

Cause: the removal of the worker on a host that was ordered to move or to be maintained was queued once, with the answer to the order. If the change with it was rejected, the worker stayed in the directory, and a host that moved to standby did not count as arrived before its time limit. Tests: on the parent commit, both tests of a removal that was rejected once fail with "expected true to be false".

--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -338,12 +338,7 @@
       if (answer === 'accepted') {
         operation.phase = 'down';
         operation.orderedMs = performance.now();
-        if (operation.formerWorker !== undefined) {
-          options.enqueueDerived({
-            type: 'worker-gone',
-            worker: operation.formerWorker,
-          });
-        }
+        removeFormerWorker(host, operation);
       } else if (answer === 'busy' || answer === 'refused') {
         operation.phase = 'over';
         operation.result = 'due';
@@ -378,11 +373,23 @@
       void orderMaintenance(wave, host, operation);
       return;
     }
-    if (operation.phase !== 'down' || !hasReturned(host, operation)) return;
+    if (operation.phase !== 'down') return;
+    removeFormerWorker(host, operation);
+    if (!hasReturned(host, operation)) return;
     log.info('host-back', {wave: wave.id, host});
     operation.phase = 'over';
   }
 
+  /** Has the worker removed that ended with the maintenance of its host. */
+  function removeFormerWorker(
+    host: string,
+    {formerWorker}: HostOperation,
+  ): void {
+    const worker = newestWorkerOn(host);
+    if (worker === undefined || workerKey(worker) !== formerWorker) return;
+    options.enqueueDerived({type: 'worker-gone', worker: formerWorker});
+  }
+
   /**
    * Whether the host is up again after its maintenance, or has been removed.
    */
--- a/packages/dispatch/src/rebalancer.ts
+++ b/packages/dispatch/src/rebalancer.ts
@@ -43,7 +43,10 @@
   isLeader(): boolean;
   /** Counts a move that has come to this stage. */
   recordMove(stage: MoveStage, outcome: string): void;
-  /** Called when a worker incarnation has ended because its host moves. */
+  /**
+   * Called when a worker incarnation has ended because its host moves, and again
+   * until the worker is removed.
+   */
   onWorkerGone(worker: string): void;
   /** Whether the host is being emptied or is down for a maintenance wave. */
   isInWave(host: string): boolean;
@@ -310,7 +313,11 @@
       return;
     }
     if (ongoing.phase !== 'moving') return;
-    if (isMoveOver(host, ongoing, byHost.get(host))) {
+    const worker = byHost.get(host);
+    if (worker && workerKey(worker) === ongoing.formerWorker) {
+      options.onWorkerGone(ongoing.formerWorker);
+    }
+    if (isMoveOver(host, ongoing, worker)) {
       endMove(host, 'arrived');
     }
   }
--- a/packages/dispatch/test/hosts.test.ts
+++ b/packages/dispatch/test/hosts.test.ts
@@ -34,6 +34,21 @@
   await harness.advance(100);
 }
 
+/**
+ * Refuses the first change that removes a worker. The returned function returns
+ * the time of the refusal.
+ */
+function refuseFirstRemoval(): () => number | undefined {
+  let refusedAtMs: number | undefined;
+  harness.replica.refuses = ({events}) => {
+    const removes = events.some(({type}) => type === 'worker-gone');
+    if (refusedAtMs !== undefined || !removes) return false;
+    refusedAtMs = performance.now();
+    return true;
+  };
+  return () => refusedAtMs;
+}
+
 function maintenanceStatuses(): string[] {
   const {hosts} = harness.replica.state().waves.get(1)!;
   return Object.values(hosts);
@@ -219,6 +234,19 @@
     },
   );
 
+  it('has the worker of a host removed after its removal was rejected once', async () => {
+    harness = await createHarness();
+    await harness.addWorker(worker('w1'));
+    const refusedAtMs = refuseFirstRemoval();
+    await openWave(['m-w1'], 1);
+    for (let turn = 0; refusedAtMs() === undefined; turn++) {
+      expect(turn).toBeLessThan(1000);
+      await harness.advance(10);
+    }
+    await harness.advance(1000);
+    expect(harness.replica.state().workers.has('w1')).toBe(false);
+  });
+
   it('is done without a host that the provider does not list', async () => {
     harness = await createHarness();
     await harness.addWorker(worker('w1'));
@@ -404,6 +432,23 @@
     expect(harness.hosts.orders.length).toBeGreaterThan(workerNames.length);
   });
 
+  // A worker that remained in the directory kept its host from counting as
+  // arrived in standby for 8 s.
+  it('have the worker of a moved host removed after its removal was rejected once', async () => {
+    harness = await createHarness({pools: new ElasticPools()});
+    for (const name of workerNames) await harness.addWorker(worker(name));
+    const refusedAtMs = refuseFirstRemoval();
+    for (let turn = 0; refusedAtMs() === undefined; turn++) {
+      expect(turn).toBeLessThan(1000);
+      await harness.advance(10);
+    }
+    const moved = harness.hosts.orders.map(({host}) => host.slice('m-'.length));
+    await harness.advance(1000);
+    expect(moved.length).toBeGreaterThan(0);
+    const {workers} = harness.replica.state();
+    for (const name of moved) expect(workers.has(name), name).toBe(false);
+  });
+
   it('have enough hosts for a step that allows one task per worker', async () => {
     harness = await createHarness({
       pools: new ElasticPools(),
