Read what has arrived before a timeout is judged

Callers saw: elections and closed links right after a stall of a process, and with them requests given up and workers reported silent.

Cause: after a turn that took longer than a timeout, Node runs the expired timers before it reads its sockets. A follower stood for election although the leader's heartbeats were waiting in its sockets; likewise links closed as silent, and requests to peers and workers were given up although the answers had arrived.

`startInputTimeout` judges a timeout three turns of the event loop after its timer has fired. By then input was read and has passed through the task that owns the socket to the task that waits for it.

Safety does not depend on it: a leader is confirmed by the time at which a heartbeat round began, and a leader that has not heard from a majority still steps down before it handles an event.

--- a/packages/consensus/src/raft.ts
+++ b/packages/consensus/src/raft.ts
@@ -7,7 +7,12 @@
  * only the changes. Code outside `step` uses revisions instead of log indexes.
  */
 import type {LogRecord, Snapshot} from '@lentildrift/storage';
-import {TaskStoppedError, type Task} from '@lentildrift/task';
+import {
+  startInputTimeout,
+  TaskStoppedError,
+  type InputTimeout,
+  type Task,
+} from '@lentildrift/task';
 import {recordAt} from './log.js';
 import {quorumSize, type MemberChange} from './members.js';
 import type {PeerMessage} from './message.js';
@@ -51,7 +56,7 @@
     (applied: AppliedChange<S, C, A>) => void
   >();
   private readonly statusListeners = new Set<(status: ReplicaStatus) => void>();
-  private timer: {at: number; handle: NodeJS.Timeout} | undefined;
+  private timer: {at: number; timeout: InputTimeout} | undefined;
   private compactedRevision: number;
   /** Start times of the recent heartbeat rounds, by the number of the round. */
   private readonly roundStarts = new Map<
@@ -238,7 +243,7 @@
   private async shutDown(): Promise<void> {
     if (this.isStopped) return;
     this.isStopped = true;
-    clearTimeout(this.timer?.handle);
+    this.timer?.timeout.cancel();
     this.requests.rejectAll(new TaskStoppedError(this.task.name));
     await this.task.stop();
   }
@@ -390,12 +395,12 @@
     if (this.isStopped) return;
     const at = nextTickMs(this.node);
     if (this.timer && this.timer.at <= at) return;
-    clearTimeout(this.timer?.handle);
+    this.timer?.timeout.cancel();
     const waitMs = Math.max(0, Math.ceil(at - performance.now()));
-    const handle = setTimeout(() => {
+    const timeout = startInputTimeout(() => {
       this.timer = undefined;
       this.post({type: 'tick'});
     }, waitMs);
-    this.timer = {at, handle};
+    this.timer = {at, timeout};
   }
 }
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -1,7 +1,12 @@
 /** The connecting side of a link: a task that owns the socket. */
 import {connect, type Socket} from 'node:net';
 import type {Log} from '@lentildrift/observe';
-import type {Task, TaskSystem} from '@lentildrift/task';
+import {
+  startInputTimeout,
+  type InputTimeout,
+  type Task,
+  type TaskSystem,
+} from '@lentildrift/task';
 import {createFrameDecoder, encodeFrame, type FrameDecoder} from './frame.js';
 import {LinkMessage} from './message.js';
 import {
@@ -63,7 +68,7 @@
 interface PendingRequest {
   resolve(value: unknown): void;
   reject(error: Error): void;
-  readonly timer: NodeJS.Timeout;
+  readonly timeout: InputTimeout;
 }
 
 type TaskMessage =
@@ -98,7 +103,7 @@
   let openSocket: Socket | undefined;
   let stopped = false;
   let reconnectTimer: NodeJS.Timeout | undefined;
-  let pingTimer: NodeJS.Timeout | undefined;
+  let pingTimer: InputTimeout | undefined;
 
   const task: Task<TaskMessage> = tasks.spawn<Connection, TaskMessage>({
     name: `link-${address}`,
@@ -121,7 +126,7 @@
     },
     afterStop({socket}) {
       clearTimeout(reconnectTimer);
-      clearTimeout(pingTimer);
+      pingTimer?.cancel();
       socket?.destroy();
       rejectAll('the link was closed');
     },
@@ -203,7 +208,7 @@
   function removePending(id: number): PendingRequest | undefined {
     const found = pending.get(id);
     pending.delete(id);
-    if (found) clearTimeout(found.timer);
+    found?.timeout.cancel();
     return found;
   }
 
@@ -214,7 +219,7 @@
   ): Connection {
     if (socket !== connection.socket) return connection;
     openSocket = undefined;
-    clearTimeout(pingTimer);
+    pingTimer?.cancel();
     rejectAll(reason);
     if (connection.open) {
       log.info('link-down', {peer: address, reason});
@@ -242,7 +247,10 @@
   }
 
   function schedulePing(): void {
-    pingTimer = setTimeout(() => task.post({type: 'probe'}), PING_INTERVAL_MS);
+    pingTimer = startInputTimeout(
+      () => task.post({type: 'probe'}),
+      PING_INTERVAL_MS,
+    );
   }
 
   function rejectAll(reason: string): void {
@@ -268,12 +276,12 @@
         reject(new RequestNotSentError(address));
         return;
       }
-      const timer = setTimeout(() => {
+      const timeout = startInputTimeout(() => {
         removePending(id)?.reject(
           new RequestUnansweredError(address, `${timeoutMs} ms passed`),
         );
       }, timeoutMs);
-      pending.set(id, {resolve, reject, timer});
+      pending.set(id, {resolve, reject, timeout});
     });
   }
 
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -1,7 +1,7 @@
 /** The accepting side of links: one task for each connection. */
 import {createServer, type Server, type Socket} from 'node:net';
 import type {Log} from '@lentildrift/observe';
-import type {Task, TaskSystem} from '@lentildrift/task';
+import {afterInput, type Task, type TaskSystem} from '@lentildrift/task';
 import {createFrameDecoder, encodeFrame} from './frame.js';
 import {LinkMessage} from './message.js';
 import {MAX_UNSENT_BYTES, PING_INTERVAL_MS, IDLE_TIMEOUT_MS} from './timing.js';
@@ -100,7 +100,12 @@
   name: string,
 ): Task<TaskMessage> {
   const decoder = createFrameDecoder();
-  socket.setTimeout(IDLE_TIMEOUT_MS + PING_INTERVAL_MS, () => socket.destroy());
+  socket.setTimeout(IDLE_TIMEOUT_MS + PING_INTERVAL_MS, () => {
+    const {bytesRead} = socket;
+    afterInput(() => {
+      if (socket.bytesRead === bytesRead) socket.destroy();
+    });
+  });
 
   function send(message: LinkMessage): void {
     writeOrClose(socket, encodeFrame(message));
--- a/packages/link/test/link.test.ts
+++ b/packages/link/test/link.test.ts
@@ -11,6 +11,7 @@
   openLink,
   RECONNECT_DELAY_MS,
   IDLE_TIMEOUT_MS,
+  PING_INTERVAL_MS,
   startLinkServer,
   RequestUnansweredError,
   type Link,
@@ -72,6 +73,19 @@
   });
 }
 
+/**
+ * Blocks the event loop for longer than the idle timeout of a link, and not as
+ * long as the accepting side, in the same process, waits for pings.
+ */
+function stallAfterMicrotasks(count: number): void {
+  if (count > 0) {
+    queueMicrotask(() => stallAfterMicrotasks(count - 1));
+    return;
+  }
+  const endMs = performance.now() + IDLE_TIMEOUT_MS + PING_INTERVAL_MS / 3;
+  while (performance.now() < endMs);
+}
+
 describe('a link', () => {
   it('carries requests, replies, failures and posts both ways', async () => {
     const received: [string, string, unknown][] = [];
@@ -108,6 +122,19 @@
     );
   });
 
+  it('does not take a stall of this process for the silence of the peer', async () => {
+    server = await startTestServer(async () => {
+      // Blocks the event loop right after the answer was written.
+      queueMicrotask(() => stallAfterMicrotasks(20));
+      return 'answer';
+    });
+    link = openTestLink(server.port);
+    await waitUntil(() => link!.isOpen());
+    expect(await link.request(1, 100)).toBe('answer');
+    await new Promise(resolve => setTimeout(resolve, 100));
+    expect(openStates).toEqual([true]);
+  });
+
   it('rejects pending requests at once when the connection closes', async () => {
     server = await startTestServer(() => new Promise(() => {}));
     link = openTestLink(server.port);
--- a/packages/task/src/index.ts
+++ b/packages/task/src/index.ts
@@ -1,1 +1,2 @@
 export * from './task.js';
+export * from './input-timeout.js';
