Measure the leader against growing fleets

`npm run measure -- leader` runs a leader with 50, 250, 1,000 and 2,200 stand-in workers in one process at the same load per worker, then a second leader on the same state. It prints processor time, the times of rounds, reports, ticks and phases, the lag of the event loop and the growth of each.

--- a/packages/testkit/src/measure.ts
+++ b/packages/testkit/src/measure.ts
@@ -13,6 +13,7 @@
   traffic: async () => (await import('./bench/traffic.js')).measureTraffic,
   entry: async () => (await import('./bench/entry.js')).measureEntry,
   jobs: async () => (await import('./jobs/measure.js')).measureJobs,
+  leader: async () => (await import('./leader/measure.js')).measureLeader,
   state: async () => (await import('./state/state.js')).measureState,
 };
 
