Divide a long batch of a task among turns of the event loop

Callers saw: a new leader of a large fleet did not answer, and sent no heartbeat, for longer than the election timeout.

Cause: a task handled all messages in its mailbox in one turn. A new leader opens the sessions of all workers at once, so their first reports arrive together and were handled in one turn.

A batch now ends after 10 ms; the rest of the mailbox follows in the next turn, in the same order.

--- a/packages/task/src/task.ts
+++ b/packages/task/src/task.ts
@@ -3,7 +3,8 @@
  * by messages.
  *
  * Messages that arrive within one turn of the event loop are dispatched to the
- * actor as one batch, because `nact` uses one `setImmediate` per dispatch.
+ * actor as one batch, because `nact` uses one `setImmediate` per dispatch. A
+ * batch that takes long is divided among several turns.
  *
  * In plain `nact`, a handler that throws ends its actor, and the messages that
  * are queued behind are lost. A task instead keeps the state from before the
@@ -92,6 +93,13 @@
 
 type BatchSignal = 'batch';
 
+/**
+ * A batch that has taken this long ends with the current message; the rest
+ * follows in a later turn. Timers and other tasks, such as the heartbeats of a
+ * leader, would otherwise wait until thousands of messages are handled.
+ */
+const MAX_BATCH_MS = 10;
+
 function spawnTask<State, Msg extends object>(
   system: ActorSystemRef,
   spec: TaskSpec<State, Msg>,
@@ -116,10 +124,17 @@
     const batch = mailbox;
     mailbox = [];
     scheduled = false;
-    for (const message of batch) {
-      const result = handleMessage(next, message);
+    const endMs = performance.now() + MAX_BATCH_MS;
+    let handled = 0;
+    while (handled < batch.length) {
+      const result = handleMessage(next, batch[handled++]!);
       // Awaiting a plain value would cost a turn of the microtask queue.
       next = result instanceof Promise ? await result : result;
+      if (performance.now() >= endMs) break;
+    }
+    if (handled < batch.length) {
+      mailbox = [...batch.slice(handled), ...mailbox];
+      scheduleBatch();
     }
     if (mailbox.length === 0) onMailboxEmpty?.(next);
     return next;
--- a/packages/task/test/task.test.ts
+++ b/packages/task/test/task.test.ts
@@ -41,6 +41,27 @@
     await task.stop();
   });
 
+  it('lets timers run while it handles a long queue, and keeps the order', async () => {
+    const handled: number[] = [];
+    const task = startTasks(() => {}).spawn<null, {type: 'work'; at: number}>({
+      name: 'worker',
+      initial: null,
+      handle(state, {at}) {
+        const endMs = performance.now() + 1;
+        while (performance.now() < endMs);
+        handled.push(at);
+        return state;
+      },
+    });
+    const count = 200;
+    let handledAtTimer = Infinity;
+    setTimeout(() => (handledAtTimer = handled.length), 1);
+    for (let at = 0; at < count; at++) task.post({type: 'work', at});
+    await task.stop();
+    expect(handledAtTimer).toBeLessThan(count);
+    expect(handled).toEqual(Array.from({length: count}, (_, at) => at));
+  });
+
   it('rejects the ask whose message made the handler throw', async () => {
     const {task} = spawnCounter();
     const asked = task.ask<number>(
