--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -4,17 +4,19 @@
  */
 import type {Counter, Latency, Log, Metrics} from '@lentildrift/observe';
 import {
+  PersistentMap,
   splitTaskName,
   taskName,
+  visitDifferences,
   workerKey,
   type StartRow,
   type State,
+  type Worker,
 } from '@lentildrift/queue';
-import type {LiveRun} from '@lentildrift/scheduling';
+import type {LiveRun, StateView} from '@lentildrift/scheduling';
 import type {TaskSystem} from '@lentildrift/task';
 import type {AdviceCache} from './advice.js';
 import type {WorkerDriver} from './driver.js';
-import {isSurplus, liveRunId} from './reconcile.js';
 import {
   openWorkerSession,
   type SessionEvent,
@@ -56,13 +58,15 @@
    * Stops the runs of ended tasks and jobs, and the runs of long-running tasks
    * on workers that drain.
    */
-  stopSurplus(live: readonly LiveRun[]): void;
+  stopSurplus(view: Pick<StateView, 'load' | 'fleet'>): void;
   close(): Promise<void>;
 }
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const {token, driver, tasks, log, metrics, runs, state} = options;
   const sessions = new Map<string, WorkerSession>();
+  /** The workers for which the sessions were opened. */
+  let syncedWorkers: State['workers'] = PersistentMap.empty();
   const startCount: Counter = metrics.counter(
     'lentildrift_task_starts_total',
     'Runs that were ordered.',
@@ -75,31 +79,38 @@
   );
 
   function syncSessions(): void {
-    const wanted = new Set<string>();
-    for (const worker of state().workers.values()) {
-      const key = workerKey(worker);
-      wanted.add(key);
-      if (sessions.has(key)) continue;
-      const {isLeader, onEvent} = options;
-      sessions.set(
-        key,
-        openWorkerSession({
-          worker,
-          token,
-          driver,
-          tasks,
-          log,
-          isLeader,
-          onEvent,
-        }),
-      );
-    }
-    for (const [key, session] of sessions) {
-      if (wanted.has(key)) continue;
-      sessions.delete(key);
-      options.onClosed(session);
-      void session.close();
-    }
+    const {workers} = state();
+    visitDifferences(syncedWorkers, workers, (before, after) => {
+      const oldKey = before && workerKey(before.value);
+      const key = after && workerKey(after.value);
+      if (oldKey === key) return;
+      if (oldKey !== undefined) closeSession(oldKey);
+      if (after) openSession(after.value);
+    });
+    syncedWorkers = workers;
+  }
+
+  function openSession(worker: Worker): void {
+    const {isLeader, onEvent} = options;
+    sessions.set(
+      workerKey(worker),
+      openWorkerSession({
+        worker,
+        token,
+        driver,
+        tasks,
+        log,
+        isLeader,
+        onEvent,
+      }),
+    );
+  }
+
+  function closeSession(key: string): void {
+    const session = sessions.get(key)!;
+    sessions.delete(key);
+    options.onClosed(session);
+    void session.close();
   }
 
   function start(row: StartRow): void {
@@ -133,20 +144,18 @@
   function stop(live: LiveRun): void {
     const {worker: key, number: run} = live.run;
     const session = sessions.get(key);
-    if (!session || !runs.markStopping(liveRunId(live))) return;
+    if (!session || !runs.markStopping(live.id)) return;
     const name = taskName(live.job.spec.id, live.key);
     log.info('task-stopped', {task: name, run, worker: key});
     session.stop(name, run);
   }
 
-  function stopSurplus(live: readonly LiveRun[]): void {
-    const draining = new Set<string>();
-    for (const worker of state().workers.values()) {
-      if (worker.phase === 'draining') draining.add(workerKey(worker));
-    }
-    for (const each of live) {
-      const isLeaving = each.step.lasting && draining.has(each.run.worker);
-      if (isLeaving || isSurplus(each)) stop(each);
+  function stopSurplus({load, fleet}: Pick<StateView, 'load' | 'fleet'>): void {
+    for (const live of load.surplus.values()) stop(live);
+    for (const worker of fleet.draining) {
+      for (const live of load.runsByWorker.get(worker) ?? []) {
+        if (live.step.lasting) stop(live);
+      }
     }
   }
 
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -27,14 +27,16 @@
   ElasticPools,
   findAvoidedWorkers,
   isQuarantined,
+  listQuarantined,
   recordDuration,
-  measureLoad,
+  createStateIndex,
   createDurations,
   expectedDurationMs,
   objectiveMs,
   recordRunEnds,
   plan,
   PackPlacement,
+  runId,
   type Candidate,
   type Durations,
   type Health,
@@ -44,6 +46,7 @@
   type Placement,
   type Plan,
   type PoolPolicy,
+  type StateView,
 } from '@lentildrift/scheduling';
 import type {Reply, Task, TaskSystem} from '@lentildrift/task';
 import {createAdviceCache, type AdviceCache} from './advice.js';
@@ -59,7 +62,7 @@
 import type {Adviser, HostProvider} from './provider.js';
 import {createReadiness, type Readiness} from './readiness.js';
 import {createRebalancer, type Rebalancer} from './rebalancer.js';
-import {liveRunId, reconcile, runId} from './reconcile.js';
+import {reconcile} from './reconcile.js';
 import {createRegistry, type Registry} from './registry.js';
 import type {SessionEvent} from './session.js';
 import {
@@ -145,6 +148,9 @@
  */
 const REBALANCE_PAUSE_MS = 30;
 
+const NO_RUNS: readonly LiveRun[] = [];
+const NO_KEYS: ReadonlySet<string> = new Set();
+
 export function startLeader(options: LeaderOptions): Leader {
   const {replica, token, driver, tasks, log, metrics} = options;
   const order = options.order ?? new DeadlineOrder();
@@ -162,8 +168,9 @@
   const recordedEndCursors = new Map<string, number>();
   /** Monotonic time at which this leader saw the job ended, by job ID. */
   const jobEndedMs = new Map<string, number>();
+  const index = createStateIndex();
   const runs = createRunTracker(
-    measureLoad(replica.state()).runs.map(liveRunId),
+    [...currentView().load.runsByWorker.values()].flat().map(({id}) => id),
   );
   let queuedEvents: QueuedEvent[] = [];
   let health: Health = new Map();
@@ -180,7 +187,6 @@
   let roundTimer: NodeJS.Timeout | undefined;
   let tickTimer: NodeJS.Timeout | undefined;
   let isStopped = false;
-  let cachedLoad: {state: State; load: Load} | undefined;
 
   const task: Task<Message> = tasks.spawn<null, Message>({
     name: `leader-${token}`,
@@ -254,6 +260,7 @@
     stopRun: dispatcher.stop,
     hasPendingStart,
     isLeader: options.isLeader,
+    fleet: () => currentView().fleet,
   });
   const rebalancer: Rebalancer = createRebalancer({
     policy: options.pools ?? new ElasticPools(),
@@ -270,7 +277,7 @@
     onWorkerGone: worker => enqueueDerived({type: 'worker-gone', worker}),
     isInWave: host => maintenance.isCordoned(host),
     isUsable,
-    avoidedWorkers: () => findAvoided(listAvailableWorkers(state())),
+    avoidedWorkers,
     hasPendingStart,
     emptyInMs,
     durations: () => durations,
@@ -310,17 +317,16 @@
     return replica.state();
   }
 
-  function currentLoad(): Load {
-    const current = state();
-    if (cachedLoad?.state !== current) {
-      const load = time('load', () => measureLoad(current));
-      cachedLoad = {state: current, load};
-    }
-    return cachedLoad.load;
+  function currentView(): StateView {
+    return viewOf(state());
   }
 
-  function recordedRuns(key: string): LiveRun[] {
-    return currentLoad().runs.filter(live => live.run.worker === key);
+  function viewOf(of: State): StateView {
+    return time('load', () => index.viewOf(of));
+  }
+
+  function recordedRuns(key: string): readonly LiveRun[] {
+    return currentView().load.runsByWorker.get(key) ?? NO_RUNS;
   }
 
   function scheduleRound(): void {
@@ -500,17 +506,13 @@
   }
 
   function decide(projected: State): Plan {
-    const load =
-      projected === state()
-        ? currentLoad()
-        : time('load', () => measureLoad(projected));
-    const workers = time('candidates', () =>
-      collectCandidates(projected, load),
-    );
+    const view = viewOf(projected);
     const round = {
       state: projected,
-      load,
-      workers,
+      load: view.load,
+      backlog: view.backlog,
+      candidatesIn: (pool: string) =>
+        time('candidates', () => collectCandidates(view, pool)),
       nowMs: Date.now(),
       durations,
       advisedWorkers: advice.advisedWorkers(),
@@ -520,8 +522,12 @@
     return time('plan', () => plan(round));
   }
 
-  function collectCandidates(projected: State, load: Load): Candidate[] {
-    const workers = listAvailableWorkers(projected);
+  /** The workers of a pool that may get new runs. */
+  function collectCandidates(
+    {load, fleet}: StateView,
+    pool: string,
+  ): Candidate[] {
+    const workers = fleet.workersIn(pool).filter(isAvailable);
     const avoided = findAvoided(workers);
     const nowMs = performance.now();
     return workers
@@ -536,11 +542,9 @@
       }));
   }
 
-  /** Workers that can get runs, unless they are avoided after failures. */
-  function listAvailableWorkers({workers}: State): Worker[] {
-    return [...workers.values()].filter(
-      worker => isUsable(worker) && !isCordoned(worker.host),
-    );
+  /** Whether the worker can get runs, unless it is avoided after failures. */
+  function isAvailable(worker: Worker): boolean {
+    return isUsable(worker) && !isCordoned(worker.host);
   }
 
   function findAvoided(workers: readonly Worker[]): ReadonlySet<string> {
@@ -551,9 +555,18 @@
     return findAvoidedWorkers(health, rows, performance.now());
   }
 
+  /** Keys of the workers of all pools that are avoided after failures. */
+  function avoidedWorkers(): ReadonlySet<string> {
+    if (listQuarantined(health, performance.now()).length === 0) return NO_KEYS;
+    return findAvoided(currentView().fleet.workers.filter(isAvailable));
+  }
+
   function emptyInMs(worker: string, load: Load): number {
-    const own = load.runs.filter(({run}) => run.worker === worker);
-    return Math.max(0, ...own.map(remainingMs));
+    const own = load.runsByWorker.get(worker) ?? NO_RUNS;
+    return own.reduce(
+      (longest, live) => Math.max(longest, remainingMs(live)),
+      0,
+    );
   }
 
   /**
@@ -565,7 +578,7 @@
     const {job, step} = live;
     if (step.lasting) return Infinity;
     const durationMs = expectedDurationMs(durations, job.spec.queue, step);
-    const startedMs = runs.startedMs(liveRunId(live));
+    const startedMs = runs.startedMs(live.id);
     if (startedMs === undefined) return durationMs;
     const remainingTimeMs = startedMs + durationMs - performance.now();
     // A run that exceeds its expected duration is likely to need more time.
@@ -597,9 +610,9 @@
   }
 
   function readyWorkersOf(pool: string): Worker[] {
-    return [...state().workers.values()].filter(
-      worker => worker.pool === pool && worker.phase === 'ready',
-    );
+    return currentView()
+      .fleet.workersIn(pool)
+      .filter(({phase}) => phase === 'ready');
   }
 
   function handleCommitted(batch: Batch, outcomes: readonly Outcome[]): void {
@@ -691,7 +704,7 @@
     time('registry', () => registry.expire());
     forgetEndedJobs();
     recordStatistics();
-    time('maintenance', () => maintenance.tick(currentLoad()));
+    time('maintenance', () => maintenance.tick(currentView()));
     rebalancePools();
     dirty = true;
     if (!isCommitPending) runRound();
@@ -713,13 +726,13 @@
     const nowMs = performance.now();
     if (nowMs - poolsRebalancedMs < REBALANCE_PAUSE_MS) return;
     poolsRebalancedMs = nowMs;
-    time('rebalance', () => rebalancer.tick(currentLoad()));
+    time('rebalance', () => rebalancer.tick(currentView()));
   }
 
   function updateSessions(): void {
     time('sessions', () => {
       dispatcher.syncSessions();
-      dispatcher.stopSurplus(currentLoad().runs);
+      dispatcher.stopSurplus(currentView());
     });
   }
 
--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -11,9 +11,13 @@
   workerKey,
   type MaintenanceStatus,
   type Wave,
-  type Worker,
 } from '@lentildrift/queue';
-import {canStopRun, type LiveRun, type Load} from '@lentildrift/scheduling';
+import {
+  canStopRun,
+  type Fleet,
+  type LiveRun,
+  type StateView,
+} from '@lentildrift/scheduling';
 import type {Inventory} from './inventory.js';
 import type {QueueReplica} from './leader.js';
 import type {HostProvider, OrderIssuer} from './provider.js';
@@ -43,13 +47,15 @@
   /** Whether a run on the worker is decided and not yet in the state. */
   hasPendingStart(worker: string): boolean;
   isLeader(): boolean;
+  /** The workers of the current state. */
+  fleet(): Fleet;
 }
 
 export interface Maintenance {
   /** Whether the host gets no new runs because it is emptied or maintained. */
   isCordoned(host: string): boolean;
   /** Advances all open waves by one step. */
-  tick(load: Load): void;
+  tick(view: StateView): void;
   stop(): void;
 }
 
@@ -98,14 +104,14 @@
   const waveSeenMs = new Map<number, number>();
   let isStopped = false;
 
-  function tick(load: Load): void {
+  function tick(view: StateView): void {
     recordResults();
     const open = [...replica.state().waves.values()].filter(
       wave => !isWaveDone(wave),
     );
     if (open.length === 0 || isStopped) return;
     options.inventory.refresh();
-    for (const wave of open) advanceWave(wave, load);
+    for (const wave of open) advanceWave(wave, view);
   }
 
   /**
@@ -125,7 +131,7 @@
     }
   }
 
-  function advanceWave(wave: Wave, load: Load): void {
+  function advanceWave(wave: Wave, view: StateView): void {
     const seenMs = waveSeenMs.get(wave.id) ?? performance.now();
     waveSeenMs.set(wave.id, seenMs);
     const listed = options.inventory.hosts();
@@ -133,7 +139,7 @@
     // that were added since, which would wrongly count as removed.
     if (!listed || options.inventory.requestedMs() < seenMs) return;
     const down = hostsDown(wave);
-    for (const host of down) advanceDownHost(wave, host);
+    for (const host of down) advanceDownHost(wave, host, view.fleet);
     for (const [host, upkeep] of Object.entries(wave.hosts)) {
       if (upkeep !== 'due' || listed.has(host)) continue;
       if (operations.has(host) && operations.get(host)!.phase !== 'emptying')
@@ -141,10 +147,10 @@
       log.info('host-left', {wave: wave.id, host});
       operations.set(host, createOperation(wave, 'over'));
     }
-    chooseHosts(wave, down.length, load);
+    chooseHosts(wave, down.length, view);
     for (const [host, operation] of operations) {
       if (operation.wave === wave.id && operation.phase === 'emptying') {
-        advanceEmptying(wave, host, operation, load);
+        advanceEmptying(wave, host, operation, view);
       }
     }
   }
@@ -153,19 +159,19 @@
    * Chooses hosts to empty: idle hosts at any time, and hosts in use only if
    * the wave would otherwise miss its deadline, few of one pool at a time.
    */
-  function chooseHosts(wave: Wave, down: number, load: Load): void {
+  function chooseHosts(wave: Wave, down: number, view: StateView): void {
     const due = listDueHosts(wave);
     const inProgress = [...operations.values()].filter(
       other => other.wave === wave.id && isBeforeDown(other),
     ).length;
     let openSlots = wave.atOnce + HOSTS_EMPTIED_AHEAD - down - inProgress;
-    const idle = due.filter(host => !isInUse(host, load));
+    const idle = due.filter(host => !isInUse(host, view));
     const busy = isDeadlineNear(wave, due.length)
-      ? due.filter(host => isInUse(host, load))
+      ? due.filter(host => isInUse(host, view))
       : [];
     for (const host of [...idle, ...busy]) {
       if (openSlots <= 0) return;
-      if (busy.includes(host) && !canEmptyOneMore(host)) continue;
+      if (busy.includes(host) && !canEmptyOneMore(host, view.fleet)) continue;
       operations.set(host, createOperation(wave, 'emptying'));
       openSlots--;
       log.info('host-emptying', {
@@ -187,8 +193,8 @@
     });
   }
 
-  function isInUse(host: string, load: Load): boolean {
-    const worker = newestWorkerOn(host);
+  function isInUse(host: string, {load, fleet}: StateView): boolean {
+    const worker = fleet.newestOn(host);
     return worker !== undefined && load.byWorker.has(workerKey(worker));
   }
 
@@ -205,10 +211,9 @@
   }
 
   /** Whether one more host of this host's pool may be emptied while in use. */
-  function canEmptyOneMore(host: string): boolean {
-    const pool = newestWorkerOn(host)?.pool;
-    const workers = [...replica.state().workers.values()];
-    const poolWorkers = workers.filter(worker => worker.pool === pool);
+  function canEmptyOneMore(host: string, fleet: Fleet): boolean {
+    const pool = fleet.newestOn(host)?.pool;
+    const poolWorkers = pool === undefined ? [] : fleet.workersIn(pool);
     const cordonedCount = poolWorkers.filter(worker =>
       isCordoned(worker.host),
     ).length;
@@ -218,15 +223,6 @@
     );
   }
 
-  function newestWorkerOn(host: string): Worker | undefined {
-    let newest: Worker | undefined;
-    for (const worker of replica.state().workers.values()) {
-      if (worker.host !== host || worker.phase === 'gone') continue;
-      if (!newest || worker.bornMs > newest.bornMs) newest = worker;
-    }
-    return newest;
-  }
-
   /**
    * Stops the runs of long-running tasks that may be stopped; begins the
    * maintenance once the host is empty.
@@ -235,11 +231,11 @@
     wave: Wave,
     host: string,
     operation: HostOperation,
-    load: Load,
+    {load, fleet}: StateView,
   ): void {
-    const worker = newestWorkerOn(host);
+    const worker = fleet.newestOn(host);
     const key = worker && workerKey(worker);
-    const runs = load.runs.filter(({run}) => run.worker === key);
+    const runs = (key && load.runsByWorker.get(key)) || [];
     for (const live of runs) {
       if (live.step.lasting && canStopRun(live, options.readiness.isReady)) {
         options.stopRun(live);
@@ -355,7 +351,7 @@
    * Repeats an order without an answer, or ends the operation once the host has
    * returned.
    */
-  function advanceDownHost(wave: Wave, host: string): void {
+  function advanceDownHost(wave: Wave, host: string, fleet: Fleet): void {
     let operation = operations.get(host);
     if (!operation && options.hasForeignOrder(host)) return;
     if (!operation) {
@@ -375,7 +371,7 @@
     }
     if (operation.phase !== 'down') return;
     removeFormerWorker(host, operation);
-    if (!hasReturned(host, operation)) return;
+    if (!hasReturned(host, operation, fleet)) return;
     log.info('host-back', {wave: wave.id, host});
     operation.phase = 'over';
   }
@@ -385,7 +381,7 @@
     host: string,
     {formerWorker}: HostOperation,
   ): void {
-    const worker = newestWorkerOn(host);
+    const worker = options.fleet().newestOn(host);
     if (worker === undefined || workerKey(worker) !== formerWorker) return;
     options.enqueueDerived({type: 'worker-gone', worker: formerWorker});
   }
@@ -393,8 +389,12 @@
   /**
    * Whether the host is up again after its maintenance, or has been removed.
    */
-  function hasReturned(host: string, operation: HostOperation): boolean {
-    const worker = newestWorkerOn(host);
+  function hasReturned(
+    host: string,
+    operation: HostOperation,
+    fleet: Fleet,
+  ): boolean {
+    const worker = fleet.newestOn(host);
     if (operation.formerWorker !== undefined) {
       if (worker && workerKey(worker) !== operation.formerWorker) return true;
     }
--- a/packages/dispatch/src/pacing.ts
+++ b/packages/dispatch/src/pacing.ts
@@ -6,12 +6,12 @@
 import {taskName} from '@lentildrift/queue';
 import {
   nextPace,
+  runId,
   type LiveRun,
   type ServingTask,
 } from '@lentildrift/scheduling';
 import type {WorkerSession} from './session.js';
 import type {Report} from './driver.js';
-import {runId} from './reconcile.js';
 import {HOLD_WAIT_MS} from './timing.js';
 
 export interface Pacing {
@@ -53,13 +53,13 @@
     const rows = new Map(running.map(row => [runId(row.task, row.run), row]));
     const serving: ServingTask[] = [];
     const fillers: {id: string; task: string; run: number}[] = [];
-    for (const {job, key, step, run} of recorded) {
-      const task = taskName(job.spec.id, key);
-      const id = runId(task, run.number);
+    for (const {job, key, step, run, id} of recorded) {
       const row = rows.get(id);
       if (!row) continue;
-      if (step.filler) fillers.push({id, task, run: run.number});
-      else if (step.tailTargetMs > 0) {
+      if (step.filler) {
+        const task = taskName(job.spec.id, key);
+        fillers.push({id, task, run: run.number});
+      } else if (step.tailTargetMs > 0) {
         serving.push({targetMs: step.tailTargetMs, tailMs: row.measure});
       }
     }
--- a/packages/dispatch/src/readiness.ts
+++ b/packages/dispatch/src/readiness.ts
@@ -3,8 +3,8 @@
  * progress in the last report of their worker.
  */
 import type {Run} from '@lentildrift/queue';
+import {runId} from '@lentildrift/scheduling';
 import type {Report} from './driver.js';
-import {runId} from './reconcile.js';
 
 export interface Readiness {
   /** Replaces what is known of the worker's runs by its latest report. */
--- a/packages/dispatch/src/rebalancer.ts
+++ b/packages/dispatch/src/rebalancer.ts
@@ -14,11 +14,13 @@
   measureDemand,
   NO_DEMAND,
   type Durations,
+  type Fleet,
   type Load,
   type Move,
   type PoolHost,
   type PoolPolicy,
   type PoolView,
+  type StateView,
 } from '@lentildrift/scheduling';
 import type {MoveStage} from './instruments.js';
 import type {Inventory} from './inventory.js';
@@ -71,7 +73,7 @@
   /**
    * Advances the moves in progress and begins those that the policy chooses.
    */
-  tick(load: Load): void;
+  tick(view: StateView): void;
   stop(): void;
 }
 
@@ -125,19 +127,19 @@
   /** Monotonic time of the last log lines about the pools. */
   let poolsLoggedMs = -Infinity;
 
-  function tick(load: Load): void {
+  function tick(view: StateView): void {
+    const {load, fleet} = view;
     inventory.refresh();
     const hosts = inventory.hosts();
     if (!hosts || isStopped) return;
-    const byHost = newestWorkersByHost(options.state());
     for (const [host, ongoing] of ongoingMoves) {
-      advanceMove(host, ongoing, byHost, load);
+      advanceMove(host, ongoing, fleet, load);
     }
     recordEnds();
-    const views = collectPoolViews(hosts, byHost, load);
+    const views = collectPoolViews(hosts, view);
     logPools(views);
     for (const move of options.policy.decide(views)) {
-      beginMove(move, byHost.get(move.host), load);
+      beginMove(move, fleet.newestOn(move.host), load);
     }
   }
 
@@ -189,78 +191,74 @@
 
   function collectPoolViews(
     hosts: ReadonlyMap<string, ProvidedHost>,
-    byHost: ReadonlyMap<string, Worker>,
-    load: Load,
+    view: StateView,
   ): PoolView[] {
     const {tables} = options.state();
     const demands = measureDemand(
       options.state(),
-      load,
+      view.load,
+      view.backlog,
       Date.now(),
       options.durations(),
     );
-    const avoided = options.avoidedWorkers();
-    return tables.pools.map(({name, standby}) => ({
+    const views = tables.pools.map(({name, standby}) => ({
       name,
       standby,
-      serving: collectServingHosts(name, standby, hosts, byHost, load, avoided),
-      arriving: collectArrivingHosts(name, hosts),
+      serving: [] as PoolHost[],
+      arriving: [] as PoolHost[],
       demand: demands.get(name) ?? NO_DEMAND,
     }));
+    const byName = new Map(views.map(pool => [pool.name, pool]));
+    const avoided = options.avoidedWorkers();
+    for (const host of hosts.values()) {
+      const serving = findServingHost(host, view, byName, avoided);
+      if (serving) byName.get(serving.pool)!.serving.push(serving.host);
+    }
+    for (const [id, {move}] of ongoingMoves) {
+      const host = hosts.get(id);
+      if (host) byName.get(move.to)?.arriving.push(toPoolHost(host));
+    }
+    return views;
   }
 
-  /** Hosts of the pool that can get runs, or for standby can be moved. */
-  function collectServingHosts(
-    pool: string,
-    standby: boolean,
-    hosts: ReadonlyMap<string, ProvidedHost>,
-    byHost: ReadonlyMap<string, Worker>,
-    load: Load,
+  /**
+   * The host with the pool that it serves, in which it can get runs or, if the
+   * pool is a standby pool, can be moved; undefined if there is none.
+   */
+  function findServingHost(
+    host: ProvidedHost,
+    {load, fleet}: StateView,
+    pools: ReadonlyMap<string, {readonly standby: boolean}>,
     avoided: ReadonlySet<string>,
-  ): PoolHost[] {
-    const serving: PoolHost[] = [];
-    for (const host of hosts.values()) {
-      const {id} = host;
-      if (ongoingMoves.has(id) || options.isInWave(id)) continue;
-      const hasForeignOrder = options.hasForeignOrder(id);
-      const worker = byHost.get(id);
-      if (standby) {
-        if (host.pool !== pool || host.state !== 'up') continue;
-        if (worker || hasForeignOrder) continue;
-        serving.push({...toPoolHost(host), idle: true});
-        continue;
-      }
-      if (worker?.pool !== pool || !options.isUsable(worker)) continue;
-      const key = workerKey(worker);
-      serving.push({
+  ): {pool: string; host: PoolHost} | undefined {
+    const {id} = host;
+    if (ongoingMoves.has(id) || options.isInWave(id)) return undefined;
+    const worker = fleet.newestOn(id);
+    if (!worker) {
+      if (!pools.get(host.pool)?.standby || host.state !== 'up')
+        return undefined;
+      if (options.hasForeignOrder(id)) return undefined;
+      return {pool: host.pool, host: {...toPoolHost(host), idle: true}};
+    }
+    const pool = pools.get(worker.pool);
+    if (!pool || pool.standby || !options.isUsable(worker)) return undefined;
+    const key = workerKey(worker);
+    const reserved = load.byWorker.get(key) ?? ZERO_SIZE;
+    return {
+      pool: worker.pool,
+      host: {
         ...toPoolHost(host),
         worker: key,
-        free: avoided.has(key)
-          ? ZERO_SIZE
-          : subtract(host.capacity, load.byWorker.get(key) ?? ZERO_SIZE),
+        free: avoided.has(key) ? ZERO_SIZE : subtract(host.capacity, reserved),
         idle: isIdle(id, worker, load),
         emptyInMs: options.emptyInMs(key, load),
         // A worker that is avoided is of no use to another pool either.
         pinned:
-          hasForeignOrder ||
+          options.hasForeignOrder(id) ||
           avoided.has(key) ||
           load.workersWithLongRunningTasks.has(key),
-      });
-    }
-    return serving;
-  }
-
-  /** Hosts that are moving to the pool. */
-  function collectArrivingHosts(
-    pool: string,
-    hosts: ReadonlyMap<string, ProvidedHost>,
-  ): PoolHost[] {
-    const arriving: PoolHost[] = [];
-    for (const [id, {move}] of ongoingMoves) {
-      const host = hosts.get(id);
-      if (move.to === pool && host) arriving.push(toPoolHost(host));
-    }
-    return arriving;
+      },
+    };
   }
 
   /** The host as the policy sees it while nothing runs on it. */
@@ -305,7 +303,7 @@
   function advanceMove(
     host: string,
     ongoing: OngoingMove,
-    byHost: ReadonlyMap<string, Worker>,
+    fleet: Fleet,
     load: Load,
   ): void {
     if (ongoing.phase === 'waiting') {
@@ -313,7 +311,7 @@
       return;
     }
     if (ongoing.phase !== 'moving') return;
-    const worker = byHost.get(host);
+    const worker = fleet.newestOn(host);
     if (worker && workerKey(worker) === ongoing.formerWorker) {
       options.onWorkerGone(ongoing.formerWorker);
     }
@@ -468,14 +466,3 @@
     orderedMs: 0,
   };
 }
-
-/** Returns the newest worker incarnation on each host. */
-function newestWorkersByHost(state: State): Map<string, Worker> {
-  const byHost = new Map<string, Worker>();
-  for (const worker of state.workers.values()) {
-    if (worker.host === '' || worker.phase === 'gone') continue;
-    const known = byHost.get(worker.host);
-    if (!known || worker.bornMs > known.bornMs) byHost.set(worker.host, worker);
-  }
-  return byHost;
-}
--- a/packages/dispatch/src/reconcile.ts
+++ b/packages/dispatch/src/reconcile.ts
@@ -6,23 +6,9 @@
   type Event,
   type Worker,
 } from '@lentildrift/queue';
-import type {LiveRun} from '@lentildrift/scheduling';
+import {runId, type LiveRun} from '@lentildrift/scheduling';
 import type {Report} from './driver.js';
 
-/** Identifies a run in maps and sets of the leader. */
-export function runId(task: string, run: number): string {
-  return `${task} ${run}`;
-}
-
-export function liveRunId({job, key, run}: LiveRun): string {
-  return runId(taskName(job.spec.id, key), run.number);
-}
-
-/** Whether a run is no longer needed because its task or job has ended. */
-export function isSurplus({job, task}: LiveRun): boolean {
-  return job.phase !== 'active' || task.done;
-}
-
 export interface Reconciliation {
   /** Newly reported ends and lost runs, to be recorded. */
   readonly events: readonly Event[];
@@ -58,7 +44,7 @@
     report.running.map(row => runId(row.task, row.run)),
   );
   const endedIds = new Set(report.ended.map(row => runId(row.task, row.run)));
-  const recordedIds = new Set(recorded.map(liveRunId));
+  const recordedIds = new Set(recorded.map(({id}) => id));
 
   const events: Event[] = [];
   const ends = report.ended
@@ -75,8 +61,7 @@
     events.push({type: 'ends', worker: key, upTo, ends: rows});
   }
 
-  const lost = recorded.filter(live => {
-    const id = liveRunId(live);
+  const lost = recorded.filter(({id}) => {
     return !runningIds.has(id) && !endedIds.has(id) && input.isSettled(id);
   });
   if (lost.length > 0) {
--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -10,11 +10,11 @@
   type State,
   type Worker,
 } from '@lentildrift/queue';
-import type {LiveRun} from '@lentildrift/scheduling';
+import {runId, type LiveRun} from '@lentildrift/scheduling';
 import type {Reply} from '@lentildrift/task';
 import {classifyAnnouncement} from './announcement.js';
 import type {Report, WorkerDriver} from './driver.js';
-import {liveRunId, runId, toLostRow} from './reconcile.js';
+import {toLostRow} from './reconcile.js';
 import type {WorkerSession} from './session.js';
 import {LEFT_GRACE_MS, RETRY_PAUSE_MS, WORKER_EXPIRY_MS} from './timing.js';
 import type {RunTracker} from './tracker.js';
@@ -106,7 +106,7 @@
     await options.sessionOf(oldKey)?.close();
     const unreported = options
       .recordedRuns(oldKey)
-      .filter(live => !runs.wasReported(liveRunId(live)));
+      .filter(({id}) => !runs.wasReported(id));
     for (const live of unreported) await deliverStop(live, worker);
     const ends =
       unreported.length > 0
@@ -153,7 +153,7 @@
     worker: Worker,
   ): Promise<EventOf<'ends'> | undefined | 'superseded'> {
     const target = {id: worker.id, address: worker.address};
-    const ids = new Set(stoppedRuns.map(liveRunId));
+    const ids = new Set(stoppedRuns.map(({id}) => id));
     while (!isStopped && !isSuperseded(worker)) {
       try {
         const order = {token, cursor: 0, waitMs: 0};
--- a/packages/dispatch/test/readiness.test.ts
+++ b/packages/dispatch/test/readiness.test.ts
@@ -34,6 +34,7 @@
     step: {...STEP, lasting: true, count: 2, mayMiss: 1},
     task: tasks['0.0.0'],
     run: RUNS[0]!,
+    id: 'l.0.0.0 1',
   };
 }
 
--- a/packages/scheduling/src/demand.ts
+++ b/packages/scheduling/src/demand.ts
@@ -6,7 +6,6 @@
   add,
   fits,
   isDue,
-  isLongRunning,
   isStepReady,
   occurrenceCount,
   stepKey,
@@ -17,7 +16,9 @@
   type Size,
   type State,
   type Step,
+  type Tables,
 } from '@lentildrift/queue';
+import type {Backlog} from './backlog.js';
 import {expectedDurationMs, type Durations} from './estimate.js';
 import {reservation, type Load} from './load.js';
 import {isLate} from './order.js';
@@ -65,63 +66,59 @@
  */
 const INFLOW_WINDOW_MS = 1000;
 
+/** A demand while it is being computed. */
+interface PartialDemand {
+  reserved: Size;
+  readonly waiting: WaitingTasks[];
+  inflowCpuMillis: number;
+}
+
 /** Computes the demand of each pool, by pool name. */
 export function measureDemand(
-  state: State,
+  {tables}: State,
   load: Load,
+  backlog: Backlog,
   nowMs: number,
   durations: Durations,
 ): ReadonlyMap<string, Demand> {
-  const queues = new Map(state.tables.queues.map(row => [row.name, row]));
-  const teamCaps = createTeamCaps(state, load);
-  const demands = new Map<string, Demand>();
-  const updateDemand = (
-    pool: string,
-    next: (known: Demand) => Partial<Demand>,
-  ) => {
-    const known = demands.get(pool) ?? NO_DEMAND;
-    demands.set(pool, {...known, ...next(known)});
+  const queues = new Map(tables.queues.map(row => [row.name, row]));
+  const teamCaps = createTeamCaps(tables, load);
+  const demands = new Map<string, PartialDemand>();
+  const demandOf = ({pool}: Queue): PartialDemand => {
+    let demand = demands.get(pool);
+    if (!demand) {
+      demand = {reserved: ZERO_SIZE, waiting: [], inflowCpuMillis: 0};
+      demands.set(pool, demand);
+    }
+    return demand;
   };
-  for (const {job, step} of load.runs) {
-    const pool = queues.get(job.spec.queue)?.pool;
-    if (pool === undefined) continue;
-    updateDemand(pool, ({reserved}) => ({
-      reserved: add(reserved, reservation(step)),
-    }));
+  for (const [name, reserved] of load.byQueue) {
+    const queue = queues.get(name);
+    if (!queue) continue;
+    const demand = demandOf(queue);
+    demand.reserved = add(demand.reserved, reserved);
+  }
+  for (const job of backlog.recentJobs(nowMs - INFLOW_WINDOW_MS)) {
+    const queue = queues.get(job.spec.queue);
+    if (!queue || job.acceptedAtMs > nowMs) continue;
+    demandOf(queue).inflowCpuMillis += inflowCpuMillis(job, queue, durations);
   }
-  for (const job of state.jobs.values()) {
+  for (const job of backlog.waitingJobs) {
     const queue = queues.get(job.spec.queue);
     if (!queue) continue;
-    const jobInflowCpuMillis = inflowCpuMillis(job, queue, nowMs, durations);
-    if (jobInflowCpuMillis > 0) {
-      updateDemand(queue.pool, known => ({
-        inflowCpuMillis: known.inflowCpuMillis + jobInflowCpuMillis,
-      }));
-    }
-    if (job.phase !== 'active') continue;
     const rows = listWaitingTasks({job, queue, nowMs, durations}, size =>
       teamCaps.tryReserve(job, size),
     );
-    if (rows.length === 0) continue;
-    updateDemand(queue.pool, ({waiting}) => ({waiting: [...waiting, ...rows]}));
+    if (rows.length > 0) demandOf(queue).waiting.push(...rows);
   }
   return demands;
 }
 
 /**
  * The CPU demand of a job that was accepted within the window: its expected
- * work divided by the length of the window. Scheduled and long-running jobs do
- * not count.
+ * work divided by the length of the window.
  */
-function inflowCpuMillis(
-  job: Job,
-  queue: Queue,
-  nowMs: number,
-  durations: Durations,
-): number {
-  const ageMs = nowMs - job.acceptedAtMs;
-  if (ageMs < 0 || ageMs >= INFLOW_WINDOW_MS) return 0;
-  if (job.spec.schedule || isLongRunning(job)) return 0;
+function inflowCpuMillis(job: Job, queue: Queue, durations: Durations): number {
   let work = 0;
   for (const step of job.spec.steps) {
     const {cpuMillis} = reservation(step);
@@ -142,8 +139,8 @@
 /**
  * Tracks teams' limits: tasks that a limit keeps from running are no demand.
  */
-function createTeamCaps(state: State, load: Load): TeamCaps {
-  const caps = new Map(state.tables.teams.map(({name, cap}) => [name, cap]));
+function createTeamCaps({teams}: Tables, load: Load): TeamCaps {
+  const caps = new Map(teams.map(({name, cap}) => [name, cap]));
   const used = new Map(load.byTeam);
   return {
     tryReserve({spec: {team}}, size) {
--- a/packages/scheduling/src/health.ts
+++ b/packages/scheduling/src/health.ts
@@ -21,6 +21,9 @@
 /** By worker key. */
 export type Health = ReadonlyMap<string, WorkerHealth>;
 
+/** A worker without failures since the last success. */
+const HEALTHY: WorkerHealth = {failedSteps: [], quarantinedUntilMs: 0};
+
 /**
  * A worker is quarantined once tasks of this many different steps have failed
  * on it without a success in between.
@@ -38,12 +41,9 @@
   ends: readonly EndRow[],
   nowMs: number,
 ): Health {
-  let workerHealth = health.get(worker) ?? {
-    failedSteps: [],
-    quarantinedUntilMs: 0,
-  };
+  let workerHealth = health.get(worker) ?? HEALTHY;
   for (const [name, , how] of ends) {
-    if (how === 'done') workerHealth = {failedSteps: [], quarantinedUntilMs: 0};
+    if (how === 'done') workerHealth = HEALTHY;
     if (how !== 'failed') continue;
     const {job, key} = splitTaskName(name);
     const failedStep = `${job}.${parseTaskKey(key).step}`;
@@ -56,8 +56,17 @@
         : workerHealth.quarantinedUntilMs,
     };
   }
-  if (workerHealth === health.get(worker)) return health;
-  return new Map(health).set(worker, workerHealth);
+  if (workerHealth === (health.get(worker) ?? HEALTHY)) return health;
+  const next = new Map(health);
+  // Only workers with failures are kept, so that the map stays small.
+  if (workerHealth === HEALTHY) next.delete(worker);
+  else next.set(worker, workerHealth);
+  return next;
+}
+
+/** Keys of the workers that are quarantined. */
+export function listQuarantined(health: Health, nowMs: number): string[] {
+  return [...health.keys()].filter(key => isQuarantined(health, key, nowMs));
 }
 
 export function isQuarantined(health: Health, worker: string, nowMs: number) {
--- /dev/null
+++ b/packages/scheduling/src/load-index.ts
@@ -0,0 +1,148 @@
+/**
+ * Keeps the load up to date as jobs change. An update takes the time of the
+ * runs of the changed job and of the other runs on the same workers.
+ */
+import {
+  add,
+  subtract,
+  ZERO_SIZE,
+  type Job,
+  type MapEntry,
+  type Size,
+} from '@lentildrift/queue';
+import {
+  isSurplus,
+  listJobRuns,
+  reservation,
+  type LiveRun,
+  type Load,
+} from './load.js';
+import type {UpdateEntry} from './sequence-list.js';
+
+export interface LoadIndex {
+  /** The current load; later updates change it. */
+  readonly load: Load;
+  readonly update: UpdateEntry<Job>;
+}
+
+/** The runs of a job, as they are counted in the load. */
+interface CountedJob {
+  readonly sequence: number;
+  readonly runs: readonly LiveRun[];
+}
+
+const NO_RUNS: readonly LiveRun[] = [];
+
+/** Sums of resources by a key, without the keys that nothing is counted for. */
+function createSums() {
+  const counts = new Map<string, number>();
+  const sums = new Map<string, Size>();
+  return {
+    sums,
+    add(key: string, size: Size): void {
+      counts.set(key, (counts.get(key) ?? 0) + 1);
+      sums.set(key, add(sums.get(key) ?? ZERO_SIZE, size));
+    },
+    remove(key: string, size: Size): void {
+      const count = counts.get(key)! - 1;
+      if (count > 0) {
+        counts.set(key, count);
+        sums.set(key, subtract(sums.get(key)!, size));
+      } else {
+        // Drops the rounding errors of fractional amounts as well.
+        counts.delete(key);
+        sums.delete(key);
+      }
+    },
+  };
+}
+
+export function createLoadIndex(): LoadIndex {
+  /** Jobs with runs, by ID. */
+  const countedJobs = new Map<string, CountedJob>();
+  const runsByWorker = new Map<string, readonly LiveRun[]>();
+  const byWorker = new Map<string, Size>();
+  const byTeam = createSums();
+  const byQueue = createSums();
+  const workersWithLongRunningTasks = new Set<string>();
+  const surplus = new Map<string, LiveRun>();
+
+  function update(
+    before: MapEntry<Job> | undefined,
+    after: MapEntry<Job> | undefined,
+  ): void {
+    const id = (before ?? after)!.key;
+    const removed = countedJobs.get(id)?.runs ?? NO_RUNS;
+    const added = after ? listJobRuns(after.value) : NO_RUNS;
+    if (removed.length === 0 && added.length === 0) return;
+    if (after && added.length > 0) {
+      countedJobs.set(id, {sequence: after.sequence, runs: added});
+    } else {
+      countedJobs.delete(id);
+    }
+    const workers = new Set<string>();
+    for (const live of removed) {
+      const {job, step, run} = live;
+      workers.add(run.worker);
+      byQueue.remove(job.spec.queue, reservation(step));
+      if (job.spec.team !== undefined) byTeam.remove(job.spec.team, step.size);
+      surplus.delete(live.id);
+    }
+    for (const live of added) {
+      const {job, step, run} = live;
+      workers.add(run.worker);
+      byQueue.add(job.spec.queue, reservation(step));
+      if (job.spec.team !== undefined) byTeam.add(job.spec.team, step.size);
+      if (isSurplus(live)) surplus.set(live.id, live);
+    }
+    for (const worker of workers) updateWorker(worker, id, added);
+  }
+
+  /** Replaces the runs of a job on a worker by those in `added`. */
+  function updateWorker(
+    worker: string,
+    id: string,
+    added: readonly LiveRun[],
+  ): void {
+    const runs: LiveRun[] = [];
+    for (const live of runsByWorker.get(worker) ?? NO_RUNS) {
+      if (live.job.spec.id !== id) runs.push(live);
+    }
+    for (const live of added) if (live.run.worker === worker) runs.push(live);
+    if (runs.length === 0) {
+      runsByWorker.delete(worker);
+      byWorker.delete(worker);
+      workersWithLongRunningTasks.delete(worker);
+      return;
+    }
+    runs.sort((a, b) => sequenceOf(a) - sequenceOf(b));
+    runsByWorker.set(worker, runs);
+    // The sum is calculated anew: the difference of fractional amounts would
+    // leave rounding errors, by which an equal task might no longer fit.
+    byWorker.set(
+      worker,
+      runs.reduce((sum, {step}) => add(sum, reservation(step)), ZERO_SIZE),
+    );
+    if (runs.some(({step}) => step.lasting)) {
+      workersWithLongRunningTasks.add(worker);
+    } else {
+      workersWithLongRunningTasks.delete(worker);
+    }
+  }
+
+  function sequenceOf({job}: LiveRun): number {
+    return countedJobs.get(job.spec.id)!.sequence;
+  }
+
+  return {
+    load: {
+      runsByWorker,
+      byWorker,
+      byTeam: byTeam.sums,
+      byQueue: byQueue.sums,
+      workersWithLongRunningTasks,
+      surplus,
+    },
+    update,
+  };
+}
--- a/packages/scheduling/src/load.ts
+++ b/packages/scheduling/src/load.ts
@@ -2,7 +2,7 @@
 import {
   add,
   parseTaskKey,
-  stepKey,
+  taskName,
   ZERO_SIZE,
   type Job,
   type Run,
@@ -20,21 +20,36 @@
   readonly step: Step;
   readonly task: Task;
   readonly run: Run;
+  /** Identifies the run among all runs, see `runId`. */
+  readonly id: string;
 }
 
 export interface Load {
-  readonly runs: readonly LiveRun[];
+  /**
+   * Runs that are recorded for each worker, by worker key, in the order in
+   * which their jobs were accepted. Workers without runs are absent.
+   */
+  readonly runsByWorker: ReadonlyMap<string, readonly LiveRun[]>;
   /** Reserved resources, by worker key. */
   readonly byWorker: ReadonlyMap<string, Size>;
   /** Resources in use, by team name. */
   readonly byTeam: ReadonlyMap<string, Size>;
+  /** Reserved resources, by queue name. */
+  readonly byQueue: ReadonlyMap<string, Size>;
   /** Keys of the workers that run a long-running task. */
   readonly workersWithLongRunningTasks: ReadonlySet<string>;
-  /**
-   * Number of runs of a step of one occurrence on a worker, by
-   * `stepRunCountKey`.
-   */
-  readonly stepRunCounts: ReadonlyMap<string, number>;
+  /** Runs that are no longer needed, see `isSurplus`, by ID. */
+  readonly surplus: ReadonlyMap<string, LiveRun>;
+}
+
+/** Identifies a run among the runs of all tasks. */
+export function runId(task: string, run: number): string {
+  return `${task} ${run}`;
+}
+
+/** Whether a run is no longer needed because its task or job has ended. */
+export function isSurplus({job, task}: LiveRun): boolean {
+  return job.phase !== 'active' || task.done;
 }
 
 /** Resources that a run of the step reserves on its worker. */
@@ -42,55 +57,56 @@
   return filler ? {...size, cpuMillis: 0} : size;
 }
 
-/** Key of the count of a step's runs on a worker; `step` is a `stepKey`. */
-export function stepRunCountKey(
-  job: string,
-  step: string,
-  worker: string,
-): string {
-  return `${job} ${step} ${worker}`;
-}
-
-/** Lists all recorded runs. */
-export function listLiveRuns(state: State): LiveRun[] {
+/** Lists the recorded runs of a job. */
+export function listJobRuns(job: Job): LiveRun[] {
   const runs: LiveRun[] = [];
-  for (const job of state.jobs.values()) {
-    if (!job.started) continue;
-    for (const key in job.tasks) {
-      const task = job.tasks[key]!;
-      if (task.runs.length === 0) continue;
-      const step = job.spec.steps[parseTaskKey(key).step]!;
-      for (const run of task.runs) runs.push({job, key, step, task, run});
+  if (!job.started) return runs;
+  for (const key in job.tasks) {
+    const task = job.tasks[key]!;
+    if (task.runs.length === 0) continue;
+    const step = job.spec.steps[parseTaskKey(key).step]!;
+    const name = taskName(job.spec.id, key);
+    for (const run of task.runs) {
+      runs.push({job, key, step, task, run, id: runId(name, run.number)});
     }
   }
   return runs;
 }
 
-/** Sums up the recorded runs by worker, team and step. */
+/**
+ * Sums up the recorded runs of all jobs. `createLoadIndex` keeps the same
+ * values up to date at the cost of the jobs that change.
+ */
 export function measureLoad(state: State): Load {
+  const runsByWorker = new Map<string, LiveRun[]>();
   const byWorker = new Map<string, Size>();
   const byTeam = new Map<string, Size>();
+  const byQueue = new Map<string, Size>();
   const workersWithLongRunningTasks = new Set<string>();
-  const stepRunCounts = new Map<string, number>();
-  const runs = listLiveRuns(state);
-  for (const {job, key, step, run} of runs) {
+  const surplus = new Map<string, LiveRun>();
+  for (const live of state.jobs.values().flatMap(listJobRuns)) {
+    const {job, step, run, id} = live;
     const {worker} = run;
-    const {team, id} = job.spec;
-    byWorker.set(
-      worker,
-      add(byWorker.get(worker) ?? ZERO_SIZE, reservation(step)),
-    );
+    const {team, queue} = job.spec;
+    const known = runsByWorker.get(worker);
+    if (known) known.push(live);
+    else runsByWorker.set(worker, [live]);
+    addTo(byWorker, worker, reservation(step));
+    addTo(byQueue, queue, reservation(step));
+    if (team !== undefined) addTo(byTeam, team, step.size);
     if (step.lasting) workersWithLongRunningTasks.add(worker);
-    if (team !== undefined) {
-      byTeam.set(team, add(byTeam.get(team) ?? ZERO_SIZE, step.size));
-    }
-    const position = parseTaskKey(key);
-    const countKey = stepRunCountKey(
-      id,
-      stepKey(position.occurrence, position.step),
-      worker,
-    );
-    stepRunCounts.set(countKey, (stepRunCounts.get(countKey) ?? 0) + 1);
+    if (isSurplus(live)) surplus.set(id, live);
   }
-  return {runs, byWorker, byTeam, workersWithLongRunningTasks, stepRunCounts};
+  return {
+    runsByWorker,
+    byWorker,
+    byTeam,
+    byQueue,
+    workersWithLongRunningTasks,
+    surplus,
+  };
+}
+
+function addTo(sums: Map<string, Size>, key: string, size: Size): void {
+  sums.set(key, add(sums.get(key) ?? ZERO_SIZE, size));
 }
--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -25,8 +25,9 @@
   type Task,
   type Team,
 } from '@lentildrift/queue';
+import type {Backlog} from './backlog.js';
 import {expectedDurationMs, type Durations} from './estimate.js';
-import {reservation, stepRunCountKey, type Load} from './load.js';
+import {reservation, type Load} from './load.js';
 import type {JobOrder} from './order.js';
 import type {Candidate, Placement} from './placement.js';
 
@@ -39,8 +40,12 @@
 export interface PlanInput {
   readonly state: State;
   readonly load: Load;
-  /** Workers that may get new runs; here `free` is their whole capacity. */
-  readonly workers: readonly Candidate[];
+  readonly backlog: Pick<Backlog, 'waitingJobs'>;
+  /**
+   * Workers of a pool that may get new runs; here `free` is their whole
+   * capacity.
+   */
+  candidatesIn(pool: string): readonly Candidate[];
   readonly nowMs: number;
   readonly durations: Durations;
   /** Advised workers, for the queues that require placement advice. */
@@ -77,39 +82,73 @@
 }
 
 function collectReadySteps(input: PlanInput): ReadyStep[] {
-  const {state, order, nowMs, durations} = input;
+  const {state, backlog, order, nowMs, durations} = input;
   const queues = new Map(state.tables.queues.map(row => [row.name, row]));
   const readySteps: ReadyStep[] = [];
-  for (const job of state.jobs.values()) {
+  for (const job of backlog.waitingJobs) {
     const queue = queues.get(job.spec.queue);
-    if (job.phase !== 'active' || !queue) continue;
-    for (
-      let occurrence = 0;
-      occurrence < occurrenceCount(job.spec);
-      occurrence++
-    ) {
-      if (!isDue(job, occurrence, nowMs)) break;
-      let rank: number | undefined;
-      job.spec.steps.forEach((step, stepIndex) => {
-        if (!hasWaitingTask(job, occurrence, stepIndex, step)) return;
-        if (!isStepReady(job, occurrence, stepIndex)) return;
-        rank ??= order.rank({job, queue, occurrence, nowMs, durations});
-        readySteps.push({job, queue, occurrence, stepIndex, step, rank});
-      });
+    if (!queue) continue;
+    let rankedOccurrence = -1;
+    let rank = 0;
+    for (const {occurrence, stepIndex} of listReadySteps(job, nowMs)) {
+      if (occurrence !== rankedOccurrence) {
+        rank = order.rank({job, queue, occurrence, nowMs, durations});
+        rankedOccurrence = occurrence;
+      }
+      const step = job.spec.steps[stepIndex]!;
+      readySteps.push({job, queue, occurrence, stepIndex, step, rank});
     }
   }
   return readySteps;
 }
 
-function hasWaitingTask(
+/** Position of a step within its job. */
+interface StepPosition {
+  readonly occurrence: number;
+  readonly stepIndex: number;
+}
+
+/** The ready steps of jobs, with the number of occurrences that were due. */
+const readyStepsByJob = new WeakMap<
+  Job,
+  {readonly dueCount: number; readonly steps: readonly StepPosition[]}
+>();
+
+/** Lists the ready steps of an active job; cached while it does not change. */
+function listReadySteps(job: Job, nowMs: number): readonly StepPosition[] {
+  const dueCount = countDueOccurrences(job, nowMs);
+  const cached = readyStepsByJob.get(job);
+  if (cached?.dueCount === dueCount) return cached.steps;
+  const steps: StepPosition[] = [];
+  for (let occurrence = 0; occurrence < dueCount; occurrence++) {
+    for (const [stepIndex, step] of job.spec.steps.entries()) {
+      if (!isStepWaiting(job, occurrence, stepIndex, step)) continue;
+      if (!isStepReady(job, occurrence, stepIndex)) continue;
+      steps.push({occurrence, stepIndex});
+    }
+  }
+  readyStepsByJob.set(job, {dueCount, steps});
+  return steps;
+}
+
+function countDueOccurrences(job: Job, nowMs: number): number {
+  const count = occurrenceCount(job.spec);
+  for (let occurrence = 0; occurrence < count; occurrence++) {
+    if (!isDue(job, occurrence, nowMs)) return occurrence;
+  }
+  return count;
+}
+
+function isStepWaiting(
   job: Job,
   occurrence: number,
-  stepNo: number,
+  stepIndex: number,
   step: Step,
 ) {
-  if ((job.done[stepKey(occurrence, stepNo)] ?? 0) >= step.count) return false;
+  const done = job.done[stepKey(occurrence, stepIndex)] ?? 0;
+  if (done >= step.count) return false;
   for (let index = 0; index < step.count; index++) {
-    const task = job.tasks[taskKey({occurrence, step: stepNo, index})];
+    const task = job.tasks[taskKey({occurrence, step: stepIndex, index})];
     if (isWaiting(task)) return true;
   }
   return false;
@@ -121,38 +160,55 @@
 
 /** Remaining capacity and the decisions so far in a round. */
 interface RoundState {
+  /** Candidates of the pools that a step has needed so far. */
   readonly byPool: Map<string, Candidate[]>;
   readonly teams: Map<string, {team: Team; used: Size}>;
-  readonly stepRunCounts: Map<string, number>;
+  /** Keys of kinds of tasks that fit on no worker, see `Placing.kind`. */
+  readonly unplaceableKinds: Set<string>;
   readonly starts: StartRow[];
   readonly stepsAwaitingAdvice: {step: string; pool: string}[];
   readonly shortPools: Set<string>;
 }
 
-function createRoundState({state, load, workers}: PlanInput): RoundState {
-  const byPool = new Map<string, Candidate[]>();
-  for (const candidate of workers) {
-    const used = load.byWorker.get(candidate.key) ?? ZERO_SIZE;
-    const free = subtract(candidate.free, used);
-    const {pool} = candidate.worker;
-    const list = byPool.get(pool);
-    if (list) list.push({...candidate, free});
-    else byPool.set(pool, [{...candidate, free}]);
-  }
+function createRoundState({state, load}: PlanInput): RoundState {
   const teams = new Map<string, {team: Team; used: Size}>();
   for (const team of state.tables.teams) {
     teams.set(team.name, {team, used: load.byTeam.get(team.name) ?? ZERO_SIZE});
   }
   return {
-    byPool,
+    byPool: new Map(),
     teams,
-    stepRunCounts: new Map(load.stepRunCounts),
+    unplaceableKinds: new Set(),
     starts: [],
     stepsAwaitingAdvice: [],
     shortPools: new Set(),
   };
 }
 
+/** The candidates of a pool with the capacity that remains in the round. */
+function poolCandidates(
+  {load, candidatesIn}: PlanInput,
+  {byPool}: RoundState,
+  pool: string,
+): Candidate[] {
+  let candidates = byPool.get(pool);
+  if (!candidates) {
+    candidates = candidatesIn(pool).map(candidate => {
+      const used = load.byWorker.get(candidate.key) ?? ZERO_SIZE;
+      return {...candidate, free: subtract(candidate.free, used)};
+    });
+    byPool.set(pool, candidates);
+  }
+  return candidates;
+}
+
+/** Groups candidates for `candidatesIn`. */
+export function groupByPool(
+  candidates: readonly Candidate[],
+): (pool: string) => readonly Candidate[] {
+  return pool => candidates.filter(({worker}) => worker.pool === pool);
+}
+
 function placeReadySteps(
   input: PlanInput,
   readySteps: readonly ReadyStep[],
@@ -188,13 +244,13 @@
   readyStep: ReadyStep,
 ): void {
   const {job, occurrence, stepIndex, step, queue} = readyStep;
-  const size = reservation(step);
+  const placing = createPlacing(input, readyStep);
   for (let index = 0; index < step.count; index++) {
     const key = taskKey({occurrence, step: stepIndex, index});
     const task = job.tasks[key] ?? NEW_TASK;
     if (!isWaiting(task)) continue;
     if (!isWithinCap(round, job, step.size)) return;
-    const chosen = choose(input, round, readyStep, task);
+    const chosen = chooseAndReserve(input, round, placing, task);
     if (!chosen) {
       // The other tasks of the step are of the same size, so none of them fits.
       if (task.failedOn.length === 0) {
@@ -203,13 +259,6 @@
       }
       continue;
     }
-    reserve(
-      round,
-      readyStep,
-      chosen,
-      size,
-      expectedTaskDurationMs(input, readyStep),
-    );
     const name = taskName(job.spec.id, key);
     round.starts.push([name, task.lastRun + 1, chosen.key]);
   }
@@ -230,65 +279,134 @@
   );
   const tasks = keys.map(key => job.tasks[key] ?? NEW_TASK);
   if (!tasks.every(isWaiting)) return;
+  const placing = createPlacing(input, readyStep);
+  const {pool} = readyStep.queue;
   const saved = {
-    pool: [...(round.byPool.get(readyStep.queue.pool) ?? [])],
+    pool: [...poolCandidates(input, round, pool)],
     team: round.teams.get(job.spec.team ?? ''),
-    stepRunCounts: new Map(round.stepRunCounts),
   };
   const run = Math.max(...tasks.map(({lastRun}) => lastRun)) + 1;
   const rows: StartRow[] = [];
   let gangRack: string | undefined;
   for (const [index, task] of tasks.entries()) {
     const chosen = isWithinCap(round, job, step.size)
-      ? choose(input, round, readyStep, task, gangRack)
+      ? chooseAndReserve(input, round, placing, task, gangRack)
       : undefined;
     if (!chosen) {
-      round.byPool.set(readyStep.queue.pool, saved.pool);
+      round.byPool.set(pool, saved.pool);
       if (saved.team) round.teams.set(saved.team.team.name, saved.team);
-      round.stepRunCounts.clear();
-      saved.stepRunCounts.forEach((count, key) =>
-        round.stepRunCounts.set(key, count),
-      );
-      round.shortPools.add(readyStep.queue.pool);
+      round.shortPools.add(pool);
       return;
     }
     if (step.sameRack) gangRack ??= rackOf(chosen.worker);
-    const size = reservation(step);
-    reserve(
-      round,
-      readyStep,
-      chosen,
-      size,
-      expectedTaskDurationMs(input, readyStep),
-    );
     rows.push([taskName(job.spec.id, keys[index]!), run, chosen.key]);
   }
   round.starts.push(...rows);
 }
 
-function choose(
+/** A step whose tasks are being placed. */
+interface Placing {
+  readonly readyStep: ReadyStep;
+  /** Resources that each task reserves. */
+  readonly size: Size;
+  readonly durationMs: number;
+  /**
+   * Number of runs of the step by worker key, including those placed in this
+   * round; undefined if the step has no limit for each worker.
+   */
+  readonly runCounts: Map<string, number> | undefined;
+  /** Key of `unplaceableKinds`; undefined if other limits apply as well. */
+  readonly kind: string | undefined;
+  hasPlacedTasks: boolean;
+}
+
+function createPlacing(input: PlanInput, readyStep: ReadyStep): Placing {
+  const {job, occurrence, stepIndex, step, queue} = readyStep;
+  const size = reservation(step);
+  const {cpuMillis, memoryMb, gpus} = size;
+  const isLimited = step.maxPerWorker > 0;
+  return {
+    readyStep,
+    size,
+    durationMs: expectedTaskDurationMs(input, readyStep),
+    runCounts: isLimited
+      ? countStepRuns(job, occurrence, stepIndex)
+      : undefined,
+    kind:
+      isLimited || queue.advice
+        ? undefined
+        : JSON.stringify([queue.pool, cpuMillis, memoryMb, gpus, step.label]),
+    hasPlacedTasks: false,
+  };
+}
+
+/** Number of runs of the step of one occurrence, by worker key. */
+function countStepRuns(
+  job: Job,
+  occurrence: number,
+  stepIndex: number,
+): Map<string, number> {
+  const counts = new Map<string, number>();
+  const {count} = job.spec.steps[stepIndex]!;
+  for (let index = 0; index < count; index++) {
+    const task = job.tasks[taskKey({occurrence, step: stepIndex, index})];
+    for (const {worker} of task?.runs ?? []) {
+      counts.set(worker, (counts.get(worker) ?? 0) + 1);
+    }
+  }
+  return counts;
+}
+
+/**
+ * Chooses a worker for a task and deducts the task from the capacity that
+ * remains in the round.
+ */
+function chooseAndReserve(
   input: PlanInput,
   round: RoundState,
-  readyStep: ReadyStep,
+  placing: Placing,
   task: Task,
   gangRack?: string,
+): Candidate | undefined {
+  const {kind} = placing;
+  // Capacity only decreases during a round, except for the members of a gang
+  // that is given up. A failure after such members were placed is no evidence.
+  if (kind !== undefined && round.unplaceableKinds.has(kind)) return undefined;
+  const chosen = choose(input, round, placing, task, gangRack);
+  if (chosen) {
+    reserve(input, round, placing, chosen);
+    placing.hasPlacedTasks = true;
+  } else if (kind !== undefined && !isInPlacedGang(placing)) {
+    round.unplaceableKinds.add(kind);
+  }
+  return chosen;
+}
+
+function isInPlacedGang({readyStep, hasPlacedTasks}: Placing): boolean {
+  return readyStep.step.gang && hasPlacedTasks;
+}
+
+function choose(
+  input: PlanInput,
+  round: RoundState,
+  {readyStep, size, durationMs, runCounts}: Placing,
+  task: Task,
+  gangRack: string | undefined,
 ): Candidate | undefined {
   const {queue, step} = readyStep;
   const allowed = queue.advice && input.advisedWorkers.get(stepName(readyStep));
-  let candidates = round.byPool.get(queue.pool) ?? [];
+  let candidates = poolCandidates(input, round, queue.pool);
   if (allowed) candidates = candidates.filter(({key}) => allowed.has(key));
-  if (step.maxPerWorker > 0) {
+  if (runCounts) {
     candidates = candidates.filter(
-      ({key}) =>
-        (round.stepRunCounts.get(runCountKey(readyStep, key)) ?? 0) <
-        step.maxPerWorker,
+      ({key}) => (runCounts.get(key) ?? 0) < step.maxPerWorker,
     );
   }
   const {failedOn} = task;
   return input.placement.choose({
     step,
-    size: reservation(step),
-    durationMs: expectedTaskDurationMs(input, readyStep),
+    size,
+    durationMs,
     candidates,
     failedOn,
     gangRack,
@@ -304,38 +422,20 @@
     : expectedDurationMs(durations, queue.name, step);
 }
 
-function runCountKey(
-  {job, occurrence, stepIndex}: ReadyStep,
-  worker: string,
-): string {
-  return stepRunCountKey(job.spec.id, stepKey(occurrence, stepIndex), worker);
-}
-
-/** Deducts a placed task from the capacity that remains in the round. */
 function reserve(
+  input: PlanInput,
   round: RoundState,
-  readyStep: ReadyStep,
-  {key}: Candidate,
-  size: Size,
-  durationMs: number,
+  {readyStep, size, durationMs, runCounts}: Placing,
+  chosen: Candidate,
 ): void {
   const {queue, job, step} = readyStep;
-  const list = round.byPool.get(queue.pool)!;
-  const next = list.map(each =>
-    each.key === key
-      ? {
-          ...each,
-          free: subtract(each.free, size),
-          emptyInMs: Math.max(each.emptyInMs, durationMs),
-        }
-      : each,
-  );
-  round.byPool.set(queue.pool, next);
-  const countKey = runCountKey(readyStep, key);
-  round.stepRunCounts.set(
-    countKey,
-    (round.stepRunCounts.get(countKey) ?? 0) + 1,
-  );
+  const candidates = poolCandidates(input, round, queue.pool);
+  candidates[candidates.indexOf(chosen)] = {
+    ...chosen,
+    free: subtract(chosen.free, size),
+    emptyInMs: Math.max(chosen.emptyInMs, durationMs),
+  };
+  runCounts?.set(chosen.key, (runCounts.get(chosen.key) ?? 0) + 1);
   const teamUsage = round.teams.get(job.spec.team ?? '');
   if (teamUsage) {
     const used = add(teamUsage.used, step.size);
--- a/packages/scheduling/test/pools.test.ts
+++ b/packages/scheduling/test/pools.test.ts
@@ -2,6 +2,7 @@
 import {describe, expect, it} from 'vitest';
 import {
   ElasticPools,
+  measureBacklog,
   measureDemand,
   measureLoad,
   NO_DEMAND,
@@ -15,7 +16,9 @@
 
 function demandOf(state: State, nowMs = 0): Demand {
   const load = measureLoad(state);
-  return measureDemand(state, load, nowMs, NO_DURATIONS).get('p') ?? NO_DEMAND;
+  const backlog = measureBacklog(state);
+  const demands = measureDemand(state, load, backlog, nowMs, NO_DURATIONS);
+  return demands.get('p') ?? NO_DEMAND;
 }
 
 function waitingCounts({waiting}: Demand): number[] {
--- a/packages/testkit/src/jobs/hosts.ts
+++ b/packages/testkit/src/jobs/hosts.ts
@@ -14,6 +14,7 @@
   type PoolHost,
   type PoolPolicy,
   type PoolView,
+  type StateView,
 } from '@lentildrift/scheduling';
 import type {TrafficShape} from './shape.js';
 
@@ -62,7 +63,7 @@
   applyPolicy(
     policy: PoolPolicy,
     state: State,
-    load: Load,
+    view: Pick<StateView, 'load' | 'backlog'>,
     nowMs: number,
     durations: Durations,
     emptyInMs: (worker: string) => number,
@@ -175,8 +176,8 @@
       }
       return events;
     },
-    applyPolicy(policy, state, load, nowMs, durations, emptyInMs) {
-      const demands = measureDemand(state, load, nowMs, durations);
+    applyPolicy(policy, state, {load, backlog}, nowMs, durations, emptyInMs) {
+      const demands = measureDemand(state, load, backlog, nowMs, durations);
       const views = state.tables.pools.map(({name, standby}): PoolView => {
         const serving = hosts.filter(({pool, move}) => pool === name && !move);
         const arriving = hosts.filter(({move}) => move?.targetPool === name);
--- a/packages/testkit/src/jobs/trial.ts
+++ b/packages/testkit/src/jobs/trial.ts
@@ -14,16 +14,17 @@
   type State,
 } from '@lentildrift/queue';
 import {
+  createStateIndex,
   expectedDurationMs,
-  recordDuration,
-  measureLoad,
+  groupByPool,
   NO_DURATIONS,
   plan,
+  recordDuration,
   type Durations,
   type JobOrder,
-  type Load,
   type Placement,
   type PoolPolicy,
+  type StateView,
 } from '@lentildrift/scheduling';
 import {computeScore, type TrialScore} from './score.js';
 import {createSimulatedHosts, STANDBY, type SimulatedHosts} from './hosts.js';
@@ -77,6 +78,7 @@
   const arrivalsById = new Map(arrivals.map(each => [each.spec.id, each]));
   const hosts = createSimulatedHosts(shape);
   const endedMs = new Map<string, number>();
+  const index = createStateIndex();
   let state = createState(shape, hosts);
   let durations: Durations = NO_DURATIONS;
   let running: RunningTask[] = [];
@@ -105,12 +107,10 @@
     running = running.filter(({endMs}) => endMs > nowMs);
     events.push(...toEndEvents(state, ended));
     for (const end of ended) durations = recordRun(durations, state, end);
-    let load = measureLoad(state);
-    events.push(...hosts.advance(nowMs, load));
+    events.push(...hosts.advance(nowMs, index.viewOf(state).load));
     if (events.length > 0) {
       const before = state;
       state = apply(state, {events}).state;
-      load = measureLoad(state);
       recordJobEnds(before, state, ended, nowMs, endedMs);
     }
     const remainingByWorker = computeRemainingMs(
@@ -122,7 +122,7 @@
     const emptyInMs = (worker: string) => remainingByWorker.get(worker) ?? 0;
     const decision = decide(options, {
       state,
-      load,
+      view: index.viewOf(state),
       hosts,
       nowMs,
       durations,
@@ -145,11 +145,10 @@
         durations,
         nowMs,
       );
-      load = measureLoad(state);
       hosts.applyPolicy(
         options.pools,
         state,
-        load,
+        index.viewOf(state),
         nowMs,
         durations,
         worker => remainingAfterStarts.get(worker) ?? 0,
@@ -193,7 +192,7 @@
 /** Input of one decision round. */
 interface RoundInput {
   readonly state: State;
-  readonly load: Load;
+  readonly view: StateView;
   readonly hosts: SimulatedHosts;
   readonly nowMs: number;
   readonly durations: Durations;
@@ -202,7 +201,7 @@
 
 function decide(
   {order, placement}: TrialOptions,
-  {state, load, hosts, nowMs, durations, emptyInMs}: RoundInput,
+  {state, view, hosts, nowMs, durations, emptyInMs}: RoundInput,
 ) {
   const workers = [...state.workers.values()]
     .map(worker => ({
@@ -216,8 +215,9 @@
   const advisedWorkers = new Map();
   return plan({
     state,
-    load,
-    workers,
+    load: view.load,
+    backlog: view.backlog,
+    candidatesIn: groupByPool(workers),
     nowMs,
     durations,
     advisedWorkers,
