Ask a worker again only once its ends are recorded

What callers saw: late ends while the leader is slow; holds repeat what is already being committed. Cause: a worker answers a hold at once while an end is not acknowledged. With commits of more than 500 ms the leader held each worker again in that time, got the same ends and handled them again. Evidence: on the parent the new test fails with "to have a length of 1 but got 3".

--- a/packages/dispatch/src/session.ts
+++ b/packages/dispatch/src/session.ts
@@ -92,9 +92,11 @@
 const MAX_RETRY_PAUSE_MS = 800;
 /**
  * Longest wait for reported ends to become durable; after that the lease is
- * renewed without them.
+ * renewed without them. Such a hold brings the same ends again, and many of them
+ * would slow the commits that they wait for. A third of the lease leaves time
+ * for two more holds.
  */
-const MAX_ACKNOWLEDGE_WAIT_MS = 500;
+const MAX_ACKNOWLEDGE_WAIT_MS = LEASE_MS / 3;
 
 export function openWorkerSession(
   options: WorkerSessionOptions,
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -238,6 +238,20 @@
     expect(harness.replica.state().workers.get('w1')!.phase).toBe('draining');
   });
 
+  // A hold before the commit brings the same ends again, which slows the commit.
+  it('is not asked again for ends that are being committed', async () => {
+    await createCluster({behave: () => ({durationMs: 1000})}, 1);
+    await harness.submit(job('a'));
+    await harness.advance(500);
+    harness.replica.commitDelayMs = 1200;
+    const hold = vi.spyOn(harness.fleet, 'hold');
+    await harness.advance(1700);
+    const withEnds = hold.mock.settledResults.filter(
+      ({type, value}) => type === 'fulfilled' && value.ended.length > 0,
+    );
+    expect(withEnds).toHaveLength(1);
+  });
+
   it('that has left is removed once while commits are slow', async () => {
     await createCluster({}, 1);
     let removals = 0;
