Limit the share of the leader's time for rebalancing

Cause: while tasks wait for hosts, pools are rebalanced every 30 ms, and each time all waiting tasks are packed onto all hosts. This took 200 ms in each second (rebalanceMs of the leader's log line), more the more tasks waited. Change: after a rebalancing the leader pauses for nine tenths of the time, or 30 ms if that is longer.

--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -142,11 +142,14 @@
  * once the run has exceeded that duration.
  */
 const MIN_REMAINING_SHARE = 0.25;
+/** Shortest pause between two rebalancings of hosts among pools. */
+const REBALANCE_PAUSE_MS = 30;
 /**
- * Shortest pause between two rebalancings of hosts among pools, however many
- * rounds find no capacity for a task.
+ * Largest share of the time spent on rebalancing. Its cost grows with the tasks
+ * that wait, so without this limit a shortage of hosts slows the commits that
+ * would end it.
  */
-const REBALANCE_PAUSE_MS = 30;
+const MAX_REBALANCE_SHARE = 0.1;
 
 const NO_RUNS: readonly LiveRun[] = [];
 const NO_KEYS: ReadonlySet<string> = new Set();
@@ -181,7 +184,8 @@
   let isCommitPending = false;
   /** Workers, by `workerKey`, with runs in the change being committed. */
   let startingWorkers: ReadonlySet<string> = new Set();
-  let poolsRebalancedMs = -Infinity;
+  /** Monotonic time of the next rebalancing at the earliest. */
+  let nextRebalanceMs = -Infinity;
   /** Whether something has changed that the next round may act on. */
   let dirty = true;
   let roundTimer: NodeJS.Timeout | undefined;
@@ -723,10 +727,12 @@
   }
 
   function rebalancePools(): void {
-    const nowMs = performance.now();
-    if (nowMs - poolsRebalancedMs < REBALANCE_PAUSE_MS) return;
-    poolsRebalancedMs = nowMs;
+    const startMs = performance.now();
+    if (startMs < nextRebalanceMs) return;
     time('rebalance', () => rebalancer.tick(currentView()));
+    const endMs = performance.now();
+    const pauseMs = (endMs - startMs) / MAX_REBALANCE_SHARE;
+    nextRebalanceMs = endMs + Math.max(REBALANCE_PAUSE_MS, pauseMs);
   }
 
   function updateSessions(): void {
