Send orders and begin sessions in several turns of the event loop

What callers saw: after a power loss, leaders followed each other every two seconds for 15 s; requests were given up and jobs waited. Cause: a new leader finds all workers free and hundreds of tasks waiting. It sent all orders of its first change in one turn, right after it had opened the connections to all workers in another. No heartbeat left meanwhile, so the next member was elected and did the same.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -62,9 +62,19 @@
   close(): Promise<void>;
 }
 
+/**
+ * Sessions that begin in one turn of the event loop. Each opens a connection;
+ * for all workers of a large fleet at once, a new leader would send its first
+ * heartbeats too late.
+ */
+const SESSIONS_PER_TURN = 16;
+
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const {token, driver, tasks, log, metrics, runs, state} = options;
   const sessions = new Map<string, WorkerSession>();
+  /** Open sessions that are still to begin. */
+  let waitingSessions: WorkerSession[] = [];
+  let beginTimer: NodeJS.Immediate | undefined;
   /** The workers for which the sessions were opened. */
   let syncedWorkers: State['workers'] = PersistentMap.empty();
   const startCount: Counter = metrics.counter(
@@ -88,22 +98,30 @@
       if (after) openSession(after.value);
     });
     syncedWorkers = workers;
+    if (!beginTimer) beginSessions();
   }
 
   function openSession(worker: Worker): void {
     const {isLeader, onEvent} = options;
-    sessions.set(
-      workerKey(worker),
-      openWorkerSession({
-        worker,
-        token,
-        driver,
-        tasks,
-        log,
-        isLeader,
-        onEvent,
-      }),
-    );
+    const session = openWorkerSession({
+      worker,
+      token,
+      driver,
+      tasks,
+      log,
+      isLeader,
+      onEvent,
+    });
+    sessions.set(workerKey(worker), session);
+    waitingSessions.push(session);
+  }
+
+  function beginSessions(): void {
+    beginTimer = undefined;
+    const next = waitingSessions.slice(0, SESSIONS_PER_TURN);
+    waitingSessions = waitingSessions.slice(SESSIONS_PER_TURN);
+    for (const session of next) session.begin();
+    if (waitingSessions.length > 0) beginTimer = setImmediate(beginSessions);
   }
 
   function closeSession(key: string): void {
@@ -167,6 +185,7 @@
     stop,
     stopSurplus,
     async close() {
+      clearImmediate(beginTimer);
       await Promise.all([...sessions.values()].map(session => session.close()));
     },
   };
--- a/packages/dispatch/src/instruments.ts
+++ b/packages/dispatch/src/instruments.ts
@@ -18,6 +18,7 @@
   'candidates',
   'plan',
   'committed',
+  'order',
   'sessions',
   'registry',
   'maintenance',
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -19,6 +19,7 @@
   type Change,
   type Event,
   type Outcome,
+  type StartRow,
   type State,
   type Worker,
 } from '@lentildrift/queue';
@@ -129,6 +130,7 @@
   | {type: 'session-event'; event: SessionEvent}
   | {type: 'round'}
   | {type: 'tick'}
+  | {type: 'order'; start: StartRow}
   | {type: 'committed'; batch: Batch; outcomes: readonly Outcome[]}
   | {type: 'rejected'; batch: Batch; error: Error};
 
@@ -307,6 +309,9 @@
       case 'tick':
         handleTick();
         return;
+      case 'order':
+        time('order', () => dispatcher.start(message.start));
+        return;
       case 'committed':
         time('committed', () =>
           handleCommitted(message.batch, message.outcomes),
@@ -626,7 +631,8 @@
       reply?.resolve(outcomes[at]!);
       followUp(event, outcomes[at]!);
     });
-    for (const row of batch.starts) dispatcher.start(row);
+    // One message an order, so that a large batch is sent in several turns.
+    for (const start of batch.starts) task.post({type: 'order', start});
     instruments.recordOrders(batch.starts.length);
     updateSessions();
     if (batch.hasUnplacedTasks) rebalancePools();
--- a/packages/dispatch/src/session.ts
+++ b/packages/dispatch/src/session.ts
@@ -54,6 +54,8 @@
 
 export interface WorkerSession {
   readonly worker: Worker;
+  /** Sends the first hold. */
+  begin(): void;
   /** Whether the worker answered the last hold. */
   isAnswering(): boolean;
   /**
@@ -261,9 +263,9 @@
     }
   }
 
-  task.post({type: 'hold'});
   return {
     worker,
+    begin: () => void task.post({type: 'hold'}),
     isAnswering: () => isAnswering,
     leaseExpiryMs: () => clock.leaseExpiryMs(),
     start: spec => void deliverStart(spec),
