Count a closed worker session as not answering

What callers saw: a task that started on a worker while its next incarnation was being recorded got no order and waited until that was done; it waited for ever if the next incarnation never answered.

Cause: the session with the old incarnation is closed first, but stayed `isAnswering`, so the worker kept its place among the candidates. A closed session drops orders without an answer.

--- a/packages/dispatch/src/session.ts
+++ b/packages/dispatch/src/session.ts
@@ -54,7 +54,7 @@
 
 export interface WorkerSession {
   readonly worker: Worker;
-  /** Whether the worker answered the last hold. */
+  /** Whether the session is open and the worker answered the last hold. */
   isAnswering(): boolean;
   /**
    * Monotonic time at which the leases of all runs on the worker have certainly
@@ -264,7 +264,7 @@
   task.post({type: 'hold'});
   return {
     worker,
-    isAnswering: () => isAnswering,
+    isAnswering: () => isAnswering && !isClosed,
     leaseExpiryMs: () => clock.leaseExpiryMs(),
     start: spec => void deliverStart(spec),
     stop(name, run) {
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -282,6 +282,23 @@
       expect(harness.phase(`a${n}`)).toBe('completed');
   });
 
+  it('gets no runs while its next incarnation does not answer', async () => {
+    await createCluster({}, 1);
+    await harness.submit(job('a'));
+    await harness.advance(2000);
+    // The next incarnation has to answer a stop for the run of this job, which
+    // the old one never reported.
+    harness.fleet.byAddress.get('w1:1')!.isAlive = false;
+    await harness.submit(job('b'));
+    const again = worker('w1', {bornMs: 2});
+    harness.fleet.add(again).link = 'cut';
+    harness.leader.announce(again).catch(() => {});
+    await harness.addWorker(worker('w2'));
+    await harness.submit(job('c'));
+    await harness.advance(3000);
+    expect(harness.phase('c')).toBe('completed');
+  });
+
   it('that is quarantined is used if most of its pool is, whatever the other pools have', async () => {
     await createCluster({
       behave: task => ({
