Tell requests that a stopping leader never proposed as not run

What callers saw: after the leader had stopped, requests that it had queued but not proposed were answered 504 if no next leader answered within their budget. A caller of a request that it must not repeat cannot send it again after a 504; after a 503 it can.

Cause: the leader rejected them with a plain error, which `handleLocally` takes for an unknown outcome. It dropped the messages that arrive while it stops, so that a refusal or an answer that was already known became unknown as well.

Such requests are now rejected with `NotLeader`, which means that they have no effect: an event that is queued or in the mailbox is in no log. Answers to proposed changes that arrive during the stop are passed on. A proposed change without an answer keeps its unknown outcome.

--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -5,7 +5,7 @@
  *
  * A decision round is a pipeline: `gather → plan → commit → order`.
  */
-import type {Replica} from '@lentildrift/consensus';
+import {NotLeader, type Replica} from '@lentildrift/consensus';
 import type {Latency, Log, Metrics} from '@lentildrift/observe';
 import {
   apply,
@@ -108,8 +108,9 @@
 
 export interface Leader {
   /**
-   * Resolves once the event is durable and applied. Rejects if the change is
-   * rejected, the leader stops or the commit times out.
+   * Resolves once the event is durable and applied. Rejects with `NotLeader` if
+   * the event was not proposed and never will be; after any other rejection its
+   * outcome is unknown.
    */
   commit(event: Event): Promise<Outcome>;
   /**
@@ -196,7 +197,8 @@
     name: `leader-${token}`,
     initial: null,
     handle(state, message) {
-      if (!isStopped) handle(message);
+      if (isStopped) settleAfterStop(message);
+      else handle(message);
       return state;
     },
     afterStop() {
@@ -317,6 +319,29 @@
     }
   }
 
+  /**
+   * Answers what arrives while the leader stops, so that no request whose
+   * outcome is known ends as one whose outcome is unknown.
+   */
+  function settleAfterStop(message: Message): void {
+    switch (message.type) {
+      case 'commit':
+      case 'announce':
+      case 'leave':
+        message.reply.reject(new NotLeader(undefined));
+        return;
+      case 'committed':
+        message.batch.queued.forEach(({reply}, at) =>
+          reply?.resolve(message.outcomes[at]!),
+        );
+        return;
+      case 'rejected':
+        for (const {reply} of message.batch.queued) {
+          reply?.reject(message.error);
+        }
+    }
+  }
+
   function state(): State {
     return replica.state();
   }
@@ -794,13 +819,16 @@
     workers: state().workers.size,
     jobs: state().jobs.size,
   });
+  /** Posts a request to the task, or rejects with `NotLeader` after the stop. */
+  function ask<T>(build: (reply: Reply<T>) => Message): Promise<T> {
+    if (isStopped) return Promise.reject(new NotLeader(undefined));
+    return task.ask(build, COMMIT_TIMEOUT_MS);
+  }
+
   return {
-    commit: event =>
-      task.ask(reply => ({type: 'commit', event, reply}), COMMIT_TIMEOUT_MS),
-    announce: worker =>
-      task.ask(reply => ({type: 'announce', worker, reply}), COMMIT_TIMEOUT_MS),
-    leave: worker =>
-      task.ask(reply => ({type: 'leave', worker, reply}), COMMIT_TIMEOUT_MS),
+    commit: event => ask(reply => ({type: 'commit', event, reply})),
+    announce: worker => ask(reply => ({type: 'announce', worker, reply})),
+    leave: worker => ask(reply => ({type: 'leave', worker, reply})),
     async stop() {
       isStopped = true;
       clearTimeout(roundTimer);
@@ -809,8 +837,9 @@
       rebalancer.stop();
       registry.stop();
       instruments.stop();
+      // None of these was proposed, so none of them has an effect.
       for (const {reply} of queuedEvents) {
-        reply?.reject(new Error('this process is no longer the leader'));
+        reply?.reject(new NotLeader(undefined));
       }
       await dispatcher.close();
       await task.stop();
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -1,3 +1,4 @@
+import {NotLeader} from '@lentildrift/consensus';
 import {workerKey} from '@lentildrift/queue';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import {
@@ -87,6 +88,50 @@
   });
 });
 
+// A caller whose request is known to have no effect may send it again; one
+// whose outcome is unknown may not.
+describe('a leader that stops', () => {
+  const event = {type: 'submit', job: job('a'), atMs: 0} as const;
+
+  async function commitError(commit: Promise<unknown>): Promise<unknown> {
+    const error = commit.then(
+      () => undefined,
+      (thrown: unknown) => thrown,
+    );
+    await harness.advance(500);
+    return error;
+  }
+
+  it('rejects an event that it has not proposed as one without effect', async () => {
+    await createCluster();
+    harness.replica.acceptsProposals = false;
+    const commit = harness.leader.commit(event);
+    await harness.advance(200);
+    void harness.leader.stop();
+    expect(await commitError(commit)).toBeInstanceOf(NotLeader);
+  });
+
+  it('rejects an event that arrives after the stop as one without effect', async () => {
+    await createCluster();
+    void harness.leader.stop();
+    const commit = harness.leader.commit(event);
+    expect(await commitError(commit)).toBeInstanceOf(NotLeader);
+  });
+
+  it('reports the refusal of a change that is answered while it stops', async () => {
+    await createCluster();
+    let refuse: (error: Error) => void = () => {};
+    vi.spyOn(harness.replica, 'propose').mockImplementation(
+      () => new Promise((_resolve, reject) => (refuse = reject)),
+    );
+    const commit = harness.leader.commit(event);
+    await harness.advance(200);
+    refuse(new NotLeader(undefined));
+    void harness.leader.stop();
+    expect(await commitError(commit)).toBeInstanceOf(NotLeader);
+  });
+});
+
 describe('a new leader', () => {
   it('begins with the durations that the previous leader learnt', async () => {
     await createCluster({behave: () => ({durationMs: 700})});
