Reject requests that the leader cannot propose in time

What callers saw: 504 for requests that were in no log. A leader without a confirmed majority, or with a change that is not committed yet, kept further requests in its queue. The attempt of the sender timed out after 700 ms, so that the outcome counted as unknown, although the request was never proposed.

A request that was not proposed within 500 ms is now removed from the queue and rejected with `NotLeader`. The sender then knows that it has no effect, sends it again within its budget, and otherwise answers 503 with Retry-After. Events that the leader itself queues do not expire.

Both tests failed on the parent commit: "expected undefined to be an instance of NotLeader" (leader.test.ts).

--- a/packages/dispatch/src/batch.ts
+++ b/packages/dispatch/src/batch.ts
@@ -2,6 +2,7 @@
  * Selects the events of one change of the replicated state. The size of a
  * change is limited so that its replication takes little time.
  */
+import {NotLeader} from '@lentildrift/consensus';
 import type {Event, Outcome, StartRow} from '@lentildrift/queue';
 import type {Reply} from '@lentildrift/task';
 
@@ -11,6 +12,8 @@
   readonly reply?: Reply<Outcome>;
   /** Monotonic time at which the event was queued. */
   readonly queuedMs: number;
+  /** Monotonic time after which the event is not proposed any more, if any. */
+  readonly expiresAtMs?: number;
 }
 
 /** The content of one change, with the replies that wait for its commit. */
@@ -48,6 +51,21 @@
   return {taken: queue.slice(0, count), rest: queue.slice(count)};
 }
 
+/**
+ * Removes the expired events and rejects them with `NotLeader`, since they were
+ * never proposed. Returns the other events.
+ */
+export function rejectExpired(
+  queue: readonly QueuedEvent[],
+  nowMs: number,
+): QueuedEvent[] {
+  return queue.filter(({reply, expiresAtMs = Infinity}) => {
+    if (nowMs <= expiresAtMs) return true;
+    reply?.reject(new NotLeader(undefined));
+    return false;
+  });
+}
+
 /** Estimates the encoded size of an event. */
 function estimateBytes(event: Event): number {
   switch (event.type) {
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -50,7 +50,12 @@
 } from '@lentildrift/scheduling';
 import type {Reply, Task, TaskSystem} from '@lentildrift/task';
 import {createAdviceCache, type AdviceCache} from './advice.js';
-import {takeBatch, type Batch, type QueuedEvent} from './batch.js';
+import {
+  rejectExpired,
+  takeBatch,
+  type Batch,
+  type QueuedEvent,
+} from './batch.js';
 import {countHosts} from './census.js';
 import {createDispatcher, type Dispatcher} from './dispatcher.js';
 import type {WorkerDriver} from './driver.js';
@@ -124,7 +129,7 @@
 }
 
 type Message =
-  | {type: 'commit'; event: Event; reply: Reply<Outcome>}
+  | {type: 'commit'; event: Event; expiresAtMs: number; reply: Reply<Outcome>}
   | {type: 'announce'; worker: Worker; reply: Reply<void>}
   | {type: 'leave'; worker: string; reply: Reply<void>}
   | {type: 'session-event'; event: SessionEvent}
@@ -138,6 +143,12 @@
  * well before this time.
  */
 const COMMIT_TIMEOUT_MS = 10_000;
+/**
+ * A request that could not be proposed for this long is rejected, so that its
+ * sender learns that it has no effect before its attempt times out (see
+ * `ATTEMPT_TIMEOUT_MS`). The check runs once per tick.
+ */
+const MAX_QUEUED_MS = 500;
 /**
  * Share of a run's expected duration that is assumed to remain at least, also
  * once the run has exceeded that duration.
@@ -292,7 +303,8 @@
   function handle(message: Message): void {
     switch (message.type) {
       case 'commit':
-        enqueue(message.event, message.reply);
+        queuedEvents.push({...message, queuedMs: performance.now()});
+        scheduleRound();
         return;
       case 'announce':
         registry.announce(message.worker, message.reply);
@@ -728,6 +740,9 @@
   function handleTick(): void {
     tickTimer = setTimeout(() => task.post({type: 'tick'}), TICK_INTERVAL_MS);
     reportState();
+    if (isCommitPending || !options.isLeader()) {
+      queuedEvents = rejectExpired(queuedEvents, performance.now());
+    }
     if (!options.isLeader()) return;
     updateSessions();
     time('registry', () => registry.expire());
@@ -826,7 +841,10 @@
   }
 
   return {
-    commit: event => ask(reply => ({type: 'commit', event, reply})),
+    commit(event) {
+      const expiresAtMs = performance.now() + MAX_QUEUED_MS;
+      return ask(reply => ({type: 'commit', event, expiresAtMs, reply}));
+    },
     announce: worker => ask(reply => ({type: 'announce', worker, reply})),
     leave: worker => ask(reply => ({type: 'leave', worker, reply})),
     async stop() {
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -88,24 +88,48 @@
   });
 });
 
+const SUBMIT = {type: 'submit', job: job('a'), atMs: 0} as const;
+
+/** The error with which the commit is rejected within 700 ms, if any. */
+async function commitError(commit: Promise<unknown>): Promise<unknown> {
+  let error: unknown;
+  commit.catch((thrown: unknown) => (error = thrown));
+  await harness.advance(700);
+  return error;
+}
+
 // A caller whose request is known to have no effect may send it again; one
 // whose outcome is unknown may not.
-describe('a leader that stops', () => {
-  const event = {type: 'submit', job: job('a'), atMs: 0} as const;
-
-  async function commitError(commit: Promise<unknown>): Promise<unknown> {
-    const error = commit.then(
-      () => undefined,
-      (thrown: unknown) => thrown,
-    );
+describe('a leader that cannot propose an event', () => {
+  it('rejects it as one without effect before its sender stops waiting', async () => {
+    await createCluster();
+    harness.replica.acceptsProposals = false;
+    const error = await commitError(harness.leader.commit(SUBMIT));
+    expect(error).toBeInstanceOf(NotLeader);
+    harness.replica.acceptsProposals = true;
     await harness.advance(500);
-    return error;
-  }
+    expect(harness.phase('a')).toBeUndefined();
+  });
+
+  it('does so while an earlier change is not committed', async () => {
+    await createCluster();
+    harness.replica.delayMs = 3000;
+    void harness.leader.commit(SUBMIT);
+    await harness.advance(100);
+    const late = {...SUBMIT, job: job('b')};
+    const error = await commitError(harness.leader.commit(late));
+    expect(error).toBeInstanceOf(NotLeader);
+    await harness.advance(5000);
+    expect(harness.phase('a')).toBeDefined();
+    expect(harness.phase('b')).toBeUndefined();
+  });
+});
 
+describe('a leader that stops', () => {
   it('rejects an event that it has not proposed as one without effect', async () => {
     await createCluster();
     harness.replica.acceptsProposals = false;
-    const commit = harness.leader.commit(event);
+    const commit = harness.leader.commit(SUBMIT);
     await harness.advance(200);
     void harness.leader.stop();
     expect(await commitError(commit)).toBeInstanceOf(NotLeader);
@@ -114,7 +138,7 @@
   it('rejects an event that arrives after the stop as one without effect', async () => {
     await createCluster();
     void harness.leader.stop();
-    const commit = harness.leader.commit(event);
+    const commit = harness.leader.commit(SUBMIT);
     expect(await commitError(commit)).toBeInstanceOf(NotLeader);
   });
 
@@ -124,7 +148,7 @@
     vi.spyOn(harness.replica, 'propose').mockImplementation(
       () => new Promise((_resolve, reject) => (refuse = reject)),
     );
-    const commit = harness.leader.commit(event);
+    const commit = harness.leader.commit(SUBMIT);
     await harness.advance(200);
     refuse(new NotLeader(undefined));
     void harness.leader.stop();
