Bound the handling of a request in the leading process itself

What callers saw: a worker or operator that called the leader's own process waited for up to 10 s, the timeout of a commit, instead of the time that it had given. Requests that came through a link were bounded already.

Cause: `RemoteService` awaited the local handler without the timeout of the attempt.

The test failed on the parent commit: "Test timed out in 3000ms" (remote.test.ts).

--- a/packages/dispatch/src/remote.ts
+++ b/packages/dispatch/src/remote.ts
@@ -126,8 +126,14 @@
     timeoutMs: number,
   ): Promise<AttemptResult> {
     const {mesh, handleLocally} = this.options;
-    const localReply = await handleLocally?.(envelope.id, envelope.request);
-    if (localReply) return toAttemptResult(localReply);
+    if (handleLocally) {
+      const reply = await withTimeout(
+        handleLocally(envelope.id, envelope.request),
+        timeoutMs,
+      );
+      if (reply === 'timeout') return 'unanswered';
+      if (reply) return toAttemptResult(reply);
+    }
     const leader = mesh.leaderLink();
     if (leader) return this.send(leader, envelope, timeoutMs);
     // Another process may have a link to a leader that this process lacks. An
@@ -184,6 +190,17 @@
   return {...reply, verdict: 'may-have-run'};
 }
 
+/** Resolves with `timeout` if the promise is not settled within the time. */
+function withTimeout<T>(
+  promise: Promise<T>,
+  timeoutMs: number,
+): Promise<T | 'timeout'> {
+  return new Promise((resolve, reject) => {
+    const timer = setTimeout(() => resolve('timeout'), timeoutMs);
+    promise.then(resolve, reject).finally(() => clearTimeout(timer));
+  });
+}
+
 function pause(): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ATTEMPT_PAUSE_MS));
 }
--- a/packages/dispatch/test/remote.test.ts
+++ b/packages/dispatch/test/remote.test.ts
@@ -83,6 +83,17 @@
     expect(tookMs).toBeLessThan(600);
   });
 
+  it('that this process leaves unanswered ends within its budget, with an unknown outcome', async () => {
+    const service = new RemoteService({
+      mesh: createFakeMesh(undefined),
+      log,
+      handleLocally: () => new Promise(() => {}),
+    });
+    const {reply, tookMs} = await handleToEnd(service, SUBMIT, 1000);
+    expect(reply).toMatchObject({verdict: 'may-have-run'});
+    expect(tookMs).toBeLessThanOrEqual(1100);
+  });
+
   it('whose answer was lost is sent again within its budget', async () => {
     const answers = [ANSWER_LOST, ANSWER_LOST];
     const service = new RemoteService({
