Refuse a change that is too large as invalid

What callers saw: an edit of the tables above the size limit of a change was repeated until its time was over and then answered 504, although it was refused each time and never has an effect.

The test failed on the parent commit: "expected { type: 'refused', ...(4) } to match object { reason: 'invalid', ...(1) }" (control.test.ts).

--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -1,5 +1,6 @@
 /** A control process of the queue system: one member of the replicated log. */
 import {
+  ChangeRefused,
   JsonCodec,
   NotLeader,
   PeerMessage,
@@ -419,6 +420,10 @@
       return await queues.handle(id, request);
     } catch (error) {
       if (error instanceof NotLeader) return undefined;
+      // Refused for its size, so another attempt would be refused as well.
+      if (error instanceof ChangeRefused) {
+        return refuse('invalid', error.message);
+      }
       this.log.info('request-unsettled', {
         request: id,
         reason: (error as Error).message,
--- a/packages/dispatch/test/control.test.ts
+++ b/packages/dispatch/test/control.test.ts
@@ -193,6 +193,23 @@
     });
   }, 30_000);
 
+  // The outcome of such a request would otherwise count as unknown, and it would
+  // be sent again until its time is over.
+  it('refuses a change that is too large as invalid', async () => {
+    const entry = await startGroup();
+    await retryWhileUnavailable(entry, EDIT);
+    const document = 'x'.repeat(5 * 1024 * 1024);
+    const tables = {...TABLES, version: 2, document};
+    const request: Request = {type: 'edit', tables};
+    expect(await entry.service.handle('r', request, 3000)).toMatchObject({
+      reason: 'invalid',
+      verdict: 'not-run',
+    });
+    expect(await retryWhileUnavailable(entry, {type: 'tables'})).toMatchObject({
+      document: TABLES.document,
+    });
+  }, 20_000);
+
   it('does not bootstrap a new group after the loss of a disk', async () => {
     const [port] = await freePorts(1);
     const address = `${HOST}:${port}`;
