Tell callers when to retry before the first tables

What callers saw: 503 without Retry-After for a job that came before the first tables.

The extended test failed on the parent commit: "expected { type: 'refused', ...(3) } to match object { ...(3) }" (control.test.ts).

--- a/packages/dispatch/src/local.ts
+++ b/packages/dispatch/src/local.ts
@@ -35,6 +35,8 @@
 const MAX_ACTIVE_JOBS = 5000;
 /** Time after which a caller whose job was refused for overload may retry. */
 const OVERLOAD_RETRY_MS = 1000;
+/** Time after which a caller may retry that came before the first tables. */
+const NO_TABLES_RETRY_MS = 300;
 
 const DONE: Reply = {type: 'done'};
 
@@ -92,7 +94,9 @@
     if (!isRefusal(found)) return found;
     const {tables} = await readConfirmedState();
     if (tables.version === 0) {
-      return refuse('unavailable', 'there are no tables yet');
+      return refuse('unavailable', 'there are no tables yet', {
+        retryAfterMs: NO_TABLES_RETRY_MS,
+      });
     }
     return locate(tables, request);
   }
--- a/packages/dispatch/test/control.test.ts
+++ b/packages/dispatch/test/control.test.ts
@@ -143,6 +143,17 @@
 describe('a group of control processes', () => {
   it('accepts jobs through an entry process and keeps them when its leader stops', async () => {
     const entry = await startGroup();
+    await vi.waitFor(
+      async () => {
+        const reply = await entry.service.handle('r', submit('early'), 900);
+        expect(reply).toMatchObject({
+          detail: 'there are no tables yet',
+          verdict: 'not-run',
+          retryAfterMs: expect.any(Number),
+        });
+      },
+      {timeout: 8000},
+    );
     expect(await retryWhileUnavailable(entry, EDIT)).toEqual({type: 'done'});
     expect(await retryWhileUnavailable(entry, submit('a'))).toEqual({
       type: 'done',
