Order a recorded run once the leadership is confirmed again

Cause: the session dropped an order to start without a trace if the leadership was not confirmed at that moment. A step of the wall clock has this effect until the next heartbeat round, although the process stays the leader. The run was recorded and its order never settled, so no report made it count as lost, and the task kept its run until another leader took over.

The session now waits until the leadership is confirmed or the session is closed, which happens when the leadership ends, and grants the lease when it sends the order.

--- a/packages/dispatch/src/session.ts
+++ b/packages/dispatch/src/session.ts
@@ -206,11 +206,12 @@
 
   async function deliverStart(spec: StartSpec): Promise<void> {
     const {task: name, run} = spec;
-    const leaseUntilMs = clock.grantLease(LEASE_MS);
     let mayHaveStarted = false;
     for (let attempt = 0; attempt < START_ATTEMPTS; attempt++) {
-      // The order is in the replicated state, where the next leader finds it.
-      if (isClosed || !options.isLeader()) return;
+      await waitForLeadership();
+      // The run is in the replicated state, where the next leader finds it.
+      if (isClosed) return;
+      const leaseUntilMs = clock.grantLease(LEASE_MS);
       try {
         const answer = await driver.start(target, {
           ...spec,
@@ -238,6 +239,17 @@
       options.onEvent({type: 'start', key, task: name, run, answer});
   }
 
+  /**
+   * Waits while the leadership of this process is not confirmed. It may be
+   * confirmed again, for instance after a step of the wall clock, so an order
+   * must not be dropped; the session is closed when the leadership ends.
+   */
+  async function waitForLeadership(): Promise<void> {
+    while (!isClosed && !options.isLeader()) {
+      await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
+    }
+  }
+
   /**
    * Retries the stop until the worker has answered, after which it can no
    * longer execute the run, or until the session is closed.
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -198,6 +198,25 @@
     expect(harness.fleet.starts).toHaveLength(2);
   });
 
+  // The clock of the leader's host may jump between the commit of a run and its
+  // order. The leadership then counts as unconfirmed until the next heartbeat
+  // round, but this process stays the leader.
+  it('is ordered once the leadership is confirmed again', async () => {
+    await createCluster();
+    harness.replica.delayMs = 300;
+    void harness.leader.commit(SUBMIT);
+    await harness.advance(200);
+    expect(harness.replica.state().jobs.get('a')!.started).toBe(true);
+    harness.replica.acceptsProposals = false;
+    await harness.advance(400);
+    expect(harness.fleet.starts).toEqual([]);
+    harness.replica.acceptsProposals = true;
+    harness.replica.delayMs = 0;
+    await harness.advance(3000);
+    expect(harness.phase('a')).toBe('completed');
+    expect(harness.fleet.starts).toHaveLength(1);
+  });
+
   it('is not started elsewhere when its order got no answer', async () => {
     await createCluster({behave: () => ({durationMs: 2000})});
     harness.fleet.byAddress.get('w1:1')!.link = 'answers-lost';
