Order recorded moves and maintenance once leadership is confirmed again

A host whose move or maintenance was recorded while the leadership was unconfirmed for a moment, for instance after a step of the wall clock, stayed cordoned, or due in its wave, until another leader took over.

Cause: the order was dropped and its phase stayed `ordering`, which nothing advances.

The order is now repeated after the usual pause.

--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -324,7 +324,12 @@
           },
         ],
       });
-      if (!options.isLeader() || isStopped) return;
+      if (isStopped) return;
+      // The leadership may be confirmed again, so the order is not dropped.
+      if (!options.isLeader()) {
+        operation.retryAtMs = performance.now() + RETRY_PAUSE_MS;
+        return;
+      }
       const answer = await options.provider.maintain(
         host,
         wave.id,
--- a/packages/dispatch/src/rebalancer.ts
+++ b/packages/dispatch/src/rebalancer.ts
@@ -373,7 +373,12 @@
       // The commit shows a process that was frozen that it no longer leads.
       await options.recordOrder({host, to, done: false, atMs: Date.now()});
       ongoing.isRecorded = true;
-      if (!options.isLeader() || isStopped) return;
+      if (isStopped) return;
+      // The leadership may be confirmed again, so the move is not dropped.
+      if (!options.isLeader()) {
+        scheduleRetry(ongoing);
+        return;
+      }
       const answer = await options.provider.move(host, to, options.issuer);
       log.info('move-ordered', {...ongoing.move, answer});
       options.recordMove('ordered', answer);
--- a/packages/dispatch/test/hosts.test.ts
+++ b/packages/dispatch/test/hosts.test.ts
@@ -247,6 +247,27 @@
     expect(harness.replica.state().workers.has('w1')).toBe(false);
   });
 
+  it('orders a recorded maintenance once the leadership is confirmed again', async () => {
+    harness = await createHarness();
+    await harness.addWorker(worker('w1'));
+    harness.replica.delayMs = 50;
+    void openWave(['m-w1'], 1);
+    for (
+      let turn = 0;
+      !harness.replica.state().hostOrders.has('m-w1');
+      turn++
+    ) {
+      expect(turn).toBeLessThan(500);
+      await harness.advance(10);
+    }
+    harness.replica.acceptsProposals = false;
+    await harness.advance(400);
+    expect(harness.hosts.orders).toEqual([]);
+    harness.replica.acceptsProposals = true;
+    await harness.advance(6000);
+    expect(maintenanceStatuses()).toEqual(['done']);
+  });
+
   it('is done without a host that the provider does not list', async () => {
     harness = await createHarness();
     await harness.addWorker(worker('w1'));
@@ -491,6 +512,25 @@
     expect(harness.phase('a')).toBe('completed');
   });
 
+  // The clock of the leader's host may jump between the record of an order and
+  // the order, so that the leadership is unconfirmed for a moment.
+  it('have a recorded move ordered once the leadership is confirmed again', async () => {
+    harness = await createHarness({pools: new ElasticPools()});
+    for (const name of ['w1', 'w2']) await harness.addWorker(worker(name));
+    harness.replica.delayMs = 50;
+    const hostOrders = () => harness.replica.state().hostOrders;
+    for (let turn = 0; hostOrders().size === 0; turn++) {
+      expect(turn).toBeLessThan(500);
+      await harness.advance(10);
+    }
+    harness.replica.acceptsProposals = false;
+    await harness.advance(400);
+    expect(harness.hosts.orders).toEqual([]);
+    harness.replica.acceptsProposals = true;
+    await harness.advance(2000);
+    expect(harness.hosts.orders.length).toBeGreaterThan(0);
+  });
+
   it('keep their hosts under the fixed policy', async () => {
     harness = await createHarness({pools: new FixedPools()});
     for (const name of workerNames) await harness.addWorker(worker(name));
