--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -5,7 +5,7 @@
  *
  * A decision round is a pipeline: `gather → plan → commit → order`.
  */
-import type {Replica} from '@lentildrift/consensus';
+import {NotLeader, type Replica} from '@lentildrift/consensus';
 import type {Latency, Log, Metrics} from '@lentildrift/observe';
 import {
   apply,
@@ -51,7 +51,12 @@
 } from '@lentildrift/scheduling';
 import type {Reply, Task, TaskSystem} from '@lentildrift/task';
 import {createAdviceCache, type AdviceCache} from './advice.js';
-import {takeBatch, type Batch, type QueuedEvent} from './batch.js';
+import {
+  rejectExpired,
+  takeBatch,
+  type Batch,
+  type QueuedEvent,
+} from './batch.js';
 import {countHosts} from './census.js';
 import {createDispatcher, type Dispatcher} from './dispatcher.js';
 import type {WorkerDriver} from './driver.js';
@@ -109,8 +114,9 @@
 
 export interface Leader {
   /**
-   * Resolves once the event is durable and applied. Rejects if the change is
-   * rejected, the leader stops or the commit times out.
+   * Resolves once the event is durable and applied. Rejects with `NotLeader` if
+   * the event was not proposed and never will be; after any other rejection its
+   * outcome is unknown.
    */
   commit(event: Event): Promise<Outcome>;
   /**
@@ -124,7 +130,7 @@
 }
 
 type Message =
-  | {type: 'commit'; event: Event; reply: Reply<Outcome>}
+  | {type: 'commit'; event: Event; expiresAtMs: number; reply: Reply<Outcome>}
   | {type: 'announce'; worker: Worker; reply: Reply<void>}
   | {type: 'leave'; worker: string; reply: Reply<void>}
   | {type: 'session-event'; event: SessionEvent}
@@ -139,6 +145,12 @@
  * well before this time.
  */
 const COMMIT_TIMEOUT_MS = 10_000;
+/**
+ * A request that could not be proposed for this long is rejected, so that its
+ * sender learns that it has no effect before its attempt times out (see
+ * `ATTEMPT_TIMEOUT_MS`). The check runs once per tick.
+ */
+const MAX_QUEUED_MS = 500;
 /**
  * Share of a run's expected duration that is assumed to remain at least, also
  * once the run has exceeded that duration.
@@ -198,7 +210,8 @@
     name: `leader-${token}`,
     initial: null,
     handle(state, message) {
-      if (!isStopped) handle(message);
+      if (isStopped) settleAfterStop(message);
+      else handle(message);
       return state;
     },
     afterStop() {
@@ -292,7 +305,8 @@
   function handle(message: Message): void {
     switch (message.type) {
       case 'commit':
-        enqueue(message.event, message.reply);
+        queuedEvents.push({...message, queuedMs: performance.now()});
+        scheduleRound();
         return;
       case 'announce':
         registry.announce(message.worker, message.reply);
@@ -322,6 +336,29 @@
     }
   }
 
+  /**
+   * Answers what arrives while the leader stops, so that no request whose
+   * outcome is known ends as one whose outcome is unknown.
+   */
+  function settleAfterStop(message: Message): void {
+    switch (message.type) {
+      case 'commit':
+      case 'announce':
+      case 'leave':
+        message.reply.reject(new NotLeader(undefined));
+        return;
+      case 'committed':
+        message.batch.queued.forEach(({reply}, at) =>
+          reply?.resolve(message.outcomes[at]!),
+        );
+        return;
+      case 'rejected':
+        for (const {reply} of message.batch.queued) {
+          reply?.reject(message.error);
+        }
+    }
+  }
+
   function state(): State {
     return replica.state();
   }
@@ -709,6 +746,9 @@
   function handleTick(): void {
     tickTimer = setTimeout(() => task.post({type: 'tick'}), TICK_INTERVAL_MS);
     reportState();
+    if (isCommitPending || !options.isLeader()) {
+      queuedEvents = rejectExpired(queuedEvents, performance.now());
+    }
     if (!options.isLeader()) return;
     updateSessions();
     time('registry', () => registry.expire());
@@ -800,13 +840,19 @@
     workers: state().workers.size,
     jobs: state().jobs.size,
   });
+  /** Posts a request to the task, or rejects with `NotLeader` after the stop. */
+  function ask<T>(build: (reply: Reply<T>) => Message): Promise<T> {
+    if (isStopped) return Promise.reject(new NotLeader(undefined));
+    return task.ask(build, COMMIT_TIMEOUT_MS);
+  }
+
   return {
-    commit: event =>
-      task.ask(reply => ({type: 'commit', event, reply}), COMMIT_TIMEOUT_MS),
-    announce: worker =>
-      task.ask(reply => ({type: 'announce', worker, reply}), COMMIT_TIMEOUT_MS),
-    leave: worker =>
-      task.ask(reply => ({type: 'leave', worker, reply}), COMMIT_TIMEOUT_MS),
+    commit(event) {
+      const expiresAtMs = performance.now() + MAX_QUEUED_MS;
+      return ask(reply => ({type: 'commit', event, expiresAtMs, reply}));
+    },
+    announce: worker => ask(reply => ({type: 'announce', worker, reply})),
+    leave: worker => ask(reply => ({type: 'leave', worker, reply})),
     async stop() {
       isStopped = true;
       clearTimeout(roundTimer);
@@ -815,8 +861,9 @@
       rebalancer.stop();
       registry.stop();
       instruments.stop();
+      // None of these was proposed, so none of them has an effect.
       for (const {reply} of queuedEvents) {
-        reply?.reject(new Error('this process is no longer the leader'));
+        reply?.reject(new NotLeader(undefined));
       }
       await dispatcher.close();
       await task.stop();
--- a/packages/dispatch/test/control.test.ts
+++ b/packages/dispatch/test/control.test.ts
@@ -143,6 +143,17 @@
 describe('a group of control processes', () => {
   it('accepts jobs through an entry process and keeps them when its leader stops', async () => {
     const entry = await startGroup();
+    await vi.waitFor(
+      async () => {
+        const reply = await entry.service.handle('r', submit('early'), 900);
+        expect(reply).toMatchObject({
+          detail: 'there are no tables yet',
+          verdict: 'not-run',
+          retryAfterMs: expect.any(Number),
+        });
+      },
+      {timeout: 8000},
+    );
     expect(await retryWhileUnavailable(entry, EDIT)).toEqual({type: 'done'});
     expect(await retryWhileUnavailable(entry, submit('a'))).toEqual({
       type: 'done',
@@ -193,6 +204,23 @@
     });
   }, 30_000);
 
+  // The outcome of such a request would otherwise count as unknown, and it would
+  // be sent again until its time is over.
+  it('refuses a change that is too large as invalid', async () => {
+    const entry = await startGroup();
+    await retryWhileUnavailable(entry, EDIT);
+    const document = 'x'.repeat(5 * 1024 * 1024);
+    const tables = {...TABLES, version: 2, document};
+    const request: Request = {type: 'edit', tables};
+    expect(await entry.service.handle('r', request, 3000)).toMatchObject({
+      reason: 'invalid',
+      verdict: 'not-run',
+    });
+    expect(await retryWhileUnavailable(entry, {type: 'tables'})).toMatchObject({
+      document: TABLES.document,
+    });
+  }, 20_000);
+
   it('does not bootstrap a new group after the loss of a disk', async () => {
     const [port] = await freePorts(1);
     const address = `${HOST}:${port}`;
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -1,3 +1,4 @@
+import {NotLeader} from '@lentildrift/consensus';
 import {workerKey} from '@lentildrift/queue';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import {
@@ -87,6 +88,74 @@
   });
 });
 
+const SUBMIT = {type: 'submit', job: job('a'), atMs: 0} as const;
+
+/** The error with which the commit is rejected within 700 ms, if any. */
+async function commitError(commit: Promise<unknown>): Promise<unknown> {
+  let error: unknown;
+  commit.catch((thrown: unknown) => (error = thrown));
+  await harness.advance(700);
+  return error;
+}
+
+// A caller whose request is known to have no effect may send it again; one
+// whose outcome is unknown may not.
+describe('a leader that cannot propose an event', () => {
+  it('rejects it as one without effect before its sender stops waiting', async () => {
+    await createCluster();
+    harness.replica.acceptsProposals = false;
+    const error = await commitError(harness.leader.commit(SUBMIT));
+    expect(error).toBeInstanceOf(NotLeader);
+    harness.replica.acceptsProposals = true;
+    await harness.advance(500);
+    expect(harness.phase('a')).toBeUndefined();
+  });
+
+  it('does so while an earlier change is not committed', async () => {
+    await createCluster();
+    harness.replica.delayMs = 3000;
+    void harness.leader.commit(SUBMIT);
+    await harness.advance(100);
+    const late = {...SUBMIT, job: job('b')};
+    const error = await commitError(harness.leader.commit(late));
+    expect(error).toBeInstanceOf(NotLeader);
+    await harness.advance(5000);
+    expect(harness.phase('a')).toBeDefined();
+    expect(harness.phase('b')).toBeUndefined();
+  });
+});
+
+describe('a leader that stops', () => {
+  it('rejects an event that it has not proposed as one without effect', async () => {
+    await createCluster();
+    harness.replica.acceptsProposals = false;
+    const commit = harness.leader.commit(SUBMIT);
+    await harness.advance(200);
+    void harness.leader.stop();
+    expect(await commitError(commit)).toBeInstanceOf(NotLeader);
+  });
+
+  it('rejects an event that arrives after the stop as one without effect', async () => {
+    await createCluster();
+    void harness.leader.stop();
+    const commit = harness.leader.commit(SUBMIT);
+    expect(await commitError(commit)).toBeInstanceOf(NotLeader);
+  });
+
+  it('reports the refusal of a change that is answered while it stops', async () => {
+    await createCluster();
+    let refuse: (error: Error) => void = () => {};
+    vi.spyOn(harness.replica, 'propose').mockImplementation(
+      () => new Promise((_resolve, reject) => (refuse = reject)),
+    );
+    const commit = harness.leader.commit(SUBMIT);
+    await harness.advance(200);
+    refuse(new NotLeader(undefined));
+    void harness.leader.stop();
+    expect(await commitError(commit)).toBeInstanceOf(NotLeader);
+  });
+});
+
 describe('a new leader', () => {
   it('begins with the durations that the previous leader learnt', async () => {
     await createCluster({behave: () => ({durationMs: 700})});
@@ -129,6 +198,25 @@
     expect(harness.fleet.starts).toHaveLength(2);
   });
 
+  // The clock of the leader's host may jump between the commit of a run and its
+  // order. The leadership then counts as unconfirmed until the next heartbeat
+  // round, but this process stays the leader.
+  it('is ordered once the leadership is confirmed again', async () => {
+    await createCluster();
+    harness.replica.delayMs = 300;
+    void harness.leader.commit(SUBMIT);
+    await harness.advance(200);
+    expect(harness.replica.state().jobs.get('a')!.started).toBe(true);
+    harness.replica.acceptsProposals = false;
+    await harness.advance(400);
+    expect(harness.fleet.starts).toEqual([]);
+    harness.replica.acceptsProposals = true;
+    harness.replica.delayMs = 0;
+    await harness.advance(3000);
+    expect(harness.phase('a')).toBe('completed');
+    expect(harness.fleet.starts).toHaveLength(1);
+  });
+
   it('is not started elsewhere when its order got no answer', async () => {
     await createCluster({behave: () => ({durationMs: 2000})});
     harness.fleet.byAddress.get('w1:1')!.link = 'answers-lost';
@@ -282,6 +370,23 @@
       expect(harness.phase(`a${n}`)).toBe('completed');
   });
 
+  it('gets no runs while its next incarnation does not answer', async () => {
+    await createCluster({}, 1);
+    await harness.submit(job('a'));
+    await harness.advance(2000);
+    // The next incarnation has to answer a stop for the run of this job, which
+    // the old one never reported.
+    harness.fleet.byAddress.get('w1:1')!.isAlive = false;
+    await harness.submit(job('b'));
+    const again = worker('w1', {bornMs: 2});
+    harness.fleet.add(again).link = 'cut';
+    harness.leader.announce(again).catch(() => {});
+    await harness.addWorker(worker('w2'));
+    await harness.submit(job('c'));
+    await harness.advance(3000);
+    expect(harness.phase('c')).toBe('completed');
+  });
+
   it('that is quarantined is used if most of its pool is, whatever the other pools have', async () => {
     await createCluster({
       behave: task => ({
