Find expired jobs and count active ones without a scan

Cause: each tick scanned all jobs for those that had ended some time ago, and each submission scanned them to count the active ones. Since the jobs are kept in a persistent map, such a scan in order also sorts them.

Change: a retention module follows the differences between the states of two ticks and lists ended jobs in the order in which their ends were seen. The draft of a state keeps the number of active jobs; it is not stored. The reply to a count of waiting jobs scans without sorting.

--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -64,9 +64,9 @@
 import {createRebalancer, type Rebalancer} from './rebalancer.js';
 import {reconcile} from './reconcile.js';
 import {createRegistry, type Registry} from './registry.js';
+import {createRetention} from './retention.js';
 import type {SessionEvent} from './session.js';
 import {
-  JOB_RETENTION_MS,
   ROUND_INTERVAL_MS,
   STATISTICS_INTERVAL_MS,
   TICK_INTERVAL_MS,
@@ -169,8 +169,7 @@
   const reconciledWorkers = new Set<string>();
   /** Number of the last end recorded or queued to be, by `workerKey`. */
   const recordedEndCursors = new Map<string, number>();
-  /** Monotonic time at which this leader saw the job ended, by job ID. */
-  const jobEndedMs = new Map<string, number>();
+  const retention = createRetention();
   const index = createStateIndex();
   const runs = createRunTracker(
     [...currentView().load.runsByWorker.values()].flat().map(({id}) => id),
@@ -680,8 +679,7 @@
   /** Logs how a job ended, with the time since it was due and its objective. */
   function logJobEnd(id: string): void {
     const job = state().jobs.get(id);
-    if (!job || job.phase === 'active' || jobEndedMs.has(id)) return;
-    jobEndedMs.set(id, performance.now());
+    if (!job || job.phase === 'active' || !retention.recordEnd(id)) return;
     const {tables} = state();
     const queue = tables.queues.find(({name}) => name === job.spec.queue);
     const nowMs = Date.now();
@@ -706,7 +704,8 @@
     if (!options.isLeader()) return;
     updateSessions();
     time('registry', () => registry.expire());
-    forgetEndedJobs();
+    const expired = retention.listExpired(state());
+    if (expired.length > 0) enqueue({type: 'forget', jobs: expired});
     recordStatistics();
     time('maintenance', () => maintenance.tick(currentView()));
     rebalancePools();
@@ -769,24 +768,6 @@
     });
   }
 
-  /**
-   * Removes jobs that ended some time ago. Until then they are kept for callers
-   * that still ask for their outcome.
-   */
-  function forgetEndedJobs(): void {
-    const nowMs = performance.now();
-    const old: string[] = [];
-    for (const {spec, phase, tasks: left} of state().jobs.values()) {
-      if (phase === 'active' || Object.keys(left).length > 0) continue;
-      const since = jobEndedMs.get(spec.id) ?? nowMs;
-      jobEndedMs.set(spec.id, since);
-      if (nowMs - since > JOB_RETENTION_MS) old.push(spec.id);
-    }
-    if (old.length === 0) return;
-    for (const id of old) jobEndedMs.delete(id);
-    enqueue({type: 'forget', jobs: old});
-  }
-
   dispatcher.syncSessions();
   task.post({type: 'tick'});
   log.info('leading', {
--- a/packages/dispatch/src/local.ts
+++ b/packages/dispatch/src/local.ts
@@ -110,7 +110,7 @@
       await readConfirmedState();
       return DONE;
     }
-    if (countActiveJobs(replica.state()) >= MAX_ACTIVE_JOBS) {
+    if (replica.state().activeJobCount >= MAX_ACTIVE_JOBS) {
       const retryAfterMs = OVERLOAD_RETRY_MS;
       return logRefusal(
         id,
@@ -208,12 +208,6 @@
   return reply.type === 'refused' ? reply.reason : 'ok';
 }
 
-function countActiveJobs(state: State): number {
-  let count = 0;
-  for (const {phase} of state.jobs.values()) if (phase === 'active') count++;
-  return count;
-}
-
 function findJobError(
   jobId: string,
   {steps}: RequestOf<'submit'>,
--- a/packages/dispatch/src/view.ts
+++ b/packages/dispatch/src/view.ts
@@ -35,7 +35,7 @@
 /** Counts the active jobs of the queue of which no task has started. */
 function countWaiting(state: State, queue: string): Reply {
   let count = 0;
-  for (const {spec, phase, started} of state.jobs.values()) {
+  for (const {spec, phase, started} of state.jobs.unorderedValues()) {
     if (spec.queue === queue && phase === 'active' && !started) count++;
   }
   return {type: 'waiting', count};
--- a/packages/queue/src/draft.ts
+++ b/packages/queue/src/draft.ts
@@ -9,6 +9,7 @@
 /** Collects updates to a state; edits a map only once an entry changes. */
 export class Draft {
   tables;
+  private activeJobCount: number;
   private jobs: MapEditor<Job> | undefined;
   private workers: MapEditor<Worker> | undefined;
   private waves: Map<number, Wave> | undefined;
@@ -17,6 +18,7 @@
 
   constructor(private readonly base: State) {
     this.tables = base.tables;
+    this.activeJobCount = base.activeJobCount;
   }
 
   job(id: string): Job | undefined {
@@ -37,15 +39,22 @@
   }
 
   setJob(job: Job): void {
+    this.countActive(this.job(job.spec.id), job);
     this.jobs ??= this.base.jobs.edit();
     this.jobs.set(job.spec.id, job);
   }
 
   deleteJob(id: string): void {
+    this.countActive(this.job(id), undefined);
     this.jobs ??= this.base.jobs.edit();
     this.jobs.delete(id);
   }
 
+  private countActive(before: Job | undefined, after: Job | undefined): void {
+    if (before?.phase === 'active') this.activeJobCount--;
+    if (after?.phase === 'active') this.activeJobCount++;
+  }
+
   setWorker(worker: Worker): void {
     this.workers ??= this.base.workers.edit();
     this.workers.set(worker.id, worker);
@@ -76,6 +85,7 @@
     return {
       revision: this.base.revision + 1,
       tables: this.tables,
+      activeJobCount: this.activeJobCount,
       jobs: this.jobs?.finish() ?? this.base.jobs,
       workers: this.workers?.finish() ?? this.base.workers,
       waves: this.waves ?? this.base.waves,
--- a/packages/queue/src/state.ts
+++ b/packages/queue/src/state.ts
@@ -26,6 +26,8 @@
   readonly tables: Tables;
   /** By job ID. */
   readonly jobs: PersistentMap<Job>;
+  /** Number of active jobs; counted from `jobs`, not stored. */
+  readonly activeJobCount: number;
   /** By worker ID; the latest known incarnation of each worker. */
   readonly workers: PersistentMap<Worker>;
   /** By wave ID. */
@@ -40,6 +42,7 @@
   revision: 0,
   tables: EMPTY_TABLES,
   jobs: PersistentMap.empty(),
+  activeJobCount: 0,
   workers: PersistentMap.empty(),
   waves: new Map(),
   hostOrders: PersistentMap.empty(),
@@ -65,6 +68,7 @@
     revision: stored.revision,
     tables: stored.tables,
     jobs: PersistentMap.from(stored.jobs.map(job => [job.spec.id, job])),
+    activeJobCount: stored.jobs.filter(({phase}) => phase === 'active').length,
     workers: PersistentMap.from(
       stored.workers.map(worker => [worker.id, worker]),
     ),
--- a/packages/scheduling/test/state-index.test.ts
+++ b/packages/scheduling/test/state-index.test.ts
@@ -107,6 +107,8 @@
 
 function expectViewOf(state: State, {load, backlog, fleet}: StateView): void {
   expect(load).toEqual(measureLoad(state));
+  const active = state.jobs.values().filter(({phase}) => phase === 'active');
+  expect(state.activeJobCount).toBe(active.length);
   expect(backlog.waitingJobs).toEqual(measureBacklog(state).waitingJobs);
   const measured = measureFleet(state);
   expect(fleet.workers).toEqual(measured.workers);
