Record a duration without copying the statistics of all others

Cause: each end of a run copied the map of the latest durations (500 steps) and the map of statistics by queue.

Evidence (trial, 1,000 workers, CPU profile of the leader's process): `observeEnd` takes 10.2 % of the time, 7.7 % of it in `rememberDuration`.

Change: both are persistent maps. The step dropped at the limit is still the one whose duration was recorded longest ago.

--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -719,9 +719,9 @@
     if (nowMs - statisticsRecordedMs < STATISTICS_INTERVAL_MS) return;
     statisticsRecordedMs = nowMs;
     const recorded = state().statistics;
-    const rows = [...durations.byQueue.values()].filter(
-      row => recorded.get(row.queue)?.mean !== row.mean,
-    );
+    const rows = durations.byQueue
+      .values()
+      .filter(row => recorded.get(row.queue)?.mean !== row.mean);
     if (rows.length > 0) enqueue({type: 'statistics', rows});
   }
 
--- a/packages/scheduling/src/estimate.ts
+++ b/packages/scheduling/src/estimate.ts
@@ -3,18 +3,22 @@
  * queue can be far off, so the two are weighted by their past errors. All
  * statistics use logarithms of durations, because the errors are factors.
  */
-import type {DurationStatistics, Step} from '@lentildrift/queue';
+import {
+  PersistentMap,
+  type DurationStatistics,
+  type Step,
+} from '@lentildrift/queue';
 
 /** Statistics of task durations, from which durations are predicted. */
 export interface Durations {
-  readonly byQueue: ReadonlyMap<string, DurationStatistics>;
+  readonly byQueue: PersistentMap<DurationStatistics>;
   /** Logarithm of the latest duration in a step, by step name. */
-  readonly lastInStep: ReadonlyMap<string, number>;
+  readonly lastInStep: PersistentMap<number>;
 }
 
 export const NO_DURATIONS: Durations = {
-  byQueue: new Map(),
-  lastInStep: new Map(),
+  byQueue: PersistentMap.empty(),
+  lastInStep: PersistentMap.empty(),
 };
 
 /**
@@ -42,7 +46,9 @@
 
 /** Starts from stored statistics, such as those of an earlier leader. */
 export function createDurations(rows: Iterable<DurationStatistics>): Durations {
-  const byQueue = new Map([...rows].map(row => [row.queue, row]));
+  const byQueue = PersistentMap.from(
+    [...rows].map(row => [row.queue, row] as const),
+  );
   return {...NO_DURATIONS, byQueue};
 }
 
@@ -92,7 +98,7 @@
           ),
   };
   return {
-    byQueue: new Map(durations.byQueue).set(queue, next),
+    byQueue: withEntry(durations.byQueue, queue, next),
     lastInStep: rememberDuration(durations.lastInStep, stepName, logDuration),
   };
 }
@@ -101,15 +107,28 @@
  * Stores the latest value of a step and drops the oldest step above the limit.
  */
 function rememberDuration(
-  known: ReadonlyMap<string, number>,
+  known: PersistentMap<number>,
   key: string,
   value: number,
-): ReadonlyMap<string, number> {
-  const next = new Map(known);
-  next.delete(key);
-  next.set(key, value);
-  if (next.size > MAX_REMEMBERED_STEPS) next.delete(next.keys().next().value!);
-  return next;
+): PersistentMap<number> {
+  const editor = known.edit();
+  // Without the deletion the key would keep its age.
+  editor.delete(key);
+  if (known.size >= MAX_REMEMBERED_STEPS && !known.has(key)) {
+    editor.delete(known.oldestKey()!);
+  }
+  editor.set(key, value);
+  return editor.finish();
+}
+
+function withEntry<V>(
+  map: PersistentMap<V>,
+  key: string,
+  value: V,
+): PersistentMap<V> {
+  const editor = map.edit();
+  editor.set(key, value);
+  return editor.finish();
 }
 
 /** Expected duration of one task of the step, in milliseconds. */
