Find the runs of removed workers with one scan for each change

Cause: each removed worker scanned all jobs for its runs; a change may remove more than a thousand workers.

Change: a draft lists the jobs by worker once, when a change first removes or replaces a worker. There is no new test: the result is the same, and the tests of the queue package cover it.

--- a/packages/queue/src/apply.ts
+++ b/packages/queue/src/apply.ts
@@ -125,7 +125,7 @@
 }
 
 function removeRunsOn(draft: Draft, worker: string): void {
-  for (const job of draft.allJobs()) {
+  for (const job of draft.jobsOn(worker)) {
     const rest = withoutRunsOn(job, worker);
     if (rest !== job) draft.setJob(compactEndedJob(rest));
   }
--- a/packages/queue/src/draft.ts
+++ b/packages/queue/src/draft.ts
@@ -10,6 +10,8 @@
 export class Draft {
   tables;
   private activeJobCount: number;
+  /** Built when it is first needed; may list jobs without runs by now. */
+  private jobIdsByWorker: Map<string, Set<string>> | undefined;
   private jobs: MapEditor<Job> | undefined;
   private workers: MapEditor<Worker> | undefined;
   private waves: Map<number, Wave> | undefined;
@@ -25,9 +27,25 @@
     return (this.jobs ?? this.base.jobs).get(id);
   }
 
-  /** All jobs with the updates so far, in no particular order. */
-  allJobs(): readonly Job[] {
-    return (this.jobs?.finish() ?? this.base.jobs).unorderedValues();
+  /** Jobs that may have runs on a worker, by worker key. */
+  jobsOn(worker: string): readonly Job[] {
+    if (!this.jobIdsByWorker) {
+      this.jobIdsByWorker = new Map();
+      const jobs = this.jobs?.finish() ?? this.base.jobs;
+      for (const job of jobs.unorderedValues()) this.indexRuns(job);
+    }
+    const ids = [...(this.jobIdsByWorker.get(worker) ?? [])];
+    return ids.map(id => this.job(id)).filter(job => job !== undefined);
+  }
+
+  private indexRuns(job: Job): void {
+    for (const key in job.tasks) {
+      for (const {worker} of job.tasks[key]!.runs) {
+        const ids = this.jobIdsByWorker!.get(worker);
+        if (ids) ids.add(job.spec.id);
+        else this.jobIdsByWorker!.set(worker, new Set([job.spec.id]));
+      }
+    }
   }
 
   worker(id: string): Worker | undefined {
@@ -42,6 +60,7 @@
     this.countActive(this.job(job.spec.id), job);
     this.jobs ??= this.base.jobs.edit();
     this.jobs.set(job.spec.id, job);
+    if (this.jobIdsByWorker) this.indexRuns(job);
   }
 
   deleteJob(id: string): void {
