--- a/packages/queue/src/draft.ts
+++ b/packages/queue/src/draft.ts
@@ -9,6 +9,9 @@
 /** Collects updates to a state; edits a map only once an entry changes. */
 export class Draft {
   tables;
+  private activeJobCount: number;
+  /** Built when it is first needed; may list jobs without runs by now. */
+  private jobIdsByWorker: Map<string, Set<string>> | undefined;
   private jobs: MapEditor<Job> | undefined;
   private workers: MapEditor<Worker> | undefined;
   private waves: Map<number, Wave> | undefined;
@@ -17,15 +20,32 @@
 
   constructor(private readonly base: State) {
     this.tables = base.tables;
+    this.activeJobCount = base.activeJobCount;
   }
 
   job(id: string): Job | undefined {
     return (this.jobs ?? this.base.jobs).get(id);
   }
 
-  /** All jobs with the updates so far, in no particular order. */
-  allJobs(): readonly Job[] {
-    return (this.jobs?.finish() ?? this.base.jobs).unorderedValues();
+  /** Jobs that may have runs on a worker, by worker key. */
+  jobsOn(worker: string): readonly Job[] {
+    if (!this.jobIdsByWorker) {
+      this.jobIdsByWorker = new Map();
+      const jobs = this.jobs?.finish() ?? this.base.jobs;
+      for (const job of jobs.unorderedValues()) this.indexRuns(job);
+    }
+    const ids = [...(this.jobIdsByWorker.get(worker) ?? [])];
+    return ids.map(id => this.job(id)).filter(job => job !== undefined);
+  }
+
+  private indexRuns(job: Job): void {
+    for (const key in job.tasks) {
+      for (const {worker} of job.tasks[key]!.runs) {
+        const ids = this.jobIdsByWorker!.get(worker);
+        if (ids) ids.add(job.spec.id);
+        else this.jobIdsByWorker!.set(worker, new Set([job.spec.id]));
+      }
+    }
   }
 
   worker(id: string): Worker | undefined {
@@ -37,15 +57,23 @@
   }
 
   setJob(job: Job): void {
+    this.countActive(this.job(job.spec.id), job);
     this.jobs ??= this.base.jobs.edit();
     this.jobs.set(job.spec.id, job);
+    if (this.jobIdsByWorker) this.indexRuns(job);
   }
 
   deleteJob(id: string): void {
+    this.countActive(this.job(id), undefined);
     this.jobs ??= this.base.jobs.edit();
     this.jobs.delete(id);
   }
 
+  private countActive(before: Job | undefined, after: Job | undefined): void {
+    if (before?.phase === 'active') this.activeJobCount--;
+    if (after?.phase === 'active') this.activeJobCount++;
+  }
+
   setWorker(worker: Worker): void {
     this.workers ??= this.base.workers.edit();
     this.workers.set(worker.id, worker);
@@ -76,6 +104,7 @@
     return {
       revision: this.base.revision + 1,
       tables: this.tables,
+      activeJobCount: this.activeJobCount,
       jobs: this.jobs?.finish() ?? this.base.jobs,
       workers: this.workers?.finish() ?? this.base.workers,
       waves: this.waves ?? this.base.waves,
