Send an order in the turn of its message while the leadership is confirmed

Cause: the wait for a confirmed leadership deferred each order by an await, so that the orders of a batch were again sent in one turn. Change: an order waits only while the leadership is not confirmed.

--- a/packages/dispatch/src/session.ts
+++ b/packages/dispatch/src/session.ts
@@ -210,7 +210,9 @@
     const {task: name, run} = spec;
     let mayHaveStarted = false;
     for (let attempt = 0; attempt < START_ATTEMPTS; attempt++) {
-      await waitForLeadership();
+      // An await without need would defer the order to a turn that sends it
+      // with all others.
+      if (!options.isLeader()) await waitForLeadership();
       // The run is in the replicated state, where the next leader finds it.
       if (isClosed) return;
       const leaseUntilMs = clock.grantLease(LEASE_MS);
