Send a log entry to a peer once while its answer is outstanding

Callers saw requests time out while the leader was busy. Every read starts a heartbeat round, and each round sent all entries after the last one that the peer had acknowledged; the answer to an earlier round also marked the peer as ready, which sent them again. With reads arriving all the time, an entry went to each peer several times, the more often the later its sync was.

An entry now counts as sent until the peer answers that it lacks it.

--- a/packages/consensus/src/leader.ts
+++ b/packages/consensus/src/leader.ts
@@ -57,7 +57,7 @@
     const matchIndex = Math.max(peer.matchIndex, match);
     updatePeer(ctx, from, {
       matchIndex,
-      nextIndex: matchIndex + 1,
+      nextIndex: Math.max(peer.nextIndex, matchIndex + 1),
       inFlight: false,
     });
     advanceCommit(ctx);
--- a/packages/consensus/src/node.ts
+++ b/packages/consensus/src/node.ts
@@ -17,11 +17,14 @@
 export interface PeerProgress {
   /** Index of the last entry known to be durable on the peer. */
   readonly matchIndex: number;
-  /** Index of the next entry to send. */
+  /**
+   * Index of the next entry to send; it goes back if the peer answers that it
+   * lacks the entry before, because a message was lost.
+   */
   readonly nextIndex: number;
   /**
    * A message awaits its answer. Until then only heartbeat rounds send to the
-   * peer; the next one also resends the content of a lost message.
+   * peer.
    */
   readonly inFlight: boolean;
   /** Commit index in the last append message. */
--- a/packages/consensus/src/replication.ts
+++ b/packages/consensus/src/replication.ts
@@ -39,8 +39,10 @@
 }
 
 /**
- * Sends the entries that the peer lacks, a part of the snapshot if the log no
- * longer holds them, or an empty append message if the peer lacks nothing.
+ * Sends the entries that were not sent to the peer yet, a part of the snapshot
+ * if the log no longer holds them, or an empty append message if there are
+ * none. Entries count as sent until the peer answers that it lacks them, so
+ * that the heartbeat rounds of frequent reads do not repeat them.
  */
 export function replicate(ctx: StepContext, to: string): void {
   const {node} = ctx;
@@ -68,7 +70,11 @@
     commit: commitIndex,
     round,
   });
-  updatePeer(ctx, to, {inFlight: true, sentCommitIndex: commitIndex});
+  updatePeer(ctx, to, {
+    inFlight: true,
+    nextIndex: peer.nextIndex + records.length,
+    sentCommitIndex: commitIndex,
+  });
 }
 
 function sendSnapshot(ctx: StepContext, to: string, peer: PeerProgress): void {
--- a/packages/consensus/test/step.test.ts
+++ b/packages/consensus/test/step.test.ts
@@ -97,6 +97,30 @@
     expect(answered(receive(node().nowMs + 5, next))).toBe(20);
   });
 
+  it('sends an entry once, however many reads begin rounds before its answer', () => {
+    const {run, receive, node} = createLeader();
+    run(4004, {type: 'persisted', seq: node().lastWriteSeq});
+    const answer = (match: number, ok = true) =>
+      receive(4005, {type: 'appended', ok, match, round: node().round});
+    answer(3);
+    const listSent = (effects: readonly Effect[]): number[] =>
+      effects.flatMap(effect => {
+        if (effect.type !== 'send' || effect.message.type !== 'append')
+          return [];
+        const {to, records} = effect.message;
+        return to === 'b' ? records.map(({index}) => index) : [];
+      });
+    const changes = [{id: 1, text: '2'}];
+    const sent = listSent(run(4006, {type: 'propose', changes}));
+    for (let id = 1; id <= 3; id++) {
+      sent.push(...listSent(run(4006, {type: 'read', id, patient: false})));
+      // The answer to an earlier round does not cover the entry.
+      sent.push(...listSent(answer(3)));
+    }
+    expect(sent).toEqual([4]);
+    expect(listSent(answer(3, false))).toEqual([4]);
+  });
+
   it('commits no entry of an older term by counting replicas', () => {
     const ok = {type: 'appended', ok: true, match: 2, round: 1};
     const strict = createLeader();
