Let requests wait for a takeover instead of repeating them at once

Meanwhile it answered each request at once that it did not lead yet, and each sender repeated it after 20 ms. The waiting requests of all callers and workers thus became thousands of messages a second at the process that everybody waited for.

A process that was elected now keeps a request for up to 300 ms, until it leads, and the pause between attempts grows from 20 to 80 ms. Both tests failed before: the request came back after 2 ms instead of 300, and 45 attempts were made in 0.9 s.

--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -125,6 +125,14 @@
   stop(): Promise<void>;
 }
 
+/**
+ * How long a request waits in a process that was elected and still applies its
+ * log. Senders would otherwise repeat all their requests at once and without
+ * pause, which delays the takeover that they wait for. Shorter than the time
+ * limit of a relayed attempt, so that a sender learns that the request had no
+ * effect.
+ */
+const TAKEOVER_WAIT_MS = 300;
 /** Pause before another attempt to confirm this process's leadership. */
 const CONFIRM_RETRY_MS = 50;
 /** Exclusive upper bound of the replica's random seed. */
@@ -278,9 +286,11 @@
 
 interface Leadership {
   /**
-   * The request handler, while this process leads and its state is complete.
+   * Resolves with the request handler once this process leads and its state is
+   * complete, and with undefined if it does not lead. A process that was just
+   * elected is waited for up to `TAKEOVER_WAIT_MS`.
    */
-  queues(): LocalQueues | undefined;
+  whenLeading(): Promise<LocalQueues | undefined>;
   update(): void;
   stop(): Promise<void>;
 }
@@ -300,6 +310,27 @@
   let confirmingTerm: number | undefined;
   /** Term that this process was last elected for, and the monotonic time. */
   let elected = {term: 0, atMs: 0};
+  /** Requests that wait for the end of the takeover. */
+  const waiting = new Set<() => void>();
+
+  function releaseWaiting(): void {
+    for (const release of waiting) release();
+  }
+
+  async function whenLeading(): Promise<LocalQueues | undefined> {
+    if (!current && replica.status().role === 'leader') {
+      await new Promise<void>(resolve => {
+        const release = () => {
+          clearTimeout(timer);
+          waiting.delete(release);
+          resolve();
+        };
+        const timer = setTimeout(release, TAKEOVER_WAIT_MS);
+        waiting.add(release);
+      });
+    }
+    return current?.queues;
+  }
 
   /**
    * Whether the group has enough voters to tolerate the loss of disks. A new
@@ -316,6 +347,7 @@
   function update(): void {
     const {role, term, voters} = replica.status();
     const leads = role === 'leader' && hasEnoughVoters(voters);
+    if (role !== 'leader') releaseWaiting();
     if (current && (!leads || current.term !== term)) {
       const {leader} = current;
       current = undefined;
@@ -359,14 +391,17 @@
     });
     const queues = createLocalQueues({...options, replica, leader});
     current = {term, leader, queues};
+    releaseWaiting();
   }
 
   return {
-    queues: () => current?.queues,
+    whenLeading,
     update,
     async stop() {
-      await current?.leader.stop();
+      const leader = current?.leader;
       current = undefined;
+      releaseWaiting();
+      await leader?.stop();
     },
   };
 }
@@ -414,7 +449,7 @@
     id: string,
     request: Request,
   ): Promise<Reply | undefined> {
-    const queues = this.leadership.queues();
+    const queues = await this.leadership.whenLeading();
     if (!queues) return undefined;
     try {
       return await queues.handle(id, request);
--- a/packages/dispatch/src/remote.ts
+++ b/packages/dispatch/src/remote.ts
@@ -41,8 +41,13 @@
  * attempt times out.
  */
 const RELAY_TIMEOUT_MS = 400;
-/** Pause before the next attempt. */
+/** Pause before the second attempt; each further pause is twice as long. */
 const ATTEMPT_PAUSE_MS = 20;
+/**
+ * Longest pause between attempts. While there is no leader, all requests are
+ * repeated; without growing pauses this load would delay the election.
+ */
+const MAX_ATTEMPT_PAUSE_MS = 80;
 /**
  * Time after which a caller that was refused for lack of a leader may retry.
  */
@@ -94,7 +99,7 @@
       );
       if (typeof result === 'object') return correctVerdict(result, uncertain);
       if (result === 'unanswered' && !isRead(request)) uncertain = true;
-      await pause();
+      await pauseAfter(attempts);
     }
     this.options.log.info('request-given-up', {request: id, uncertain});
     return refuse('unavailable', 'no leader answered in time', {
@@ -201,6 +206,10 @@
   });
 }
 
-function pause(): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ATTEMPT_PAUSE_MS));
+function pauseAfter(attempts: number): Promise<void> {
+  const pauseMs = Math.min(
+    ATTEMPT_PAUSE_MS * 2 ** attempts,
+    MAX_ATTEMPT_PAUSE_MS,
+  );
+  return new Promise(resolve => setTimeout(resolve, pauseMs));
 }
--- a/packages/dispatch/test/control.test.ts
+++ b/packages/dispatch/test/control.test.ts
@@ -1,4 +1,5 @@
 /** Tests control and entry processes connected over loopback, in real time. */
+import {openLink} from '@lentildrift/link';
 import {createLog, createMetrics} from '@lentildrift/observe';
 import {MemoryDisk, MemoryStore} from '@lentildrift/storage';
 import {startTasks} from '@lentildrift/task';
@@ -178,6 +179,38 @@
     });
   }, 20_000);
 
+  it('makes a request wait for a takeover instead of having it repeated at once', async () => {
+    const seeds = (await freePorts(3)).map(port => `${HOST}:${port}`).sort();
+    const address = seeds[0]!;
+    const first = {
+      control: undefined,
+      address,
+      member: `${address}/first`,
+      disk: new MemoryDisk(),
+    };
+    processes.push(first);
+    // Elected by itself, it does not lead while the group lacks voters.
+    await start(first, seeds, true);
+    await findLeader();
+    let markOpen = () => {};
+    const opened = new Promise<void>(resolve => (markOpen = resolve));
+    const link = openLink({
+      address,
+      name: 'entry',
+      tasks: startTasks(() => {}),
+      log,
+      onPost: () => {},
+      onStateChange: () => markOpen(),
+    });
+    await opened;
+    const startMs = performance.now();
+    const request = {id: 'r', request: inspect('/q/a'), relay: false};
+    expect(await link.request(request, 700)).toEqual({type: 'not-leader'});
+    // Timers may fire a millisecond early.
+    expect(performance.now() - startMs).toBeGreaterThan(290);
+    await link.stop();
+  });
+
   it('makes a member that lost its disk a voter again, twice in a row', async () => {
     const entry = await startGroup();
     await retryWhileUnavailable(entry, EDIT);
--- a/packages/dispatch/test/remote.test.ts
+++ b/packages/dispatch/test/remote.test.ts
@@ -158,6 +158,18 @@
     expect(tookMs).toBeLessThan(1000);
   });
 
+  it('is not repeated so often that the load delays the election of a leader', async () => {
+    let attempts = 0;
+    const link = createFakeLink(async () => {
+      attempts++;
+      return {type: 'not-leader'};
+    });
+    const mesh = createFakeMesh(undefined, [link]);
+    await handleToEnd(new RemoteService({mesh, log}), SUBMIT);
+    expect(attempts).toBeGreaterThan(4);
+    expect(attempts).toBeLessThan(15);
+  });
+
   it('that only reads is reported as not run, even if its answer was lost', async () => {
     const service = new RemoteService({
       mesh: createFakeMesh(createFakeLink(() => Promise.reject(ANSWER_LOST))),
