Index the recorded runs by worker, so that a restart replays its log quickly

The time went into applying the log: the end of a worker incarnation, of which a move of a host causes one, searched the tasks of all jobs for its runs.

The state now lists the job of each recorded run by worker; the list is derived and not stored. Edits of a persistent map name the fields of a leaf instead of copying them.

--- a/packages/queue/src/apply.ts
+++ b/packages/queue/src/apply.ts
@@ -129,6 +129,7 @@
     const rest = withoutRunsOn(job, worker);
     if (rest !== job) draft.setJob(compactEndedJob(rest));
   }
+  draft.removeRunsOn(worker);
 }
 
 function withoutRunsOn(job: Job, worker: string): Job {
--- a/packages/queue/src/draft.ts
+++ b/packages/queue/src/draft.ts
@@ -10,9 +10,8 @@
 export class Draft {
   tables;
   private activeJobCount: number;
-  /** Built when it is first needed; may list jobs without runs by now. */
-  private jobIdsByWorker: Map<string, Set<string>> | undefined;
   private jobs: MapEditor<Job> | undefined;
+  private runsByWorker: MapEditor<readonly string[]> | undefined;
   private workers: MapEditor<Worker> | undefined;
   private waves: Map<number, Wave> | undefined;
   private hostOrders: MapEditor<HostOrder> | undefined;
@@ -27,25 +26,37 @@
     return (this.jobs ?? this.base.jobs).get(id);
   }
 
-  /** Jobs that may have runs on a worker, by worker key. */
+  /** Jobs with runs on a worker, by worker key. */
   jobsOn(worker: string): readonly Job[] {
-    if (!this.jobIdsByWorker) {
-      this.jobIdsByWorker = new Map();
-      const jobs = this.jobs?.finish() ?? this.base.jobs;
-      for (const job of jobs.unorderedValues()) this.indexRuns(job);
-    }
-    const ids = [...(this.jobIdsByWorker.get(worker) ?? [])];
-    return ids.map(id => this.job(id)).filter(job => job !== undefined);
+    const ids = new Set(this.runJobIds(worker));
+    return [...ids].map(id => this.job(id)).filter(job => job !== undefined);
   }
 
-  private indexRuns(job: Job): void {
-    for (const key in job.tasks) {
-      for (const {worker} of job.tasks[key]!.runs) {
-        const ids = this.jobIdsByWorker!.get(worker);
-        if (ids) ids.add(job.spec.id);
-        else this.jobIdsByWorker!.set(worker, new Set([job.spec.id]));
-      }
-    }
+  private runJobIds(worker: string): readonly string[] {
+    return (this.runsByWorker ?? this.base.runsByWorker).get(worker) ?? [];
+  }
+
+  /** Notes that the job has one more run on the worker. */
+  addRun(worker: string, job: string): void {
+    this.setRunJobIds(worker, [...this.runJobIds(worker), job]);
+  }
+
+  /** Notes that one of the job's runs on the worker is no longer recorded. */
+  removeRun(worker: string, job: string): void {
+    const ids = this.runJobIds(worker);
+    const at = ids.indexOf(job);
+    this.setRunJobIds(worker, ids.toSpliced(at, 1));
+  }
+
+  /** Notes that no run on the worker is recorded any more. */
+  removeRunsOn(worker: string): void {
+    if (this.runJobIds(worker).length > 0) this.setRunJobIds(worker, []);
+  }
+
+  private setRunJobIds(worker: string, ids: readonly string[]): void {
+    this.runsByWorker ??= this.base.runsByWorker.edit();
+    if (ids.length > 0) this.runsByWorker.set(worker, ids);
+    else this.runsByWorker.delete(worker);
   }
 
   worker(id: string): Worker | undefined {
@@ -60,11 +71,14 @@
     this.countActive(this.job(job.spec.id), job);
     this.jobs ??= this.base.jobs.edit();
     this.jobs.set(job.spec.id, job);
-    if (this.jobIdsByWorker) this.indexRuns(job);
   }
 
   deleteJob(id: string): void {
-    this.countActive(this.job(id), undefined);
+    const job = this.job(id);
+    this.countActive(job, undefined);
+    for (const {runs} of Object.values(job?.tasks ?? {})) {
+      for (const {worker} of runs) this.removeRun(worker, id);
+    }
     this.jobs ??= this.base.jobs.edit();
     this.jobs.delete(id);
   }
@@ -110,6 +124,7 @@
       waves: this.waves ?? this.base.waves,
       hostOrders: this.hostOrders?.finish() ?? this.base.hostOrders,
       statistics: this.statistics ?? this.base.statistics,
+      runsByWorker: this.runsByWorker?.finish() ?? this.base.runsByWorker,
     };
   }
 }
--- a/packages/queue/src/persistent-map.ts
+++ b/packages/queue/src/persistent-map.ts
@@ -165,7 +165,7 @@
         branch = branch[index] = split;
         continue;
       }
-      branch[index] = this.withValue(child, {key, value, hash});
+      branch[index] = this.withValue(child, key, value, hash);
       return;
     }
   }
@@ -194,16 +194,20 @@
   /** Sets the value in a list of entries whose keys have the same hash. */
   private withValue(
     first: Leaf<V> | undefined,
-    entry: Pick<Leaf<V>, 'key' | 'value' | 'hash'>,
+    key: string,
+    value: V,
+    hash: number,
   ): Leaf<V> {
+    // Each field is named: copies by spread took most of the time of an edit.
     if (!first) {
       this.size++;
-      return {...entry, sequence: this.nextSequence++, next: undefined};
+      const sequence = this.nextSequence++;
+      return {key, value, hash, sequence, next: undefined};
     }
-    if (first.key !== entry.key) {
-      return {...first, next: this.withValue(first.next, entry)};
+    if (first.key !== key) {
+      return {...first, next: this.withValue(first.next, key, value, hash)};
     }
-    return {...entry, sequence: first.sequence, next: first.next};
+    return {key, value, hash, sequence: first.sequence, next: first.next};
   }
 
   private deleteFrom(
--- a/packages/queue/src/run.ts
+++ b/packages/queue/src/run.ts
@@ -64,20 +64,36 @@
   const recordedWorker = draft.worker(worker.slice(0, worker.lastIndexOf('@')));
   if (!recordedWorker || workerKey(recordedWorker) !== worker) return 'unknown';
   const runs = [...task.runs, {number, worker}];
+  draft.addRun(worker, job.spec.id);
   const next = withTask(job, key, {...task, lastRun: number, runs});
   draft.setJob({...next, started: true});
   return 'applied';
 }
 
+/**
+ * Returns the other runs of the task, and notes in the draft that this run is
+ * no longer recorded.
+ */
+function takeRun(
+  draft: Draft,
+  {job, task}: TaskEntry,
+  number: number,
+  worker: string,
+): Task['runs'] {
+  return task.runs.filter(run => {
+    if (run.number !== number || run.worker !== worker) return true;
+    draft.removeRun(worker, job.spec.id);
+    return false;
+  });
+}
+
 /** Removes a run that is certainly not running. */
 export function removeRun(draft: Draft, row: StartRow): void {
   const [name, number, worker] = row;
   const entry = findTask(draft, name);
   if (!entry) return;
   const {job, key, task} = entry;
-  const runs = task.runs.filter(
-    run => run.number !== number || run.worker !== worker,
-  );
+  const runs = takeRun(draft, entry, number, worker);
   if (runs.length === task.runs.length) return;
   draft.setJob(compactEndedJob(withTask(job, key, {...task, runs})));
 }
@@ -91,9 +107,7 @@
   const entry = findTask(draft, name);
   if (!entry) return;
   const {job, key, step, task} = entry;
-  const runs = task.runs.filter(
-    run => run.number !== number || run.worker !== worker,
-  );
+  const runs = takeRun(draft, entry, number, worker);
   const next: Task = {
     ...task,
     lastRun: Math.max(task.lastRun, number),
--- a/packages/queue/src/state.ts
+++ b/packages/queue/src/state.ts
@@ -36,6 +36,11 @@
   readonly hostOrders: PersistentMap<HostOrder>;
   /** By queue name. */
   readonly statistics: ReadonlyMap<string, DurationStatistics>;
+  /**
+   * The job ID of each recorded run, by worker key; derived from `jobs`, not
+   * stored. The end of a worker thus costs what its own runs cost.
+   */
+  readonly runsByWorker: PersistentMap<readonly string[]>;
 }
 
 export const EMPTY_STATE: State = {
@@ -47,6 +52,7 @@
   waves: new Map(),
   hostOrders: PersistentMap.empty(),
   statistics: new Map(),
+  runsByWorker: PersistentMap.empty(),
 };
 
 /** Converts the state for a snapshot. */
@@ -77,5 +83,22 @@
       stored.duties.map(order => [order.host, order]),
     ),
     statistics: new Map(stored.statistics.map(row => [row.queue, row])),
+    runsByWorker: groupRunsByWorker(stored.jobs),
   };
 }
+
+function groupRunsByWorker(
+  jobs: readonly Job[],
+): PersistentMap<readonly string[]> {
+  const byWorker = new Map<string, string[]>();
+  for (const {spec, tasks} of jobs) {
+    for (const {runs} of Object.values(tasks)) {
+      for (const {worker} of runs) {
+        const ids = byWorker.get(worker);
+        if (ids) ids.push(spec.id);
+        else byWorker.set(worker, [spec.id]);
+      }
+    }
+  }
+  return PersistentMap.from(byWorker);
+}
