Keep the views of the state from moving back and forth

At a peak the `load` phase was the largest part of a saturated leader's work, ahead of its decisions, so jobs started late.

Cause: one index holds one state. A round moves it to the projection of the queued events, the next report or tick moves it back to the recorded state, and the commit moves it forward again: the same differences were visited three times or more for each change.

Change: the index keeps the runs of the workers that changed since the state before, so reports read the recorded runs without moving it. A tick during a commit leaves maintenance and rebalancing to the end of the commit: what they look at is the recorded state, which no earlier moment would have changed. Advice is requested from the workers of the round's own view. A change is now visited once for its projection and once for its commit. The projection and the committed state share no changed job, since a member decodes its own change, so the second visit remains.

The property test of the index covers `runsOn`. The metric `lentildrift_view_differences_total` shows the count.

--- a/packages/dispatch/src/instruments.ts
+++ b/packages/dispatch/src/instruments.ts
@@ -47,6 +47,8 @@
     events: number,
     oldestMs: number | undefined,
   ): (outcome: 'committed' | 'rejected') => void;
+  /** Records that the views of the state moved by so many differences. */
+  recordDifferences(count: number): void;
   /** Records that the runs of this worker have been reconciled. */
   recordReconciled(): void;
   /** Records that orders to start runs were sent. */
@@ -116,6 +118,11 @@
     'Events in the changes that were proposed.',
     1,
   );
+  const differenceCount: Counter = metrics.counter(
+    'lentildrift_view_differences_total',
+    'Jobs and workers that were updated in the views of the state.',
+    1,
+  );
   const moveCount: Counter = metrics.counter(
     'lentildrift_moves_total',
     'Moves of hosts between pools by stage and outcome.',
@@ -214,6 +221,7 @@
   return {
     time,
     recordProposal,
+    recordDifferences: count => differenceCount.add({}, count),
     recordReconciled: () => void (firstReportMs ??= performance.now()),
     recordOrders,
     recordMove: (stage, outcome) => moveCount.add({stage, outcome}),
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -184,7 +184,7 @@
   /** Number of the last end recorded or queued to be, by `workerKey`. */
   const recordedEndCursors = new Map<string, number>();
   const retention = createRetention();
-  const index = createStateIndex();
+  const index = createStateIndex({onMoved: instruments.recordDifferences});
   const runs = createRunTracker(
     [...currentView().load.runsByWorker.values()].flat().map(({id}) => id),
   );
@@ -195,6 +195,8 @@
   );
   let statisticsRecordedMs = performance.now();
   let isCommitPending = false;
+  /** Whether a tick has come since the proposal of the pending change. */
+  let isTickDeferred = false;
   /** Workers, by `workerKey`, with runs in the change being committed. */
   let startingWorkers: ReadonlySet<string> = new Set();
   /** Monotonic time of the next rebalancing at the earliest. */
@@ -371,7 +373,7 @@
   }
 
   function recordedRuns(key: string): readonly LiveRun[] {
-    return currentView().load.runsByWorker.get(key) ?? NO_RUNS;
+    return time('load', () => index.runsOn(key, state()));
   }
 
   function scheduleRound(): void {
@@ -518,9 +520,12 @@
       events.length > 0
         ? time('apply', () => apply(base, {events}).state)
         : base;
-    const decision = decide(projected);
+    const view = viewOf(projected);
+    const decision = decide(projected, view);
     roundTime.record({}, performance.now() - startMs);
-    advice.request(decision.stepsAwaitingAdvice, readyWorkersOf);
+    advice.request(decision.stepsAwaitingAdvice, pool =>
+      view.fleet.workersIn(pool).filter(({phase}) => phase === 'ready'),
+    );
     const {starts} = decision;
     if (starts.length > 0) {
       events.push({type: 'start', runs: [...starts]});
@@ -550,8 +555,7 @@
     );
   }
 
-  function decide(projected: State): Plan {
-    const view = viewOf(projected);
+  function decide(projected: State, view: StateView): Plan {
     const round = {
       state: projected,
       load: view.load,
@@ -654,12 +658,6 @@
     return maintenance.isCordoned(host) || rebalancer.isCordoned(host);
   }
 
-  function readyWorkersOf(pool: string): Worker[] {
-    return currentView()
-      .fleet.workersIn(pool)
-      .filter(({phase}) => phase === 'ready');
-  }
-
   function handleCommitted(batch: Batch, outcomes: readonly Outcome[]): void {
     isCommitPending = false;
     startingWorkers = new Set();
@@ -671,7 +669,8 @@
     for (const start of batch.starts) task.post({type: 'order', start});
     instruments.recordOrders(batch.starts.length);
     updateSessions();
-    if (batch.hasUnplacedTasks) rebalancePools();
+    if (isTickDeferred) advanceHosts();
+    else if (batch.hasUnplacedTasks) rebalancePools();
     if (queuedEvents.length > 0 || dirty || batch.starts.length > 0)
       scheduleRound();
   }
@@ -690,6 +689,7 @@
       reply?.reject(error);
       if (event.type === 'ends') recordedEndCursors.delete(event.worker);
     }
+    if (isTickDeferred && options.isLeader()) advanceHosts();
     scheduleRound();
   }
 
@@ -748,15 +748,27 @@
       queuedEvents = rejectExpired(queuedEvents, performance.now());
     }
     if (!options.isLeader()) return;
-    updateSessions();
     time('registry', () => registry.expire());
     const expired = retention.listExpired(state());
     if (expired.length > 0) enqueue({type: 'forget', jobs: expired});
     recordStatistics();
+    dirty = true;
+    // The views describe the projection of a pending change. To look at the
+    // recorded state in between would take them back and forth once more.
+    if (isCommitPending) {
+      isTickDeferred = true;
+      return;
+    }
+    updateSessions();
+    advanceHosts();
+    runRound();
+  }
+
+  /** The part of a tick that needs the views of the recorded state. */
+  function advanceHosts(): void {
+    isTickDeferred = false;
     time('maintenance', () => maintenance.tick(currentView()));
     rebalancePools();
-    dirty = true;
-    if (!isCommitPending) runRound();
   }
 
   /** Records the learnt durations, so that the next leader begins with them. */
--- a/packages/dispatch/test/harness.ts
+++ b/packages/dispatch/test/harness.ts
@@ -6,7 +6,7 @@
   SoloReplica,
   type CommitResult,
 } from '@lentildrift/consensus';
-import {createLog, createMetrics} from '@lentildrift/observe';
+import {createLog, createMetrics, type Metrics} from '@lentildrift/observe';
 import type {
   Change,
   JobSpec,
@@ -145,6 +145,8 @@
   readonly hosts: FakeHostProvider;
   readonly replica: TestReplica;
   readonly logLines: string[];
+  /** Metrics of all leaders. */
+  readonly metrics: Metrics;
   leader: Leader;
   /** Sets whether the processes of earlier leaders are known to have ended. */
   setPreviousProcessesEnded(ended: boolean): void;
@@ -169,6 +171,7 @@
   const failures: Error[] = [];
   const tasks = startTasks((_name, error) => failures.push(error));
   const log = createLog('debug', {}, line => logLines.push(line));
+  const metrics = createMetrics();
   const replica = new TestReplica(queueMachine);
   const fleet = new FakeFleet(options);
   const hosts = new FakeHostProvider(fleet, worker => {
@@ -194,7 +197,7 @@
       adviser: new NoAdviser(),
       tasks,
       log,
-      metrics: createMetrics(),
+      metrics,
       pools: options.pools ?? new FixedPools(),
       isLeader: () => own === token && replica.acceptsProposals,
     });
@@ -223,6 +226,7 @@
     hosts,
     replica,
     logLines,
+    metrics,
     leader: startNextLeader(),
     setPreviousProcessesEnded: ended => (previousProcessesEnded = ended),
     async addWorker(row) {
--- a/packages/scheduling/src/load-index.ts
+++ b/packages/scheduling/src/load-index.ts
@@ -23,6 +23,10 @@
   /** The current load; later updates change it. */
   readonly load: Load;
   readonly update: UpdateEntry<Job>;
+  /** Marks the current load as the one that `runsAtMark` reads. */
+  mark(): void;
+  /** Runs on a worker, by worker key, when the load was last marked. */
+  runsAtMark(worker: string): readonly LiveRun[];
 }
 
 /** The runs of a job, as they are counted in the load. */
@@ -66,6 +70,8 @@
   const byQueue = createSums();
   const workersWithLongRunningTasks = new Set<string>();
   const surplus = new Map<string, LiveRun>();
+  /** Runs at the mark on the workers whose runs have changed since. */
+  const replacedRuns = new Map<string, readonly LiveRun[]>();
 
   function update(
     before: MapEntry<Job> | undefined,
@@ -105,7 +111,9 @@
     added: readonly LiveRun[],
   ): void {
     const runs: LiveRun[] = [];
-    for (const live of runsByWorker.get(worker) ?? NO_RUNS) {
+    const known = runsByWorker.get(worker) ?? NO_RUNS;
+    if (!replacedRuns.has(worker)) replacedRuns.set(worker, known);
+    for (const live of known) {
       if (live.job.spec.id !== id) runs.push(live);
     }
     for (const live of added) if (live.run.worker === worker) runs.push(live);
@@ -144,5 +152,8 @@
       surplus,
     },
     update,
+    mark: () => replacedRuns.clear(),
+    runsAtMark: worker =>
+      replacedRuns.get(worker) ?? runsByWorker.get(worker) ?? NO_RUNS,
   };
 }
--- a/packages/scheduling/test/state-index.test.ts
+++ b/packages/scheduling/test/state-index.test.ts
@@ -143,6 +143,39 @@
     );
   });
 
+  it('returns the runs of any state, without moving to the last one', () => {
+    const changes = fc.array(change, {minLength: 1, maxLength: 12});
+    fc.assert(
+      fc.property(changes, fc.array(fc.boolean()), (rows, moves) => {
+        let moved = 0;
+        const index = createStateIndex({onMoved: () => moved++});
+        const states: State[] = [stateOf([worker('w1'), worker('w2')])];
+        const expectRunsOf = (state: State) => {
+          const {runsByWorker} = measureLoad(state);
+          for (const key of ['w1@1', 'w1@2', 'w2@1', 'w3@1', 'w3@2']) {
+            expect(index.runsOn(key, state)).toEqual(
+              runsByWorker.get(key) ?? [],
+            );
+          }
+        };
+        rows.forEach(({events, back}, at) => {
+          const base = states.at(-1 - back) ?? states[0]!;
+          index.viewOf(base);
+          const {state} = apply(base, {events});
+          index.viewOf(state);
+          const movedBefore = moved;
+          expectRunsOf(base);
+          expectRunsOf(state);
+          expectRunsOf(base);
+          expect(moved).toBe(movedBefore);
+          if (moves[at]) expectRunsOf(states[0]!);
+          states.push(state);
+        });
+      }),
+      {numRuns: 200},
+    );
+  });
+
   it('returns the jobs accepted after a time, which never decreases', () => {
     const accepted = fc.array(
       fc.record({atMs: fc.integer({min: 0, max: 100}), lasting: fc.boolean()}),
