Format label sets and log lines without intermediate arrays

Cause: each measured phase of the leader formats its labels through three arrays and three replacements, and each log line through two objects and three arrays: 1.4 and 1.1 % of the busy time of a leader with 246 workers (2,000 records and 500 lines a second).

Change: both texts are built by concatenation. Labels are only escaped if they contain a character to be escaped, and only texts of fields are checked for quoting. The texts are the same.

--- a/packages/observe/src/log.ts
+++ b/packages/observe/src/log.ts
@@ -46,17 +46,17 @@
   event: string,
   fields: LogFields,
 ): string {
-  const pairs = Object.entries({
-    at: at.toISOString(),
-    level,
-    event,
-    ...fields,
-  }).filter(([, value]) => value !== undefined);
-  return pairs.map(([key, value]) => `${key}=${formatValue(value)}`).join(' ');
+  let line = `at=${at.toISOString()} level=${level} event=${formatValue(event)}`;
+  for (const key in fields) {
+    const value = fields[key];
+    if (value !== undefined) line += ` ${key}=${formatValue(value)}`;
+  }
+  return line;
 }
 
-function formatValue(value: string | number | boolean | undefined): string {
+function formatValue(value: string | number | boolean): string {
   const text = String(value);
+  if (typeof value !== 'string') return text;
   if (/^[^\s"=\p{Cc}]+$/u.test(text)) return text;
   // JSON.stringify leaves some control characters and line separators
   // unescaped, and these could split a log line.
--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -171,9 +171,12 @@
 }
 
 function formatLabels(labels: Labels): string {
-  return Object.entries(labels)
-    .map(([name, value]) => `${name}="${escapeLabel(value)}"`)
-    .join(',');
+  let text = '';
+  for (const name in labels) {
+    if (text !== '') text += ',';
+    text += `${name}="${escapeLabel(labels[name]!)}"`;
+  }
+  return text;
 }
 
 function formatValues(
@@ -194,6 +197,7 @@
 }
 
 function escapeLabel(value: string): string {
+  if (!/[\\"\n]/.test(value)) return value;
   return value
     .replaceAll('\\', '\\\\')
     .replaceAll('"', '\\"')
