Write the messages of one turn to a link with one system call

Callers saw jobs lost or late on sites with 246 workers, where the leading control process is saturated. Every message on a link was one write, so one system call, on both sides; calls to workers through other members would add thousands of them a second.

Frames of requests and answers now wait until the end of the turn and go out together. Raft messages, pings and status posts do not wait for the rest of a long turn: they go out when the running callback returns, with all frames before them. Both ends pass waiting frames on before they stop.

--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -11,11 +11,11 @@
 import {LinkMessage} from './message.js';
 import {
   CONNECT_TIMEOUT_MS,
-  MAX_UNSENT_BYTES,
   PING_INTERVAL_MS,
   RECONNECT_DELAY_MS,
   IDLE_TIMEOUT_MS,
 } from './timing.js';
+import {createFrameWriter, type FrameWriter} from './writer.js';
 
 /** The request was not sent, because the link was down. */
 export class RequestNotSentError extends Error {
@@ -100,7 +100,8 @@
   const [host = '', port = ''] = address.split(':');
   const pending = new Map<number, PendingRequest>();
   let nextId = 1;
-  let openSocket: Socket | undefined;
+  /** Writes to the socket of the open link. */
+  let writer: FrameWriter | undefined;
   let stopped = false;
   let reconnectTimer: NodeJS.Timeout | undefined;
   let pingTimer: InputTimeout | undefined;
@@ -127,6 +128,7 @@
     afterStop({socket}) {
       clearTimeout(reconnectTimer);
       pingTimer?.cancel();
+      writer?.flush();
       socket?.destroy();
       rejectAll('the link was closed');
     },
@@ -165,7 +167,7 @@
 
   function handleOpen(connection: Connection, socket: Socket): Connection {
     if (socket !== connection.socket) return connection;
-    openSocket = socket;
+    writer = createFrameWriter(socket);
     send({type: 'hello', name});
     schedulePing();
     log.debug('link-up', {peer: address});
@@ -218,7 +220,7 @@
     reason: string,
   ): Connection {
     if (socket !== connection.socket) return connection;
-    openSocket = undefined;
+    writer = undefined;
     pingTimer?.cancel();
     rejectAll(reason);
     if (connection.open) {
@@ -259,14 +261,13 @@
     }
   }
 
+  /** Requests may wait for others of the same turn, other messages may not. */
   function send(message: LinkMessage): boolean {
-    if (!openSocket || openSocket.destroyed) return false;
-    if (openSocket.writableLength > MAX_UNSENT_BYTES) {
-      openSocket.destroy(new Error('the peer does not read'));
-      return false;
-    }
-    openSocket.write(encodeFrame(message));
-    return true;
+    if (!writer) return false;
+    const frame = encodeFrame(message);
+    return message.type === 'request'
+      ? writer.write(frame)
+      : writer.writeSoon(frame);
   }
 
   function request(body: unknown, timeoutMs: number): Promise<unknown> {
@@ -288,11 +289,11 @@
   task.post({type: 'connect'});
   return {
     address,
-    isOpen: () => openSocket !== undefined,
+    isOpen: () => writer !== undefined,
     request,
     post: (kind, body) => void send({type: 'post', kind, body}),
     reconnect() {
-      if (openSocket === undefined) task.post({type: 'reconnect'});
+      if (writer === undefined) task.post({type: 'reconnect'});
     },
     async stop() {
       stopped = true;
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -4,7 +4,8 @@
 import {afterInput, type Task, type TaskSystem} from '@lentildrift/task';
 import {createFrameDecoder, encodeFrame} from './frame.js';
 import {LinkMessage} from './message.js';
-import {MAX_UNSENT_BYTES, PING_INTERVAL_MS, IDLE_TIMEOUT_MS} from './timing.js';
+import {PING_INTERVAL_MS, IDLE_TIMEOUT_MS} from './timing.js';
+import {createFrameWriter, type FrameWriter} from './writer.js';
 
 export interface LinkServerOptions {
   readonly host: string;
@@ -47,19 +48,21 @@
   options: LinkServerOptions,
 ): Promise<LinkServer> {
   const sessions = new Set<Task<TaskMessage>>();
-  const sockets = new Set<Socket>();
+  const writers = new Map<Socket, FrameWriter>();
   let nextId = 1;
 
   function accept(socket: Socket): void {
-    sockets.add(socket);
-    const session = spawnSession(options, socket, `link-in-${nextId++}`);
+    const writer = createFrameWriter(socket);
+    writers.set(socket, writer);
+    const name = `link-in-${nextId++}`;
+    const session = spawnSession(options, socket, writer, name);
     sessions.add(session);
     socket.on('data', chunk => session.post({type: 'data', chunk}));
     socket.on('error', error =>
       options.log.debug('link-error', {reason: error.message}),
     );
     socket.on('close', () => {
-      sockets.delete(socket);
+      writers.delete(socket);
       sessions.delete(session);
       void session.stop();
     });
@@ -78,7 +81,10 @@
       const closed = new Promise<void>(resolve =>
         server.close(() => resolve()),
       );
-      for (const socket of sockets) socket.destroy();
+      for (const [socket, writer] of writers) {
+        writer.flush();
+        socket.destroy();
+      }
       await closed;
     },
   };
@@ -97,6 +103,7 @@
 function spawnSession(
   options: LinkServerOptions,
   socket: Socket,
+  writer: FrameWriter,
   name: string,
 ): Task<TaskMessage> {
   const decoder = createFrameDecoder();
@@ -107,8 +114,12 @@
     });
   });
 
+  /** Answers may wait for others of the same turn, other messages may not. */
   function send(message: LinkMessage): void {
-    writeOrClose(socket, encodeFrame(message));
+    const frame = encodeFrame(message);
+    const isAnswer = message.type === 'reply' || message.type === 'failure';
+    if (isAnswer) writer.write(frame);
+    else writer.writeSoon(frame);
   }
 
   function answerRequest(from: string, id: number, body: unknown): void {
@@ -147,7 +158,7 @@
     name,
     initial: {name: ''},
     handle(session, message) {
-      if (message.type === 'send') writeOrClose(socket, message.frame);
+      if (message.type === 'send') writer.writeSoon(message.frame);
       if (message.type !== 'data') return session;
       try {
         return decoder
@@ -165,10 +176,3 @@
     },
   });
 }
-
-/** Closes the connection if the peer does not read what is sent. */
-function writeOrClose(socket: Socket, frame: Buffer): void {
-  if (socket.destroyed) return;
-  if (socket.writableLength > MAX_UNSENT_BYTES) socket.destroy();
-  else socket.write(frame);
-}
