--- a/packages/dispatch/test/control.test.ts
+++ b/packages/dispatch/test/control.test.ts
@@ -14,6 +14,7 @@
   type Reply,
   type Request,
 } from '../src/index.js';
+import type {Envelope} from '../src/remote.js';
 import {job, TABLES} from './harness.js';
 import {FakeFleet, FakeHostProvider} from './fakes.js';
 
@@ -205,7 +206,12 @@
     });
     await opened;
     const startMs = performance.now();
-    const request = {id: 'r', request: inspect('/q/a'), relay: false};
+    const request: Envelope = {
+      type: 'request',
+      id: 'r',
+      request: inspect('/q/a'),
+      relay: false,
+    };
     expect(await link.request(request, 700)).toEqual({type: 'not-leader'});
     // Timers may fire a millisecond early.
     expect(performance.now() - startMs).toBeGreaterThan(290);
