Log runs that are recorded and neither ordered nor given up

The logs showed the start of such a task and nothing after it, which is also what a task that runs well leaves.

Cause of the missing evidence: the end of a run is logged only if it was not done, and an order that waits for a confirmed leadership is not logged at all.

The leader now logs `run-unsettled`, once for each run, when the reports of a worker have lacked a recorded run for 3 s while its order has no final answer, and `start-deferred` when an order was held back.

--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -455,6 +455,11 @@
       });
     }
     for (const id of reconciliation.confirmed) runs.markReported(id);
+    for (const {id, job, key: taskKey, run} of recorded) {
+      if (reconciliation.confirmed.has(id) || !runs.markMissing(id)) continue;
+      const name = taskName(job.spec.id, taskKey);
+      log.warn('run-unsettled', {worker: key, task: name, run: run.number});
+    }
     for (const event of reconciliation.events) handleDifference(key, event);
     for (const {task: name, run} of reconciliation.unexpected) {
       log.warn('unexpected-run', {worker: key, task: name, run});
--- a/packages/dispatch/src/session.ts
+++ b/packages/dispatch/src/session.ts
@@ -212,7 +212,7 @@
     for (let attempt = 0; attempt < START_ATTEMPTS; attempt++) {
       // An await without need would defer the order to a turn that sends it
       // with all others.
-      if (!options.isLeader()) await waitForLeadership();
+      if (!options.isLeader()) await waitForLeadership(name, run);
       // The run is in the replicated state, where the next leader finds it.
       if (isClosed) return;
       const leaseUntilMs = clock.grantLease(LEASE_MS);
@@ -248,10 +248,13 @@
    * confirmed again, for instance after a step of the wall clock, so an order
    * must not be dropped; the session is closed when the leadership ends.
    */
-  async function waitForLeadership(): Promise<void> {
+  async function waitForLeadership(name: string, run: number): Promise<void> {
+    const sinceMs = performance.now();
     while (!isClosed && !options.isLeader()) {
       await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
     }
+    const waitedMs = Math.round(performance.now() - sinceMs);
+    log.info('start-deferred', {worker: key, task: name, run, waitedMs});
   }
 
   /**
--- a/packages/dispatch/src/tracker.ts
+++ b/packages/dispatch/src/tracker.ts
@@ -22,10 +22,21 @@
   /** Notes that the run is being stopped; false if it was already. */
   markStopping(id: string): boolean;
   isStopping(id: string): boolean;
+  /**
+   * Notes that a report lacks the run although it is recorded and its order is
+   * not settled. True once: as soon as that has been so for `UNSETTLED_RUN_MS`.
+   */
+  markMissing(id: string): boolean;
   /** Drops everything about a run that is no longer recorded. */
   forget(id: string): void;
 }
 
+/**
+ * An order is settled within about a second unless its worker does not answer,
+ * so a run that reports lack for this long is held up.
+ */
+const UNSETTLED_RUN_MS = 3000;
+
 /**
  * `inherited` are the runs that earlier leaders ordered. They count as settled,
  * so the first report of their worker shows whether they are running.
@@ -36,8 +47,13 @@
   const startedMs = new Map<string, number>();
   const reported = new Set<string>();
   const stopping = new Set<string>();
+  /** Monotonic time since which reports lack the run; infinite once logged. */
+  const missingSinceMs = new Map<string, number>();
   return {
-    markSettled: id => void settledMs.set(id, performance.now()),
+    markSettled(id) {
+      settledMs.set(id, performance.now());
+      missingSinceMs.delete(id);
+    },
     // A run without a known answer is not settled: the state may list the run
     // before the commit message arrives that makes this leader order it.
     isSettled: (id, sinceMs) =>
@@ -52,12 +68,21 @@
       return true;
     },
     isStopping: id => stopping.has(id),
+    markMissing(id) {
+      if (inheritedRuns.has(id) || settledMs.has(id)) return false;
+      const nowMs = performance.now();
+      const sinceMs = missingSinceMs.get(id) ?? nowMs;
+      const isLong = nowMs - sinceMs >= UNSETTLED_RUN_MS;
+      missingSinceMs.set(id, isLong ? Infinity : sinceMs);
+      return isLong;
+    },
     forget(id) {
       inheritedRuns.delete(id);
       settledMs.delete(id);
       startedMs.delete(id);
       reported.delete(id);
       stopping.delete(id);
+      missingSinceMs.delete(id);
     },
   };
 }
