Repeat a stop that an unhealthy worker did not carry out

What callers see: a run that nobody needs goes on, or a task runs twice.

A run is stopped only once, so a surplus run stayed on its worker, and a long-running task stayed on a host that drains or is emptied, counted as not ready. A start without an answer counted as withdrawn, its run as lost, and its task was restarted while the first order was still in flight.

Sessions and the registry now repeat the stop until an answer settles it. The three tests failed before: "expected [ FakeWorker ] to deeply equal []" and twice "a.0.0.0 runs twice". The test of the log line `run-unsettled` is part of this change because it needs a stop that is never settled.

--- a/packages/dispatch/src/driver.ts
+++ b/packages/dispatch/src/driver.ts
@@ -100,6 +100,15 @@
         | 'invalid';
     };
 
+/**
+ * Whether the worker can no longer execute the run after this answer to a stop.
+ * An unhealthy worker has done nothing, so the run may go on, and a start that
+ * is in flight may still be carried out.
+ */
+export function isStopSettled(answer: OrderAnswer): boolean {
+  return answer.ok || answer.reason !== 'unhealthy';
+}
+
 /**
  * If a call rejects, it is unknown whether the order took effect; only an
  * `OrderAnswer` or a report shows that.
--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -13,7 +13,7 @@
 import {runId, type LiveRun} from '@lentildrift/scheduling';
 import type {Reply} from '@lentildrift/task';
 import {classifyAnnouncement} from './announcement.js';
-import type {Report, WorkerDriver} from './driver.js';
+import {isStopSettled, type Report, type WorkerDriver} from './driver.js';
 import {toLostRow} from './reconcile.js';
 import type {WorkerSession} from './session.js';
 import {LEFT_GRACE_MS, RETRY_PAUSE_MS, WORKER_EXPIRY_MS} from './timing.js';
@@ -132,8 +132,8 @@
     const run = live.run.number;
     while (!isStopped && !isSuperseded(worker)) {
       try {
-        await driver.stop(target, {task, run, token});
-        return;
+        const answer = await driver.stop(target, {task, run, token});
+        if (isStopSettled(answer)) return;
       } catch (error) {
         const reason = (error as Error).message;
         log.debug('stop-unanswered', {worker: worker.id, task, run, reason});
--- a/packages/dispatch/src/session.ts
+++ b/packages/dispatch/src/session.ts
@@ -5,7 +5,12 @@
 import type {Log} from '@lentildrift/observe';
 import {workerKey, type Worker} from '@lentildrift/queue';
 import type {Task, TaskSystem} from '@lentildrift/task';
-import type {OrderAnswer, Report, WorkerDriver} from './driver.js';
+import {
+  isStopSettled,
+  type OrderAnswer,
+  type Report,
+  type WorkerDriver,
+} from './driver.js';
 import {
   CLOCK_DRIFT,
   HOLD_WAIT_MS,
@@ -258,15 +263,15 @@
   }
 
   /**
-   * Retries the stop until the worker has answered, after which it can no
-   * longer execute the run, or until the session is closed.
+   * Retries the stop until the worker can no longer execute the run by its
+   * answer, or until the session is closed.
    */
   async function deliverStop(name: string, run: number): Promise<void> {
     while (!isClosed) {
       try {
         if (options.isLeader()) {
-          await driver.stop(target, {task: name, run, token});
-          return;
+          const answer = await driver.stop(target, {task: name, run, token});
+          if (isStopSettled(answer)) return;
         }
       } catch (error) {
         log.debug('stop-unanswered', {
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -33,6 +33,33 @@
   return lost;
 }
 
+/** Has the next `count` stops refused by workers that are unhealthy. */
+function refuseNextStops(count: number): void {
+  let left = count;
+  const {fleet} = harness;
+  const stop = fleet.stop.bind(fleet);
+  vi.spyOn(fleet, 'stop').mockImplementation(async (target, order) =>
+    left-- > 0 ? {ok: false, reason: 'unhealthy'} : stop(target, order),
+  );
+}
+
+/**
+ * Leaves the next `count` orders to start a run without an answer; their workers
+ * carry them out `delayMs` later.
+ */
+function deliverNextStartsLate(count: number, delayMs = 3000): void {
+  let left = count;
+  const {fleet} = harness;
+  const start = fleet.start.bind(fleet);
+  vi.spyOn(fleet, 'start').mockImplementation((target, order) => {
+    if (left-- <= 0) return start(target, order);
+    if (Number.isFinite(delayMs)) {
+      setTimeout(() => void start(target, order), delayMs);
+    }
+    return Promise.reject(new Error('no answer'));
+  });
+}
+
 beforeEach(() => {
   vi.useFakeTimers();
 });
@@ -229,6 +256,44 @@
     expect(harness.fleet.starts).toHaveLength(1);
   });
 
+  // An unhealthy worker does nothing on an order. Taken as final, its answer left
+  // a run that nobody needs on the worker, since a run is stopped only once.
+  it('is stopped again when its worker was too unhealthy to stop it', async () => {
+    await createCluster({behave: () => ({durationMs: 60_000})});
+    await harness.submit(job('a'));
+    await harness.advance(500);
+    refuseNextStops(3);
+    void harness.leader.commit({type: 'cancel', job: 'a'});
+    await harness.advance(1500);
+    expect(harness.fleet.running('a.0.0.0')).toEqual([]);
+  });
+
+  // Taken as withdrawn by such an answer, the run counted as lost and was
+  // restarted while its first order was still in flight.
+  it('is not restarted before a healthy answer shows that its order is withdrawn', async () => {
+    await createCluster({behave: () => ({durationMs: 6000})});
+    refuseNextStops(3);
+    deliverNextStartsLate(2);
+    await harness.submit(job('a'));
+    await harness.advance(15_000);
+    expect(harness.phase('a')).toBe('completed');
+  });
+
+  // Such a run shows nowhere else: its task counts as running, so nothing starts
+  // it again.
+  it('is logged while its order stays unsettled and reports lack it', async () => {
+    await createCluster();
+    refuseNextStops(Infinity);
+    deliverNextStartsLate(2, Infinity);
+    await harness.submit(job('a'));
+    await harness.advance(10_000);
+    const lines = harness.logLines.filter(line =>
+      line.includes('event=run-unsettled'),
+    );
+    expect(lines).toHaveLength(1);
+    expect(lines[0]).toContain('task=a.0.0.0 run=1');
+  });
+
   it('that a worker starts late never runs at the same time as its replacement', async () => {
     await createCluster({behave: () => ({durationMs: 4000})});
     for (const fake of harness.fleet.byAddress.values()) fake.link = 'late';
@@ -387,6 +452,22 @@
     expect(harness.phase('c')).toBe('completed');
   });
 
+  it('that restarts is asked again when it was too unhealthy to stop a run of its old incarnation', async () => {
+    await createCluster({behave: () => ({durationMs: 5000})}, 1);
+    const old = harness.fleet.byAddress.get('w1:1')!;
+    old.link = 'delayed';
+    await harness.submit(job('a'));
+    await harness.advance(100);
+    old.isAlive = false;
+    refuseNextStops(3);
+    const again = worker('w1', {bornMs: 2, address: 'w1:1'});
+    harness.fleet.add(again);
+    void harness.leader.announce(again);
+    await harness.addWorker(worker('w2'));
+    await harness.advance(15_000);
+    expect(harness.phase('a')).toBe('completed');
+  });
+
   it('that is quarantined is used if most of its pool is, whatever the other pools have', async () => {
     await createCluster({
       behave: task => ({
