Remove an incarnation whose successor has been silent for a minute

What callers see: a task that can run stays without a run, with hosts free.

If that one ends before it has answered the stops, nothing removed the old one: its runs stayed recorded until the next change of leader, and the leader went on to ask the later one for ever.

The old incarnation is now removed once its successor has not announced itself for `WORKER_EXPIRY_MS`, as any silent worker is; a lease that a late order took at the successor is over by far at that time, and no one renews it. The stops end with the removal. The test failed before: "expected 'active' to be 'completed'".

--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -107,10 +107,11 @@
     const unreported = options
       .recordedRuns(oldKey)
       .filter(({id}) => !runs.wasReported(id));
-    for (const live of unreported) await deliverStop(live, worker);
+    const isNeeded = () => isReplacing(old, worker);
+    for (const live of unreported) await deliverStop(live, worker, isNeeded);
     const ends =
       unreported.length > 0
-        ? await awaitStopped(unreported, worker)
+        ? await awaitStopped(unreported, worker, isNeeded)
         : undefined;
     replacements.delete(key);
     if (isStopped || ends === 'superseded') {
@@ -126,11 +127,26 @@
     if (ends) enqueue(ends);
   }
 
-  async function deliverStop(live: LiveRun, worker: Worker): Promise<void> {
+  /**
+   * Whether the incarnation `worker` is still to take the place of `old`, which
+   * a later incarnation or the removal of `old` prevents.
+   */
+  function isReplacing(old: Worker, worker: Worker): boolean {
+    const recorded = state().workers.get(old.id);
+    return (
+      !isStopped && !isSuperseded(worker) && recorded?.bornMs === old.bornMs
+    );
+  }
+
+  async function deliverStop(
+    live: LiveRun,
+    worker: Worker,
+    isNeeded: () => boolean,
+  ): Promise<void> {
     const target = {id: worker.id, address: worker.address};
     const task = taskName(live.job.spec.id, live.key);
     const run = live.run.number;
-    while (!isStopped && !isSuperseded(worker)) {
+    while (isNeeded()) {
       try {
         const answer = await driver.stop(target, {task, run, token});
         if (isStopSettled(answer)) return;
@@ -146,15 +162,16 @@
    * Waits until the worker reports none of the runs as running: a run may still
    * be ending after its stop was answered. Returns the ends that the worker
    * reports, undefined if there are none, and `superseded` if a later
-   * incarnation has taken the worker's place or the registry has stopped.
+   * incarnation has taken the worker's place or the wait is no longer needed.
    */
   async function awaitStopped(
     stoppedRuns: readonly LiveRun[],
     worker: Worker,
+    isNeeded: () => boolean,
   ): Promise<EventOf<'ends'> | undefined | 'superseded'> {
     const target = {id: worker.id, address: worker.address};
     const ids = new Set(stoppedRuns.map(({id}) => id));
-    while (!isStopped && !isSuperseded(worker)) {
+    while (isNeeded()) {
       try {
         const order = {token, cursor: 0, waitMs: 0};
         const report = await driver.hold(target, order);
@@ -208,7 +225,10 @@
     // The lease limits runs only by the clock of this incarnation. A late order
     // may be carried out by a later incarnation, at which `replaceIncarnation`
     // stops the run.
-    if (isSuperseded(worker)) return;
+    if (isSuperseded(worker)) {
+      expireSuperseded(worker);
+      return;
+    }
     if (nowMs < session.leaseExpiryMs()) return;
     const expiredRuns = options.recordedRuns(key);
     if (expiredRuns.length > 0) {
@@ -221,6 +241,21 @@
     enqueueDerived({type: 'worker-gone', worker: key});
   }
 
+  /**
+   * Removes an incarnation whose successor has been silent for so long that it
+   * has ended as well. Its runs would otherwise stay recorded, and their tasks
+   * without a run, until the next change of leader.
+   */
+  function expireSuperseded(worker: Worker): void {
+    const bornMs = newestIncarnationMs.get(worker.id)!;
+    const newestKey = workerKey({id: worker.id, bornMs});
+    const heardMs = lastHeardMs.get(newestKey) ?? -Infinity;
+    if (performance.now() - heardMs <= WORKER_EXPIRY_MS) return;
+    const key = workerKey(worker);
+    log.info('successor-silent', {worker: key, successor: newestKey});
+    enqueueDerived({type: 'worker-gone', worker: key});
+  }
+
   return {
     announce,
     leave,
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -452,6 +452,23 @@
     expect(harness.phase('c')).toBe('completed');
   });
 
+  // The runs of the old incarnation stayed recorded until the next change of
+  // leader, and their tasks without a run.
+  it('is removed with its runs once its next incarnation has been silent for long', async () => {
+    await createCluster({behave: () => ({durationMs: 4000})}, 1);
+    harness.fleet.byAddress.get('w1:1')!.isAlive = false;
+    await harness.submit(job('a'));
+    const again = worker('w1', {bornMs: 2});
+    harness.fleet.add(again).isAlive = false;
+    harness.leader.announce(again).catch(() => {});
+    await harness.addWorker(worker('w2'));
+    await harness.advance(50_000);
+    expect(harness.fleet.starts).toEqual([]);
+    await harness.advance(20_000);
+    expect(harness.phase('a')).toBe('completed');
+    expect(harness.replica.state().workers.has('w1')).toBe(false);
+  });
+
   it('that restarts is asked again when it was too unhealthy to stop a run of its old incarnation', async () => {
     await createCluster({behave: () => ({durationMs: 5000})}, 1);
     const old = harness.fleet.byAddress.get('w1:1')!;
