Count no run as lost whose order is held back

What callers see: a task runs twice at the same time.

Cause: since orders wait for a confirmed leadership, a run may be on record for long before its order is sent. If its worker does not answer meanwhile and every lease granted to it has expired, the run counted as lost once the leadership was confirmed, and its task was started elsewhere. The order that was held back went out within the next 100 ms, with a fresh lease.

The leases of a worker now count as not expired while an order to it is held back. The order grants its lease in the turn in which the wait ends, so nothing comes between. Of the five offsets of the new test, those of 20 and 40 ms failed before: "a.0.0.0 runs twice".

--- a/packages/dispatch/src/session.ts
+++ b/packages/dispatch/src/session.ts
@@ -65,7 +65,8 @@
   isAnswering(): boolean;
   /**
    * Monotonic time at which the leases of all runs on the worker have certainly
-   * expired, those granted by an earlier leader included.
+   * expired, those granted by an earlier leader included; infinite while an order
+   * to start is held back.
    */
   leaseExpiryMs(): number;
   start(spec: StartSpec): void;
@@ -115,6 +116,8 @@
   const stopsInFlight = new Set<string>();
   let isAnswering = false;
   let isClosed = false;
+  /** Number of orders to start that wait until the leadership is confirmed. */
+  let deferredStarts = 0;
   let holdWaitMs = HOLD_WAIT_MS;
   let retryPauseMs = RETRY_PAUSE_MS;
   let holdTimer: NodeJS.Timeout | undefined;
@@ -217,7 +220,12 @@
     for (let attempt = 0; attempt < START_ATTEMPTS; attempt++) {
       // An await without need would defer the order to a turn that sends it
       // with all others.
-      if (!options.isLeader()) await waitForLeadership(name, run);
+      if (!options.isLeader()) {
+        // Counted until the turn that grants the lease.
+        deferredStarts++;
+        await waitForLeadership(name, run);
+        deferredStarts--;
+      }
       // The run is in the replicated state, where the next leader finds it.
       if (isClosed) return;
       const leaseUntilMs = clock.grantLease(LEASE_MS);
@@ -289,7 +297,9 @@
     worker,
     begin: () => void task.post({type: 'hold'}),
     isAnswering: () => isAnswering && !isClosed,
-    leaseExpiryMs: () => clock.leaseExpiryMs(),
+    // A deferred order grants a lease as soon as it is sent.
+    leaseExpiryMs: () =>
+      deferredStarts > 0 ? Infinity : clock.leaseExpiryMs(),
     start: spec => void deliverStart(spec),
     stop(name, run) {
       const id = `${name} ${run}`;
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -244,6 +244,27 @@
     expect(harness.fleet.starts).toHaveLength(1);
   });
 
+  // Until the order that was held back is sent, the lease that it grants is not
+  // counted. The run was restarted elsewhere once the earlier leases had expired.
+  it.each([0, 20, 40, 60, 80])(
+    'does not count as lost while its order is held back (%i ms)',
+    async offsetMs => {
+      await createCluster({behave: () => ({durationMs: 5000})});
+      harness.replica.delayMs = 300;
+      void harness.leader.commit(SUBMIT);
+      await harness.advance(200);
+      harness.replica.acceptsProposals = false;
+      const first = harness.fleet.byAddress.get('w1:1')!;
+      first.link = 'cut';
+      await harness.advance(10_000 + offsetMs);
+      first.link = 'up';
+      harness.replica.acceptsProposals = true;
+      harness.replica.delayMs = 0;
+      await harness.advance(8000);
+      expect(harness.phase('a')).toBe('completed');
+    },
+  );
+
   it('is not started elsewhere when its order got no answer', async () => {
     await createCluster({behave: () => ({durationMs: 2000})});
     harness.fleet.byAddress.get('w1:1')!.link = 'answers-lost';
