Make a report cost what it changes

At a peak a busy leader handled about 920 reports a second at 0.12 ms each, without `load`, although most of them said that nothing had changed.

Causes: - Every report was reconciled: three sets of IDs joined from the rows, one more map for the pace of fillers, one more set of ready runs. - Every report scheduled a decision round, so that a quiet fleet decided up to 100 times a second on what it had decided before. - Every completed run searched all remembered steps for the oldest once 500 steps were remembered: 7 % of all processor time at 1,000 workers, a third of the time in reports (V8 profile).

Change: `ReportFilter` recognises a report that lists the runs of the last one, for a list of recorded runs that has not been replaced since, if the last report matched the record completely and the new one has no end above the cursor. Reconciling it would yield nothing, so it is not reconciled and causes no round; readiness and pace still follow each report. A worker that was silent or has runs whose order is open is always reconciled. Fillers and serving tasks are found once for each list of runs. The older half of the remembered steps is dropped in one go; between 250 and 500 steps are remembered, as against 500 before. `PersistentMap.oldestKey` has no caller any more and is removed with its assertion; the order of the entries is still checked.

New tests failed before: "decides only on its ticks while reports bring no news" (105 rounds in 5 s, 51 allowed) and "are updated without a search through all remembered steps" (1,000 searches for 1,000 ends, 4 allowed). The property test of the filter compares it with `reconcile`; it fails if the filter ignores the ends, the record or the rows.

--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -70,6 +70,7 @@
 import {createRebalancer, type Rebalancer} from './rebalancer.js';
 import {reconcile} from './reconcile.js';
 import {createRegistry, type Registry} from './registry.js';
+import {createReportFilter} from './report-filter.js';
 import {createRetention} from './retention.js';
 import type {SessionEvent} from './session.js';
 import {
@@ -183,6 +184,7 @@
   const reconciledWorkers = new Set<string>();
   /** Number of the last end recorded or queued to be, by `workerKey`. */
   const recordedEndCursors = new Map<string, number>();
+  const reportFilter = createReportFilter();
   const retention = createRetention();
   const index = createStateIndex({onMoved: instruments.recordDifferences});
   const runs = createRunTracker(
@@ -236,6 +238,7 @@
       const key = workerKey(worker);
       reconciledWorkers.delete(key);
       recordedEndCursors.delete(key);
+      reportFilter.forget(key);
       readiness.forget(key);
       pacing.forget(worker.id);
     },
@@ -400,6 +403,7 @@
         handleReport(event);
         return;
       case 'silent':
+        reportFilter.forget(event.key);
         scheduleRound();
         return;
       case 'start':
@@ -434,14 +438,28 @@
   }
 
   function handleReport(event: Extract<SessionEvent, {type: 'report'}>): void {
-    const {key, report, sentMs} = event;
+    const {key, report} = event;
     const session = dispatcher.sessionOf(key)!;
     const current = state().workers.get(session.worker.id);
     if (!current || workerKey(current) !== key) return;
     const recorded = recordedRuns(key);
     const cursor = Math.max(recordedEndCursors.get(key) ?? 0, current.cursor);
-    const reconciliation = reconcile({
-      worker: current,
+    if (!reportFilter.isUnchanged(key, report, recorded, cursor)) {
+      reconcileReport(event, current, recorded, cursor);
+    }
+    readiness.observe(key, report);
+    pacing.observe(session, report, recorded);
+  }
+
+  /** Handles a report that may differ from the last or from the record. */
+  function reconcileReport(
+    {key, report, sentMs}: Extract<SessionEvent, {type: 'report'}>,
+    worker: Worker,
+    recorded: readonly LiveRun[],
+    cursor: number,
+  ): void {
+    const {events, unexpected, confirmed} = reconcile({
+      worker,
       report,
       recorded,
       cursor,
@@ -456,14 +474,13 @@
         recorded: recorded.length,
       });
     }
-    for (const id of reconciliation.confirmed) runs.markReported(id);
-    for (const event of reconciliation.events) handleDifference(key, event);
-    for (const {task: name, run} of reconciliation.unexpected) {
+    for (const id of confirmed) runs.markReported(id);
+    for (const event of events) handleDifference(key, event);
+    for (const {task: name, run} of unexpected) {
       log.warn('unexpected-run', {worker: key, task: name, run});
-      session.stop(name, run);
+      dispatcher.sessionOf(key)?.stop(name, run);
     }
-    readiness.observe(key, report);
-    pacing.observe(session, report, recorded);
+    reportFilter.note(key, report, recorded, confirmed.size);
     scheduleRound();
   }
 
--- a/packages/dispatch/src/pacing.ts
+++ b/packages/dispatch/src/pacing.ts
@@ -41,6 +41,27 @@
   readonly informed: ReadonlySet<string>;
 }
 
+/** The runs of a worker that are paced, and those that they may slow down. */
+interface PacedRuns {
+  readonly fillers: readonly LiveRun[];
+  readonly serving: readonly LiveRun[];
+}
+
+/** The paced runs by the list of a worker's runs, which does not change. */
+const pacedRunsOf = new WeakMap<readonly LiveRun[], PacedRuns>();
+
+function listPacedRuns(recorded: readonly LiveRun[]): PacedRuns {
+  let paced = pacedRunsOf.get(recorded);
+  if (!paced) {
+    const fillers = recorded.filter(({step}) => step.filler);
+    const serving = recorded.filter(
+      ({step}) => !step.filler && step.tailTargetMs > 0,
+    );
+    pacedRunsOf.set(recorded, (paced = {fillers, serving}));
+  }
+  return paced;
+}
+
 export function createPacing(log: Log): Pacing {
   /** By worker ID. */
   const paces = new Map<string, Pace>();
@@ -50,18 +71,23 @@
     {running}: Report,
     recorded: readonly LiveRun[],
   ): void {
+    const paced = listPacedRuns(recorded);
+    if (paced.fillers.length === 0) {
+      session.setHoldWaitMs(HOLD_WAIT_MS);
+      return;
+    }
     const rows = new Map(running.map(row => [runId(row.task, row.run), row]));
     const serving: ServingTask[] = [];
-    const fillers: {id: string; task: string; run: number}[] = [];
-    for (const {job, key, step, run, id} of recorded) {
+    for (const {step, id} of paced.serving) {
       const row = rows.get(id);
       if (!row) continue;
-      if (step.filler) {
-        const task = taskName(job.spec.id, key);
-        fillers.push({id, task, run: run.number});
-      } else if (step.tailTargetMs > 0) {
-        serving.push({targetMs: step.tailTargetMs, tailMs: row.measure});
-      }
+      serving.push({targetMs: step.tailTargetMs, tailMs: row.measure});
+    }
+    const fillers: {id: string; task: string; run: number}[] = [];
+    for (const {job, key, run, id} of paced.fillers) {
+      if (!rows.has(id)) continue;
+      const task = taskName(job.spec.id, key);
+      fillers.push({id, task, run: run.number});
     }
     const needsPacing = fillers.length > 0 && serving.length > 0;
     session.setHoldWaitMs(needsPacing ? PACE_INTERVAL_MS : HOLD_WAIT_MS);
--- a/packages/queue/src/persistent-map.ts
+++ b/packages/queue/src/persistent-map.ts
@@ -98,17 +98,6 @@
     return leaves.map(({value}) => value);
   }
 
-  /** The key that was inserted first, in time that grows with the size. */
-  oldestKey(): string | undefined {
-    const leaves: Leaf<V>[] = [];
-    collectLeaves(this.root, leaves);
-    let oldest = leaves[0];
-    for (const leaf of leaves) {
-      if (leaf.sequence < oldest!.sequence) oldest = leaf;
-    }
-    return oldest?.key;
-  }
-
   /** The entries, in time that grows with the size of the map. */
   *[Symbol.iterator](): Generator<[string, V]> {
     for (const {key, value} of this.sorted()) yield [key, value];
--- a/packages/scheduling/src/estimate.ts
+++ b/packages/scheduling/src/estimate.ts
@@ -104,19 +104,21 @@
 }
 
 /**
- * Stores the latest value of a step and drops the oldest step above the limit.
+ * Stores the latest value of a step. Above the limit the older half is dropped
+ * in one go, since finding the oldest step takes the time of all steps.
  */
 function rememberDuration(
   known: PersistentMap<number>,
   key: string,
   value: number,
 ): PersistentMap<number> {
-  const editor = known.edit();
+  const isFull = known.size >= MAX_REMEMBERED_STEPS && !known.has(key);
+  const kept = isFull
+    ? PersistentMap.from([...known].slice(MAX_REMEMBERED_STEPS / 2))
+    : known;
+  const editor = kept.edit();
   // Without the deletion the key would keep its age.
   editor.delete(key);
-  if (known.size >= MAX_REMEMBERED_STEPS && !known.has(key)) {
-    editor.delete(known.oldestKey()!);
-  }
   editor.set(key, value);
   return editor.finish();
 }
--- a/packages/scheduling/test/plan.test.ts
+++ b/packages/scheduling/test/plan.test.ts
@@ -1,12 +1,13 @@
 import {
   apply,
+  PersistentMap,
   workerKey,
   type Event,
   type JobSpec,
   type State,
   type Step,
 } from '@lentildrift/queue';
-import {describe, expect, it} from 'vitest';
+import {describe, expect, it, vi} from 'vitest';
 import {
   ArrivalOrder,
   DeadlineOrder,
@@ -303,6 +304,33 @@
     expect(expectedDurationMs(mixed, 'q', other)).toBeLessThan(2000);
   });
 
+  it('are updated without a search through all remembered steps', () => {
+    const full = durationsAfter(...Array.from({length: 1000}, () => 1000));
+    const prototype = PersistentMap.prototype as unknown as Record<
+      string | symbol,
+      () => unknown
+    >;
+    // The operations that take the time of all entries.
+    const scans = ['values', 'unorderedValues', 'oldestKey', Symbol.iterator]
+      .filter(name => name in prototype)
+      .map(name => vi.spyOn(prototype, name as string));
+    const updates = 1000;
+    let durations = full;
+    for (let at = 0; at < updates; at++) {
+      const stepName = `t${at}`;
+      const sample = {queue: 'q', stepName, step, durationMs: 1000};
+      durations = recordDuration(durations, sample);
+    }
+    const count = scans.reduce((sum, {mock}) => sum + mock.calls.length, 0);
+    for (const scan of scans) scan.mockRestore();
+    // At most one scan of n entries for each n / 2 new ones.
+    expect(count).toBeLessThanOrEqual(updates / 250);
+    expect(durations.lastInStep.size).toBeLessThanOrEqual(500);
+    for (let at = updates - 250; at < updates; at++) {
+      expect(durations.lastInStep.has(`t${at}`)).toBe(true);
+    }
+  });
+
   it('of the longest task grow with the variance within steps', () => {
     const uneven = [500, 2000, 600, 1800, 700, 1500].reduce(
       (known, durationMs, at) =>
