Call all workers of a large fleet through relays

With 246 workers the 48 that are called directly took 12 % of the leader's busy time for HTTP (profile of the merged code, HTTP client and its parsing). A fleet of more than 48 workers is now called through relays as a whole; a smaller one still needs no other process.

--- a/packages/dispatch/src/relay-choice.ts
+++ b/packages/dispatch/src/relay-choice.ts
@@ -30,7 +30,7 @@
 export interface RelayChoiceOptions {
   /** The control processes that may be used, by address. */
   peers(): ReadonlyMap<string, Peer>;
-  /** Number of workers that are called without a relay. */
+  /** Largest number of workers that are all called without a relay. */
   readonly maxDirectWorkers: number;
   readonly log: Log;
 }
@@ -58,8 +58,6 @@
 }
 
 interface WorkerEntry {
-  /** Whether the worker is one of those that need no relay. */
-  readonly isDirect: boolean;
   /** Address of the worker's relay. */
   relay: string | undefined;
   /** Monotonic time until which the worker is called directly. */
@@ -87,7 +85,6 @@
 }: RelayChoiceOptions): RelayChoice {
   const workers = new Map<string, WorkerEntry>();
   const relays = new Map<string, RelayEntry>();
-  let directCount = 0;
   /** Number of relays whose state is not `used`. */
   let pausedCount = 0;
   let nextSweepMs = 0;
@@ -97,7 +94,8 @@
     if (nowMs >= nextSweepMs) sweep(nowMs);
     const worker = getWorker(target);
     worker.lastCallMs = nowMs;
-    if (worker.isDirect || nowMs < worker.directUntilMs) return undefined;
+    if (workers.size <= maxDirectWorkers) return undefined;
+    if (nowMs < worker.directUntilMs) return undefined;
     const trial = pausedCount > 0 ? findTrial(nowMs) : undefined;
     if (trial) return trial;
     const assigned =
@@ -116,10 +114,7 @@
     const key = keyOf(target);
     const known = workers.get(key);
     if (known) return known;
-    const isDirect = directCount < maxDirectWorkers;
-    if (isDirect) directCount++;
     const created: WorkerEntry = {
-      isDirect,
       relay: undefined,
       directUntilMs: 0,
       relayFailures: 0,
@@ -207,7 +202,6 @@
 
   function remove(key: string, worker: WorkerEntry): void {
     release(worker);
-    if (worker.isDirect) directCount--;
     workers.delete(key);
   }
 
--- a/packages/dispatch/src/relayed-driver.ts
+++ b/packages/dispatch/src/relayed-driver.ts
@@ -31,8 +31,8 @@
 } from './worker-call.js';
 
 /**
- * So many workers are called without a relay. Their calls take about a tenth of
- * a core, and the orders to a small fleet then depend on no other process.
+ * A fleet of up to so many workers is called without relays. These calls take
+ * about a tenth of a core, and the orders then depend on no other process.
  */
 export const MAX_DIRECT_WORKERS = 48;
 export interface RelayedDriverOptions {
@@ -40,7 +40,7 @@
   readonly direct: WorkerDriver;
   /** The control processes that may relay calls, by address. */
   peers(): ReadonlyMap<string, Peer>;
-  /** Number of workers that are called without a relay. */
+  /** Largest number of workers that are all called without a relay. */
   readonly maxDirectWorkers: number;
   /** Highest term that this process knows. */
   term(): number;
