--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -40,8 +40,12 @@
   type Mesh,
 } from './mesh.js';
 import type {Adviser, HostProvider} from './provider.js';
+import {MAX_DIRECT_WORKERS, RelayedWorkerDriver} from './relayed-driver.js';
 import {Envelope, RemoteService, type EnvelopeReply} from './remote.js';
 import {QueueService, refuse, type Reply, type Request} from './request.js';
+import {startMemberReport} from './member-report.js';
+import {WorkerCall} from './worker-call.js';
+import {createWorkerRelay} from './worker-relay.js';
 
 /**
  * Number of voters a group needs to keep a majority after it lost `losses` of
@@ -99,7 +103,10 @@
   readonly firstStart: boolean;
   /** Number of hosts that may lose their disks at the same time. */
   readonly toleratedDiskLosses: number;
+  /** Calls workers from this process. */
   readonly driver: WorkerDriver;
+  /** Data centre of this process. */
+  readonly dataCentre: string;
   readonly hosts: HostProvider;
   readonly adviser: Adviser;
   readonly tasks: TaskSystem;
@@ -125,6 +132,14 @@
   stop(): Promise<void>;
 }
 
+/**
+ * How long a request waits in a process that was elected and still applies its
+ * log. Senders would otherwise repeat all their requests at once and without
+ * pause, which delays the takeover that they wait for. Shorter than the time
+ * limit of a relayed attempt, so that a sender learns that the request had no
+ * effect.
+ */
+const TAKEOVER_WAIT_MS = 300;
 /** Pause before another attempt to confirm this process's leadership. */
 const CONFIRM_RETRY_MS = 50;
 /** Exclusive upper bound of the replica's random seed. */
@@ -135,6 +150,8 @@
 const JOIN_KIND = 'join';
 const GROUP_NAME = 'lentildrift';
 const MessageBatch = z.array(PeerMessage);
+/** A request that a control process receives through a link. */
+const PeerRequest = z.discriminatedUnion('type', [Envelope, WorkerCall]);
 
 type QueueRaft = RaftReplica<State, Change, readonly Outcome[]>;
 
@@ -154,13 +171,14 @@
     log,
     onChange: () => {},
   });
+  const report = startMemberReport(options);
   const replica = await startRaft({
     member,
     group: GROUP_NAME,
     seed: randomInt(MAX_RANDOM_SEED),
     stateMachine: queueMachine,
     codec: new StateCodec(),
-    store: options.store,
+    store: report.store,
     transport: new MeshTransport(mesh, member),
     tasks,
     rules: options.rules ?? new QueueRules(),
@@ -176,21 +194,55 @@
       return current !== undefined && current !== other;
     },
   });
+  const term = () => replica.status().term;
+  const relay = createWorkerRelay({
+    driver: options.driver,
+    term,
+    leads: () => replica.status().role === 'leader',
+  });
+  const driver = new RelayedWorkerDriver({
+    direct: options.driver,
+    peers: () => mesh.peers(),
+    maxDirectWorkers: MAX_DIRECT_WORKERS,
+    term,
+    isServedForOthers: target => relay.serves(target),
+    log,
+    metrics: options.metrics,
+  });
   const leadership = followLeadership(
-    {...options, processId, hostOrderGuard},
+    {...options, driver, processId, hostOrderGuard},
     replica,
   );
   const service = new ControlService(leadership, mesh, log);
+
+  function groupStatus(): GroupStatus {
+    const {term, leader, voters, learners} = replica.status();
+    return {
+      member,
+      process: processId,
+      term,
+      voters: [...voters],
+      learners: [...learners],
+      dataCentre: options.dataCentre,
+      ...(leader !== undefined && {leader}),
+    };
+  }
+
   const server = await startLinkServer({
     host,
     port: Number(port),
     tasks,
     log,
-    initialPost: () => ({kind: STATUS, body: statusOf(replica, processId)}),
+    initialPost: () => ({kind: STATUS, body: groupStatus()}),
     // A peer that connects has just started, so the link to it reconnects at
     // once, and requests that wait for the peer need not wait longer.
     onPeerConnect: from => mesh.linkTo(addressOf(from))?.reconnect(),
-    onRequest: (_from, body) => service.handleEnvelope(Envelope.parse(body)),
+    async onRequest(_from, body) {
+      const request = PeerRequest.parse(body);
+      if (request.type === 'request') return service.handleEnvelope(request);
+      report.countRelayedCall();
+      return relay.handle(request);
+    },
     onPost(from, kind, body) {
       if (kind === RAFT_KIND) receiveBatch(replica, from, body, log);
       else if (kind === JOIN_KIND) membership.admit(from);
@@ -214,7 +266,7 @@
       learners: status.learners.length,
     });
     mesh.refresh([...status.voters, ...status.learners]);
-    server.broadcast(STATUS, statusOf(replica, processId));
+    server.broadcast(STATUS, groupStatus());
     leadership.update();
   });
   const {voters, learners} = replica.status();
@@ -227,6 +279,8 @@
     isConfirmedLeader: () => replica.isConfirmedLeader(),
     refreshSeeds: () => mesh.refresh(),
     async stop() {
+      relay.stop();
+      report.stop();
       await membership.stop();
       await replica.stop();
       unsubscribe();
@@ -238,18 +292,6 @@
   };
 }
 
-function statusOf(replica: QueueRaft, processId: string): GroupStatus {
-  const {member, term, leader, voters, learners} = replica.status();
-  return {
-    member,
-    process: processId,
-    term,
-    voters: [...voters],
-    learners: [...learners],
-    ...(leader !== undefined && {leader}),
-  };
-}
-
 function receiveBatch(
   replica: QueueRaft,
   from: string,
@@ -278,9 +320,11 @@
 
 interface Leadership {
   /**
-   * The request handler, while this process leads and its state is complete.
+   * Resolves with the request handler once this process leads and its state is
+   * complete, and with undefined if it does not lead. A process that was just
+   * elected is waited for up to `TAKEOVER_WAIT_MS`.
    */
-  queues(): LocalQueues | undefined;
+  whenLeading(): Promise<LocalQueues | undefined>;
   update(): void;
   stop(): Promise<void>;
 }
@@ -300,6 +344,27 @@
   let confirmingTerm: number | undefined;
   /** Term that this process was last elected for, and the monotonic time. */
   let elected = {term: 0, atMs: 0};
+  /** Requests that wait for the end of the takeover. */
+  const waiting = new Set<() => void>();
+
+  function releaseWaiting(): void {
+    for (const release of waiting) release();
+  }
+
+  async function whenLeading(): Promise<LocalQueues | undefined> {
+    if (!current && replica.status().role === 'leader') {
+      await new Promise<void>(resolve => {
+        const release = () => {
+          clearTimeout(timer);
+          waiting.delete(release);
+          resolve();
+        };
+        const timer = setTimeout(release, TAKEOVER_WAIT_MS);
+        waiting.add(release);
+      });
+    }
+    return current?.queues;
+  }
 
   /**
    * Whether the group has enough voters to tolerate the loss of disks. A new
@@ -316,6 +381,7 @@
   function update(): void {
     const {role, term, voters} = replica.status();
     const leads = role === 'leader' && hasEnoughVoters(voters);
+    if (role !== 'leader') releaseWaiting();
     if (current && (!leads || current.term !== term)) {
       const {leader} = current;
       current = undefined;
@@ -359,14 +425,17 @@
     });
     const queues = createLocalQueues({...options, replica, leader});
     current = {term, leader, queues};
+    releaseWaiting();
   }
 
   return {
-    queues: () => current?.queues,
+    whenLeading,
     update,
     async stop() {
-      await current?.leader.stop();
+      const leader = current?.leader;
       current = undefined;
+      releaseWaiting();
+      await leader?.stop();
     },
   };
 }
@@ -414,7 +483,7 @@
     id: string,
     request: Request,
   ): Promise<Reply | undefined> {
-    const queues = this.leadership.queues();
+    const queues = await this.leadership.whenLeading();
     if (!queues) return undefined;
     try {
       return await queues.handle(id, request);
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -70,6 +70,7 @@
 import {createRebalancer, type Rebalancer} from './rebalancer.js';
 import {reconcile} from './reconcile.js';
 import {createRegistry, type Registry} from './registry.js';
+import {createReportFilter} from './report-filter.js';
 import {createRetention} from './retention.js';
 import type {SessionEvent} from './session.js';
 import {
@@ -183,8 +184,9 @@
   const reconciledWorkers = new Set<string>();
   /** Number of the last end recorded or queued to be, by `workerKey`. */
   const recordedEndCursors = new Map<string, number>();
+  const reportFilter = createReportFilter();
   const retention = createRetention();
-  const index = createStateIndex();
+  const index = createStateIndex({onMoved: instruments.recordDifferences});
   const runs = createRunTracker(
     [...currentView().load.runsByWorker.values()].flat().map(({id}) => id),
   );
@@ -195,6 +197,8 @@
   );
   let statisticsRecordedMs = performance.now();
   let isCommitPending = false;
+  /** Whether a tick has come since the proposal of the pending change. */
+  let isTickDeferred = false;
   /** Workers, by `workerKey`, with runs in the change being committed. */
   let startingWorkers: ReadonlySet<string> = new Set();
   /** Monotonic time of the next rebalancing at the earliest. */
@@ -234,6 +238,7 @@
       const key = workerKey(worker);
       reconciledWorkers.delete(key);
       recordedEndCursors.delete(key);
+      reportFilter.forget(key);
       readiness.forget(key);
       pacing.forget(worker.id);
     },
@@ -371,7 +376,7 @@
   }
 
   function recordedRuns(key: string): readonly LiveRun[] {
-    return currentView().load.runsByWorker.get(key) ?? NO_RUNS;
+    return time('load', () => index.runsOn(key, state()));
   }
 
   function scheduleRound(): void {
@@ -398,6 +403,7 @@
         handleReport(event);
         return;
       case 'silent':
+        reportFilter.forget(event.key);
         scheduleRound();
         return;
       case 'start':
@@ -432,14 +438,28 @@
   }
 
   function handleReport(event: Extract<SessionEvent, {type: 'report'}>): void {
-    const {key, report, sentMs} = event;
+    const {key, report} = event;
     const session = dispatcher.sessionOf(key)!;
     const current = state().workers.get(session.worker.id);
     if (!current || workerKey(current) !== key) return;
     const recorded = recordedRuns(key);
     const cursor = Math.max(recordedEndCursors.get(key) ?? 0, current.cursor);
-    const reconciliation = reconcile({
-      worker: current,
+    if (!reportFilter.isUnchanged(key, report, recorded, cursor)) {
+      reconcileReport(event, current, recorded, cursor);
+    }
+    readiness.observe(key, report);
+    pacing.observe(session, report, recorded);
+  }
+
+  /** Handles a report that may differ from the last or from the record. */
+  function reconcileReport(
+    {key, report, sentMs}: Extract<SessionEvent, {type: 'report'}>,
+    worker: Worker,
+    recorded: readonly LiveRun[],
+    cursor: number,
+  ): void {
+    const {events, unexpected, confirmed} = reconcile({
+      worker,
       report,
       recorded,
       cursor,
@@ -454,14 +474,18 @@
         recorded: recorded.length,
       });
     }
-    for (const id of reconciliation.confirmed) runs.markReported(id);
-    for (const event of reconciliation.events) handleDifference(key, event);
-    for (const {task: name, run} of reconciliation.unexpected) {
+    for (const id of confirmed) runs.markReported(id);
+    for (const {id, job, key: taskKey, run} of recorded) {
+      if (confirmed.has(id) || !runs.markMissing(id)) continue;
+      const name = taskName(job.spec.id, taskKey);
+      log.warn('run-unsettled', {worker: key, task: name, run: run.number});
+    }
+    for (const event of events) handleDifference(key, event);
+    for (const {task: name, run} of unexpected) {
       log.warn('unexpected-run', {worker: key, task: name, run});
-      session.stop(name, run);
+      dispatcher.sessionOf(key)?.stop(name, run);
     }
-    readiness.observe(key, report);
-    pacing.observe(session, report, recorded);
+    reportFilter.note(key, report, recorded, confirmed.size);
     scheduleRound();
   }
 
@@ -518,9 +542,12 @@
       events.length > 0
         ? time('apply', () => apply(base, {events}).state)
         : base;
-    const decision = decide(projected);
+    const view = viewOf(projected);
+    const decision = decide(projected, view);
     roundTime.record({}, performance.now() - startMs);
-    advice.request(decision.stepsAwaitingAdvice, readyWorkersOf);
+    advice.request(decision.stepsAwaitingAdvice, pool =>
+      view.fleet.workersIn(pool).filter(({phase}) => phase === 'ready'),
+    );
     const {starts} = decision;
     if (starts.length > 0) {
       events.push({type: 'start', runs: [...starts]});
@@ -550,8 +577,7 @@
     );
   }
 
-  function decide(projected: State): Plan {
-    const view = viewOf(projected);
+  function decide(projected: State, view: StateView): Plan {
     const round = {
       state: projected,
       load: view.load,
@@ -654,12 +680,6 @@
     return maintenance.isCordoned(host) || rebalancer.isCordoned(host);
   }
 
-  function readyWorkersOf(pool: string): Worker[] {
-    return currentView()
-      .fleet.workersIn(pool)
-      .filter(({phase}) => phase === 'ready');
-  }
-
   function handleCommitted(batch: Batch, outcomes: readonly Outcome[]): void {
     isCommitPending = false;
     startingWorkers = new Set();
@@ -671,7 +691,8 @@
     for (const start of batch.starts) task.post({type: 'order', start});
     instruments.recordOrders(batch.starts.length);
     updateSessions();
-    if (batch.hasUnplacedTasks) rebalancePools();
+    if (isTickDeferred) advanceHosts();
+    else if (batch.hasUnplacedTasks) rebalancePools();
     if (queuedEvents.length > 0 || dirty || batch.starts.length > 0)
       scheduleRound();
   }
@@ -690,6 +711,7 @@
       reply?.reject(error);
       if (event.type === 'ends') recordedEndCursors.delete(event.worker);
     }
+    if (isTickDeferred && options.isLeader()) advanceHosts();
     scheduleRound();
   }
 
@@ -748,15 +770,27 @@
       queuedEvents = rejectExpired(queuedEvents, performance.now());
     }
     if (!options.isLeader()) return;
-    updateSessions();
     time('registry', () => registry.expire());
     const expired = retention.listExpired(state());
     if (expired.length > 0) enqueue({type: 'forget', jobs: expired});
     recordStatistics();
+    dirty = true;
+    // The views describe the projection of a pending change. To look at the
+    // recorded state in between would take them back and forth once more.
+    if (isCommitPending) {
+      isTickDeferred = true;
+      return;
+    }
+    updateSessions();
+    advanceHosts();
+    runRound();
+  }
+
+  /** The part of a tick that needs the views of the recorded state. */
+  function advanceHosts(): void {
+    isTickDeferred = false;
     time('maintenance', () => maintenance.tick(currentView()));
     rebalancePools();
-    dirty = true;
-    if (!isCommitPending) runRound();
   }
 
   /** Records the learnt durations, so that the next leader begins with them. */
--- a/packages/dispatch/src/remote.ts
+++ b/packages/dispatch/src/remote.ts
@@ -14,6 +14,7 @@
 
 /** A request as it is sent between processes. */
 export const Envelope = z.object({
+  type: z.literal('request'),
   /** Identifies the request in the logs of both processes. */
   id: z.string(),
   request: Request,
@@ -41,8 +42,13 @@
  * attempt times out.
  */
 const RELAY_TIMEOUT_MS = 400;
-/** Pause before the next attempt. */
+/** Pause before the second attempt; each further pause is twice as long. */
 const ATTEMPT_PAUSE_MS = 20;
+/**
+ * Longest pause between attempts. While there is no leader, all requests are
+ * repeated; without growing pauses this load would delay the election.
+ */
+const MAX_ATTEMPT_PAUSE_MS = 80;
 /**
  * Time after which a caller that was refused for lack of a leader may retry.
  */
@@ -88,13 +94,13 @@
         : Math.min(budgetMs, LEADER_SEARCH_MS);
       if (spentMs >= limitMs) break;
       const result = await this.attempt(
-        {id, request, relay: false},
+        {type: 'request', id, request, relay: false},
         attempts,
         Math.min(budgetMs - spentMs, ATTEMPT_TIMEOUT_MS),
       );
       if (typeof result === 'object') return correctVerdict(result, uncertain);
       if (result === 'unanswered' && !isRead(request)) uncertain = true;
-      await pause();
+      await pauseAfter(attempts);
     }
     this.options.log.info('request-given-up', {request: id, uncertain});
     return refuse('unavailable', 'no leader answered in time', {
@@ -109,7 +115,7 @@
     if (!leader) return {type: 'not-leader'};
     const result = await this.send(
       leader,
-      {id, request, relay: false},
+      {type: 'request', id, request, relay: false},
       RELAY_TIMEOUT_MS,
     );
     if (typeof result === 'object') return {type: 'reply', reply: result};
@@ -201,6 +207,10 @@
   });
 }
 
-function pause(): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ATTEMPT_PAUSE_MS));
+function pauseAfter(attempts: number): Promise<void> {
+  const pauseMs = Math.min(
+    ATTEMPT_PAUSE_MS * 2 ** attempts,
+    MAX_ATTEMPT_PAUSE_MS,
+  );
+  return new Promise(resolve => setTimeout(resolve, pauseMs));
 }
--- a/packages/dispatch/src/session.ts
+++ b/packages/dispatch/src/session.ts
@@ -5,7 +5,12 @@
 import type {Log} from '@lentildrift/observe';
 import {workerKey, type Worker} from '@lentildrift/queue';
 import type {Task, TaskSystem} from '@lentildrift/task';
-import type {OrderAnswer, Report, WorkerDriver} from './driver.js';
+import {
+  isStopSettled,
+  type OrderAnswer,
+  type Report,
+  type WorkerDriver,
+} from './driver.js';
 import {
   CLOCK_DRIFT,
   HOLD_WAIT_MS,
@@ -60,7 +65,8 @@
   isAnswering(): boolean;
   /**
    * Monotonic time at which the leases of all runs on the worker have certainly
-   * expired, those granted by an earlier leader included.
+   * expired, those granted by an earlier leader included; infinite while an order
+   * to start is held back.
    */
   leaseExpiryMs(): number;
   start(spec: StartSpec): void;
@@ -105,11 +111,14 @@
 ): WorkerSession {
   const {worker, token, driver, tasks, log} = options;
   const key = workerKey(worker);
-  const target = {id: worker.id, address: worker.address};
+  const {id, address, dataCentre} = worker;
+  const target = {id, address, dataCentre};
   const clock = createWorkerClock();
   const stopsInFlight = new Set<string>();
   let isAnswering = false;
   let isClosed = false;
+  /** Number of orders to start that wait until the leadership is confirmed. */
+  let deferredStarts = 0;
   let holdWaitMs = HOLD_WAIT_MS;
   let retryPauseMs = RETRY_PAUSE_MS;
   let holdTimer: NodeJS.Timeout | undefined;
@@ -212,7 +221,12 @@
     for (let attempt = 0; attempt < START_ATTEMPTS; attempt++) {
       // An await without need would defer the order to a turn that sends it
       // with all others.
-      if (!options.isLeader()) await waitForLeadership();
+      if (!options.isLeader()) {
+        // Counted until the turn that grants the lease.
+        deferredStarts++;
+        await waitForLeadership(name, run);
+        deferredStarts--;
+      }
       // The run is in the replicated state, where the next leader finds it.
       if (isClosed) return;
       const leaseUntilMs = clock.grantLease(LEASE_MS);
@@ -248,22 +262,25 @@
    * confirmed again, for instance after a step of the wall clock, so an order
    * must not be dropped; the session is closed when the leadership ends.
    */
-  async function waitForLeadership(): Promise<void> {
+  async function waitForLeadership(name: string, run: number): Promise<void> {
+    const sinceMs = performance.now();
     while (!isClosed && !options.isLeader()) {
       await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
     }
+    const waitedMs = Math.round(performance.now() - sinceMs);
+    log.info('start-deferred', {worker: key, task: name, run, waitedMs});
   }
 
   /**
-   * Retries the stop until the worker has answered, after which it can no
-   * longer execute the run, or until the session is closed.
+   * Retries the stop until the worker can no longer execute the run by its
+   * answer, or until the session is closed.
    */
   async function deliverStop(name: string, run: number): Promise<void> {
     while (!isClosed) {
       try {
         if (options.isLeader()) {
-          await driver.stop(target, {task: name, run, token});
-          return;
+          const answer = await driver.stop(target, {task: name, run, token});
+          if (isStopSettled(answer)) return;
         }
       } catch (error) {
         log.debug('stop-unanswered', {
@@ -281,7 +298,9 @@
     worker,
     begin: () => void task.post({type: 'hold'}),
     isAnswering: () => isAnswering && !isClosed,
-    leaseExpiryMs: () => clock.leaseExpiryMs(),
+    // A deferred order grants a lease as soon as it is sent.
+    leaseExpiryMs: () =>
+      deferredStarts > 0 ? Infinity : clock.leaseExpiryMs(),
     start: spec => void deliverStart(spec),
     stop(name, run) {
       const id = `${name} ${run}`;
--- a/packages/dispatch/test/harness.ts
+++ b/packages/dispatch/test/harness.ts
@@ -6,7 +6,7 @@
   SoloReplica,
   type CommitResult,
 } from '@lentildrift/consensus';
-import {createLog, createMetrics} from '@lentildrift/observe';
+import {createLog, createMetrics, type Metrics} from '@lentildrift/observe';
 import type {
   Change,
   JobSpec,
@@ -23,6 +23,7 @@
 import {createHostOrderGuard} from '../src/host-order-guard.js';
 import {Adviser, queueMachine, startLeader, type Leader} from '../src/index.js';
 import {FakeFleet, FakeHostProvider, type FleetOptions} from './fakes.js';
+import {createFakeGroup, type FakeRelay} from './relays.js';
 
 const QUEUE: Queue = {
   name: 'q',
@@ -138,13 +139,18 @@
 
 export interface HarnessOptions extends FleetOptions {
   readonly pools?: PoolPolicy;
+  /** Data centres of processes through which the leader calls all workers. */
+  readonly relayDataCentres?: readonly string[];
 }
 
 export interface Harness {
   readonly fleet: FakeFleet;
   readonly hosts: FakeHostProvider;
+  readonly relays: readonly FakeRelay[];
   readonly replica: TestReplica;
   readonly logLines: string[];
+  /** Metrics of all leaders. */
+  readonly metrics: Metrics;
   leader: Leader;
   /** Sets whether the processes of earlier leaders are known to have ended. */
   setPreviousProcessesEnded(ended: boolean): void;
@@ -169,16 +175,24 @@
   const failures: Error[] = [];
   const tasks = startTasks((_name, error) => failures.push(error));
   const log = createLog('debug', {}, line => logLines.push(line));
+  const metrics = createMetrics();
   const replica = new TestReplica(queueMachine);
   const fleet = new FakeFleet(options);
   const hosts = new FakeHostProvider(fleet, worker => {
     void advanceUntilSettled(harness.leader.announce(worker));
   });
+  const group =
+    options.relayDataCentres &&
+    createFakeGroup({
+      fleet,
+      dataCentres: options.relayDataCentres,
+    });
   let token = 0;
   let previousProcessesEnded = false;
 
   function startNextLeader(): Leader {
     const own = ++token;
+    if (group) group.term = own;
     return startLeader({
       replica,
       token: own,
@@ -189,12 +203,12 @@
         processId: `host-${own}`,
         hasProcessEnded: () => previousProcessesEnded,
       }),
-      driver: fleet,
+      driver: group?.createDriver() ?? fleet,
       hosts,
       adviser: new NoAdviser(),
       tasks,
       log,
-      metrics: createMetrics(),
+      metrics,
       pools: options.pools ?? new FixedPools(),
       isLeader: () => own === token && replica.acceptsProposals,
     });
@@ -221,8 +235,10 @@
   const harness: Harness = {
     fleet,
     hosts,
+    relays: group?.relays ?? [],
     replica,
     logLines,
+    metrics,
     leader: startNextLeader(),
     setPreviousProcessesEnded: ended => (previousProcessesEnded = ended),
     async addWorker(row) {
@@ -253,6 +269,7 @@
     },
     async stop() {
       await advanceUntilSettled(harness.leader.stop());
+      group?.stop();
       tasks.stop();
       if (failures.length > 0) throw failures[0]!;
     },
