Bound the holds of a large fleet

A worker with many short runs answers each hold at once with the first end, and the next hold follows when that end is recorded: the faster the leader records, the more holds it has to handle, until they saturate it.

Holds to one worker now begin at least as far apart as a budget of 1,200 a second for the whole fleet allows: 29 ms with 35 workers, 205 ms with 246, and at most the regular wait of 1 s, far below the lease. A hold that waited long enough is answered at once, so an end that comes alone is reported as before.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -22,6 +22,7 @@
   type SessionEvent,
   type WorkerSession,
 } from './session.js';
+import {HOLD_WAIT_MS} from './timing.js';
 import type {RunTracker} from './tracker.js';
 
 export interface DispatcherOptions {
@@ -69,6 +70,13 @@
  */
 const SESSIONS_PER_TURN = 16;
 
+/**
+ * Largest number of holds in a second. A worker with many short runs answers
+ * each hold at once with one end. Without a limit, holds become more frequent
+ * the faster the leader is, until it is saturated by them.
+ */
+const MAX_HOLDS_PER_S = 1200;
+
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const {token, driver, tasks, log, metrics, runs, state} = options;
   const sessions = new Map<string, WorkerSession>();
@@ -110,12 +118,18 @@
       tasks,
       log,
       isLeader,
+      holdIntervalMs,
       onEvent,
     });
     sessions.set(workerKey(worker), session);
     waitingSessions.push(session);
   }
 
+  function holdIntervalMs(): number {
+    const intervalMs = (sessions.size * 1000) / MAX_HOLDS_PER_S;
+    return Math.min(intervalMs, HOLD_WAIT_MS);
+  }
+
   function beginSessions(): void {
     beginTimer = undefined;
     const next = waitingSessions.slice(0, SESSIONS_PER_TURN);
--- a/packages/dispatch/src/session.ts
+++ b/packages/dispatch/src/session.ts
@@ -54,6 +54,8 @@
   readonly log: Log;
   /** Whether this process is still the leader; otherwise nothing is sent. */
   isLeader(): boolean;
+  /** Shortest time between two holds that are answered at once. */
+  holdIntervalMs(): number;
   onEvent(event: SessionEvent): void;
 }
 
@@ -120,6 +122,8 @@
   /** Number of orders to start that wait until the leadership is confirmed. */
   let deferredStarts = 0;
   let holdWaitMs = HOLD_WAIT_MS;
+  /** Monotonic time at which the last hold was sent. */
+  let lastHoldMs = -Infinity;
   let retryPauseMs = RETRY_PAUSE_MS;
   let holdTimer: NodeJS.Timeout | undefined;
 
@@ -153,6 +157,7 @@
       return;
     }
     const sentMs = performance.now();
+    lastHoldMs = sentMs;
     // A hold to a worker that does not answer renews no lease. Over a link that
     // works only towards the worker, the lease would otherwise never expire.
     const leaseUntilMs = isAnswering ? clock.grantLease(LEASE_MS) : undefined;
@@ -189,7 +194,7 @@
     const next = {...state, reportedCursor};
     // The worker answers a hold at once while any end is unacknowledged.
     if (next.cursor < reportedCursor) scheduleHold(MAX_ACKNOWLEDGE_WAIT_MS);
-    else scheduleHold(0);
+    else scheduleNextHold();
     return {...next, isHolding: false};
   }
 
@@ -204,10 +209,18 @@
 
   function handleAcknowledged(state: HoldState, cursor: number): HoldState {
     const next = {...state, cursor: Math.max(state.cursor, cursor)};
-    if (!next.isHolding && next.cursor >= next.reportedCursor) scheduleHold(0);
+    if (!next.isHolding && next.cursor >= next.reportedCursor) {
+      scheduleNextHold();
+    }
     return next;
   }
 
+  /** Lets the next hold collect the ends of the rest of the interval. */
+  function scheduleNextHold(): void {
+    const dueMs = lastHoldMs + options.holdIntervalMs();
+    scheduleHold(Math.max(0, dueMs - performance.now()));
+  }
+
   function scheduleHold(delayMs: number): void {
     clearTimeout(holdTimer);
     if (isClosed) return;
--- /dev/null
+++ b/packages/dispatch/test/hold-interval.test.ts
@@ -0,0 +1,88 @@
+/** Tests how often a session asks a worker for its ends. */
+import {createLog} from '@lentildrift/observe';
+import {startTasks} from '@lentildrift/task';
+import {afterEach, beforeEach, expect, it, vi} from 'vitest';
+import type {HoldOrder, Report} from '../src/index.js';
+import {openWorkerSession, type WorkerSession} from '../src/session.js';
+import {FakeFleet} from './fakes.js';
+import {worker} from './harness.js';
+
+const INTERVAL_MS = 200;
+/** Answers of a worker and their records take no time here. */
+const STEP_MS = 1;
+
+const tasks = startTasks(error => {
+  throw new Error(error);
+});
+let session: WorkerSession;
+let holds: number;
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+
+afterEach(async () => {
+  void session.close();
+  await vi.advanceTimersByTimeAsync(10);
+  vi.useRealTimers();
+});
+
+/** Opens a session with a worker of which a run ends each `endEveryMs`. */
+function open(endEveryMs: number): number[] {
+  const row = worker('w');
+  const fleet = new FakeFleet();
+  const startMs = performance.now();
+  /** Time from each end until a report listed it. */
+  const delaysMs: number[] = [];
+  let listed = 0;
+  holds = 0;
+  vi.spyOn(fleet, 'hold').mockImplementation(
+    async (_target, order: HoldOrder): Promise<Report> => {
+      holds++;
+      const deadlineMs = performance.now() + order.waitMs;
+      const countEnds = () =>
+        Math.floor((performance.now() - startMs) / endEveryMs);
+      while (countEnds() === listed && performance.now() < deadlineMs) {
+        await new Promise(resolve => setTimeout(resolve, STEP_MS));
+      }
+      const ended = [];
+      while (listed < countEnds()) {
+        const endMs = startMs + ++listed * endEveryMs;
+        delaysMs.push(performance.now() - endMs);
+        const end = {number: listed, task: `t${listed}`, run: 1};
+        ended.push({...end, how: 'done' as const, checkpoint: ''});
+      }
+      const clockMs = performance.now();
+      return {bornMs: row.bornMs, clockMs, running: [], ended};
+    },
+  );
+  session = openWorkerSession({
+    worker: row,
+    token: 1,
+    driver: fleet,
+    tasks,
+    log: createLog('error', {}, () => {}),
+    isLeader: () => true,
+    holdIntervalMs: () => INTERVAL_MS,
+    onEvent(event) {
+      if (event.type === 'report') session.acknowledge(listed);
+    },
+  });
+  session.begin();
+  return delaysMs;
+}
+
+it('a worker whose runs end all the time does not saturate the leader with holds', async () => {
+  const delaysMs = open(10);
+  await vi.advanceTimersByTimeAsync(4000);
+  expect(holds).toBeLessThanOrEqual(4000 / INTERVAL_MS + 2);
+  expect(delaysMs.length).toBeGreaterThan(350);
+  expect(Math.max(...delaysMs)).toBeLessThanOrEqual(INTERVAL_MS + 10);
+});
+
+it('an end that comes alone is reported without delay', async () => {
+  const delaysMs = open(700);
+  await vi.advanceTimersByTimeAsync(4000);
+  expect(delaysMs.length).toBe(5);
+  expect(Math.max(...delaysMs)).toBeLessThanOrEqual(10);
+});
--- a/packages/dispatch/test/relay.test.ts
+++ b/packages/dispatch/test/relay.test.ts
@@ -99,6 +99,7 @@
     tasks,
     log: createLog('error', {}, () => {}),
     isLeader: () => true,
+    holdIntervalMs: () => 0,
     onEvent: ({type}) => events.push(type),
   });
   sessions.push(session);
