Look up queues and teams by an index of the tables

Each call searched all rows for its host and path, each key the keys of all teams, each round and each ended job all queues for one name. The rows are now indexed once for each version of the tables.

--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -11,6 +11,7 @@
   apply,
   dueAtMs,
   parseTaskKey,
+  queuesByName,
   splitTaskName,
   stepKey,
   taskName,
@@ -746,7 +747,7 @@
     const job = state().jobs.get(id);
     if (!job || job.phase === 'active' || !retention.recordEnd(id)) return;
     const {tables} = state();
-    const queue = tables.queues.find(({name}) => name === job.spec.queue);
+    const queue = queuesByName(tables).get(job.spec.queue);
     const nowMs = Date.now();
     log.info('job-ended', {
       job: id,
--- a/packages/queue/src/table.ts
+++ b/packages/queue/src/table.ts
@@ -127,6 +127,52 @@
   return queue && `queue ${queue.name} names the unknown pool ${queue.pool}`;
 }
 
+/** Lookups in one version of the tables, which may have thousands of rows. */
+interface TablesIndex {
+  readonly queuesByName: ReadonlyMap<string, Queue>;
+  readonly routesByHost: ReadonlyMap<string, HostRoutes>;
+  readonly teamsByKey: ReadonlyMap<string, Team>;
+}
+
+/** The queues on one host. */
+interface HostRoutes {
+  readonly byPrefix: Map<string, Queue>;
+  /** Lengths of the prefixes, the longest first. */
+  readonly lengths: number[];
+}
+
+const indexes = new WeakMap<Tables, TablesIndex>();
+
+/** Returns the index of the tables, which is built once for each version. */
+function indexOf(tables: Tables): TablesIndex {
+  let index = indexes.get(tables);
+  if (!index) indexes.set(tables, (index = buildIndex(tables)));
+  return index;
+}
+
+function buildIndex({queues, teams}: Tables): TablesIndex {
+  const routesByHost = new Map<string, HostRoutes>();
+  for (const queue of queues) {
+    let routes = routesByHost.get(queue.host);
+    if (!routes) {
+      routes = {byPrefix: new Map(), lengths: []};
+      routesByHost.set(queue.host, routes);
+    }
+    routes.byPrefix.set(queue.prefix, queue);
+  }
+  for (const {byPrefix, lengths} of routesByHost.values()) {
+    const distinct = new Set([...byPrefix.keys()].map(({length}) => length));
+    lengths.push(...[...distinct].sort((a, b) => b - a));
+  }
+  return {
+    queuesByName: new Map(queues.map(queue => [queue.name, queue])),
+    routesByHost,
+    teamsByKey: new Map(
+      teams.flatMap(team => team.keys.map(key => [key, team] as const)),
+    ),
+  };
+}
+
 /**
  * Finds the queue on `host` with the longest prefix that `path` begins with.
  */
@@ -135,15 +181,22 @@
   host: string,
   path: string,
 ): Queue | undefined {
-  let best: Queue | undefined;
-  for (const queue of tables.queues) {
-    if (queue.host !== host || !path.startsWith(queue.prefix)) continue;
-    if (!best || queue.prefix.length > best.prefix.length) best = queue;
+  const routes = indexOf(tables).routesByHost.get(host);
+  if (!routes) return undefined;
+  for (const length of routes.lengths) {
+    if (length > path.length) continue;
+    const queue = routes.byPrefix.get(path.slice(0, length));
+    if (queue) return queue;
   }
-  return best;
+  return undefined;
+}
+
+/** The queues by name. */
+export function queuesByName(tables: Tables): ReadonlyMap<string, Queue> {
+  return indexOf(tables).queuesByName;
 }
 
 /** Finds the team that owns `key`. */
 export function findTeam(tables: Tables, key: string): Team | undefined {
-  return tables.teams.find(team => team.keys.includes(key));
+  return indexOf(tables).teamsByKey.get(key);
 }
--- a/packages/queue/test/apply.test.ts
+++ b/packages/queue/test/apply.test.ts
@@ -5,6 +5,7 @@
   EMPTY_TABLES,
   findContradiction,
   findQueue,
+  findTeam,
   fromStored,
   Step,
   StoredState,
@@ -132,6 +133,37 @@
     ).toMatch('key k');
   });
 
+  it('are not searched row by row for each call, job and key', () => {
+    const [queue] = TABLES.queues;
+    const team = {name: 't', keys: ['k'], weight: 1, cap: WORKER.capacity};
+    let reads = 0;
+    const countReads = <T extends object>(row: T): T =>
+      new Proxy(row, {
+        get(target, property, receiver) {
+          reads++;
+          return Reflect.get(target, property, receiver);
+        },
+      });
+    const rows = Array.from({length: 1000}, (_, at) => at);
+    const tables: Tables = {
+      ...TABLES,
+      queues: rows.map(at =>
+        countReads({...queue!, name: `q${at}`, prefix: `/q${at}/`}),
+      ),
+      teams: rows.map(at =>
+        countReads({...team, name: `t${at}`, keys: [`k${at}`]}),
+      ),
+    };
+    expect(findQueue(tables, 'h', '/q999/a')?.name).toBe('q999');
+    const readsForIndex = reads;
+    for (const at of rows) {
+      expect(findQueue(tables, 'h', `/q${at}/a`)?.name).toBe(`q${at}`);
+      expect(findTeam(tables, `k${at}`)?.name).toBe(`t${at}`);
+    }
+    // One for the name that each check reads.
+    expect(reads - readsForIndex).toBeLessThanOrEqual(2 * rows.length);
+  });
+
   it('route a path to the queue with the longest matching prefix', () => {
     const [queue] = TABLES.queues;
     const longer = {...queue!, name: 'r', prefix: '/q/x/'};
--- a/packages/scheduling/src/demand.ts
+++ b/packages/scheduling/src/demand.ts
@@ -8,6 +8,7 @@
   isDue,
   isStepReady,
   occurrenceCount,
+  queuesByName,
   stepKey,
   taskKey,
   ZERO_SIZE,
@@ -81,7 +82,7 @@
   nowMs: number,
   durations: Durations,
 ): ReadonlyMap<string, Demand> {
-  const queues = new Map(tables.queues.map(row => [row.name, row]));
+  const queues = queuesByName(tables);
   const teamCaps = createTeamCaps(tables, load);
   const demands = new Map<string, PartialDemand>();
   const demandOf = ({pool}: Queue): PartialDemand => {
--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -10,6 +10,7 @@
   isStepReady,
   NEW_TASK,
   occurrenceCount,
+  queuesByName,
   rackOf,
   stepKey,
   subtract,
@@ -83,7 +84,7 @@
 
 function collectReadySteps(input: PlanInput): ReadyStep[] {
   const {state, backlog, order, nowMs, durations} = input;
-  const queues = new Map(state.tables.queues.map(row => [row.name, row]));
+  const queues = queuesByName(state.tables);
   const readySteps: ReadyStep[] = [];
   for (const job of backlog.waitingJobs) {
     const queue = queues.get(job.spec.queue);
