Answer an edit that is resent without recording it again

Operators resend an edit whose answer is late. An edit that the confirmed state already includes, or excludes, is now answered from it.

--- a/packages/dispatch/src/local.ts
+++ b/packages/dispatch/src/local.ts
@@ -4,7 +4,12 @@
  */
 import {NotLeader} from '@lentildrift/consensus';
 import type {Counter, Log, Metrics} from '@lentildrift/observe';
-import {findContradiction, type State} from '@lentildrift/queue';
+import {
+  findContradiction,
+  type Outcome,
+  type State,
+  type Tables,
+} from '@lentildrift/queue';
 import type {Leader, QueueReplica} from './leader.js';
 import {isRefusal, locate, type LocatedCall} from './locate.js';
 import {
@@ -165,13 +170,30 @@
       log.info('tables-refused', {request: id, version, reason});
       return refuse('invalid', reason);
     }
-    const outcome = await leader.commit({type: 'tables', tables});
+    const outcome =
+      (await findRepeatedEdit(tables)) ??
+      (await leader.commit({type: 'tables', tables}));
     log.info('tables-edited', {request: id, version, outcome});
     return outcome === 'conflict'
       ? refuse('conflict', `version ${version} has other content`)
       : DONE;
   }
 
+  /**
+   * The outcome of an edit that the state already includes or excludes. Operators
+   * resend an edit whose answer is late; recording it once more would delay the
+   * next answer.
+   */
+  async function findRepeatedEdit({
+    version,
+    document,
+  }: Tables): Promise<Outcome | undefined> {
+    if (version > replica.state().tables.version) return undefined;
+    const {tables} = await readConfirmedState();
+    if (version < tables.version) return 'overtaken';
+    return document === tables.document ? 'known' : 'conflict';
+  }
+
   async function openWave(
     id: string,
     request: RequestOf<'open-wave'>,
--- a/packages/dispatch/test/control.test.ts
+++ b/packages/dispatch/test/control.test.ts
@@ -246,6 +246,21 @@
 
   // The outcome of such a request would otherwise count as unknown, and it would
   // be sent again until its time is over.
+  it('does not record an edit again that an operator resends', async () => {
+    const entry = await startGroup();
+    expect(await retryWhileUnavailable(entry, EDIT)).toEqual({type: 'done'});
+    const {control} = await findLeader();
+    const before = control!.status().revision;
+    const other = {...TABLES, document: 'other'};
+    const older = {...TABLES, version: TABLES.version - 1};
+    const handle = (tables: typeof TABLES) =>
+      entry.service.handle('r', {type: 'edit', tables}, 900);
+    expect(await handle(TABLES)).toEqual({type: 'done'});
+    expect(await handle(older)).toEqual({type: 'done'});
+    expect(await handle(other)).toMatchObject({reason: 'conflict'});
+    expect(control!.status().revision).toBe(before);
+  });
+
   it('refuses a change that is too large as invalid', async () => {
     const entry = await startGroup();
     await retryWhileUnavailable(entry, EDIT);
