Compress edits of large tables in the log

Changes of more than 256 K characters are now compressed; the limit of a change applies to its size before that. Members of both versions cannot share a log that has such an entry.

--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -1,7 +1,6 @@
 /** A control process of the queue system: one member of the replicated log. */
 import {
   ChangeRefused,
-  JsonCodec,
   NotLeader,
   PeerMessage,
   PeerTransport,
@@ -17,9 +16,6 @@
   apply,
   Change,
   EMPTY_STATE,
-  fromStored,
-  StoredState,
-  toStored,
   type Outcome,
   type State,
 } from '@lentildrift/queue';
@@ -43,6 +39,7 @@
 import {MAX_DIRECT_WORKERS, RelayedWorkerDriver} from './relayed-driver.js';
 import {Envelope, RemoteService, type EnvelopeReply} from './remote.js';
 import {QueueService, refuse, type Reply, type Request} from './request.js';
+import {MAX_CHANGE_CHARS, QueueCodec} from './codec.js';
 import {startMemberReport} from './member-report.js';
 import {WorkerCall} from './worker-call.js';
 import {createWorkerRelay} from './worker-relay.js';
@@ -64,23 +61,7 @@
   override readonly minElectionTimeoutMs = 550;
   override readonly maxElectionTimeoutMs = 950;
   override readonly startupTimeoutFactor = 0.35;
-  /** Enough for a batch of events or one edit of large tables. */
-  override readonly maxChangeBytes = 4 * 1024 * 1024;
-}
-
-/** Encodes the state of the queues in the form in which it is stored. */
-class StateCodec extends JsonCodec<State, Change> {
-  constructor() {
-    super({change: Change});
-  }
-
-  override encodeState(state: State): string {
-    return JSON.stringify(toStored(state));
-  }
-
-  override decodeState(text: string): State {
-    return fromStored(StoredState.parse(JSON.parse(text)));
-  }
+  override readonly maxChangeBytes = MAX_CHANGE_CHARS;
 }
 
 /** The replicated state machine of the queues. */
@@ -177,7 +158,7 @@
     group: GROUP_NAME,
     seed: randomInt(MAX_RANDOM_SEED),
     stateMachine: queueMachine,
-    codec: new StateCodec(),
+    codec: new QueueCodec(),
     store: report.store,
     transport: new MeshTransport(mesh, member),
     tasks,
