Test the division of calls among the processes of a real group

The tests with fake links do not show that a control process finds its relays and that these know their part. The new test starts three processes over loopback with 68 workers: the leader calls 48, the others 10 each, and the remaining one 20 after the other has stopped. Another new test shows that a worker keeps its relay; without the rule it passed unnoticed.

--- a/packages/dispatch/test/control.test.ts
+++ b/packages/dispatch/test/control.test.ts
@@ -13,7 +13,8 @@
   type Reply,
   type Request,
 } from '../src/index.js';
-import {job, TABLES} from './harness.js';
+import {MAX_DIRECT_WORKERS} from '../src/relayed-driver.js';
+import {job, TABLES, worker} from './harness.js';
 import {FakeFleet, FakeHostProvider} from './fakes.js';
 
 const HOST = '127.0.0.1';
@@ -29,6 +30,7 @@
   readonly address: string;
   member: string;
   disk: MemoryDisk;
+  readonly fleet: FakeFleet;
 }
 
 const processes: ControlProcess[] = [];
@@ -61,7 +63,7 @@
   seeds: readonly string[],
   firstStart: boolean,
 ): Promise<void> {
-  const fleet = new FakeFleet();
+  const {fleet} = target;
   target.control = await startQueueControl({
     member: target.member,
     store: new MemoryStore(target.disk),
@@ -91,6 +93,7 @@
       address,
       member: `${address}/first`,
       disk: new MemoryDisk(),
+      fleet: new FakeFleet(),
     });
   }
   await Promise.all(processes.map(each => start(each, seeds, true)));
@@ -179,6 +182,38 @@
     });
   }, 20_000);
 
+  // One process cannot make all calls to the workers of a large fleet.
+  it('divides the calls to workers among its processes, also when one stops', async () => {
+    const entry = await startGroup();
+    await retryWhileUnavailable(entry, EDIT);
+    const rows = Array.from({length: MAX_DIRECT_WORKERS + 20}, (_, nth) =>
+      worker(`w${nth}`),
+    );
+    const holds = processes.map(({fleet}) => {
+      for (const row of rows) fleet.add(row);
+      return vi.spyOn(fleet, 'hold');
+    });
+    for (const row of rows) {
+      const announce: Request = {type: 'announce', worker: row};
+      await retryWhileUnavailable(entry, announce);
+    }
+    const leader = await findLeader();
+    const others = processes.filter(each => each !== leader);
+    const calledBy = ({fleet}: ControlProcess) => {
+      const {calls} =
+        holds[processes.findIndex(each => each.fleet === fleet)]!.mock;
+      return new Set(calls.map(([{id}]) => id)).size;
+    };
+    await vi.waitFor(() => {
+      expect(calledBy(leader)).toBe(MAX_DIRECT_WORKERS);
+      expect(others.map(calledBy)).toEqual([10, 10]);
+    }, 5000);
+    const [stopping, remaining] = others;
+    await stopping!.control!.stop();
+    stopping!.control = undefined;
+    await vi.waitFor(() => expect(calledBy(remaining!)).toBe(20), 5000);
+  }, 20_000);
+
   it('makes a member that lost its disk a voter again, twice in a row', async () => {
     const entry = await startGroup();
     await retryWhileUnavailable(entry, EDIT);
@@ -230,6 +265,7 @@
       address,
       member: `${address}/x`,
       disk: new MemoryDisk(),
+      fleet: new FakeFleet(),
     };
     processes.push(alone);
     await start(alone, [address], false);
--- a/packages/dispatch/test/relay.test.ts
+++ b/packages/dispatch/test/relay.test.ts
@@ -203,6 +203,21 @@
     ]);
   });
 
+  // Another relay would have to open connections to the worker.
+  it('of a worker do not change their relay while it works', async () => {
+    startGroup('b', 'c');
+    const [first, second, third, fourth] = ['w0', 'w1', 'w2', 'w3'].map(name =>
+      addWorker(name),
+    );
+    for (const target of [first, second, third, fourth]) {
+      await settle(group.driver.hold(target!, HOLD));
+    }
+    group.driver.forget(first!);
+    await settle(group.driver.hold(second!, HOLD));
+    expect(callsOf()).toEqual([2, 3]);
+    expect(group.relays[0]!.called).not.toContain(second!.address);
+  });
+
   it('do not cross to another data centre if a relay is in that of the worker', async () => {
     startGroup('a', 'b', 'c');
     for (let index = 0; index < 10; index++) {
