Drop relayed calls that were late on the link, and batch calls

The check of the relay counted from the arrival of a call only. A call now carries the leader's monotonic time; the relay drops it if it was under way for 0.4 s longer than the fastest of the last 5 to 10 s, which needs no common clock.

The same double run exists without relays, with a direct call that the network delays; that is older than this change and remains open.

A relay that closes its link with calls pending, and had answered others meanwhile, counted as slow, so that its workers were called directly for 3 s; the new test for it failed before. Calls to a relay now wait up to 10 ms for others, as the answers do, since each write is a system call.

--- a/packages/dispatch/src/relay-choice.ts
+++ b/packages/dispatch/src/relay-choice.ts
@@ -250,7 +250,11 @@
     },
     recordNoAnswer(target, peer, sentMs, reason) {
       const relay = getRelay(peer.address);
-      if (relay.state === 'used' && relay.answeredMs > sentMs) {
+      const isSlow =
+        relay.state === 'used' &&
+        relay.answeredMs > sentMs &&
+        peer.link.isOpen();
+      if (isSlow) {
         callDirectly(target);
         return;
       }
--- a/packages/dispatch/src/relayed-driver.ts
+++ b/packages/dispatch/src/relayed-driver.ts
@@ -18,7 +18,8 @@
 } from './driver.js';
 import type {Peer} from './mesh.js';
 import {createRelayChoice, type RelayChoice} from './relay-choice.js';
-import {ORDER_TIMEOUT_MS} from './timing.js';
+import {createTick} from './tick.js';
+import {BATCH_DELAY_MS, ORDER_TIMEOUT_MS} from './timing.js';
 import {
   decodeAnswer,
   decodeReport,
@@ -73,6 +74,7 @@
 export class RelayedWorkerDriver extends WorkerDriver {
   private readonly choice: RelayChoice;
   private readonly calls: Counter;
+  private readonly sendTime = createTick(BATCH_DELAY_MS);
 
   constructor(private readonly options: RelayedDriverOptions) {
     super();
@@ -154,6 +156,7 @@
     call: WorkerCall,
     timeoutMs: number,
   ): Promise<Reported | undefined> {
+    await this.sendTime();
     const sentMs = performance.now();
     let reply: WorkerReply;
     try {
--- a/packages/dispatch/src/timing.ts
+++ b/packages/dispatch/src/timing.ts
@@ -15,6 +15,12 @@
 export const HOLD_WAIT_MS = 1000;
 /** Timeout of a call to a worker, in addition to the wait of a hold. */
 export const ORDER_TIMEOUT_MS = 400;
+/**
+ * Calls through relays, and their answers, wait up to this long for others, so
+ * that a process writes and reads several at once; a system call for each would
+ * take most of the time that a relay saves. Ends of runs wait as long anyway.
+ */
+export const BATCH_DELAY_MS = 10;
 /** Pause after a failed call to a worker. */
 export const RETRY_PAUSE_MS = 100;
 /** Ends that arrive within this time are recorded in one change. */
--- a/packages/dispatch/src/worker-call.ts
+++ b/packages/dispatch/src/worker-call.ts
@@ -17,10 +17,14 @@
 /** ID and address of the worker. */
 const WorkerRow = z.tuple([z.string(), z.string()]);
 
+/** Monotonic time of the sender, in whole milliseconds. */
+const SentTime = z.number();
+
 /** Token, cursor, end of the lease (null: none is granted), wait. */
 const HoldCall = z.object({
   type: z.literal('hold'),
   worker: WorkerRow,
+  sentMs: SentTime,
   order: z.tuple([z.number(), z.number(), z.number().nullable(), z.number()]),
 });
 
@@ -28,6 +32,7 @@
 const StartCall = z.object({
   type: z.literal('start'),
   worker: WorkerRow,
+  sentMs: SentTime,
   order: z.tuple([
     z.number(),
     z.string(),
@@ -43,6 +48,7 @@
 const StopCall = z.object({
   type: z.literal('stop'),
   worker: WorkerRow,
+  sentMs: SentTime,
   order: z.tuple([z.number(), z.string(), z.number()]),
 });
 
@@ -50,6 +56,7 @@
 const PaceCall = z.object({
   type: z.literal('pace'),
   worker: WorkerRow,
+  sentMs: SentTime,
   order: z.tuple([z.number(), z.string(), z.number(), z.number()]),
 });
 
@@ -125,6 +132,7 @@
   return {
     type: 'hold',
     worker: toWorker(target),
+    sentMs: Math.round(performance.now()),
     order: [token, cursor, leaseUntilMs ?? null, waitMs],
   };
 }
@@ -144,6 +152,7 @@
   return {
     type: 'start',
     worker: toWorker(target),
+    sentMs: Math.round(performance.now()),
     order: [
       token,
       task,
@@ -171,7 +180,12 @@
 
 export function encodeStop(target: Target, order: RunOrder): WorkerCall {
   const {token, task, run} = order;
-  return {type: 'stop', worker: toWorker(target), order: [token, task, run]};
+  return {
+    type: 'stop',
+    worker: toWorker(target),
+    sentMs: Math.round(performance.now()),
+    order: [token, task, run],
+  };
 }
 
 export function decodeStop({order: [token, task, run]}: StopCall): RunOrder {
@@ -186,6 +200,7 @@
   return {
     type: 'pace',
     worker: toWorker(target),
+    sentMs: Math.round(performance.now()),
     order: [token, task, run, percent],
   };
 }
--- a/packages/dispatch/src/worker-relay.ts
+++ b/packages/dispatch/src/worker-relay.ts
@@ -3,8 +3,10 @@
  * not lead. The leader's process could not make all calls of a large fleet.
  */
 import {afterInput, type InputTimeout} from '@lentildrift/task';
+import {createDelayEstimate} from './delay.js';
 import type {Target, WorkerDriver} from './driver.js';
-import {ORDER_TIMEOUT_MS} from './timing.js';
+import {createTick} from './tick.js';
+import {BATCH_DELAY_MS, ORDER_TIMEOUT_MS} from './timing.js';
 import {
   decodeHold,
   decodePace,
@@ -41,12 +43,6 @@
  */
 const WORKER_IDLE_MS = 30_000;
 const SWEEP_INTERVAL_MS = 10_000;
-/**
- * Answers wait up to this long for others, so that the leader reads several at
- * once; a read for each of them would take most of the time that a relay saves.
- * The leader records the ends of runs every 10 ms anyway.
- */
-const ANSWER_DELAY_MS = 8;
 /** Interval of the timer whose lateness shows a stall. */
 const STALL_CHECK_MS = 100;
 
@@ -54,7 +50,8 @@
   const {driver, term, leads} = options;
   /** Monotonic time of the last call to each worker, by address. */
   const lastCalls = new Map<string, {target: Target; atMs: number}>();
-  let nextAnswers: Promise<void> | undefined;
+  const delay = createDelayEstimate();
+  const answerTime = createTick(BATCH_DELAY_MS);
   let isStopped = false;
   let checkedMs = performance.now();
   /** Set while calls are read that arrived during a stall. */
@@ -89,17 +86,6 @@
     }
   }
 
-  /** Resolves at the time at which the next answers are sent. */
-  function answerTime(): Promise<void> {
-    nextAnswers ??= new Promise(resolve =>
-      setTimeout(() => {
-        nextAnswers = undefined;
-        resolve();
-      }, ANSWER_DELAY_MS),
-    );
-    return nextAnswers;
-  }
-
   async function handle(call: WorkerCall): Promise<WorkerReply> {
     const reply = await make(call);
     await answerTime();
@@ -108,8 +94,11 @@
 
   async function make(call: WorkerCall): Promise<WorkerReply> {
     const arrivedMs = performance.now();
-    const isLate = catchingUp !== undefined || isStalled();
     const [token] = call.order;
+    // Each term has another leader, with another clock.
+    const delayMs = delay.record(token, call.sentMs);
+    const isLate =
+      delayMs > ORDER_TIMEOUT_MS || catchingUp !== undefined || isStalled();
     const target = targetOf(call);
 
     /** Returns why the call must not be sent any more. */
--- a/packages/dispatch/test/relay.test.ts
+++ b/packages/dispatch/test/relay.test.ts
@@ -203,6 +203,21 @@
     ]);
   });
 
+  // Writing each call by itself would cost the leader as much as the call.
+  it('of a short time are not sent to a relay one by one', async () => {
+    startGroup('a');
+    const [relay] = group.relays;
+    for (let index = 0; index < 5; index++) {
+      void group.driver.hold(addWorker(`w${index}`), HOLD);
+      await vi.advanceTimersByTimeAsync(1);
+    }
+    expect(relay!.sentAt.size).toBe(0);
+    await vi.advanceTimersByTimeAsync(10);
+    expect(relay!.calls).toBe(5);
+    expect(relay!.sentAt.size).toBe(1);
+    await vi.advanceTimersByTimeAsync(100);
+  });
+
   // Another relay would have to open connections to the worker.
   it('of a worker do not change their relay while it works', async () => {
     startGroup('b', 'c');
@@ -254,13 +269,26 @@
     expect(callsOf()).toEqual([1, 1]);
   });
 
+  // The leader would otherwise make the calls of all workers of that relay.
+  it('move to another relay when a relay closes its link with calls pending', async () => {
+    startGroup('a', 'b');
+    const [waiting, other] = [addWorker('w', 'a'), addWorker('x', 'a')];
+    const held = group.driver.hold(waiting, {...HOLD, waitMs: 1000});
+    await vi.advanceTimersByTimeAsync(100);
+    await settle(group.driver.hold(other, HOLD));
+    group.relays[0]!.setState('closed');
+    await settle(held);
+    await settle(group.driver.hold(waiting, HOLD));
+    expect(callsOf()).toEqual([2, 1]);
+  });
+
   // The caller must not take the start for refused: the relay may have sent it.
   it('leave the outcome of a start open that a relay did not answer', async () => {
     startGroup('a');
     const target = addWorker('w');
     await settle(group.driver.hold(target, HOLD));
     const start = group.driver.start(target, START);
-    await vi.advanceTimersByTimeAsync(0);
+    await vi.advanceTimersByTimeAsync(11);
     group.relays[0]!.setState('closed');
     await expect(settle(start)).rejects.toThrow('did not answer');
     expect(await settle(group.driver.start(target, START))).toEqual({ok: true});
@@ -434,6 +462,7 @@
   const stop = {
     type: 'stop' as const,
     worker: ['w', 'w:1'] as [string, string],
+    sentMs: 0,
     order: [3, 't', 1] as [number, string, number],
   };
 
@@ -451,6 +480,50 @@
     relay.stop();
   });
 
+  // The leader has sent the same order again, and the worker may have started
+  // again since, so that it no longer knows the run.
+  it('does not send a call that was under way for longer than the leader waits', async () => {
+    const driver = new QueueingDriver();
+    const relay = startRelay(driver);
+    // The clocks of the two processes do not agree.
+    const firstMs = 1_000_000;
+    void relay.handle({...stop, sentMs: firstMs});
+    await vi.advanceTimersByTimeAsync(20_000);
+    const lateMs = firstMs + 20_000 - ORDER_TIMEOUT_MS - 1;
+    const late = relay.handle({...stop, sentMs: lateMs});
+    expect(await settle(late)).toMatchObject({reason: 'the call is late'});
+    expect(driver.queued).toHaveLength(1);
+    void relay.handle({...stop, sentMs: firstMs + 20_000});
+    expect(driver.queued).toHaveLength(2);
+    relay.stop();
+  });
+
+  it('sends the calls of the next leader, whose clock is another', () => {
+    const driver = new QueueingDriver();
+    const relay = startRelay(driver);
+    void relay.handle({...stop, sentMs: 1_000_000});
+    void relay.handle({...stop, sentMs: 10, order: [4, 't', 1]});
+    expect(driver.queued).toHaveLength(2);
+    // This process may learn of the next term by a call.
+    void relay.handle({...stop, sentMs: 1_000_001});
+    expect(driver.queued).toHaveLength(2);
+    relay.stop();
+  });
+
+  it('does not take the drift of a clock for the lateness of calls', async () => {
+    const driver = new QueueingDriver();
+    const relay = startRelay(driver);
+    const startMs = performance.now();
+    for (let count = 1; count <= 120; count++) {
+      // The clock of the leader is 2 % slow.
+      const sentMs = Math.round((performance.now() - startMs) * 0.98);
+      void relay.handle({...stop, sentMs});
+      expect(driver.queued).toHaveLength(count);
+      await vi.advanceTimersByTimeAsync(1000);
+    }
+    relay.stop();
+  });
+
   it('does not send a call of a leader that has been replaced', async () => {
     const driver = new QueueingDriver();
     let term = 4;
--- a/packages/dispatch/test/relays.ts
+++ b/packages/dispatch/test/relays.ts
@@ -19,6 +19,8 @@
   /** Workers that this relay has called, by address. */
   readonly called: Set<string>;
   calls: number;
+  /** Times at which calls were sent to the relay. */
+  readonly sentAt: Set<number>;
   setState(state: RelayState): void;
 }
 
@@ -102,6 +104,7 @@
       }
       const call = WorkerCall.parse(body);
       fake.calls++;
+      fake.sentAt.add(performance.now());
       fake.called.add(call.worker[1]);
       return new Promise((resolve, reject) => {
         const timer = setTimeout(
@@ -140,6 +143,7 @@
     link,
     relay,
     called: new Set(),
+    sentAt: new Set(),
     calls: 0,
     setState(next) {
       state = next;
