--- a/packages/dispatch/test/control.test.ts
+++ b/packages/dispatch/test/control.test.ts
@@ -14,8 +14,10 @@
   type Reply,
   type Request,
 } from '../src/index.js';
+import {MAX_DIRECT_WORKERS} from '../src/relayed-driver.js';
 import type {Envelope} from '../src/remote.js';
-import {job, TABLES} from './harness.js';
+import {HOLD_WAIT_MS} from '../src/timing.js';
+import {job, TABLES, worker} from './harness.js';
 import {FakeFleet, FakeHostProvider} from './fakes.js';
 
 const HOST = '127.0.0.1';
@@ -31,6 +33,7 @@
   readonly address: string;
   member: string;
   disk: MemoryDisk;
+  readonly fleet: FakeFleet;
 }
 
 const processes: ControlProcess[] = [];
@@ -63,7 +66,7 @@
   seeds: readonly string[],
   firstStart: boolean,
 ): Promise<void> {
-  const fleet = new FakeFleet();
+  const {fleet} = target;
   target.control = await startQueueControl({
     member: target.member,
     store: new MemoryStore(target.disk),
@@ -93,6 +96,7 @@
       address,
       member: `${address}/first`,
       disk: new MemoryDisk(),
+      fleet: new FakeFleet(),
     });
   }
   await Promise.all(processes.map(each => start(each, seeds, true)));
@@ -189,6 +193,7 @@
       address,
       member: `${address}/first`,
       disk: new MemoryDisk(),
+      fleet: new FakeFleet(),
     };
     processes.push(first);
     // Elected by itself, it does not lead while the group lacks voters.
@@ -218,6 +223,48 @@
     await link.stop();
   });
 
+  // One process cannot make all calls to the workers of a large fleet.
+  it('divides the calls to workers among its processes, also when one stops', async () => {
+    const entry = await startGroup();
+    await retryWhileUnavailable(entry, EDIT);
+    const rows = Array.from({length: MAX_DIRECT_WORKERS + 20}, (_, nth) =>
+      worker(`w${nth}`),
+    );
+    const holds = processes.map(({fleet}) => {
+      for (const row of rows) fleet.add(row);
+      return vi.spyOn(fleet, 'hold');
+    });
+    for (const row of rows) {
+      const announce: Request = {type: 'announce', worker: row};
+      await retryWhileUnavailable(entry, announce);
+    }
+    const leader = await findLeader();
+    const others = processes.filter(each => each !== leader);
+    const calledBy = ({fleet}: ControlProcess) => {
+      const {calls} =
+        holds[processes.findIndex(each => each.fleet === fleet)]!.mock;
+      return new Set(calls.map(([{id}]) => id)).size;
+    };
+    const half = rows.length / 2;
+    await vi.waitFor(
+      () => expect(others.map(calledBy)).toEqual([half, half]),
+      5000,
+    );
+    const leaderHolds = holds[processes.indexOf(leader)]!;
+    // Those that it sent while the fleet was small have been answered by now.
+    await new Promise(resolve => setTimeout(resolve, HOLD_WAIT_MS));
+    const sentBefore = leaderHolds.mock.calls.length;
+    const [stopping, remaining] = others;
+    await new Promise(resolve => setTimeout(resolve, HOLD_WAIT_MS));
+    expect(leaderHolds.mock.calls.length).toBe(sentBefore);
+    await stopping!.control!.stop();
+    stopping!.control = undefined;
+    await vi.waitFor(
+      () => expect(calledBy(remaining!)).toBe(rows.length),
+      5000,
+    );
+  }, 20_000);
+
   it('makes a member that lost its disk a voter again, twice in a row', async () => {
     const entry = await startGroup();
     await retryWhileUnavailable(entry, EDIT);
@@ -284,6 +331,7 @@
       address,
       member: `${address}/x`,
       disk: new MemoryDisk(),
+      fleet: new FakeFleet(),
     };
     processes.push(alone);
     await start(alone, [address], false);
