Count the reports of workers by what they bring

At a peak a leader of 246 workers handled 2 to 3 times as many reports as there were events, and nothing told why.

What goes beyond the ends are holds whose wait is over: one a second for each worker, or two for one with fillers beside serving tasks, which for 246 workers is 246 to 492 a second and can explain the count; the field `unchanged` of the line `leader` will show it. A session's holds are left as they are.

Not done: longer waits (2,000 ms) for workers without runs. A task that starts during such a wait would be paced, or known to be ready, up to a second later, and the silence of an idle worker noticed a second later.

--- a/packages/dispatch/src/instruments.ts
+++ b/packages/dispatch/src/instruments.ts
@@ -47,6 +47,8 @@
     events: number,
     oldestMs: number | undefined,
   ): (outcome: 'committed' | 'rejected') => void;
+  /** Records a worker's report by what it brings. */
+  recordReport(news: ReportNews): void;
   /** Records that the views of the state moved by so many differences. */
   recordDifferences(count: number): void;
   /** Records that the runs of this worker have been reconciled. */
@@ -62,6 +64,9 @@
   stop(): void;
 }
 
+/** `other`: changes without an end, such as a start that is confirmed. */
+export type ReportNews = 'none' | 'ends' | 'other';
+
 /** `adopted`: recorded by an earlier leader and taken over by this one. */
 export type MoveStage = 'chosen' | 'adopted' | 'ordered' | 'ended';
 
@@ -78,11 +83,14 @@
 /** Stages times outcomes, with room for outcomes of other providers. */
 const MAX_MOVE_SERIES = 32;
 const MAX_OUTCOME_SERIES = 4;
+const MAX_NEWS_SERIES = 4;
 
 /** Sums and maxima since the last report. */
 interface Window {
   rounds: number;
   reports: number;
+  /** Reports without news. */
+  unchanged: number;
   changes: number;
   rejected: number;
   events: number;
@@ -118,6 +126,11 @@
     'Events in the changes that were proposed.',
     1,
   );
+  const reportCount: Counter = metrics.counter(
+    'lentildrift_worker_reports_total',
+    "Workers' reports by what they bring.",
+    MAX_NEWS_SERIES,
+  );
   const differenceCount: Counter = metrics.counter(
     'lentildrift_view_differences_total',
     'Jobs and workers that were updated in the views of the state.',
@@ -203,6 +216,7 @@
       oldestMs: Math.round(Math.max(sums.oldestMs, waitingMs)),
       rounds: sums.rounds,
       reports: sums.reports,
+      unchanged: sums.unchanged,
       changes: sums.changes,
       rejected: sums.rejected,
       events: sums.events,
@@ -221,6 +235,10 @@
   return {
     time,
     recordProposal,
+    recordReport(news) {
+      reportCount.add({news});
+      if (news === 'none') window.unchanged++;
+    },
     recordDifferences: count => differenceCount.add({}, count),
     recordReconciled: () => void (firstReportMs ??= performance.now()),
     recordOrders,
@@ -234,6 +252,7 @@
   return {
     rounds: 0,
     reports: 0,
+    unchanged: 0,
     changes: 0,
     rejected: 0,
     events: 0,
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -445,7 +445,9 @@
     if (!current || workerKey(current) !== key) return;
     const recorded = recordedRuns(key);
     const cursor = Math.max(recordedEndCursors.get(key) ?? 0, current.cursor);
-    if (!reportFilter.isUnchanged(key, report, recorded, cursor)) {
+    if (reportFilter.isUnchanged(key, report, recorded, cursor)) {
+      instruments.recordReport('none');
+    } else {
       reconcileReport(event, current, recorded, cursor);
     }
     readiness.observe(key, report);
@@ -475,6 +477,8 @@
         recorded: recorded.length,
       });
     }
+    const hasEnds = events.some(({type}) => type === 'ends');
+    instruments.recordReport(hasEnds ? 'ends' : 'other');
     for (const id of confirmed) runs.markReported(id);
     for (const {id, job, key: taskKey, run} of recorded) {
       if (confirmed.has(id) || !runs.markMissing(id)) continue;
--- a/packages/dispatch/test/report-filter.test.ts
+++ b/packages/dispatch/test/report-filter.test.ts
@@ -147,12 +147,18 @@
     vi.useRealTimers();
   });
 
-  function countRounds(): number {
-    const pattern =
-      /^lentildrift_leader_phase_seconds_count\{phase="plan"\} (\d+)/m;
-    return Number(pattern.exec(harness.metrics.text())![1]);
+  /** Value of a metric's series; 0 before it is first recorded. */
+  function valueOf(series: string): number {
+    const lines = harness.metrics.text().split('\n');
+    const line = lines.find(each => each.startsWith(`${series} `));
+    return Number(line?.slice(series.length) ?? 0);
   }
 
+  const countRounds = () =>
+    valueOf('lentildrift_leader_phase_seconds_count{phase="plan"}');
+  const countReports = (news: string) =>
+    valueOf(`lentildrift_worker_reports_total{news="${news}"}`);
+
   it('decides only on its ticks while reports bring no news', async () => {
     harness = await createHarness({
       behave: () => ({lasting: true, durationMs: Infinity}),
@@ -165,9 +171,15 @@
     await harness.submit(job('l', {lasting: true, count: WORKERS}));
     await harness.advance(3000);
     const before = countRounds();
+    const reportsBefore = countReports('none');
+    const endsBefore = countReports('ends');
     await harness.advance(QUIET_MS);
     // One round for each tick of 100 ms, and one more at the edges.
     expect(countRounds() - before).toBeLessThanOrEqual(QUIET_MS / 100 + 1);
     expect(harness.fleet.running('l.0.0.0')).toHaveLength(1);
+    // Each worker reports about once a second.
+    const reports = countReports('none') - reportsBefore;
+    expect(reports).toBeGreaterThan((WORKERS * QUIET_MS) / 2000);
+    expect(countReports('ends')).toBe(endsBefore);
   });
 });
