--- a/packages/dispatch/src/rebalancer.ts
+++ b/packages/dispatch/src/rebalancer.ts
@@ -245,22 +245,26 @@
     const pool = pools.get(worker.pool);
     if (!pool || pool.standby || !options.isUsable(worker)) return undefined;
     const key = workerKey(worker);
+    const {capacity, labels} = host;
     const reserved = load.byWorker.get(key) ?? ZERO_SIZE;
-    return {
-      pool: worker.pool,
-      host: {
-        ...toPoolHost(host),
-        worker: key,
-        free: avoided.has(key) ? ZERO_SIZE : subtract(host.capacity, reserved),
-        idle: isIdle(id, worker, load),
-        emptyInMs: options.emptyInMs(key, load),
-        // A worker that is avoided is of no use to another pool either.
-        pinned:
-          options.hasForeignOrder(id) ||
-          avoided.has(key) ||
-          load.workersWithLongRunningTasks.has(key),
-      },
+    const isAvoided = avoided.has(key);
+    // Built for every host on each tick, hence without a copy of another object.
+    const poolHost: PoolHost = {
+      id,
+      worker: key,
+      capacity,
+      free: isAvoided ? ZERO_SIZE : subtract(capacity, reserved),
+      labels,
+      idle: isIdle(id, worker, load),
+      emptyInMs: options.emptyInMs(key, load),
+      // A worker that is avoided is of no use to another pool either.
+      pinned:
+        isAvoided ||
+        options.hasForeignOrder(id) ||
+        load.workersWithLongRunningTasks.has(key),
+      excludedPools: excludedPools.get(id) ?? NO_POOLS,
     };
+    return {pool: worker.pool, host: poolHost};
   }
 
   /** The host as the policy sees it while nothing runs on it. */
--- a/packages/scheduling/src/packing.ts
+++ b/packages/scheduling/src/packing.ts
@@ -46,7 +46,15 @@
 ): Packing {
   const packed = [...hosts];
   const unplaced: WaitingTasks[] = [];
+  // Free capacity only decreases, so once a task fits on no host, none of its
+  // kind does. A backlog consists of many jobs with few kinds of tasks.
+  const unplaceableKinds = new Set<string>();
   for (const tasks of waiting) {
+    const kind = kindOf(tasks);
+    if (unplaceableKinds.has(kind)) {
+      unplaced.push(tasks);
+      continue;
+    }
     let {count} = tasks;
     for (let index = 0; index < packed.length && count > 0; index++) {
       const placed = Math.min(count, countFittingTasks(packed[index]!, tasks));
@@ -58,11 +66,19 @@
         hasPlacedTasks: true,
       };
     }
-    if (count > 0) unplaced.push({...tasks, count});
+    if (count === 0) continue;
+    unplaced.push({...tasks, count});
+    // A limit for each worker depends on where the step runs.
+    if (tasks.maxPerWorker === 0) unplaceableKinds.add(kind);
   }
   return {hosts: packed, unplaced};
 }
 
+/** Tasks of the same kind fit on the same hosts, apart from their limits. */
+function kindOf({size, label = ''}: WaitingTasks): string {
+  return `${size.cpuMillis} ${size.memoryMb} ${size.gpus} ${label}`;
+}
+
 /**
  * Number of tasks that fit into the free capacity of a host, within their
  * limits.
--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -84,7 +84,7 @@
     // late tasks do not use them up.
     const poolsWithoutLateTasks = pools.map(withoutLateTasks);
     const first = this.divide(poolsWithoutLateTasks).moves;
-    const second = this.divide(first.reduce(applyMove, pools));
+    const second = this.divide(applyMoves(pools, first));
     const moves = [...first, ...second.moves];
     const standby = pools.find(pool => pool.standby);
     if (!standby) return moves;
@@ -128,19 +128,35 @@
   return {...pool, demand: {...pool.demand, waiting}};
 }
 
-/** Returns the pools as they are while the host is being moved. */
-function applyMove(pools: readonly PoolView[], move: Move): PoolView[] {
-  const source = pools.find(({name}) => name === move.from);
-  const host = source?.serving.find(({id}) => id === move.host);
-  return pools.map(pool => {
-    if (pool.name === move.from) {
-      const serving = pool.serving.filter(({id}) => id !== move.host);
-      return {...pool, serving};
-    }
-    if (pool.name !== move.to || !host) return pool;
+/** Returns the pools as they are while the hosts are being moved. */
+function applyMoves(
+  pools: readonly PoolView[],
+  moves: readonly Move[],
+): readonly PoolView[] {
+  if (moves.length === 0) return pools;
+  const moved = new Map(moves.map(move => [move.host, move]));
+  const movedHosts = new Map<string, PoolHost>();
+  const remaining = pools.map(({name, serving}) =>
+    serving.filter(host => {
+      if (moved.get(host.id)?.from !== name) return true;
+      movedHosts.set(host.id, host);
+      return false;
+    }),
+  );
+  const arrivals = new Map<string, PoolHost[]>();
+  for (const {host: id, to} of moves) {
+    const host = movedHosts.get(id);
+    if (!host) continue;
     const empty = {...host, free: host.capacity, worker: undefined};
-    return {...pool, arriving: [...pool.arriving, empty]};
-  });
+    const arriving = arrivals.get(to);
+    if (arriving) arriving.push(empty);
+    else arrivals.set(to, [empty]);
+  }
+  return pools.map((pool, at) => ({
+    ...pool,
+    serving: remaining[at]!,
+    arriving: [...pool.arriving, ...(arrivals.get(pool.name) ?? [])],
+  }));
 }
 
 function packPool(pool: PoolView): PackedPool {
--- a/packages/scheduling/test/pools.test.ts
+++ b/packages/scheduling/test/pools.test.ts
@@ -1,4 +1,5 @@
 import {workerKey, ZERO_SIZE, type Event, type State} from '@lentildrift/queue';
+import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {
   ElasticPools,
@@ -12,6 +13,7 @@
   type PoolView,
   type WaitingTasks,
 } from '../src/index.js';
+import {createTrialHost, packTasks} from '../src/packing.js';
 import {stateOf, submit, worker} from './build.js';
 
 function demandOf(state: State, nowMs = 0): Demand {
@@ -291,3 +293,97 @@
     expect(moves).toEqual([]);
   });
 });
+
+describe('the trial packing of a backlog', () => {
+  it('places and leaves the same tasks as a trial of each task on each host', () => {
+    const sizes = fc.record({
+      cpuMillis: fc.constantFrom(0, 1000, 3000),
+      memoryMb: fc.constantFrom(100, 2000),
+      gpus: fc.constantFrom(0, 1),
+    });
+    const tasks = fc.record({
+      count: fc.integer({min: 1, max: 4}),
+      size: sizes,
+      label: fc.constantFrom(undefined, 'x'),
+      maxPerWorker: fc.constantFrom(0, 0, 1),
+    });
+    const hosts = fc.array(
+      fc.record({
+        labels: fc.constantFrom([], ['x']),
+        gpus: fc.integer({min: 0, max: 2}),
+      }),
+      {maxLength: 4},
+    );
+    /** Packs each row alone, after those before it. */
+    const packSeparately = (
+      trialHosts: ReturnType<typeof createTrialHost>[],
+      rows: readonly WaitingTasks[],
+    ) =>
+      rows.reduce(
+        (packing, row) => {
+          const next = packTasks(packing.hosts, [row]);
+          const unplaced = [...packing.unplaced, ...next.unplaced];
+          return {hosts: next.hosts, unplaced};
+        },
+        packTasks(trialHosts, []),
+      );
+    fc.assert(
+      fc.property(hosts, fc.array(tasks, {maxLength: 8}), (rows, backlog) => {
+        const trialHosts = rows.map(({labels, gpus}, at) =>
+          createTrialHost(host(`h${at}`, {labels, free: {...CAPACITY, gpus}})),
+        );
+        const waitingTasks = backlog.map(({count, ...more}) =>
+          waiting(count, more),
+        );
+        expect(packTasks(trialHosts, waitingTasks)).toEqual(
+          packSeparately(trialHosts, waitingTasks),
+        );
+      }),
+      {numRuns: 500},
+    );
+  });
+
+  it('looks at full hosts once for each kind of task, not for each job', () => {
+    let looks = 0;
+    const full = Array.from({length: 50}, (_, at) => {
+      const row = host(`h${at}`, {free: ZERO_SIZE});
+      return Object.defineProperty({...row}, 'labels', {
+        get() {
+          looks++;
+          return ['x'];
+        },
+      });
+    });
+    const backlog = Array.from({length: 200}, () => waiting(1, {label: 'x'}));
+    const {unplaced} = packTasks(full.map(createTrialHost), backlog);
+    expect(unplaced).toEqual(backlog);
+    expect(looks).toBeLessThanOrEqual(2 * full.length);
+  });
+});
+
+describe('the moves for tasks that can be in time', () => {
+  it('are applied with one look at each host, however many they are', () => {
+    let looks = 0;
+    const counted = (id: string) =>
+      Object.defineProperty({...host(id)}, 'id', {
+        enumerable: true,
+        get() {
+          looks++;
+          return id;
+        },
+      });
+    const standby = Array.from({length: 100}, (_, at) => counted(`s${at}`));
+    const busy = Array.from({length: 100}, (_, at) => ({
+      ...host(`b${at}`),
+      free: ZERO_SIZE,
+      idle: false,
+    }));
+    const moves = decideMoves(
+      {...pool('standby', []), serving: standby},
+      pool('p', busy, {waiting: [waiting(200)]}),
+    );
+    expect(moves.length).toBeGreaterThan(40);
+    // A few looks at each host in each of the two divisions, and at its moves.
+    expect(looks).toBeLessThanOrEqual(8 * standby.length);
+  });
+});
