--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -11,6 +11,7 @@
   apply,
   dueAtMs,
   parseTaskKey,
+  queuesByName,
   splitTaskName,
   stepKey,
   taskName,
@@ -444,7 +445,9 @@
     if (!current || workerKey(current) !== key) return;
     const recorded = recordedRuns(key);
     const cursor = Math.max(recordedEndCursors.get(key) ?? 0, current.cursor);
-    if (!reportFilter.isUnchanged(key, report, recorded, cursor)) {
+    if (reportFilter.isUnchanged(key, report, recorded, cursor)) {
+      instruments.recordReport('none');
+    } else {
       reconcileReport(event, current, recorded, cursor);
     }
     readiness.observe(key, report);
@@ -474,6 +477,8 @@
         recorded: recorded.length,
       });
     }
+    const hasEnds = events.some(({type}) => type === 'ends');
+    instruments.recordReport(hasEnds ? 'ends' : 'other');
     for (const id of confirmed) runs.markReported(id);
     for (const {id, job, key: taskKey, run} of recorded) {
       if (confirmed.has(id) || !runs.markMissing(id)) continue;
@@ -746,7 +751,7 @@
     const job = state().jobs.get(id);
     if (!job || job.phase === 'active' || !retention.recordEnd(id)) return;
     const {tables} = state();
-    const queue = tables.queues.find(({name}) => name === job.spec.queue);
+    const queue = queuesByName(tables).get(job.spec.queue);
     const nowMs = Date.now();
     log.info('job-ended', {
       job: id,
