--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -43,6 +43,8 @@
 import {MAX_DIRECT_WORKERS, RelayedWorkerDriver} from './relayed-driver.js';
 import {Envelope, RemoteService, type EnvelopeReply} from './remote.js';
 import {QueueService, refuse, type Reply, type Request} from './request.js';
+import {createStallWatch} from './stall.js';
+import {ORDER_TIMEOUT_MS} from './timing.js';
 import {WorkerCall} from './worker-call.js';
 import {createWorkerRelay} from './worker-relay.js';
 
@@ -187,6 +189,7 @@
   const term = () => replica.status().term;
   const relay = createWorkerRelay({
     driver: options.driver,
+    stalls: createStallWatch(ORDER_TIMEOUT_MS),
     term,
     leads: () => replica.status().role === 'leader',
   });
--- a/packages/dispatch/src/worker-relay.ts
+++ b/packages/dispatch/src/worker-relay.ts
@@ -2,9 +2,9 @@
  * Makes calls to workers on behalf of the leader, in a control process that does
  * not lead. The leader's process could not make all calls of a large fleet.
  */
-import {afterInput, type InputTimeout} from '@lentildrift/task';
 import {createDelayEstimate} from './delay.js';
 import type {Target, WorkerDriver} from './driver.js';
+import type {StallWatch} from './stall.js';
 import {createTick} from './tick.js';
 import {BATCH_DELAY_MS, ORDER_TIMEOUT_MS} from './timing.js';
 import {
@@ -22,6 +22,8 @@
 export interface WorkerRelayOptions {
   /** Makes the calls. */
   readonly driver: WorkerDriver;
+  /** Calls that waited in the socket during a stall are not made. */
+  readonly stalls: StallWatch;
   /** Highest term that this process knows. */
   term(): number;
   /** Whether this process leads and calls workers for itself. */
@@ -33,7 +35,7 @@
   handle(call: WorkerCall): Promise<WorkerReply>;
   /** Whether calls to this worker were relayed lately. */
   serves(target: Target): boolean;
-  /** Sends no more calls. */
+  /** Sends no more calls, and stops the stall watch. */
   stop(): void;
 }
 
@@ -43,39 +45,17 @@
  */
 const WORKER_IDLE_MS = 30_000;
 const SWEEP_INTERVAL_MS = 10_000;
-/** Interval of the timer whose lateness shows a stall. */
-const STALL_CHECK_MS = 100;
 
 export function createWorkerRelay(options: WorkerRelayOptions): WorkerRelay {
-  const {driver, term, leads} = options;
+  const {driver, stalls, term, leads} = options;
   /** Monotonic time of the last call to each worker, by address. */
   const lastCalls = new Map<string, {target: Target; atMs: number}>();
   const delay = createDelayEstimate();
   const answerTime = createTick(BATCH_DELAY_MS);
   let isStopped = false;
-  let checkedMs = performance.now();
-  /** Set while calls are read that arrived during a stall. */
-  let catchingUp: InputTimeout | undefined;
-  const stallTimer = setInterval(() => {
-    if (isStalled()) {
-      catchingUp?.cancel();
-      catchingUp = afterInput(() => (catchingUp = undefined));
-    }
-    checkedMs = performance.now();
-  }, STALL_CHECK_MS);
-  stallTimer.unref();
   const sweepTimer = setInterval(closeIdle, SWEEP_INTERVAL_MS);
   sweepTimer.unref();
 
-  /**
-   * Whether this process has just resumed from a stall, such as a freeze. The
-   * calls that it reads then may have waited in the socket all the time, and the
-   * leader has given them up. Sockets may be read before the timer runs.
-   */
-  function isStalled(): boolean {
-    return performance.now() - checkedMs > STALL_CHECK_MS + ORDER_TIMEOUT_MS;
-  }
-
   function closeIdle(): void {
     const idleSinceMs = performance.now() - WORKER_IDLE_MS;
     for (const [address, {target, atMs}] of lastCalls) {
@@ -97,8 +77,7 @@
     const [token] = call.order;
     // Each term has another leader, with another clock.
     const delayMs = delay.record(token, call.sentMs);
-    const isLate =
-      delayMs > ORDER_TIMEOUT_MS || catchingUp !== undefined || isStalled();
+    const isLate = delayMs > ORDER_TIMEOUT_MS || stalls.isCatchingUp();
     const target = targetOf(call);
 
     /** Returns why the call must not be sent any more. */
@@ -152,8 +131,7 @@
     stop() {
       isStopped = true;
       clearInterval(sweepTimer);
-      clearInterval(stallTimer);
-      catchingUp?.cancel();
+      stalls.stop();
     },
   };
 }
--- a/packages/dispatch/test/relay.test.ts
+++ b/packages/dispatch/test/relay.test.ts
@@ -15,6 +15,7 @@
 } from '../src/index.js';
 import {DIRECT_PERIOD_MS} from '../src/relay-choice.js';
 import {openWorkerSession, type WorkerSession} from '../src/session.js';
+import {createStallWatch} from '../src/stall.js';
 import {ORDER_TIMEOUT_MS} from '../src/timing.js';
 import {createWorkerRelay} from '../src/worker-relay.js';
 import {FakeFleet} from './fakes.js';
@@ -467,7 +468,12 @@
   };
 
   function startRelay(driver: WorkerDriver, term = () => 3) {
-    return createWorkerRelay({driver, term, leads: () => false});
+    return createWorkerRelay({
+      driver,
+      stalls: createStallWatch(ORDER_TIMEOUT_MS),
+      term,
+      leads: () => false,
+    });
   }
 
   it('does not send a call that has waited for longer than the leader waits', async () => {
@@ -601,6 +607,7 @@
     const driver = new QueueingDriver();
     const relay = createWorkerRelay({
       driver,
+      stalls: createStallWatch(ORDER_TIMEOUT_MS),
       term: () => 3,
       leads: () => true,
     });
--- a/packages/dispatch/test/relays.ts
+++ b/packages/dispatch/test/relays.ts
@@ -8,6 +8,7 @@
 import type {WorkerDriver} from '../src/index.js';
 import type {Peer} from '../src/mesh.js';
 import {RelayedWorkerDriver} from '../src/relayed-driver.js';
+import {ORDER_TIMEOUT_MS} from '../src/timing.js';
 import {WorkerCall} from '../src/worker-call.js';
 import {createWorkerRelay, type WorkerRelay} from '../src/worker-relay.js';
 
@@ -90,7 +91,11 @@
   driver: WorkerDriver,
   term: () => number,
 ): FakeRelay {
-  const relay = createWorkerRelay({driver, term, leads: () => false});
+  let isCatchingUp = false;
+  let frozenMs = 0;
+  // The timers of a frozen process stand still, but these of the fake do not.
+  const stalls = {isCatchingUp: () => isCatchingUp, stop: () => {}};
+  const relay = createWorkerRelay({driver, stalls, term, leads: () => false});
   const pending = new Set<(error: Error) => void>();
   let waiting: (() => void)[] = [];
   let state: RelayState = 'up';
@@ -146,6 +151,9 @@
     sentAt: new Set(),
     calls: 0,
     setState(next) {
+      if (next === 'frozen' && state !== 'frozen') {
+        frozenMs = performance.now();
+      }
       state = next;
       if (state === 'closed') {
         const error = new RequestUnansweredError(address, 'closed');
@@ -154,7 +162,9 @@
       if (state !== 'up') return;
       const arrived = waiting;
       waiting = [];
+      isCatchingUp = performance.now() - frozenMs > ORDER_TIMEOUT_MS;
       for (const arrive of arrived) arrive();
+      isCatchingUp = false;
     },
   };
   return fake;
