Acknowledge no ends before the incarnation of a worker is known

A start of the last leader reached the next incarnation of a worker with the same ID. The next leader's session with the old incarnation, which waits for it to answer, sent that incarnation's cursor, 1, to the new one, which discarded its own end number 1 before anybody had recorded it. The trace of the calls shows the holds with cursor 1 answered by the other incarnation.

A hold to a worker that has not answered acknowledges nothing now, as it already renews no lease; its answer may bring ends a second time, once for each period of silence. The fault does not need relays, they only make the start later.

--- a/packages/dispatch/src/session.ts
+++ b/packages/dispatch/src/session.ts
@@ -151,7 +151,10 @@
     try {
       const report = await driver.hold(target, {
         token,
-        cursor,
+        // The numbers of ends begin anew in each incarnation. Before the worker
+        // has answered, another one may be at its address, and would discard
+        // ends that nobody has recorded.
+        cursor: isAnswering ? cursor : 0,
         waitMs: leaseUntilMs === undefined ? 0 : holdWaitMs,
         ...(leaseUntilMs !== undefined && {leaseUntilMs}),
       });
