--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -40,6 +40,8 @@
 import {Envelope, RemoteService, type EnvelopeReply} from './remote.js';
 import {QueueService, refuse, type Reply, type Request} from './request.js';
 import {MAX_CHANGE_CHARS, QueueCodec} from './codec.js';
+import {ORDER_TIMEOUT_MS} from './timing.js';
+import {createStallWatch} from './stall.js';
 import {startMemberReport} from './member-report.js';
 import {WorkerCall} from './worker-call.js';
 import {createWorkerRelay} from './worker-relay.js';
@@ -178,6 +180,7 @@
   const term = () => replica.status().term;
   const relay = createWorkerRelay({
     driver: options.driver,
+    stalls: createStallWatch(ORDER_TIMEOUT_MS),
     term,
     leads: () => replica.status().role === 'leader',
   });
