Report the time of garbage collection of control processes

A sampling profile shows a quarter of the leader's processor time in garbage collection, but the log could not confirm it: the phases of the leader add up to a third of its time and nothing names the rest.

--- a/packages/dispatch/src/member-report.ts
+++ b/packages/dispatch/src/member-report.ts
@@ -4,6 +4,7 @@
  * leader's own lines do not tell which.
  */
 import {
+  startCollectionProbe,
   startLagProbe,
   type Latency,
   type Log,
@@ -35,6 +36,7 @@
 /** Sums and maxima since the last line. */
 interface Window {
   cpuMs: number;
+  collectionMs: number;
   lagMaxMs: number;
   writes: number;
   writeMaxMs: number;
@@ -42,7 +44,14 @@
 }
 
 function createWindow(): Window {
-  return {cpuMs: 0, lagMaxMs: 0, writes: 0, writeMaxMs: 0, relayedCalls: 0};
+  return {
+    cpuMs: 0,
+    collectionMs: 0,
+    lagMaxMs: 0,
+    writes: 0,
+    writeMaxMs: 0,
+    relayedCalls: 0,
+  };
 }
 
 export function startMemberReport({
@@ -55,7 +64,16 @@
     'Time until a write to the log was synced.',
     1,
   );
+  const collectionTime: Latency = metrics.latency(
+    'lentildrift_gc_seconds',
+    'Duration of a garbage collection.',
+    1,
+  );
   let window = createWindow();
+  const collections = startCollectionProbe(durationMs => {
+    collectionTime.record({}, durationMs);
+    window.collectionMs += durationMs;
+  });
   let reportedMs = performance.now();
   const probe = startLagProbe(({lagMs, cpuMs}) => {
     window.cpuMs += cpuMs;
@@ -67,6 +85,7 @@
       log.info('member', {
         periodMs: Math.round(nowMs - reportedMs),
         cpuMs: Math.round(window.cpuMs),
+        gcMs: Math.round(window.collectionMs),
         lagMaxMs: Math.round(window.lagMaxMs),
         writes: window.writes,
         writeMaxMs: Math.round(window.writeMaxMs),
@@ -83,7 +102,10 @@
       window.writeMaxMs = Math.max(window.writeMaxMs, elapsedMs);
     }),
     countRelayedCall: () => void window.relayedCalls++,
-    stop: () => probe.stop(),
+    stop() {
+      probe.stop();
+      collections.stop();
+    },
   };
 }
 
