Split the leader into modules of one job each

leader.ts had 892 lines, which mixed the leader's task with the handling of reports, the decision round, the follow-up of commits and the care for hosts. It keeps the task (349 lines), which alone receives messages; each other part is a factory function that owns its own state:

- event-queue, planner and decision-round: `gather → plan → commit`.
The rounds post their outcomes to the leader's task, which posts the orders.
- report-handler: `filter → reconcile → record`, with the cursors of ends.
- commit-handler: replies and the follow-up of committed and rejected changes.
- host-operations: maintenance, moves, the limit on rebalancing, the census.
- availability: reconciled workers, health after failures, candidates.
- run-estimates: learnt durations and the time that runs still need.
- state-views: the views of the replicated state.
- leader-options: options that several of these take; leader.ts exports them as before.

No logic, log line, metric, constant or order of operations changes. One difference without an effect: after the task has stopped, no round timer is set any more, whose message the stopped task would have discarded.

--- /dev/null
+++ b/packages/dispatch/src/availability.ts
@@ -0,0 +1,108 @@
+/** Tracks which workers may get runs, by their answers and their failures. */
+import {workerKey, type EndRow, type Worker} from '@lentildrift/queue';
+import {
+  findAvoidedWorkers,
+  isQuarantined,
+  listQuarantined,
+  recordRunEnds,
+  type Candidate,
+  type Health,
+  type StateView,
+} from '@lentildrift/scheduling';
+import type {RunEstimates} from './run-estimates.js';
+import type {StateViews} from './state-views.js';
+
+export interface AvailabilityOptions {
+  readonly views: StateViews;
+  readonly estimates: RunEstimates;
+  isAnswering(worker: string): boolean;
+  /** Whether the host gets no new runs because of maintenance or a move. */
+  isCordoned(host: string): boolean;
+}
+
+export interface Availability {
+  /**
+   * Notes that this leader has reconciled the runs of a worker's incarnation;
+   * returns false if this was known.
+   */
+  markReconciled(worker: string): boolean;
+  /** Notes the ends that a worker has reported, for its health. */
+  recordEnds(worker: string, ends: readonly EndRow[]): void;
+  /** Drops that the worker's incarnation has been reconciled. */
+  forget(worker: string): void;
+  /**
+   * Whether the worker is ready, answers, and had its runs reconciled by this
+   * leader. Its host may still be cordoned.
+   */
+  isUsable(worker: Worker): boolean;
+  /** Keys of the workers of all pools that are avoided after failures. */
+  avoidedWorkers(): ReadonlySet<string>;
+  /** The workers of a pool that may get new runs. */
+  candidatesIn(pool: string, view: StateView): Candidate[];
+}
+
+const NO_KEYS: ReadonlySet<string> = new Set();
+
+export function createAvailability(options: AvailabilityOptions): Availability {
+  const {views, estimates} = options;
+  /** Workers, by `workerKey`, whose runs this leader has reconciled. */
+  const reconciledWorkers = new Set<string>();
+  let health: Health = new Map();
+
+  function markReconciled(worker: string): boolean {
+    if (reconciledWorkers.has(worker)) return false;
+    reconciledWorkers.add(worker);
+    return true;
+  }
+
+  function isUsable(worker: Worker): boolean {
+    const key = workerKey(worker);
+    if (worker.phase !== 'ready' || !options.isAnswering(key)) return false;
+    return reconciledWorkers.has(key);
+  }
+
+  /** Whether the worker can get runs, unless it is avoided after failures. */
+  function isAvailable(worker: Worker): boolean {
+    return isUsable(worker) && !options.isCordoned(worker.host);
+  }
+
+  function findAvoided(workers: readonly Worker[]): ReadonlySet<string> {
+    const rows = workers.map(worker => ({
+      key: workerKey(worker),
+      pool: worker.pool,
+    }));
+    return findAvoidedWorkers(health, rows, performance.now());
+  }
+
+  function avoidedWorkers(): ReadonlySet<string> {
+    if (listQuarantined(health, performance.now()).length === 0) return NO_KEYS;
+    return findAvoided(views.current().fleet.workers.filter(isAvailable));
+  }
+
+  function candidatesIn(pool: string, {load, fleet}: StateView): Candidate[] {
+    const workers = fleet.workersIn(pool).filter(isAvailable);
+    const avoided = findAvoided(workers);
+    const nowMs = performance.now();
+    return workers
+      .map(worker => ({key: workerKey(worker), worker}))
+      .filter(({key}) => !avoided.has(key))
+      .map(({key, worker}) => ({
+        key,
+        worker,
+        free: worker.capacity,
+        emptyInMs: estimates.emptyInMs(key, load),
+        quarantined: isQuarantined(health, key, nowMs),
+      }));
+  }
+
+  return {
+    markReconciled,
+    recordEnds(worker, ends) {
+      health = recordRunEnds(health, worker, ends, performance.now());
+    },
+    forget: worker => void reconciledWorkers.delete(worker),
+    isUsable,
+    avoidedWorkers,
+    candidatesIn,
+  };
+}
--- /dev/null
+++ b/packages/dispatch/src/commit-handler.ts
@@ -0,0 +1,114 @@
+/**
+ * Handles the outcomes of changes: answers the requests that wait for them, and
+ * follows up what a change has recorded.
+ */
+import type {Log} from '@lentildrift/observe';
+import {
+  dueAtMs,
+  occurrenceCount,
+  queuesByName,
+  splitTaskName,
+  workerKey,
+  type Event,
+  type Outcome,
+  type State,
+} from '@lentildrift/queue';
+import {objectiveMs, runId} from '@lentildrift/scheduling';
+import type {Batch} from './batch.js';
+import type {Dispatcher} from './dispatcher.js';
+import type {ReportHandler} from './report-handler.js';
+import type {Retention} from './retention.js';
+import type {RunEstimates} from './run-estimates.js';
+import type {RunTracker} from './tracker.js';
+
+export interface CommitHandlerOptions {
+  readonly dispatcher: Dispatcher;
+  readonly runs: RunTracker;
+  readonly reports: ReportHandler;
+  readonly retention: Retention;
+  readonly estimates: RunEstimates;
+  readonly log: Log;
+  state(): State;
+}
+
+export interface CommitHandler {
+  /** Handles the outcomes of a batch's events, in the order of the events. */
+  handleCommitted(batch: Batch, outcomes: readonly Outcome[]): void;
+  /**
+   * A rejected change is not applied as long as this process remains the
+   * leader. The ends in the change were not acknowledged, so the worker's next
+   * report lists them again; their cursor is dropped so that they are recorded
+   * then.
+   */
+  handleRejected(batch: Batch, error: Error): void;
+}
+
+export function createCommitHandler(
+  options: CommitHandlerOptions,
+): CommitHandler {
+  const {dispatcher, runs, reports, retention, estimates, log, state} = options;
+
+  function handleCommitted({queued}: Batch, outcomes: readonly Outcome[]) {
+    queued.forEach(({event, reply}, at) => {
+      reply?.resolve(outcomes[at]!);
+      followUp(event, outcomes[at]!);
+    });
+  }
+
+  function handleRejected({queued}: Batch, error: Error): void {
+    log.warn('change-rejected', {reason: error.message, events: queued.length});
+    for (const {event, reply} of queued) {
+      reply?.reject(error);
+      if (event.type === 'ends') reports.forgetEnds(event.worker);
+    }
+  }
+
+  function followUp(event: Event, outcome: Outcome): void {
+    if (event.type === 'ends') {
+      if (outcome === 'unknown') {
+        // The ends were not recorded, so the worker must not discard them.
+        log.warn('ends-unrecorded', {worker: event.worker, upTo: event.upTo});
+        return;
+      }
+      dispatcher.sessionOf(event.worker)?.acknowledge(event.upTo);
+      for (const [name, run] of event.ends) {
+        runs.forget(runId(name, run));
+        logJobEnd(splitTaskName(name).job);
+      }
+    } else if (event.type === 'lost') {
+      for (const [name, run] of event.runs) runs.forget(runId(name, run));
+    } else if (event.type === 'worker' && outcome === 'applied') {
+      const {worker} = event;
+      log.info('worker-changed', {
+        worker: workerKey(worker),
+        pool: worker.pool,
+        phase: worker.phase,
+        host: worker.host,
+        sequence: worker.sequence,
+      });
+    }
+  }
+
+  /** Logs how a job ended, with the time since it was due and its objective. */
+  function logJobEnd(id: string): void {
+    const job = state().jobs.get(id);
+    if (!job || job.phase === 'active' || !retention.recordEnd(id)) return;
+    const {tables} = state();
+    const queue = queuesByName(tables).get(job.spec.queue);
+    const nowMs = Date.now();
+    const durations = estimates.durations();
+    log.info('job-ended', {
+      job: id,
+      queue: job.spec.queue,
+      phase: job.phase,
+      tookMs: nowMs - dueAtMs(job, occurrenceCount(job.spec) - 1),
+      ...(queue && {
+        objectiveMs: Math.round(
+          objectiveMs({job, queue, occurrence: 0, nowMs, durations}),
+        ),
+      }),
+    });
+  }
+
+  return {handleCommitted, handleRejected};
+}
--- /dev/null
+++ b/packages/dispatch/src/host-operations.ts
@@ -0,0 +1,161 @@
+/**
+ * The leader's operations on hosts: maintenance waves and moves between pools.
+ * Each leaves out the hosts of the other.
+ */
+import type {LogFields} from '@lentildrift/observe';
+import {ElasticPools} from '@lentildrift/scheduling';
+import type {Availability} from './availability.js';
+import {countHosts} from './census.js';
+import type {Dispatcher} from './dispatcher.js';
+import type {EventQueue} from './event-queue.js';
+import type {LeaderInstruments} from './instruments.js';
+import {createInventory} from './inventory.js';
+import type {LeaderOptions} from './leader-options.js';
+import {createMaintenance, type Maintenance} from './maintenance.js';
+import type {Readiness} from './readiness.js';
+import {createRebalancer, type Rebalancer} from './rebalancer.js';
+import type {RunEstimates} from './run-estimates.js';
+import type {StateViews} from './state-views.js';
+
+export interface HostOperationsOptions {
+  /** The options of the leader that operates on the hosts. */
+  readonly leader: LeaderOptions;
+  readonly dispatcher: Dispatcher;
+  readonly views: StateViews;
+  readonly events: EventQueue;
+  readonly availability: Availability;
+  readonly estimates: RunEstimates;
+  readonly readiness: Readiness;
+  readonly instruments: LeaderInstruments;
+  /** Whether a run on the worker is decided and not yet in the state. */
+  hasPendingStart(worker: string): boolean;
+}
+
+export interface HostOperations {
+  /** Whether the host gets no new runs because of maintenance or a move. */
+  isCordoned(host: string): boolean;
+  /** Advances the maintenance waves, and the moves as `rebalance` does. */
+  advance(): void;
+  /**
+   * Advances the moves in progress and begins others, unless too little time
+   * has passed since the last call that did so.
+   */
+  rebalance(): void;
+  /**
+   * Counts the hosts by what keeps them from getting runs; undefined until the
+   * host provider has listed them.
+   */
+  census(): LogFields | undefined;
+  stop(): void;
+}
+
+/** Shortest pause between two rebalancings of hosts among pools. */
+const REBALANCE_PAUSE_MS = 30;
+/**
+ * Largest share of the time spent on rebalancing. Its cost grows with the tasks
+ * that wait, so without this limit a shortage of hosts slows the commits that
+ * would end it.
+ */
+const MAX_REBALANCE_SHARE = 0.1;
+
+export function createHostOperations(
+  options: HostOperationsOptions,
+): HostOperations {
+  const {leader, dispatcher, views, events, availability} = options;
+  const {hasPendingStart} = options;
+  const {time, recordMove} = options.instruments;
+  const {replica, token, holder, processId, log, isLeader} = leader;
+  /** Monotonic time of the next rebalancing at the earliest. */
+  let nextRebalanceMs = -Infinity;
+  let isStopped = false;
+
+  const inventory = createInventory(leader.hosts, log);
+  const issuer = {
+    holder,
+    token,
+    isCurrent: () => !isStopped && leader.isLeader(),
+  };
+  const hasForeignOrder = (host: string) =>
+    leader.hostOrderGuard.hasForeignOrder(host);
+  const maintenance: Maintenance = createMaintenance({
+    replica,
+    issuer,
+    processId,
+    provider: leader.hosts,
+    inventory,
+    readiness: options.readiness,
+    log,
+    isMoving: host => rebalancer.isCordoned(host),
+    hasForeignOrder,
+    enqueueDerived: events.enqueueDerived,
+    stopRun: dispatcher.stop,
+    hasPendingStart,
+    isLeader,
+    fleet: () => views.current().fleet,
+  });
+  const rebalancer: Rebalancer = createRebalancer({
+    policy: leader.pools ?? new ElasticPools(),
+    provider: leader.hosts,
+    inventory,
+    issuer,
+    log,
+    state: views.state,
+    recordOrder: order =>
+      events.commit({type: 'duty', duty: {...order, by: processId}}),
+    hasForeignOrder,
+    isLeader,
+    recordMove,
+    onWorkerGone: worker =>
+      events.enqueueDerived({type: 'worker-gone', worker}),
+    isInWave: host => maintenance.isCordoned(host),
+    isUsable: availability.isUsable,
+    avoidedWorkers: availability.avoidedWorkers,
+    hasPendingStart,
+    emptyInMs: options.estimates.emptyInMs,
+    durations: options.estimates.durations,
+  });
+
+  function rebalance(): void {
+    const startMs = performance.now();
+    if (startMs < nextRebalanceMs) return;
+    time('rebalance', () => rebalancer.tick(views.current()));
+    const endMs = performance.now();
+    const pauseMs = (endMs - startMs) / MAX_REBALANCE_SHARE;
+    nextRebalanceMs = endMs + Math.max(REBALANCE_PAUSE_MS, pauseMs);
+  }
+
+  function census(): LogFields | undefined {
+    const hosts = inventory.hosts();
+    const {workers, tables} = views.state();
+    const standby = tables.pools.filter(pool => pool.standby);
+    return (
+      hosts && {
+        ...countHosts({
+          hosts,
+          workers: workers.values(),
+          standbyPools: new Set(standby.map(({name}) => name)),
+          isUsable: availability.isUsable,
+          isAnswering: dispatcher.isAnswering,
+          isMoving: host => rebalancer.isCordoned(host),
+          isInWave: host => maintenance.isCordoned(host),
+        }),
+      }
+    );
+  }
+
+  return {
+    isCordoned: host =>
+      maintenance.isCordoned(host) || rebalancer.isCordoned(host),
+    advance() {
+      time('maintenance', () => maintenance.tick(views.current()));
+      rebalance();
+    },
+    rebalance,
+    census,
+    stop() {
+      isStopped = true;
+      maintenance.stop();
+      rebalancer.stop();
+    },
+  };
+}
--- /dev/null
+++ b/packages/dispatch/src/leader-options.ts
@@ -0,0 +1,43 @@
+/** What the leader and its modules get from the process that leads. */
+import type {Replica} from '@lentildrift/consensus';
+import type {Log, Metrics} from '@lentildrift/observe';
+import type {Change, Outcome, State} from '@lentildrift/queue';
+import type {JobOrder, Placement, PoolPolicy} from '@lentildrift/scheduling';
+import type {TaskSystem} from '@lentildrift/task';
+import type {WorkerDriver} from './driver.js';
+import type {HostOrderGuard} from './host-order-guard.js';
+import type {Adviser, HostProvider} from './provider.js';
+
+/** The member of the replicated log that this process runs. */
+export type QueueReplica = Replica<State, Change, readonly Outcome[]>;
+
+/** What a leader needs from its process. */
+export interface LeaderOptions {
+  readonly replica: QueueReplica;
+  /**
+   * Fencing token: higher for each later leader, and part of every order, so
+   * that workers refuse the orders of earlier leaders.
+   */
+  readonly token: number;
+  /** Name under which this process calls the host provider. */
+  readonly holder: string;
+  /**
+   * Identifies this incarnation of the process in the records of its host
+   * orders; a restarted process has another one.
+   */
+  readonly processId: string;
+  readonly hostOrderGuard: HostOrderGuard;
+  readonly driver: WorkerDriver;
+  readonly hosts: HostProvider;
+  readonly adviser: Adviser;
+  readonly tasks: TaskSystem;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly order?: JobOrder;
+  readonly placement?: Placement;
+  readonly pools?: PoolPolicy;
+  /** Monotonic time at which this process was elected, for its log lines. */
+  readonly electedMs?: number;
+  /** Whether this process is still the leader, by its own knowledge. */
+  isLeader(): boolean;
+}
--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -19,7 +19,7 @@
   type StateView,
 } from '@lentildrift/scheduling';
 import type {Inventory} from './inventory.js';
-import type {QueueReplica} from './leader.js';
+import type {QueueReplica} from './leader-options.js';
 import type {HostProvider, OrderIssuer} from './provider.js';
 import type {Readiness} from './readiness.js';
 import type {DerivedEvent} from './undecided.js';
--- /dev/null
+++ b/packages/dispatch/src/report-handler.ts
@@ -0,0 +1,195 @@
+/**
+ * Handles what the sessions with workers bring: answers to orders, and reports,
+ * which pass `filter → reconcile → record`.
+ */
+import type {Log} from '@lentildrift/observe';
+import {taskName, workerKey, type Event, type Worker} from '@lentildrift/queue';
+import {runId, type LiveRun} from '@lentildrift/scheduling';
+import type {AdviceCache} from './advice.js';
+import type {Availability} from './availability.js';
+import type {Dispatcher} from './dispatcher.js';
+import type {EventQueue} from './event-queue.js';
+import type {LeaderInstruments} from './instruments.js';
+import {createPacing, type Pacing} from './pacing.js';
+import type {Readiness} from './readiness.js';
+import {reconcile} from './reconcile.js';
+import {createReportFilter} from './report-filter.js';
+import type {RunEstimates} from './run-estimates.js';
+import type {SessionEvent} from './session.js';
+import type {StateViews} from './state-views.js';
+import type {RunTracker} from './tracker.js';
+
+export interface ReportHandlerOptions {
+  readonly dispatcher: Dispatcher;
+  readonly runs: RunTracker;
+  readonly views: StateViews;
+  readonly events: EventQueue;
+  readonly availability: Availability;
+  readonly estimates: RunEstimates;
+  readonly readiness: Readiness;
+  readonly advice: AdviceCache;
+  readonly instruments: LeaderInstruments;
+  readonly log: Log;
+  /** Called when the next round may act on what a session has brought. */
+  onChange(): void;
+}
+
+export interface ReportHandler {
+  /** Handles what a session brings; ignores sessions that were closed. */
+  handle(event: SessionEvent): void;
+  /**
+   * Has the ends of a worker recorded again when its next report lists them,
+   * since the change with them was rejected.
+   */
+  forgetEnds(worker: string): void;
+  /** Drops what is known of a worker's incarnation. */
+  forget(worker: Worker): void;
+}
+
+export function createReportHandler(
+  options: ReportHandlerOptions,
+): ReportHandler {
+  const {dispatcher, runs, views, events, availability, readiness} = options;
+  const {estimates, advice, instruments, log} = options;
+  /** Number of the last end recorded or queued to be, by `workerKey`. */
+  const recordedEndCursors = new Map<string, number>();
+  const reportFilter = createReportFilter();
+  const pacing: Pacing = createPacing(log);
+
+  function handle(event: SessionEvent): void {
+    if (!dispatcher.sessionOf(event.key)) return;
+    switch (event.type) {
+      case 'report':
+        handleReport(event);
+        return;
+      case 'silent':
+        reportFilter.forget(event.key);
+        options.onChange();
+        return;
+      case 'start':
+        handleStartResult(event);
+        return;
+      case 'stop':
+        runs.markSettled(runId(event.task, event.run));
+    }
+  }
+
+  function handleStartResult(
+    event: Extract<SessionEvent, {type: 'start'}>,
+  ): void {
+    const {key, task: name, run, answer} = event;
+    const id = runId(name, run);
+    runs.markSettled(id);
+    if (answer.ok) {
+      runs.markStarted(id);
+      return;
+    }
+    log.info('start-refused', {
+      worker: key,
+      task: name,
+      run,
+      reason: answer.reason,
+    });
+    advice.handleRefusal(name, answer.reason);
+    // After these answers the task may have run. Its run is not reported lost
+    // here: a later report shows its end, or that it is lost.
+    if (answer.reason === 'withdrawn' || answer.reason === 'superseded') return;
+    events.enqueueDerived({type: 'lost', runs: [[name, run, key]]});
+  }
+
+  function handleReport(event: Extract<SessionEvent, {type: 'report'}>): void {
+    const {key, report} = event;
+    const session = dispatcher.sessionOf(key)!;
+    const current = views.state().workers.get(session.worker.id);
+    if (!current || workerKey(current) !== key) return;
+    const recorded = views.recordedRuns(key);
+    const cursor = Math.max(recordedEndCursors.get(key) ?? 0, current.cursor);
+    if (reportFilter.isUnchanged(key, report, recorded, cursor)) {
+      instruments.recordReport('none');
+    } else {
+      reconcileReport(event, current, recorded, cursor);
+    }
+    readiness.observe(key, report);
+    pacing.observe(session, report, recorded);
+  }
+
+  /** Handles a report that may differ from the last or from the record. */
+  function reconcileReport(
+    {key, report, sentMs}: Extract<SessionEvent, {type: 'report'}>,
+    worker: Worker,
+    recorded: readonly LiveRun[],
+    cursor: number,
+  ): void {
+    const {
+      events: differences,
+      unexpected,
+      confirmed,
+    } = reconcile({
+      worker,
+      report,
+      recorded,
+      cursor,
+      isSettled: id => runs.isSettled(id, sentMs),
+    });
+    if (availability.markReconciled(key)) {
+      instruments.recordReconciled();
+      log.info('worker-reconciled', {
+        worker: key,
+        running: report.running.length,
+        recorded: recorded.length,
+      });
+    }
+    const hasEnds = differences.some(({type}) => type === 'ends');
+    instruments.recordReport(hasEnds ? 'ends' : 'other');
+    for (const id of confirmed) runs.markReported(id);
+    for (const {id, job, key: taskKey, run} of recorded) {
+      if (confirmed.has(id) || !runs.markMissing(id)) continue;
+      const name = taskName(job.spec.id, taskKey);
+      log.warn('run-unsettled', {worker: key, task: name, run: run.number});
+    }
+    for (const event of differences) recordDifference(key, event);
+    for (const {task: name, run} of unexpected) {
+      log.warn('unexpected-run', {worker: key, task: name, run});
+      dispatcher.sessionOf(key)?.stop(name, run);
+    }
+    reportFilter.note(key, report, recorded, confirmed.size);
+    options.onChange();
+  }
+
+  function recordDifference(key: string, event: Event): void {
+    if (event.type === 'ends') {
+      recordedEndCursors.set(key, event.upTo);
+      availability.recordEnds(key, event.ends);
+      for (const [name, run, how] of event.ends)
+        observeEnd(key, name, run, how);
+    } else if (event.type === 'lost') {
+      log.info('runs-lost', {worker: key, count: event.runs.length});
+      events.enqueueDerived(event);
+      return;
+    }
+    events.enqueue(event);
+  }
+
+  function observeEnd(
+    key: string,
+    name: string,
+    run: number,
+    how: string,
+  ): void {
+    if (how === 'done') estimates.recordCompletion(name, run);
+    else log.info('run-ended', {worker: key, task: name, run, how});
+  }
+
+  return {
+    handle,
+    forgetEnds: worker => void recordedEndCursors.delete(worker),
+    forget(worker) {
+      const key = workerKey(worker);
+      availability.forget(key);
+      recordedEndCursors.delete(key);
+      reportFilter.forget(key);
+      readiness.forget(key);
+      pacing.forget(worker.id);
+    },
+  };
+}
--- /dev/null
+++ b/packages/dispatch/src/run-estimates.ts
@@ -0,0 +1,116 @@
+/**
+ * Learns how long tasks take, and estimates from that how long the runs in
+ * progress still need.
+ */
+import {
+  parseTaskKey,
+  splitTaskName,
+  stepKey,
+  taskName,
+  type EventOf,
+  type State,
+} from '@lentildrift/queue';
+import {
+  createDurations,
+  expectedDurationMs,
+  recordDuration,
+  runId,
+  type Durations,
+  type LiveRun,
+  type Load,
+} from '@lentildrift/scheduling';
+import {STATISTICS_INTERVAL_MS} from './timing.js';
+import type {RunTracker} from './tracker.js';
+
+export interface RunEstimatesOptions {
+  readonly runs: RunTracker;
+  state(): State;
+}
+
+export interface RunEstimates {
+  /** The durations of tasks learnt so far. */
+  durations(): Durations;
+  /**
+   * Learns from the duration of a run that its worker reports as done. Only a
+   * task's first run counts, and only if this leader saw its start confirmed.
+   */
+  recordCompletion(task: string, run: number): void;
+  /** Expected time until all runs on the worker have ended. */
+  emptyInMs(worker: string, load: Load): number;
+  /**
+   * Returns an event that records the learnt durations, so that the next leader
+   * begins with them; undefined if none has changed, or if too little time has
+   * passed since the last one.
+   */
+  takeStatistics(): EventOf<'statistics'> | undefined;
+}
+
+/**
+ * Share of a run's expected duration that is assumed to remain at least, also
+ * once the run has exceeded that duration.
+ */
+const MIN_REMAINING_SHARE = 0.25;
+
+const NO_RUNS: readonly LiveRun[] = [];
+
+export function createRunEstimates(options: RunEstimatesOptions): RunEstimates {
+  const {runs, state} = options;
+  let durations: Durations = createDurations(state().statistics.values());
+  let statisticsRecordedMs = performance.now();
+
+  function recordCompletion(task: string, run: number): void {
+    const startedMs = runs.startedMs(runId(task, run));
+    const {job: id, key} = splitTaskName(task);
+    const job = state().jobs.get(id);
+    if (startedMs === undefined || !job || run !== 1) return;
+    const {occurrence, step} = parseTaskKey(key);
+    durations = recordDuration(durations, {
+      queue: job.spec.queue,
+      stepName: taskName(id, stepKey(occurrence, step)),
+      step: job.spec.steps[step]!,
+      durationMs: performance.now() - startedMs,
+    });
+  }
+
+  function emptyInMs(worker: string, load: Load): number {
+    const own = load.runsByWorker.get(worker) ?? NO_RUNS;
+    return own.reduce(
+      (longest, live) => Math.max(longest, remainingMs(live)),
+      0,
+    );
+  }
+
+  /**
+   * Expected time until a run ends, counted from its confirmed start; the whole
+   * expected duration if no start is confirmed, infinite for a long-running
+   * task.
+   */
+  function remainingMs(live: LiveRun): number {
+    const {job, step} = live;
+    if (step.lasting) return Infinity;
+    const durationMs = expectedDurationMs(durations, job.spec.queue, step);
+    const startedMs = runs.startedMs(live.id);
+    if (startedMs === undefined) return durationMs;
+    const remainingTimeMs = startedMs + durationMs - performance.now();
+    // A run that exceeds its expected duration is likely to need more time.
+    return Math.max(remainingTimeMs, MIN_REMAINING_SHARE * durationMs);
+  }
+
+  function takeStatistics(): EventOf<'statistics'> | undefined {
+    const nowMs = performance.now();
+    if (nowMs - statisticsRecordedMs < STATISTICS_INTERVAL_MS) return undefined;
+    statisticsRecordedMs = nowMs;
+    const recorded = state().statistics;
+    const rows = durations.byQueue
+      .values()
+      .filter(row => recorded.get(row.queue)?.mean !== row.mean);
+    return rows.length > 0 ? {type: 'statistics', rows} : undefined;
+  }
+
+  return {
+    durations: () => durations,
+    recordCompletion,
+    emptyInMs,
+    takeStatistics,
+  };
+}
