Split leadership and request handling from the control process

It keeps the start of a control process and its links. `followLeadership`, which runs the leader while the process leads, is in leadership.ts, and `ControlService`, which handles or forwards requests, in control-service.ts. Each takes only what it needs: leadership its own options instead of all of the control process's.

`voterCountFor` moves to membership.ts, as leadership and membership share it. No logic, log line, timing or order of operations changes.

`npm run build` and `npm run lint` pass.

--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -1,13 +1,10 @@
 /** A control process of the queue system: one member of the replicated log. */
 import {
-  ChangeRefused,
-  NotLeader,
   PeerMessage,
   PeerTransport,
   Rules,
   startRaft,
   type StateMachine,
-  type RaftReplica,
   type ReplicaStatus,
 } from '@lentildrift/consensus';
 import {startLinkServer} from '@lentildrift/link';
@@ -23,11 +20,13 @@
 import type {TaskSystem} from '@lentildrift/task';
 import {randomBytes, randomInt} from 'node:crypto';
 import {z} from 'zod';
+import {MAX_CHANGE_CHARS, QueueCodec} from './codec.js';
+import {ControlService} from './control-service.js';
 import type {WorkerDriver} from './driver.js';
-import {createHostOrderGuard, type HostOrderGuard} from './host-order-guard.js';
-import {startLeader, type Leader} from './leader.js';
-import {createLocalQueues, type LocalQueues} from './local.js';
-import {startMembership} from './membership.js';
+import {createHostOrderGuard} from './host-order-guard.js';
+import {followLeadership, type QueueRaft} from './leadership.js';
+import {startMemberReport} from './member-report.js';
+import {startMembership, voterCountFor} from './membership.js';
 import {
   addressOf,
   createMesh,
@@ -37,23 +36,13 @@
 } from './mesh.js';
 import type {Adviser, HostProvider} from './provider.js';
 import {MAX_DIRECT_WORKERS, RelayedWorkerDriver} from './relayed-driver.js';
-import {Envelope, RemoteService, type EnvelopeReply} from './remote.js';
-import {QueueService, refuse, type Reply, type Request} from './request.js';
-import {MAX_CHANGE_CHARS, QueueCodec} from './codec.js';
-import {ORDER_TIMEOUT_MS} from './timing.js';
+import {Envelope} from './remote.js';
+import type {QueueService} from './request.js';
 import {createStallWatch} from './stall.js';
-import {startMemberReport} from './member-report.js';
+import {ORDER_TIMEOUT_MS} from './timing.js';
 import {WorkerCall} from './worker-call.js';
 import {createWorkerRelay} from './worker-relay.js';
 
-/**
- * Number of voters a group needs to keep a majority after it lost `losses` of
- * them.
- */
-export function voterCountFor(losses: number): number {
-  return 2 * Math.max(1, losses) + 1;
-}
-
 /**
  * Raft timing for hosts with network delays of a few milliseconds. A change of
  * leader takes about a second, well within the lease of the workers' runs.
@@ -115,16 +104,6 @@
   stop(): Promise<void>;
 }
 
-/**
- * How long a request waits in a process that was elected and still applies its
- * log. Senders would otherwise repeat all their requests at once and without
- * pause, which delays the takeover that they wait for. Shorter than the time
- * limit of a relayed attempt, so that a sender learns that the request had no
- * effect.
- */
-const TAKEOVER_WAIT_MS = 300;
-/** Pause before another attempt to confirm this process's leadership. */
-const CONFIRM_RETRY_MS = 50;
 /** Exclusive upper bound of the replica's random seed. */
 const MAX_RANDOM_SEED = 2 ** 31 - 1;
 /** Kind of the link messages that carry Raft messages. */
@@ -136,8 +115,6 @@
 /** A request that a control process receives through a link. */
 const PeerRequest = z.discriminatedUnion('type', [Envelope, WorkerCall]);
 
-type QueueRaft = RaftReplica<State, Change, readonly Outcome[]>;
-
 /** Rejects if the store is corrupt or the port for links is in use. */
 export async function startQueueControl(
   options: QueueControlOptions,
@@ -193,10 +170,13 @@
     log,
     metrics: options.metrics,
   });
-  const leadership = followLeadership(
-    {...options, driver, processId, hostOrderGuard},
+  const leadership = followLeadership({
+    ...options,
+    driver,
+    processId,
+    hostOrderGuard,
     replica,
-  );
+  });
   const service = new ControlService(leadership, mesh, log);
 
   function groupStatus(): GroupStatus {
@@ -301,189 +281,3 @@
     this.mesh.linkTo(addressOf(to))?.post(RAFT_KIND, messages);
   }
 }
-
-interface Leadership {
-  /**
-   * Resolves with the request handler once this process leads and its state is
-   * complete, and with undefined if it does not lead. A process that was just
-   * elected is waited for up to `TAKEOVER_WAIT_MS`.
-   */
-  whenLeading(): Promise<LocalQueues | undefined>;
-  update(): void;
-  stop(): Promise<void>;
-}
-
-/**
- * Starts the leader when this process becomes the leader, and stops it after.
- */
-function followLeadership(
-  options: QueueControlOptions & {
-    processId: string;
-    hostOrderGuard: HostOrderGuard;
-  },
-  replica: QueueRaft,
-): Leadership {
-  const {log} = options;
-  let current: {term: number; leader: Leader; queues: LocalQueues} | undefined;
-  let confirmingTerm: number | undefined;
-  /** Term that this process was last elected for, and the monotonic time. */
-  let elected = {term: 0, atMs: 0};
-  /** Requests that wait for the end of the takeover. */
-  const waiting = new Set<() => void>();
-
-  function releaseWaiting(): void {
-    for (const release of waiting) release();
-  }
-
-  async function whenLeading(): Promise<LocalQueues | undefined> {
-    if (!current && replica.status().role === 'leader') {
-      await new Promise<void>(resolve => {
-        const release = () => {
-          clearTimeout(timer);
-          waiting.delete(release);
-          resolve();
-        };
-        const timer = setTimeout(release, TAKEOVER_WAIT_MS);
-        waiting.add(release);
-      });
-    }
-    return current?.queues;
-  }
-
-  /**
-   * Whether the group has enough voters to tolerate the loss of disks. A new
-   * group accepts no request before that; later it never has fewer voters.
-   */
-  function hasEnoughVoters(voters: readonly string[]): boolean {
-    const {seeds, toleratedDiskLosses} = options;
-    return (
-      voters.length >=
-      Math.min(voterCountFor(toleratedDiskLosses), seeds().length)
-    );
-  }
-
-  function update(): void {
-    const {role, term, voters} = replica.status();
-    const leads = role === 'leader' && hasEnoughVoters(voters);
-    if (role !== 'leader') releaseWaiting();
-    if (current && (!leads || current.term !== term)) {
-      const {leader} = current;
-      current = undefined;
-      log.info('not-leading', {term});
-      void leader.stop();
-    }
-    if (role === 'leader' && elected.term !== term) {
-      elected = {term, atMs: performance.now()};
-    }
-    if (!leads || current || confirmingTerm === term) return;
-    confirmingTerm = term;
-    void confirmLeadership(term);
-  }
-
-  /**
-   * Starts the leader once an entry of its own term is applied, since only then
-   * does the state include everything that earlier leaders committed.
-   */
-  async function confirmLeadership(term: number): Promise<void> {
-    try {
-      await replica.waitForRevision(await replica.readIndex());
-    } catch (error) {
-      log.info('leadership-unconfirmed', {
-        term,
-        reason: (error as Error).message,
-      });
-      confirmingTerm = undefined;
-      setTimeout(update, CONFIRM_RETRY_MS);
-      return;
-    }
-    confirmingTerm = undefined;
-    const status = replica.status();
-    if (status.role !== 'leader' || status.term !== term) return;
-    const leader = startLeader({
-      ...options,
-      replica,
-      token: term,
-      electedMs: elected.atMs,
-      isLeader: () =>
-        replica.status().term === term && replica.isConfirmedLeader(),
-    });
-    const queues = createLocalQueues({...options, replica, leader});
-    current = {term, leader, queues};
-    releaseWaiting();
-  }
-
-  return {
-    whenLeading,
-    update,
-    async stop() {
-      const leader = current?.leader;
-      current = undefined;
-      releaseWaiting();
-      await leader?.stop();
-    },
-  };
-}
-
-/**
- * Handles requests in this process while it leads, and otherwise forwards them
- * to the leader.
- */
-class ControlService extends QueueService {
-  private readonly remote: RemoteService;
-
-  constructor(
-    private readonly leadership: Leadership,
-    mesh: Mesh,
-    private readonly log: Log,
-  ) {
-    super();
-    this.remote = new RemoteService({
-      mesh,
-      log,
-      handleLocally: (id, request) => this.handleLocally(id, request),
-    });
-  }
-
-  override handle(
-    id: string,
-    request: Request,
-    budgetMs: number,
-  ): Promise<Reply> {
-    return this.remote.handle(id, request, budgetMs);
-  }
-
-  /** Handles a request that came through a link. */
-  async handleEnvelope(envelope: Envelope): Promise<EnvelopeReply> {
-    const {id, request, relay} = envelope;
-    const reply = await this.handleLocally(id, request);
-    if (reply) return {type: 'reply', reply};
-    return relay ? this.remote.relay(envelope) : {type: 'not-leader'};
-  }
-
-  /**
-   * Resolves with undefined, without any effect, if this process does not lead.
-   */
-  private async handleLocally(
-    id: string,
-    request: Request,
-  ): Promise<Reply | undefined> {
-    const queues = await this.leadership.whenLeading();
-    if (!queues) return undefined;
-    try {
-      return await queues.handle(id, request);
-    } catch (error) {
-      if (error instanceof NotLeader) return undefined;
-      // Refused for its size, so another attempt would be refused as well.
-      if (error instanceof ChangeRefused) {
-        return refuse('invalid', error.message);
-      }
-      this.log.info('request-unsettled', {
-        request: id,
-        reason: (error as Error).message,
-      });
-      return refuse('unavailable', (error as Error).message, {
-        verdict: 'may-have-run',
-      });
-    }
-  }
-}
--- /dev/null
+++ b/packages/dispatch/src/leadership.ts
@@ -0,0 +1,153 @@
+/**
+ * Follows whether this process leads the group: runs the leader while it does,
+ * and has requests wait while it takes over.
+ */
+import type {RaftReplica} from '@lentildrift/consensus';
+import type {Change, Outcome, State} from '@lentildrift/queue';
+import type {LeaderOptions} from './leader-options.js';
+import {startLeader, type Leader} from './leader.js';
+import {createLocalQueues, type LocalQueues} from './local.js';
+import {voterCountFor} from './membership.js';
+
+/** The member of the control group that this process runs. */
+export type QueueRaft = RaftReplica<State, Change, readonly Outcome[]>;
+
+/** What each leader that this process runs needs, apart from its term. */
+export interface LeadershipOptions extends Omit<
+  LeaderOptions,
+  'token' | 'electedMs' | 'isLeader'
+> {
+  readonly replica: QueueRaft;
+  /** Link addresses of the seeds; they may change. */
+  seeds(): readonly string[];
+  /** Number of hosts that may lose their disks at the same time. */
+  readonly toleratedDiskLosses: number;
+}
+
+/** Whether this process leads, and the request handler while it does. */
+export interface Leadership {
+  /**
+   * Resolves with the request handler once this process leads and its state is
+   * complete, and with undefined if it does not lead. A process that was just
+   * elected is waited for up to `TAKEOVER_WAIT_MS`.
+   */
+  whenLeading(): Promise<LocalQueues | undefined>;
+  /** Starts or stops the leader after a change of the member's status. */
+  update(): void;
+  stop(): Promise<void>;
+}
+
+/**
+ * How long a request waits in a process that was elected and still applies its
+ * log. Senders would otherwise repeat all their requests at once and without
+ * pause, which delays the takeover that they wait for. Shorter than the time
+ * limit of a relayed attempt, so that a sender learns that the request had no
+ * effect.
+ */
+const TAKEOVER_WAIT_MS = 300;
+/** Pause before another attempt to confirm this process's leadership. */
+const CONFIRM_RETRY_MS = 50;
+
+/**
+ * Starts the leader when this process becomes the leader, and stops it after.
+ */
+export function followLeadership(options: LeadershipOptions): Leadership {
+  const {replica, log} = options;
+  let current: {term: number; leader: Leader; queues: LocalQueues} | undefined;
+  let confirmingTerm: number | undefined;
+  /** Term that this process was last elected for, and the monotonic time. */
+  let elected = {term: 0, atMs: 0};
+  /** Requests that wait for the end of the takeover. */
+  const waiting = new Set<() => void>();
+
+  function releaseWaiting(): void {
+    for (const release of waiting) release();
+  }
+
+  async function whenLeading(): Promise<LocalQueues | undefined> {
+    if (!current && replica.status().role === 'leader') {
+      await new Promise<void>(resolve => {
+        const release = () => {
+          clearTimeout(timer);
+          waiting.delete(release);
+          resolve();
+        };
+        const timer = setTimeout(release, TAKEOVER_WAIT_MS);
+        waiting.add(release);
+      });
+    }
+    return current?.queues;
+  }
+
+  /**
+   * Whether the group has enough voters to tolerate the loss of disks. A new
+   * group accepts no request before that; later it never has fewer voters.
+   */
+  function hasEnoughVoters(voters: readonly string[]): boolean {
+    const {seeds, toleratedDiskLosses} = options;
+    return (
+      voters.length >=
+      Math.min(voterCountFor(toleratedDiskLosses), seeds().length)
+    );
+  }
+
+  function update(): void {
+    const {role, term, voters} = replica.status();
+    const leads = role === 'leader' && hasEnoughVoters(voters);
+    if (role !== 'leader') releaseWaiting();
+    if (current && (!leads || current.term !== term)) {
+      const {leader} = current;
+      current = undefined;
+      log.info('not-leading', {term});
+      void leader.stop();
+    }
+    if (role === 'leader' && elected.term !== term) {
+      elected = {term, atMs: performance.now()};
+    }
+    if (!leads || current || confirmingTerm === term) return;
+    confirmingTerm = term;
+    void confirmLeadership(term);
+  }
+
+  /**
+   * Starts the leader once an entry of its own term is applied, since only then
+   * does the state include everything that earlier leaders committed.
+   */
+  async function confirmLeadership(term: number): Promise<void> {
+    try {
+      await replica.waitForRevision(await replica.readIndex());
+    } catch (error) {
+      log.info('leadership-unconfirmed', {
+        term,
+        reason: (error as Error).message,
+      });
+      confirmingTerm = undefined;
+      setTimeout(update, CONFIRM_RETRY_MS);
+      return;
+    }
+    confirmingTerm = undefined;
+    const status = replica.status();
+    if (status.role !== 'leader' || status.term !== term) return;
+    const leader = startLeader({
+      ...options,
+      token: term,
+      electedMs: elected.atMs,
+      isLeader: () =>
+        replica.status().term === term && replica.isConfirmedLeader(),
+    });
+    const queues = createLocalQueues({...options, leader});
+    current = {term, leader, queues};
+    releaseWaiting();
+  }
+
+  return {
+    whenLeading,
+    update,
+    async stop() {
+      const leader = current?.leader;
+      current = undefined;
+      releaseWaiting();
+      await leader?.stop();
+    },
+  };
+}
--- a/packages/dispatch/src/membership.ts
+++ b/packages/dispatch/src/membership.ts
@@ -47,6 +47,14 @@
  */
 const REPLACEMENT_DELAY_MS = 8000;
 
+/**
+ * Number of voters a group needs to keep a majority after it lost `losses` of
+ * them.
+ */
+export function voterCountFor(losses: number): number {
+  return 2 * Math.max(1, losses) + 1;
+}
+
 /**
  * Returns the next membership change; undefined if none is needed. `lost` are
  * the members that have been unreachable for `REPLACEMENT_DELAY_MS`.
