--- a/packages/consensus/src/leader.ts
+++ b/packages/consensus/src/leader.ts
@@ -3,6 +3,7 @@
 import {lastEntry, positionAt} from './log.js';
 import {applyMemberChange, quorumSize, type MemberChange} from './members.js';
 import type {MessageOf} from './message.js';
+import type {SnapshotProgress} from './node.js';
 import {answerReads} from './read.js';
 import {
   startRound,
@@ -78,12 +79,30 @@
 ): void {
   if (ctx.node.role !== 'leader') return;
   const {from, index, offset, round} = message;
-  if (!recordResponse(ctx, from, round)) return;
-  updatePeer(ctx, from, {snapshot: {index, offset}, inFlight: false});
+  const peer = recordResponse(ctx, from, round);
+  if (!peer || !isPartNeeded(peer.snapshot, message)) return;
+  updatePeer(ctx, from, {
+    snapshot: {index, offset, sentRound: undefined},
+    inFlight: false,
+  });
   if (positionAt(ctx.node.log, ctx.node.peers[from]!.nextIndex - 1)) return;
   replicate(ctx, from);
 }
 
+/**
+ * Whether the answer asks for a part that is not on its way to the peer: the
+ * next one, or one that was lost. An answer to a later round than that of the
+ * part shows the loss, since messages arrive in the order in which they were
+ * sent.
+ */
+function isPartNeeded(
+  {index, offset, sentRound = -1}: SnapshotProgress,
+  message: MessageOf<'snapshotted'>,
+): boolean {
+  if (message.index !== index) return false;
+  return message.offset > offset || message.round > sentRound;
+}
+
 /** Commits the entries that are durable on a majority of the voters. */
 export function advanceCommit(ctx: StepContext): void {
   const {node} = ctx;
--- a/packages/consensus/src/message.ts
+++ b/packages/consensus/src/message.ts
@@ -53,7 +53,10 @@
     match: count,
     round: count,
   }),
-  /** Part of a snapshot; `offset` and `total` are in UTF-16 units. */
+  /**
+   * Part of a snapshot, or an empty part as a heartbeat. `offset` and `total`
+   * are in UTF-16 units.
+   */
   z.object({
     type: z.literal('snapshot'),
     ...header,
--- a/packages/consensus/src/node.ts
+++ b/packages/consensus/src/node.ts
@@ -33,8 +33,17 @@
   readonly lastResponseMs: number;
   /** Last heartbeat round that the peer answered. */
   readonly ackedRound: number;
-  /** Index of the snapshot being sent, and offset of the next part. */
-  readonly snapshot: {readonly index: number; readonly offset: number};
+  readonly snapshot: SnapshotProgress;
+}
+
+/** How much of a snapshot another member has. */
+export interface SnapshotProgress {
+  /** Index of the snapshot being sent; 0 if there is none. */
+  readonly index: number;
+  /** Offset of the part that the peer needs next. */
+  readonly offset: number;
+  /** Heartbeat round in which that part was sent; undefined if it was not. */
+  readonly sentRound: number | undefined;
 }
 
 /** A read that waits until a majority has answered a heartbeat round. */
--- a/packages/consensus/src/replication.ts
+++ b/packages/consensus/src/replication.ts
@@ -13,7 +13,7 @@
     sentCommitIndex: 0,
     lastResponseMs: node.nowMs,
     ackedRound: 0,
-    snapshot: {index: 0, offset: 0},
+    snapshot: {index: 0, offset: 0, sentRound: undefined},
   };
   const others = allMembers(node.membership).filter(id => id !== node.id);
   node.peers = Object.fromEntries(
@@ -77,12 +77,21 @@
   });
 }
 
+/**
+ * Sends the part of the snapshot that the peer needs next, or an empty part as a
+ * heartbeat if that part was sent already. The heartbeat rounds of frequent
+ * reads would otherwise send it faster than a link can carry it.
+ */
 function sendSnapshot(ctx: StepContext, to: string, peer: PeerProgress): void {
   const {node} = ctx;
-  const {snapshot} = node;
+  const {snapshot, round, rules} = node;
   if (!snapshot) throw new Error('the compacted log has no snapshot');
   const {index, term, revision, members, state} = snapshot;
-  const offset = peer.snapshot.index === index ? peer.snapshot.offset : 0;
+  const isCurrent = peer.snapshot.index === index;
+  const offset = isCurrent ? peer.snapshot.offset : 0;
+  const sentRound = isCurrent ? peer.snapshot.sentRound : undefined;
+  const end =
+    sentRound === undefined ? offset + rules.snapshotChunkBytes : offset;
   send(ctx, {
     type: 'snapshot',
     to,
@@ -92,10 +101,13 @@
     members,
     offset,
     total: state.length,
-    part: state.slice(offset, offset + node.rules.snapshotChunkBytes),
-    round: node.round,
+    part: state.slice(offset, end),
+    round,
+  });
+  updatePeer(ctx, to, {
+    inFlight: true,
+    snapshot: {index, offset, sentRound: sentRound ?? round},
   });
-  updatePeer(ctx, to, {inFlight: true, snapshot: {index, offset}});
 }
 
 /**
--- a/packages/consensus/test/step.test.ts
+++ b/packages/consensus/test/step.test.ts
@@ -9,8 +9,13 @@
   type PeerMessage,
   type Rules,
 } from '@lentildrift/consensus';
-import {EMPTY_LOG, type LogRecord} from '@lentildrift/storage';
-import {WithoutTermCheck} from './weakened-rules.js';
+import {
+  EMPTY_LOG,
+  type LogRecord,
+  type Snapshot,
+  type StoredLog,
+} from '@lentildrift/storage';
+import {SmallRules, WithoutTermCheck} from './weakened-rules.js';
 
 const text = JSON.stringify({
   voters: ['a', 'b', 'c'],
@@ -32,18 +37,26 @@
   text: '1',
 };
 
+const RECORDS: Partial<StoredLog> = {
+  records: [MEMBERSHIP_RECORD, CHANGE_RECORD],
+};
+/** A log whose entries were all discarded, with a state of five parts. */
+const SNAPSHOT: Snapshot = {
+  index: 2,
+  term: 2,
+  revision: 1,
+  members: text,
+  state: 'x'.repeat(5 * new SmallRules().snapshotChunkBytes),
+};
+
 /** Steps member a until it leads; `run` and `receive` step it further. */
-function createLeader(rules?: Rules) {
+function createLeader(rules?: Rules, stored = RECORDS) {
   let node: Node = createNode({
     id: 'a',
     group: 'g',
     seed: 1,
     nowMs: 0,
-    stored: {
-      ...EMPTY_LOG,
-      ballot: {term: 2, vote: null},
-      records: [MEMBERSHIP_RECORD, CHANGE_RECORD],
-    },
+    stored: {...EMPTY_LOG, ballot: {term: 2, vote: null}, ...stored},
     rules,
   });
   const run = (nowMs: number, event: RaftEvent): readonly Effect[] => {
@@ -64,6 +77,45 @@
   return {run, receive, node: () => node};
 }
 
+/**
+ * A leader that begins to send its snapshot to member b. `sent` lists the
+ * offsets of the parts that are sent to it.
+ */
+function createSnapshotTransfer() {
+  const {run, receive, node} = createLeader(new SmallRules(), {
+    snapshot: SNAPSHOT,
+  });
+  const sent: number[] = [];
+  const note = (effects: readonly Effect[]) => {
+    for (const effect of effects) {
+      if (effect.type !== 'send' || effect.message.type !== 'snapshot')
+        continue;
+      const {to, part, offset} = effect.message;
+      if (to === 'b' && part !== '') sent.push(offset);
+    }
+  };
+  note(run(4004, {type: 'persisted', seq: node().lastWriteSeq}));
+  const answer = {type: 'appended', ok: false, match: 0};
+  note(receive(4004, {...answer, round: node().round}));
+  return {
+    sent,
+    node,
+    /** Makes `count` reads, each of which begins a round that c answers. */
+    read(count: number): void {
+      for (let id = 1; id <= count; id++) {
+        note(run(4005, {type: 'read', id, patient: false}));
+        const ok = {type: 'appended', ok: true, match: 3, from: 'c'};
+        note(receive(4005, {...ok, round: node().round}));
+      }
+    },
+    /** Receives the answer of b to a message of the round. */
+    askForPart(offset: number, round: number): void {
+      const {index} = SNAPSHOT;
+      note(receive(4006, {type: 'snapshotted', index, offset, round}));
+    },
+  };
+}
+
 describe('step', () => {
   it('makes a leader step down before it handles an event after a freeze', () => {
     const {run, node} = createLeader();
@@ -121,6 +173,30 @@
     expect(listSent(answer(3, false))).toEqual([4]);
   });
 
+  it('sends a part of a snapshot once, however many reads begin rounds before its answer', () => {
+    const {sent, read, askForPart, node} = createSnapshotTransfer();
+    const firstRound = node().round;
+    read(3);
+    expect(sent).toEqual([0]);
+    // The answers to the part and to the rounds that the reads began.
+    for (let round = firstRound; round <= firstRound + 3; round++) {
+      askForPart(64, round);
+    }
+    expect(sent).toEqual([0, 64]);
+  });
+
+  it('sends a part of a snapshot again once the answer to a later round shows that it was lost', () => {
+    const {sent, read, askForPart, node} = createSnapshotTransfer();
+    read(1);
+    askForPart(0, node().round);
+    expect(sent).toEqual([0, 0]);
+    askForPart(64, node().round);
+    read(1);
+    // A member that has restarted has none of the parts.
+    askForPart(0, node().round);
+    expect(sent).toEqual([0, 0, 64, 0]);
+  });
+
   it('commits no entry of an older term by counting replicas', () => {
     const ok = {type: 'appended', ok: true, match: 2, round: 1};
     const strict = createLeader();
