Let repeated announcements wait for the record of a new incarnation

After a loss of power many workers announce new incarnations at once. Each is recorded only when its worker has confirmed stops for the runs that this leader never saw reported, which takes long after a change of leader. An announcement that came meanwhile was rejected at once, with an outcome that counts as unknown, so the process that forwards it sent it again after 20 to 80 ms until its budget of 900 ms was used up, and answered the worker 504; the worker then began again at another process.

Such an announcement now waits for the record of the incarnation and is then handled as any other, so that a property that changed meanwhile is recorded. The incarnation counts as being recorded until the commit, before which a second announcement began the whole procedure again.

--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -47,13 +47,22 @@
   stop(): void;
 }
 
+/** An announcement that is to be answered. */
+interface Announcement {
+  readonly worker: Worker;
+  readonly reply: Reply<void>;
+}
+
 export function createRegistry(options: RegistryOptions): Registry {
   const {token, driver, runs, log, state, enqueue, enqueueDerived} = options;
   /** Monotonic time of the last announcement, by `workerKey`. */
   const lastHeardMs = new Map<string, number>();
   const departedMs = new Map<string, number>();
-  /** New incarnations that `replaceIncarnation` is working on. */
-  const replacements = new Set<string>();
+  /**
+   * Later announcements of the new incarnations that `replaceIncarnation` is
+   * working on, by `workerKey`.
+   */
+  const replacements = new Map<string, Announcement[]>();
   /** `bornMs` of the newest incarnation that was announced, by worker ID. */
   const newestIncarnationMs = new Map<string, number>();
   let isStopped = false;
@@ -88,6 +97,8 @@
    * which has seen neither a fencing token nor a run number that would make it
    * refuse. Each run that the old incarnation never reported is therefore
    * stopped at the new incarnation before the new incarnation is recorded.
+   * Announcements that are repeated meanwhile wait for the record: if they were
+   * rejected, their senders would send them again at once.
    */
   async function replaceIncarnation(
     old: Worker,
@@ -95,13 +106,25 @@
     reply: Reply<void>,
   ): Promise<void> {
     const key = workerKey(worker);
-    if (replacements.has(key)) {
-      reply.reject(
-        new Error(`${key} is already being recorded as a new incarnation`),
-      );
+    const waiting = replacements.get(key);
+    if (waiting) {
+      waiting.push({worker, reply});
       return;
     }
-    replacements.add(key);
+    const repeated: Announcement[] = [];
+    replacements.set(key, repeated);
+    const settled: Reply<void> = {
+      resolve() {
+        replacements.delete(key);
+        reply.resolve();
+        for (const later of repeated) announce(later.worker, later.reply);
+      },
+      reject(error) {
+        replacements.delete(key);
+        reply.reject(error);
+        for (const later of repeated) later.reply.reject(error);
+      },
+    };
     const oldKey = workerKey(old);
     await options.sessionOf(oldKey)?.close();
     const unreported = options
@@ -113,14 +136,13 @@
       unreported.length > 0
         ? await awaitStopped(unreported, worker, isNeeded)
         : undefined;
-    replacements.delete(key);
     if (isStopped || ends === 'superseded') {
-      reply.reject(
+      settled.reject(
         new Error(`${key} was superseded or the leader has stopped`),
       );
       return;
     }
-    recordWorker(worker, reply);
+    recordWorker(worker, settled);
     // Queued behind the worker's record so that both become part of the same
     // change: a run that the new incarnation has completed must not be started
     // again before its end is recorded.
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -506,6 +506,35 @@
     expect(harness.phase('a')).toBe('completed');
   });
 
+  // Each of these announcements was rejected at once, and the processes that
+  // forward them repeated them in a loop.
+  it('that restarts and announces itself again meanwhile is answered once it is recorded', async () => {
+    await createCluster({behave: () => ({durationMs: 5000})}, 1);
+    harness.fleet.byAddress.get('w1:1')!.isAlive = false;
+    await harness.submit(job('a'));
+    const again = worker('w1', {bornMs: 2, address: 'w1:1'});
+    const fake = harness.fleet.add(again);
+    fake.link = 'cut';
+    const settled: string[] = [];
+    const labelled = {...again, sequence: 2, labels: ['x']};
+    for (const announced of [again, labelled]) {
+      const {sequence} = announced;
+      harness.leader.announce(announced).then(
+        () => settled.push(`${sequence} recorded`),
+        (error: Error) => settled.push(`${sequence} ${error.message}`),
+      );
+    }
+    await harness.advance(2000);
+    expect(settled).toEqual([]);
+    fake.link = 'up';
+    await harness.advance(2000);
+    expect(settled.sort()).toEqual(['1 recorded', '2 recorded']);
+    expect(harness.replica.state().workers.get('w1')).toMatchObject({
+      bornMs: 2,
+      labels: ['x'],
+    });
+  });
+
   it('that is quarantined is used if most of its pool is, whatever the other pools have', async () => {
     await createCluster({
       behave: task => ({
