Stop all runs of an old incarnation at the same time

A worker that restarts is recorded, and gets work, only when its new incarnation has confirmed a stop for each run that this leader never saw reported. After a change of leader these are all runs of the worker, and each stop was sent after the answer to the one before, two pauses of up to 10 ms and a call each when they go through a relay. To callers this shows as capacity that is back late after a loss of power, in proportion to the runs of a worker.

The stops do not depend on each other, and are now sent together.

--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -131,7 +131,9 @@
       .recordedRuns(oldKey)
       .filter(({id}) => !runs.wasReported(id));
     const isNeeded = () => isReplacing(old, worker);
-    for (const live of unreported) await deliverStop(live, worker, isNeeded);
+    await Promise.all(
+      unreported.map(live => deliverStop(live, worker, isNeeded)),
+    );
     const ends =
       unreported.length > 0
         ? await awaitStopped(unreported, worker, isNeeded)
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -8,6 +8,7 @@
   type Harness,
   type HarnessOptions,
 } from './harness.js';
+import {ROUND_INTERVAL_MS} from '../src/timing.js';
 
 let harness: Harness;
 
@@ -43,6 +44,16 @@
   );
 }
 
+/** Has workers answer stops `delayMs` later. */
+function delayStops(delayMs: number): void {
+  const {fleet} = harness;
+  const stop = fleet.stop.bind(fleet);
+  vi.spyOn(fleet, 'stop').mockImplementation(async (target, order) => {
+    await new Promise(resolve => setTimeout(resolve, delayMs));
+    return stop(target, order);
+  });
+}
+
 /**
  * Leaves the next `count` orders to start a run without an answer; their workers
  * carry them out `delayMs` later.
@@ -506,6 +517,34 @@
     expect(harness.phase('a')).toBe('completed');
   });
 
+  // Each run was stopped only after the answer for the one before, so a worker
+  // with many runs was of no use for long after a change of leader.
+  it('that restarts is recorded as soon with many runs as with one', async () => {
+    const recordedAfterMs = async (count: number): Promise<number> => {
+      await createCluster({behave: () => ({durationMs: 60_000})}, 1);
+      await harness.submit(job('a', {count}));
+      await harness.advance(1000);
+      harness.fleet.byAddress.get('w1:1')!.isAlive = false;
+      await harness.replaceLeader();
+      const again = worker('w1', {bornMs: 2, address: 'w1:1'});
+      harness.fleet.add(again);
+      delayStops(300);
+      const startMs = performance.now();
+      let recordedMs = Infinity;
+      void harness.leader
+        .announce(again)
+        .then(() => (recordedMs = performance.now()));
+      await harness.advance(5000);
+      expect(harness.fleet.starts).toHaveLength(2 * count);
+      return recordedMs - startMs;
+    };
+    const oneMs = await recordedAfterMs(1);
+    expect(harness.fleet.violations).toEqual([]);
+    await harness.stop();
+    const manyMs = await recordedAfterMs(4);
+    expect(manyMs).toBeLessThan(oneMs + ROUND_INTERVAL_MS);
+  });
+
   // Each of these announcements was rejected at once, and the processes that
   // forward them repeated them in a loop.
   it('that restarts and announces itself again meanwhile is answered once it is recorded', async () => {
