Repeat an order to pace a task that was not carried out

An order to pace a filler task counted as carried out once it was sent. If it got no answer, or was refused by an unhealthy worker, only a later change of the pace corrected it, and at the lowest and the highest pace there is none: a filler went on at 25 % beside a serving task over its latency target, or stayed slow after the pace was back at 100 %. To callers this shows as a serving task over its target, or as filler work that ends late. The order was also sent while the leadership was unconfirmed.

The pace of a run is now known only from an answer, and each report compares it with the pace of the worker. One order at a time is in flight for a run, since two could arrive in the wrong order.

The new tests lose the first order for 0 and for 100 %. Before the change the task stayed at 25 % ("expected 25 to be +0"), with no answer and with a refusal alike.

--- a/packages/dispatch/src/pacing.ts
+++ b/packages/dispatch/src/pacing.ts
@@ -37,8 +37,16 @@
   readonly percent: number;
   /** Monotonic time of the last adjustment. */
   readonly atMs: number;
-  /** Fillers, by `runId`, that already run at this pace. */
-  readonly informed: ReadonlySet<string>;
+  /** By `runId`. */
+  readonly fillers: ReadonlyMap<string, FillerPace>;
+}
+
+/** Pace of one run; changed when an order to the run has its answer. */
+interface FillerPace {
+  /** Undefined if an order may have changed it, or not. */
+  percent: number | undefined;
+  /** Two orders at once could arrive in the wrong order. */
+  isOrderInFlight: boolean;
 }
 
 /** The runs of a worker that are paced, and those that they may slow down. */
@@ -104,27 +112,43 @@
     const last = paces.get(worker) ?? {
       percent: FULL_PERCENT,
       atMs: -Infinity,
-      informed: new Set<string>(),
+      fillers: new Map<string, FillerPace>(),
     };
     const isDue = nowMs - last.atMs >= PACE_INTERVAL_MS;
     const percent = isDue ? nextPace(last.percent, serving) : last.percent;
-    const hasChanged = percent !== last.percent;
-    if (hasChanged) {
+    if (percent !== last.percent) {
       log.info('pace', {worker, percent, fillers: fillers.length});
     }
-    const informed = new Set<string>();
+    const paceOf = new Map<string, FillerPace>();
     for (const {id, task, run} of fillers) {
-      informed.add(id);
-      // A run starts at full pace, so it needs an order only for a lower one.
-      const isInformed = last.informed.has(id) || percent === FULL_PERCENT;
-      if (hasChanged || !isInformed) session.pace(task, run, percent);
+      // A run starts at full pace.
+      const filler = last.fillers.get(id) ?? {
+        percent: FULL_PERCENT,
+        isOrderInFlight: false,
+      };
+      paceOf.set(id, filler);
+      if (filler.isOrderInFlight || filler.percent === percent) continue;
+      void order(session, {task, run, percent}, filler);
     }
     paces.set(worker, {
       percent,
       atMs: isDue ? nowMs : last.atMs,
-      informed,
+      fillers: paceOf,
     });
   }
 
+  /** An order that is not carried out is repeated after a later report. */
+  async function order(
+    session: WorkerSession,
+    {task, run, percent}: {task: string; run: number; percent: number},
+    filler: FillerPace,
+  ): Promise<void> {
+    filler.percent = undefined;
+    filler.isOrderInFlight = true;
+    const isDone = await session.pace(task, run, percent);
+    filler.isOrderInFlight = false;
+    if (isDone) filler.percent = percent;
+  }
+
   return {observe, forget: worker => void paces.delete(worker)};
 }
--- a/packages/dispatch/src/session.ts
+++ b/packages/dispatch/src/session.ts
@@ -73,7 +73,11 @@
   leaseExpiryMs(): number;
   start(spec: StartSpec): void;
   stop(task: string, run: number): void;
-  pace(task: string, run: number, percent: number): void;
+  /**
+   * Sends one order, and resolves with whether the worker has carried it out.
+   * Never rejects.
+   */
+  pace(task: string, run: number, percent: number): Promise<boolean>;
   /** Notes that ends up to `cursor` are durable and may be discarded. */
   acknowledge(cursor: number): void;
   /** Sets how long the worker may wait before it answers the next hold. */
@@ -327,12 +331,17 @@
         if (!isClosed) options.onEvent({type: 'stop', key, task: name, run});
       });
     },
-    pace(name, run, percent) {
-      driver
-        .pace(target, {task: name, run, percent, token})
-        .catch((error: Error) =>
-          log.debug('pace-unanswered', {worker: key, reason: error.message}),
-        );
+    async pace(name, run, percent) {
+      if (isClosed || !options.isLeader()) return false;
+      try {
+        const order = {task: name, run, percent, token};
+        const answer = await driver.pace(target, order);
+        return answer.ok;
+      } catch (error) {
+        const reason = (error as Error).message;
+        log.debug('pace-unanswered', {worker: key, reason});
+        return false;
+      }
     },
     acknowledge: cursor => void task.post({type: 'acknowledge', cursor}),
     setHoldWaitMs: waitMs => (holdWaitMs = waitMs),
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -688,6 +688,40 @@
   });
 });
 
+describe('an order to pace a filler task', () => {
+  it.each([
+    {what: 'got no answer', fail: () => Promise.reject(new Error('no answer'))},
+    {
+      what: 'was refused by an unhealthy worker',
+      fail: () => Promise.resolve({ok: false, reason: 'unhealthy'} as const),
+    },
+  ])('is repeated when it $what', async ({fail}) => {
+    await createCluster(
+      {behave: () => ({durationMs: Infinity, lasting: true})},
+      1,
+    );
+    const fake = harness.fleet.byAddress.get('w1:1')!;
+    const serving = {lasting: true, tailTargetMs: 40};
+    await harness.submit(job('l', serving, {lasting: true, filler: true}));
+    await harness.advance(1500);
+    // The lowest and the highest pace stay as they are, so no later order to
+    // change the pace makes up for a lost one.
+    const lost = new Set([0, 100]);
+    const {fleet} = harness;
+    const pace = fleet.pace.bind(fleet);
+    vi.spyOn(fleet, 'pace').mockImplementation((target, order) =>
+      lost.delete(order.percent) ? fail() : pace(target, order),
+    );
+    fake.tailMs = 60;
+    await harness.advance(4000);
+    expect(fake.paces.get('l.0.1.0')).toBe(0);
+    fake.tailMs = 10;
+    await harness.advance(10_000);
+    expect(fake.paces.get('l.0.1.0')).toBe(100);
+    expect(lost.size).toBe(0);
+  });
+});
+
 describe('the ends of runs', () => {
   it('are acknowledged only once they are recorded', async () => {
     await createCluster({behave: () => ({durationMs: 100})}, 1);
