Give the pace of filler tasks anew after a change of leader

The pace of a worker's filler tasks is known to one leader only. The next leader took every filler for one at full pace, so that one which the last leader had paused stayed paused as long as it ran: its own pace was 100 %, for which it sent no order. To callers this shows as filler work that makes no progress after a change of leader.

A filler in the first report of a worker was started by an earlier leader, as this one orders runs only after that report. Its pace now counts as unknown, and it gets an order whatever the pace is.

The new test has the leader replaced while a filler is paused and its serving task is within its target again. Before the change the filler was still paused 10 s later ("expected +0 to be 100"). `leader.test.ts` passes (49 tests).

--- a/packages/dispatch/src/pacing.ts
+++ b/packages/dispatch/src/pacing.ts
@@ -49,6 +49,24 @@
   isOrderInFlight: boolean;
 }
 
+const FULL_PACE: Pace = {
+  percent: FULL_PERCENT,
+  atMs: -Infinity,
+  fillers: new Map(),
+};
+
+/**
+ * The pace of a worker with fillers in its first report to this leader. They
+ * were started by an earlier leader, so their pace is unknown.
+ */
+function inheritedPace(fillers: readonly {readonly id: string}[]): Pace {
+  const unknown = () => ({percent: undefined, isOrderInFlight: false});
+  return {
+    ...FULL_PACE,
+    fillers: new Map(fillers.map(({id}) => [id, unknown()])),
+  };
+}
+
 /** The runs of a worker that are paced, and those that they may slow down. */
 interface PacedRuns {
   readonly fillers: readonly LiveRun[];
@@ -71,7 +89,7 @@
 }
 
 export function createPacing(log: Log): Pacing {
-  /** By worker ID. */
+  /** By worker ID; absent before the worker's first report to this leader. */
   const paces = new Map<string, Pace>();
 
   function observe(
@@ -80,8 +98,11 @@
     recorded: readonly LiveRun[],
   ): void {
     const paced = listPacedRuns(recorded);
+    const {id: worker} = session.worker;
+    const last = paces.get(worker);
     if (paced.fillers.length === 0) {
       session.setHoldWaitMs(HOLD_WAIT_MS);
+      if (!last) paces.set(worker, FULL_PACE);
       return;
     }
     const rows = new Map(running.map(row => [runId(row.task, row.run), row]));
@@ -99,6 +120,7 @@
     }
     const needsPacing = fillers.length > 0 && serving.length > 0;
     session.setHoldWaitMs(needsPacing ? PACE_INTERVAL_MS : HOLD_WAIT_MS);
+    if (!last) paces.set(worker, inheritedPace(fillers));
     if (fillers.length > 0) adjust(session, serving, fillers);
   }
 
@@ -109,11 +131,7 @@
   ): void {
     const {id: worker} = session.worker;
     const nowMs = performance.now();
-    const last = paces.get(worker) ?? {
-      percent: FULL_PERCENT,
-      atMs: -Infinity,
-      fillers: new Map<string, FillerPace>(),
-    };
+    const last = paces.get(worker)!;
     const isDue = nowMs - last.atMs >= PACE_INTERVAL_MS;
     const percent = isDue ? nextPace(last.percent, serving) : last.percent;
     if (percent !== last.percent) {
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -720,6 +720,25 @@
     expect(fake.paces.get('l.0.1.0')).toBe(100);
     expect(lost.size).toBe(0);
   });
+
+  // The task would stay slow for as long as it runs.
+  it('is given by the next leader as well, to which the pace is unknown', async () => {
+    await createCluster(
+      {behave: () => ({durationMs: Infinity, lasting: true})},
+      1,
+    );
+    const fake = harness.fleet.byAddress.get('w1:1')!;
+    const serving = {lasting: true, tailTargetMs: 40};
+    await harness.submit(job('l', serving, {lasting: true, filler: true}));
+    await harness.advance(1500);
+    fake.tailMs = 60;
+    await harness.advance(4000);
+    expect(fake.paces.get('l.0.1.0')).toBe(0);
+    fake.tailMs = 10;
+    await harness.replaceLeader();
+    await harness.advance(10_000);
+    expect(fake.paces.get('l.0.1.0')).toBe(100);
+  });
 });
 
 describe('the ends of runs', () => {
