--- a/packages/dispatch/src/pacing.ts
+++ b/packages/dispatch/src/pacing.ts
@@ -37,8 +37,34 @@
   readonly percent: number;
   /** Monotonic time of the last adjustment. */
   readonly atMs: number;
-  /** Fillers, by `runId`, that already run at this pace. */
-  readonly informed: ReadonlySet<string>;
+  /** By `runId`. */
+  readonly fillers: ReadonlyMap<string, FillerPace>;
+}
+
+/** Pace of one run; changed when an order to the run has its answer. */
+interface FillerPace {
+  /** Undefined if an order may have changed it, or not. */
+  percent: number | undefined;
+  /** Two orders at once could arrive in the wrong order. */
+  isOrderInFlight: boolean;
+}
+
+const FULL_PACE: Pace = {
+  percent: FULL_PERCENT,
+  atMs: -Infinity,
+  fillers: new Map(),
+};
+
+/**
+ * The pace of a worker with fillers in its first report to this leader. They
+ * were started by an earlier leader, so their pace is unknown.
+ */
+function inheritedPace(fillers: readonly {readonly id: string}[]): Pace {
+  const unknown = () => ({percent: undefined, isOrderInFlight: false});
+  return {
+    ...FULL_PACE,
+    fillers: new Map(fillers.map(({id}) => [id, unknown()])),
+  };
 }
 
 /** The runs of a worker that are paced, and those that they may slow down. */
@@ -63,7 +89,7 @@
 }
 
 export function createPacing(log: Log): Pacing {
-  /** By worker ID. */
+  /** By worker ID; absent before the worker's first report to this leader. */
   const paces = new Map<string, Pace>();
 
   function observe(
@@ -72,8 +98,11 @@
     recorded: readonly LiveRun[],
   ): void {
     const paced = listPacedRuns(recorded);
+    const {id: worker} = session.worker;
+    const last = paces.get(worker);
     if (paced.fillers.length === 0) {
       session.setHoldWaitMs(HOLD_WAIT_MS);
+      if (!last) paces.set(worker, FULL_PACE);
       return;
     }
     const rows = new Map(running.map(row => [runId(row.task, row.run), row]));
@@ -91,6 +120,7 @@
     }
     const needsPacing = fillers.length > 0 && serving.length > 0;
     session.setHoldWaitMs(needsPacing ? PACE_INTERVAL_MS : HOLD_WAIT_MS);
+    if (!last) paces.set(worker, inheritedPace(fillers));
     if (fillers.length > 0) adjust(session, serving, fillers);
   }
 
@@ -101,30 +131,42 @@
   ): void {
     const {id: worker} = session.worker;
     const nowMs = performance.now();
-    const last = paces.get(worker) ?? {
-      percent: FULL_PERCENT,
-      atMs: -Infinity,
-      informed: new Set<string>(),
-    };
+    const last = paces.get(worker)!;
     const isDue = nowMs - last.atMs >= PACE_INTERVAL_MS;
     const percent = isDue ? nextPace(last.percent, serving) : last.percent;
-    const hasChanged = percent !== last.percent;
-    if (hasChanged) {
+    if (percent !== last.percent) {
       log.info('pace', {worker, percent, fillers: fillers.length});
     }
-    const informed = new Set<string>();
+    const paceOf = new Map<string, FillerPace>();
     for (const {id, task, run} of fillers) {
-      informed.add(id);
-      // A run starts at full pace, so it needs an order only for a lower one.
-      const isInformed = last.informed.has(id) || percent === FULL_PERCENT;
-      if (hasChanged || !isInformed) session.pace(task, run, percent);
+      // A run starts at full pace.
+      const filler = last.fillers.get(id) ?? {
+        percent: FULL_PERCENT,
+        isOrderInFlight: false,
+      };
+      paceOf.set(id, filler);
+      if (filler.isOrderInFlight || filler.percent === percent) continue;
+      void order(session, {task, run, percent}, filler);
     }
     paces.set(worker, {
       percent,
       atMs: isDue ? nowMs : last.atMs,
-      informed,
+      fillers: paceOf,
     });
   }
 
+  /** An order that is not carried out is repeated after a later report. */
+  async function order(
+    session: WorkerSession,
+    {task, run, percent}: {task: string; run: number; percent: number},
+    filler: FillerPace,
+  ): Promise<void> {
+    filler.percent = undefined;
+    filler.isOrderInFlight = true;
+    const isDone = await session.pace(task, run, percent);
+    filler.isOrderInFlight = false;
+    if (isDone) filler.percent = percent;
+  }
+
   return {observe, forget: worker => void paces.delete(worker)};
 }
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -8,6 +8,7 @@
   type Harness,
   type HarnessOptions,
 } from './harness.js';
+import {ROUND_INTERVAL_MS} from '../src/timing.js';
 
 let harness: Harness;
 
@@ -43,6 +44,16 @@
   );
 }
 
+/** Has workers answer stops `delayMs` later. */
+function delayStops(delayMs: number): void {
+  const {fleet} = harness;
+  const stop = fleet.stop.bind(fleet);
+  vi.spyOn(fleet, 'stop').mockImplementation(async (target, order) => {
+    await new Promise(resolve => setTimeout(resolve, delayMs));
+    return stop(target, order);
+  });
+}
+
 /**
  * Leaves the next `count` orders to start a run without an answer; their workers
  * carry them out `delayMs` later.
@@ -506,6 +517,63 @@
     expect(harness.phase('a')).toBe('completed');
   });
 
+  // Each run was stopped only after the answer for the one before, so a worker
+  // with many runs was of no use for long after a change of leader.
+  it('that restarts is recorded as soon with many runs as with one', async () => {
+    const recordedAfterMs = async (count: number): Promise<number> => {
+      await createCluster({behave: () => ({durationMs: 60_000})}, 1);
+      await harness.submit(job('a', {count}));
+      await harness.advance(1000);
+      harness.fleet.byAddress.get('w1:1')!.isAlive = false;
+      await harness.replaceLeader();
+      const again = worker('w1', {bornMs: 2, address: 'w1:1'});
+      harness.fleet.add(again);
+      delayStops(300);
+      const startMs = performance.now();
+      let recordedMs = Infinity;
+      void harness.leader
+        .announce(again)
+        .then(() => (recordedMs = performance.now()));
+      await harness.advance(5000);
+      expect(harness.fleet.starts).toHaveLength(2 * count);
+      return recordedMs - startMs;
+    };
+    const oneMs = await recordedAfterMs(1);
+    expect(harness.fleet.violations).toEqual([]);
+    await harness.stop();
+    const manyMs = await recordedAfterMs(4);
+    expect(manyMs).toBeLessThan(oneMs + ROUND_INTERVAL_MS);
+  });
+
+  // Each of these announcements was rejected at once, and the processes that
+  // forward them repeated them in a loop.
+  it('that restarts and announces itself again meanwhile is answered once it is recorded', async () => {
+    await createCluster({behave: () => ({durationMs: 5000})}, 1);
+    harness.fleet.byAddress.get('w1:1')!.isAlive = false;
+    await harness.submit(job('a'));
+    const again = worker('w1', {bornMs: 2, address: 'w1:1'});
+    const fake = harness.fleet.add(again);
+    fake.link = 'cut';
+    const settled: string[] = [];
+    const labelled = {...again, sequence: 2, labels: ['x']};
+    for (const announced of [again, labelled]) {
+      const {sequence} = announced;
+      harness.leader.announce(announced).then(
+        () => settled.push(`${sequence} recorded`),
+        (error: Error) => settled.push(`${sequence} ${error.message}`),
+      );
+    }
+    await harness.advance(2000);
+    expect(settled).toEqual([]);
+    fake.link = 'up';
+    await harness.advance(2000);
+    expect(settled.sort()).toEqual(['1 recorded', '2 recorded']);
+    expect(harness.replica.state().workers.get('w1')).toMatchObject({
+      bornMs: 2,
+      labels: ['x'],
+    });
+  });
+
   it('that is quarantined is used if most of its pool is, whatever the other pools have', async () => {
     await createCluster({
       behave: task => ({
@@ -620,6 +688,59 @@
   });
 });
 
+describe('an order to pace a filler task', () => {
+  it.each([
+    {what: 'got no answer', fail: () => Promise.reject(new Error('no answer'))},
+    {
+      what: 'was refused by an unhealthy worker',
+      fail: () => Promise.resolve({ok: false, reason: 'unhealthy'} as const),
+    },
+  ])('is repeated when it $what', async ({fail}) => {
+    await createCluster(
+      {behave: () => ({durationMs: Infinity, lasting: true})},
+      1,
+    );
+    const fake = harness.fleet.byAddress.get('w1:1')!;
+    const serving = {lasting: true, tailTargetMs: 40};
+    await harness.submit(job('l', serving, {lasting: true, filler: true}));
+    await harness.advance(1500);
+    // The lowest and the highest pace stay as they are, so no later order to
+    // change the pace makes up for a lost one.
+    const lost = new Set([0, 100]);
+    const {fleet} = harness;
+    const pace = fleet.pace.bind(fleet);
+    vi.spyOn(fleet, 'pace').mockImplementation((target, order) =>
+      lost.delete(order.percent) ? fail() : pace(target, order),
+    );
+    fake.tailMs = 60;
+    await harness.advance(4000);
+    expect(fake.paces.get('l.0.1.0')).toBe(0);
+    fake.tailMs = 10;
+    await harness.advance(10_000);
+    expect(fake.paces.get('l.0.1.0')).toBe(100);
+    expect(lost.size).toBe(0);
+  });
+
+  // The task would stay slow for as long as it runs.
+  it('is given by the next leader as well, to which the pace is unknown', async () => {
+    await createCluster(
+      {behave: () => ({durationMs: Infinity, lasting: true})},
+      1,
+    );
+    const fake = harness.fleet.byAddress.get('w1:1')!;
+    const serving = {lasting: true, tailTargetMs: 40};
+    await harness.submit(job('l', serving, {lasting: true, filler: true}));
+    await harness.advance(1500);
+    fake.tailMs = 60;
+    await harness.advance(4000);
+    expect(fake.paces.get('l.0.1.0')).toBe(0);
+    fake.tailMs = 10;
+    await harness.replaceLeader();
+    await harness.advance(10_000);
+    expect(fake.paces.get('l.0.1.0')).toBe(100);
+  });
+});
+
 describe('the ends of runs', () => {
   it('are acknowledged only once they are recorded', async () => {
     await createCluster({behave: () => ({durationMs: 100})}, 1);
