--- a/packages/dispatch/src/host-operations.ts
+++ b/packages/dispatch/src/host-operations.ts
@@ -108,11 +108,9 @@
     onWorkerGone: worker =>
       events.enqueueDerived({type: 'worker-gone', worker}),
     isInWave: host => maintenance.isCordoned(host),
-    isUsable: availability.isUsable,
-    avoidedWorkers: availability.avoidedWorkers,
+    availability,
+    estimates: options.estimates,
     hasPendingStart,
-    emptyInMs: options.estimates.emptyInMs,
-    durations: options.estimates.durations,
   });
 
   function rebalance(): void {
