Repeat a hold that a relay did not send

A relay that stalls for more than 400 ms drops the calls that waited for it, and answered them like calls that the worker left unanswered. The leader then took every worker with such a hold for silent until it answered another one: the worker got no new runs, and its lease was not renewed meanwhile. To callers this shows as capacity that is missing for a moment after each such stall; a relay that does not answer at all did not cost that, since its holds are repeated directly.

A relay now reports that it has not sent a call, unless the leader was replaced, and such a hold is repeated directly as well. Orders are still left to the session, which asks first whether this process still leads.

The new test stalls a relay 20 times for 500 ms, as it then resumes; before the change the sessions reported silent workers. Three tests of the relay expected the answer `failed` to dropped calls and now expect `not-sent`, one of them with its reason.

--- a/packages/dispatch/src/relayed-driver.ts
+++ b/packages/dispatch/src/relayed-driver.ts
@@ -69,7 +69,15 @@
   }
 }
 
-type Reported = Exclude<WorkerReply, {type: 'failed'}>;
+/** The relay has not called the worker. */
+class CallNotSentError extends Error {
+  constructor(relay: string, reason: string) {
+    super(`the relay ${relay} did not send the call: ${reason}`);
+    this.name = 'CallNotSentError';
+  }
+}
+
+type Reported = Exclude<WorkerReply, {type: 'failed' | 'not-sent'}>;
 
 export class RelayedWorkerDriver extends WorkerDriver {
   private readonly choice: RelayChoice;
@@ -96,8 +104,10 @@
       const call = encodeHold(target, order);
       reply = await this.send(relay, target, call, timeoutMs);
     } catch (error) {
-      if (!(error instanceof RelayUnansweredError)) throw error;
-      if (order.token < this.options.term()) throw error;
+      const isFaultOfRelay =
+        error instanceof RelayUnansweredError ||
+        error instanceof CallNotSentError;
+      if (!isFaultOfRelay || order.token < this.options.term()) throw error;
       // A hold may be repeated. The end of the lease is the same, and the
       // workers of a relay that has failed are not taken for silent.
       const repeated = {...order, waitMs: 0};
@@ -168,10 +178,13 @@
       this.calls.add({route: 'relayed', outcome: 'unanswered'});
       throw new RelayUnansweredError(relay.address, reason);
     }
-    if (reply.type === 'failed') {
+    if (reply.type === 'failed' || reply.type === 'not-sent') {
       this.calls.add({route: 'relayed', outcome: 'failed'});
       this.choice.recordFailure(target, relay);
-      throw new Error(`${reply.reason} (relay ${relay.address})`);
+      const {type, reason} = reply;
+      if (type === 'not-sent')
+        throw new CallNotSentError(relay.address, reason);
+      throw new Error(`${reason} (relay ${relay.address})`);
     }
     this.calls.add({route: 'relayed', outcome: 'answered'});
     this.choice.recordAnswer(target, relay);
--- a/packages/dispatch/src/worker-call.ts
+++ b/packages/dispatch/src/worker-call.ts
@@ -110,6 +110,8 @@
     ]),
   }),
   z.object({type: z.literal('failed'), reason: z.string()}),
+  /** The worker was not called; another process may call it. */
+  z.object({type: z.literal('not-sent'), reason: z.string()}),
 ]);
 export type WorkerReply = z.infer<typeof WorkerReply>;
 
--- a/packages/dispatch/src/worker-relay.ts
+++ b/packages/dispatch/src/worker-relay.ts
@@ -80,23 +80,26 @@
     const isLate = delayMs > ORDER_TIMEOUT_MS || stalls.isCatchingUp();
     const target = targetOf(call);
 
-    /** Returns why the call must not be sent any more. */
-    function reasonToDrop(): string | undefined {
-      if (isStopped) return 'the relay is stopping';
-      if (token < term()) return 'the leader has been replaced';
+    /** Returns the reply to a call that must not be sent any more. */
+    function refusal(): WorkerReply | undefined {
+      if (token < term()) {
+        return {type: 'failed', reason: 'the leader has been replaced'};
+      }
+      if (isStopped) return {type: 'not-sent', reason: 'the relay is stopping'};
       if (isLate || performance.now() - arrivedMs > ORDER_TIMEOUT_MS) {
-        return 'the call is late';
+        return {type: 'not-sent', reason: 'the call is late'};
       }
       return undefined;
     }
 
-    const reason = reasonToDrop();
-    if (reason !== undefined) return {type: 'failed', reason};
+    let refused = refusal();
+    if (refused) return refused;
     lastCalls.set(target.address, {target, atMs: arrivedMs});
+    const maySend = () => (refused = refusal()) === undefined;
     try {
-      return await send(call, target, () => reasonToDrop() === undefined);
+      return await send(call, target, maySend);
     } catch (error) {
-      return {type: 'failed', reason: (error as Error).message};
+      return refused ?? {type: 'failed', reason: (error as Error).message};
     }
   }
 
--- a/packages/dispatch/test/relay.test.ts
+++ b/packages/dispatch/test/relay.test.ts
@@ -353,6 +353,21 @@
     expect(lines).toHaveLength(1);
   });
 
+  // The relay knows that it has not made these calls.
+  it('for less than the time of a call does not cost the confidence in its workers', async () => {
+    startGroup('a');
+    const names = ['w0', 'w1', 'w2'];
+    const events = await Promise.all(names.map(openSession));
+    const [relay] = group.relays;
+    for (let stall = 0; stall < 20; stall++) {
+      relay!.setState('frozen');
+      await vi.advanceTimersByTimeAsync(ORDER_TIMEOUT_MS + 100);
+      relay!.setState('up');
+      await vi.advanceTimersByTimeAsync(1130);
+    }
+    expect(events.flat()).not.toContain('silent');
+  });
+
   it('is used again after it has resumed', async () => {
     startGroup('a');
     await openSession('w');
@@ -488,7 +503,10 @@
     const reply = relay.handle(stop);
     await vi.advanceTimersByTimeAsync(ORDER_TIMEOUT_MS + 1);
     expect(driver.queued[0]!()).toBe(false);
-    expect(await settle(reply)).toEqual({type: 'failed', reason: 'not sent'});
+    expect(await settle(reply)).toEqual({
+      type: 'not-sent',
+      reason: 'the call is late',
+    });
     relay.stop();
   });
 
@@ -562,8 +580,8 @@
     // The timer runs before all sockets have been read.
     vi.advanceTimersByTime(100);
     const late = relay.handle(stop);
-    expect(await settle(early)).toMatchObject({type: 'failed'});
-    expect(await settle(late)).toMatchObject({type: 'failed'});
+    expect(await settle(early)).toMatchObject({type: 'not-sent'});
+    expect(await settle(late)).toMatchObject({type: 'not-sent'});
     void relay.handle(stop);
     expect(driver.queued).toHaveLength(1);
     now.mockRestore();
@@ -593,8 +611,8 @@
     const reply = relay.handle(stop);
     relay.stop();
     expect(driver.queued[0]!()).toBe(false);
-    expect(await settle(reply)).toMatchObject({type: 'failed'});
-    expect(await settle(relay.handle(stop))).toMatchObject({type: 'failed'});
+    expect(await settle(reply)).toMatchObject({type: 'not-sent'});
+    expect(await settle(relay.handle(stop))).toMatchObject({type: 'not-sent'});
   });
 
   it('does not keep connections to workers that it no longer serves', async () => {
