Split the selection of hosts for a wave from their maintenance

Which hosts a wave empties next is a decision that orders nothing, and is now in host-selection.ts; maintenance.ts carries it out. The selection counts the hosts that it has selected itself against the share of a pool, since they become cordoned only after it returns; before, each was cordoned within the loop. The hosts, their order and the log lines are the same.

--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -18,6 +18,7 @@
   type LiveRun,
   type StateView,
 } from '@lentildrift/scheduling';
+import {createHostSelection} from './host-selection.js';
 import type {Inventory} from './inventory.js';
 import type {QueueReplica} from './leader-options.js';
 import type {HostProvider, OrderIssuer} from './provider.js';
@@ -69,12 +70,6 @@
  * Number of hosts that are emptied in advance, beyond those that may be down.
  */
 const HOSTS_EMPTIED_AHEAD = 1;
-/** Estimated time to maintain one host, including the time to empty it. */
-const HOST_MAINTENANCE_MS = 5000;
-/** How long before its deadline a wave should be done. */
-const DEADLINE_RESERVE_MS = 7000;
-/** Largest share of a pool's hosts that are emptied at once while in use. */
-const MAX_EMPTYING_SHARE = 1 / 3;
 
 /** A host that this leader empties or maintains. Times are monotonic. */
 interface HostOperation {
@@ -102,6 +97,13 @@
   const operations = new Map<string, HostOperation>();
   /** Monotonic time at which this leader first saw the wave, by ID. */
   const waveSeenMs = new Map<number, number>();
+  const selection = createHostSelection({
+    inventory: options.inventory,
+    isMoving: options.isMoving,
+    hasForeignOrder: options.hasForeignOrder,
+    hasOperation: host => operations.has(host),
+    isCordoned,
+  });
   let isStopped = false;
 
   function tick(view: StateView): void {
@@ -147,7 +149,7 @@
       log.info('host-left', {wave: wave.id, host});
       operations.set(host, createOperation(wave, 'over'));
     }
-    chooseHosts(wave, down.length, view);
+    emptyHosts(wave, down.length, view);
     for (const [host, operation] of operations) {
       if (operation.wave === wave.id && operation.phase === 'emptying') {
         advanceEmptying(wave, host, operation, view);
@@ -155,74 +157,18 @@
     }
   }
 
-  /**
-   * Chooses hosts to empty: idle hosts at any time, and hosts in use only if
-   * the wave would otherwise miss its deadline, few of one pool at a time.
-   */
-  function chooseHosts(wave: Wave, down: number, view: StateView): void {
-    const due = listDueHosts(wave);
+  /** Begins to empty hosts, some more than may be down at once. */
+  function emptyHosts(wave: Wave, down: number, view: StateView): void {
     const inProgress = [...operations.values()].filter(
       other => other.wave === wave.id && isBeforeDown(other),
     ).length;
-    let openSlots = wave.atOnce + HOSTS_EMPTIED_AHEAD - down - inProgress;
-    const idle = due.filter(host => !isInUse(host, view));
-    const busy = isDeadlineNear(wave, due.length)
-      ? due.filter(host => isInUse(host, view))
-      : [];
-    for (const host of [...idle, ...busy]) {
-      if (openSlots <= 0) return;
-      if (busy.includes(host) && !canEmptyOneMore(host, view.fleet)) continue;
+    const openSlots = wave.atOnce + HOSTS_EMPTIED_AHEAD - down - inProgress;
+    for (const {host, idle} of selection.select(wave, openSlots, view)) {
       operations.set(host, createOperation(wave, 'emptying'));
-      openSlots--;
-      log.info('host-emptying', {
-        wave: wave.id,
-        host,
-        idle: !busy.includes(host),
-      });
+      log.info('host-emptying', {wave: wave.id, host, idle});
     }
   }
 
-  function listDueHosts(wave: Wave): string[] {
-    const hosts = Object.entries(wave.hosts)
-      .filter(([, upkeep]) => upkeep === 'due')
-      .map(([host]) => host);
-    return hosts.filter(host => {
-      const state = options.inventory.hosts()?.get(host)?.state;
-      if (operations.has(host) || options.isMoving(host)) return false;
-      return state === 'up' && !options.hasForeignOrder(host);
-    });
-  }
-
-  function isInUse(host: string, {load, fleet}: StateView): boolean {
-    const worker = fleet.newestOn(host);
-    return worker !== undefined && load.byWorker.has(workerKey(worker));
-  }
-
-  /** Whether the wave has too little time left to wait for idle hosts. */
-  function isDeadlineNear(
-    {acceptedAtMs, durationMs, atOnce}: Wave,
-    due: number,
-  ) {
-    const remainingMs = acceptedAtMs + durationMs - Date.now();
-    return (
-      remainingMs <
-      Math.ceil(due / atOnce) * HOST_MAINTENANCE_MS + DEADLINE_RESERVE_MS
-    );
-  }
-
-  /** Whether one more host of this host's pool may be emptied while in use. */
-  function canEmptyOneMore(host: string, fleet: Fleet): boolean {
-    const pool = fleet.newestOn(host)?.pool;
-    const poolWorkers = pool === undefined ? [] : fleet.workersIn(pool);
-    const cordonedCount = poolWorkers.filter(worker =>
-      isCordoned(worker.host),
-    ).length;
-    return (
-      cordonedCount + 1 <=
-      Math.max(1, Math.floor(poolWorkers.length * MAX_EMPTYING_SHARE))
-    );
-  }
-
   /**
    * Stops the runs of long-running tasks that may be stopped; begins the
    * maintenance once the host is empty.
