Start no task on a host whose maintenance an earlier leader has begun

The next leader did not know the host as cordoned until it repeated the order, restarted two tasks there 0.05 s after its takeover, and ended them with the order 1.2 s later, while it emptied another host.

The operations that are recorded as begun are read once at the start of the leader now, as recorded moves are, and their hosts are cordoned from then on.

--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -79,8 +79,11 @@
   readonly sinceMs: number;
   /** Key of the worker incarnation on the host before its maintenance. */
   formerWorker: string | undefined;
-  /** `over`: only the record of the operation's result is missing. */
-  phase: 'emptying' | 'recording' | 'ordering' | 'down' | 'over';
+  /**
+   * `inherited`: an earlier leader has ordered the maintenance or was about to.
+   * `over`: only the record of the operation's result is missing.
+   */
+  phase: 'inherited' | 'emptying' | 'recording' | 'ordering' | 'down' | 'over';
   /** Status of the host's maintenance once the operation is over. */
   result: MaintenanceStatus;
   /** Earliest time of the next order; 0 if no order is to be repeated. */
@@ -94,7 +97,7 @@
 export function createMaintenance(options: MaintenanceOptions): Maintenance {
   const {replica, processId, log} = options;
   /** By host. */
-  const operations = new Map<string, HostOperation>();
+  const operations = collectBegunOperations(replica.state().waves.values());
   /** Monotonic time at which this leader first saw the wave, by ID. */
   const waveSeenMs = new Map<number, number>();
   const selection = createHostSelection({
@@ -299,18 +302,16 @@
   }
 
   /**
-   * Repeats an order without an answer, or ends the operation once the host has
-   * returned.
+   * Repeats an order of an earlier leader or one without an answer, or ends the
+   * operation once the host has returned.
    */
   function advanceDownHost(wave: Wave, host: string, fleet: Fleet): void {
-    let operation = operations.get(host);
-    if (!operation && options.hasForeignOrder(host)) return;
-    if (!operation) {
-      // An earlier leader has ordered this maintenance or was about to. The
-      // order is repeated, since the provider gives the same answer to one that
-      // it has already carried out.
-      operation = createOperation(wave, 'ordering');
-      operations.set(host, operation);
+    const operation = operations.get(host);
+    if (!operation) return;
+    if (operation.phase === 'inherited') {
+      if (options.hasForeignOrder(host)) return;
+      // The provider gives the same answer to an order that it has already
+      // carried out.
       void orderMaintenance(wave, host, operation);
       return;
     }
@@ -373,6 +374,22 @@
   };
 }
 
+/**
+ * The operations that earlier leaders have recorded as begun. Their hosts are
+ * cordoned from the start, as the repeated order ends whatever runs on them.
+ */
+function collectBegunOperations(
+  waves: Iterable<Wave>,
+): Map<string, HostOperation> {
+  const operations = new Map<string, HostOperation>();
+  for (const wave of waves) {
+    for (const host of hostsDown(wave)) {
+      operations.set(host, createOperation(wave, 'inherited'));
+    }
+  }
+  return operations;
+}
+
 function createOperation(
   wave: Wave,
   phase: HostOperation['phase'],
--- a/packages/dispatch/test/hosts.test.ts
+++ b/packages/dispatch/test/hosts.test.ts
@@ -123,6 +123,36 @@
     expect(tokens).toEqual([...tokens].sort());
   });
 
+  // The next leader started tasks on such a host and then ordered its
+  // maintenance, which ended more tasks of a step than may be away at once.
+  it('has no task started on a host whose maintenance the last leader has begun', async () => {
+    harness = await createHarness({
+      behave: () => ({durationMs: Infinity, lasting: true}),
+    });
+    for (const name of ['w1', 'w2']) await harness.addWorker(worker(name));
+    void openWave(['m-w1'], 1);
+    for (
+      let turn = 0;
+      !harness.replica.state().hostOrders.has('m-w1');
+      turn++
+    ) {
+      expect(turn).toBeLessThan(200);
+      await harness.advance(10);
+      // The last leader ends between the record of the order and the order.
+      harness.replica.delayMs = 1000;
+    }
+    harness.replica.delayMs = 0;
+    await harness.replaceLeader();
+    expect(harness.hosts.orders).toEqual([]);
+    await harness.submit(job('l', {...LONG_RUNNING, mayMiss: 0, count: 2}));
+    await harness.advance(15_000);
+    expect(maintenanceStatuses()).toEqual(['done']);
+    for (const task of ['l.0.0.0', 'l.0.0.1']) {
+      expect(harness.fleet.running(task)).toHaveLength(1);
+    }
+    expect(harness.fleet.starts).toHaveLength(2);
+  });
+
   it('continues at once if the process of the last leader has ended', async () => {
     harness = await createHarness();
     for (const name of ['w1', 'w2']) await harness.addWorker(worker(name));
