Start one leader when the wait of an earlier term ends late

A process that loses an election while it still applies its log and is elected again soon waits for both terms. When the first wait ended, the second term no longer counted as being confirmed. A change of the membership before the second wait ended, such as the promotion of a member that lost its disk, then began a third wait, and two leaders with the same token ran in the process; only the later one was ever stopped. Each placed tasks and kept sessions without knowing of the other.

The end of a wait now concerns its own term only.

--- a/packages/dispatch/src/leadership.ts
+++ b/packages/dispatch/src/leadership.ts
@@ -54,6 +54,7 @@
 export function followLeadership(options: LeadershipOptions): Leadership {
   const {replica, log} = options;
   let current: {term: number; leader: Leader; queues: LocalQueues} | undefined;
+  /** Term whose leadership is being confirmed, if any. */
   let confirmingTerm: number | undefined;
   /** Term that this process was last elected for, and the monotonic time. */
   let elected = {term: 0, atMs: 0};
@@ -121,11 +122,11 @@
         term,
         reason: (error as Error).message,
       });
-      confirmingTerm = undefined;
+      endConfirming(term);
       setTimeout(update, CONFIRM_RETRY_MS);
       return;
     }
-    confirmingTerm = undefined;
+    endConfirming(term);
     const status = replica.status();
     if (status.role !== 'leader' || status.term !== term) return;
     const leader = startLeader({
@@ -140,6 +141,14 @@
     releaseWaiting();
   }
 
+  /**
+   * The wait of an earlier term may end while a later one is being confirmed,
+   * whose own wait goes on.
+   */
+  function endConfirming(term: number): void {
+    if (confirmingTerm === term) confirmingTerm = undefined;
+  }
+
   return {
     whenLeading,
     update,
--- /dev/null
+++ b/packages/dispatch/test/leadership.test.ts
@@ -0,0 +1,108 @@
+/** Tests that one leader at a time runs in a process. */
+import {SoloReplica, type ReplicaStatus} from '@lentildrift/consensus';
+import {createLog, createMetrics} from '@lentildrift/observe';
+import type {Change, Outcome, State} from '@lentildrift/queue';
+import {startTasks} from '@lentildrift/task';
+import {afterEach, beforeEach, expect, it, vi} from 'vitest';
+import {createHostOrderGuard} from '../src/host-order-guard.js';
+import {Adviser, queueMachine} from '../src/index.js';
+import {
+  followLeadership,
+  type Leadership,
+  type QueueRaft,
+} from '../src/leadership.js';
+import {FakeFleet, FakeHostProvider} from './fakes.js';
+
+/** A member whose role and term the test sets, and that applies on request. */
+class ScriptedReplica extends SoloReplica<State, Change, readonly Outcome[]> {
+  private role: ReplicaStatus['role'] = 'follower';
+  private term = 0;
+  private readonly waiting: (() => void)[] = [];
+
+  setRole(role: ReplicaStatus['role'], term: number): void {
+    this.role = role;
+    this.term = term;
+  }
+
+  override status(): ReplicaStatus {
+    return {...super.status(), role: this.role, term: this.term};
+  }
+
+  override waitForRevision(): Promise<void> {
+    return new Promise(resolve => this.waiting.push(resolve));
+  }
+
+  /** Ends the first `count` waits. */
+  apply(count: number): void {
+    for (const resolve of this.waiting.splice(0, count)) resolve();
+  }
+}
+
+class NoAdviser extends Adviser {
+  override async advise(): Promise<never> {
+    throw new Error('no advice');
+  }
+}
+
+let replica: ScriptedReplica;
+let leadership: Leadership;
+let logLines: string[];
+
+beforeEach(() => {
+  vi.useFakeTimers();
+  replica = new ScriptedReplica(queueMachine);
+  logLines = [];
+  const fleet = new FakeFleet();
+  leadership = followLeadership({
+    replica: replica as unknown as QueueRaft,
+    seeds: () => ['a:1'],
+    toleratedDiskLosses: 1,
+    holder: 'a',
+    processId: 'a#1',
+    hostOrderGuard: createHostOrderGuard({
+      replica,
+      processId: 'a#1',
+      hasProcessEnded: () => false,
+    }),
+    driver: fleet,
+    hosts: new FakeHostProvider(fleet, () => {}),
+    adviser: new NoAdviser(),
+    tasks: startTasks(error => expect(error).toBeUndefined()),
+    log: createLog('info', {}, line => logLines.push(line)),
+    metrics: createMetrics(),
+  });
+});
+
+afterEach(async () => {
+  const stopping = leadership.stop();
+  await vi.advanceTimersByTimeAsync(100);
+  await stopping;
+  vi.useRealTimers();
+});
+
+async function update(
+  role: ReplicaStatus['role'],
+  term: number,
+): Promise<void> {
+  replica.setRole(role, term);
+  leadership.update();
+  await vi.advanceTimersByTimeAsync(1);
+}
+
+function countLeaders(): number {
+  return logLines.filter(line => line.includes('event=leading')).length;
+}
+
+it('starts one leader when the wait of an earlier term ends during a takeover', async () => {
+  await update('leader', 1);
+  await update('follower', 2);
+  await update('leader', 3);
+  // The first term read an earlier revision than this one.
+  replica.apply(1);
+  await vi.advanceTimersByTimeAsync(1);
+  // The membership changes.
+  await update('leader', 3);
+  replica.apply(3);
+  await vi.advanceTimersByTimeAsync(1);
+  expect(countLeaders()).toBe(1);
+});
