Judge the timeout of a connection after its input

A process that stalled for more than 300 ms while it connected to another one found the timer of the attempt expired before it learnt that it was connected, closed the connection and connected again 100 ms later, and so on while its turns stayed long. Processes connect when they start, which is when they load their state, so to callers it shows as a later takeover after a restart.

The new test blocks the event loop for 400 ms between the attempt and its outcome. Before the change the link connected twice ("called 2 times, but got 3 times", one call being that of the mock); it now connects once. The other tests of `link.test.ts` pass.

--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -136,19 +136,19 @@
 
   function startConnecting(): Connection {
     const socket = connect({host, port: Number(port), noDelay: true});
-    const connectTimer = setTimeout(
+    const connectTimer = startInputTimeout(
       () => socket.destroy(new Error('connecting took too long')),
       CONNECT_TIMEOUT_MS,
     );
     let reason = 'closed by the peer';
     socket.on('connect', () => {
-      clearTimeout(connectTimer);
+      connectTimer.cancel();
       task.post({type: 'opened', socket});
     });
     socket.on('data', chunk => task.post({type: 'data', socket, chunk}));
     socket.on('error', error => (reason = error.message));
     socket.on('close', () => {
-      clearTimeout(connectTimer);
+      connectTimer.cancel();
       task.post({type: 'closed', socket, reason});
     });
     return {...DISCONNECTED, socket, decoder: createFrameDecoder()};
--- a/packages/link/test/link.test.ts
+++ b/packages/link/test/link.test.ts
@@ -3,6 +3,7 @@
 import {createServer, Socket} from 'node:net';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import {
+  CONNECT_TIMEOUT_MS,
   MalformedFrameError,
   createFrameDecoder,
   encodeFrame,
@@ -75,11 +76,11 @@
 }
 
 /**
- * Blocks the event loop for longer than the idle timeout of a link, and not as
- * long as the accepting side, in the same process, waits for pings.
+ * Blocks the event loop; by default for longer than the idle timeout of a link,
+ * and not as long as the accepting side, in the same process, waits for pings.
  */
-function stall(): void {
-  const endMs = performance.now() + IDLE_TIMEOUT_MS + PING_INTERVAL_MS / 3;
+function stall(durationMs = IDLE_TIMEOUT_MS + PING_INTERVAL_MS / 3): void {
+  const endMs = performance.now() + durationMs;
   while (performance.now() < endMs);
 }
 
@@ -89,7 +90,7 @@
  */
 function stallAfterMicrotasks(count: number): void {
   if (count > 0) queueMicrotask(() => stallAfterMicrotasks(count - 1));
-  else setImmediate(stall);
+  else setImmediate(() => stall());
 }
 
 describe('a link', () => {
@@ -142,6 +143,20 @@
     expect(openStates).toEqual([true]);
   });
 
+  it('does not take a stall of this process for a peer that accepts no connection', async () => {
+    server = await startTestServer(async () => 'answer');
+    const connect = vi.spyOn(Socket.prototype, 'connect');
+    connect.mockImplementationOnce(function (this: Socket, ...values) {
+      // Blocks the event loop before this process learns that it is connected.
+      queueMicrotask(() => stall(CONNECT_TIMEOUT_MS + 100));
+      return this.connect(...values);
+    });
+    link = openTestLink(server.port);
+    await waitUntil(() => link!.isOpen());
+    // The first call is that of the mock, which makes the second.
+    expect(connect).toHaveBeenCalledTimes(2);
+  });
+
   it('rejects pending requests at once when the connection closes', async () => {
     server = await startTestServer(() => new Promise(() => {}));
     link = openTestLink(server.port);
