--- a/packages/consensus/src/replication.ts
+++ b/packages/consensus/src/replication.ts
@@ -90,8 +90,10 @@
   const isCurrent = peer.snapshot.index === index;
   const offset = isCurrent ? peer.snapshot.offset : 0;
   const sentRound = isCurrent ? peer.snapshot.sentRound : undefined;
-  const end =
-    sentRound === undefined ? offset + rules.snapshotChunkBytes : offset;
+  const part =
+    sentRound === undefined
+      ? partFrom(state, offset, rules.snapshotChunkBytes)
+      : '';
   send(ctx, {
     type: 'snapshot',
     to,
@@ -101,7 +103,7 @@
     members,
     offset,
     total: state.length,
-    part: state.slice(offset, end),
+    part,
     round,
   });
   updatePeer(ctx, to, {
@@ -110,6 +112,18 @@
   });
 }
 
+/**
+ * The part of the text from `offset` on, of at most `limit` UTF-16 units. It does
+ * not end within a character: half of one has no encoding in UTF-8, so the peer
+ * would decode another character.
+ */
+function partFrom(text: string, offset: number, limit: number): string {
+  const end = Math.min(offset + limit, text.length);
+  const last = text.charCodeAt(end - 1);
+  const isHalf = end < text.length && last >= 0xd800 && last <= 0xdbff;
+  return text.slice(offset, isHalf ? end - 1 : end);
+}
+
 /**
  * Sends new entries or a new commit index to every peer that has no message in
  * flight.
--- a/packages/consensus/test/step.test.ts
+++ b/packages/consensus/test/step.test.ts
@@ -79,19 +79,20 @@
 
 /**
  * A leader that begins to send its snapshot to member b. `sent` lists the
- * offsets of the parts that are sent to it.
+ * offsets of the parts that are sent to it, and `parts` their content.
  */
-function createSnapshotTransfer() {
-  const {run, receive, node} = createLeader(new SmallRules(), {
-    snapshot: SNAPSHOT,
-  });
+function createSnapshotTransfer(snapshot = SNAPSHOT) {
+  const {run, receive, node} = createLeader(new SmallRules(), {snapshot});
   const sent: number[] = [];
+  const parts: string[] = [];
   const note = (effects: readonly Effect[]) => {
     for (const effect of effects) {
       if (effect.type !== 'send' || effect.message.type !== 'snapshot')
         continue;
       const {to, part, offset} = effect.message;
-      if (to === 'b' && part !== '') sent.push(offset);
+      if (to !== 'b' || part === '') continue;
+      sent.push(offset);
+      parts.push(part);
     }
   };
   note(run(4004, {type: 'persisted', seq: node().lastWriteSeq}));
@@ -99,6 +100,7 @@
   note(receive(4004, {...answer, round: node().round}));
   return {
     sent,
+    parts,
     node,
     /** Makes `count` reads, each of which begins a round that c answers. */
     read(count: number): void {
@@ -197,6 +199,21 @@
     expect(sent).toEqual([0, 0, 64, 0]);
   });
 
+  // Half a character cannot be encoded, so it would arrive as another one.
+  it('does not divide a character between two parts of a snapshot', () => {
+    const limit = new SmallRules().snapshotChunkBytes;
+    const state = 'x'.repeat(limit - 1) + '\u{1F600}'.repeat(limit);
+    const transfer = createSnapshotTransfer({...SNAPSHOT, state});
+    const {parts, askForPart, node} = transfer;
+    for (let count = 0; count < 10; count++) {
+      const received = parts.join('').length;
+      if (received < state.length) askForPart(received, node().round);
+    }
+    const decoded = parts.map(part => Buffer.from(part).toString());
+    expect(decoded.join('')).toBe(state);
+    expect(Math.max(...parts.map(part => part.length))).toBe(limit);
+  });
+
   it('commits no entry of an older term by counting replicas', () => {
     const ok = {type: 'appended', ok: true, match: 2, round: 1};
     const strict = createLeader();
