Count the waiting jobs of a queue by what changed

A caller that asks how many jobs of a queue wait made the leader walk all jobs, those that have ended and are kept for callers included, for each answer. Trial on a busy machine (load average 19 on 8 cores): 3.6 ms of the leader for an answer with 10,000 jobs, and 17 ms with 25,000. To callers this shows as slow answers and late starts under many such reads. Found by reading; how often callers ask was not measured.

The numbers of all queues are now kept from one answer to the next and brought up to date by the jobs that differ.

The new test counts looks at jobs: 3,997 after a change of four among 1,000 before, at most 9 now.

--- a/packages/dispatch/src/view.ts
+++ b/packages/dispatch/src/view.ts
@@ -2,10 +2,14 @@
 import {isWaveDone, type Job, type State} from '@lentildrift/queue';
 import {isRefusal, locate} from './locate.js';
 import {refuse, type Reply, type RequestOf} from './request.js';
+import {createWaitingJobCounter} from './waiting-jobs.js';
 
 export type ReadRequest =
   RequestOf<'inspect'> | RequestOf<'tables'> | RequestOf<'wave'>;
 
+/** Exact for any state; quick if its jobs differ little from the last one's. */
+const countWaitingJobs = createWaitingJobCounter();
+
 export function answerRead(state: State, request: ReadRequest): Reply {
   switch (request.type) {
     case 'inspect':
@@ -26,21 +30,15 @@
 function inspect(state: State, request: RequestOf<'inspect'>): Reply {
   const found = locate(state.tables, request);
   if (isRefusal(found)) return found;
-  if (found.jobId === '') return countWaiting(state, found.queue.name);
+  if (found.jobId === '') {
+    const count = countWaitingJobs(state.jobs, found.queue.name);
+    return {type: 'waiting', count};
+  }
   const job = state.jobs.get(found.jobId);
   if (!job) return refuse('unknown', `no job ${found.jobId}`);
   return {type: 'job', phase: reportedPhase(job)};
 }
 
-/** Counts the active jobs of the queue of which no task has started. */
-function countWaiting(state: State, queue: string): Reply {
-  let count = 0;
-  for (const {spec, phase, started} of state.jobs.unorderedValues()) {
-    if (spec.queue === queue && phase === 'active' && !started) count++;
-  }
-  return {type: 'waiting', count};
-}
-
 /** Returns the phase for callers, which tells queued from running jobs. */
 function reportedPhase({phase, started}: Job) {
   if (phase !== 'active') return phase;
