Describe an edit of the tables as a difference to the recorded ones

Operators send complete tables, of which an edit changes a few rows. The only event that changes tables holds all of them, so recording, sending and replaying an edit cost what the tables hold.

The new event `tables-difference` holds ranges of the base and new rows or text, for the queues, pools and teams and for the document. The document is text of any kind; it is split behind each closing brace, so that a changed JSON object changes its own segments only.

`apply` uses a difference only if its base is the recorded version and its own version is higher; otherwise the outcome is `outdated` or `overtaken`, and nothing changes. A version is recorded at most once, so it identifies the content of the base. Unchanged rows are shared with the base.

Nothing proposes the event yet.

--- a/packages/queue/src/apply.ts
+++ b/packages/queue/src/apply.ts
@@ -3,6 +3,7 @@
  * pure and deterministic.
  */
 import type {Change, Event, EventOf, Outcome} from './change.js';
+import {applyDifference} from './difference.js';
 import {Draft} from './draft.js';
 import type {Job} from './job.js';
 import {compactEndedJob, endRun, removeRun, startRun} from './run.js';
@@ -26,6 +27,8 @@
   switch (event.type) {
     case 'tables':
       return replaceTables(draft, event);
+    case 'tables-difference':
+      return changeTables(draft, event);
     case 'submit':
       return submit(draft, event);
     case 'cancel':
@@ -73,6 +76,24 @@
   return 'applied';
 }
 
+/**
+ * Changes the tables only if they are the version that the difference is based
+ * on and it leads to a higher one. Otherwise the proposer, which has the whole
+ * tables, compares them with the recorded ones.
+ */
+function changeTables(
+  draft: Draft,
+  {difference}: EventOf<'tables-difference'>,
+): Outcome {
+  const {version} = draft.tables;
+  if (difference.version < version) return 'overtaken';
+  if (difference.version === version) return 'outdated';
+  const tables = applyDifference(draft.tables, difference);
+  if (!tables) return 'outdated';
+  draft.tables = tables;
+  return 'applied';
+}
+
 function submit(draft: Draft, {job: spec, atMs}: EventOf<'submit'>): Outcome {
   if (draft.job(spec.id)) return 'known';
   draft.setJob({
--- a/packages/queue/src/change.ts
+++ b/packages/queue/src/change.ts
@@ -3,6 +3,7 @@
  * log and holds every event that was decided since the previous entry.
  */
 import {z} from 'zod';
+import {TablesDifference} from './difference.js';
 import {JobSpec} from './job.js';
 import {Tables} from './table.js';
 import {Worker} from './worker.js';
@@ -35,6 +36,11 @@
 
 export const Event = z.discriminatedUnion('type', [
   z.object({type: z.literal('tables'), tables: Tables}),
+  /** An edit that is recorded as what it changes in the recorded tables. */
+  z.object({
+    type: z.literal('tables-difference'),
+    difference: TablesDifference,
+  }),
   z.object({type: z.literal('submit'), job: JobSpec, atMs: z.number()}),
   z.object({type: z.literal('cancel'), job: z.string()}),
   /** A worker announced a new incarnation or a change of its current one. */
@@ -81,6 +87,8 @@
   'known',
   /** The state already holds a newer version; nothing changed. */
   'overtaken',
+  /** The event is based on another version than the recorded one. */
+  'outdated',
   /**
    * The event contradicts the state; nothing changed, except that a `start`
    * event applies those of its runs that do not.
