Send and record edits of the tables as what they change

What callers saw: on a site with 1,690 queues, dozens of edits of one or a few rows each saturated the leader's processor for seconds. Edits waited for more than a second, were sent again to another process, and jobs waited behind them.

Cause: each edit, also a resent one, went whole through a link to the leader, was checked, encoded, compressed and logged there, sent to each member, and decoded and checked again by all. A copy that arrived while the first one was being recorded was recorded as well. Before this change:

× an edit > of one row among 2,000 does not record what the other rows hold → expected 46773 to be less than 4750 × an edit > that arrives again while it is recorded is not recorded twice → expected [ 46537, 46537 ] to have a length of 1 but got 2

The bound of 4,750 bytes is the target of 19 KB a second for a control node, divided by the four members that the leader sends a record to, at one edit a second.

The process that receives an edit now checks it and sends the leader the difference to the tables of its replica. The leader keeps the last 8 recorded versions, rebuilds the tables, checks them, and records the difference to the newest recorded or proposed version. Edits that arrive together thus need one commit and no further message, and a copy waits for the first one. A record whose base is not the recorded version changes nothing and is computed anew; an unknown base makes the sender compute the difference to a newer state or send the edit whole. The first edit, differences above half of the document and documents above 1,048,576 characters stay whole; the size limit of a change applies to these.

A process acknowledges a recorded or overtaken edit without the leader, and the leader without a round to the members: an applied change is durable and versions only rise, so an outdated replica gives the same answer. A digest, or a read confirmed through the leader, is therefore not needed. Only the leader refuses an edit for other content of its version, after it has confirmed its state.

A base is identified by its version alone. While an edit is proposed, no other content of its version is. After a rejected commit, whose record may still be committed, edits are based on recorded tables until a later one is committed; without this rule the test for it ends with tables that nobody sent.

--- a/packages/dispatch/src/batch.ts
+++ b/packages/dispatch/src/batch.ts
@@ -71,6 +71,8 @@
   switch (event.type) {
     case 'tables':
       return EVENT_BYTES + 2 * event.tables.document.length;
+    case 'tables-difference':
+      return EVENT_BYTES + JSON.stringify(event.difference).length;
     case 'submit': {
       const {payload, steps} = event.job;
       return EVENT_BYTES + payload.length + steps.length * STEP_BYTES;
--- a/packages/dispatch/src/control-service.ts
+++ b/packages/dispatch/src/control-service.ts
@@ -1,6 +1,7 @@
 /** The request handler of a control process, whether it leads or not. */
 import {ChangeRefused, NotLeader} from '@lentildrift/consensus';
 import type {Log} from '@lentildrift/observe';
+import {UnknownBaseError, type EditSender} from './edit.js';
 import type {Leadership} from './leadership.js';
 import type {Mesh} from './mesh.js';
 import {RemoteService, type Envelope, type EnvelopeReply} from './remote.js';
@@ -17,12 +18,14 @@
     private readonly leadership: Leadership,
     mesh: Mesh,
     private readonly log: Log,
+    editSender: EditSender,
   ) {
     super();
     this.remote = new RemoteService({
       mesh,
       log,
       handleLocally: (id, request) => this.handleLocally(id, request),
+      prepare: editSender.prepare,
     });
   }
 
@@ -37,7 +40,13 @@
   /** Handles a request that came through a link. */
   async handleEnvelope(envelope: Envelope): Promise<EnvelopeReply> {
     const {id, request, relay} = envelope;
-    const reply = await this.handleLocally(id, request);
+    let reply: Reply | undefined;
+    try {
+      reply = await this.handleLocally(id, request);
+    } catch (error) {
+      if (error instanceof UnknownBaseError) return {type: 'unknown-base'};
+      throw error;
+    }
     if (reply) return {type: 'reply', reply};
     return relay ? this.remote.relay(envelope) : {type: 'not-leader'};
   }
@@ -55,6 +64,7 @@
       return await queues.handle(id, request);
     } catch (error) {
       if (error instanceof NotLeader) return undefined;
+      if (error instanceof UnknownBaseError) throw error;
       // Refused for its size, so another attempt would be refused as well.
       if (error instanceof ChangeRefused) {
         return refuse('invalid', error.message);
--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -23,6 +23,7 @@
 import {MAX_CHANGE_CHARS, QueueCodec} from './codec.js';
 import {ControlService} from './control-service.js';
 import type {WorkerDriver} from './driver.js';
+import {createEditSender} from './edit.js';
 import {createHostOrderGuard} from './host-order-guard.js';
 import {followLeadership, type QueueRaft} from './leadership.js';
 import {startMemberReport} from './member-report.js';
@@ -177,7 +178,8 @@
     hostOrderGuard,
     replica,
   });
-  const service = new ControlService(leadership, mesh, log);
+  const editSender = createEditSender({...options, replica});
+  const service = new ControlService(leadership, mesh, log, editSender);
 
   function groupStatus(): GroupStatus {
     const {term, leader, voters, learners} = replica.status();
--- a/packages/dispatch/src/local.ts
+++ b/packages/dispatch/src/local.ts
@@ -4,12 +4,8 @@
  */
 import {NotLeader} from '@lentildrift/consensus';
 import type {Counter, Log, Metrics} from '@lentildrift/observe';
-import {
-  findContradiction,
-  type Outcome,
-  type State,
-  type Tables,
-} from '@lentildrift/queue';
+import type {State} from '@lentildrift/queue';
+import {createTablesEditor} from './edit.js';
 import type {Leader, QueueReplica} from './leader.js';
 import {isRefusal, locate, type LocatedCall} from './locate.js';
 import {
@@ -31,7 +27,9 @@
 export interface LocalQueues {
   /**
    * Rejects with `NotLeader` if this process does not lead and the request has
-   * had no effect. After any other rejection its outcome is unknown.
+   * had no effect, and with `UnknownBaseError` if it is the difference to tables
+   * that this process does not have. After any other rejection its outcome is
+   * unknown.
    */
   handle(id: string, request: Request): Promise<Reply>;
 }
@@ -47,6 +45,7 @@
 
 export function createLocalQueues(options: LocalOptions): LocalQueues {
   const {replica, leader, log, metrics} = options;
+  const editor = createTablesEditor(options);
   const replies: Counter = metrics.counter(
     'lentildrift_requests_total',
     'Requests answered by the leader.',
@@ -66,7 +65,8 @@
       case 'cancel':
         return cancel(id, request);
       case 'edit':
-        return edit(id, request);
+      case 'edit-difference':
+        return editor.edit(id, request);
       case 'announce':
         return leader.announce(request.worker).then(() => DONE);
       case 'leave':
@@ -163,37 +163,6 @@
     return outcome === 'unknown' ? refuse('unknown', `no job ${jobId}`) : DONE;
   }
 
-  async function edit(id: string, {tables}: RequestOf<'edit'>): Promise<Reply> {
-    const {version} = tables;
-    const reason = findContradiction(tables);
-    if (reason !== undefined) {
-      log.info('tables-refused', {request: id, version, reason});
-      return refuse('invalid', reason);
-    }
-    const outcome =
-      (await findRepeatedEdit(tables)) ??
-      (await leader.commit({type: 'tables', tables}));
-    log.info('tables-edited', {request: id, version, outcome});
-    return outcome === 'conflict'
-      ? refuse('conflict', `version ${version} has other content`)
-      : DONE;
-  }
-
-  /**
-   * The outcome of an edit that the state already includes or excludes. Operators
-   * resend an edit whose answer is late; recording it once more would delay the
-   * next answer.
-   */
-  async function findRepeatedEdit({
-    version,
-    document,
-  }: Tables): Promise<Outcome | undefined> {
-    if (version > replica.state().tables.version) return undefined;
-    const {tables} = await readConfirmedState();
-    if (version < tables.version) return 'overtaken';
-    return document === tables.document ? 'known' : 'conflict';
-  }
-
   async function openWave(
     id: string,
     request: RequestOf<'open-wave'>,
--- a/packages/dispatch/src/remote.ts
+++ b/packages/dispatch/src/remote.ts
@@ -2,6 +2,7 @@
 import {RequestNotSentError, type Link} from '@lentildrift/link';
 import type {Log} from '@lentildrift/observe';
 import {z} from 'zod';
+import type {EditSender} from './edit.js';
 import type {Mesh} from './mesh.js';
 import {
   isRead,
@@ -27,6 +28,11 @@
   z.object({type: z.literal('reply'), reply: Reply}),
   /** The receiver does not lead, and the request had no effect. */
   z.object({type: z.literal('not-leader')}),
+  /**
+   * The receiver leads but does not have the tables that the edit is based on;
+   * the request had no effect.
+   */
+  z.object({type: z.literal('unknown-base')}),
 ]);
 export type EnvelopeReply = z.infer<typeof EnvelopeReply>;
 
@@ -57,7 +63,8 @@
 /**
  * Outcome of one attempt; only `unanswered` leaves open whether it took effect.
  */
-type AttemptResult = Reply | 'not-leader' | 'not-sent' | 'unanswered';
+type AttemptResult =
+  Reply | 'not-leader' | 'unknown-base' | 'not-sent' | 'unanswered';
 
 export interface RemoteOptions {
   readonly mesh: Mesh;
@@ -67,6 +74,8 @@
    * effect, if this process does not lead.
    */
   handleLocally?(id: string, request: Request): Promise<Reply | undefined>;
+  /** Returns what is sent to the leader; see `EditSender`. */
+  prepare?: EditSender['prepare'];
 }
 
 /**
@@ -87,6 +96,7 @@
     const startMs = performance.now();
     // Whether an unanswered attempt may have taken effect.
     let uncertain = false;
+    let outdatedCount = 0;
     for (let attempts = 0; ; attempts++) {
       const spentMs = performance.now() - startMs;
       const limitMs = uncertain
@@ -95,11 +105,12 @@
       if (spentMs >= limitMs) break;
       const result = await this.attempt(
         {type: 'request', id, request, relay: false},
-        attempts,
+        {attempts, outdatedCount},
         Math.min(budgetMs - spentMs, ATTEMPT_TIMEOUT_MS),
       );
       if (typeof result === 'object') return correctVerdict(result, uncertain);
       if (result === 'unanswered' && !isRead(request)) uncertain = true;
+      if (result === 'unknown-base') outdatedCount++;
       await pauseAfter(attempts);
     }
     this.options.log.info('request-given-up', {request: id, uncertain});
@@ -128,10 +139,10 @@
 
   private async attempt(
     envelope: Envelope,
-    attempts: number,
+    {attempts, outdatedCount}: {attempts: number; outdatedCount: number},
     timeoutMs: number,
   ): Promise<AttemptResult> {
-    const {mesh, handleLocally} = this.options;
+    const {mesh, handleLocally, prepare} = this.options;
     if (handleLocally) {
       const reply = await withTimeout(
         handleLocally(envelope.id, envelope.request),
@@ -140,8 +151,17 @@
       if (reply === 'timeout') return 'unanswered';
       if (reply) return toAttemptResult(reply);
     }
+    const {id, request} = envelope;
+    const prepared = prepare?.(id, request, outdatedCount) ?? {request};
+    if (prepared.reply) return prepared.reply;
     const leader = mesh.leaderLink();
-    if (leader) return this.send(leader, envelope, timeoutMs);
+    if (leader) {
+      return this.send(
+        leader,
+        {...envelope, request: prepared.request},
+        timeoutMs,
+      );
+    }
     // Another process may have a link to a leader that this process lacks. An
     // entry process therefore tries its open links in turn.
     const openLinks = handleLocally ? [] : mesh.openLinks();
@@ -160,7 +180,7 @@
       const answer = EnvelopeReply.parse(body);
       return answer.type === 'reply'
         ? toAttemptResult(answer.reply)
-        : 'not-leader';
+        : answer.type;
     } catch (error) {
       if (error instanceof RequestNotSentError) return 'not-sent';
       this.options.log.debug('attempt-unanswered', {
--- a/packages/dispatch/src/request.ts
+++ b/packages/dispatch/src/request.ts
@@ -1,5 +1,11 @@
 /** The requests of callers, workers and operators, and the replies to them. */
-import {Schedule, Step, Tables, Worker} from '@lentildrift/queue';
+import {
+  Schedule,
+  Step,
+  Tables,
+  TablesDifference,
+  Worker,
+} from '@lentildrift/queue';
 import {z} from 'zod';
 
 /** Fields of the requests that callers address to a queue or job. */
@@ -28,6 +34,14 @@
   z.object({type: z.literal('cancel'), ...callFields}),
   /** Replaces the tables of queues, pools and teams. */
   z.object({type: z.literal('edit'), tables: Tables}),
+  /**
+   * The same, as a control process sends it to the leader: by the difference to
+   * tables that are recorded.
+   */
+  z.object({
+    type: z.literal('edit-difference'),
+    difference: TablesDifference,
+  }),
   /** Asks for the document of the current tables. */
   z.object({type: z.literal('tables')}),
   /** Announces a worker to the leader. */
--- a/packages/dispatch/test/control.test.ts
+++ b/packages/dispatch/test/control.test.ts
@@ -1,6 +1,6 @@
 /** Tests control and entry processes connected over loopback, in real time. */
 import {openLink} from '@lentildrift/link';
-import {createLog, createMetrics} from '@lentildrift/observe';
+import {createLog, createMetrics, type Metrics} from '@lentildrift/observe';
 import {MemoryDisk, MemoryStore} from '@lentildrift/storage';
 import {startTasks} from '@lentildrift/task';
 import {createServer} from 'node:net';
@@ -34,6 +34,8 @@
   member: string;
   disk: MemoryDisk;
   readonly fleet: FakeFleet;
+  /** Metrics of the last start. */
+  metrics?: Metrics;
 }
 
 const processes: ControlProcess[] = [];
@@ -67,6 +69,7 @@
   firstStart: boolean,
 ): Promise<void> {
   const {fleet} = target;
+  target.metrics = createMetrics();
   target.control = await startQueueControl({
     member: target.member,
     store: new MemoryStore(target.disk),
@@ -79,7 +82,7 @@
     adviser: new NoAdviser(),
     tasks: startTasks(() => {}),
     log,
-    metrics: createMetrics(),
+    metrics: target.metrics,
     holder: target.address,
     onFatal: error => {
       throw error;
@@ -308,6 +311,45 @@
     expect(control!.status().revision).toBe(before);
   });
 
+  it('keeps the newest of edits that arrive at all processes, also when all restart', async () => {
+    const entry = await startGroup();
+    const tablesOf = (version: number) => {
+      const queues = Array.from({length: 300}, (_, at) => ({
+        ...TABLES.queues[0]!,
+        name: `q${at}`,
+        prefix: `/q${at}/`,
+        timeoutMs: at === version ? 1000 + version : 3000,
+      }));
+      const document = JSON.stringify({version, queues, later: {x: 1}});
+      return {...TABLES, version, queues, document};
+    };
+    await retryWhileUnavailable(entry, {type: 'edit', tables: tablesOf(1)});
+    const send = (version: number, nth: number) =>
+      processes[nth % 3]!.control!.service.handle(
+        `edit-${version}-${nth}`,
+        {type: 'edit', tables: tablesOf(version)},
+        3000,
+      );
+    const versions = Array.from({length: 20}, (_, at) => at + 2);
+    const first = versions.map(version => send(version, version));
+    for (const reply of await Promise.all(first)) {
+      expect(reply).toEqual({type: 'done'});
+    }
+    const {control, metrics} = await findLeader();
+    expect(metrics!.text()).toMatch(/requests_total.*"edit-difference"/);
+    const before = control!.status().revision;
+    const again = versions.map(version => send(version, version + 1));
+    for (const reply of await Promise.all(again)) {
+      expect(reply).toEqual({type: 'done'});
+    }
+    expect(control!.status().revision).toBe(before);
+    const seeds = processes.map(({address}) => address);
+    await Promise.all(processes.map(each => each.control!.stop()));
+    await Promise.all(processes.map(each => start(each, seeds, false)));
+    const reply = await retryWhileUnavailable(entry, {type: 'tables'});
+    expect(reply).toEqual({type: 'tables', document: tablesOf(21).document});
+  }, 20_000);
+
   it('refuses a change that is too large as invalid', async () => {
     const entry = await startGroup();
     await retryWhileUnavailable(entry, EDIT);
--- a/packages/dispatch/test/remote.test.ts
+++ b/packages/dispatch/test/remote.test.ts
@@ -1,14 +1,10 @@
 /** Tests how a request reaches the leader, and the verdict if it does not. */
-import {
-  RequestNotSentError,
-  RequestUnansweredError,
-  type Link,
-} from '@lentildrift/link';
+import {RequestNotSentError, RequestUnansweredError} from '@lentildrift/link';
 import {createLog} from '@lentildrift/observe';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
-import type {Mesh} from '../src/mesh.js';
 import {RemoteService, type Envelope} from '../src/remote.js';
 import {refuse, type Reply, type Request} from '../src/request.js';
+import {createFakeLink, createFakeMesh, type Answer} from './links.js';
 
 const log = createLog('error', {}, () => {});
 const SUBMIT: Request = {
@@ -30,32 +26,6 @@
   vi.useRealTimers();
 });
 
-type Answer = (body: unknown) => Promise<unknown>;
-
-function createFakeLink(answer: Answer): Link {
-  return {
-    address: '1.2.3.4:5',
-    isOpen: () => true,
-    request: answer,
-    post: () => {},
-    reconnect: () => {},
-    stop: async () => {},
-  };
-}
-
-function createFakeMesh(leader: Link | undefined, open: Link[] = []): Mesh {
-  return {
-    linkTo: () => undefined,
-    openLinks: () => open,
-    peers: () => new Map(),
-    leaderLink: () => leader,
-    processIdAt: () => undefined,
-    hasLeader: () => leader !== undefined,
-    refresh: () => {},
-    stop: async () => {},
-  };
-}
-
 /** Handles the request on the fake clock; also returns how long that took. */
 async function handleToEnd(
   service: RemoteService,
