Test the repeat of an order while the leadership is not confirmed

An order to start that got no answer is repeated once.

Trial on a scratch copy, with only the repeat dropped as before: this test fails ("expected 'active' to be 'completed'") and the other 44 tests of leader.test.ts pass. Without the trial it passes.

--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -244,6 +244,23 @@
     expect(harness.fleet.starts).toHaveLength(1);
   });
 
+  // The repeated order was dropped, and the task waited without end for a run
+  // that was on record.
+  it('is ordered again once the leadership is confirmed again if the first order got no answer', async () => {
+    await createCluster({}, 1);
+    vi.spyOn(harness.fleet, 'start').mockImplementationOnce(() => {
+      harness.replica.acceptsProposals = false;
+      return Promise.reject(new Error('no answer'));
+    });
+    void harness.leader.commit(SUBMIT);
+    await harness.advance(1000);
+    expect(harness.fleet.starts).toEqual([]);
+    harness.replica.acceptsProposals = true;
+    await harness.advance(3000);
+    expect(harness.phase('a')).toBe('completed');
+    expect(harness.fleet.starts).toHaveLength(1);
+  });
+
   // Until the order that was held back is sent, the lease that it grants is not
   // counted. The run was restarted elsewhere once the earlier leases had expired.
   it.each([0, 20, 40, 60, 80])(
