Refuse ends of runs while ends before them are not recorded

What callers would see: a task that has ended runs again after its end.

Cause: a worker's next ends can be queued while the change with its earlier ones is being committed. If that change was refused, the later ends were recorded all the same. They moved the cursor over the missing ones, all were acknowledged, and the worker discarded them. A later report lacked the runs, which counted as lost. Before this change:

× the ends of runs > are acknowledged only if all ends before them are recorded → expected [ …(3) ] to have a length of 2 but got 3 → expected [ 'a.0.0.0 runs after its end' ] to deeply equal [] × the ends of a worker > are refused while ends before them are not recorded → expected [ 'applied' ] to deeply equal [ 'outdated' ] × the ends of a worker > are not counted twice when they are queued again with later ones → expected [ 'applied', 'applied', 'known' ] to deeply equal [ 'applied', 'outdated', 'known' ]

An `ends` event now names the number of the last end before its own (`after`). It is refused as `outdated` unless that is the recorded cursor; the leader then forgets its own cursor of the worker, and the next report, which lists every end that is not acknowledged, is recorded from the recorded cursor on. A cursor below the one named means a gap; a cursor above it means that some of the ends are recorded, and would count as failures twice. The check does not compare the event's first number with the cursor, since numbers only rise and may have gaps.

Events without the field, which logs of earlier versions hold, are applied as before. A process of an earlier version ignores the field, so the members of a group must not run both versions.

--- a/packages/dispatch/src/commit-handler.ts
+++ b/packages/dispatch/src/commit-handler.ts
@@ -38,7 +38,8 @@
    * A rejected change is not applied as long as this process remains the
    * leader. The ends in the change were not acknowledged, so the worker's next
    * report lists them again; their cursor is dropped so that they are recorded
-   * then.
+   * then. Later ends that are queued already are refused, since ends before
+   * them are missing.
    */
   handleRejected(batch: Batch, error: Error): void;
 }
@@ -65,9 +66,12 @@
 
   function followUp(event: Event, outcome: Outcome): void {
     if (event.type === 'ends') {
-      if (outcome === 'unknown') {
-        // The ends were not recorded, so the worker must not discard them.
-        log.warn('ends-unrecorded', {worker: event.worker, upTo: event.upTo});
+      if (outcome === 'unknown' || outcome === 'outdated') {
+        // The ends were not recorded, so the worker must not discard them. Its
+        // next report lists them again, with those that are missing before them.
+        const {worker, after, upTo} = event;
+        log.warn('ends-unrecorded', {worker, after, upTo, outcome});
+        reports.forgetEnds(worker);
         return;
       }
       dispatcher.sessionOf(event.worker)?.acknowledge(event.upTo);
--- a/packages/dispatch/src/reconcile.ts
+++ b/packages/dispatch/src/reconcile.ts
@@ -58,7 +58,7 @@
       checkpoint,
     ]);
     const upTo = ends.at(-1)!.number;
-    events.push({type: 'ends', worker: key, upTo, ends: rows});
+    events.push({type: 'ends', worker: key, after: cursor, upTo, ends: rows});
   }
 
   const lost = recorded.filter(({id}) => {
--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -301,6 +301,8 @@
   return {
     type: 'ends',
     worker: workerKey(worker),
+    // A new incarnation is recorded without ends.
+    after: 0,
     upTo: rows.at(-1)!.number,
     ends: rows.map(({task, run, how, checkpoint}): EndRow => [
       task,
--- a/packages/dispatch/src/report-handler.ts
+++ b/packages/dispatch/src/report-handler.ts
@@ -38,8 +38,8 @@
   /** Handles what a session brings; ignores sessions that were closed. */
   handle(event: SessionEvent): void;
   /**
-   * Has the ends of a worker recorded again when its next report lists them,
-   * since the change with them was rejected.
+   * Has the ends of a worker queued again when its next report lists them,
+   * since some of them were not recorded.
    */
   forgetEnds(worker: string): void;
   /** Drops what is known of a worker's incarnation. */
--- a/packages/dispatch/test/harness.ts
+++ b/packages/dispatch/test/harness.ts
@@ -110,6 +110,8 @@
   refusalsLeft = 0;
   /** Whether to refuse the change, in addition to `refusalsLeft`. */
   refuses: (change: Change) => boolean = () => false;
+  /** Time after which a change that is refused is answered. */
+  refusalDelayMs = 0;
 
   override async propose(
     change: Change,
@@ -117,9 +119,9 @@
     if (!this.acceptsProposals) throw new Error('not the leader');
     if (this.refusalsLeft > 0) {
       this.refusalsLeft--;
-      throw new ChangeRefused('refused for the test');
+      return this.refuse();
     }
-    if (this.refuses(change)) throw new ChangeRefused('refused for the test');
+    if (this.refuses(change)) return this.refuse();
     if (this.commitDelayMs > 0) {
       await new Promise(resolve => setTimeout(resolve, this.commitDelayMs));
     }
@@ -129,6 +131,13 @@
     }
     return committed;
   }
+
+  private async refuse(): Promise<never> {
+    if (this.refusalDelayMs > 0) {
+      await new Promise(resolve => setTimeout(resolve, this.refusalDelayMs));
+    }
+    throw new ChangeRefused('refused for the test');
+  }
 }
 
 class NoAdviser extends Adviser {
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -751,4 +751,28 @@
     expect(harness.fleet.byAddress.get('w1:1')!.ended).toEqual([]);
     expect(workerKey(recorded)).toBe('w1@1');
   });
+
+  // The later end was queued while the change with the earlier one was being
+  // committed. Both were acknowledged once the later one was recorded, and the
+  // task of the earlier one was started again.
+  it('are acknowledged only if all ends before them are recorded', async () => {
+    await createCluster(
+      {behave: task => ({durationMs: task === 'a.0.0.0' ? 500 : 1700})},
+      1,
+    );
+    await harness.submit(job('a', {count: 2}));
+    const {replica} = harness;
+    let refusals = 0;
+    replica.refusalDelayMs = 3000;
+    replica.refuses = ({events}) => {
+      const hasEnds = events.some(({type}) => type === 'ends');
+      return hasEnds && refusals++ === 0;
+    };
+    await harness.advance(10_000);
+    expect(refusals).toBeGreaterThan(1);
+    expect(harness.phase('a')).toBe('completed');
+    expect(harness.fleet.starts).toHaveLength(2);
+    expect(replica.state().workers.get('w1')!.cursor).toBe(2);
+    expect(harness.fleet.byAddress.get('w1:1')!.ended).toEqual([]);
+  });
 });
--- a/packages/queue/src/apply.ts
+++ b/packages/queue/src/apply.ts
@@ -170,10 +170,13 @@
 }
 
 function endRuns(draft: Draft, event: EventOf<'ends'>): Outcome {
-  const {worker: key, upTo, ends} = event;
+  const {worker: key, after, upTo, ends} = event;
   const known = draft.worker(key.slice(0, key.lastIndexOf('@')));
   if (!known || workerKey(known) !== key) return 'unknown';
   if (upTo <= known.cursor) return 'known';
+  // Above the cursor, ends before these are missing, and would be acknowledged
+  // with them. Below it, some of these are recorded, and would count twice.
+  if (after !== undefined && after !== known.cursor) return 'outdated';
   for (const row of ends) endRun(draft, key, row);
   draft.setWorker({...known, cursor: upTo});
   return 'applied';
--- a/packages/queue/src/change.ts
+++ b/packages/queue/src/change.ts
@@ -51,6 +51,13 @@
   z.object({
     type: z.literal('ends'),
     worker: z.string(),
+    /**
+     * Number of the last end before those of this event. The event is refused
+     * unless that end is the last one recorded: the numbers of ends have gaps,
+     * so they do not show whether ends before these are missing. Events of
+     * earlier versions lack it, and are applied without this check.
+     */
+    after: z.int().nonnegative().optional(),
     /**
      * Number of the last run end in this event. Ends up to this number may be
      * acknowledged to the worker once the event is durable.
--- a/packages/queue/test/apply.test.ts
+++ b/packages/queue/test/apply.test.ts
@@ -3,6 +3,7 @@
   apply,
   EMPTY_STATE,
   EMPTY_TABLES,
+  Event,
   findContradiction,
   findQueue,
   findTeam,
@@ -10,7 +11,7 @@
   Step,
   StoredState,
   toStored,
-  type Event,
+  type EndRow,
   type Outcome,
   type State,
   type Tables,
@@ -343,6 +344,65 @@
   });
 });
 
+describe('the ends of a worker', () => {
+  const [running] = applyEvents(
+    BASE,
+    submit('a', step({count: 3})),
+    start('a.0.0.0'),
+    start('a.0.0.1'),
+  );
+
+  function ends(after: number, upTo: number, ...tasks: string[]): Event {
+    const rows = tasks.map((task): EndRow => [task, 1, 'failed', '']);
+    return {type: 'ends', worker: KEY, after, upTo, ends: rows};
+  }
+
+  // The cursor moved over the missing ends, and their tasks ran again.
+  it('are refused while ends before them are not recorded', () => {
+    const [state, outcomes] = applyEvents(running, ends(1, 2, 'a.0.0.1'));
+    expect(outcomes).toEqual(['outdated']);
+    expect(state.jobs).toBe(running.jobs);
+    expect(state.workers).toBe(running.workers);
+    const [complete, all] = applyEvents(
+      state,
+      ends(0, 1, 'a.0.0.0'),
+      ends(1, 2, 'a.0.0.1'),
+    );
+    expect(all).toEqual(['applied', 'applied']);
+    expect(complete.workers.get('w')!.cursor).toBe(2);
+  });
+
+  it('are not counted twice when they are queued again with later ones', () => {
+    const [state, outcomes] = applyEvents(
+      running,
+      ends(0, 1, 'a.0.0.0'),
+      ends(0, 2, 'a.0.0.0', 'a.0.0.1'),
+      ends(0, 1, 'a.0.0.0'),
+    );
+    expect(outcomes).toEqual(['applied', 'outdated', 'known']);
+    expect(state.jobs.get('a')!.tasks['0.0.0']!.failures).toBe(1);
+  });
+
+  it('are accepted although their numbers have gaps', () => {
+    const [state, outcomes] = applyEvents(
+      running,
+      ends(0, 4, 'a.0.0.0'),
+      ends(4, 9, 'a.0.0.1'),
+    );
+    expect(outcomes).toEqual(['applied', 'applied']);
+    expect(state.workers.get('w')!.cursor).toBe(9);
+  });
+
+  it('in records of earlier versions, which do not name the end before them, are applied', () => {
+    const record = Event.parse(
+      JSON.parse(JSON.stringify(end(2, 'a.0.0.1', 'done'))),
+    );
+    const [state, outcomes] = applyEvents(running, record);
+    expect(outcomes).toEqual(['applied']);
+    expect(state.workers.get('w')!.cursor).toBe(2);
+  });
+});
+
 describe('the state', () => {
   it('is the same after it was stored and restored', () => {
     const [state] = applyEvents(
--- a/packages/testkit/src/jobs/trial.ts
+++ b/packages/testkit/src/jobs/trial.ts
@@ -282,7 +282,8 @@
   }
   return [...byWorker].map(([worker, ends]) => {
     const {cursor} = state.workers.get(worker.slice(0, worker.indexOf('@')))!;
-    return {type: 'ends', worker, upTo: cursor + ends.length, ends};
+    const upTo = cursor + ends.length;
+    return {type: 'ends', worker, after: cursor, upTo, ends};
   });
 }
 
