Remove expired jobs in small events after a change of leader

Cause: a new leader does not know when the jobs that it finds ended have ended, so all of them expire at the same time. Before this change, with 3,000 jobs:

× lists few of many jobs that expire together, and the others after them → expected 3000 to be less than or equal to 200

At most 200 jobs are listed at once, and the next ones with the next tick.

--- a/packages/dispatch/src/retention.ts
+++ b/packages/dispatch/src/retention.ts
@@ -13,11 +13,19 @@
   /**
    * Returns the jobs without runs that ended some time ago. Until then they are
    * kept for callers that still ask for their outcome. A job that is still in
-   * the state after another such time is returned again.
+   * the state after another such time is returned again. At most
+   * `MAX_EXPIRED_JOBS` are returned at once, and the others by later calls.
    */
   listExpired(state: State): string[];
 }
 
+/**
+ * All jobs that ended before a change of leader expire at the same time, and
+ * their removal takes one turn of the event loop. At one call each 100 ms this
+ * removes 2,000 jobs a second.
+ */
+const MAX_EXPIRED_JOBS = 200;
+
 /** Whether the job has ended and all of its runs have. */
 function isOver({phase, tasks}: Job): boolean {
   return phase !== 'active' && Object.keys(tasks).length === 0;
@@ -49,6 +57,7 @@
       const expired: string[] = [];
       for (const [id, sinceMs] of endedMs) {
         if (nowMs - sinceMs <= JOB_RETENTION_MS) break;
+        if (expired.length === MAX_EXPIRED_JOBS) break;
         const job = jobs.get(id);
         if (job && isOver(job)) expired.push(id);
       }
--- a/packages/dispatch/test/retention.test.ts
+++ b/packages/dispatch/test/retention.test.ts
@@ -1,7 +1,7 @@
 import {apply, EMPTY_STATE, type Event, type State} from '@lentildrift/queue';
 import {afterEach, beforeEach, expect, it, vi} from 'vitest';
 import {createRetention} from '../src/retention.js';
-import {JOB_RETENTION_MS} from '../src/timing.js';
+import {JOB_RETENTION_MS, TICK_INTERVAL_MS} from '../src/timing.js';
 import {job} from './harness.js';
 
 beforeEach(() => void vi.useFakeTimers());
@@ -28,6 +28,30 @@
   expect(retention.listExpired(state)).toEqual([]);
 });
 
+// All jobs that ended before a change of leader expire at the same time. One
+// event removed thousands of them, which held up the leader's other work.
+it('lists few of many jobs that expire together, and the others after them', () => {
+  const retention = createRetention();
+  const ids = Array.from({length: 3000}, (_, at) => `a${at}`);
+  const state = stateAfter(
+    EMPTY_STATE,
+    ...ids.map(submit),
+    ...ids.map((id): Event => ({type: 'cancel', job: id})),
+  );
+  expect(retention.listExpired(state)).toEqual([]);
+  vi.advanceTimersByTime(JOB_RETENTION_MS + 1);
+  const listed: string[] = [];
+  // 2,000 jobs a second.
+  for (let tick = 0; tick < 15; tick++) {
+    const expired = retention.listExpired(state);
+    expect(expired.length).toBeLessThanOrEqual(200);
+    listed.push(...expired);
+    vi.advanceTimersByTime(TICK_INTERVAL_MS);
+  }
+  expect(listed.sort()).toEqual([...ids].sort());
+  expect(retention.listExpired(state)).toEqual([]);
+});
+
 it('lists a job again whose removal was not recorded', () => {
   const retention = createRetention();
   const state = stateAfter(EMPTY_STATE, submit('a'), {
