Count checkpoints and statistics in the size of a change

What callers would see: runs that have ended count as running, and nothing else that was in the same change is recorded either. Found by reading, not seen in a play.

Cause: the estimate of an event's size left out the checkpoints of ended runs and the rows of statistics, so that a batch could exceed the size limit of a change. All of its events are then refused, the workers report the same ends again, and the next change is as large.

The estimate now counts two characters for each one of a checkpoint, as it does for documents, and 250 for a queue's statistics (188 in the test). An event above the limit of a batch is still taken alone: the platform's client reads at most 4 MiB of a report.

A larger estimate divides more batches. The record of a new incarnation and the ends that are queued behind it must not be divided, since the tasks that the incarnation has completed would be started again in between; they are now taken together.

--- a/packages/dispatch/src/batch.ts
+++ b/packages/dispatch/src/batch.ts
@@ -3,7 +3,12 @@
  * change is limited so that its replication takes little time.
  */
 import {NotLeader} from '@lentildrift/consensus';
-import type {Event, Outcome, StartRow} from '@lentildrift/queue';
+import {
+  workerKey,
+  type Event,
+  type Outcome,
+  type StartRow,
+} from '@lentildrift/queue';
 import type {Reply} from '@lentildrift/task';
 
 /** An event that waits for the next change. */
@@ -32,10 +37,14 @@
 const STEP_BYTES = 300;
 /** Encoded size of a row that names a task and a worker. */
 const ROW_BYTES = 80;
+/** Encoded size of the statistics of a queue. */
+const STATISTICS_ROW_BYTES = 250;
 
 /**
  * Takes events from the front of the queue up to the size limit; the first
- * event is taken whatever its size.
+ * event is taken whatever its size. A worker's record and the ends that are
+ * queued with it are taken together: without the ends, tasks that the worker
+ * has completed would be started again.
  */
 export function takeBatch(queue: readonly QueuedEvent[]): {
   taken: readonly QueuedEvent[];
@@ -43,14 +52,23 @@
 } {
   let bytes = 0;
   let count = 0;
-  for (const {event} of queue) {
+  for (const [at, {event}] of queue.entries()) {
     bytes += estimateBytes(event);
     if (count > 0 && bytes > MAX_CHANGE_BYTES) break;
-    count++;
+    if (!completesRecord(event, queue[at + 1]?.event)) count = at + 1;
   }
   return {taken: queue.slice(0, count), rest: queue.slice(count)};
 }
 
+/** Whether `next` holds ends of the worker that `event` records. */
+function completesRecord(event: Event, next: Event | undefined): boolean {
+  return (
+    event.type === 'worker' &&
+    next?.type === 'ends' &&
+    next.worker === workerKey(event.worker)
+  );
+}
+
 /**
  * Removes the expired events and rejects them with `NotLeader`, since they were
  * never proposed. Returns the other events.
@@ -81,7 +99,13 @@
     case 'lost':
       return EVENT_BYTES + event.runs.length * ROW_BYTES;
     case 'ends':
-      return EVENT_BYTES + event.ends.length * ROW_BYTES;
+      return event.ends.reduce(
+        // Quotes and line breaks take two characters in JSON.
+        (sum, [, , , checkpoint]) => sum + ROW_BYTES + 2 * checkpoint.length,
+        EVENT_BYTES,
+      );
+    case 'statistics':
+      return EVENT_BYTES + event.rows.length * STATISTICS_ROW_BYTES;
     case 'forget':
       return EVENT_BYTES + event.jobs.length * ROW_BYTES;
     case 'wave':
