Reject announcements of replacements as without effect when the leader stops

What callers would see: a worker that restarts during a change of leader is recorded later than necessary.

Cause: the announcement of a new incarnation is answered only after the runs of the old one are stopped. When the leader stopped in between, the reply ended with the leader's task, as an announcement with an unknown outcome, and its sender did not go on to the next leader at once. Before this change:

× that restarts while the leader stops is told at once that nothing was recorded → expected TaskStoppedError: task leader-1 has stopp… to be an instance of NotLeader

The registry now rejects the announcements whose replacement is not queued yet with `NotLeader` when it stops: nothing was proposed for them. A queued record is rejected with the queue, and the outcome of a proposed one is awaited as before.

--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -1,4 +1,5 @@
 /** Adds workers to the directory, replaces their incarnations, removes them. */
+import {NotLeader} from '@lentildrift/consensus';
 import type {Log} from '@lentildrift/observe';
 import {
   taskName,
@@ -44,6 +45,7 @@
    * unreachable workers as lost once their leases have expired.
    */
   expire(): void;
+  /** Rejects announcements that were not queued yet with `NotLeader`. */
   stop(): void;
 }
 
@@ -63,6 +65,8 @@
    * working on, by `workerKey`.
    */
   const replacements = new Map<string, Announcement[]>();
+  /** Replies to announcements whose replacement is not queued yet. */
+  const unqueued = new Set<Reply<void>>();
   /** `bornMs` of the newest incarnation that was announced, by worker ID. */
   const newestIncarnationMs = new Map<string, number>();
   let isStopped = false;
@@ -126,6 +130,7 @@
       },
     };
     const oldKey = workerKey(old);
+    unqueued.add(settled);
     await options.sessionOf(oldKey)?.close();
     const unreported = options
       .recordedRuns(oldKey)
@@ -138,10 +143,10 @@
       unreported.length > 0
         ? await awaitStopped(unreported, worker, isNeeded)
         : undefined;
-    if (isStopped || ends === 'superseded') {
-      settled.reject(
-        new Error(`${key} was superseded or the leader has stopped`),
-      );
+    // Rejected by `stop` if it is not in the set any more.
+    if (!unqueued.delete(settled)) return;
+    if (ends === 'superseded') {
+      settled.reject(new Error(`${key} was superseded`));
       return;
     }
     recordWorker(worker, settled);
@@ -288,6 +293,10 @@
     expire,
     stop() {
       isStopped = true;
+      // Nothing was proposed for these, so their senders can go on to the next
+      // leader. Queued records are rejected with the other queued events.
+      for (const reply of unqueued) reply.reject(new NotLeader(undefined));
+      unqueued.clear();
     },
   };
 }
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -574,6 +574,28 @@
     });
   });
 
+  // Senders were told that the outcome was unknown, instead of that they could
+  // go on to the next leader.
+  it('that restarts while the leader stops is told at once that nothing was recorded', async () => {
+    await createCluster({behave: () => ({durationMs: 5000})}, 1);
+    harness.fleet.byAddress.get('w1:1')!.isAlive = false;
+    await harness.submit(job('a'));
+    const again = worker('w1', {bornMs: 2, address: 'w1:1'});
+    harness.fleet.add(again).link = 'cut';
+    const errors: Error[] = [];
+    for (const sequence of [1, 2]) {
+      harness.leader
+        .announce({...again, sequence})
+        .catch((error: Error) => errors.push(error));
+    }
+    await harness.advance(1000);
+    expect(errors).toEqual([]);
+    void harness.leader.stop();
+    await harness.advance(1);
+    expect(errors).toHaveLength(2);
+    for (const error of errors) expect(error).toBeInstanceOf(NotLeader);
+  });
+
   it('that is quarantined is used if most of its pool is, whatever the other pools have', async () => {
     await createCluster({
       behave: task => ({
