Stop confirming a leadership when the process stops

What callers would see: a process that stops while its leadership is being confirmed tries again every 50 ms and does not end by itself, or starts a leader after its stop.

Cause: `stop` ended the current leader only. A confirmation that was pending scheduled the next attempt after its failure and started a leader after its success. Before this change:

× makes no further attempt to confirm the leadership after its stop → expected 1 to be +0 × cancels the next attempt to confirm the leadership when it stops → expected 1 to be +0 × starts no leader when its leadership is confirmed after its stop → expected 1 to be +0

After the stop, no attempt is made or continued, and a scheduled one is cancelled.

--- a/packages/dispatch/src/leadership.ts
+++ b/packages/dispatch/src/leadership.ts
@@ -58,6 +58,8 @@
   let confirmingTerm: number | undefined;
   /** Term that this process was last elected for, and the monotonic time. */
   let elected = {term: 0, atMs: 0};
+  let retryTimer: NodeJS.Timeout | undefined;
+  let isStopped = false;
   /** Requests that wait for the end of the takeover. */
   const waiting = new Set<() => void>();
 
@@ -93,6 +95,7 @@
   }
 
   function update(): void {
+    if (isStopped) return;
     const {role, term, voters} = replica.status();
     const leads = role === 'leader' && hasEnoughVoters(voters);
     if (role !== 'leader') releaseWaiting();
@@ -118,14 +121,17 @@
     try {
       await replica.waitForRevision(await replica.readIndex());
     } catch (error) {
+      if (isStopped) return;
       log.info('leadership-unconfirmed', {
         term,
         reason: (error as Error).message,
       });
       endConfirming(term);
-      setTimeout(update, CONFIRM_RETRY_MS);
+      clearTimeout(retryTimer);
+      retryTimer = setTimeout(update, CONFIRM_RETRY_MS);
       return;
     }
+    if (isStopped) return;
     endConfirming(term);
     const status = replica.status();
     if (status.role !== 'leader' || status.term !== term) return;
@@ -153,6 +159,8 @@
     whenLeading,
     update,
     async stop() {
+      isStopped = true;
+      clearTimeout(retryTimer);
       const leader = current?.leader;
       current = undefined;
       releaseWaiting();
--- a/packages/dispatch/test/leadership.test.ts
+++ b/packages/dispatch/test/leadership.test.ts
@@ -2,7 +2,7 @@
 import {SoloReplica, type ReplicaStatus} from '@lentildrift/consensus';
 import {createLog, createMetrics} from '@lentildrift/observe';
 import type {Change, Outcome, State} from '@lentildrift/queue';
-import {startTasks} from '@lentildrift/task';
+import {startTasks, type Reply} from '@lentildrift/task';
 import {afterEach, beforeEach, expect, it, vi} from 'vitest';
 import {createHostOrderGuard} from '../src/host-order-guard.js';
 import {Adviser, queueMachine} from '../src/index.js';
@@ -17,7 +17,7 @@
 class ScriptedReplica extends SoloReplica<State, Change, readonly Outcome[]> {
   private role: ReplicaStatus['role'] = 'follower';
   private term = 0;
-  private readonly waiting: (() => void)[] = [];
+  private readonly waiting: Reply<void>[] = [];
 
   setRole(role: ReplicaStatus['role'], term: number): void {
     this.role = role;
@@ -29,12 +29,23 @@
   }
 
   override waitForRevision(): Promise<void> {
-    return new Promise(resolve => this.waiting.push(resolve));
+    return new Promise((resolve, reject) => {
+      this.waiting.push({resolve, reject});
+    });
   }
 
   /** Ends the first `count` waits. */
   apply(count: number): void {
-    for (const resolve of this.waiting.splice(0, count)) resolve();
+    for (const {resolve} of this.waiting.splice(0, count)) resolve();
+  }
+
+  /** Has all waits fail. */
+  fail(): void {
+    for (const {reject} of this.waiting.splice(0)) reject(new Error('stopped'));
+  }
+
+  waitCount(): number {
+    return this.waiting.length;
   }
 }
 
@@ -74,9 +85,7 @@
 });
 
 afterEach(async () => {
-  const stopping = leadership.stop();
-  await vi.advanceTimersByTimeAsync(100);
-  await stopping;
+  await stop();
   vi.useRealTimers();
 });
 
@@ -89,6 +98,12 @@
   await vi.advanceTimersByTimeAsync(1);
 }
 
+async function stop(): Promise<void> {
+  const stopping = leadership.stop();
+  await vi.advanceTimersByTimeAsync(100);
+  await stopping;
+}
+
 function countLeaders(): number {
   return logLines.filter(line => line.includes('event=leading')).length;
 }
@@ -106,3 +121,30 @@
   await vi.advanceTimersByTimeAsync(1);
   expect(countLeaders()).toBe(1);
 });
+
+// The timer of the next attempt kept the process from ending.
+it('makes no further attempt to confirm the leadership after its stop', async () => {
+  await update('leader', 1);
+  await stop();
+  replica.fail();
+  await vi.advanceTimersByTimeAsync(1000);
+  expect(vi.getTimerCount()).toBe(0);
+  expect(replica.waitCount()).toBe(0);
+});
+
+it('cancels the next attempt to confirm the leadership when it stops', async () => {
+  await update('leader', 1);
+  replica.fail();
+  await vi.advanceTimersByTimeAsync(1);
+  await stop();
+  await vi.advanceTimersByTimeAsync(1000);
+  expect(replica.waitCount()).toBe(0);
+});
+
+it('starts no leader when its leadership is confirmed after its stop', async () => {
+  await update('leader', 1);
+  await stop();
+  replica.apply(1);
+  await vi.advanceTimersByTimeAsync(1000);
+  expect(countLeaders()).toBe(0);
+});
