--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -591,6 +591,28 @@
     });
   });
 
+  // Senders were told that the outcome was unknown, instead of that they could
+  // go on to the next leader.
+  it('that restarts while the leader stops is told at once that nothing was recorded', async () => {
+    await createCluster({behave: () => ({durationMs: 5000})}, 1);
+    harness.fleet.byAddress.get('w1:1')!.isAlive = false;
+    await harness.submit(job('a'));
+    const again = worker('w1', {bornMs: 2, address: 'w1:1'});
+    harness.fleet.add(again).link = 'cut';
+    const errors: Error[] = [];
+    for (const sequence of [1, 2]) {
+      harness.leader
+        .announce({...again, sequence})
+        .catch((error: Error) => errors.push(error));
+    }
+    await harness.advance(1000);
+    expect(errors).toEqual([]);
+    void harness.leader.stop();
+    await harness.advance(1);
+    expect(errors).toHaveLength(2);
+    for (const error of errors) expect(error).toBeInstanceOf(NotLeader);
+  });
+
   it('that is quarantined is used if most of its pool is, whatever the other pools have', async () => {
     await createCluster({
       behave: task => ({
@@ -768,4 +790,28 @@
     expect(harness.fleet.byAddress.get('w1:1')!.ended).toEqual([]);
     expect(workerKey(recorded)).toBe('w1@1');
   });
+
+  // The later end was queued while the change with the earlier one was being
+  // committed. Both were acknowledged once the later one was recorded, and the
+  // task of the earlier one was started again.
+  it('are acknowledged only if all ends before them are recorded', async () => {
+    await createCluster(
+      {behave: task => ({durationMs: task === 'a.0.0.0' ? 500 : 1700})},
+      1,
+    );
+    await harness.submit(job('a', {count: 2}));
+    const {replica} = harness;
+    let refusals = 0;
+    replica.refusalDelayMs = 3000;
+    replica.refuses = ({events}) => {
+      const hasEnds = events.some(({type}) => type === 'ends');
+      return hasEnds && refusals++ === 0;
+    };
+    await harness.advance(10_000);
+    expect(refusals).toBeGreaterThan(1);
+    expect(harness.phase('a')).toBe('completed');
+    expect(harness.fleet.starts).toHaveLength(2);
+    expect(replica.state().workers.get('w1')!.cursor).toBe(2);
+    expect(harness.fleet.byAddress.get('w1:1')!.ended).toEqual([]);
+  });
 });
