Estimate the steps of a waiting job once, not five times a round

A round ranks each occurrence of each waiting job, and the demand of the pools asks for each of its steps whether the job is late. Each rank took up to five critical paths, each with the logarithms of all steps, although neither the record of a waiting job nor the statistics of its queue change between most rounds.

The expectations of an occurrence are now kept by the job's record, and used while the queue's row of statistics is the same. Records and rows are immutable, so a change of either gives another object. The values are computed by the same operations in the same order, so ranks are equal bit for bit.

--- a/packages/scheduling/src/order.ts
+++ b/packages/scheduling/src/order.ts
@@ -3,6 +3,7 @@
   dueAtMs,
   isLongRunning,
   isStepDone,
+  type DurationStatistics,
   type Job,
   type Queue,
 } from '@lentildrift/queue';
@@ -82,7 +83,14 @@
 }
 
 /** Expected remaining work of the occurrence, in core milliseconds. */
-function workMs({job, queue, occurrence, durations}: OrderInput): number {
+function workMs(input: OrderInput): number {
+  const expectation = expectationOf(input);
+  expectation.workMs ??= computeWorkMs(input);
+  return expectation.workMs;
+}
+
+function computeWorkMs(input: OrderInput): number {
+  const {job, queue, occurrence, durations} = input;
   let total = 0;
   job.spec.steps.forEach((step, stepIndex) => {
     if (isStepDone(job, occurrence, stepIndex)) return;
@@ -107,7 +115,81 @@
  * With `remaining`, completed steps do not count.
  */
 export function criticalPathMs(input: OrderInput, remaining: boolean): number {
+  const expectation = expectationOf(input);
+  return remaining ? expectation.remainingPathMs : expectation.wholePathMs;
+}
+
+/** What is expected of one occurrence of a job. */
+interface Expectation {
+  readonly wholePathMs: number;
+  /** Without the completed steps. */
+  readonly remainingPathMs: number;
+  /** See `workMs`; undefined until it is needed. */
+  workMs: number | undefined;
+}
+
+/** The expectations of a job, with the statistics that they follow from. */
+interface JobExpectations {
+  byQueue: Durations['byQueue'];
+  readonly queue: string;
+  readonly statistics: DurationStatistics | undefined;
+  readonly byOccurrence: Map<number, Expectation>;
+}
+
+/**
+ * A job that waits is ranked in each round and each rebalancing, while neither
+ * its record nor the statistics of its queue change in most of them.
+ */
+const expectationsByJob = new WeakMap<Job, JobExpectations>();
+
+function expectationOf(input: OrderInput): Expectation {
+  const {byOccurrence} = jobExpectations(input);
+  let expectation = byOccurrence.get(input.occurrence);
+  if (!expectation) {
+    expectation = computeExpectation(input);
+    byOccurrence.set(input.occurrence, expectation);
+  }
+  return expectation;
+}
+
+/** The expectations that follow from the current statistics. */
+function jobExpectations({job, queue, durations}: OrderInput): JobExpectations {
+  const {byQueue} = durations;
+  const cached = expectationsByJob.get(job);
+  if (cached?.queue === queue.name) {
+    if (cached.byQueue === byQueue) return cached;
+    if (cached.statistics === byQueue.get(queue.name)) {
+      cached.byQueue = byQueue;
+      return cached;
+    }
+  }
+  const expectations: JobExpectations = {
+    byQueue,
+    queue: queue.name,
+    statistics: byQueue.get(queue.name),
+    byOccurrence: new Map(),
+  };
+  expectationsByJob.set(job, expectations);
+  return expectations;
+}
+
+function computeExpectation(input: OrderInput): Expectation {
   const {job, queue, occurrence, durations} = input;
+  const durationsMs = job.spec.steps.map(step =>
+    longestDurationMs(durations, queue.name, step),
+  );
+  const remainingMs = durationsMs.map((durationMs, stepIndex) =>
+    isStepDone(job, occurrence, stepIndex) ? 0 : durationMs,
+  );
+  return {
+    wholePathMs: longestPathMs(job, durationsMs),
+    remainingPathMs: longestPathMs(job, remainingMs),
+    workMs: undefined,
+  };
+}
+
+/** Length of the longest chain of dependent steps, given their durations. */
+function longestPathMs(job: Job, durationsMs: readonly number[]): number {
   const endMs: number[] = [];
   let longest = 0;
   job.spec.steps.forEach((step, stepIndex) => {
@@ -115,11 +197,7 @@
       0,
       ...step.after.map(dependency => endMs[dependency] ?? 0),
     );
-    const isExcluded = remaining && isStepDone(job, occurrence, stepIndex);
-    const durationMs = isExcluded
-      ? 0
-      : longestDurationMs(durations, queue.name, step);
-    endMs[stepIndex] = startMs + durationMs;
+    endMs[stepIndex] = startMs + durationsMs[stepIndex]!;
     longest = Math.max(longest, endMs[stepIndex]);
   });
   return longest;
