Count the waiting tasks of a step once, not in each rebalancing

Each rebalancing measured the demand of the pools by looking up every task of every waiting job by a newly built key, and reserved each against the limit of its team, also for teams without one. Rounds kept the ready steps of a job with its record; the demand did not use them.

The list of ready steps now has its own module and holds the number of waiting tasks and the runs by worker, so that rounds and the demand share it. A team's limit is tried task by task, as before, and only for a team that has one. Whether a job is late is asked once for an occurrence.

The new test counts looks at the tasks of one waiting job, in ten rebalancings without a change of the job.

--- a/packages/scheduling/src/demand.ts
+++ b/packages/scheduling/src/demand.ts
@@ -5,24 +5,19 @@
 import {
   add,
   fits,
-  isDue,
-  isStepReady,
-  occurrenceCount,
   queuesByName,
-  stepKey,
-  taskKey,
   ZERO_SIZE,
   type Job,
   type Queue,
   type Size,
   type State,
-  type Step,
   type Tables,
 } from '@lentildrift/queue';
 import type {Backlog} from './backlog.js';
 import {expectedDurationMs, type Durations} from './estimate.js';
 import {reservation, type Load} from './load.js';
 import {isLate} from './order.js';
+import {listReadySteps} from './ready-steps.js';
 
 /** Equal tasks of one step that are waiting for workers. */
 export interface WaitingTasks {
@@ -107,10 +102,8 @@
   for (const job of backlog.waitingJobs) {
     const queue = queues.get(job.spec.queue);
     if (!queue) continue;
-    const rows = listWaitingTasks({job, queue, nowMs, durations}, size =>
-      teamCaps.tryReserve(job, size),
-    );
-    if (rows.length > 0) demandOf(queue).waiting.push(...rows);
+    const {waiting} = demandOf(queue);
+    addWaitingTasks({job, queue, nowMs, durations}, teamCaps, waiting);
   }
   return demands;
 }
@@ -131,31 +124,41 @@
 
 interface TeamCaps {
   /**
-   * Reserves resources for one more task of the job's team. Returns false and
-   * reserves nothing if the task would exceed the team's upper limit.
+   * Reserves resources for up to `count` more tasks of the job's team. Returns
+   * the number of tasks that do not exceed the team's upper limit; nothing is
+   * reserved for the others.
    */
-  tryReserve(job: Job, size: Size): boolean;
+  reserve(job: Job, size: Size, count: number): number;
 }
 
 /**
  * Tracks teams' limits: tasks that a limit keeps from running are no demand.
  */
 function createTeamCaps({teams}: Tables, load: Load): TeamCaps {
-  const caps = new Map(teams.map(({name, cap}) => [name, cap]));
+  const limits = new Map<string, Size>();
+  for (const {name, cap} of teams) {
+    const {cpuMillis, memoryMb, gpus} = cap;
+    if (!cpuMillis && !memoryMb && !gpus) continue;
+    limits.set(name, {
+      cpuMillis: cpuMillis || Infinity,
+      memoryMb: memoryMb || Infinity,
+      gpus: gpus || Infinity,
+    });
+  }
   const used = new Map(load.byTeam);
   return {
-    tryReserve({spec: {team}}, size) {
-      const cap = team === undefined ? undefined : caps.get(team);
-      if (team === undefined || !cap) return true;
-      const next = add(used.get(team) ?? ZERO_SIZE, size);
-      const limit: Size = {
-        cpuMillis: cap.cpuMillis || Infinity,
-        memoryMb: cap.memoryMb || Infinity,
-        gpus: cap.gpus || Infinity,
-      };
-      if (!fits(next, limit)) return false;
-      used.set(team, next);
-      return true;
+    reserve({spec: {team}}, size, count) {
+      const limit = team === undefined ? undefined : limits.get(team);
+      if (team === undefined || !limit) return count;
+      let total = used.get(team) ?? ZERO_SIZE;
+      for (let reserved = 0; reserved < count; reserved++) {
+        const next = add(total, size);
+        // The other tasks are of the same size.
+        if (!fits(next, limit)) return reserved;
+        total = next;
+        used.set(team, total);
+      }
+      return count;
     },
   };
 }
@@ -167,50 +170,25 @@
   readonly durations: Durations;
 }
 
-function listWaitingTasks(
+/** Appends the waiting tasks of a job to `rows`. */
+function addWaitingTasks(
   input: WaitingInput,
-  tryReserve: (size: Size) => boolean,
-): WaitingTasks[] {
+  teamCaps: TeamCaps,
+  rows: WaitingTasks[],
+): void {
   const {job, nowMs} = input;
-  const rows: WaitingTasks[] = [];
-  for (
-    let occurrence = 0;
-    occurrence < occurrenceCount(job.spec);
-    occurrence++
-  ) {
-    if (!isDue(job, occurrence, nowMs)) break;
-    job.spec.steps.forEach((step, index) => {
-      const done = job.done[stepKey(occurrence, index)] ?? 0;
-      if (done >= step.count || !isStepReady(job, occurrence, index)) return;
-      const row = countWaitingTasks(job, occurrence, index, step, tryReserve);
-      if (row.count === 0) return;
-      rows.push({...row, late: isLate({...input, occurrence})});
-    });
-  }
-  return rows;
-}
-
-function countWaitingTasks(
-  job: Job,
-  occurrence: number,
-  stepIndex: number,
-  step: Step,
-  tryReserve: (size: Size) => boolean,
-): Omit<WaitingTasks, 'late'> {
-  const running = new Map<string, number>();
-  let count = 0;
-  for (let index = 0; index < step.count; index++) {
-    const task = job.tasks[taskKey({occurrence, step: stepIndex, index})];
-    if (task?.done) continue;
-    if (!task || task.runs.length === 0) {
-      if (tryReserve(step.size)) count++;
-      continue;
-    }
-    if (step.maxPerWorker === 0) continue;
-    for (const {worker} of task.runs) {
-      running.set(worker, (running.get(worker) ?? 0) + 1);
+  let checkedOccurrence = -1;
+  let late = false;
+  for (const readyStep of listReadySteps(job, nowMs)) {
+    const {occurrence, step, waitingCount, running} = readyStep;
+    const count = teamCaps.reserve(job, step.size, waitingCount);
+    if (count === 0) continue;
+    if (occurrence !== checkedOccurrence) {
+      late = isLate({...input, occurrence});
+      checkedOccurrence = occurrence;
     }
+    const {label, maxPerWorker} = step;
+    const size = reservation(step);
+    rows.push({count, size, label, maxPerWorker, running, late});
   }
-  const {label, maxPerWorker} = step;
-  return {count, size: reservation(step), label, maxPerWorker, running};
 }
--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -6,10 +6,7 @@
 import {
   add,
   fits,
-  isDue,
-  isStepReady,
   NEW_TASK,
-  occurrenceCount,
   queuesByName,
   rackOf,
   stepKey,
@@ -31,6 +28,7 @@
 import {reservation, type Load} from './load.js';
 import type {JobOrder} from './order.js';
 import type {Candidate, Placement} from './placement.js';
+import {isWaiting, listReadySteps} from './ready-steps.js';
 
 /**
  * Keys of the workers for which the placement advice gave a ticket, by step
@@ -63,10 +61,8 @@
   readonly shortPools: ReadonlySet<string>;
 }
 
-/**
- * A step that is due, whose dependencies are done and that has waiting tasks.
- */
-interface ReadyStep {
+/** A ready step with the position of its job in the order. */
+interface RankedStep {
   readonly job: Job;
   readonly queue: Queue;
   readonly occurrence: number;
@@ -82,83 +78,26 @@
   return placeReadySteps(input, readySteps);
 }
 
-function collectReadySteps(input: PlanInput): ReadyStep[] {
+function collectReadySteps(input: PlanInput): RankedStep[] {
   const {state, backlog, order, nowMs, durations} = input;
   const queues = queuesByName(state.tables);
-  const readySteps: ReadyStep[] = [];
+  const readySteps: RankedStep[] = [];
   for (const job of backlog.waitingJobs) {
     const queue = queues.get(job.spec.queue);
     if (!queue) continue;
     let rankedOccurrence = -1;
     let rank = 0;
-    for (const {occurrence, stepIndex} of listReadySteps(job, nowMs)) {
+    for (const {occurrence, stepIndex, step} of listReadySteps(job, nowMs)) {
       if (occurrence !== rankedOccurrence) {
         rank = order.rank({job, queue, occurrence, nowMs, durations});
         rankedOccurrence = occurrence;
       }
-      const step = job.spec.steps[stepIndex]!;
       readySteps.push({job, queue, occurrence, stepIndex, step, rank});
     }
   }
   return readySteps;
 }
 
-/** Position of a step within its job. */
-interface StepPosition {
-  readonly occurrence: number;
-  readonly stepIndex: number;
-}
-
-/** The ready steps of jobs, with the number of occurrences that were due. */
-const readyStepsByJob = new WeakMap<
-  Job,
-  {readonly dueCount: number; readonly steps: readonly StepPosition[]}
->();
-
-/** Lists the ready steps of an active job; cached while it does not change. */
-function listReadySteps(job: Job, nowMs: number): readonly StepPosition[] {
-  const dueCount = countDueOccurrences(job, nowMs);
-  const cached = readyStepsByJob.get(job);
-  if (cached?.dueCount === dueCount) return cached.steps;
-  const steps: StepPosition[] = [];
-  for (let occurrence = 0; occurrence < dueCount; occurrence++) {
-    for (const [stepIndex, step] of job.spec.steps.entries()) {
-      if (!isStepWaiting(job, occurrence, stepIndex, step)) continue;
-      if (!isStepReady(job, occurrence, stepIndex)) continue;
-      steps.push({occurrence, stepIndex});
-    }
-  }
-  readyStepsByJob.set(job, {dueCount, steps});
-  return steps;
-}
-
-function countDueOccurrences(job: Job, nowMs: number): number {
-  const count = occurrenceCount(job.spec);
-  for (let occurrence = 0; occurrence < count; occurrence++) {
-    if (!isDue(job, occurrence, nowMs)) return occurrence;
-  }
-  return count;
-}
-
-function isStepWaiting(
-  job: Job,
-  occurrence: number,
-  stepIndex: number,
-  step: Step,
-) {
-  const done = job.done[stepKey(occurrence, stepIndex)] ?? 0;
-  if (done >= step.count) return false;
-  for (let index = 0; index < step.count; index++) {
-    const task = job.tasks[taskKey({occurrence, step: stepIndex, index})];
-    if (isWaiting(task)) return true;
-  }
-  return false;
-}
-
-function isWaiting(task: Task | undefined): boolean {
-  return !task || (!task.done && task.runs.length === 0);
-}
-
 /** Remaining capacity and the decisions so far in a round. */
 interface RoundState {
   /** Candidates of the pools that a step has needed so far. */
@@ -212,7 +151,7 @@
 
 function placeReadySteps(
   input: PlanInput,
-  readySteps: readonly ReadyStep[],
+  readySteps: readonly RankedStep[],
 ): Plan {
   const round = createRoundState(input);
   for (const readyStep of readySteps) {
@@ -224,14 +163,14 @@
   return {starts, stepsAwaitingAdvice, shortPools};
 }
 
-function stepName({job, occurrence, stepIndex}: ReadyStep): string {
+function stepName({job, occurrence, stepIndex}: RankedStep): string {
   return taskName(job.spec.id, stepKey(occurrence, stepIndex));
 }
 
 function isAdvised(
   input: PlanInput,
   round: RoundState,
-  readyStep: ReadyStep,
+  readyStep: RankedStep,
 ): boolean {
   const step = stepName(readyStep);
   if (input.advisedWorkers.has(step)) return true;
@@ -242,7 +181,7 @@
 function placeTasks(
   input: PlanInput,
   round: RoundState,
-  readyStep: ReadyStep,
+  readyStep: RankedStep,
 ): void {
   const {job, occurrence, stepIndex, step, queue} = readyStep;
   const placing = createPlacing(input, readyStep);
@@ -272,7 +211,7 @@
 function placeGang(
   input: PlanInput,
   round: RoundState,
-  readyStep: ReadyStep,
+  readyStep: RankedStep,
 ): void {
   const {job, occurrence, stepIndex, step} = readyStep;
   const keys = Array.from({length: step.count}, (_, index) =>
@@ -307,7 +246,7 @@
 
 /** A step whose tasks are being placed. */
 interface Placing {
-  readonly readyStep: ReadyStep;
+  readonly readyStep: RankedStep;
   /** Resources that each task reserves. */
   readonly size: Size;
   readonly durationMs: number;
@@ -321,7 +260,7 @@
   hasPlacedTasks: boolean;
 }
 
-function createPlacing(input: PlanInput, readyStep: ReadyStep): Placing {
+function createPlacing(input: PlanInput, readyStep: RankedStep): Placing {
   const {job, occurrence, stepIndex, step, queue} = readyStep;
   const size = reservation(step);
   const {cpuMillis, memoryMb, gpus} = size;
@@ -416,7 +355,7 @@
 
 function expectedTaskDurationMs(
   {durations}: PlanInput,
-  {queue, step}: ReadyStep,
+  {queue, step}: RankedStep,
 ): number {
   return step.lasting
     ? Infinity
--- a/packages/scheduling/test/pools.test.ts
+++ b/packages/scheduling/test/pools.test.ts
@@ -66,6 +66,32 @@
     expect(demandOf(state, 2900).waiting[0]!.late).toBe(true);
   });
 
+  // With a backlog of 1,000 jobs, each rebalancing looked at 10,000 tasks.
+  it('does not look at the tasks of a waiting job in each rebalancing', () => {
+    const steps = [{count: 8}, {count: 3, after: [0]}];
+    const state = stateOf([worker('w')], submit('a', steps), started);
+    const job = state.jobs.get('a')!;
+    let reads = 0;
+    const counted = {
+      ...job,
+      get tasks() {
+        reads++;
+        return job.tasks;
+      },
+    };
+    const load = measureLoad(state);
+    const backlog = {...measureBacklog(state), waitingJobs: [counted]};
+    const measure = (nowMs: number) =>
+      measureDemand(state, load, backlog, nowMs, NO_DURATIONS).get('p')!;
+    expect(waitingCounts(measure(0))).toEqual([7]);
+    const readsOfFirst = reads;
+    expect(readsOfFirst).toBeGreaterThan(0);
+    for (let nowMs = 1; nowMs < 10; nowMs++) {
+      expect(waitingCounts(measure(nowMs))).toEqual([7]);
+    }
+    expect(reads).toBe(readsOfFirst);
+  });
+
   it('excludes long-running tasks from the inflow', () => {
     const state = stateOf([], submit('a', [{lasting: true}], {atMs: 5000}));
     expect(demandOf(state, 5500).inflowCpuMillis).toBe(0);
