Skip steps that are known to fit nowhere before their tasks are looked at

A round notes which kinds of tasks fit on no worker of a pool, but looked at this note only once it had estimated the duration of a step, built the key of its kind with JSON.stringify and looked up its first waiting task by a newly built key.

The kind is now kept by the step, which does not change during the life of its job, and tested first. A step is skipped only if its pool is already noted as short, so a round reports the same pools. A second new test holds that a task that failed before does not hide the shortage.

The first new test counts looks at the tasks of 50 waiting jobs of one kind in a full pool.

--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -103,8 +103,10 @@
   /** Candidates of the pools that a step has needed so far. */
   readonly byPool: Map<string, Candidate[]>;
   readonly teams: Map<string, {team: Team; used: Size}>;
-  /** Keys of kinds of tasks that fit on no worker, see `Placing.kind`. */
-  readonly unplaceableKinds: Set<string>;
+  /**
+   * Kinds of tasks that fit on no worker of a pool, by pool, see `kindOf`.
+   */
+  readonly unplaceableKinds: Map<string, Set<string>>;
   readonly starts: StartRow[];
   readonly stepsAwaitingAdvice: {step: string; pool: string}[];
   readonly shortPools: Set<string>;
@@ -118,7 +120,7 @@
   return {
     byPool: new Map(),
     teams,
-    unplaceableKinds: new Set(),
+    unplaceableKinds: new Map(),
     starts: [],
     stepsAwaitingAdvice: [],
     shortPools: new Set(),
@@ -156,6 +158,7 @@
   const round = createRoundState(input);
   for (const readyStep of readySteps) {
     if (readyStep.queue.advice && !isAdvised(input, round, readyStep)) continue;
+    if (isKnownToFitNowhere(round, readyStep)) continue;
     if (readyStep.step.gang) placeGang(input, round, readyStep);
     else placeTasks(input, round, readyStep);
   }
@@ -163,6 +166,39 @@
   return {starts, stepsAwaitingAdvice, shortPools};
 }
 
+/**
+ * Whether the step can neither get a worker nor tell more about its pool. Most
+ * steps of a backlog are of such a kind, so that this is tested before their
+ * tasks are looked at.
+ */
+function isKnownToFitNowhere(
+  {unplaceableKinds, shortPools}: RoundState,
+  {queue, step}: RankedStep,
+): boolean {
+  const kinds = unplaceableKinds.get(queue.pool);
+  if (!kinds || !shortPools.has(queue.pool)) return false;
+  const kind = kindOf(queue, step);
+  return kind !== undefined && kinds.has(kind);
+}
+
+/** The kinds of tasks of steps. */
+const kindsByStep = new WeakMap<Step, string>();
+
+/**
+ * Tasks of the same kind fit on the same workers of a pool. Undefined if other
+ * limits apply to the step as well.
+ */
+function kindOf(queue: Queue, step: Step): string | undefined {
+  if (step.maxPerWorker > 0 || queue.advice) return undefined;
+  let kind = kindsByStep.get(step);
+  if (kind === undefined) {
+    const {cpuMillis, memoryMb, gpus} = reservation(step);
+    kind = JSON.stringify([cpuMillis, memoryMb, gpus, step.label]);
+    kindsByStep.set(step, kind);
+  }
+  return kind;
+}
+
 function stepName({job, occurrence, stepIndex}: RankedStep): string {
   return taskName(job.spec.id, stepKey(occurrence, stepIndex));
 }
@@ -255,7 +291,7 @@
    * round; undefined if the step has no limit for each worker.
    */
   readonly runCounts: Map<string, number> | undefined;
-  /** Key of `unplaceableKinds`; undefined if other limits apply as well. */
+  /** See `kindOf`. */
   readonly kind: string | undefined;
   hasPlacedTasks: boolean;
 }
@@ -263,7 +299,6 @@
 function createPlacing(input: PlanInput, readyStep: RankedStep): Placing {
   const {job, occurrence, stepIndex, step, queue} = readyStep;
   const size = reservation(step);
-  const {cpuMillis, memoryMb, gpus} = size;
   const isLimited = step.maxPerWorker > 0;
   return {
     readyStep,
@@ -272,10 +307,7 @@
     runCounts: isLimited
       ? countStepRuns(job, occurrence, stepIndex)
       : undefined,
-    kind:
-      isLimited || queue.advice
-        ? undefined
-        : JSON.stringify([queue.pool, cpuMillis, memoryMb, gpus, step.label]),
+    kind: kindOf(queue, step),
     hasPlacedTasks: false,
   };
 }
@@ -311,13 +343,16 @@
   const {kind} = placing;
   // Capacity only decreases during a round, except for the members of a gang
   // that is given up. A failure after such members were placed is no evidence.
-  if (kind !== undefined && round.unplaceableKinds.has(kind)) return undefined;
+  const {pool} = placing.readyStep.queue;
+  const unplaceable = round.unplaceableKinds.get(pool);
+  if (kind !== undefined && unplaceable?.has(kind)) return undefined;
   const chosen = choose(input, round, placing, task, gangRack);
   if (chosen) {
     reserve(input, round, placing, chosen);
     placing.hasPlacedTasks = true;
   } else if (kind !== undefined && !isInPlacedGang(placing)) {
-    round.unplaceableKinds.add(kind);
+    if (unplaceable) unplaceable.add(kind);
+    else round.unplaceableKinds.set(pool, new Set([kind]));
   }
   return chosen;
 }
--- a/packages/scheduling/test/plan.test.ts
+++ b/packages/scheduling/test/plan.test.ts
@@ -72,6 +72,64 @@
     expect(shortPools.has('p')).toBe(true);
   });
 
+  // With full pools, a round looked at the tasks of each waiting job to find
+  // that they fit nowhere.
+  it('does not look at the tasks of each job in a backlog of one kind', () => {
+    const jobs = Array.from({length: 50}, (_, at) =>
+      submit(`j${at}`, [{count: 8, gang: at % 2 === 0}]),
+    );
+    const state = stateOf(
+      [worker('w')],
+      submit('b', [{cpu: 3500}]),
+      {type: 'start', runs: [['b.0.0.0', 1, 'w@1']]},
+      ...jobs,
+    );
+    let reads = 0;
+    const waitingJobs = measureBacklog(state).waitingJobs.map(job => ({
+      ...job,
+      get tasks() {
+        reads++;
+        return job.tasks;
+      },
+    }));
+    const planBacklog = () => planRound(state, {backlog: {waitingJobs}});
+    planBacklog();
+    reads = 0;
+    const {starts, shortPools} = planBacklog();
+    expect(starts).toEqual([]);
+    expect(shortPools.has('p')).toBe(true);
+    // Only the tasks of the first job are looked at.
+    expect(reads).toBeLessThanOrEqual(8);
+  });
+
+  it('reports a pool as short for a task that never failed, after one that did', () => {
+    const failed = {count: 1, estimateMs: 1};
+    const state = stateOf(
+      [worker('w'), worker('v')],
+      submit('a', [failed]),
+      {type: 'start', runs: [['a.0.0.0', 1, 'v@1']]},
+      {
+        type: 'ends',
+        worker: 'v@1',
+        upTo: 1,
+        ends: [['a.0.0.0', 1, 'failed', '']],
+      },
+      submit('b', [{cpu: 4000}, {cpu: 4000}]),
+      {
+        type: 'start',
+        runs: [
+          ['b.0.0.0', 1, 'w@1'],
+          ['b.0.1.0', 1, 'v@1'],
+        ],
+      },
+    );
+    expect(planRound(state).shortPools.has('p')).toBe(false);
+    const {state: next} = apply(state, {events: [submit('c', [{}])]});
+    const {starts, shortPools} = planRound(next);
+    expect(starts).toEqual([]);
+    expect(shortPools.has('p')).toBe(true);
+  });
+
   it('deducts recorded runs from the capacity', () => {
     const state = stateOf(
       [worker('w')],
