Estimate when a worker becomes idle only if a decision asks for it

Each round listed the candidates of a pool, and each rebalancing its hosts, with the time until each becomes idle. That time takes a walk of all runs on the worker, with an estimate for each. A round only compares workers into which a task fits, and a rebalancing only hosts that may be moved, so that with full pools nearly all of it was dropped.

The time is now computed when it is first read. Views stay valid for the whole of a round and of a rebalancing, so it has the value that it had before. Candidates are also listed in one pass, and nothing is collected for quarantines while no worker is quarantined.

--- a/packages/dispatch/src/availability.ts
+++ b/packages/dispatch/src/availability.ts
@@ -37,7 +37,9 @@
   isUsable(worker: Worker): boolean;
   /** Keys of the workers of all pools that are avoided after failures. */
   avoidedWorkers(): ReadonlySet<string>;
-  /** The workers of a pool that may get new runs. */
+  /**
+   * The workers of a pool that may get new runs; valid while the view is.
+   */
   candidatesIn(pool: string, view: StateView): Candidate[];
 }
 
@@ -67,6 +69,7 @@
   }
 
   function findAvoided(workers: readonly Worker[]): ReadonlySet<string> {
+    if (listQuarantined(health, performance.now()).length === 0) return NO_KEYS;
     const rows = workers.map(worker => ({
       key: workerKey(worker),
       pool: worker.pool,
@@ -83,16 +86,23 @@
     const workers = fleet.workersIn(pool).filter(isAvailable);
     const avoided = findAvoided(workers);
     const nowMs = performance.now();
-    return workers
-      .map(worker => ({key: workerKey(worker), worker}))
-      .filter(({key}) => !avoided.has(key))
-      .map(({key, worker}) => ({
+    const candidates: Candidate[] = [];
+    for (const worker of workers) {
+      const key = workerKey(worker);
+      if (avoided.has(key)) continue;
+      let emptyInMs: number | undefined;
+      candidates.push({
         key,
         worker,
         free: worker.capacity,
-        emptyInMs: estimates.emptyInMs(key, load),
+        // Takes a walk of the runs, and no one asks for it of a full worker.
+        get emptyInMs() {
+          return (emptyInMs ??= estimates.emptyInMs(key, load));
+        },
         quarantined: isQuarantined(health, key, nowMs),
-      }));
+      });
+    }
+    return candidates;
   }
 
   return {
--- a/packages/dispatch/src/pool-views.ts
+++ b/packages/dispatch/src/pool-views.ts
@@ -36,7 +36,10 @@
 }
 
 export interface PoolViews {
-  /** Describes all pools, with the hosts that the provider lists. */
+  /**
+   * Describes all pools, with the hosts that the provider lists. Valid while
+   * the view is.
+   */
   collect(
     hosts: ReadonlyMap<string, ProvidedHost>,
     view: StateView,
@@ -114,6 +117,7 @@
     const {capacity, labels} = host;
     const reserved = load.byWorker.get(key) ?? ZERO_SIZE;
     const isAvoided = avoided.has(key);
+    let emptyInMs: number | undefined;
     // Built for every host on each tick, hence without a copy of another object.
     const poolHost: PoolHost = {
       id,
@@ -122,7 +126,10 @@
       free: isAvoided ? ZERO_SIZE : subtract(capacity, reserved),
       labels,
       idle: isIdle(id, worker, load),
-      emptyInMs: estimates.emptyInMs(key, load),
+      // Takes a walk of the runs, and matters only for hosts that may be moved.
+      get emptyInMs() {
+        return (emptyInMs ??= estimates.emptyInMs(key, load));
+      },
       // A worker that is avoided is of no use to another pool either.
       pinned:
         isAvoided ||
--- a/packages/scheduling/src/packing.ts
+++ b/packages/scheduling/src/packing.ts
@@ -13,7 +13,10 @@
   readonly labels: readonly string[];
   /** Whether the host has had no runs for a while. */
   readonly idle: boolean;
-  /** Expected time until the host is idle if it gets no new runs. */
+  /**
+   * Expected time until the host is idle if it gets no new runs. May be
+   * computed on the first read, from the runs on the host.
+   */
   readonly emptyInMs: number;
   /** Whether the host must stay in its pool. */
   readonly pinned: boolean;
--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -13,7 +13,10 @@
   readonly key: string;
   readonly worker: Worker;
   readonly free: Size;
-  /** Expected time until the worker is idle if it gets no new runs. */
+  /**
+   * Expected time until the worker is idle if it gets no new runs. May be
+   * computed on the first read, from the runs on the worker.
+   */
   readonly emptyInMs: number;
   /** Quarantined after failures: chosen only if no other worker fits. */
   readonly quarantined: boolean;
--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -137,13 +137,27 @@
   if (!candidates) {
     candidates = candidatesIn(pool).map(candidate => {
       const used = load.byWorker.get(candidate.key) ?? ZERO_SIZE;
-      return {...candidate, free: subtract(candidate.free, used)};
+      return withFree(candidate, subtract(candidate.free, used));
     });
     byPool.set(pool, candidates);
   }
   return candidates;
 }
 
+/** A copy that reads `emptyInMs`, which may be costly, only when asked. */
+function withFree(candidate: Candidate, free: Size): Candidate {
+  const {key, worker, quarantined} = candidate;
+  return {
+    key,
+    worker,
+    free,
+    get emptyInMs() {
+      return candidate.emptyInMs;
+    },
+    quarantined,
+  };
+}
+
 /** Groups candidates for `candidatesIn`. */
 export function groupByPool(
   candidates: readonly Candidate[],
