--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -6,10 +6,7 @@
 import {
   add,
   fits,
-  isDue,
-  isStepReady,
   NEW_TASK,
-  occurrenceCount,
   queuesByName,
   rackOf,
   stepKey,
@@ -31,6 +28,7 @@
 import {reservation, type Load} from './load.js';
 import type {JobOrder} from './order.js';
 import type {Candidate, Placement} from './placement.js';
+import {isWaiting, listReadySteps} from './ready-steps.js';
 
 /**
  * Keys of the workers for which the placement advice gave a ticket, by step
@@ -63,10 +61,8 @@
   readonly shortPools: ReadonlySet<string>;
 }
 
-/**
- * A step that is due, whose dependencies are done and that has waiting tasks.
- */
-interface ReadyStep {
+/** A ready step with the position of its job in the order. */
+interface RankedStep {
   readonly job: Job;
   readonly queue: Queue;
   readonly occurrence: number;
@@ -82,90 +78,35 @@
   return placeReadySteps(input, readySteps);
 }
 
-function collectReadySteps(input: PlanInput): ReadyStep[] {
+function collectReadySteps(input: PlanInput): RankedStep[] {
   const {state, backlog, order, nowMs, durations} = input;
   const queues = queuesByName(state.tables);
-  const readySteps: ReadyStep[] = [];
+  const readySteps: RankedStep[] = [];
   for (const job of backlog.waitingJobs) {
     const queue = queues.get(job.spec.queue);
     if (!queue) continue;
     let rankedOccurrence = -1;
     let rank = 0;
-    for (const {occurrence, stepIndex} of listReadySteps(job, nowMs)) {
+    for (const {occurrence, stepIndex, step} of listReadySteps(job, nowMs)) {
       if (occurrence !== rankedOccurrence) {
         rank = order.rank({job, queue, occurrence, nowMs, durations});
         rankedOccurrence = occurrence;
       }
-      const step = job.spec.steps[stepIndex]!;
       readySteps.push({job, queue, occurrence, stepIndex, step, rank});
     }
   }
   return readySteps;
 }
 
-/** Position of a step within its job. */
-interface StepPosition {
-  readonly occurrence: number;
-  readonly stepIndex: number;
-}
-
-/** The ready steps of jobs, with the number of occurrences that were due. */
-const readyStepsByJob = new WeakMap<
-  Job,
-  {readonly dueCount: number; readonly steps: readonly StepPosition[]}
->();
-
-/** Lists the ready steps of an active job; cached while it does not change. */
-function listReadySteps(job: Job, nowMs: number): readonly StepPosition[] {
-  const dueCount = countDueOccurrences(job, nowMs);
-  const cached = readyStepsByJob.get(job);
-  if (cached?.dueCount === dueCount) return cached.steps;
-  const steps: StepPosition[] = [];
-  for (let occurrence = 0; occurrence < dueCount; occurrence++) {
-    for (const [stepIndex, step] of job.spec.steps.entries()) {
-      if (!isStepWaiting(job, occurrence, stepIndex, step)) continue;
-      if (!isStepReady(job, occurrence, stepIndex)) continue;
-      steps.push({occurrence, stepIndex});
-    }
-  }
-  readyStepsByJob.set(job, {dueCount, steps});
-  return steps;
-}
-
-function countDueOccurrences(job: Job, nowMs: number): number {
-  const count = occurrenceCount(job.spec);
-  for (let occurrence = 0; occurrence < count; occurrence++) {
-    if (!isDue(job, occurrence, nowMs)) return occurrence;
-  }
-  return count;
-}
-
-function isStepWaiting(
-  job: Job,
-  occurrence: number,
-  stepIndex: number,
-  step: Step,
-) {
-  const done = job.done[stepKey(occurrence, stepIndex)] ?? 0;
-  if (done >= step.count) return false;
-  for (let index = 0; index < step.count; index++) {
-    const task = job.tasks[taskKey({occurrence, step: stepIndex, index})];
-    if (isWaiting(task)) return true;
-  }
-  return false;
-}
-
-function isWaiting(task: Task | undefined): boolean {
-  return !task || (!task.done && task.runs.length === 0);
-}
-
 /** Remaining capacity and the decisions so far in a round. */
 interface RoundState {
   /** Candidates of the pools that a step has needed so far. */
   readonly byPool: Map<string, Candidate[]>;
   readonly teams: Map<string, {team: Team; used: Size}>;
-  /** Keys of kinds of tasks that fit on no worker, see `Placing.kind`. */
-  readonly unplaceableKinds: Set<string>;
+  /**
+   * Kinds of tasks that fit on no worker of a pool, by pool, see `kindOf`.
+   */
+  readonly unplaceableKinds: Map<string, Set<string>>;
   readonly starts: StartRow[];
   readonly stepsAwaitingAdvice: {step: string; pool: string}[];
   readonly shortPools: Set<string>;
@@ -179,7 +120,7 @@
   return {
     byPool: new Map(),
     teams,
-    unplaceableKinds: new Set(),
+    unplaceableKinds: new Map(),
     starts: [],
     stepsAwaitingAdvice: [],
     shortPools: new Set(),
@@ -196,13 +137,27 @@
   if (!candidates) {
     candidates = candidatesIn(pool).map(candidate => {
       const used = load.byWorker.get(candidate.key) ?? ZERO_SIZE;
-      return {...candidate, free: subtract(candidate.free, used)};
+      return withFree(candidate, subtract(candidate.free, used));
     });
     byPool.set(pool, candidates);
   }
   return candidates;
 }
 
+/** A copy that reads `emptyInMs`, which may be costly, only when asked. */
+function withFree(candidate: Candidate, free: Size): Candidate {
+  const {key, worker, quarantined} = candidate;
+  return {
+    key,
+    worker,
+    free,
+    get emptyInMs() {
+      return candidate.emptyInMs;
+    },
+    quarantined,
+  };
+}
+
 /** Groups candidates for `candidatesIn`. */
 export function groupByPool(
   candidates: readonly Candidate[],
@@ -212,11 +167,12 @@
 
 function placeReadySteps(
   input: PlanInput,
-  readySteps: readonly ReadyStep[],
+  readySteps: readonly RankedStep[],
 ): Plan {
   const round = createRoundState(input);
   for (const readyStep of readySteps) {
     if (readyStep.queue.advice && !isAdvised(input, round, readyStep)) continue;
+    if (isKnownToFitNowhere(round, readyStep)) continue;
     if (readyStep.step.gang) placeGang(input, round, readyStep);
     else placeTasks(input, round, readyStep);
   }
@@ -224,14 +180,47 @@
   return {starts, stepsAwaitingAdvice, shortPools};
 }
 
-function stepName({job, occurrence, stepIndex}: ReadyStep): string {
+/**
+ * Whether the step can neither get a worker nor tell more about its pool. Most
+ * steps of a backlog are of such a kind, so that this is tested before their
+ * tasks are looked at.
+ */
+function isKnownToFitNowhere(
+  {unplaceableKinds, shortPools}: RoundState,
+  {queue, step}: RankedStep,
+): boolean {
+  const kinds = unplaceableKinds.get(queue.pool);
+  if (!kinds || !shortPools.has(queue.pool)) return false;
+  const kind = kindOf(queue, step);
+  return kind !== undefined && kinds.has(kind);
+}
+
+/** The kinds of tasks of steps. */
+const kindsByStep = new WeakMap<Step, string>();
+
+/**
+ * Tasks of the same kind fit on the same workers of a pool. Undefined if other
+ * limits apply to the step as well.
+ */
+function kindOf(queue: Queue, step: Step): string | undefined {
+  if (step.maxPerWorker > 0 || queue.advice) return undefined;
+  let kind = kindsByStep.get(step);
+  if (kind === undefined) {
+    const {cpuMillis, memoryMb, gpus} = reservation(step);
+    kind = JSON.stringify([cpuMillis, memoryMb, gpus, step.label]);
+    kindsByStep.set(step, kind);
+  }
+  return kind;
+}
+
+function stepName({job, occurrence, stepIndex}: RankedStep): string {
   return taskName(job.spec.id, stepKey(occurrence, stepIndex));
 }
 
 function isAdvised(
   input: PlanInput,
   round: RoundState,
-  readyStep: ReadyStep,
+  readyStep: RankedStep,
 ): boolean {
   const step = stepName(readyStep);
   if (input.advisedWorkers.has(step)) return true;
@@ -242,7 +231,7 @@
 function placeTasks(
   input: PlanInput,
   round: RoundState,
-  readyStep: ReadyStep,
+  readyStep: RankedStep,
 ): void {
   const {job, occurrence, stepIndex, step, queue} = readyStep;
   const placing = createPlacing(input, readyStep);
@@ -272,7 +261,7 @@
 function placeGang(
   input: PlanInput,
   round: RoundState,
-  readyStep: ReadyStep,
+  readyStep: RankedStep,
 ): void {
   const {job, occurrence, stepIndex, step} = readyStep;
   const keys = Array.from({length: step.count}, (_, index) =>
@@ -307,7 +296,7 @@
 
 /** A step whose tasks are being placed. */
 interface Placing {
-  readonly readyStep: ReadyStep;
+  readonly readyStep: RankedStep;
   /** Resources that each task reserves. */
   readonly size: Size;
   readonly durationMs: number;
@@ -316,15 +305,14 @@
    * round; undefined if the step has no limit for each worker.
    */
   readonly runCounts: Map<string, number> | undefined;
-  /** Key of `unplaceableKinds`; undefined if other limits apply as well. */
+  /** See `kindOf`. */
   readonly kind: string | undefined;
   hasPlacedTasks: boolean;
 }
 
-function createPlacing(input: PlanInput, readyStep: ReadyStep): Placing {
+function createPlacing(input: PlanInput, readyStep: RankedStep): Placing {
   const {job, occurrence, stepIndex, step, queue} = readyStep;
   const size = reservation(step);
-  const {cpuMillis, memoryMb, gpus} = size;
   const isLimited = step.maxPerWorker > 0;
   return {
     readyStep,
@@ -333,10 +321,7 @@
     runCounts: isLimited
       ? countStepRuns(job, occurrence, stepIndex)
       : undefined,
-    kind:
-      isLimited || queue.advice
-        ? undefined
-        : JSON.stringify([queue.pool, cpuMillis, memoryMb, gpus, step.label]),
+    kind: kindOf(queue, step),
     hasPlacedTasks: false,
   };
 }
@@ -372,13 +357,16 @@
   const {kind} = placing;
   // Capacity only decreases during a round, except for the members of a gang
   // that is given up. A failure after such members were placed is no evidence.
-  if (kind !== undefined && round.unplaceableKinds.has(kind)) return undefined;
+  const {pool} = placing.readyStep.queue;
+  const unplaceable = round.unplaceableKinds.get(pool);
+  if (kind !== undefined && unplaceable?.has(kind)) return undefined;
   const chosen = choose(input, round, placing, task, gangRack);
   if (chosen) {
     reserve(input, round, placing, chosen);
     placing.hasPlacedTasks = true;
   } else if (kind !== undefined && !isInPlacedGang(placing)) {
-    round.unplaceableKinds.add(kind);
+    if (unplaceable) unplaceable.add(kind);
+    else round.unplaceableKinds.set(pool, new Set([kind]));
   }
   return chosen;
 }
@@ -416,7 +404,7 @@
 
 function expectedTaskDurationMs(
   {durations}: PlanInput,
-  {queue, step}: ReadyStep,
+  {queue, step}: RankedStep,
 ): number {
   return step.lasting
     ? Infinity
