Find the expectations of a job once for a rank, not up to five times

With the expectations of a job kept by its record, most of the time of a round with full pools went into finding them: a rank asked for the objective and the slack separately, and each of them for a critical path.

Objective, slack and lateness now follow from one look at the expectations, by the same operations in the same order. criticalPathMs, which nothing else used, is gone.

The new test counts looks at the statistics for a job in time and a late one.

--- a/packages/scheduling/src/order.ts
+++ b/packages/scheduling/src/order.ts
@@ -59,18 +59,38 @@
 export class DeadlineOrder extends JobOrder {
   override rank(input: OrderInput): number {
     if (isLongRunning(input.job)) return -CLASS_SPACING;
-    return isLate(input) ? CLASS_SPACING + workMs(input) : slackMs(input);
+    const expectation = expectationOf(input);
+    const {objectiveMs, slackMs} = scheduleOf(input, expectation);
+    if (!exceedsTolerance(slackMs, objectiveMs)) return slackMs;
+    expectation.workMs ??= computeWorkMs(input);
+    return CLASS_SPACING + expectation.workMs;
   }
 }
 
 /**
- * Time, in milliseconds, between the expected end of the occurrence and its
- * objective; negative if the occurrence is expected to end after it.
+ * The objective of an occurrence, see `objectiveMs`, and its slack: time, in
+ * milliseconds, between the expected end of the occurrence and its objective;
+ * negative if the occurrence is expected to end after it.
  */
-function slackMs(input: OrderInput): number {
-  const {job, occurrence, nowMs} = input;
-  const endMs = dueAtMs(job, occurrence) + objectiveMs(input);
-  return endMs - nowMs - criticalPathMs(input, true);
+function scheduleOf(
+  {job, queue, occurrence, nowMs}: OrderInput,
+  expectation: Expectation,
+): {objectiveMs: number; slackMs: number} {
+  const objectiveMs = objectiveOf(queue, expectation);
+  const endMs = dueAtMs(job, occurrence) + objectiveMs;
+  const slackMs = endMs - nowMs - expectation.remainingPathMs;
+  return {objectiveMs, slackMs};
+}
+
+function objectiveOf(
+  {stretch, targetMs}: Queue,
+  {wholePathMs}: Expectation,
+): number {
+  return stretch * wholePathMs + targetMs;
+}
+
+function exceedsTolerance(slackMs: number, objectiveMs: number): boolean {
+  return slackMs < -LATE_TOLERANCE * objectiveMs;
 }
 
 /**
@@ -79,26 +99,8 @@
  */
 export function isLate(input: OrderInput): boolean {
   if (isLongRunning(input.job)) return false;
-  return slackMs(input) < -LATE_TOLERANCE * objectiveMs(input);
-}
-
-/** Expected remaining work of the occurrence, in core milliseconds. */
-function workMs(input: OrderInput): number {
-  const expectation = expectationOf(input);
-  expectation.workMs ??= computeWorkMs(input);
-  return expectation.workMs;
-}
-
-function computeWorkMs(input: OrderInput): number {
-  const {job, queue, occurrence, durations} = input;
-  let total = 0;
-  job.spec.steps.forEach((step, stepIndex) => {
-    if (isStepDone(job, occurrence, stepIndex)) return;
-    const cores = step.size.cpuMillis / 1000;
-    total +=
-      step.count * cores * expectedDurationMs(durations, queue.name, step);
-  });
-  return total;
+  const {slackMs, objectiveMs} = scheduleOf(input, expectationOf(input));
+  return exceedsTolerance(slackMs, objectiveMs);
 }
 
 /**
@@ -106,25 +108,16 @@
  * occurrence is due until its last task should end.
  */
 export function objectiveMs(input: OrderInput): number {
-  const {stretch, targetMs} = input.queue;
-  return stretch * criticalPathMs(input, false) + targetMs;
-}
-
-/**
- * Expected duration, in milliseconds, of the longest chain of dependent steps.
- * With `remaining`, completed steps do not count.
- */
-export function criticalPathMs(input: OrderInput, remaining: boolean): number {
-  const expectation = expectationOf(input);
-  return remaining ? expectation.remainingPathMs : expectation.wholePathMs;
+  return objectiveOf(input.queue, expectationOf(input));
 }
 
 /** What is expected of one occurrence of a job. */
 interface Expectation {
+  /** Duration of the longest chain of dependent steps. */
   readonly wholePathMs: number;
-  /** Without the completed steps. */
+  /** The same, with no time for completed steps. */
   readonly remainingPathMs: number;
-  /** See `workMs`; undefined until it is needed. */
+  /** See `computeWorkMs`; undefined until it is needed. */
   workMs: number | undefined;
 }
 
@@ -188,6 +181,19 @@
   };
 }
 
+/** Expected remaining work of the occurrence, in core milliseconds. */
+function computeWorkMs(input: OrderInput): number {
+  const {job, queue, occurrence, durations} = input;
+  let total = 0;
+  job.spec.steps.forEach((step, stepIndex) => {
+    if (isStepDone(job, occurrence, stepIndex)) return;
+    const cores = step.size.cpuMillis / 1000;
+    total +=
+      step.count * cores * expectedDurationMs(durations, queue.name, step);
+  });
+  return total;
+}
+
 /** Length of the longest chain of dependent steps, given their durations. */
 function longestPathMs(job: Job, durationsMs: readonly number[]): number {
   const endMs: number[] = [];
--- a/packages/scheduling/test/order.test.ts
+++ b/packages/scheduling/test/order.test.ts
@@ -67,6 +67,31 @@
     expect(reads()).toBe(readsOfFirst);
   });
 
+  // A rank found the expectations of its job up to five times, which took most
+  // of the time of a round with a long backlog.
+  it.each([
+    ['in time', 0],
+    ['late', 100_000],
+  ])('finds the expectations of a job %s once for a rank', (_, nowMs) => {
+    const state = stateOf([worker('w')], submit('a', STEPS));
+    const {byQueue, lastInStep} = durationsOf(countedStatistics('q', 1000).row);
+    let reads = 0;
+    const counted: Durations = {
+      get byQueue() {
+        reads++;
+        return byQueue;
+      },
+      lastInStep,
+    };
+    const order = new DeadlineOrder();
+    order.rank(inputOf(state, counted, nowMs));
+    reads = 0;
+    order.rank(inputOf(state, counted, nowMs));
+    expect(reads).toBe(1);
+    isLate(inputOf(state, counted, nowMs));
+    expect(reads).toBe(2);
+  });
+
   it('never ranks a job by earlier statistics of its queue', () => {
     const state = stateOf([worker('w')], submit('a', STEPS));
     const order = new DeadlineOrder();
