Apply after a restart what was known as committed, before the election

Callers saw: after a loss of power of all control hosts, requests wait for the next leader, which is elected and then replays its log before it leads. The members are idle for the election timeout before that.

Cause: the commit index was not recorded.

Each append and each ballot is now written with the commit index known at that time; there is no additional write or sync. A member that starts applies the entries up to the recorded index at once, in slices as before, while it waits for the election.

Why it is safe: an entry that is known as committed stays committed. A follower records min(commit index of the leader, last entry of the append), in the same frame as the entries, so a torn write loses both and the index before applies. The index read back is limited to the entries that the log holds. Entries up to the recorded index are refused to be replaced. Reads and proposals still need a confirmed leader. The replay begins in a later turn than the start, so a listener registered right after the start sees each change.

The pause after an order of an earlier leader to a host keeps its length. It begins when the record is applied, so for a replayed order it now begins with the start of the process instead of after the election. The order's record was committed before that start.

The time to the next leader in a whole deployment was not measured.

--- a/packages/consensus/src/node.ts
+++ b/packages/consensus/src/node.ts
@@ -203,7 +203,12 @@
     log,
     snapshot,
     ...latest,
-    commitIndex: base.index,
+    // A committed entry stays committed, so the entries up to the recorded commit
+    // index can be applied before a leader is known.
+    commitIndex: Math.max(
+      base.index,
+      Math.min(stored.commitIndex, lastEntry(log).index),
+    ),
     appliedIndex: base.index,
     durableIndex: lastEntry(log).index,
     lastWriteSeq: 0,
--- a/packages/consensus/src/raft.ts
+++ b/packages/consensus/src/raft.ts
@@ -100,6 +100,9 @@
       },
     });
     this.scheduleTick();
+    // In a later turn, so that a listener registered right after the start sees
+    // every change.
+    if (nextToApply(node)) this.scheduleApply();
   }
 
   override state(): S {
@@ -342,7 +345,10 @@
       record = nextToApply(this.node);
       if (performance.now() >= endMs) break;
     }
-    if (!record) return;
+    if (record) this.scheduleApply();
+  }
+
+  private scheduleApply(): void {
     this.isApplyScheduled = true;
     this.post({type: 'apply'});
   }
--- a/packages/consensus/test/apply.test.ts
+++ b/packages/consensus/test/apply.test.ts
@@ -1,7 +1,8 @@
 /** Tests that applying a long log does not keep a member from its other work. */
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import {Rules} from '@lentildrift/consensus';
-import {Cluster} from './cluster.js';
+import {EMPTY_LOG} from '@lentildrift/storage';
+import {Cluster, type ClusterOptions} from './cluster.js';
 
 /** Number of changes between two snapshots, unless a deployment sets another. */
 const LOG_LENGTH = 1000;
@@ -154,3 +155,116 @@
     await cluster.stop();
   });
 });
+
+describe('a member that restarts', () => {
+  const advance = (ms: number) => vi.advanceTimersByTimeAsync(ms);
+  /** Shorter than the first election timeout after a start. */
+  const BEFORE_ELECTION_MS = 150;
+
+  beforeEach(() => void vi.useFakeTimers());
+  afterEach(() => void vi.useRealTimers());
+
+  /** A group that has committed 51 changes, the last one alone. */
+  async function createGroupWithLog(
+    options: Partial<ClusterOptions> = {},
+  ): Promise<Cluster> {
+    const cluster = new Cluster({
+      seed: 5,
+      rules: new OneEntryPerTurn(),
+      snapshotEvery: 1000,
+      advance,
+      ...options,
+    });
+    await cluster.start();
+    expect(await proposeMany(cluster, 50)).toBe(50);
+    // Members record that the first 50 are committed when they write this one.
+    expect(await proposeMany(cluster, 1)).toBe(1);
+    return cluster;
+  }
+
+  async function restartAll(cluster: Cluster): Promise<void> {
+    for (const host of cluster.hosts) cluster.kill(host);
+    await advance(100);
+    await cluster.start();
+  }
+
+  it('applies what it knew as committed before a leader is elected', async () => {
+    const cluster = await createGroupWithLog();
+    await restartAll(cluster);
+    await advance(BEFORE_ELECTION_MS);
+    for (const {member, replica} of cluster.hosts) {
+      expect(replica!.status()).toMatchObject({
+        role: 'follower',
+        leader: undefined,
+        revision: 50,
+      });
+      cluster.history.checkAll(member, replica!.state());
+      await replica!.waitForRevision(50);
+      // Only a confirmed leader answers reads, whatever is applied.
+      const refused = replica!.readIndex().catch((error: Error) => error.name);
+      await advance(1);
+      expect(await refused).toBe('NotLeader');
+    }
+    const leader = await cluster.waitForLeader();
+    const reading = leader.replica!.readIndex();
+    await advance(1000);
+    expect(await reading).toBe(51);
+    expect(cluster.leader()!.replica!.status().revision).toBe(51);
+    expect(cluster.history.violations).toEqual([]);
+    expect(cluster.failures).toEqual([]);
+    await cluster.stop();
+  });
+
+  it('applies no uncommitted entry, although a member without a leader holds it', async () => {
+    const cluster = await createGroupWithLog();
+    const deposed = await cluster.waitForLeader();
+    const others = cluster.hosts.filter(host => host !== deposed);
+    const isolate = () =>
+      cluster.network.isolate(
+        deposed.member,
+        others.map(({member}) => member),
+      );
+    isolate();
+    const uncommitted = [1, 2, 3].map(() => cluster.propose(deposed));
+    await advance(20);
+    for (const host of cluster.hosts) cluster.kill(host);
+    expect(await Promise.all(uncommitted)).toEqual([false, false, false]);
+    expect(deposed.disk.synced.records.at(-1)!.revision).toBe(54);
+
+    await cluster.start(deposed);
+    await advance(2000);
+    expect(deposed.replica!.status().revision).toBe(51);
+    await cluster.start(...others);
+    isolate();
+    expect(await proposeMany(cluster, 5)).toBe(5);
+    cluster.network.heal();
+    await advance(5000);
+    for (const {member, replica} of cluster.hosts) {
+      expect(replica!.status().revision).toBe(56);
+      cluster.history.checkComplete(member, replica!.state());
+    }
+    expect(cluster.history.violations).toEqual([]);
+    expect(cluster.failures).toEqual([]);
+    await cluster.stop();
+  });
+
+  it('waits for the next leader if its log, written by an earlier version, records no commit index', async () => {
+    const cluster = await createGroupWithLog();
+    for (const host of cluster.hosts) cluster.kill(host);
+    for (const {disk} of cluster.hosts) {
+      disk.synced = {...disk.synced, commitIndex: EMPTY_LOG.commitIndex};
+    }
+    await cluster.start();
+    await advance(BEFORE_ELECTION_MS);
+    for (const {replica} of cluster.hosts) {
+      expect(replica!.status().revision).toBe(0);
+    }
+    await cluster.waitForLeader();
+    await advance(1000);
+    for (const {replica} of cluster.hosts) {
+      expect(replica!.status().revision).toBe(51);
+    }
+    expect(cluster.history.violations).toEqual([]);
+    await cluster.stop();
+  });
+});
--- a/packages/consensus/test/step.test.ts
+++ b/packages/consensus/test/step.test.ts
@@ -261,6 +261,72 @@
     expect(next.effects.map(({type}) => type)).not.toContain('install');
   });
 
+  it('records the commit index with the entries of an append, limited to what the log then holds', () => {
+    const stored = {...EMPTY_LOG, records: [MEMBERSHIP_RECORD]};
+    const node = createNode({id: 'a', group: 'g', seed: 1, nowMs: 0, stored});
+    const recordedFor = (commit: number) => {
+      const header = {group: 'g', from: 'b', to: 'a', term: 3, round: 1};
+      const records = [CHANGE_RECORD];
+      const message: PeerMessage = {
+        type: 'append',
+        ...header,
+        prevIndex: 1,
+        prevTerm: 0,
+        records,
+        commit,
+      };
+      const {effects} = step(node, {type: 'receive', message, nowMs: 1});
+      const save = effects.findLast(({type}) => type === 'save');
+      return save?.type === 'save' ? save.write.commitIndex : undefined;
+    };
+    expect(recordedFor(1)).toBe(1);
+    expect(recordedFor(2)).toBe(2);
+    expect(recordedFor(9)).toBe(2);
+  });
+
+  it('writes nothing when only the commit index advances', () => {
+    const stored = {
+      ...EMPTY_LOG,
+      ...RECORDS,
+      ballot: {term: 3, vote: null},
+    } as StoredLog;
+    const node = createNode({id: 'a', group: 'g', seed: 1, nowMs: 0, stored});
+    const header = {group: 'g', from: 'b', to: 'a', term: 3, round: 1};
+    const at = {prevIndex: 2, prevTerm: 2, records: [], commit: 2};
+    const message: PeerMessage = {type: 'append', ...header, ...at};
+    const next = step(node, {type: 'receive', message, nowMs: 1});
+    expect(next.node.commitIndex).toBe(2);
+    expect(next.effects.map(({type}) => type)).not.toContain('save');
+  });
+
+  it('starts at the recorded commit index as far as the log holds it, and at the snapshot without one', () => {
+    const commitIndexFor = (stored: Partial<StoredLog>) =>
+      createNode({
+        id: 'a',
+        group: 'g',
+        seed: 1,
+        nowMs: 0,
+        stored: {...EMPTY_LOG, ...stored},
+      }).commitIndex;
+    expect(commitIndexFor({...RECORDS, commitIndex: 1})).toBe(1);
+    expect(commitIndexFor({...RECORDS, commitIndex: 9})).toBe(2);
+    expect(commitIndexFor(RECORDS)).toBe(0);
+    expect(commitIndexFor({snapshot: SNAPSHOT, commitIndex: 1})).toBe(2);
+    expect(commitIndexFor({snapshot: SNAPSHOT, commitIndex: 9})).toBe(2);
+  });
+
+  it('refuses to replace an entry that was recorded as committed before a restart', () => {
+    const stored = {...EMPTY_LOG, ...RECORDS, commitIndex: 2} as StoredLog;
+    const node = createNode({id: 'a', group: 'g', seed: 1, nowMs: 0, stored});
+    const header = {group: 'g', from: 'b', to: 'a', term: 3, round: 1};
+    const records = [{...CHANGE_RECORD, term: 1}];
+    const at = {prevIndex: 1, prevTerm: 0, records, commit: 0};
+    const message: PeerMessage = {type: 'append', ...header, ...at};
+    expect(() => step(node, {type: 'receive', message, nowMs: 1})).toThrow(
+      'committed entry 2 would be replaced',
+    );
+  });
+
   it('refuses a change above the size limit with a reason', () => {
     const {run} = createLeader();
     const changes = [{id: 1, text: 'x'.repeat(2 * 1024 * 1024)}];
