Revert the replay of committed entries before the election

It needs elections that do not lose their random order to a late turn, for instance a new random wait after the replay and a short one after a split vote.

--- a/packages/consensus/src/context.ts
+++ b/packages/consensus/src/context.ts
@@ -97,15 +97,10 @@
 /**
  * Appends `records` to the log, after discarding the entries from the index of
  * the first record on. Throws if a committed entry would be discarded.
- *
- * `commitIndex`, which may be one of the records, is recorded with them, so that
- * the member can apply the entries up to it as soon as it starts again. It costs
- * no write of its own and may therefore be older than the last one known.
  */
 export function appendRecords(
   ctx: StepContext,
   records: readonly LogRecord[],
-  commitIndex = ctx.node.commitIndex,
 ): void {
   const {node} = ctx;
   const first = records[0];
@@ -125,7 +120,7 @@
   }
   node.log = appendTo(node.log, records);
   if (records.some(({kind}) => kind === 'members')) replaceLog(ctx, node.log);
-  const write: LogWrite = {records: [...records], commitIndex};
+  const write: LogWrite = {records: [...records]};
   if (hasConflict) write.truncateFrom = first.index;
   queueWrite(ctx, write);
 }
@@ -144,8 +139,7 @@
   node.term = term;
   node.votedFor = votedFor;
   node.deferredMessages = [];
-  const {commitIndex} = node;
-  queueWrite(ctx, {ballot: {term, vote: votedFor}, records: [], commitIndex});
+  queueWrite(ctx, {ballot: {term, vote: votedFor}, records: []});
 }
 
 export function becomeFollower(
--- a/packages/consensus/src/follower.ts
+++ b/packages/consensus/src/follower.ts
@@ -47,10 +47,9 @@
   const firstNew = records.findIndex(
     ({index, term}) => positionAt(node.log, index)?.term !== term,
   );
+  if (firstNew >= 0) appendRecords(ctx, records.slice(firstNew));
   const match = prevIndex + records.length;
-  const commitIndex = Math.max(node.commitIndex, Math.min(commit, match));
-  if (firstNew >= 0) appendRecords(ctx, records.slice(firstNew), commitIndex);
-  node.commitIndex = commitIndex;
+  node.commitIndex = Math.max(node.commitIndex, Math.min(commit, match));
   sendAfterSync(ctx, {type: 'appended', to, ok: true, match, round});
 }
 
--- a/packages/consensus/src/node.ts
+++ b/packages/consensus/src/node.ts
@@ -203,12 +203,7 @@
     log,
     snapshot,
     ...latest,
-    // A committed entry stays committed, so the entries up to the recorded commit
-    // index can be applied before a leader is known.
-    commitIndex: Math.max(
-      base.index,
-      Math.min(stored.commitIndex, lastEntry(log).index),
-    ),
+    commitIndex: base.index,
     appliedIndex: base.index,
     durableIndex: lastEntry(log).index,
     lastWriteSeq: 0,
--- a/packages/consensus/src/raft.ts
+++ b/packages/consensus/src/raft.ts
@@ -102,9 +102,6 @@
       },
     });
     this.scheduleTick();
-    // In a later turn, so that a listener registered right after the start sees
-    // every change.
-    if (nextToApply(node)) this.scheduleApply();
   }
 
   override state(): S {
@@ -351,10 +348,7 @@
       record = nextToApply(this.node);
       if (performance.now() >= endMs) break;
     }
-    if (record) this.scheduleApply();
-  }
-
-  private scheduleApply(): void {
+    if (!record) return;
     this.isApplyScheduled = true;
     this.post({type: 'apply'});
   }
--- a/packages/consensus/test/raft.test.ts
+++ b/packages/consensus/test/raft.test.ts
@@ -94,23 +94,6 @@
     expect(decodedBy).toEqual([0, 4]);
   });
 
-  it('reports every change that it replays to a listener registered right after the start', async () => {
-    const first = await openDiskStore(folder, 'g');
-    const before = await startOne(first.identity.memberId, first.store);
-    await waitUntilLeader(before);
-    for (const change of [1, 2, 3]) await before.propose(change);
-    await before.stop();
-
-    const {identity, store} = await openDiskStore(folder, 'g');
-    const replica = await startOne(identity.memberId, store);
-    const applied: number[] = [];
-    replica.onApply(({change}) => applied.push(change));
-    expect(replica.state()).toEqual([]);
-    await replica.waitForRevision(3);
-    expect(applied).toEqual([1, 2, 3]);
-    await replica.stop();
-  });
-
   it('acknowledges nothing after a disk error and reports the error', async () => {
     const {identity, store} = await openDiskStore(folder, 'g');
     const fatal: Error[] = [];
--- a/packages/storage/src/disk.ts
+++ b/packages/storage/src/disk.ts
@@ -98,8 +98,7 @@
       const payload = Buffer.from(JSON.stringify(snapshot));
       await replaceFile(this.snapshotPath, encodeFrame(payload));
       const next = applySnapshot(this.content, snapshot);
-      const {ballot, records, commitIndex} = next;
-      const rest = {ballot, records: [...records], commitIndex};
+      const rest = {ballot: next.ballot, records: [...next.records]};
       await replaceFile(this.logPath, encodeWrites([rest]));
       this.content = next;
       await this.openLog();
--- a/packages/storage/src/record.ts
+++ b/packages/storage/src/record.ts
@@ -44,11 +44,6 @@
   /** Discards all entries from this index on. */
   truncateFrom: z.int().positive().optional(),
   records: z.array(LogRecord),
-  /**
-   * An index up to which the member knows all entries to be committed, with the
-   * log as it is after this write. Logs of earlier versions do not have it.
-   */
-  commitIndex: z.int().nonnegative().optional(),
 });
 export type LogWrite = z.infer<typeof LogWrite>;
 
@@ -58,18 +53,12 @@
   readonly snapshot: Snapshot | undefined;
   /** Contiguous entries; the first directly follows the snapshot. */
   readonly records: readonly LogRecord[];
-  /**
-   * The highest recorded commit index; 0 if none is recorded. More entries may
-   * be committed, since it is recorded only together with other writes.
-   */
-  readonly commitIndex: number;
 }
 
 export const EMPTY_LOG: StoredLog = {
   ballot: {term: 0, vote: null},
   snapshot: undefined,
   records: [],
-  commitIndex: 0,
 };
 
 /** Returns the content of the log after one write. */
@@ -83,7 +72,6 @@
     ballot: write.ballot ?? log.ballot,
     snapshot: log.snapshot,
     records: kept.concat(write.records),
-    commitIndex: Math.max(log.commitIndex, write.commitIndex ?? 0),
   };
 }
 
@@ -106,6 +94,5 @@
     records: logContinues
       ? log.records.filter(record => record.index > snapshot.index)
       : [],
-    commitIndex: log.commitIndex,
   };
 }
--- a/packages/storage/test/disk.test.ts
+++ b/packages/storage/test/disk.test.ts
@@ -15,7 +15,6 @@
   type LogRecord,
   type Snapshot,
 } from '@lentildrift/storage';
-import {encodeFrame} from '../src/frame.js';
 
 function record(index: number, term = 1): LogRecord {
   return {index, term, revision: index, kind: 'change', text: `c${index}`};
@@ -98,59 +97,6 @@
     expect(indexes(await load())).toEqual([1, 2]);
   });
 
-  it('keeps the highest recorded commit index across restarts and snapshots', async () => {
-    await withStore(async store => {
-      await store.load();
-      await store.write([{records: [record(1), record(2)]}]);
-      await store.write([{records: [record(3)], commitIndex: 2}]);
-      await store.write([{ballot: {term: 2, vote: 'a'}, records: []}]);
-    });
-    expect((await load()).commitIndex).toBe(2);
-    await withStore(async store => {
-      await store.load();
-      await store.compact(snapshotAt(1));
-    });
-    const log = await load();
-    expect(log.commitIndex).toBe(2);
-    expect(indexes(log)).toEqual([2, 3]);
-  });
-
-  it('falls back to the commit index before if the write of the last one was cut off', async () => {
-    const sizes = await withStore(async store => {
-      await store.load();
-      await store.write([{records: [record(1)]}]);
-      await store.write([{records: [record(2)], commitIndex: 1}]);
-      const {length: second} = await readFile(file('log'));
-      await store.write([{records: [record(3)], commitIndex: 2}]);
-      return {second, third: (await readFile(file('log'))).length};
-    });
-    const completeLog = await readFile(file('log'));
-    for (let size = sizes.second; size < sizes.third; size++) {
-      await writeFile(file('log'), completeLog.subarray(0, size));
-      expect((await load()).commitIndex).toBe(1);
-    }
-  });
-
-  it('loads a log and a snapshot of an earlier version, which recorded no commit index', async () => {
-    await writeThreeBatches();
-    expect((await readFile(file('log'))).includes('commitIndex')).toBe(false);
-    expect((await load()).commitIndex).toBe(0);
-    // The log as the earlier version left it after a snapshot.
-    const rest = [{ballot: {term: 3, vote: 'a'}, records: [record(3)]}];
-    await withStore(async store => {
-      await store.load();
-      await store.compact(snapshotAt(2));
-    });
-    await writeFile(
-      file('log'),
-      encodeFrame(Buffer.from(JSON.stringify(rest))),
-    );
-    const log = await load();
-    expect(log.commitIndex).toBe(0);
-    expect(log.snapshot).toEqual(snapshotAt(2));
-    expect(indexes(log)).toEqual([3]);
-  });
-
   it('refuses to load a log with a damaged byte before its last frame', async () => {
     const [, second] = (await writeThreeBatches()) as [number, number, number];
     const completeLog = await readFile(file('log'));
