--- a/packages/consensus/src/raft.ts
+++ b/packages/consensus/src/raft.ts
@@ -32,7 +32,6 @@
   type ReplicaStatus,
 } from './replica.js';
 import type {RaftOptions} from './options.js';
-import {createOwnChanges} from './own-changes.js';
 import {createPendingRequests, type PendingRequests} from './requests.js';
 import {getStatus} from './status.js';
 import {step} from './step.js';
@@ -53,7 +52,6 @@
   private readonly writer: Writer;
   private readonly requests: PendingRequests<A>;
   private proposals: {id: number; text: string}[] = [];
-  private readonly ownChanges = createOwnChanges<C>();
   private readonly applyListeners = new Set<
     (applied: AppliedChange<S, C, A>) => void
   >();
@@ -153,7 +151,6 @@
   override propose(change: C): Promise<CommitResult<A>> {
     const text = this.options.codec.encodeChange(change);
     return this.requests.submitChange(id => {
-      this.ownChanges.note(id, text, change);
       if (this.proposals.length === 0) {
         // Changes join this batch until the task handles the event, so that
         // one append takes all of them.
@@ -274,7 +271,6 @@
     // other event does.
     if (!this.isApplyScheduled) this.applySlice();
     if (node.role === 'leader' && next.node.role !== 'leader') {
-      this.ownChanges.clear();
       this.requests.onLeadershipLost(next.node.commitIndex);
     }
     this.notifyStatusListeners(node, next.node);
@@ -314,11 +310,9 @@
         this.requests.onRestored(effect.snapshot.revision);
         return;
       case 'accepted':
-        this.ownChanges.accept(effect.id);
         this.requests.onAccepted(effect.id, effect.index, effect.term);
         return;
       case 'refused':
-        this.ownChanges.refuse(effect.id);
         this.requests.onRefused(effect.id, effect.reason, this.node.leader);
         return;
       case 'read':
@@ -359,8 +353,7 @@
       this.requests.onCommitted(record, undefined);
       return;
     }
-    const change =
-      this.ownChanges.take(record.text) ?? codec.decodeChange(record.text);
+    const change = codec.decodeChange(record.text);
     const {state, answer} = stateMachine.apply(this.appliedState, change);
     this.appliedState = state;
     for (const notify of this.applyListeners) notify({state, change, answer});
