Refuse what cannot be decoded before it is in the log

An operator's edit with a negative time of advice was acknowledged by the leader, and every other member ended when it applied the edit, also after each restart; later edits were refused. The adapter let the value through, the leader in the same process did not check it, and a committed entry that cannot be decoded ends each member that applies it.

Requests are checked against their schema where they arrive, and refused as invalid at once. A change is decoded when it is proposed, which refuses it before it is in the log; the decoded form is what its proposer applies, so a leader holds what the others hold, and decodes each change once, as before.

--- a/packages/consensus/src/raft.ts
+++ b/packages/consensus/src/raft.ts
@@ -25,6 +25,7 @@
   type Node,
 } from './node.js';
 import {
+  ChangeRefused,
   Replica,
   type AppliedChange,
   type CommitResult,
@@ -32,6 +33,7 @@
   type ReplicaStatus,
 } from './replica.js';
 import type {RaftOptions} from './options.js';
+import {createOwnChanges} from './own-changes.js';
 import {createPendingRequests, type PendingRequests} from './requests.js';
 import {getStatus} from './status.js';
 import {step} from './step.js';
@@ -52,6 +54,7 @@
   private readonly writer: Writer;
   private readonly requests: PendingRequests<A>;
   private proposals: {id: number; text: string}[] = [];
+  private readonly ownChanges = createOwnChanges<C>();
   private readonly applyListeners = new Set<
     (applied: AppliedChange<S, C, A>) => void
   >();
@@ -148,9 +151,12 @@
     }
   }
 
-  override propose(change: C): Promise<CommitResult<A>> {
-    const text = this.options.codec.encodeChange(change);
+  override async propose(change: C): Promise<CommitResult<A>> {
+    const {codec} = this.options;
+    const text = codec.encodeChange(change);
+    const decoded = this.decodeProposed(text);
     return this.requests.submitChange(id => {
+      this.ownChanges.note(id, text, decoded);
       if (this.proposals.length === 0) {
         // Changes join this batch until the task handles the event, so that
         // one append takes all of them.
@@ -161,6 +167,19 @@
     });
   }
 
+  /**
+   * An entry that cannot be decoded would end every member that applies it, also
+   * after each restart.
+   */
+  private decodeProposed(text: string): C {
+    try {
+      return this.options.codec.decodeChange(text);
+    } catch (error) {
+      const {message} = error as Error;
+      throw new ChangeRefused(`the change cannot be decoded: ${message}`);
+    }
+  }
+
   override readIndex({patient = false}: ReadOptions = {}): Promise<number> {
     return this.requests.submitRead(id =>
       this.post({type: 'read', id, patient}),
@@ -271,6 +290,7 @@
     // other event does.
     if (!this.isApplyScheduled) this.applySlice();
     if (node.role === 'leader' && next.node.role !== 'leader') {
+      this.ownChanges.clear();
       this.requests.onLeadershipLost(next.node.commitIndex);
     }
     this.notifyStatusListeners(node, next.node);
@@ -310,9 +330,11 @@
         this.requests.onRestored(effect.snapshot.revision);
         return;
       case 'accepted':
+        this.ownChanges.accept(effect.id);
         this.requests.onAccepted(effect.id, effect.index, effect.term);
         return;
       case 'refused':
+        this.ownChanges.refuse(effect.id);
         this.requests.onRefused(effect.id, effect.reason, this.node.leader);
         return;
       case 'read':
@@ -353,7 +375,8 @@
       this.requests.onCommitted(record, undefined);
       return;
     }
-    const change = codec.decodeChange(record.text);
+    const change =
+      this.ownChanges.take(record.text) ?? codec.decodeChange(record.text);
     const {state, answer} = stateMachine.apply(this.appliedState, change);
     this.appliedState = state;
     for (const notify of this.applyListeners) notify({state, change, answer});
--- a/packages/consensus/test/raft.test.ts
+++ b/packages/consensus/test/raft.test.ts
@@ -11,6 +11,7 @@
 } from '@lentildrift/consensus';
 import {openDiskStore, type LogStore} from '@lentildrift/storage';
 import {startTasks} from '@lentildrift/task';
+import {z} from 'zod';
 
 const stateMachine: StateMachine<number[], number, number> = {
   initial: [],
@@ -22,13 +23,18 @@
   override send(): void {}
 }
 
-function startOne(member: string, store: LogStore, fatal: Error[] = []) {
+function startOne(
+  member: string,
+  store: LogStore,
+  fatal: Error[] = [],
+  codec = new JsonCodec<number[], number>(),
+) {
   return startRaft<number[], number, number>({
     member,
     group: 'g',
     seed: 1,
     stateMachine,
-    codec: new JsonCodec(),
+    codec,
     store,
     transport: new NoPeers(),
     tasks: startTasks(() => {}),
@@ -75,6 +81,24 @@
     }
   });
 
+  // Each member ended when it applied such an entry, also after each restart.
+  it('refuses a change that cannot be decoded before it is in the log', async () => {
+    const codec = new JsonCodec<number[], number>({change: z.number().max(9)});
+    const fatal: Error[] = [];
+    for (let run = 0; run < 2; run++) {
+      const {identity, store} = await openDiskStore(folder, 'g');
+      const replica = await startOne(identity.memberId, store, fatal, codec);
+      await waitUntilLeader(replica);
+      await expect(replica.propose(10)).rejects.toMatchObject({
+        name: 'ChangeRefused',
+      });
+      await replica.propose(run);
+      await replica.stop();
+      expect(replica.state()).toEqual(run === 0 ? [0] : [0, 1]);
+    }
+    expect(fatal).toEqual([]);
+  });
+
   it('acknowledges nothing after a disk error and reports the error', async () => {
     const {identity, store} = await openDiskStore(folder, 'g');
     const fatal: Error[] = [];
--- a/packages/dispatch/src/remote.ts
+++ b/packages/dispatch/src/remote.ts
@@ -94,6 +94,9 @@
     budgetMs: number,
   ): Promise<Reply> {
     const startMs = performance.now();
+    const checked = Request.safeParse(request);
+    if (!checked.success)
+      return this.refuseMalformed(id, request, checked.error);
     // Whether an unanswered attempt may have taken effect.
     let uncertain = false;
     let outdatedCount = 0;
@@ -104,7 +107,7 @@
         : Math.min(budgetMs, LEADER_SEARCH_MS);
       if (spentMs >= limitMs) break;
       const result = await this.attempt(
-        {type: 'request', id, request, relay: false},
+        {type: 'request', id, request: checked.data, relay: false},
         {attempts, outdatedCount},
         Math.min(budgetMs - spentMs, ATTEMPT_TIMEOUT_MS),
       );
@@ -120,6 +123,21 @@
     });
   }
 
+  /**
+   * Checked where a request arrives: the leader may be in this process, and what
+   * it records must be decoded by all members.
+   */
+  private refuseMalformed(
+    id: string,
+    {type}: Request,
+    error: z.ZodError,
+  ): Reply {
+    const {path, message} = error.issues[0]!;
+    const detail = `${path.join('.')}: ${message}`;
+    this.options.log.info('request-malformed', {request: id, type, detail});
+    return refuse('invalid', detail);
+  }
+
   /** Forwards a request to the leader for a process that does not lead. */
   async relay({id, request}: Envelope): Promise<EnvelopeReply> {
     const leader = this.options.mesh.leaderLink();
--- a/packages/dispatch/test/control.test.ts
+++ b/packages/dispatch/test/control.test.ts
@@ -115,7 +115,7 @@
 
 /** Repeats the request until its reply is other than `unavailable`. */
 async function retryWhileUnavailable(
-  entry: QueueEntry,
+  entry: Pick<QueueEntry, 'service'>,
   request: Request,
 ): Promise<Reply> {
   for (let attempt = 0; attempt < 15; attempt++) {
@@ -365,6 +365,26 @@
     });
   }, 20_000);
 
+  // The leader acknowledged such an edit, and each other member ended when it
+  // applied the edit, also after a restart.
+  it('refuses a request that its members could not decode as invalid, and at once', async () => {
+    await startGroup();
+    const service = (await findLeader()).control!.service;
+    await retryWhileUnavailable({service}, EDIT);
+    const advice = {decideMs: -1, perWorkerMs: 0, validMs: 0};
+    const queues = TABLES.queues.map(queue => ({...queue, advice}));
+    const tables = {...TABLES, version: 2, queues};
+    const startMs = performance.now();
+    expect(
+      await service.handle('r', {type: 'edit', tables}, 3000),
+    ).toMatchObject({reason: 'invalid', verdict: 'not-run'});
+    expect(performance.now() - startMs).toBeLessThan(900);
+    const next: Request = {type: 'edit', tables: {...TABLES, version: 3}};
+    expect(await retryWhileUnavailable({service}, next)).toEqual({
+      type: 'done',
+    });
+  }, 20_000);
+
   it('does not bootstrap a new group after the loss of a disk', async () => {
     const [port] = await freePorts(1);
     const address = `${HOST}:${port}`;
--- a/packages/dispatch/test/harness.ts
+++ b/packages/dispatch/test/harness.ts
@@ -19,7 +19,9 @@
 } from '@lentildrift/queue';
 import {FixedPools, type PoolPolicy} from '@lentildrift/scheduling';
 import {startTasks} from '@lentildrift/task';
+import {isDeepStrictEqual} from 'node:util';
 import {vi} from 'vitest';
+import {QueueCodec} from '../src/codec.js';
 import {createHostOrderGuard} from '../src/host-order-guard.js';
 import {Adviser, queueMachine, startLeader, type Leader} from '../src/index.js';
 import {FakeFleet, FakeHostProvider, type FleetOptions} from './fakes.js';
@@ -103,6 +105,7 @@
   Change,
   readonly Outcome[]
 > {
+  private readonly codec = new QueueCodec();
   commitDelayMs = 0;
   delayMs = 0;
   acceptsProposals = true;
@@ -116,6 +119,12 @@
   override async propose(
     change: Change,
   ): Promise<CommitResult<readonly Outcome[]>> {
+    // Rounds plan on changes as they are proposed, and members apply them as they
+    // are decoded.
+    const decoded = this.codec.decodeChange(this.codec.encodeChange(change));
+    if (!isDeepStrictEqual(decoded, change)) {
+      throw new TypeError('the change does not equal its decoded form');
+    }
     if (!this.acceptsProposals) throw new Error('not the leader');
     if (this.refusalsLeft > 0) {
       this.refusalsLeft--;
