Count a host whose maintenance is inherited once

After a change of leader a wave emptied one host less ahead for each host whose maintenance the last leader had begun, for up to 3.5 s: such a host counted as down by its record and as one that is still to be ordered down. Found by a review. The new test failed before: no host-emptying line for the second host. hosts.test.ts: 33 passed.

--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -81,6 +81,9 @@
   formerWorker: string | undefined;
   /**
    * `inherited`: an earlier leader has ordered the maintenance or was about to.
+   * `emptying`: the host gets no new runs, and those that may stop are stopped.
+   * `recording`: the begin of the maintenance is being recorded. `ordering`: the
+   * order is being recorded or sent. `down`: the provider has accepted it.
    * `over`: only the record of the operation's result is missing.
    */
   phase: 'inherited' | 'emptying' | 'recording' | 'ordering' | 'down' | 'over';
@@ -406,9 +409,12 @@
   };
 }
 
-/** Whether the host is still to be ordered down. */
+/**
+ * Whether this leader still has to order the host down. An inherited host counts
+ * as down already, by the record of the earlier leader.
+ */
 function isBeforeDown({phase}: HostOperation): boolean {
-  return phase !== 'down' && phase !== 'over';
+  return phase !== 'inherited' && phase !== 'down' && phase !== 'over';
 }
 
 function isDownOrOrdered({phase}: HostOperation): boolean {
--- a/packages/dispatch/test/hosts.test.ts
+++ b/packages/dispatch/test/hosts.test.ts
@@ -153,6 +153,22 @@
     expect(harness.fleet.starts).toHaveLength(2);
   });
 
+  // The host counted twice, as down and as one to be ordered down.
+  it('empties the next host while the order of the last leader may be in flight', async () => {
+    harness = await createHarness();
+    for (const name of ['w1', 'w2']) await harness.addWorker(worker(name));
+    await openWave(['m-w1', 'm-w2'], 1);
+    for (let turn = 0; harness.hosts.orders.length === 0; turn++) {
+      expect(turn).toBeLessThan(200);
+      await harness.advance(10);
+    }
+    await harness.replaceLeader();
+    harness.logLines.length = 0;
+    await harness.advance(1000);
+    expect(harness.hosts.orders).toHaveLength(1);
+    expect(harness.logLines.join('\n')).toMatch(/host-emptying .*host=m-w2/);
+  });
+
   it('continues at once if the process of the last leader has ended', async () => {
     harness = await createHarness();
     for (const name of ['w1', 'w2']) await harness.addWorker(worker(name));
