--- a/packages/dispatch/src/batch.ts
+++ b/packages/dispatch/src/batch.ts
@@ -55,16 +55,18 @@
   for (const [at, {event}] of queue.entries()) {
     bytes += estimateBytes(event);
     if (count > 0 && bytes > MAX_CHANGE_BYTES) break;
-    if (!completesRecord(event, queue[at + 1]?.event)) count = at + 1;
+    const next = queue[at + 1]?.event;
+    if (next && mustStayTogether(event, next)) continue;
+    count = at + 1;
   }
   return {taken: queue.slice(0, count), rest: queue.slice(count)};
 }
 
-/** Whether `next` holds ends of the worker that `event` records. */
-function completesRecord(event: Event, next: Event | undefined): boolean {
+/** Whether `event` records a worker and `next` holds ends of its runs. */
+function mustStayTogether(event: Event, next: Event): boolean {
   return (
     event.type === 'worker' &&
-    next?.type === 'ends' &&
+    next.type === 'ends' &&
     next.worker === workerKey(event.worker)
   );
 }
--- a/packages/dispatch/src/pool-views.ts
+++ b/packages/dispatch/src/pool-views.ts
@@ -118,7 +118,7 @@
     const reserved = load.byWorker.get(key) ?? ZERO_SIZE;
     const isAvoided = avoided.has(key);
     let emptyInMs: number | undefined;
-    // Built for every host on each tick, hence without a copy of another object.
+    // Spelled out, since a spread for every host on each tick is slow.
     const poolHost: PoolHost = {
       id,
       worker: key,
--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -143,7 +143,7 @@
       unreported.length > 0
         ? await awaitStopped(unreported, worker, isNeeded)
         : undefined;
-    // Rejected by `stop` if it is not in the set any more.
+    // If it is not in the set any more, `stop` has rejected it.
     if (!unqueued.delete(settled)) return;
     if (ends === 'superseded') {
       settled.reject(new Error(`${key} was superseded`));
--- a/packages/scheduling/src/demand.ts
+++ b/packages/scheduling/src/demand.ts
@@ -183,7 +183,7 @@
     const count = teamCaps.reserve(job, step.size, waitingCount);
     if (count === 0) continue;
     if (occurrence !== checkedOccurrence) {
-      // Built for every waiting job, hence without a copy of another object.
+      // Spelled out, since spreading the input for every waiting job is slow.
       late = isLate({job, queue, occurrence, nowMs, durations});
       checkedOccurrence = occurrence;
     }
--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -144,8 +144,11 @@
   return candidates;
 }
 
-/** A copy that reads `emptyInMs`, which may be costly, only when asked. */
-function withFree(candidate: Candidate, free: Size): Candidate {
+/**
+ * A copy that reads `emptyInMs`, which may be costly, only when asked; a spread
+ * would read it.
+ */
+function withFree(candidate: Candidate, free: Size): Required<Candidate> {
   const {key, worker, quarantined} = candidate;
   return {
     key,
