Test that a control group survives a second loss after a replacement

What callers saw: no request succeeded from the loss of a second control host on. In the record the successor of a removed host had the whole log for 15 s without a vote.

The tests run the real replicas and membership tasks on the paused clock, with hosts that lose their process, power, network or disk. All three fail on this code: the remaining voter of two stands for election without an answer, also 16 s after the first loss if the leader was restarted meanwhile, and a member that was removed during a partition does not come back.

--- /dev/null
+++ b/packages/dispatch/test/replacement.test.ts
@@ -0,0 +1,78 @@
+/** Tests that a control group repairs its voters before a second loss. */
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
+import {startGroup, type Group, type GroupHost} from './group.js';
+
+/**
+ * A lost host no longer counts as lost once it, or its successor, has run for
+ * this long.
+ */
+const CATCH_UP_MS = 4000;
+
+let group: Group;
+
+beforeEach(() => void vi.useFakeTimers());
+
+afterEach(async () => {
+  await group.stop();
+  vi.useRealTimers();
+});
+
+function follower(): GroupHost {
+  const leader = group.leader();
+  const {voters} = group.status();
+  return group.hosts.find(
+    host => host !== leader && voters.includes(host.member) && host.process,
+  )!;
+}
+
+/** Expects a leader after the last one may have noticed the loss of a host. */
+async function expectLeader(): Promise<void> {
+  await group.advance(1000);
+  for (let waitedMs = 0; waitedMs < 2000; waitedMs += 50) {
+    if (group.leader()) return;
+    await group.advance(50);
+  }
+  expect(group.status()).toBe('a group with a leader');
+}
+
+describe('a control group of three voters', () => {
+  it('has a leader after the loss of a second host once the successor of the first has had its time', async () => {
+    group = await startGroup({voterCount: 3});
+    group.powerOff(group.leader()!);
+    await group.advance(1000);
+    await group.addHost();
+    await group.advance(CATCH_UP_MS);
+    group.powerOff(follower());
+    await expectLeader();
+  });
+
+  it('replaces a host although the leader changes meanwhile', async () => {
+    group = await startGroup({voterCount: 3});
+    group.powerOff(group.leader()!);
+    await group.advance(1000);
+    await group.addHost();
+    await group.advance(7000);
+    const restarted = group.leader()!;
+    group.crash(restarted);
+    await group.advance(1000);
+    await group.start(restarted);
+    await group.advance(7000);
+    const wiped = group.leader()!;
+    group.powerOff(wiped);
+    group.wipe(wiped);
+    await group.advance(2000);
+    await group.powerOn(wiped);
+    await expectLeader();
+  });
+
+  it('keeps a member whose partition has healed, also after its replacement', async () => {
+    group = await startGroup({voterCount: 3, spares: 1});
+    const host = follower();
+    group.cut(host);
+    await group.advance(12_000);
+    group.heal(host);
+    await group.advance(CATCH_UP_MS);
+    const {voters, learners} = group.status();
+    expect([...voters, ...learners]).toContain(host.member);
+  });
+});
