Log the members that a control process loads, reaches and waits for

Cause: the logs of the lost quorum name neither the members that a process can reach, nor a start with an empty disk, nor a group without a leader. The cause had to be read from lines that are missing.

Change: control processes log the members that their disk names after a start, each member that becomes unreachable or reachable, and every 2 s without a leader the voters, the learners and which of them are unreachable.

--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -235,7 +235,13 @@
     server.broadcast(STATUS, groupStatus());
     leadership.update();
   });
-  const {voters, learners} = replica.status();
+  const {voters, learners, revision} = replica.status();
+  log.info('member-loaded', {
+    member,
+    revision,
+    voters: voters.join(','),
+    learners: learners.join(','),
+  });
   mesh.refresh([...voters, ...learners]);
   leadership.update();
 
--- a/packages/dispatch/src/membership.ts
+++ b/packages/dispatch/src/membership.ts
@@ -10,6 +10,7 @@
 import type {Log} from '@lentildrift/observe';
 import type {Task, TaskSystem} from '@lentildrift/task';
 import {addressOf} from './mesh.js';
+import {createReachability} from './reachability.js';
 
 /** The operations of the replica that the membership task uses. */
 export interface GroupReplica {
@@ -104,6 +105,7 @@
 export function startMembership(options: MembershipOptions): Membership {
   const {replica, tasks, log, voterCount} = options;
   const unreachableSinceMs = new Map<string, number>();
+  const reachability = createReachability({...options, log});
   let timer: NodeJS.Timeout | undefined;
 
   const task: Task<Message> = tasks.spawn<null, Message>({
@@ -121,6 +123,7 @@
     timer = setTimeout(() => task.post({type: 'round'}), ROUND_INTERVAL_MS);
     const status = replica.status();
     const {member, voters, learners, role} = status;
+    reachability.observe(status);
     if (voters.length === 0 && options.canBootstrap) {
       log.info('group-founded', {member});
       replica.bootstrap([member]);
