Replace a lost voter before a second loss can stop the group

What callers saw: after the loss of a second control host no request succeeded any more, although the successor of the first had run for 15 s.

Cause: a voter was replaced after one leader had seen it unreachable for 8 s. A change of leader started that time again, and a frozen process or another ID at the same address counted as reachable. Until then the complete successor had no vote, so a group of three could lose no voter. The platform counts a host as replaced 4 s after its successor has started.

Change: each member notes in every role since when it cannot reach the others, by their IDs and only with a status of theirs. A voter is replaced after 1.5 s if a learner holds all committed entries, and at once if its host has come back under another ID. The lost voter is removed first: with both as voters the majority would be one larger, and the loss of the successor at that moment would stop the group for good. A group that has recorded changes therefore goes on with a voter fewer. The choice is a pure function in the consensus package, nextRepair.

--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -34,6 +34,11 @@
   readonly revision: number;
   readonly voters: readonly string[];
   readonly learners: readonly string[];
+  /**
+   * Learners that hold all committed entries and could vote at once; empty
+   * unless this replica leads.
+   */
+  readonly completeLearners: readonly string[];
 }
 
 /** This replica is not the leader, so nothing was proposed. */
--- a/packages/consensus/src/solo.ts
+++ b/packages/consensus/src/solo.ts
@@ -35,6 +35,7 @@
       revision: this.stateMachine.revision(this.current),
       voters: ['solo'],
       learners: [],
+      completeLearners: [],
     };
   }
 
--- a/packages/consensus/src/status.ts
+++ b/packages/consensus/src/status.ts
@@ -4,6 +4,7 @@
 
 export function getStatus(node: Node, revision: number): ReplicaStatus {
   const {id, role, term, leader, membership: members} = node;
+  const {rules, peers, commitIndex} = node;
   const {voters, learners} = members;
   return {
     member: id,
@@ -13,6 +14,10 @@
     revision,
     voters,
     learners,
+    completeLearners: learners.filter(learner => {
+      const progress = peers[learner];
+      return progress && rules.canPromote(progress.matchIndex, commitIndex);
+    }),
   };
 
   function reportedRole(): ReplicaStatus['role'] {
--- a/packages/control/test/group.ts
+++ b/packages/control/test/group.ts
@@ -65,6 +65,7 @@
       revision,
       voters,
       learners: [],
+      completeLearners: [],
     };
   }
 
--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -220,7 +220,11 @@
     log,
     canBootstrap: options.firstStart && [...options.seeds()].sort()[0] === self,
     voterCount: voterCountFor(options.toleratedDiskLosses),
-    isReachable: id => mesh.linkTo(addressOf(id))?.isOpen() ?? false,
+    isReachable: id => mesh.peers().get(addressOf(id))?.member === id,
+    dataCentreOf: id =>
+      id === member
+        ? options.dataCentre
+        : mesh.peers().get(addressOf(id))?.dataCentre,
     requestToJoin: () => mesh.leaderLink()?.post(JOIN_KIND, {}),
   });
   const unsubscribe = replica.onStatusChange(status => {
--- a/packages/dispatch/src/leadership.ts
+++ b/packages/dispatch/src/leadership.ts
@@ -84,10 +84,13 @@
 
   /**
    * Whether the group has enough voters to tolerate the loss of disks. A new
-   * group accepts no request before that; later it never has fewer voters.
+   * group accepts no request before that. Later a lost voter is removed before
+   * its successor votes, and meanwhile the group goes on: fewer voters of which
+   * none is lost hold each change on as many disks.
    */
   function hasEnoughVoters(voters: readonly string[]): boolean {
     const {seeds, toleratedDiskLosses} = options;
+    if (replica.status().revision > 0) return true;
     return (
       voters.length >=
       Math.min(voterCountFor(toleratedDiskLosses), seeds().length)
--- a/packages/dispatch/src/membership.ts
+++ b/packages/dispatch/src/membership.ts
@@ -2,11 +2,15 @@
  * Bootstraps the group, joins it and repairs its membership.
  *
  * Only the first seed bootstraps the group, with itself as the only voter, and
- * only on the first start of the whole system. Every other member joins. A host
- * that lost its disk joins under a new ID as a learner and becomes a voter once
- * it has caught up; its old ID is removed after that.
+ * only on the first start of the whole system. Every other member joins as a
+ * learner. A host that lost its disk joins under a new ID. `nextRepair` chooses
+ * which learner votes in place of which lost voter.
  */
-import type {MemberChange, ReplicaStatus} from '@lentildrift/consensus';
+import {
+  nextRepair,
+  type MemberChange,
+  type ReplicaStatus,
+} from '@lentildrift/consensus';
 import type {Log} from '@lentildrift/observe';
 import type {Task, TaskSystem} from '@lentildrift/task';
 import {addressOf} from './mesh.js';
@@ -29,6 +33,8 @@
   readonly voterCount: number;
   /** Whether the member's process is reachable. */
   isReachable(member: string): boolean;
+  /** Data centre of a member; undefined if it is not known. */
+  dataCentreOf(member: string): string | undefined;
   /** Asks the leader to add this member to the group. */
   requestToJoin(member: string): void;
 }
@@ -41,12 +47,18 @@
 
 /** Interval at which the membership is checked. */
 const ROUND_INTERVAL_MS = 250;
+/**
+ * Interval while members are lost. A learner often lacks the very last entries,
+ * so it can be promoted only at some moments.
+ */
+const REPAIR_INTERVAL_MS = 50;
 /**
  * A voter that is unreachable for this long is replaced if a learner is
- * available. Longer than a restart, a freeze or a network partition usually
- * lasts.
+ * complete. Until then one more loss stops the group. Longer than the restart of
+ * a process; a host that returns later joins again and catches up, which costs
+ * less than the exposure.
  */
-const REPLACEMENT_DELAY_MS = 8000;
+const REPLACEMENT_DELAY_MS = 1500;
 
 /**
  * Number of voters a group needs to keep a majority after it lost `losses` of
@@ -56,56 +68,15 @@
   return 2 * Math.max(1, losses) + 1;
 }
 
-/**
- * Returns the next membership change; undefined if none is needed. `lost` are
- * the members that have been unreachable for `REPLACEMENT_DELAY_MS`.
- */
-export function nextChange(
-  status: ReplicaStatus,
-  voterCount: number,
-  lost: readonly string[],
-): MemberChange | undefined {
-  const {voters, learners, member: self} = status;
-  const replaced = voters.find(
-    id =>
-      id !== self &&
-      voters.some(other => other !== id && isSuccessor(other, id, voters)),
-  );
-  if (replaced !== undefined) return {type: 'remove', member: replaced};
-  const successor = learners.find(id =>
-    voters.some(voter => addressOf(voter) === addressOf(id)),
-  );
-  if (successor !== undefined) return {type: 'promote', member: successor};
-  const dead = voters.find(id => id !== self && lost.includes(id));
-  if (voters.length > voterCount && dead !== undefined) {
-    return {type: 'remove', member: dead};
-  }
-  const promotable = learners.find(id => !lost.includes(id));
-  const needsVoter = voters.length < voterCount || dead !== undefined;
-  if (needsVoter && promotable !== undefined)
-    return {type: 'promote', member: promotable};
-  return undefined;
-}
-
-/**
- * Whether `other` has replaced `id`: both have the same address, and voters
- * that were added later come later in the list.
- */
-function isSuccessor(
-  other: string,
-  id: string,
-  voters: readonly string[],
-): boolean {
-  const same = addressOf(other) === addressOf(id);
-  return same && voters.indexOf(other) > voters.indexOf(id);
-}
+const isSameHost = (member: string, other: string) =>
+  addressOf(member) === addressOf(other);
 
 type Message = {type: 'round'} | {type: 'admit'; member: string};
 
 export function startMembership(options: MembershipOptions): Membership {
-  const {replica, tasks, log, voterCount} = options;
-  const unreachableSinceMs = new Map<string, number>();
-  const reachability = createReachability({...options, log});
+  const {replica, tasks, log, voterCount, isReachable, dataCentreOf} = options;
+  // Observed in every role, so that a new leader need not wait once more.
+  const reachability = createReachability({log, isReachable});
   let timer: NodeJS.Timeout | undefined;
 
   const task: Task<Message> = tasks.spawn<null, Message>({
@@ -120,49 +91,54 @@
   });
 
   async function runRound(): Promise<void> {
-    timer = setTimeout(() => task.post({type: 'round'}), ROUND_INTERVAL_MS);
     const status = replica.status();
-    const {member, voters, learners, role} = status;
     reachability.observe(status);
+    const lost = reachability.lostFor(REPLACEMENT_DELAY_MS);
+    const hasChanged = await advance(status, lost);
+    if (hasChanged) {
+      task.post({type: 'round'});
+      return;
+    }
+    const needsRepair = status.role === 'leader' && lost.length > 0;
+    const waitMs = needsRepair ? REPAIR_INTERVAL_MS : ROUND_INTERVAL_MS;
+    timer = setTimeout(() => task.post({type: 'round'}), waitMs);
+  }
+
+  /** Resolves with whether the membership has changed. */
+  async function advance(
+    status: ReplicaStatus,
+    lost: readonly string[],
+  ): Promise<boolean> {
+    const {member, voters, learners, role} = status;
     if (voters.length === 0 && options.canBootstrap) {
       log.info('group-founded', {member});
       replica.bootstrap([member]);
-      return;
+      return false;
     }
     if (role === 'leader') {
-      await repair(status);
-      return;
+      const view = {voterCount, lost, isReachable, isSameHost, dataCentreOf};
+      return changeMember(nextRepair(status, view));
     }
     if (!voters.includes(member) && !learners.includes(member)) {
       options.requestToJoin(member);
     }
+    return false;
   }
 
-  async function repair(status: ReplicaStatus): Promise<void> {
-    const nowMs = performance.now();
-    const {member, voters, learners} = status;
-    const lost = [...voters, ...learners].filter(id => {
-      if (id === member || options.isReachable(id)) {
-        unreachableSinceMs.delete(id);
-        return false;
-      }
-      const since = unreachableSinceMs.get(id) ?? nowMs;
-      unreachableSinceMs.set(id, since);
-      return nowMs - since > REPLACEMENT_DELAY_MS;
-    });
-    await changeMember(nextChange(status, voterCount, lost));
-  }
-
-  async function changeMember(next: MemberChange | undefined): Promise<void> {
-    if (!next) return;
+  async function changeMember(
+    next: MemberChange | undefined,
+  ): Promise<boolean> {
+    if (!next) return false;
     try {
       await replica.changeMembers(next);
       log.info('member-changed', {change: next.type, member: next.member});
+      return true;
     } catch (error) {
       log.debug('member-unchanged', {
         member: next.member,
         reason: (error as Error).message,
       });
+      return false;
     }
   }
 
@@ -172,7 +148,7 @@
     if (voters.includes(member) || learners.includes(member)) return;
     // An older learner with the same address is the same host before it lost
     // its disk.
-    const older = learners.find(id => addressOf(id) === addressOf(member));
+    const older = learners.find(id => isSameHost(id, member));
     if (older !== undefined)
       await changeMember({type: 'remove', member: older});
     await changeMember({type: 'add-learner', member});
--- a/packages/dispatch/src/mesh.ts
+++ b/packages/dispatch/src/mesh.ts
@@ -46,6 +46,8 @@
 /** A control process that has reported its status on an open link. */
 export interface Peer {
   readonly address: string;
+  /** ID of the member that runs there; differs after a loss of its disk. */
+  readonly member: string;
   readonly dataCentre: string;
   readonly link: Link;
 }
@@ -108,9 +110,10 @@
   function peers(): ReadonlyMap<string, Peer> {
     if (knownPeers) return knownPeers;
     const found = new Map<string, Peer>();
-    for (const [address, {dataCentre}] of statuses) {
+    for (const [address, {member, dataCentre}] of statuses) {
       const link = links.get(address);
-      if (link?.isOpen()) found.set(address, {address, dataCentre, link});
+      if (!link?.isOpen()) continue;
+      found.set(address, {address, member, dataCentre, link});
     }
     return (knownPeers = found);
   }
--- a/packages/dispatch/src/reachability.ts
+++ b/packages/dispatch/src/reachability.ts
@@ -14,6 +14,8 @@
 export interface Reachability {
   /** Updates what is known of all members of the status. */
   observe(status: ReplicaStatus): void;
+  /** Members that have been unreachable for longer than the given time. */
+  lostFor(ms: number): string[];
 }
 
 /** Interval of the log lines while no leader is known. */
@@ -63,5 +65,11 @@
       for (const id of others) observeMember(id, nowMs);
       reportLeaderless(status, nowMs);
     },
+    lostFor(ms) {
+      const latestMs = performance.now() - ms;
+      return [...unreachableSinceMs]
+        .filter(([, sinceMs]) => sinceMs < latestMs)
+        .map(([id]) => id);
+    },
   };
 }
--- a/packages/dispatch/test/reachability.test.ts
+++ b/packages/dispatch/test/reachability.test.ts
@@ -16,6 +16,7 @@
     revision: 0,
     voters: ['a:1/x', 'b:1/x', 'c:1/x'],
     learners: [],
+    completeLearners: [],
   };
 }
 
--- a/packages/dispatch/test/relays.ts
+++ b/packages/dispatch/test/relays.ts
@@ -144,6 +144,7 @@
 
   const fake: FakeRelay = {
     address,
+    member: `${address}/m`,
     dataCentre,
     link,
     relay,
