Let a removed member join again with its disk

Cause: a removed member is still a voter by its own log, so it stood for elections that nobody answers and never asked to join; and a request under its ID was refused, as the ID of a lost disk is.

Change: a member asks to join if the leader's status does not name it. The leader admits a removed ID as a learner with a change of its own, rejoin, unless the host has already joined under another ID, which proves that the disk of this one is lost. add-learner still refuses removed IDs.

--- a/packages/consensus/src/members.ts
+++ b/packages/consensus/src/members.ts
@@ -5,13 +5,18 @@
   voters: z.array(z.string()),
   /** Receive the log but neither vote nor count towards a majority. */
   learners: z.array(z.string()),
-  /** Removed members; their IDs are never admitted again. */
+  /** Removed members, which get no vote in an election. */
   retired: z.array(z.string()),
 });
 export type Membership = z.infer<typeof Membership>;
 
+/**
+ * `rejoin` adds a removed member that is running with its disk as a learner;
+ * `add-learner` refuses it, since a delayed request may name an ID whose disk is
+ * lost.
+ */
 export const MemberChange = z.object({
-  type: z.enum(['add-learner', 'promote', 'remove']),
+  type: z.enum(['add-learner', 'rejoin', 'promote', 'remove']),
   member: z.string().min(1),
 });
 export type MemberChange = z.infer<typeof MemberChange>;
@@ -37,10 +42,15 @@
 ): Membership | string {
   const {voters, learners, retired} = members;
   const without = (ids: readonly string[]) => ids.filter(id => id !== member);
-  if (type === 'add-learner') {
-    if (retired.includes(member)) return `member ${member} was removed`;
+  if (type === 'add-learner' || type === 'rejoin') {
+    const isRemoved = retired.includes(member);
+    if (isRemoved && type !== 'rejoin') return `member ${member} was removed`;
     if (allMembers(members).includes(member)) return `${member} is a member`;
-    return {...members, learners: [...learners, member]};
+    return {
+      voters,
+      learners: [...learners, member],
+      retired: without(retired),
+    };
   }
   if (type === 'promote') {
     if (!learners.includes(member)) return `${member} is not a learner`;
--- a/packages/consensus/src/options.ts
+++ b/packages/consensus/src/options.ts
@@ -7,7 +7,7 @@
 import type {PeerTransport} from './transport.js';
 
 export interface RaftOptions<S, C, A> {
-  /** ID of this member; never used again once the member is removed. */
+  /** ID of this member; a host that lost its disk must use another one. */
   readonly member: string;
   readonly group: string;
   /** Seed of the random election timeouts; must differ between members. */
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -39,6 +39,8 @@
    * unless this replica leads.
    */
   readonly completeLearners: readonly string[];
+  /** Members that were removed and have not joined again. */
+  readonly retired: readonly string[];
 }
 
 /** This replica is not the leader, so nothing was proposed. */
--- a/packages/consensus/src/solo.ts
+++ b/packages/consensus/src/solo.ts
@@ -36,6 +36,7 @@
       voters: ['solo'],
       learners: [],
       completeLearners: [],
+      retired: [],
     };
   }
 
--- a/packages/consensus/src/status.ts
+++ b/packages/consensus/src/status.ts
@@ -5,7 +5,7 @@
 export function getStatus(node: Node, revision: number): ReplicaStatus {
   const {id, role, term, leader, membership: members} = node;
   const {rules, peers, commitIndex} = node;
-  const {voters, learners} = members;
+  const {voters, learners, retired} = members;
   return {
     member: id,
     role: reportedRole(),
@@ -18,6 +18,7 @@
       const progress = peers[learner];
       return progress && rules.canPromote(progress.matchIndex, commitIndex);
     }),
+    retired,
   };
 
   function reportedRole(): ReplicaStatus['role'] {
--- a/packages/consensus/test/mechanism.test.ts
+++ b/packages/consensus/test/mechanism.test.ts
@@ -1,6 +1,6 @@
 /** Tests that each safety mechanism works and that weakened variants fail. */
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
-import type {Rules} from '@lentildrift/consensus';
+import type {MemberChange, Rules} from '@lentildrift/consensus';
 import {Cluster, type ClusterOptions, type Host} from './cluster.js';
 import {
   WithoutCheckQuorum,
@@ -170,10 +170,7 @@
     const {cluster, leader, others} = await startCluster();
     const {replica} = leader;
     const [removed] = others;
-    const change = async (
-      type: 'add-learner' | 'promote' | 'remove',
-      id: string,
-    ) => {
+    const change = async (type: MemberChange['type'], id: string) => {
       const changing = replica!.changeMembers({type, member: id}).then(
         () => 'done',
         (error: Error) => error.message,
@@ -192,7 +189,17 @@
     // The removed member does not learn of its removal and keeps asking for
     // votes, which must not disturb the others.
     expect(leader.replica!.status().role).toBe('leader');
-    await cluster.stop();
+    for (let i = 0; i < 5; i++) {
+      expect(await propose(cluster, leader)).toBe(true);
+    }
+    // It has kept its disk, so it may join again, without a vote at first.
+    expect(await change('rejoin', removed.member)).toBe('done');
+    expect(removed.replica!.status().role).toBe('learner');
+    expect(removed.replica!.state()).toHaveLength(5);
+    expect(await change('promote', removed.member)).toBe('done');
+    expect(removed.replica!.status().role).toBe('follower');
+    expect(leader.replica!.status().role).toBe('leader');
+    expect(await collectViolations(cluster)).toEqual([]);
   });
 
   it('crash: acknowledged changes survive crashes before and after any sync', async () => {
--- a/packages/consensus/test/repair.test.ts
+++ b/packages/consensus/test/repair.test.ts
@@ -23,6 +23,7 @@
     voters,
     learners,
     completeLearners: known.complete ?? learners,
+    retired: [],
   };
   const {lost = [], unreachable = lost, dataCentres = {}} = known;
   return nextRepair(status, {
--- a/packages/control/test/group.ts
+++ b/packages/control/test/group.ts
@@ -66,6 +66,7 @@
       voters,
       learners: [],
       completeLearners: [],
+      retired: [],
     };
   }
 
--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -225,6 +225,7 @@
       id === member
         ? options.dataCentre
         : mesh.peers().get(addressOf(id))?.dataCentre,
+    leaderMembers: mesh.leaderMembers,
     requestToJoin: () => mesh.leaderLink()?.post(JOIN_KIND, {}),
   });
   const unsubscribe = replica.onStatusChange(status => {
--- a/packages/dispatch/src/membership.ts
+++ b/packages/dispatch/src/membership.ts
@@ -35,6 +35,8 @@
   isReachable(member: string): boolean;
   /** Data centre of a member; undefined if it is not known. */
   dataCentreOf(member: string): string | undefined;
+  /** Members of the group as the leader reports them, if it is known. */
+  leaderMembers(): readonly string[] | undefined;
   /** Asks the leader to add this member to the group. */
   requestToJoin(member: string): void;
 }
@@ -119,9 +121,9 @@
       const view = {voterCount, lost, isReachable, isSameHost, dataCentreOf};
       return changeMember(nextRepair(status, view));
     }
-    if (!voters.includes(member) && !learners.includes(member)) {
-      options.requestToJoin(member);
-    }
+    // A member that was removed while it was cut off is still one by its own log.
+    const members = options.leaderMembers() ?? [...voters, ...learners];
+    if (!members.includes(member)) options.requestToJoin(member);
     return false;
   }
 
@@ -143,9 +145,17 @@
   }
 
   async function admit(member: string): Promise<void> {
-    const {role, voters, learners} = replica.status();
+    const {role, voters, learners, retired} = replica.status();
     if (role !== 'leader') return;
-    if (voters.includes(member) || learners.includes(member)) return;
+    const members = [...voters, ...learners];
+    if (members.includes(member)) return;
+    if (retired.includes(member)) {
+      // If its host has joined under another ID, the disk of this one is lost,
+      // and the request was delayed.
+      if (members.some(id => isSameHost(id, member))) return;
+      await changeMember({type: 'rejoin', member});
+      return;
+    }
     // An older learner with the same address is the same host before it lost
     // its disk.
     const older = learners.find(id => isSameHost(id, member));
--- a/packages/dispatch/src/mesh.ts
+++ b/packages/dispatch/src/mesh.ts
@@ -65,6 +65,8 @@
    * ID of the process at the address, as reported; undefined without a link.
    */
   processIdAt(address: string): string | undefined;
+  /** Members of the group by the leader's own status, if its link is open. */
+  leaderMembers(): readonly string[] | undefined;
   /** Whether any connected process has reported a leader. */
   hasLeader(): boolean;
   /**
@@ -176,6 +178,11 @@
     openLinks: () => [...links.values()].filter(link => link.isOpen()),
     peers,
     leaderLink,
+    leaderMembers() {
+      const status = statuses.get(leaderAddress() ?? '');
+      if (!status || status.member !== status.leader) return undefined;
+      return [...status.voters, ...status.learners];
+    },
     processIdAt: address => statuses.get(address)?.process,
     hasLeader: () => leaderAddress() !== undefined,
     refresh,
--- a/packages/dispatch/test/group.ts
+++ b/packages/dispatch/test/group.ts
@@ -154,6 +154,11 @@
         return target?.member === id && isLinkOpen(host, target);
       },
       dataCentreOf: id => id.slice(0, id.indexOf('/')),
+      leaderMembers() {
+        const status = reportedLeader(host)?.process?.replica.status();
+        if (status?.role !== 'leader') return undefined;
+        return [...status.voters, ...status.learners];
+      },
       requestToJoin(id) {
         const leader = reportedLeader(host);
         setTimeout(
--- a/packages/dispatch/test/links.ts
+++ b/packages/dispatch/test/links.ts
@@ -24,6 +24,7 @@
     openLinks: () => open,
     peers: () => new Map(),
     leaderLink: () => leader,
+    leaderMembers: () => undefined,
     processIdAt: () => undefined,
     hasLeader: () => leader !== undefined,
     refresh: () => {},
--- a/packages/dispatch/test/reachability.test.ts
+++ b/packages/dispatch/test/reachability.test.ts
@@ -17,6 +17,7 @@
     voters: ['a:1/x', 'b:1/x', 'c:1/x'],
     learners: [],
     completeLearners: [],
+    retired: [],
   };
 }
 
--- a/packages/dispatch/test/replacement.test.ts
+++ b/packages/dispatch/test/replacement.test.ts
@@ -75,4 +75,21 @@
     const {voters, learners} = group.status();
     expect([...voters, ...learners]).toContain(host.member);
   });
+
+  it('ignores a delayed request to join under an ID whose disk is lost', async () => {
+    group = await startGroup({voterCount: 3});
+    const host = follower();
+    const lostId = host.member;
+    group.powerOff(host);
+    group.wipe(host);
+    await group.advance(2000);
+    await group.powerOn(host);
+    await group.advance(CATCH_UP_MS);
+    group.leader()!.process!.membership.admit(lostId);
+    await group.advance(CATCH_UP_MS);
+    const {voters, learners, retired} = group.status();
+    expect(voters).toContain(host.member);
+    expect(learners).toEqual([]);
+    expect(retired).toEqual([lostId]);
+  });
 });
