Name no leader in a learner that hears from none

What callers saw: after the loss of the quorum all entry hosts stayed ready for 13 s and sent requests to a process that no longer led, so callers waited for a refusal instead of being sent elsewhere.

Cause: only a voter forgets its leader when its election timeout ends. A learner named the last one in its status for good. Entry hosts take the leader of the highest term that any member names.

Evidence: the new test of step.test.ts fails on the parent and passes now.

--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -14,18 +14,19 @@
 
 /**
  * Starts a pre-vote, or at once an election where pre-votes are disabled,
- * because no leader was heard from within the election timeout.
+ * because no leader was heard from within the election timeout. A learner only
+ * stops naming that leader.
  */
 export function onElectionTimeout(ctx: StepContext): void {
   const {node} = ctx;
   resetElectionTimer(ctx);
+  node.leader = undefined;
   if (!node.membership.voters.includes(node.id)) return;
   if (!node.rules.isPreVoteEnabled()) {
     startElection(ctx, false);
     return;
   }
   node.role = 'pre-candidate';
-  node.leader = undefined;
   node.votesReceived = [node.id];
   forEachOtherVoter(ctx, to =>
     send(ctx, {
--- a/packages/consensus/test/step.test.ts
+++ b/packages/consensus/test/step.test.ts
@@ -271,3 +271,38 @@
     });
   });
 });
+
+describe('a learner', () => {
+  // Entry hosts stay ready and send requests to the leader that any member names.
+  it('names no leader once it has not heard from it for an election timeout', () => {
+    const members = {voters: ['a', 'b', 'c'], learners: ['d'], retired: []};
+    let node = createNode({
+      id: 'd',
+      group: 'g',
+      seed: 1,
+      nowMs: 0,
+      stored: {
+        ...EMPTY_LOG,
+        records: [{...MEMBERSHIP_RECORD, text: JSON.stringify(members)}],
+      },
+    });
+    const message: PeerMessage = {
+      type: 'append',
+      group: 'g',
+      from: 'a',
+      to: 'd',
+      term: 3,
+      prevIndex: 1,
+      prevTerm: 0,
+      records: [],
+      commit: 1,
+      round: 1,
+    };
+    node = step(node, {type: 'receive', message, nowMs: 10}).node;
+    expect(node.leader).toBe('a');
+    const {maxElectionTimeoutMs} = node.rules;
+    const later = step(node, {type: 'tick', nowMs: 11 + maxElectionTimeoutMs});
+    expect(later.node).toMatchObject({role: 'follower', leader: undefined});
+    expect(later.effects).toEqual([]);
+  });
+});
