Test control groups under random losses, and check them often while voters lack

In one play of replaced-then-wiped the new member of a lost disk had its vote 0.76 s after the old one was removed, since the leader looked only every 250 ms; it now looks every 50 ms while voters lack.

--- a/packages/dispatch/src/membership.ts
+++ b/packages/dispatch/src/membership.ts
@@ -50,8 +50,8 @@
 /** Interval at which the membership is checked. */
 const ROUND_INTERVAL_MS = 250;
 /**
- * Interval while members are lost. A learner often lacks the very last entries,
- * so it can be promoted only at some moments.
+ * Interval while the leader lacks voters. A learner often lacks the very last
+ * entries, so it can be promoted only at some moments.
  */
 const REPAIR_INTERVAL_MS = 50;
 /**
@@ -101,8 +101,9 @@
       task.post({type: 'round'});
       return;
     }
-    const needsRepair = status.role === 'leader' && lost.length > 0;
-    const waitMs = needsRepair ? REPAIR_INTERVAL_MS : ROUND_INTERVAL_MS;
+    const lacksVoters = lost.length > 0 || status.voters.length < voterCount;
+    const isRepairing = status.role === 'leader' && lacksVoters;
+    const waitMs = isRepairing ? REPAIR_INTERVAL_MS : ROUND_INTERVAL_MS;
     timer = setTimeout(() => task.post({type: 'round'}), waitMs);
   }
 
--- a/packages/dispatch/test/group.ts
+++ b/packages/dispatch/test/group.ts
@@ -17,8 +17,9 @@
 import {QueueRules} from '../src/control.js';
 import {startMembership, type Membership} from '../src/membership.js';
 
-/** The group accepts any text; its state is the number of changes. */
-type TestReplica = RaftReplica<number, string, number>;
+/** The group accepts any text; its state is the sequence of changes. */
+type Values = readonly string[];
+type TestReplica = RaftReplica<Values, string, number>;
 
 interface Process {
   readonly member: string;
@@ -70,6 +71,7 @@
   status(): ReplicaStatus;
   /** Whether the loss of any one more running voter leaves a quorum. */
   toleratesLoss(): boolean;
+  /** Rejects if an invariant was broken, such as one leader a term. */
   advance(ms: number): Promise<void>;
   stop(): Promise<void>;
 }
@@ -80,6 +82,8 @@
   const hosts: GroupHost[] = [];
   const log = createLog('error', {}, () => {});
   const failures: string[] = [];
+  /** The member that led each term. */
+  const leaders = new Map<number, string>();
   const tasks = startTasks((task, error) =>
     failures.push(`${task}: ${error.message}`),
   );
@@ -124,14 +128,17 @@
   async function start(host: GroupHost): Promise<void> {
     const {member} = host;
     const store = new MemoryStore(host.disk, {syncMs: SYNC_MS});
-    const replica = await startRaft<number, string, number>({
+    const replica = await startRaft<Values, string, number>({
       member,
       group: 'g',
       seed: 7 * ++starts,
       stateMachine: {
-        initial: 0,
-        apply: state => ({state: state + 1, answer: state + 1}),
-        revision: state => state,
+        initial: [],
+        apply: (state, change) => ({
+          state: [...state, change],
+          answer: state.length + 1,
+        }),
+        revision: state => state.length,
       },
       codec: new JsonCodec(),
       store,
@@ -168,6 +175,14 @@
       },
     });
     host.process = {member, replica, membership, store};
+    replica.onStatusChange(({role, term}) => {
+      if (role !== 'leader') return;
+      const other = leaders.get(term);
+      if (other !== undefined && other !== member) {
+        failures.push(`${other} and ${member} lead term ${term}`);
+      }
+      leaders.set(term, member);
+    });
     observeLinks();
   }
 
