Try the last reported members again after all links have closed

What callers saw: nothing yet; an entry host whose seeds name only hosts that are gone would stay without a leader after a loss of power of all control hosts.

Cause: the mesh kept links only to its seeds and to members that an open link reports. Once all links were closed, a reload of the settings dropped the links to all members that the new seeds do not name.

Change: the addresses of the members that were reported last stay wanted until another report replaces them.

Evidence: the new test of mesh.test.ts fails on the parent (no peer within 3 s) and passes now.

--- a/packages/dispatch/src/mesh.ts
+++ b/packages/dispatch/src/mesh.ts
@@ -84,14 +84,19 @@
   /** By address; undefined after a change, until it is needed again. */
   let knownPeers: ReadonlyMap<string, Peer> | undefined;
   let ownMembers: readonly string[] = [];
+  /** Addresses of the members that a process last reported. */
+  let reportedAddresses: readonly string[] = [];
   let loggedLeader = '';
 
   function refresh(members?: readonly string[]): void {
     if (members) ownMembers = members;
     const wanted = new Set([...options.seeds(), ...ownMembers.map(addressOf)]);
-    for (const {voters, learners} of statuses.values()) {
-      for (const id of [...voters, ...learners]) wanted.add(addressOf(id));
-    }
+    const reported = [...statuses.values()].flatMap(({voters, learners}) =>
+      [...voters, ...learners].map(addressOf),
+    );
+    // After all links have closed, the seeds may name no member that is left.
+    if (reported.length > 0) reportedAddresses = reported;
+    for (const address of reportedAddresses) wanted.add(address);
     if (self !== undefined) wanted.delete(self);
     for (const address of wanted) {
       if (!links.has(address)) links.set(address, openLinkTo(address));
--- a/packages/dispatch/test/mesh.test.ts
+++ b/packages/dispatch/test/mesh.test.ts
@@ -1,5 +1,5 @@
 /** Tests which control processes count as reachable, over loopback. */
-import {startLinkServer} from '@lentildrift/link';
+import {startLinkServer, type LinkServer} from '@lentildrift/link';
 import {createLog} from '@lentildrift/observe';
 import {startTasks} from '@lentildrift/task';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
@@ -14,10 +14,10 @@
   for (const cleanUp of cleanUps.splice(0).reverse()) await cleanUp();
 });
 
-function createTestMesh(seed: string) {
+function createTestMesh(seed: string, seeds = () => [seed]) {
   const mesh = createMesh({
     name: 'test',
-    seeds: () => [seed],
+    seeds,
     tasks: startTasks(() => {}),
     log,
     onChange: () => {},
@@ -73,3 +73,35 @@
   await vi.waitFor(() => expect(mesh.linkTo(address)?.isOpen()).toBe(true));
   expect(mesh.peers().size).toBe(0);
 });
+
+// A host keeps its seeds for seconds after the hosts that they name are gone.
+it('the last members that were reported are tried again after all links have closed and the seeds have changed', async () => {
+  let address = '';
+  async function startServer(port: number): Promise<LinkServer> {
+    return startLinkServer({
+      host: HOST,
+      port,
+      tasks: startTasks(() => {}),
+      log,
+      onRequest: async () => null,
+      onPost: () => {},
+      initialPost: () => {
+        const member = `${address}/m`;
+        const body = {...STATUS_OF_PEER, member, voters: [member]};
+        return {kind: STATUS, body};
+      },
+    });
+  }
+  const server = await startServer(0);
+  address = `${HOST}:${server.port}`;
+  const seeds = [address];
+  const mesh = createTestMesh(address, () => seeds);
+  await vi.waitFor(() => expect(mesh.peers().size).toBe(1));
+  await server.stop();
+  await vi.waitFor(() => expect(mesh.peers().size).toBe(0));
+  seeds.splice(0, 1, `${HOST}:1`);
+  mesh.refresh();
+  const restarted = await startServer(server.port);
+  cleanUps.push(() => restarted.stop());
+  await vi.waitFor(() => expect(mesh.peers().size).toBe(1), 3000);
+});
