--- a/packages/dispatch/test/fakes.ts
+++ b/packages/dispatch/test/fakes.ts
@@ -86,7 +86,8 @@
   private readonly openedMs = performance.now();
 
   constructor(
-    readonly worker: Worker,
+    /** Its capacity may change while the worker runs. */
+    public worker: Worker,
     private readonly fleet: FakeFleet,
     /** Speed of the worker's clock relative to the runtime's clock. */
     readonly clockRate = 1,
