--- a/packages/dispatch/test/capacity.test.ts
+++ b/packages/dispatch/test/capacity.test.ts
@@ -176,6 +176,15 @@
 });
 
 describe('a delayed announcement', () => {
+  it('does not undo a later one that changed nothing', async () => {
+    await createCluster({}, [worker('w1', {capacity: HALF})]);
+    await resizeAndAnnounce('w1', HALF, 3);
+    const late = announce('w1', FULL, 2);
+    await harness.advance(50);
+    await late;
+    expect(recordedCapacity('w1')).toEqual(HALF);
+  });
+
   it('does not undo a later one that is not recorded yet', async () => {
     await createCluster();
     harness.replica.commitDelayMs = 100;
