Ignore announcements older than one that changed nothing

A worker announces its state about every 1.5 s. The leader compared the sequence of an announcement with that of the recorded one, but announcements that change nothing are not recorded. If a worker grew and shrank again while an announcement in between was delayed, the delayed one was recorded when it arrived, and the worker got runs beyond its capacity until it announced itself again. The registry now keeps the highest sequence that it has heard of each incarnation.

Before: capacity.test.ts recorded 4,000 after the worker had announced 2,000 again. A new leader hears the sequences anew; the recorded one still holds.

--- a/packages/dispatch/src/announcement.ts
+++ b/packages/dispatch/src/announcement.ts
@@ -13,15 +13,23 @@
   /** A later incarnation of a known worker. */
   | 'new-incarnation';
 
+/**
+ * `heardSequence` is the highest sequence that the announced incarnation is
+ * known to have reached; that of its record may be older, since announcements
+ * that change nothing are not recorded.
+ */
 export function classifyAnnouncement(
   known: Worker | undefined,
   announced: Worker,
+  heardSequence = -Infinity,
 ): AnnouncementKind {
   if (!known) return 'new';
   if (announced.bornMs < known.bornMs) return 'stale';
   if (announced.bornMs > known.bornMs) return 'new-incarnation';
   if (known.phase === 'gone') return 'stale';
-  if (announced.sequence < known.sequence) return 'stale';
+  if (announced.sequence < Math.max(known.sequence, heardSequence)) {
+    return 'stale';
+  }
   return isSame(known, announced) ? 'unchanged' : 'changed';
 }
 
--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -59,6 +59,8 @@
   const {token, driver, runs, log, state, enqueue, enqueueDerived} = options;
   /** Monotonic time of the last announcement, by `workerKey`. */
   const lastHeardMs = new Map<string, number>();
+  /** Highest sequence that was announced, by `workerKey`. */
+  const heardSequences = new Map<string, number>();
   const departedMs = new Map<string, number>();
   /**
    * Later announcements of the new incarnations that `replaceIncarnation` is
@@ -73,9 +75,12 @@
 
   function announce(worker: Worker, reply: Reply<void>): void {
     const known = state().workers.get(worker.id);
-    const kind = classifyAnnouncement(known, worker);
+    const key = workerKey(worker);
+    const heardSequence = heardSequences.get(key);
+    const kind = classifyAnnouncement(known, worker, heardSequence);
     if (kind !== 'stale') {
-      lastHeardMs.set(workerKey(worker), performance.now());
+      lastHeardMs.set(key, performance.now());
+      heardSequences.set(key, worker.sequence);
       const newest = newestIncarnationMs.get(worker.id) ?? 0;
       newestIncarnationMs.set(worker.id, Math.max(newest, worker.bornMs));
     }
@@ -245,6 +250,7 @@
     departedMs.set(key, since);
     if (nowMs - since <= LEFT_GRACE_MS) return;
     departedMs.delete(key);
+    heardSequences.delete(key);
     enqueueDerived({type: 'worker-gone', worker: key});
   }
 
@@ -269,6 +275,7 @@
     if (!lastHeardMs.has(key)) lastHeardMs.set(key, nowMs);
     if (nowMs - lastHeardMs.get(key)! <= WORKER_EXPIRY_MS) return;
     lastHeardMs.delete(key);
+    heardSequences.delete(key);
     enqueueDerived({type: 'worker-gone', worker: key});
   }
 
