--- a/packages/dispatch/test/capacity.test.ts
+++ b/packages/dispatch/test/capacity.test.ts
@@ -195,3 +195,14 @@
     expect(recordedCapacity('w1')).toEqual(HALF);
   });
 });
+
+it('records a return to the recorded capacity before a change is', async () => {
+  await createCluster({}, [worker('w1', {capacity: HALF})]);
+  harness.replica.commitDelayMs = 100;
+  const grown = announce('w1', FULL, 2);
+  await harness.advance(20);
+  const shrunk = announce('w1', HALF, 3);
+  await harness.advance(500);
+  await Promise.all([grown, shrunk]);
+  expect(recordedCapacity('w1')).toEqual(HALF);
+});
