Record an announcement that returns to a capacity under change

A worker that grew and shrank again within a commit kept the larger capacity in the directory until its next announcement: while the growth was being committed, the second announcement equalled the record before it, and was answered without a record. Growth was overlooked in the same way. An announcement is now recorded as well while a record of the same incarnation waits for its commit.

Before: capacity.test.ts recorded 4,000 after the worker had announced 2,000 again.

--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -67,6 +67,8 @@
    * working on, by `workerKey`.
    */
   const replacements = new Map<string, Announcement[]>();
+  /** Number of records that wait for their commit, by `workerKey`. */
+  const undecidedRecords = new Map<string, number>();
   /** Replies to announcements whose replacement is not queued yet. */
   const unqueued = new Set<Reply<void>>();
   /** `bornMs` of the newest incarnation that was announced, by worker ID. */
@@ -84,7 +86,9 @@
       const newest = newestIncarnationMs.get(worker.id) ?? 0;
       newestIncarnationMs.set(worker.id, Math.max(newest, worker.bornMs));
     }
-    if (kind === 'stale' || kind === 'unchanged') {
+    // The record that an announcement is compared with may be about to change.
+    const needsNoRecord = kind === 'unchanged' && !undecidedRecords.has(key);
+    if (kind === 'stale' || needsNoRecord) {
       reply.resolve();
       return;
     }
@@ -94,12 +98,29 @@
   }
 
   function recordWorker(worker: Worker, reply: Reply<void>): void {
+    const key = workerKey(worker);
+    undecidedRecords.set(key, (undecidedRecords.get(key) ?? 0) + 1);
     enqueue(
       {type: 'worker', worker},
-      {resolve: () => reply.resolve(), reject: error => reply.reject(error)},
+      {
+        resolve() {
+          noteDecided(key);
+          reply.resolve();
+        },
+        reject(error) {
+          noteDecided(key);
+          reply.reject(error);
+        },
+      },
     );
   }
 
+  function noteDecided(key: string): void {
+    const left = undecidedRecords.get(key)! - 1;
+    if (left > 0) undecidedRecords.set(key, left);
+    else undecidedRecords.delete(key);
+  }
+
   /**
    * Records a new incarnation of a known worker. An order to the old
    * incarnation that is still in flight would be carried out by the new one,
