--- a/packages/dispatch/test/capacity.test.ts
+++ b/packages/dispatch/test/capacity.test.ts
@@ -160,6 +160,19 @@
     await harness.advance(3000);
     expect(runCount('w1')).toBe(2);
   });
+
+  it('gets no run that was planned while its announcement waited', async () => {
+    await createCluster();
+    harness.replica.commitDelayMs = 300;
+    const submitted = harness.submit(job('a', {count: 4}));
+    await harness.advance(100);
+    resize('w1', HALF);
+    const announced = announce('w1', HALF, 2);
+    await harness.advance(2000);
+    await submitted;
+    await announced;
+    expect(harness.fleet.starts.length).toBeGreaterThan(0);
+  });
 });
 
 describe('a worker whose capacity has grown again', () => {
