Withhold starts that a worker has become too small for

The capacity of a worker was compared only when a start was planned. If the commit of the plan took long, as it does in an unstable group, a worker that had announced a smaller capacity meanwhile got the run nevertheless. Before it is ordered, a run is now compared with a capacity that has been announced and not yet recorded; a run that is not ordered is recorded as lost and planned again. The members of a gang are still ordered, since the others would wait for one that is withheld.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -4,11 +4,13 @@
  */
 import type {Counter, Latency, Log, Metrics} from '@lentildrift/observe';
 import {
+  parseTaskKey,
   PersistentMap,
   splitTaskName,
   taskName,
   visitDifferences,
   workerKey,
+  type Job,
   type StartRow,
   type State,
   type Worker,
@@ -38,7 +40,12 @@
   onEvent(event: SessionEvent): void;
   /** Called when the worker is no longer in the directory. */
   onClosed(session: WorkerSession): void;
-  /** Called for a recorded run whose worker has no session. */
+  /** See `Registry.exceedsAnnouncedCapacity`. */
+  exceedsAnnouncedCapacity(worker: string): boolean;
+  /**
+   * Called for a recorded run that is not ordered, since its worker has no
+   * session or too little capacity by now.
+   */
   onUndeliverable(row: StartRow): void;
 }
 
@@ -152,7 +159,7 @@
     const job = state().jobs.get(id);
     const record = job?.tasks[taskKey];
     if (!job || !record?.runs.some(each => each.number === run)) return;
-    if (!session) {
+    if (!session || isWithheld(row, job)) {
       options.onUndeliverable(row);
       return;
     }
@@ -173,6 +180,19 @@
     });
   }
 
+  /**
+   * Whether the worker has announced too little capacity since the run was
+   * planned, which may have taken long to commit. The members of a gang are not
+   * withheld one by one, since the others would wait for them in vain.
+   */
+  function isWithheld([name, run, worker]: StartRow, job: Job): boolean {
+    const {step} = parseTaskKey(splitTaskName(name).key);
+    if (job.spec.steps[step]!.gang) return false;
+    if (!options.exceedsAnnouncedCapacity(worker)) return false;
+    log.info('start-withheld', {worker, task: name, run});
+    return true;
+  }
+
   function stop(live: LiveRun): void {
     const {worker: key, number: run} = live.run;
     const session = sessions.get(key);
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -143,6 +143,8 @@
     state,
     onEvent: event => void task.post({type: 'session-event', event}),
     onClosed: ({worker}) => reports.forget(worker),
+    exceedsAnnouncedCapacity: worker =>
+      registry.exceedsAnnouncedCapacity(worker),
     onUndeliverable: row => events.enqueueDerived({type: 'lost', runs: [row]}),
   });
   const registry: Registry = createRegistry({
--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -2,16 +2,20 @@
 import {NotLeader} from '@lentildrift/consensus';
 import type {Log} from '@lentildrift/observe';
 import {
+  add,
+  fits,
   taskName,
   workerKey,
+  ZERO_SIZE,
   type EndRow,
   type Event,
   type EventOf,
   type Outcome,
+  type Size,
   type State,
   type Worker,
 } from '@lentildrift/queue';
-import {runId, type LiveRun} from '@lentildrift/scheduling';
+import {reservation, runId, type LiveRun} from '@lentildrift/scheduling';
 import type {Reply} from '@lentildrift/task';
 import {classifyAnnouncement} from './announcement.js';
 import {isStopSettled, type Report, type WorkerDriver} from './driver.js';
@@ -40,6 +44,11 @@
   announce(worker: Worker, reply: Reply<void>): void;
   /** Records that the worker with this ID has left. */
   leave(id: string, reply: Reply<void>): void;
+  /**
+   * Whether the recorded runs of a worker exceed a capacity that it has
+   * announced and that is not recorded yet.
+   */
+  exceedsAnnouncedCapacity(worker: string): boolean;
   /**
    * Removes workers that have left or expired, and reports the runs of
    * unreachable workers as lost once their leases have expired.
@@ -55,6 +64,13 @@
   readonly reply: Reply<void>;
 }
 
+/** Records of one incarnation that wait for their commit. */
+interface UndecidedRecords {
+  readonly count: number;
+  /** Capacity in the latest of them. */
+  readonly capacity: Size;
+}
+
 export function createRegistry(options: RegistryOptions): Registry {
   const {token, driver, runs, log, state, enqueue, enqueueDerived} = options;
   /** Monotonic time of the last announcement, by `workerKey`. */
@@ -67,8 +83,8 @@
    * working on, by `workerKey`.
    */
   const replacements = new Map<string, Announcement[]>();
-  /** Number of records that wait for their commit, by `workerKey`. */
-  const undecidedRecords = new Map<string, number>();
+  /** Records that wait for their commit, by `workerKey`. */
+  const undecidedRecords = new Map<string, UndecidedRecords>();
   /** Replies to announcements whose replacement is not queued yet. */
   const unqueued = new Set<Reply<void>>();
   /** `bornMs` of the newest incarnation that was announced, by worker ID. */
@@ -99,7 +115,8 @@
 
   function recordWorker(worker: Worker, reply: Reply<void>): void {
     const key = workerKey(worker);
-    undecidedRecords.set(key, (undecidedRecords.get(key) ?? 0) + 1);
+    const count = (undecidedRecords.get(key)?.count ?? 0) + 1;
+    undecidedRecords.set(key, {count, capacity: worker.capacity});
     enqueue(
       {type: 'worker', worker},
       {
@@ -116,11 +133,20 @@
   }
 
   function noteDecided(key: string): void {
-    const left = undecidedRecords.get(key)! - 1;
-    if (left > 0) undecidedRecords.set(key, left);
+    const {count, capacity} = undecidedRecords.get(key)!;
+    if (count > 1) undecidedRecords.set(key, {count: count - 1, capacity});
     else undecidedRecords.delete(key);
   }
 
+  function exceedsAnnouncedCapacity(worker: string): boolean {
+    const undecided = undecidedRecords.get(worker);
+    if (!undecided) return false;
+    const reserved = options
+      .recordedRuns(worker)
+      .reduce((sum, {step}) => add(sum, reservation(step)), ZERO_SIZE);
+    return !fits(reserved, undecided.capacity);
+  }
+
   /**
    * Records a new incarnation of a known worker. An order to the old
    * incarnation that is still in flight would be carried out by the new one,
@@ -318,6 +344,7 @@
   return {
     announce,
     leave,
+    exceedsAnnouncedCapacity,
     expire,
     stop() {
       isStopped = true;
