Test that a worker announces itself after a long silence

Fails: a worker whose capacity shrinks while it is cut off gets runs by its former capacity as soon as it answers, which may be seconds before its next announcement.

--- a/packages/dispatch/test/capacity.test.ts
+++ b/packages/dispatch/test/capacity.test.ts
@@ -188,6 +188,36 @@
   });
 });
 
+describe('a worker whose last announcement is old', () => {
+  // Its capacity may have shrunk since, which its reports do not show.
+  it('gets no run after a silence until it announces itself', async () => {
+    await createCluster();
+    const fake = harness.fleet.byAddress.get('w1:1')!;
+    fake.link = 'cut';
+    await harness.advance(1000);
+    resize('w1', HALF);
+    await harness.advance(7000);
+    await harness.submit(job('a', {count: 4}));
+    fake.link = 'up';
+    await harness.advance(1400);
+    expect(harness.fleet.starts).toEqual([]);
+    await resizeAndAnnounce('w1', HALF, 2);
+    await harness.advance(100);
+    expect(runCount('w1')).toBe(2);
+  });
+
+  it('gets runs after a silence of a second', async () => {
+    await createCluster();
+    const fake = harness.fleet.byAddress.get('w1:1')!;
+    fake.link = 'cut';
+    await harness.advance(1000);
+    await harness.submit(job('a', {count: 4}));
+    fake.link = 'up';
+    await harness.advance(1000);
+    expect(runCount('w1')).toBe(4);
+  });
+});
+
 describe('a delayed announcement', () => {
   it('does not undo a later one that changed nothing', async () => {
     await createCluster({}, [worker('w1', {capacity: HALF})]);
