Await an announcement of a worker that was silent for long

Reports do not contain the capacity of a worker, only announcements do. A worker that was cut off for longer than its lease came back without runs and was filled by the capacity that it had announced before, although its next announcement could be 1.5 s away. If the last announcement is more than 2.5 s old when a worker begins to answer, it now gets new runs only after it has announced itself.

--- a/packages/dispatch/src/availability.ts
+++ b/packages/dispatch/src/availability.ts
@@ -9,12 +9,14 @@
   type Health,
   type StateView,
 } from '@lentildrift/scheduling';
+import type {AnnouncementAges} from './announcement-age.js';
 import type {RunEstimates} from './run-estimates.js';
 import type {StateViews} from './state-views.js';
 
 export interface AvailabilityOptions {
   readonly views: StateViews;
   readonly estimates: RunEstimates;
+  readonly announcements: Pick<AnnouncementAges, 'isOutdated'>;
   isAnswering(worker: string): boolean;
   /** Whether the host gets no new runs because of maintenance or a move. */
   isCordoned(host: string): boolean;
@@ -65,7 +67,11 @@
 
   /** Whether the worker can get runs, unless it is avoided after failures. */
   function isAvailable(worker: Worker): boolean {
-    return isUsable(worker) && !options.isCordoned(worker.host);
+    return (
+      isUsable(worker) &&
+      !options.isCordoned(worker.host) &&
+      !options.announcements.isOutdated(workerKey(worker))
+    );
   }
 
   function findAvoided(workers: readonly Worker[]): ReadonlySet<string> {
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -10,6 +10,10 @@
 import type {Event, Outcome, StartRow, Worker} from '@lentildrift/queue';
 import type {Reply, Task} from '@lentildrift/task';
 import {createAdviceCache, type AdviceCache} from './advice.js';
+import {
+  createAnnouncementAges,
+  type AnnouncementAges,
+} from './announcement-age.js';
 import {createAvailability, type Availability} from './availability.js';
 import type {Batch} from './batch.js';
 import {createCommitHandler, type CommitHandler} from './commit-handler.js';
@@ -111,9 +115,11 @@
     log,
     onChange: () => rounds.schedule(),
   });
+  const announcements: AnnouncementAges = createAnnouncementAges();
   const availability: Availability = createAvailability({
     views,
     estimates,
+    announcements,
     isAnswering: worker => dispatcher.isAnswering(worker),
     isCordoned: host => hosts.isCordoned(host),
   });
@@ -151,12 +157,14 @@
     token,
     driver,
     runs,
+    announcements,
     log,
     state,
     recordedRuns: views.recordedRuns,
     sessionOf: dispatcher.sessionOf,
     enqueue: events.enqueue,
     enqueueDerived: events.enqueueDerived,
+    onAwaited: () => rounds.schedule(),
   });
   const readiness = createReadiness({
     isAnswering: dispatcher.isAnswering,
@@ -179,6 +187,7 @@
     views,
     events,
     availability,
+    announcements,
     estimates,
     readiness,
     advice,
--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -18,6 +18,7 @@
 import {reservation, runId, type LiveRun} from '@lentildrift/scheduling';
 import type {Reply} from '@lentildrift/task';
 import {classifyAnnouncement} from './announcement.js';
+import type {AnnouncementAges} from './announcement-age.js';
 import {isStopSettled, type Report, type WorkerDriver} from './driver.js';
 import {toLostRow} from './reconcile.js';
 import type {WorkerSession} from './session.js';
@@ -29,6 +30,7 @@
   readonly token: number;
   readonly driver: WorkerDriver;
   readonly runs: RunTracker;
+  readonly announcements: Pick<AnnouncementAges, 'markAnnounced'>;
   readonly log: Log;
   state(): State;
   /** Runs that are recorded for an incarnation of a worker. */
@@ -37,6 +39,8 @@
   enqueue(event: Event, reply?: Reply<Outcome>): void;
   /** Queues the event unless it already waits for its commit. */
   enqueueDerived(event: DerivedEvent): void;
+  /** Called when a worker may get runs again that had to announce itself. */
+  onAwaited(): void;
 }
 
 export interface Registry {
@@ -99,6 +103,7 @@
     if (kind !== 'stale') {
       lastHeardMs.set(key, performance.now());
       heardSequences.set(key, worker.sequence);
+      if (options.announcements.markAnnounced(key)) options.onAwaited();
       const newest = newestIncarnationMs.get(worker.id) ?? 0;
       newestIncarnationMs.set(worker.id, Math.max(newest, worker.bornMs));
     }
--- a/packages/dispatch/src/report-handler.ts
+++ b/packages/dispatch/src/report-handler.ts
@@ -6,6 +6,7 @@
 import {taskName, workerKey, type Event, type Worker} from '@lentildrift/queue';
 import {runId, type LiveRun} from '@lentildrift/scheduling';
 import type {AdviceCache} from './advice.js';
+import type {AnnouncementAges} from './announcement-age.js';
 import type {Availability} from './availability.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {EventQueue} from './event-queue.js';
@@ -25,6 +26,7 @@
   readonly views: StateViews;
   readonly events: EventQueue;
   readonly availability: Availability;
+  readonly announcements: Omit<AnnouncementAges, 'markAnnounced'>;
   readonly estimates: RunEstimates;
   readonly readiness: Readiness;
   readonly advice: AdviceCache;
@@ -50,7 +52,7 @@
   options: ReportHandlerOptions,
 ): ReportHandler {
   const {dispatcher, runs, views, events, availability, readiness} = options;
-  const {estimates, advice, instruments, log} = options;
+  const {estimates, advice, announcements, instruments, log} = options;
   /** Number of the last end recorded or queued to be, by `workerKey`. */
   const recordedEndCursors = new Map<string, number>();
   const reportFilter = createReportFilter();
@@ -63,6 +65,7 @@
         handleReport(event);
         return;
       case 'silent':
+        announcements.markSilent(event.key);
         reportFilter.forget(event.key);
         options.onChange();
         return;
@@ -102,6 +105,7 @@
     const session = dispatcher.sessionOf(key)!;
     const current = views.state().workers.get(session.worker.id);
     if (!current || workerKey(current) !== key) return;
+    announcements.markAnswered(key);
     const recorded = views.recordedRuns(key);
     const cursor = Math.max(recordedEndCursors.get(key) ?? 0, current.cursor);
     if (reportFilter.isUnchanged(key, report, recorded, cursor)) {
@@ -186,6 +190,7 @@
     forget(worker) {
       const key = workerKey(worker);
       availability.forget(key);
+      announcements.forget(key);
       recordedEndCursors.delete(key);
       reportFilter.forget(key);
       readiness.forget(key);
--- a/packages/dispatch/test/availability.test.ts
+++ b/packages/dispatch/test/availability.test.ts
@@ -119,6 +119,7 @@
   const availability = createAvailability({
     views,
     estimates,
+    announcements: {isOutdated: () => false},
     isAnswering: () => true,
     isCordoned: () => false,
   });
