Await announcements after a long time without a leader

While the group has no leader, announcements are not recorded, and runs end when their leases expire. The next leader filled the workers by capacities that could be as old as the outage, before their first announcement reached it. It now learns for how long its process has known no leader, and treats workers that it has not heard as after a silence of that length. After an ordinary change of leader nothing waits. The line event=leading contains the time as leaderlessMs.

Before, with the time taken as 0: four starts on a worker with a capacity for two in capacity.test.ts; leadership.test.ts read 0 instead of 4,000 ms.

--- a/packages/dispatch/src/announcement-age.ts
+++ b/packages/dispatch/src/announcement-age.ts
@@ -24,8 +24,12 @@
  */
 const MAX_AGE_MS = 2500;
 
-export function createAnnouncementAges(): AnnouncementAges {
-  const beganMs = performance.now();
+/**
+ * `leaderlessMs` is the time for which no announcement may have been recorded
+ * before this leader began.
+ */
+export function createAnnouncementAges(leaderlessMs: number): AnnouncementAges {
+  const beganMs = performance.now() - leaderlessMs;
   /** Monotonic time of the last announcement, by `workerKey`. */
   const announcedMs = new Map<string, number>();
   const answering = new Set<string>();
--- a/packages/dispatch/src/leader-options.ts
+++ b/packages/dispatch/src/leader-options.ts
@@ -38,6 +38,11 @@
   readonly pools?: PoolPolicy;
   /** Monotonic time at which this process was elected, for its log lines. */
   readonly electedMs?: number;
+  /**
+   * How long the group had no leader before, as far as this process knows; 0 if
+   * absent.
+   */
+  readonly leaderlessMs?: number;
   /** Whether this process is still the leader, by its own knowledge. */
   isLeader(): boolean;
 }
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -115,7 +115,8 @@
     log,
     onChange: () => rounds.schedule(),
   });
-  const announcements: AnnouncementAges = createAnnouncementAges();
+  const {leaderlessMs = 0} = options;
+  const announcements: AnnouncementAges = createAnnouncementAges(leaderlessMs);
   const availability: Availability = createAvailability({
     views,
     estimates,
@@ -331,6 +332,7 @@
     token,
     workers: state().workers.size,
     jobs: state().jobs.size,
+    leaderlessMs: Math.round(leaderlessMs),
   });
   /** Posts a request to the task, or rejects with `NotLeader` after the stop. */
   function ask<T>(build: (reply: Reply<T>) => Message): Promise<T> {
--- a/packages/dispatch/src/leadership.ts
+++ b/packages/dispatch/src/leadership.ts
@@ -15,7 +15,7 @@
 /** What each leader that this process runs needs, apart from its term. */
 export interface LeadershipOptions extends Omit<
   LeaderOptions,
-  'token' | 'electedMs' | 'isLeader'
+  'token' | 'electedMs' | 'leaderlessMs' | 'isLeader'
 > {
   readonly replica: QueueRaft;
   /** Link addresses of the seeds; they may change. */
@@ -58,6 +58,10 @@
   let confirmingTerm: number | undefined;
   /** Term that this process was last elected for, and the monotonic time. */
   let elected = {term: 0, atMs: 0};
+  /** Whether a leader was known at the last change of the member's status. */
+  let wasLed = false;
+  /** Monotonic time until which a leader was known. */
+  let ledUntilMs = -Infinity;
   let retryTimer: NodeJS.Timeout | undefined;
   let isStopped = false;
   /** Requests that wait for the end of the takeover. */
@@ -96,7 +100,8 @@
 
   function update(): void {
     if (isStopped) return;
-    const {role, term, voters} = replica.status();
+    const {role, term, voters, leader: known} = replica.status();
+    if (wasLed) ledUntilMs = performance.now();
     const leads = role === 'leader' && hasEnoughVoters(voters);
     if (role !== 'leader') releaseWaiting();
     if (current && (!leads || current.term !== term)) {
@@ -105,6 +110,8 @@
       log.info('not-leading', {term});
       void leader.stop();
     }
+    const isLeading = current !== undefined;
+    wasLed = role === 'leader' ? isLeading : known !== undefined;
     if (role === 'leader' && elected.term !== term) {
       elected = {term, atMs: performance.now()};
     }
@@ -139,11 +146,13 @@
       ...options,
       token: term,
       electedMs: elected.atMs,
+      leaderlessMs: performance.now() - ledUntilMs,
       isLeader: () =>
         replica.status().term === term && replica.isConfirmedLeader(),
     });
     const queues = createLocalQueues({...options, leader});
     current = {term, leader, queues};
+    wasLed = true;
     releaseWaiting();
   }
 
--- a/packages/dispatch/test/capacity.test.ts
+++ b/packages/dispatch/test/capacity.test.ts
@@ -206,6 +206,26 @@
     expect(runCount('w1')).toBe(2);
   });
 
+  it('gets no run from a leader after a long time without one', async () => {
+    await createCluster();
+    resize('w1', HALF);
+    await harness.replaceLeader(5000);
+    await harness.submit(job('a', {count: 4}));
+    await harness.advance(1400);
+    expect(harness.fleet.starts).toEqual([]);
+    await resizeAndAnnounce('w1', HALF, 2);
+    await harness.advance(100);
+    expect(runCount('w1')).toBe(2);
+  });
+
+  it('gets runs from the next leader after a short time', async () => {
+    await createCluster();
+    await harness.replaceLeader(1500);
+    await harness.submit(job('a', {count: 4}));
+    await harness.advance(200);
+    expect(runCount('w1')).toBe(4);
+  });
+
   it('gets runs after a silence of a second', async () => {
     await createCluster();
     const fake = harness.fleet.byAddress.get('w1:1')!;
--- a/packages/dispatch/test/harness.ts
+++ b/packages/dispatch/test/harness.ts
@@ -174,8 +174,12 @@
   setPreviousProcessesEnded(ended: boolean): void;
   /** Adds a fake worker and its host, and announces the worker. */
   addWorker(worker: Worker): Promise<void>;
-  /** Starts the next leader on the same state and stops the current one. */
-  replaceLeader(): Promise<void>;
+  /**
+   * Starts the next leader on the same state and stops the current one.
+   * `leaderlessMs` is how long the next leader takes the group to have been
+   * without a leader.
+   */
+  replaceLeader(leaderlessMs?: number): Promise<void>;
   submit(spec: JobSpec): Promise<void>;
   /** Phase of a job; undefined if the job is unknown. */
   phase(id: string): string | undefined;
@@ -208,7 +212,7 @@
   let token = 0;
   let previousProcessesEnded = false;
 
-  function startNextLeader(): Leader {
+  function startNextLeader(leaderlessMs = 0): Leader {
     const own = ++token;
     if (group) group.term = own;
     return startLeader({
@@ -228,6 +232,7 @@
       log,
       metrics,
       pools: options.pools ?? new FixedPools(),
+      leaderlessMs,
       isLeader: () => own === token && replica.acceptsProposals,
     });
   }
@@ -272,9 +277,9 @@
       await advanceUntilSettled(harness.leader.announce(row));
       await vi.advanceTimersByTimeAsync(200);
     },
-    async replaceLeader() {
+    async replaceLeader(leaderlessMs) {
       const old = harness.leader;
-      harness.leader = startNextLeader();
+      harness.leader = startNextLeader(leaderlessMs);
       await advanceUntilSettled(old.stop());
     },
     async submit(spec) {
--- a/packages/dispatch/test/leadership.test.ts
+++ b/packages/dispatch/test/leadership.test.ts
@@ -3,7 +3,7 @@
 import {createLog, createMetrics} from '@lentildrift/observe';
 import type {Change, Outcome, State} from '@lentildrift/queue';
 import {startTasks, type Reply} from '@lentildrift/task';
-import {afterEach, beforeEach, expect, it, vi} from 'vitest';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import {createHostOrderGuard} from '../src/host-order-guard.js';
 import {Adviser, queueMachine} from '../src/index.js';
 import {
@@ -17,15 +17,18 @@
 class ScriptedReplica extends SoloReplica<State, Change, readonly Outcome[]> {
   private role: ReplicaStatus['role'] = 'follower';
   private term = 0;
+  private leader: string | undefined;
   private readonly waiting: Reply<void>[] = [];
 
-  setRole(role: ReplicaStatus['role'], term: number): void {
+  setRole(role: ReplicaStatus['role'], term: number, leader?: string): void {
     this.role = role;
     this.term = term;
+    this.leader = leader;
   }
 
   override status(): ReplicaStatus {
-    return {...super.status(), role: this.role, term: this.term};
+    const {role, term, leader} = this;
+    return {...super.status(), role, term, leader};
   }
 
   override waitForRevision(): Promise<void> {
@@ -92,8 +95,9 @@
 async function update(
   role: ReplicaStatus['role'],
   term: number,
+  leader?: string,
 ): Promise<void> {
-  replica.setRole(role, term);
+  replica.setRole(role, term, leader);
   leadership.update();
   await vi.advanceTimersByTimeAsync(1);
 }
@@ -148,3 +152,44 @@
   await vi.advanceTimersByTimeAsync(1000);
   expect(countLeaders()).toBe(0);
 });
+
+/** The time without a leader that the last leader has logged. */
+function loggedLeaderlessMs(): number {
+  const line = logLines.findLast(each => each.includes('event=leading'))!;
+  return Number(/leaderlessMs=(\S+)/.exec(line)![1]);
+}
+
+// A leader that took it for short would fill workers by outdated capacities.
+describe('the time without a leader before a takeover', () => {
+  it('counts from the loss of the last known leader', async () => {
+    await update('follower', 1, 'b');
+    await vi.advanceTimersByTimeAsync(3000);
+    await update('follower', 1);
+    await vi.advanceTimersByTimeAsync(4000);
+    await update('candidate', 2);
+    await update('leader', 2, 'a');
+    replica.apply(1);
+    await vi.advanceTimersByTimeAsync(1);
+    expect(loggedLeaderlessMs()).toBeGreaterThanOrEqual(4000);
+    expect(loggedLeaderlessMs()).toBeLessThan(4100);
+  });
+
+  it('is short when this process leads again after another', async () => {
+    await update('leader', 1, 'a');
+    replica.apply(1);
+    await vi.advanceTimersByTimeAsync(5000);
+    await update('follower', 2, 'b');
+    await vi.advanceTimersByTimeAsync(5000);
+    await update('leader', 3, 'a');
+    replica.apply(1);
+    await vi.advanceTimersByTimeAsync(1);
+    expect(loggedLeaderlessMs()).toBeLessThan(100);
+  });
+
+  it('is unlimited for a process that has known no leader', async () => {
+    await update('leader', 1, 'a');
+    replica.apply(1);
+    await vi.advanceTimersByTimeAsync(1);
+    expect(loggedLeaderlessMs()).toBe(Infinity);
+  });
+});
