--- a/packages/dispatch/test/availability.test.ts
+++ b/packages/dispatch/test/availability.test.ts
@@ -5,6 +5,7 @@
   JobSpec,
   workerKey,
   type Queue,
+  type Size,
   type State,
   type Worker,
 } from '@lentildrift/queue';
@@ -152,6 +153,14 @@
     ),
   );
   return {
+    /** Describes the pools with a capacity that the provider lists for hosts. */
+    describePools(capacity: Size) {
+      const listed = [...hosts].map(([id, host]): [string, ProvidedHost] => [
+        id,
+        {...host, capacity},
+      ]);
+      return poolViews.collect(new Map(listed), view);
+    },
     estimated: () => estimated,
     planRound: () =>
       plan({
@@ -192,3 +201,14 @@
     expect(parts.estimated()).toBe(WORKERS - 5);
   });
 });
+
+// A pool whose workers had shrunk got no host for the tasks that no longer fit.
+it('describes hosts by the capacity that their workers announce', () => {
+  const parts = createParts(fleetOf({full: 1, waiting: 1}));
+  const listed = {cpuMillis: 8000, memoryMb: 8000, gpus: 1};
+  const [pool] = parts.describePools(listed);
+  expect(pool!.serving).toHaveLength(WORKERS);
+  for (const {capacity, free} of pool!.serving.slice(1)) {
+    expect({capacity, free}).toEqual({capacity: CAPACITY, free: CAPACITY});
+  }
+});
