Describe hosts by the capacity that their workers announce

The pool policy took the capacity of a host from the provider's list. If a worker shrank, the pool was thought to have room for tasks that no longer fit, and got too few hosts for them.

Before: 8,000 free on workers of 2,000 in availability.test.ts.

--- a/packages/dispatch/src/pool-views.ts
+++ b/packages/dispatch/src/pool-views.ts
@@ -114,7 +114,9 @@
     if (!pool || pool.standby || !availability.isUsable(worker))
       return undefined;
     const key = workerKey(worker);
-    const {capacity, labels} = host;
+    const {labels} = host;
+    // May have shrunk or grown, unlike what the provider lists.
+    const {capacity} = worker;
     const reserved = load.byWorker.get(key) ?? ZERO_SIZE;
     const isAvoided = avoided.has(key);
     let emptyInMs: number | undefined;
