--- a/packages/scheduling/test/pools.test.ts
+++ b/packages/scheduling/test/pools.test.ts
@@ -236,6 +236,20 @@
     expect(moves.map(({to}) => to)).toEqual(['q', 'q', 'p']);
   });
 
+  // What a worker that has shrunk lacks was taken from the others' headroom.
+  it('give a pool with headroom no host because a worker has shrunk', () => {
+    const shrunk = host('a', {
+      capacity: ZERO_SIZE,
+      free: {cpuMillis: -1000, memoryMb: -100, gpus: 0},
+      idle: false,
+    });
+    const moves = decideMoves(
+      pool('p', [shrunk, host('b')]),
+      pool('standby', [host('c')]),
+    );
+    expect(moves).toEqual([]);
+  });
+
   it('move idle hosts to standby except for one host of headroom', () => {
     const moves = decideMoves(
       pool('p', [host('a'), host('b'), host('c', {free: ZERO_SIZE})]),
