Leave the headroom of a pool alone when a worker has shrunk

The free capacity of a worker whose runs exceed what it has shrunk to is negative. It was added to that of the other workers, so that a pool with enough free capacity got further hosts. Such a worker now counts as without free capacity.

--- a/packages/scheduling/src/packing.ts
+++ b/packages/scheduling/src/packing.ts
@@ -121,7 +121,21 @@
   };
 }
 
-/** Sum of the free capacity of the hosts. */
+/**
+ * Sum of the free capacity of the hosts. A host whose runs exceed the capacity,
+ * since its worker has shrunk, takes nothing from the others.
+ */
 export function totalFree(hosts: readonly TrialHost[]): Size {
-  return hosts.reduce((total, {free}) => add(total, free), ZERO_SIZE);
+  return hosts.reduce(
+    (total, {free}) => add(total, atLeastZero(free)),
+    ZERO_SIZE,
+  );
+}
+
+function atLeastZero({cpuMillis, memoryMb, gpus}: Size): Size {
+  return {
+    cpuMillis: Math.max(0, cpuMillis),
+    memoryMb: Math.max(0, memoryMb),
+    gpus: Math.max(0, gpus),
+  };
 }
--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -288,7 +288,7 @@
   const surplus: PoolHost[] = [];
   let free = totalFree(hosts);
   for (const each of movable) {
-    free = subtract(free, each.free);
+    free = subtract(free, totalFree([each]));
     if (!fits(requiredFree(pool, each.host, headroomHosts), free)) break;
     surplus.push(each.host);
   }
