--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -10,6 +10,10 @@
 import type {Event, Outcome, StartRow, Worker} from '@lentildrift/queue';
 import type {Reply, Task} from '@lentildrift/task';
 import {createAdviceCache, type AdviceCache} from './advice.js';
+import {
+  createAnnouncementAges,
+  type AnnouncementAges,
+} from './announcement-age.js';
 import {createAvailability, type Availability} from './availability.js';
 import type {Batch} from './batch.js';
 import {createCommitHandler, type CommitHandler} from './commit-handler.js';
@@ -111,9 +115,12 @@
     log,
     onChange: () => rounds.schedule(),
   });
+  const {leaderlessMs = 0} = options;
+  const announcements: AnnouncementAges = createAnnouncementAges(leaderlessMs);
   const availability: Availability = createAvailability({
     views,
     estimates,
+    announcements,
     isAnswering: worker => dispatcher.isAnswering(worker),
     isCordoned: host => hosts.isCordoned(host),
   });
@@ -143,18 +150,22 @@
     state,
     onEvent: event => void task.post({type: 'session-event', event}),
     onClosed: ({worker}) => reports.forget(worker),
+    exceedsAnnouncedCapacity: worker =>
+      registry.exceedsAnnouncedCapacity(worker),
     onUndeliverable: row => events.enqueueDerived({type: 'lost', runs: [row]}),
   });
   const registry: Registry = createRegistry({
     token,
     driver,
     runs,
+    announcements,
     log,
     state,
     recordedRuns: views.recordedRuns,
     sessionOf: dispatcher.sessionOf,
     enqueue: events.enqueue,
     enqueueDerived: events.enqueueDerived,
+    onAwaited: () => rounds.schedule(),
   });
   const readiness = createReadiness({
     isAnswering: dispatcher.isAnswering,
@@ -177,6 +188,7 @@
     views,
     events,
     availability,
+    announcements,
     estimates,
     readiness,
     advice,
@@ -320,6 +332,7 @@
     token,
     workers: state().workers.size,
     jobs: state().jobs.size,
+    leaderlessMs: Math.round(leaderlessMs),
   });
   /** Posts a request to the task, or rejects with `NotLeader` after the stop. */
   function ask<T>(build: (reply: Reply<T>) => Message): Promise<T> {
--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -2,18 +2,23 @@
 import {NotLeader} from '@lentildrift/consensus';
 import type {Log} from '@lentildrift/observe';
 import {
+  add,
+  fits,
   taskName,
   workerKey,
+  ZERO_SIZE,
   type EndRow,
   type Event,
   type EventOf,
   type Outcome,
+  type Size,
   type State,
   type Worker,
 } from '@lentildrift/queue';
-import {runId, type LiveRun} from '@lentildrift/scheduling';
+import {reservation, runId, type LiveRun} from '@lentildrift/scheduling';
 import type {Reply} from '@lentildrift/task';
 import {classifyAnnouncement} from './announcement.js';
+import type {AnnouncementAges} from './announcement-age.js';
 import {isStopSettled, type Report, type WorkerDriver} from './driver.js';
 import {toLostRow} from './reconcile.js';
 import type {WorkerSession} from './session.js';
@@ -25,6 +30,7 @@
   readonly token: number;
   readonly driver: WorkerDriver;
   readonly runs: RunTracker;
+  readonly announcements: Pick<AnnouncementAges, 'markAnnounced'>;
   readonly log: Log;
   state(): State;
   /** Runs that are recorded for an incarnation of a worker. */
@@ -33,6 +39,8 @@
   enqueue(event: Event, reply?: Reply<Outcome>): void;
   /** Queues the event unless it already waits for its commit. */
   enqueueDerived(event: DerivedEvent): void;
+  /** Called when a worker may get runs again that had to announce itself. */
+  onAwaited(): void;
 }
 
 export interface Registry {
@@ -40,6 +48,11 @@
   announce(worker: Worker, reply: Reply<void>): void;
   /** Records that the worker with this ID has left. */
   leave(id: string, reply: Reply<void>): void;
+  /**
+   * Whether the recorded runs of a worker exceed a capacity that it has
+   * announced and that is not recorded yet.
+   */
+  exceedsAnnouncedCapacity(worker: string): boolean;
   /**
    * Removes workers that have left or expired, and reports the runs of
    * unreachable workers as lost once their leases have expired.
@@ -55,16 +68,27 @@
   readonly reply: Reply<void>;
 }
 
+/** Records of one incarnation that wait for their commit. */
+interface UndecidedRecords {
+  readonly count: number;
+  /** Capacity in the latest of them. */
+  readonly capacity: Size;
+}
+
 export function createRegistry(options: RegistryOptions): Registry {
   const {token, driver, runs, log, state, enqueue, enqueueDerived} = options;
   /** Monotonic time of the last announcement, by `workerKey`. */
   const lastHeardMs = new Map<string, number>();
+  /** Highest sequence that was announced, by `workerKey`. */
+  const heardSequences = new Map<string, number>();
   const departedMs = new Map<string, number>();
   /**
    * Later announcements of the new incarnations that `replaceIncarnation` is
    * working on, by `workerKey`.
    */
   const replacements = new Map<string, Announcement[]>();
+  /** Records that wait for their commit, by `workerKey`. */
+  const undecidedRecords = new Map<string, UndecidedRecords>();
   /** Replies to announcements whose replacement is not queued yet. */
   const unqueued = new Set<Reply<void>>();
   /** `bornMs` of the newest incarnation that was announced, by worker ID. */
@@ -73,13 +97,19 @@
 
   function announce(worker: Worker, reply: Reply<void>): void {
     const known = state().workers.get(worker.id);
-    const kind = classifyAnnouncement(known, worker);
+    const key = workerKey(worker);
+    const heardSequence = heardSequences.get(key);
+    const kind = classifyAnnouncement(known, worker, heardSequence);
     if (kind !== 'stale') {
-      lastHeardMs.set(workerKey(worker), performance.now());
+      lastHeardMs.set(key, performance.now());
+      heardSequences.set(key, worker.sequence);
+      if (options.announcements.markAnnounced(key)) options.onAwaited();
       const newest = newestIncarnationMs.get(worker.id) ?? 0;
       newestIncarnationMs.set(worker.id, Math.max(newest, worker.bornMs));
     }
-    if (kind === 'stale' || kind === 'unchanged') {
+    // The record that an announcement is compared with may be about to change.
+    const needsNoRecord = kind === 'unchanged' && !undecidedRecords.has(key);
+    if (kind === 'stale' || needsNoRecord) {
       reply.resolve();
       return;
     }
@@ -89,12 +119,39 @@
   }
 
   function recordWorker(worker: Worker, reply: Reply<void>): void {
+    const key = workerKey(worker);
+    const count = (undecidedRecords.get(key)?.count ?? 0) + 1;
+    undecidedRecords.set(key, {count, capacity: worker.capacity});
     enqueue(
       {type: 'worker', worker},
-      {resolve: () => reply.resolve(), reject: error => reply.reject(error)},
+      {
+        resolve() {
+          noteDecided(key);
+          reply.resolve();
+        },
+        reject(error) {
+          noteDecided(key);
+          reply.reject(error);
+        },
+      },
     );
   }
 
+  function noteDecided(key: string): void {
+    const {count, capacity} = undecidedRecords.get(key)!;
+    if (count > 1) undecidedRecords.set(key, {count: count - 1, capacity});
+    else undecidedRecords.delete(key);
+  }
+
+  function exceedsAnnouncedCapacity(worker: string): boolean {
+    const undecided = undecidedRecords.get(worker);
+    if (!undecided) return false;
+    const reserved = options
+      .recordedRuns(worker)
+      .reduce((sum, {step}) => add(sum, reservation(step)), ZERO_SIZE);
+    return !fits(reserved, undecided.capacity);
+  }
+
   /**
    * Records a new incarnation of a known worker. An order to the old
    * incarnation that is still in flight would be carried out by the new one,
@@ -245,6 +302,7 @@
     departedMs.set(key, since);
     if (nowMs - since <= LEFT_GRACE_MS) return;
     departedMs.delete(key);
+    heardSequences.delete(key);
     enqueueDerived({type: 'worker-gone', worker: key});
   }
 
@@ -269,6 +327,7 @@
     if (!lastHeardMs.has(key)) lastHeardMs.set(key, nowMs);
     if (nowMs - lastHeardMs.get(key)! <= WORKER_EXPIRY_MS) return;
     lastHeardMs.delete(key);
+    heardSequences.delete(key);
     enqueueDerived({type: 'worker-gone', worker: key});
   }
 
@@ -290,6 +349,7 @@
   return {
     announce,
     leave,
+    exceedsAnnouncedCapacity,
     expire,
     stop() {
       isStopped = true;
