--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -22,6 +22,7 @@
   type DecisionRounds,
   type RoundMessage,
 } from './decision-round.js';
+import {createCrashDetector} from './crash-detector.js';
 import {createDispatcher, type Dispatcher} from './dispatcher.js';
 import {createEventQueue, type EventQueue} from './event-queue.js';
 import {createHostOperations, type HostOperations} from './host-operations.js';
@@ -117,8 +118,15 @@
   });
   const {leaderlessMs = 0} = options;
   const announcements: AnnouncementAges = createAnnouncementAges(leaderlessMs);
+  const crashes = createCrashDetector({
+    runs,
+    state,
+    recordedRuns: views.recordedRuns,
+    enqueueDerived: events.enqueueDerived,
+  });
   const availability: Availability = createAvailability({
     views,
+    runs,
     estimates,
     announcements,
     isAnswering: worker => dispatcher.isAnswering(worker),
@@ -159,6 +167,7 @@
     driver,
     runs,
     announcements,
+    crashes,
     log,
     state,
     recordedRuns: views.recordedRuns,
@@ -185,6 +194,7 @@
   const reports: ReportHandler = createReportHandler({
     dispatcher,
     runs,
+    crashes,
     views,
     events,
     availability,
