Promote a learner that holds what was committed a moment ago

What callers saw: nothing yet. In a group under constant load the new member of a lost disk never got a vote, so the next loss would have stopped the group.

Cause: a learner had to hold every entry committed at the moment of the check. One that trails the other followers by the gap between two changes never does.

Change: the target is the commit index of one to two heartbeat intervals ago, and at least the first entry of the leader. Promotion needs no exact match to be safe; a learner that far behind holds the rest within a round trip.

--- a/packages/consensus/src/leader.ts
+++ b/packages/consensus/src/leader.ts
@@ -29,6 +29,8 @@
   // Committing this entry commits the entries of older terms before it. Reads
   // also need a committed entry of the leader's own term.
   appendNew(ctx, [{kind: 'noop', text: ''}]);
+  const {index} = lastEntry(node.log);
+  node.catchUp = {index, nextIndex: index, atMs: node.nowMs};
   startRound(ctx);
   advanceCommit(ctx);
 }
@@ -204,7 +206,7 @@
   }
   if (change.type === 'promote') {
     const match = node.peers[change.member]?.matchIndex ?? 0;
-    if (!node.rules.canPromote(match, node.commitIndex)) {
+    if (!node.rules.canPromote(match, node.catchUp.index)) {
       return `member ${change.member} has not caught up`;
     }
   }
--- a/packages/consensus/src/node.ts
+++ b/packages/consensus/src/node.ts
@@ -46,6 +46,18 @@
   readonly sentRound: number | undefined;
 }
 
+/**
+ * The commit index of a moment ago. Under constant load a learner never holds
+ * the entries that are committed right now.
+ */
+export interface CatchUp {
+  /** Commit index at least one heartbeat interval ago. */
+  readonly index: number;
+  /** Commit index at `atMs`, which becomes `index` an interval later. */
+  readonly nextIndex: number;
+  readonly atMs: number;
+}
+
 /** A read that waits until a majority has answered a heartbeat round. */
 export interface PendingRead {
   readonly id: number;
@@ -104,6 +116,8 @@
   readonly peers: Readonly<Record<string, PeerProgress>>;
   /** Number of the latest heartbeat round that this member started. */
   readonly round: number;
+  /** How far a learner must be to be promoted; meaningful on a leader only. */
+  readonly catchUp: CatchUp;
   readonly pendingReads: readonly PendingRead[];
   /** Leadership transfer in progress; meanwhile changes are refused. */
   readonly transfer:
@@ -218,6 +232,7 @@
     votesReceived: [],
     peers: {},
     round: 0,
+    catchUp: {index: 0, nextIndex: 0, atMs: nowMs},
     pendingReads: [],
     transfer: undefined,
     incomingSnapshot: undefined,
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -35,8 +35,8 @@
   readonly voters: readonly string[];
   readonly learners: readonly string[];
   /**
-   * Learners that hold all committed entries and could vote at once; empty
-   * unless this replica leads.
+   * Learners that have caught up with the committed entries and could vote;
+   * empty unless this replica leads.
    */
   readonly completeLearners: readonly string[];
   /** Members that were removed and have not joined again. */
--- a/packages/consensus/src/replication.ts
+++ b/packages/consensus/src/replication.ts
@@ -26,9 +26,18 @@
   const {node} = ctx;
   node.round++;
   node.nextHeartbeatMs = node.nowMs + node.rules.heartbeatIntervalMs;
+  updateCatchUp(ctx);
   for (const id of Object.keys(node.peers)) replicate(ctx, id);
 }
 
+/** Reads start rounds as well, so the interval is measured by time. */
+function updateCatchUp({node}: StepContext): void {
+  const {nowMs, commitIndex, catchUp, rules} = node;
+  if (nowMs - catchUp.atMs < rules.heartbeatIntervalMs) return;
+  const index = catchUp.nextIndex;
+  node.catchUp = {index, nextIndex: commitIndex, atMs: nowMs};
+}
+
 export function updatePeer(
   {node}: StepContext,
   id: string,
--- a/packages/consensus/src/rules.ts
+++ b/packages/consensus/src/rules.ts
@@ -73,8 +73,11 @@
     return entryTerm === term;
   }
 
-  /** A learner is promoted only if it holds every committed entry. */
-  canPromote(matchIndex: number, commitIndex: number): boolean {
-    return matchIndex >= commitIndex;
+  /**
+   * A learner is promoted only if it holds every entry that was committed one
+   * or two heartbeat intervals ago.
+   */
+  canPromote(matchIndex: number, catchUpIndex: number): boolean {
+    return matchIndex >= catchUpIndex;
   }
 }
--- a/packages/consensus/src/status.ts
+++ b/packages/consensus/src/status.ts
@@ -4,7 +4,7 @@
 
 export function getStatus(node: Node, revision: number): ReplicaStatus {
   const {id, role, term, leader, membership: members} = node;
-  const {rules, peers, commitIndex} = node;
+  const {rules, peers, catchUp} = node;
   const {voters, learners, retired} = members;
   return {
     member: id,
@@ -16,7 +16,7 @@
     learners,
     completeLearners: learners.filter(learner => {
       const progress = peers[learner];
-      return progress && rules.canPromote(progress.matchIndex, commitIndex);
+      return progress && rules.canPromote(progress.matchIndex, catchUp.index);
     }),
     retired,
   };
--- a/packages/dispatch/test/replacement.test.ts
+++ b/packages/dispatch/test/replacement.test.ts
@@ -92,4 +92,68 @@
     expect(learners).toEqual([]);
     expect(retired).toEqual([lostId]);
   });
+
+  it.each([
+    {delayMs: 3, gapMs: 10},
+    {delayMs: 20, gapMs: 10},
+    {delayMs: 6, gapMs: 5},
+  ])(
+    'lets the new member of a lost disk vote although it trails frequent changes, by $delayMs ms with one each $gapMs ms',
+    async ({delayMs, gapMs}) => {
+      group = await startGroup({voterCount: 3});
+      const host = follower();
+      const propose = () => group.leader()?.process!.replica.propose('x');
+      const load = setInterval(() => {
+        propose()?.catch(() => {});
+      }, gapMs);
+      group.powerOff(host);
+      group.wipe(host);
+      await group.advance(2000);
+      host.delayMs = delayMs;
+      await group.powerOn(host);
+      await group.advance(CATCH_UP_MS);
+      expect(group.status().voters).toContain(host.member);
+      clearInterval(load);
+    },
+  );
+
+  it('keeps a running voter when a delayed request of an earlier member of its host arrives', async () => {
+    group = await startGroup({voterCount: 3});
+    const host = follower();
+    group.leader()!.process!.membership.admit(`${host.address}/earlier`);
+    await group.advance(CATCH_UP_MS);
+    const {voters, learners} = group.status();
+    expect(voters).toContain(host.member);
+    expect(learners).toEqual([]);
+  });
+});
+
+// The platform lets losses overlap if no more disks are lost than tolerated:
+// service may stop until the hosts are back, but not for good.
+describe.each([
+  {voterCount: 3, wipedCount: 1},
+  {voterCount: 5, wipedCount: 2},
+])('a control group of $voterCount voters', ({voterCount, wipedCount}) => {
+  it('recovers from the loss of other disks in the middle of a replacement once the replaced host is back', async () => {
+    group = await startGroup({voterCount, spares: 1});
+    const leader = group.leader()!;
+    const {voters} = group.status();
+    const [cutHost, ...others] = group.hosts.filter(
+      host => host !== leader && voters.includes(host.member),
+    );
+    const wiped = others.slice(0, wipedCount);
+    group.cut(cutHost!);
+    while (leader.process!.replica.status().voters.length === voterCount) {
+      await group.advance(1);
+    }
+    for (const host of wiped) {
+      group.powerOff(host);
+      group.wipe(host);
+    }
+    await group.advance(2000);
+    for (const host of wiped) await group.powerOn(host);
+    group.heal(cutHost!);
+    await group.advance(12_000);
+    expect(group.leader()).toBeDefined();
+  });
 });
