Remove a member before its successor votes only if its disk is lost

What callers saw: nothing yet. A group could lose its quorum for good although only the tolerated number of disks was lost, and one delayed message could remove a running voter and lock its host out.

Cause: the removal before the promotion took two weak signs for a lost disk. An unreachable voter may come back with its disk; if another disk was lost between the removal and the promotion, only that voter could complete the majority, and it was no member any more. And an ID that joined later under the same address counted as newer, even if its request was delayed.

Change: an unreachable voter is removed after its successor was promoted. A member is removed at once only if another member answers on its host, which proves that its disk is gone; the order of the lists no longer matters. The order of repair.test.ts for an unreachable voter is reversed with the rule.

--- a/packages/consensus/src/repair.ts
+++ b/packages/consensus/src/repair.ts
@@ -8,8 +8,9 @@
   readonly voterCount: number;
   /** Members that have been unreachable for so long that they are replaced. */
   readonly lost: readonly string[];
+  /** Whether the process of this very member answers. */
   isReachable(member: string): boolean;
-  /** Whether both IDs belong to the same host, at most one with its disk. */
+  /** Whether both IDs belong to the same host, which runs one of them. */
   isSameHost(member: string, other: string): boolean;
   /** Data centre of a member; undefined if it is not known. */
   dataCentreOf(member: string): string | undefined;
@@ -19,41 +20,42 @@
  * Returns the next change of the leader's group; undefined if none is needed or
  * possible.
  *
- * A lost voter is removed before its successor is promoted. With both as voters
- * the majority would be one larger, and the loss of the successor in that moment
- * would leave the group without one.
+ * A member whose disk is known to be lost is removed at once. A voter that is
+ * only unreachable is removed after its successor was promoted: if another disk
+ * is lost in between, it can complete the majority once it is back.
  */
 export function nextRepair(
   status: ReplicaStatus,
   view: GroupView,
 ): MemberChange | undefined {
-  const {voters, member: self} = status;
-  const others = voters.filter(id => id !== self);
-  const superseded = others.find(id => isSuperseded(id, status, view));
+  const {voters, learners, member: self} = status;
+  const others = [...voters, ...learners].filter(id => id !== self);
+  const superseded = others.find(id => isSuperseded(id, others, view));
   if (superseded !== undefined) return {type: 'remove', member: superseded};
+  const lost = voters.find(id => id !== self && view.lost.includes(id));
+  if (lost !== undefined && voters.length > view.voterCount) {
+    return {type: 'remove', member: lost};
+  }
   const successor = chooseSuccessor(status, view);
-  if (successor !== undefined && voters.length < view.voterCount) {
+  const lacksVoter = lost !== undefined || voters.length < view.voterCount;
+  if (lacksVoter && successor !== undefined) {
     return {type: 'promote', member: successor};
   }
-  const lost = others.find(id => view.lost.includes(id));
-  const isReplaceable =
-    voters.length > view.voterCount || successor !== undefined;
-  if (lost !== undefined && isReplaceable)
-    return {type: 'remove', member: lost};
   return undefined;
 }
 
 /**
- * Whether the voter's host has come back under another ID, as it does without
- * its disk. Members that were added later come later in the lists.
+ * Whether another member runs on the host of this one, which shows that the disk
+ * of this one is lost.
  */
 function isSuperseded(
   id: string,
-  {voters, learners}: ReplicaStatus,
-  {isSameHost}: GroupView,
+  others: readonly string[],
+  {isSameHost, isReachable}: GroupView,
 ): boolean {
-  const later = [...voters.slice(voters.indexOf(id) + 1), ...learners];
-  return later.some(other => isSameHost(other, id));
+  return others.some(
+    other => other !== id && isSameHost(other, id) && isReachable(other),
+  );
 }
 
 /**
--- a/packages/consensus/test/repair.test.ts
+++ b/packages/consensus/test/repair.test.ts
@@ -49,7 +49,11 @@
   });
 
   it('removes the old ID of a host that lost its disk at once, before the new ID votes', () => {
-    const diskLost = {learners: ['b2'], complete: []};
+    const diskLost = {
+      learners: ['b2'],
+      complete: [],
+      unreachable: ['b1'],
+    };
     expect(next({voters: FULL, ...diskLost})).toEqual({
       type: 'remove',
       member: 'b1',
@@ -59,14 +63,23 @@
       type: 'promote',
       member: 'b2',
     });
-    // A group of an earlier version may hold both IDs.
-    expect(next({voters: [...FULL, 'b2']})).toEqual({
+    // A group of an earlier version may hold both IDs as voters.
+    expect(next({voters: [...FULL, 'b2'], unreachable: ['b1']})).toEqual({
       type: 'remove',
       member: 'b1',
     });
   });
 
-  it('removes a lost voter only if a learner could vote at once', () => {
+  it('removes the ID that does not run if a host has two, whichever was added first', () => {
+    const twice = {voters: FULL, learners: ['b0'], complete: []};
+    expect(next({...twice, unreachable: ['b0']})).toEqual({
+      type: 'remove',
+      member: 'b0',
+    });
+    expect(next({...twice, unreachable: ['b0', 'b1']})).toBeUndefined();
+  });
+
+  it('promotes a successor before it removes an unreachable voter, which may still be needed', () => {
     const lost = ['b1'];
     expect(next({voters: FULL, lost})).toBeUndefined();
     const learners = ['d1'];
@@ -75,16 +88,18 @@
       next({voters: FULL, learners, lost, unreachable: ['b1', 'd1']}),
     ).toBeUndefined();
     expect(next({voters: FULL, learners, lost})).toEqual({
+      type: 'promote',
+      member: 'd1',
+    });
+    expect(next({voters: [...FULL, 'd1'], lost})).toEqual({
       type: 'remove',
       member: 'b1',
     });
   });
 
-  it('removes a lost voter beyond the number of voters without a successor', () => {
-    expect(next({voters: [...FULL, 'd1'], lost: ['b1']})).toEqual({
-      type: 'remove',
-      member: 'b1',
-    });
+  it('does not remove an unreachable learner in place of a voter', () => {
+    const status = {voters: FULL, learners: ['d1'], complete: []};
+    expect(next({...status, lost: ['d1']})).toBeUndefined();
   });
 
   it('does not promote an unreachable learner', () => {
--- a/packages/dispatch/src/leadership.ts
+++ b/packages/dispatch/src/leadership.ts
@@ -88,9 +88,8 @@
 
   /**
    * Whether the group has enough voters to tolerate the loss of disks. A new
-   * group accepts no request before that. Later a lost voter is removed before
-   * its successor votes, and meanwhile the group goes on: fewer voters of which
-   * none is lost hold each change on as many disks.
+   * group accepts no request before that. Later the member of a lost disk is
+   * removed before its successor votes, and meanwhile the group goes on.
    */
   function hasEnoughVoters(voters: readonly string[]): boolean {
     const {seeds, toleratedDiskLosses} = options;
--- a/packages/dispatch/src/membership.ts
+++ b/packages/dispatch/src/membership.ts
@@ -101,8 +101,8 @@
       task.post({type: 'round'});
       return;
     }
-    const lacksVoters = lost.length > 0 || status.voters.length < voterCount;
-    const isRepairing = status.role === 'leader' && lacksVoters;
+    const running = status.voters.filter(id => !lost.includes(id));
+    const isRepairing = status.role === 'leader' && running.length < voterCount;
     const waitMs = isRepairing ? REPAIR_INTERVAL_MS : ROUND_INTERVAL_MS;
     timer = setTimeout(() => task.post({type: 'round'}), waitMs);
   }
