Let a member that joined again be elected by voters that lag

What callers saw: nothing yet. After a member had joined again and two others were lost, a group of five could stay without a leader although three voters ran.

Cause: a voter refused its vote to every ID that its log names as removed. That was safe while removed IDs never returned; a lagging voter names one that has.

Change: removed IDs are not checked in elections. A member that lacks its own removal has an older log than a majority, so the comparison of the logs refuses it, as the mechanism test of removed members shows.

--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -98,13 +98,13 @@
 
 /**
  * Whether to refuse a vote or pre-vote because this member leads or has heard
- * from a leader recently, or because the candidate was removed from the group.
+ * from a leader recently. A removed member gets no vote because its log lacks
+ * its removal; the log of this member may lack that it has joined again.
  */
 export function isVoteRefused(
   {node}: StepContext,
   message: VoteRequest,
 ): boolean {
-  if (node.membership.retired.includes(message.from)) return true;
   if (message.type === 'vote' && message.transfer) return false;
   if (node.role === 'leader') return true;
   return node.rules.isLeaderRecent(node.nowMs - node.lastLeaderContactMs);
@@ -150,7 +150,6 @@
     canVote &&
     node.role === 'follower' &&
     node.leader === undefined &&
-    !node.membership.retired.includes(message.from) &&
     isLogUpToDate(ctx, message);
   if (granted) {
     if (node.votedFor === null) updateBallot(ctx, node.term, message.from);
--- a/packages/consensus/src/members.ts
+++ b/packages/consensus/src/members.ts
@@ -5,7 +5,7 @@
   voters: z.array(z.string()),
   /** Receive the log but neither vote nor count towards a majority. */
   learners: z.array(z.string()),
-  /** Removed members, which get no vote in an election. */
+  /** Removed members, whose IDs `add-learner` refuses. */
   retired: z.array(z.string()),
 });
 export type Membership = z.infer<typeof Membership>;
--- a/packages/consensus/test/step.test.ts
+++ b/packages/consensus/test/step.test.ts
@@ -306,3 +306,50 @@
     expect(later.effects).toEqual([]);
   });
 });
+
+describe('a voter that does not know yet that a removed member has joined again', () => {
+  const members = {voters: ['a', 'b', 'c'], learners: [], retired: ['r']};
+  const createVoter = () =>
+    createNode({
+      id: 'c',
+      group: 'g',
+      seed: 1,
+      nowMs: 0,
+      stored: {
+        ...EMPTY_LOG,
+        ballot: {term: 3, vote: 'a'},
+        records: [{...MEMBERSHIP_RECORD, text: JSON.stringify(members)}],
+      },
+    });
+  const header = {group: 'g', from: 'r', to: 'c', term: 4, lastTerm: 3};
+
+  it('grants it a pre-vote and a vote if its log is newer', () => {
+    const preVote: PeerMessage = {...header, type: 'pre-vote', lastIndex: 4};
+    const event = {type: 'receive', nowMs: 60_000} as const;
+    const answered = step(createVoter(), {...event, message: preVote});
+    expect(answered.effects).toMatchObject([
+      {message: {type: 'pre-voted', granted: true}},
+    ]);
+    const vote: PeerMessage = {
+      ...header,
+      type: 'vote',
+      lastIndex: 4,
+      transfer: false,
+    };
+    const voted = step(createVoter(), {...event, message: vote});
+    expect(voted.node.votedFor).toBe('r');
+  });
+
+  it('refuses it a pre-vote if its log is not', () => {
+    const message: PeerMessage = {
+      ...header,
+      type: 'pre-vote',
+      lastTerm: 0,
+      lastIndex: 0,
+    };
+    const event = {type: 'receive', nowMs: 60_000, message} as const;
+    expect(step(createVoter(), event).effects).toMatchObject([
+      {message: {type: 'pre-voted', granted: false}},
+    ]);
+  });
+});
