Decide whether a group is new once a new leader has applied its log

What callers saw: nothing yet. If both voters of a group that had just removed the member of a lost disk restarted, the elected one would not have led before the next change of the membership.

Cause: the number of voters was checked when the role changed, with the revision of a state that was not applied yet, and nothing checked it again.

Change: it is checked after the leadership is confirmed, when the state is complete; a change of the membership checks it again. A leader that has started is not stopped for the number of its voters.

Evidence: found by the review; the new test of leadership.test.ts fails on the parent and passes now.

--- a/packages/dispatch/src/leadership.ts
+++ b/packages/dispatch/src/leadership.ts
@@ -2,7 +2,7 @@
  * Follows whether this process leads the group: runs the leader while it does,
  * and has requests wait while it takes over.
  */
-import type {RaftReplica} from '@lentildrift/consensus';
+import type {RaftReplica, ReplicaStatus} from '@lentildrift/consensus';
 import type {Change, Outcome, State} from '@lentildrift/queue';
 import type {LeaderOptions} from './leader-options.js';
 import {startLeader, type Leader} from './leader.js';
@@ -89,11 +89,12 @@
   /**
    * Whether the group has enough voters to tolerate the loss of disks. A new
    * group accepts no request before that. Later the member of a lost disk is
-   * removed before its successor votes, and meanwhile the group goes on.
+   * removed before its successor votes, and meanwhile the group goes on. The
+   * applied state must be complete.
    */
-  function hasEnoughVoters(voters: readonly string[]): boolean {
+  function hasEnoughVoters({voters, revision}: ReplicaStatus): boolean {
     const {seeds, toleratedDiskLosses} = options;
-    if (replica.status().revision > 0) return true;
+    if (revision > 0) return true;
     return (
       voters.length >=
       Math.min(voterCountFor(toleratedDiskLosses), seeds().length)
@@ -102,10 +103,10 @@
 
   function update(): void {
     if (isStopped) return;
-    const {role, term, voters, leader: known} = replica.status();
+    const {role, term, leader: known} = replica.status();
     if (wasLed) ledUntilMs = performance.now();
-    const leads = role === 'leader' && hasEnoughVoters(voters);
-    if (role !== 'leader') releaseWaiting();
+    const leads = role === 'leader';
+    if (!leads) releaseWaiting();
     if (current && (!leads || current.term !== term)) {
       const {leader} = current;
       current = undefined;
@@ -113,8 +114,8 @@
       void leader.stop();
     }
     const isLeading = current !== undefined;
-    wasLed = role === 'leader' ? isLeading : known !== undefined;
-    if (role === 'leader' && elected.term !== term) {
+    wasLed = leads ? isLeading : known !== undefined;
+    if (leads && elected.term !== term) {
       elected = {term, atMs: performance.now()};
     }
     if (!leads || current || confirmingTerm === term) return;
@@ -144,6 +145,8 @@
     endConfirming(term);
     const status = replica.status();
     if (status.role !== 'leader' || status.term !== term) return;
+    // The next change of the membership calls `update` again.
+    if (!hasEnoughVoters(status)) return;
     const leader = startLeader({
       ...options,
       token: term,
--- a/packages/dispatch/test/leadership.test.ts
+++ b/packages/dispatch/test/leadership.test.ts
@@ -18,6 +18,7 @@
   private role: ReplicaStatus['role'] = 'follower';
   private term = 0;
   private leader: string | undefined;
+  private voters: readonly string[] = ['a'];
   private readonly waiting: Reply<void>[] = [];
 
   setRole(role: ReplicaStatus['role'], term: number, leader?: string): void {
@@ -27,8 +28,12 @@
   }
 
   override status(): ReplicaStatus {
-    const {role, term, leader} = this;
-    return {...super.status(), role, term, leader};
+    const {role, term, leader, voters} = this;
+    return {...super.status(), role, term, leader, voters};
+  }
+
+  setVoters(voters: readonly string[]): void {
+    this.voters = voters;
   }
 
   override waitForRevision(): Promise<void> {
@@ -153,6 +158,22 @@
   expect(countLeaders()).toBe(0);
 });
 
+// A group of two, while the third host is away, may hold changes that a member
+// has not applied yet when it is elected.
+it('decides whether the group is new once the log is applied', async () => {
+  replica.setVoters([]);
+  await update('leader', 1);
+  replica.apply(1);
+  await vi.advanceTimersByTimeAsync(1);
+  expect(countLeaders()).toBe(0);
+  await update('follower', 1);
+  await update('leader', 2);
+  await replica.propose({events: []});
+  replica.apply(1);
+  await vi.advanceTimersByTimeAsync(1);
+  expect(countLeaders()).toBe(1);
+});
+
 /** The time without a leader that the last leader has logged. */
 function loggedLeaderlessMs(): number {
   const line = logLines.findLast(each => each.includes('event=leading'))!;
