Shorten the trial of suspects

Cause: a worker with a suspect got no other runs until its next report listed the suspect, and reports come up to 1 s apart.

Change: the trial ends 300 ms after the confirmed start if the worker still answers. What counts as proven after a crash stays the same.

--- a/packages/dispatch/src/availability.ts
+++ b/packages/dispatch/src/availability.ts
@@ -96,13 +96,13 @@
     return findAvoided(views.current().fleet.workers.filter(isAvailable));
   }
 
-  /** Keys of the workers with a run of a suspect that has not proven itself. */
+  /** Keys of the workers with a run of a suspect on trial. */
   function findTrialWorkers({suspects}: Load): ReadonlySet<string> {
     if (suspects.size === 0) return NO_KEYS;
     const nowMs = performance.now();
     const workers = new Set<string>();
     for (const {id, run} of suspects.values()) {
-      if (!options.runs.isProven(id, nowMs)) workers.add(run.worker);
+      if (options.runs.isOnTrial(id, nowMs)) workers.add(run.worker);
     }
     return workers;
   }
--- a/packages/dispatch/src/tracker.ts
+++ b/packages/dispatch/src/tracker.ts
@@ -26,6 +26,11 @@
    * run it for so long that its start cannot crash the worker any more.
    */
   isProven(id: string, atMs: number): boolean;
+  /**
+   * Whether a run of a suspect is so recent that its worker, which answers, may
+   * still crash under it; until the first report for inherited runs.
+   */
+  isOnTrial(id: string, atMs: number): boolean;
   /** Notes that the run is being stopped; false if it was already. */
   markStopping(id: string): boolean;
   isStopping(id: string): boolean;
@@ -46,6 +51,12 @@
 
 /** A task that crashes its workers does so well within this time. */
 const PROVEN_RUN_MS = 500;
+/**
+ * Time from the confirmed start of a suspect until its worker gets other runs.
+ * Reports come up to a second apart, and to wait for one would hold up a pool
+ * of few workers. A crash closes the connection to the worker at once.
+ */
+const TRIAL_MS = 300;
 
 /**
  * `inherited` are the runs that earlier leaders ordered. They count as settled,
@@ -76,6 +87,10 @@
     isProven: (id, atMs) =>
       reported.has(id) &&
       atMs - (startedMs.get(id) ?? -Infinity) >= PROVEN_RUN_MS,
+    isOnTrial(id, atMs) {
+      if (inheritedRuns.has(id)) return !reported.has(id);
+      return atMs - (startedMs.get(id) ?? atMs) < TRIAL_MS;
+    },
     markStopping(id) {
       if (stopping.has(id)) return false;
       stopping.add(id);
