Remove the old ID of a control host without its disk before the new one votes

What callers would see: no request succeeds any more after the loss of one host at the moment when another one, which had lost its disk, has just got its vote back. With both of its IDs as voters a group of three has four, and a majority of three; the old ID never answers.

Change: the leader asks nextRepair of the consensus package, which removes the old ID first. The member that asks to join counts as reachable, no other.

--- a/packages/control/src/membership.ts
+++ b/packages/control/src/membership.ts
@@ -8,7 +8,11 @@
  * group. A host that lost its disk while it is partitioned from the others
  * therefore waits, instead of founding a second group.
  */
-import type {MemberChange, ReplicaStatus} from '@lentildrift/consensus';
+import {
+  nextRepair,
+  type MemberChange,
+  type ReplicaStatus,
+} from '@lentildrift/consensus';
 import type {Log} from '@lentildrift/observe';
 import type {JoinResponse} from '@lentildrift/protocol';
 import type {TaskSystem} from '@lentildrift/task';
@@ -18,10 +22,7 @@
 /** Members beyond this number stay learners, which do not vote. */
 export const MAX_VOTERS = 5;
 const JOIN_INTERVAL_MS = 500;
-/**
- * Interval of the join requests of a member that needs no membership change.
- * The requests continue so that the leader removes older IDs of the member.
- */
+/** Interval of the join requests of a member that needs no membership change. */
 const STABLE_INTERVAL_MS = 10_000;
 
 /** The operations of the replica that this task uses. */
@@ -42,38 +43,46 @@
   {type: 'round'} | {type: 'join-request'; member: string};
 
 export interface GroupMembership {
-  /** On the leader, proposes the next membership change for `member`. */
+  /** Handles a request of `member` to join, if this process leads. */
   handleJoinRequest(member: string): void;
   stop(): Promise<void>;
 }
 
+const isSameHost = (member: string, other: string) =>
+  memberName(member) === memberName(other);
+
 /**
- * Returns the next membership change for `member`, or undefined if none is
- * needed. A member with an older ID of the same name replaces that ID.
+ * Returns the next membership change after a request of `member` to join, or
+ * undefined if none is needed or possible.
  */
 export function nextMembershipChange(
   status: ReplicaStatus,
   member: string,
 ): MemberChange | undefined {
   const {voters, learners} = status;
-  const name = memberName(member);
-  const olderMember = [...voters, ...learners].find(
-    other => other !== member && memberName(other) === name,
-  );
-  if (voters.includes(member)) {
-    return olderMember === undefined
-      ? undefined
-      : {type: 'remove', member: olderMember};
-  }
-  if (!learners.includes(member)) return {type: 'add-learner', member};
-  const replacesVoter =
-    olderMember !== undefined && voters.includes(olderMember);
-  if (!replacesVoter && voters.length >= MAX_VOTERS) {
-    return olderMember === undefined
-      ? undefined
-      : {type: 'remove', member: olderMember};
+  if ([...voters, ...learners].includes(member)) {
+    return nextRepair(status, {
+      voterCount: MAX_VOTERS,
+      lost: [],
+      // Only the member that asks is known to be running.
+      isReachable: id => id === member,
+      isSameHost,
+      dataCentreOf: () => undefined,
+    });
   }
-  return {type: 'promote', member};
+  return nextAdmission(status, member);
+}
+
+/** The change that admits a member as a learner, in place of an older one. */
+function nextAdmission(
+  {learners, retired}: ReplicaStatus,
+  member: string,
+): MemberChange | undefined {
+  if (retired.includes(member)) return undefined;
+  const older = learners.find(id => isSameHost(id, member));
+  return older === undefined
+    ? {type: 'add-learner', member}
+    : {type: 'remove', member: older};
 }
 
 /**
@@ -119,12 +128,19 @@
       ),
     );
     if (voters.length === 0) foundGroupIfFirst(member, answers);
-    const isStable =
-      nextMembershipChange(replica.status(), member) === undefined;
-    const waitMs = isStable ? STABLE_INTERVAL_MS : JOIN_INTERVAL_MS;
+    const waitMs = isStable() ? STABLE_INTERVAL_MS : JOIN_INTERVAL_MS;
     timer = setTimeout(() => task.post({type: 'round'}), waitMs);
   }
 
+  /** Whether this member votes, or is one of the further learners. */
+  function isStable(): boolean {
+    const {member, voters, learners} = replica.status();
+    if (voters.includes(member)) return true;
+    const replacesVoter = voters.some(id => isSameHost(id, member));
+    const isSpare = voters.length >= MAX_VOTERS && !replacesVoter;
+    return learners.includes(member) && isSpare;
+  }
+
   function foundGroupIfFirst(
     member: string,
     answers: readonly (JoinResponse | undefined)[],
