--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -4,6 +4,7 @@
 export * from './node.js';
 export * from './options.js';
 export * from './raft.js';
+export * from './reachability.js';
 export * from './repair.js';
 export * from './replica.js';
 export * from './rules.js';
--- a/packages/dispatch/src/reachability.ts
+++ b/packages/consensus/src/reachability.ts
@@ -2,8 +2,8 @@
  * Tracks which other members of the group this process can reach, whether it
  * leads or not, and logs what explains a group without a leader.
  */
-import type {ReplicaStatus} from '@lentildrift/consensus';
 import type {Log} from '@lentildrift/observe';
+import type {ReplicaStatus} from './replica.js';
 
 export interface ReachabilityOptions {
   readonly log: Log;
--- a/packages/dispatch/test/reachability.test.ts
+++ b/packages/consensus/test/reachability.test.ts
@@ -1,8 +1,7 @@
 /** Tests the log lines that explain a group without a leader. */
-import type {ReplicaStatus} from '@lentildrift/consensus';
+import {createReachability, type ReplicaStatus} from '@lentildrift/consensus';
 import type {Log} from '@lentildrift/observe';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
-import {createReachability} from '../src/reachability.js';
 
 beforeEach(() => void vi.useFakeTimers());
 afterEach(() => void vi.useRealTimers());
--- a/packages/dispatch/src/membership.ts
+++ b/packages/dispatch/src/membership.ts
@@ -7,6 +7,7 @@
  * which learner votes in place of which lost voter.
  */
 import {
+  createReachability,
   nextRepair,
   type MemberChange,
   type ReplicaStatus,
@@ -14,7 +15,6 @@
 import type {Log} from '@lentildrift/observe';
 import type {Task, TaskSystem} from '@lentildrift/task';
 import {addressOf} from './mesh.js';
-import {createReachability} from './reachability.js';
 
 /** The operations of the replica that the membership task uses. */
 export interface GroupReplica {
