Replace a lost voter of a control group with more than five members

What callers would see: no request succeeds any more after the third loss in a group of six or more control hosts, however far apart the losses are, although hosts with the whole log run that have no vote.

Cause: a voter was replaced only by another incarnation of its own name. Members beyond five stayed learners whatever happened to the voters.

Change: each member notes in every role, by the answers to its join rounds, since when it cannot reach the others, as the membership task of the queue does; an answer counts for the ID that it names. A voter that has been unreachable for 1.5 s is replaced, as nextRepair chooses, if a learner is complete. Since a healthy member can now be removed while it is cut off, a removed member may join again under its ID unless its host has another one in the group; add-learner alone would refuse it for good.

--- a/packages/control/src/membership.ts
+++ b/packages/control/src/membership.ts
@@ -7,8 +7,13 @@
  * that it belongs to no group may the member that sorts first by ID found the
  * group. A host that lost its disk while it is partitioned from the others
  * therefore waits, instead of founding a second group.
+ *
+ * The members of a group keep asking, also to learn which of them answer. A
+ * voter that does not answer for long is replaced by a complete learner;
+ * `nextRepair` chooses which.
  */
 import {
+  createReachability,
   nextRepair,
   type MemberChange,
   type ReplicaStatus,
@@ -35,6 +40,12 @@
  * entries, so it can be promoted only at some moments.
  */
 const REPAIR_INTERVAL_MS = 50;
+/**
+ * A voter that is unreachable for this long is replaced if a learner is
+ * complete. Longer than the restart of a process and than one failed round; a
+ * host that returns later joins again.
+ */
+const REPLACEMENT_DELAY_MS = 1500;
 
 /** The operations of the replica that this task uses. */
 export interface MembershipReplica {
@@ -70,10 +81,15 @@
 
 /** The change that admits a member as a learner, in place of an older one. */
 function nextAdmission(
-  {learners, retired}: ReplicaStatus,
+  {voters, learners, retired}: ReplicaStatus,
   member: string,
 ): MemberChange | undefined {
-  if (retired.includes(member)) return undefined;
+  if (retired.includes(member)) {
+    // If its host has joined under another ID, the disk of this one is lost, and
+    // the request was delayed.
+    const isLost = [...voters, ...learners].some(id => isSameHost(id, member));
+    return isLost ? undefined : {type: 'rejoin', member};
+  }
   const older = learners.find(id => isSameHost(id, member));
   return older === undefined
     ? {type: 'add-learner', member}
@@ -104,26 +120,32 @@
   let roundTimer: NodeJS.Timeout | undefined;
   let checkTimer: NodeJS.Timeout | undefined;
 
-  const task = tasks.spawn<Answers, MembershipMessage>({
+  let lastAnswers: Answers = new Map();
+  // Observed in every role, so that a new leader need not wait once more.
+  const reachability = createReachability({log, isReachable});
+
+  const task = tasks.spawn<null, MembershipMessage>({
     name: 'group-membership',
-    initial: new Map(),
-    async handle(answers, message) {
+    initial: null,
+    async handle(state, message) {
       switch (message.type) {
         case 'round':
           void requestToJoin().then(answers =>
             task.post({type: 'answers', answers}),
           );
-          return answers;
+          break;
         case 'answers':
-          endRound(message.answers);
-          return message.answers;
+          lastAnswers = message.answers;
+          endRound();
+          break;
         case 'check':
-          await checkMembers(answers);
-          return answers;
+          await checkMembers();
+          break;
         case 'join-request':
           await admit(message.member);
-          return answers;
+          break;
       }
+      return state;
     },
     afterStop: () => {
       clearTimeout(roundTimer);
@@ -146,8 +168,8 @@
   }
 
   /** Founds the group if none exists, and schedules the next round. */
-  function endRound(answers: Answers): void {
-    const responses = [...answers.values()];
+  function endRound(): void {
+    const responses = [...lastAnswers.values()];
     const {member, voters, learners} = replica.status();
     if (voters.length === 0) foundGroupIfFirst(member, responses);
     const isMember = [...voters, ...learners].includes(member);
@@ -166,32 +188,40 @@
     replica.bootstrap(initialVoters);
   }
 
+  function isReachable(member: string): boolean {
+    return lastAnswers.get(memberName(member))?.member === member;
+  }
+
   /** On the leader, proposes the next change that repairs the group. */
-  async function checkMembers(answers: Answers): Promise<void> {
+  async function checkMembers(): Promise<void> {
     const status = replica.status();
-    const hasChanged =
-      status.role === 'leader' &&
-      (await changeMember(
-        nextRepair(status, {
-          voterCount: MAX_VOTERS,
-          lost: [],
-          isReachable: id => answers.get(memberName(id))?.member === id,
-          isSameHost,
-          dataCentreOf: () => undefined,
-        }),
-      ));
-    if (hasChanged) {
-      task.post({type: 'check'});
-      return;
+    reachability.observe(status);
+    const lost = reachability.lostFor(REPLACEMENT_DELAY_MS);
+    if (status.role === 'leader') {
+      const change = nextRepair(status, {
+        voterCount: MAX_VOTERS,
+        lost,
+        isReachable,
+        isSameHost,
+        dataCentreOf: () => undefined,
+      });
+      if (await changeMember(change)) {
+        task.post({type: 'check'});
+        return;
+      }
     }
-    const waitMs = canPromote(status) ? REPAIR_INTERVAL_MS : CHECK_INTERVAL_MS;
+    const isRepairing = canPromote(status, lost);
+    const waitMs = isRepairing ? REPAIR_INTERVAL_MS : CHECK_INTERVAL_MS;
     checkTimer = setTimeout(() => task.post({type: 'check'}), waitMs);
   }
 
   /** Whether a learner becomes a voter as soon as it is complete. */
-  function canPromote({role, voters, learners}: ReplicaStatus): boolean {
-    const lacksVoters = voters.length < MAX_VOTERS;
-    return role === 'leader' && learners.length > 0 && lacksVoters;
+  function canPromote(
+    {role, voters, learners}: ReplicaStatus,
+    lost: readonly string[],
+  ): boolean {
+    if (role !== 'leader' || learners.length === 0) return false;
+    return voters.length < MAX_VOTERS || voters.some(id => lost.includes(id));
   }
 
   /** On the leader, adds a member that asks to join as a learner. */
@@ -219,7 +249,8 @@
   }
 
   task.post({type: 'round'});
-  task.post({type: 'check'});
+  // No member has answered before the first round ends.
+  checkTimer = setTimeout(() => task.post({type: 'check'}), ANSWER_TIMEOUT_MS);
   return {
     handleJoinRequest: member => void task.post({type: 'join-request', member}),
     stop: () => task.stop(),
