Keep a new member whose lost predecessor still seems to run

A host that lost its disk could be removed again right after it had joined, and was then refused for good.

Cause: a member counts as superseded if another one answers on its host. Just after the host came back, what the leader knows of it may still be the answer of the old member: up to 2 s in the group of named members, and until a link is reset in the other one.

Change: a learner is superseded only after it has been unreachable for as long as a lost voter. In the group of named members a request under another ID discards the known answer, and the host is asked at once.

--- a/packages/consensus/src/repair.ts
+++ b/packages/consensus/src/repair.ts
@@ -30,7 +30,7 @@
 ): MemberChange | undefined {
   const {voters, learners, member: self} = status;
   const others = [...voters, ...learners].filter(id => id !== self);
-  const superseded = others.find(id => isSuperseded(id, others, view));
+  const superseded = others.find(id => isSuperseded(id, status, view));
   if (superseded !== undefined) return {type: 'remove', member: superseded};
   const lost = voters.find(id => id !== self && view.lost.includes(id));
   if (lost !== undefined && voters.length > view.voterCount) {
@@ -46,15 +46,21 @@
 
 /**
  * Whether another member runs on the host of this one, which shows that the disk
- * of this one is lost.
+ * of this one is lost. Of a learner it shows that only after a while: just after
+ * its start, what is known of its host may still be from before.
  */
 function isSuperseded(
   id: string,
-  others: readonly string[],
-  {isSameHost, isReachable}: GroupView,
+  {voters, learners, member: self}: ReplicaStatus,
+  {isSameHost, isReachable, lost}: GroupView,
 ): boolean {
-  return others.some(
-    other => other !== id && isSameHost(other, id) && isReachable(other),
+  if (!voters.includes(id) && !lost.includes(id)) return false;
+  return [...voters, ...learners].some(
+    other =>
+      other !== id &&
+      other !== self &&
+      isSameHost(other, id) &&
+      isReachable(other),
   );
 }
 
--- a/packages/control/src/membership.ts
+++ b/packages/control/src/membership.ts
@@ -121,6 +121,7 @@
   let checkTimer: NodeJS.Timeout | undefined;
 
   let lastAnswers: Answers = new Map();
+  let isRoundPending = true;
   // Observed in every role, so that a new leader need not wait once more.
   const reachability = createReachability({log, isReachable});
 
@@ -130,18 +131,21 @@
     async handle(state, message) {
       switch (message.type) {
         case 'round':
+          isRoundPending = true;
           void requestToJoin().then(answers =>
             task.post({type: 'answers', answers}),
           );
           break;
         case 'answers':
           lastAnswers = message.answers;
+          isRoundPending = false;
           endRound();
           break;
         case 'check':
           await checkMembers();
           break;
         case 'join-request':
+          discardOutdatedAnswer(message.member);
           await admit(message.member);
           break;
       }
@@ -188,6 +192,21 @@
     replica.bootstrap(initialVoters);
   }
 
+  /**
+   * Forgets which member the host ran if it asks under another ID, and asks it
+   * at once.
+   */
+  function discardOutdatedAnswer(member: string): void {
+    const name = memberName(member);
+    const known = lastAnswers.get(name);
+    if (!known || known.member === member) return;
+    lastAnswers = new Map([...lastAnswers, [name, undefined]]);
+    if (isRoundPending) return;
+    clearTimeout(roundTimer);
+    isRoundPending = true;
+    task.post({type: 'round'});
+  }
+
   function isReachable(member: string): boolean {
     return lastAnswers.get(memberName(member))?.member === member;
   }
