Use plain terms for absence and tolerance in names and test titles

Cause: 'lost' also means a lost disk in this code, and some test titles of the repair of the group used wording of their own. lostFor of the reachability is unreachableFor now; no behaviour changes.

--- a/packages/consensus/src/reachability.ts
+++ b/packages/consensus/src/reachability.ts
@@ -15,7 +15,7 @@
   /** Updates what is known of all members of the status. */
   observe(status: ReplicaStatus): void;
   /** Members that have been unreachable for longer than the given time. */
-  lostFor(ms: number): string[];
+  unreachableFor(ms: number): string[];
 }
 
 /** Interval of the log lines while no leader is known. */
@@ -65,7 +65,7 @@
       for (const id of others) observeMember(id, nowMs);
       reportLeaderless(status, nowMs);
     },
-    lostFor(ms) {
+    unreachableFor(ms) {
       const latestMs = performance.now() - ms;
       return [...unreachableSinceMs]
         .filter(([, sinceMs]) => sinceMs < latestMs)
--- a/packages/control/src/membership.ts
+++ b/packages/control/src/membership.ts
@@ -215,7 +215,7 @@
   async function checkMembers(): Promise<void> {
     const status = replica.status();
     reachability.observe(status);
-    const lost = reachability.lostFor(REPLACEMENT_DELAY_MS);
+    const lost = reachability.unreachableFor(REPLACEMENT_DELAY_MS);
     if (status.role === 'leader') {
       const change = nextRepair(status, {
         voterCount: MAX_VOTERS,
--- a/packages/dispatch/src/membership.ts
+++ b/packages/dispatch/src/membership.ts
@@ -95,7 +95,7 @@
   async function runRound(): Promise<void> {
     const status = replica.status();
     reachability.observe(status);
-    const lost = reachability.lostFor(REPLACEMENT_DELAY_MS);
+    const lost = reachability.unreachableFor(REPLACEMENT_DELAY_MS);
     const hasChanged = await advance(status, lost);
     if (hasChanged) {
       task.post({type: 'round'});
--- a/packages/dispatch/test/exposure.test.ts
+++ b/packages/dispatch/test/exposure.test.ts
@@ -1,5 +1,5 @@
 /**
- * Tests how long a control group could not bear one more loss after the loss of
+ * Tests how long a control group tolerates no further loss after the loss of
  * its leader's host: from the loss until a quorum would be left again.
  */
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
@@ -72,7 +72,7 @@
   {voterCount: 5, count: 2},
 ])('a group of $voterCount voters that loses $count', ({voterCount, count}) => {
   it.each<Loss>(['crash', 'power', 'cut', 'replaced', 'wiped'])(
-    'bears one more loss soon after the end of an absence: %s',
+    'tolerates one more loss soon after the end of an absence: %s',
     async loss => {
       group = await startGroup({voterCount});
       const exposedMs = await measureExposure(loss, count);
@@ -81,7 +81,7 @@
   );
 
   it.each<Loss>(['power', 'cut'])(
-    'bears one more loss before the end of an absence if there are spare members: %s',
+    'tolerates one more loss before the end of an absence if there are spare members: %s',
     async loss => {
       group = await startGroup({voterCount, spares: count});
       expect(await measureExposure(loss, count)).toBeLessThanOrEqual(
--- a/packages/dispatch/test/replacement.test.ts
+++ b/packages/dispatch/test/replacement.test.ts
@@ -36,7 +36,7 @@
 }
 
 describe('a control group of three voters', () => {
-  it('has a leader after the loss of a second host once the successor of the first has had its time', async () => {
+  it('has a leader after the loss of a second host 4 s after the successor of the first has started', async () => {
     group = await startGroup({voterCount: 3});
     group.powerOff(group.leader()!);
     await group.advance(1000);
