Let reads share heartbeat rounds, and commit indexes go with the next entries

Cause: at hundreds of machines callers ask the leader for some 400 phases of jobs a second. Each round for reads sends a message to each member and gets one back, and each commit sent its index in a message of its own.

Change: rounds for reads only begin 20 ms apart; reads that arrive meanwhile share the next one, or the round of the next change. While changes follow each other by less than 50 ms, a commit index goes with the next entries. Both are rules of the group, off by default. Ruled out: commit indexes that always wait for other messages; then the replicas of the other members lack an edit that was just acknowledged, and the next edits are sent whole (control.test.ts).

--- a/packages/consensus/src/leader.ts
+++ b/packages/consensus/src/leader.ts
@@ -3,8 +3,8 @@
 import {lastEntry, positionAt} from './log.js';
 import {applyMemberChange, quorumSize, type MemberChange} from './members.js';
 import type {MessageOf} from './message.js';
-import type {SnapshotProgress} from './node.js';
-import {answerReads} from './read.js';
+import {readRoundDueMs, type SnapshotProgress} from './node.js';
+import {answerReads, startReadRoundIfDue} from './read.js';
 import {
   startRound,
   recordResponse,
@@ -142,6 +142,7 @@
     node.transfer = undefined;
   }
   if (nowMs >= node.nextHeartbeatMs) startRound(ctx);
+  else startReadRoundIfDue(ctx);
 }
 
 export function propose(
@@ -160,7 +161,13 @@
     newRecords.push({kind: 'change', text});
     effects.push({type: 'accepted', id, index: ++index, term: node.term});
   }
+  if (newRecords.length > 0) {
+    const gapMs = node.nowMs - node.lastChange.atMs;
+    node.lastChange = {atMs: node.nowMs, gapMs};
+  }
   appendNew(ctx, newRecords);
+  // The messages that carry the entries serve the reads that wait as well.
+  if (readRoundDueMs(node) < Infinity) startRound(ctx);
   advanceCommit(ctx);
 }
 
--- a/packages/consensus/src/node.ts
+++ b/packages/consensus/src/node.ts
@@ -7,7 +7,12 @@
   StoredLog,
 } from '@lentildrift/storage';
 import {lastEntry, LOG_START, recordAt, type Log} from './log.js';
-import {Membership, EMPTY_MEMBERSHIP, type MemberChange} from './members.js';
+import {
+  EMPTY_MEMBERSHIP,
+  Membership,
+  quorumSize,
+  type MemberChange,
+} from './members.js';
 import type {PeerMessage} from './message.js';
 import {Rules} from './rules.js';
 
@@ -116,6 +121,10 @@
   readonly peers: Readonly<Record<string, PeerProgress>>;
   /** Number of the latest heartbeat round that this member started. */
   readonly round: number;
+  /** When that round was started. */
+  readonly roundStartedMs: number;
+  /** When the last change was proposed, and how long after the one before. */
+  readonly lastChange: {readonly atMs: number; readonly gapMs: number};
   /** How far a learner must be to be promoted; meaningful on a leader only. */
   readonly catchUp: CatchUp;
   readonly pendingReads: readonly PendingRead[];
@@ -232,6 +241,8 @@
     votesReceived: [],
     peers: {},
     round: 0,
+    roundStartedMs: -Infinity,
+    lastChange: {atMs: -Infinity, gapMs: Infinity},
     catchUp: {index: 0, nextIndex: 0, atMs: nowMs},
     pendingReads: [],
     transfer: undefined,
@@ -281,6 +292,24 @@
 /** The monotonic time at which the member next needs a `tick` event. */
 export function nextTickMs(node: Node): number {
   return node.role === 'leader'
-    ? node.nextHeartbeatMs
+    ? Math.min(node.nextHeartbeatMs, readRoundDueMs(node))
     : node.electionDeadlineMs;
 }
+
+/**
+ * The monotonic time at which a heartbeat round is due for the reads that wait
+ * for one; infinite if there are none, or if a round for earlier reads is under
+ * way.
+ */
+export function readRoundDueMs(node: Node): number {
+  const {pendingReads, round, roundStartedMs, rules, membership} = node;
+  if (pendingReads.length === 0 || !rules.isReadRoundRequired()) {
+    return Infinity;
+  }
+  // A group of one sends no heartbeats that a patient read could wait for.
+  const isSolo = quorumSize(membership) === 1;
+  const isRunning = pendingReads.some(read => read.round <= round);
+  const isWaiting = pendingReads.some(({patient}) => !patient || isSolo);
+  if (isRunning || !isWaiting) return Infinity;
+  return roundStartedMs + rules.readIntervalMs;
+}
--- a/packages/consensus/src/read.ts
+++ b/packages/consensus/src/read.ts
@@ -1,5 +1,6 @@
 /** Linearizable reads: a majority must answer a heartbeat round (ReadIndex). */
 import {positionAt} from './log.js';
+import {readRoundDueMs} from './node.js';
 import {quorumSize} from './members.js';
 import {startRound} from './replication.js';
 import type {StepContext} from './context.js';
@@ -16,17 +17,18 @@
   }
   // Only one round for reads runs at a time; reads that arrive meanwhile share
   // the next one.
-  const running = node.pendingReads.some(({round}) => round <= node.round);
   node.pendingReads = [
     ...node.pendingReads,
     {id, round: node.round + 1, patient},
   ];
-  // A group of one sends no heartbeats that a patient read could wait for.
-  const due = !patient || quorumSize(node.membership) === 1;
-  if (due && !running && node.rules.isReadRoundRequired()) startRound(ctx);
+  startReadRoundIfDue(ctx);
   answerReads(ctx);
 }
 
+export function startReadRoundIfDue(ctx: StepContext): void {
+  if (readRoundDueMs(ctx.node) <= ctx.node.nowMs) startRound(ctx);
+}
+
 /** Answers the reads whose heartbeat round a majority has answered. */
 export function answerReads(ctx: StepContext): void {
   const {node} = ctx;
@@ -45,10 +47,7 @@
   node.pendingReads = node.pendingReads.filter(({round}) => round > confirmed);
   const {revision} = committed;
   for (const {id} of ready) ctx.effects.push({type: 'read', id, revision});
-  if (ready.length === 0 || node.pendingReads.length === 0) return;
-  const running = node.pendingReads.some(({round}) => round <= node.round);
-  const due = node.pendingReads.some(({patient}) => !patient);
-  if (running || !due) return;
+  if (ready.length === 0 || readRoundDueMs(node) > node.nowMs) return;
   startRound(ctx);
   answerReads(ctx);
 }
--- a/packages/consensus/src/replication.ts
+++ b/packages/consensus/src/replication.ts
@@ -25,6 +25,7 @@
 export function startRound(ctx: StepContext): void {
   const {node} = ctx;
   node.round++;
+  node.roundStartedMs = node.nowMs;
   node.nextHeartbeatMs = node.nowMs + node.rules.heartbeatIntervalMs;
   updateCatchUp(ctx);
   for (const id of Object.keys(node.peers)) replicate(ctx, id);
@@ -134,16 +135,19 @@
 }
 
 /**
- * Sends new entries or a new commit index to every peer that has no message in
- * flight.
+ * Sends new entries, or a new commit index unless it may wait, to every peer that
+ * has no message in flight.
  */
 export function replicateToReadyPeers(ctx: StepContext): void {
   const {node} = ctx;
   if (node.role !== 'leader') return;
+  const {index: lastIndex} = lastEntry(node.log);
+  const {gapMs} = node.lastChange;
+  const mayCommitIndexWait = gapMs < node.rules.changeStreamGapMs;
   for (const [id, peer] of Object.entries(node.peers)) {
-    const hasUnsent =
-      peer.nextIndex <= lastEntry(node.log).index ||
-      peer.sentCommitIndex < node.commitIndex;
+    const lacksCommitIndex =
+      !mayCommitIndexWait && peer.sentCommitIndex < node.commitIndex;
+    const hasUnsent = peer.nextIndex <= lastIndex || lacksCommitIndex;
     if (!peer.inFlight && hasUnsent) replicate(ctx, id);
   }
 }
--- a/packages/consensus/src/rules.ts
+++ b/packages/consensus/src/rules.ts
@@ -35,6 +35,19 @@
    * timeout of the others.
    */
   readonly applySliceMs: number = 5;
+  /**
+   * Shortest time from the start of a heartbeat round to that of the next round
+   * for reads only. Reads that arrive meanwhile share that round, or the one of
+   * the next change, so that a leader with many readers spends no message on
+   * each of them.
+   */
+  readonly readIntervalMs: number = 0;
+  /**
+   * While changes follow each other by less than this, a new commit index goes
+   * with the entries of the next change, or with the next heartbeat. Otherwise
+   * it is sent at once.
+   */
+  readonly changeStreamGapMs: number = 0;
 
   /** Pre-vote: a member raises its term only if a majority would elect it. */
   isPreVoteEnabled(): boolean {
--- a/packages/consensus/test/faults.test.ts
+++ b/packages/consensus/test/faults.test.ts
@@ -1,7 +1,7 @@
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import type {Rules} from '@lentildrift/consensus';
 import {runFaults, type Outcome} from './faults.js';
-import {WithoutSync} from './weakened-rules.js';
+import {SpacedReads, WithoutSync} from './weakened-rules.js';
 
 const SEEDS = 200;
 const advance = (ms: number) => vi.advanceTimersByTimeAsync(ms);
@@ -40,6 +40,12 @@
     expect(sum(({snapshotParts}) => snapshotParts)).toBeGreaterThan(SEEDS);
   }, 120_000);
 
+  it('cause no stale reads where reads share rounds and the commit index waits', async () => {
+    const {failures, sum} = await runSeeds(new SpacedReads());
+    expect(failures).toEqual([]);
+    expect(sum(({reads}) => reads)).toBeGreaterThan(5 * SEEDS);
+  }, 120_000);
+
   it('reveal a violation when members acknowledge entries before the sync', async () => {
     const {failures} = await runSeeds(new WithoutSync());
     expect(failures).toHaveLength(1);
--- a/packages/consensus/test/step.test.ts
+++ b/packages/consensus/test/step.test.ts
@@ -2,6 +2,7 @@
 import {describe, expect, it} from 'vitest';
 import {
   createNode,
+  nextTickMs,
   step,
   type RaftEvent,
   type Effect,
@@ -15,7 +16,7 @@
   type Snapshot,
   type StoredLog,
 } from '@lentildrift/storage';
-import {SmallRules, WithoutTermCheck} from './weakened-rules.js';
+import {SmallRules, SpacedReads, WithoutTermCheck} from './weakened-rules.js';
 
 const text = JSON.stringify({
   voters: ['a', 'b', 'c'],
@@ -151,6 +152,79 @@
     expect(answered(receive(node().nowMs + 5, next))).toBe(20);
   });
 
+  // The rounds of hundreds of reads a second took a tenth of a busy leader.
+  it('starts no round for each of many reads in a row, and answers all in time', () => {
+    const {run, receive, node} = createLeader(new SpacedReads());
+    run(4004, {type: 'persisted', seq: node().lastWriteSeq});
+    receive(4005, {
+      type: 'appended',
+      ok: true,
+      match: 3,
+      round: node().round,
+    });
+    const firstRound = node().round;
+    const waitingSinceMs = new Map<number, number>();
+    let longestMs = 0;
+    const note = (nowMs: number, effects: readonly Effect[]) => {
+      for (const effect of effects) {
+        if (effect.type !== 'read') continue;
+        longestMs = Math.max(longestMs, nowMs - waitingSinceMs.get(effect.id)!);
+        waitingSinceMs.delete(effect.id);
+      }
+    };
+    for (let nowMs = 4010; nowMs < 4210; nowMs++) {
+      if (nowMs < 4200) {
+        waitingSinceMs.set(nowMs, nowMs);
+        note(nowMs, run(nowMs, {type: 'read', id: nowMs, patient: false}));
+      }
+      if (nextTickMs(node()) <= nowMs) note(nowMs, run(nowMs, {type: 'tick'}));
+      const ok = {type: 'appended', ok: true, match: 3, round: node().round};
+      note(nowMs, receive(nowMs, ok));
+    }
+    expect(node().round - firstRound).toBeLessThanOrEqual(10);
+    expect(waitingSinceMs.size).toBe(0);
+    expect(longestMs).toBeLessThanOrEqual(20);
+  });
+
+  it('answers a read that waits from the messages of the next change', () => {
+    const {run, receive, node} = createLeader(new SpacedReads());
+    run(4004, {type: 'persisted', seq: node().lastWriteSeq});
+    const ok = {type: 'appended', ok: true, match: 3};
+    receive(4005, {...ok, round: node().round});
+    run(4010, {type: 'read', id: 1, patient: false});
+    receive(4011, {...ok, round: node().round});
+    const waiting = run(4012, {type: 'read', id: 2, patient: false});
+    expect(waiting).toEqual([]);
+    const old = node().round;
+    run(4013, {type: 'propose', changes: [{id: 3, text: '2'}]});
+    expect(receive(4014, {...ok, round: old})).toEqual([]);
+    const answered = receive(4015, {...ok, match: 4, round: node().round});
+    expect(answered).toContainEqual({type: 'read', id: 2, revision: 1});
+  });
+
+  it('sends a new commit index at once, unless changes follow each other quickly', () => {
+    const {run, receive, node} = createLeader(new SpacedReads());
+    run(4004, {type: 'persisted', seq: node().lastWriteSeq});
+    const ok = {type: 'appended', ok: true, match: 3};
+    receive(4005, {...ok, round: node().round});
+    /** Whether the commit of a change makes the leader send to b. */
+    const isSent = (nowMs: number, match: number): boolean => {
+      run(nowMs, {type: 'propose', changes: [{id: match, text: '2'}]});
+      run(nowMs, {type: 'persisted', seq: node().lastWriteSeq});
+      const effects = receive(nowMs + 1, {...ok, match, round: node().round});
+      expect(node().commitIndex).toBe(match);
+      return effects.some(effect => effect.type === 'send');
+    };
+    expect(isSent(4020, 4)).toBe(true);
+    receive(4022, {...ok, match: 4, round: node().round});
+    expect(isSent(4040, 5)).toBe(false);
+    const round = run(node().nextHeartbeatMs, {type: 'tick'});
+    expect(round).toContainEqual({
+      type: 'send',
+      message: expect.objectContaining({to: 'b', commit: 5}),
+    });
+  });
+
   it('sends an entry once, however many reads begin rounds before its answer', () => {
     const {run, receive, node} = createLeader();
     run(4004, {type: 'persisted', seq: node().lastWriteSeq});
--- a/packages/consensus/test/weakened-rules.ts
+++ b/packages/consensus/test/weakened-rules.ts
@@ -12,6 +12,12 @@
   override readonly applySliceMs = 0;
 }
 
+/** Reads share rounds, and the commit index waits for other messages. */
+export class SpacedReads extends SmallRules {
+  override readonly readIntervalMs = 20;
+  override readonly changeStreamGapMs = 50;
+}
+
 export class WithoutPreVote extends Rules {
   override isPreVoteEnabled(): boolean {
     return false;
--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -54,6 +54,10 @@
   override readonly maxElectionTimeoutMs = 950;
   override readonly startupTimeoutFactor = 0.35;
   override readonly maxChangeBytes = MAX_CHANGE_CHARS;
+  /** Callers ask for the phases of their jobs hundreds of times a second. */
+  override readonly readIntervalMs = 20;
+  /** Only the leader's state answers callers, so the others need not hurry. */
+  override readonly changeStreamGapMs = 50;
 }
 
 /** The replicated state machine of the queues. */
