Send few pings on links that carry only requests while none is pending

Cause: each entry host keeps a link to each control host and uses only that to the leader. With 95 entry hosts every control process answered 320 pings a second, a third of all messages that it read and wrote.

Change: on such a link pings are 2 s apart while no request is pending, and 300 ms apart otherwise; the peer counts as silent 1 s after the first pending request, as before. What arrives between two pings takes the place of the second. The accepting side closes a connection after 6 s of silence.

--- a/packages/dispatch/src/mesh.ts
+++ b/packages/dispatch/src/mesh.ts
@@ -131,6 +131,8 @@
       name,
       tasks,
       log,
+      // A control process posts its messages of the group through the links.
+      isForRequests: self === undefined,
       onPost(kind, body) {
         if (kind !== STATUS) return;
         const status = GroupStatus.safeParse(body);
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -10,10 +10,12 @@
 import {createFrameDecoder, encodeFrame, type FrameDecoder} from './frame.js';
 import {LinkMessage} from './message.js';
 import {
+  ACCEPTED_IDLE_TIMEOUT_MS,
   CONNECT_TIMEOUT_MS,
+  IDLE_TIMEOUT_MS,
   PING_INTERVAL_MS,
   RECONNECT_DELAY_MS,
-  IDLE_TIMEOUT_MS,
+  RELAXED_PING_INTERVAL_MS,
 } from './timing.js';
 import {createFrameWriter, type FrameWriter} from './writer.js';
 
@@ -40,6 +42,11 @@
   readonly name: string;
   readonly tasks: TaskSystem;
   readonly log: Log;
+  /**
+   * Whether the link only carries requests, so that a dead peer matters only
+   * while one is pending. Otherwise posts would be lost unnoticed.
+   */
+  readonly isForRequests?: boolean;
   /** Called for each post that the peer sends. */
   onPost(kind: string, body: unknown): void;
   /** Called when the link opens or closes. */
@@ -105,6 +112,9 @@
   let stopped = false;
   let reconnectTimer: NodeJS.Timeout | undefined;
   let pingTimer: InputTimeout | undefined;
+  let isPingRelaxed = false;
+  /** Monotonic time since which requests are pending without a pause. */
+  let busySinceMs = 0;
 
   const task: Task<TaskMessage> = tasks.spawn<Connection, TaskMessage>({
     name: `link-${address}`,
@@ -239,22 +249,46 @@
   function pingOrClose(connection: Connection): Connection {
     if (!connection.open) return connection;
     const silentMs = performance.now() - connection.lastReceivedMs;
-    if (silentMs > IDLE_TIMEOUT_MS) {
+    if (silentMs > silenceLimitMs(connection)) {
       connection.socket?.destroy(new Error(`silent for ${silentMs | 0} ms`));
       return connection;
     }
-    send({type: 'ping'});
+    // What has arrived since the last ping shows as well that the peer is up.
+    if (silentMs >= PING_INTERVAL_MS / 2) send({type: 'ping'});
     schedulePing();
     return connection;
   }
 
+  function isRelaxed(): boolean {
+    return options.isForRequests === true && pending.size === 0;
+  }
+
+  /**
+   * How long the peer may be silent. A silence from before the first pending
+   * request counts as that of a link without requests.
+   */
+  function silenceLimitMs({lastReceivedMs}: Connection): number {
+    if (isRelaxed()) return ACCEPTED_IDLE_TIMEOUT_MS;
+    const quietMs = Math.max(0, busySinceMs - lastReceivedMs);
+    return IDLE_TIMEOUT_MS + (options.isForRequests ? quietMs : 0);
+  }
+
   function schedulePing(): void {
+    pingTimer?.cancel();
+    isPingRelaxed = isRelaxed();
     pingTimer = startInputTimeout(
       () => task.post({type: 'probe'}),
-      PING_INTERVAL_MS,
+      isPingRelaxed ? RELAXED_PING_INTERVAL_MS : PING_INTERVAL_MS,
     );
   }
 
+  /** Watches the peer closely from the first pending request on. */
+  function markBusy(id: number, request: PendingRequest): void {
+    if (pending.size === 0) busySinceMs = performance.now();
+    pending.set(id, request);
+    if (isPingRelaxed) schedulePing();
+  }
+
   function rejectAll(reason: string): void {
     for (const id of [...pending.keys()]) {
       removePending(id)?.reject(new RequestUnansweredError(address, reason));
@@ -282,7 +316,7 @@
           new RequestUnansweredError(address, `${timeoutMs} ms passed`),
         );
       }, timeoutMs);
-      pending.set(id, {resolve, reject, timeout});
+      markBusy(id, {resolve, reject, timeout});
     });
   }
 
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -4,7 +4,7 @@
 import {afterInput, type Task, type TaskSystem} from '@lentildrift/task';
 import {createFrameDecoder, encodeFrame} from './frame.js';
 import {LinkMessage} from './message.js';
-import {PING_INTERVAL_MS, IDLE_TIMEOUT_MS} from './timing.js';
+import {ACCEPTED_IDLE_TIMEOUT_MS} from './timing.js';
 import {createFrameWriter, type FrameWriter} from './writer.js';
 
 export interface LinkServerOptions {
@@ -107,7 +107,7 @@
   name: string,
 ): Task<TaskMessage> {
   const decoder = createFrameDecoder();
-  socket.setTimeout(IDLE_TIMEOUT_MS + PING_INTERVAL_MS, () => {
+  socket.setTimeout(ACCEPTED_IDLE_TIMEOUT_MS, () => {
     const {bytesRead} = socket;
     afterInput(() => {
       if (socket.bytesRead === bytesRead) socket.destroy();
--- a/packages/link/src/timing.ts
+++ b/packages/link/src/timing.ts
@@ -10,6 +10,17 @@
  * lost.
  */
 export const IDLE_TIMEOUT_MS = 1000;
+/**
+ * Interval of the pings on a link without pending requests that only carries
+ * requests. A control process has such links from each entry host, and would
+ * spend a tenth of its processor time on answers to frequent pings.
+ */
+export const RELAXED_PING_INTERVAL_MS = 2000;
+/**
+ * The accepting side closes a connection on which nothing arrives for this long,
+ * which is three relaxed pings.
+ */
+export const ACCEPTED_IDLE_TIMEOUT_MS = 3 * RELAXED_PING_INTERVAL_MS;
 /**
  * A connection attempt is abandoned after this time. A host without power does
  * not answer an attempt at all, and the operating system repeats the attempt
--- a/packages/link/test/link.test.ts
+++ b/packages/link/test/link.test.ts
@@ -16,6 +16,7 @@
   startLinkServer,
   RequestUnansweredError,
   type Link,
+  type LinkOptions,
   type LinkServer,
 } from '../src/index.js';
 
@@ -42,8 +43,9 @@
   tasks.stop();
 });
 
-function openTestLink(port: number): Link {
+function openTestLink(port: number, more: Partial<LinkOptions> = {}): Link {
   return openLink({
+    ...more,
     address: `${HOST}:${port}`,
     name: 'client',
     tasks,
@@ -239,6 +241,43 @@
     await new Promise(resolve => silentServer.close(resolve));
   });
 
+  // Each entry host has a link to each control host, and uses one of them.
+  it('sends few pings on a link for requests while none is pending', async () => {
+    server = await startTestServer(async () => 'answer');
+    link = openTestLink(server.port, {isForRequests: true});
+    await waitUntil(() => link!.isOpen() && posts.length === 1);
+    expect(await link.request(1, 500)).toBe('answer');
+    const write = vi.spyOn(Socket.prototype, 'write');
+    await new Promise(resolve => setTimeout(resolve, 5 * PING_INTERVAL_MS));
+    // A ping and its answer.
+    expect(write.mock.calls.length).toBeLessThanOrEqual(2);
+    expect(openStates).toEqual([true]);
+  });
+
+  it('finds that the peer is silent soon after a request, on a link for requests', async () => {
+    const sockets: Socket[] = [];
+    const silentServer = createServer(socket => {
+      sockets.push(socket);
+      socket.on('error', () => {});
+      socket.resume();
+    });
+    await new Promise<void>(resolve => silentServer.listen(0, HOST, resolve));
+    const {port} = silentServer.address() as {port: number};
+    link = openTestLink(port, {isForRequests: true});
+    await waitUntil(() => link!.isOpen());
+    await new Promise(resolve => setTimeout(resolve, 1.2 * IDLE_TIMEOUT_MS));
+    expect(openStates).toEqual([true]);
+    const requestedMs = performance.now();
+    const request = link.request(1, 60_000);
+    await expect(request).rejects.toBeInstanceOf(RequestUnansweredError);
+    const silentMs = performance.now() - requestedMs;
+    expect(silentMs).toBeGreaterThan(IDLE_TIMEOUT_MS - 100);
+    expect(silentMs).toBeLessThan(2 * IDLE_TIMEOUT_MS);
+    await link.stop();
+    for (const socket of sockets) socket.destroy();
+    await new Promise(resolve => silentServer.close(resolve));
+  });
+
   it('closes the connection of a peer that sends no valid frames', async () => {
     server = await startTestServer(async () => 1);
     const validLink = openTestLink(server.port);
