Refuse jobs that cannot be in time, and log where the time of a job goes

Cause: whatever the load, the leader accepted every job at once.

Change: with each rebalancing the leader forecasts for each pool when the work that waits and can be in time will be done, from its free, running and arriving capacity and what other pools can spare. A job that is expected to take more than 1.3 times its objective is refused at once, with the time to come back; refused callers return in their order and at the pool's pace. Nothing is refused without 20 known durations, in the first 3 s of a leader, for jobs that run until they are cancelled or at set times, or while a first attempt of the job waits for its commit. The refusal is given only after the confirmed state lacks the job. A job with a task larger than every host is refused as invalid. The inflow of a pool also counts the last 300 ms, as far as a rise is beyond chance, so that hosts move earlier.

--- a/packages/dispatch/src/commit-handler.ts
+++ b/packages/dispatch/src/commit-handler.ts
@@ -17,6 +17,7 @@
 import {objectiveMs, runId} from '@lentildrift/scheduling';
 import type {Batch} from './batch.js';
 import type {Dispatcher} from './dispatcher.js';
+import type {JobStagesRecorder} from './job-stages.js';
 import type {ReportHandler} from './report-handler.js';
 import type {Retention} from './retention.js';
 import type {RunEstimates} from './run-estimates.js';
@@ -25,6 +26,7 @@
 export interface CommitHandlerOptions {
   readonly dispatcher: Dispatcher;
   readonly runs: RunTracker;
+  readonly stages: JobStagesRecorder;
   readonly reports: ReportHandler;
   readonly retention: Retention;
   readonly estimates: RunEstimates;
@@ -48,7 +50,8 @@
 export function createCommitHandler(
   options: CommitHandlerOptions,
 ): CommitHandler {
-  const {dispatcher, runs, reports, retention, estimates, log, state} = options;
+  const {dispatcher, runs, stages, reports, retention} = options;
+  const {estimates, log, state} = options;
 
   function handleCommitted({queued}: Batch, outcomes: readonly Outcome[]) {
     queued.forEach(({event, reply}, at) => {
@@ -76,10 +79,15 @@
         return;
       }
       dispatcher.sessionOf(event.worker)?.acknowledge(event.upTo);
+      stages.recordEnds(event.ends);
       for (const [name, run] of event.ends) {
         runs.forget(runId(name, run));
         logJobEnd(splitTaskName(name).job);
       }
+    } else if (event.type === 'submit') {
+      stages.recordAccepted(event.job.id);
+    } else if (event.type === 'cancel') {
+      stages.take(event.job);
     } else if (event.type === 'crash') {
       logCrash(event);
     } else if (event.type === 'lost') {
@@ -121,6 +129,7 @@
     const queue = queuesByName(tables).get(job.spec.queue);
     const nowMs = Date.now();
     const durations = estimates.durations();
+    const parts = Object.entries(stages.take(id) ?? {});
     log.info('job-ended', {
       job: id,
       queue: job.spec.queue,
@@ -132,6 +141,7 @@
           objectiveMs({job, queue, occurrence: 0, nowMs, durations}),
         ),
       }),
+      ...Object.fromEntries(parts.map(([key, ms]) => [key, Math.round(ms)])),
     });
   }
 
--- a/packages/dispatch/src/decision-round.ts
+++ b/packages/dispatch/src/decision-round.ts
@@ -6,6 +6,7 @@
  */
 import type {Latency, Metrics} from '@lentildrift/observe';
 import {apply, type Event, type Outcome} from '@lentildrift/queue';
+import {runId} from '@lentildrift/scheduling';
 import type {AdviceCache} from './advice.js';
 import type {Batch} from './batch.js';
 import type {EventQueue} from './event-queue.js';
@@ -14,6 +15,7 @@
 import type {Planner} from './planner.js';
 import type {StateViews} from './state-views.js';
 import {ROUND_INTERVAL_MS} from './timing.js';
+import type {RunTracker} from './tracker.js';
 
 /** Messages of the rounds to the leader's task. */
 export type RoundMessage =
@@ -28,6 +30,7 @@
   readonly views: StateViews;
   readonly events: EventQueue;
   readonly planner: Planner;
+  readonly runs: Pick<RunTracker, 'markTime'>;
   readonly advice: AdviceCache;
   isLeader(): boolean;
   /** Posts a message to the leader's task. */
@@ -104,6 +107,9 @@
     );
     const {starts} = decision;
     if (starts.length > 0) {
+      for (const [task, run] of starts) {
+        options.runs.markTime(runId(task, run), 'decidedMs');
+      }
       events.push({type: 'start', runs: [...starts]});
     }
     if (events.length === 0) return;
--- a/packages/dispatch/src/host-operations.ts
+++ b/packages/dispatch/src/host-operations.ts
@@ -3,7 +3,8 @@
  * Each leaves out the hosts of the other.
  */
 import type {LogFields} from '@lentildrift/observe';
-import {ElasticPools} from '@lentildrift/scheduling';
+import type {Size} from '@lentildrift/queue';
+import {ElasticPools, type PoolView} from '@lentildrift/scheduling';
 import type {Availability} from './availability.js';
 import {countHosts} from './census.js';
 import type {Dispatcher} from './dispatcher.js';
@@ -27,6 +28,8 @@
   readonly estimates: RunEstimates;
   readonly readiness: Readiness;
   readonly instruments: LeaderInstruments;
+  /** Called with the pools before each rebalancing. */
+  onPools(pools: readonly PoolView[]): void;
   /** Whether a run on the worker is decided and not yet in the state. */
   hasPendingStart(worker: string): boolean;
 }
@@ -46,6 +49,8 @@
    * host provider has listed them.
    */
   census(): LogFields | undefined;
+  /** Capacities of the hosts that the provider lists; empty before the first. */
+  capacities(): readonly Size[];
   stop(): void;
 }
 
@@ -68,6 +73,9 @@
   /** Monotonic time of the next rebalancing at the earliest. */
   let nextRebalanceMs = -Infinity;
   let isStopped = false;
+  let listedHosts: ReturnType<typeof inventory.hosts>;
+  /** Capacities of `listedHosts`. */
+  let listedCapacities: readonly Size[] = [];
 
   const inventory = createInventory(leader.hosts, log);
   const issuer = {
@@ -95,6 +103,7 @@
   });
   const rebalancer: Rebalancer = createRebalancer({
     policy: leader.pools ?? new ElasticPools(),
+    onPools: options.onPools,
     provider: leader.hosts,
     inventory,
     issuer,
@@ -141,6 +150,19 @@
     );
   }
 
+  /** Kinds of hosts are few, so that equal capacities are listed once. */
+  function capacities(): readonly Size[] {
+    const hosts = inventory.hosts();
+    if (hosts === listedHosts || !hosts) return listedCapacities;
+    listedHosts = hosts;
+    const byText = new Map<string, Size>();
+    for (const {capacity} of hosts.values()) {
+      byText.set(JSON.stringify(capacity), capacity);
+    }
+    listedCapacities = [...byText.values()];
+    return listedCapacities;
+  }
+
   return {
     isCordoned: host =>
       maintenance.isCordoned(host) || rebalancer.isCordoned(host),
@@ -150,6 +172,7 @@
     },
     rebalance,
     census,
+    capacities,
     stop() {
       isStopped = true;
       maintenance.stop();
--- a/packages/dispatch/src/leader-options.ts
+++ b/packages/dispatch/src/leader-options.ts
@@ -2,7 +2,12 @@
 import type {Replica} from '@lentildrift/consensus';
 import type {Log, Metrics} from '@lentildrift/observe';
 import type {Change, Outcome, State} from '@lentildrift/queue';
-import type {JobOrder, Placement, PoolPolicy} from '@lentildrift/scheduling';
+import type {
+  Admission,
+  JobOrder,
+  Placement,
+  PoolPolicy,
+} from '@lentildrift/scheduling';
 import type {TaskSystem} from '@lentildrift/task';
 import type {WorkerDriver} from './driver.js';
 import type {HostOrderGuard} from './host-order-guard.js';
@@ -36,6 +41,7 @@
   readonly order?: JobOrder;
   readonly placement?: Placement;
   readonly pools?: PoolPolicy;
+  readonly admission?: Admission;
   /** Monotonic time at which this process was elected, for its log lines. */
   readonly electedMs?: number;
   /**
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -7,7 +7,15 @@
  * of its steps post to this task, which alone receives messages.
  */
 import {NotLeader} from '@lentildrift/consensus';
-import type {Event, Outcome, StartRow, Worker} from '@lentildrift/queue';
+import type {
+  Event,
+  JobSpec,
+  Outcome,
+  Queue,
+  StartRow,
+  Worker,
+} from '@lentildrift/queue';
+import {DeadlineAdmission, runId} from '@lentildrift/scheduling';
 import type {Reply, Task} from '@lentildrift/task';
 import {createAdviceCache, type AdviceCache} from './advice.js';
 import {
@@ -26,7 +34,9 @@
 import {createDispatcher, type Dispatcher} from './dispatcher.js';
 import {createEventQueue, type EventQueue} from './event-queue.js';
 import {createHostOperations, type HostOperations} from './host-operations.js';
+import {createJobStages} from './job-stages.js';
 import {createInstruments} from './instruments.js';
+import {createIntake, type Intake, type IntakeVerdict} from './intake.js';
 import type {LeaderOptions} from './leader-options.js';
 import {createPlanner} from './planner.js';
 import {createReadiness} from './readiness.js';
@@ -49,6 +59,10 @@
    * outcome is unknown.
    */
   commit(event: Event): Promise<Outcome>;
+  /**
+   * Decides on a job, and records it if it is accepted; rejects as `commit` does.
+   */
+  submit(job: JobSpec, queue: Queue): Promise<SubmitResult>;
   /**
    * Resolves once the announcement is recorded in the worker directory, or
    * needs no record.
@@ -59,8 +73,22 @@
   stop(): Promise<void>;
 }
 
+/** What became of a job that was handed in. */
+export type SubmitResult =
+  | {readonly type: 'recorded'; readonly outcome: Outcome}
+  | Exclude<IntakeVerdict, {type: 'admitted'}>;
+
+type SubmitMessage = {
+  type: 'submit';
+  job: JobSpec;
+  queue: Queue;
+  expiresAtMs: number;
+  reply: Reply<SubmitResult>;
+};
+
 type Message =
   | {type: 'commit'; event: Event; expiresAtMs: number; reply: Reply<Outcome>}
+  | SubmitMessage
   | {type: 'announce'; worker: Worker; reply: Reply<void>}
   | {type: 'leave'; worker: string; reply: Reply<void>}
   | {type: 'session-event'; event: SessionEvent}
@@ -142,6 +170,7 @@
   });
   const rounds: DecisionRounds = createDecisionRounds({
     replica,
+    runs,
     metrics,
     instruments,
     views,
@@ -190,6 +219,12 @@
     readiness,
     instruments,
     hasPendingStart: rounds.hasPendingStart,
+    onPools: pools => intake.update(pools),
+  });
+  const intake: Intake = createIntake({
+    admission: options.admission ?? new DeadlineAdmission(),
+    estimates,
+    hostCapacities: hosts.capacities,
   });
   const reports: ReportHandler = createReportHandler({
     dispatcher,
@@ -206,9 +241,11 @@
     log,
     onChange: rounds.schedule,
   });
+  const stages = createJobStages({runs, state});
   const commits: CommitHandler = createCommitHandler({
     dispatcher,
     runs,
+    stages,
     reports,
     retention,
     estimates,
@@ -221,6 +258,9 @@
       case 'commit':
         events.add(message);
         return;
+      case 'submit':
+        handleSubmit(message);
+        return;
       case 'announce':
         registry.announce(message.worker, message.reply);
         return;
@@ -249,6 +289,35 @@
     }
   }
 
+  function handleSubmit({job, queue, expiresAtMs, reply}: SubmitMessage): void {
+    const {id} = job;
+    stages.recordArrival(id);
+    // A job that is sent again while its first attempt waits for the commit must
+    // not be refused: it will run.
+    if (!intake.isAccepted(id) && !state().jobs.has(id)) {
+      const verdict = intake.decide(job, queue);
+      if (verdict.type !== 'admitted') {
+        stages.take(id);
+        reply.resolve(verdict);
+        return;
+      }
+    }
+    events.add({
+      event: {type: 'submit', job, atMs: Date.now()},
+      expiresAtMs,
+      reply: {
+        resolve(outcome) {
+          intake.settle(id);
+          reply.resolve({type: 'recorded', outcome});
+        },
+        reject(error) {
+          intake.settle(id);
+          reply.reject(error);
+        },
+      },
+    });
+  }
+
   /**
    * Answers what arrives while the leader stops, so that no request whose
    * outcome is known ends as one whose outcome is unknown.
@@ -256,6 +325,7 @@
   function settleAfterStop(message: Message): void {
     switch (message.type) {
       case 'commit':
+      case 'submit':
       case 'announce':
       case 'leave':
         message.reply.reject(new NotLeader(undefined));
@@ -275,6 +345,9 @@
   function handleCommitted(batch: Batch, outcomes: readonly Outcome[]): void {
     rounds.settle();
     commits.handleCommitted(batch, outcomes);
+    for (const [task, run] of batch.starts) {
+      runs.markTime(runId(task, run), 'orderedMs');
+    }
     // One message an order, so that a large batch is sent in several turns.
     for (const start of batch.starts) task.post({type: 'order', start});
     instruments.recordOrders(batch.starts.length);
@@ -355,6 +428,10 @@
       const expiresAtMs = performance.now() + MAX_QUEUED_MS;
       return ask(reply => ({type: 'commit', event, expiresAtMs, reply}));
     },
+    submit(job, queue) {
+      const expiresAtMs = performance.now() + MAX_QUEUED_MS;
+      return ask(reply => ({type: 'submit', job, queue, expiresAtMs, reply}));
+    },
     announce: worker => ask(reply => ({type: 'announce', worker, reply})),
     leave: worker => ask(reply => ({type: 'leave', worker, reply})),
     async stop() {
--- a/packages/dispatch/src/local.ts
+++ b/packages/dispatch/src/local.ts
@@ -4,9 +4,9 @@
  */
 import {NotLeader} from '@lentildrift/consensus';
 import type {Counter, Log, Metrics} from '@lentildrift/observe';
-import type {State} from '@lentildrift/queue';
+import type {JobSpec, State} from '@lentildrift/queue';
 import {createTablesEditor} from './edit.js';
-import type {Leader, QueueReplica} from './leader.js';
+import type {Leader, QueueReplica, SubmitResult} from './leader.js';
 import {isRefusal, locate, type LocatedCall} from './locate.js';
 import {
   refuse,
@@ -121,24 +121,23 @@
     }
     if (replica.state().activeJobCount >= MAX_ACTIVE_JOBS) {
       const retryAfterMs = OVERLOAD_RETRY_MS;
-      return logRefusal(
-        id,
-        refuse('overloaded', 'too many jobs wait', {retryAfterMs}),
-      );
+      const refusal = refuse('overloaded', 'too many jobs', {retryAfterMs});
+      return refuseUnlessRecorded(id, jobId, refusal);
     }
     const {payload, steps, schedule} = request;
-    const outcome = await leader.commit({
-      type: 'submit',
-      atMs: Date.now(),
-      job: {
-        id: jobId,
-        queue: queue.name,
-        payload,
-        steps,
-        ...(team !== undefined && {team}),
-        ...(schedule && {schedule}),
-      },
-    });
+    const spec: JobSpec = {
+      id: jobId,
+      queue: queue.name,
+      payload,
+      steps,
+      ...(team !== undefined && {team}),
+      ...(schedule && {schedule}),
+    };
+    const result = await leader.submit(spec, queue);
+    if (result.type !== 'recorded') {
+      return refuseUnlessRecorded(id, jobId, toRefusal(result));
+    }
+    const {outcome} = result;
     log.info('job-accepted', {
       request: id,
       job: jobId,
@@ -151,6 +150,19 @@
     return DONE;
   }
 
+  /**
+   * Another leader may have recorded the job that this process refuses, so the
+   * refusal is true only if the confirmed state lacks the job.
+   */
+  async function refuseUnlessRecorded(
+    id: string,
+    jobId: string,
+    refusal: Refusal,
+  ): Promise<Reply> {
+    const {jobs} = await readConfirmedState();
+    return jobs.has(jobId) ? DONE : logRefusal(id, refusal);
+  }
+
   async function cancel(
     id: string,
     request: RequestOf<'cancel'>,
@@ -199,6 +211,21 @@
   return {handle};
 }
 
+/** The refusal of a job that was not accepted. */
+function toRefusal(result: Exclude<SubmitResult, {type: 'recorded'}>): Refusal {
+  if (result.type === 'unservable') {
+    const detail = `no host is large enough for a task of step ${result.step}`;
+    return refuse('invalid', detail);
+  }
+  const {endMs, limitMs, retryAfterMs} = result;
+  const expected = Number.isFinite(endMs)
+    ? `would end in ${Math.round(endMs)} ms`
+    : 'would never end';
+  const limit = Math.round(limitMs);
+  const detail = `the job ${expected}, with a limit of ${limit} ms`;
+  return refuse('overloaded', detail, {retryAfterMs});
+}
+
 function replyLabel(reply: Reply): string {
   return reply.type === 'refused' ? reply.reason : 'ok';
 }
--- a/packages/dispatch/src/rebalancer.ts
+++ b/packages/dispatch/src/rebalancer.ts
@@ -19,6 +19,8 @@
     Omit<HostMovesOptions, 'records' | 'onEnded'>,
     Omit<PoolViewsOptions, 'moves'> {
   readonly policy: PoolPolicy;
+  /** Called with the pools before each decision about them. */
+  onPools(pools: readonly PoolView[]): void;
 }
 
 export interface Rebalancer {
@@ -53,6 +55,7 @@
     moves.advance(view);
     const pools = poolViews.collect(hosts, view);
     logPools(pools);
+    options.onPools(pools);
     for (const move of options.policy.decide(pools)) moves.begin(move, view);
   }
 
--- a/packages/dispatch/src/report-handler.ts
+++ b/packages/dispatch/src/report-handler.ts
@@ -185,6 +185,7 @@
     run: number,
     how: string,
   ): void {
+    runs.markTime(runId(name, run), 'reportedEndMs');
     if (how === 'done') estimates.recordCompletion(name, run);
     else log.info('run-ended', {worker: key, task: name, run, how});
   }
--- a/packages/dispatch/src/tracker.ts
+++ b/packages/dispatch/src/tracker.ts
@@ -3,7 +3,20 @@
  * `runId`. Nothing here is stored: the next leader starts anew.
  */
 
+/** Monotonic times of a run that this leader knows. */
+export interface RunTimes {
+  /** When a round decided on its start. */
+  decidedMs?: number;
+  /** When its order was sent. */
+  orderedMs?: number;
+  /** When a report with its end arrived. */
+  reportedEndMs?: number;
+}
+
 export interface RunTracker {
+  /** Notes the present time as one of the times of the run. */
+  markTime(id: string, name: keyof RunTimes): void;
+  timesOf(id: string): Readonly<RunTimes>;
   /** Notes that the order to start or stop the run has its final answer. */
   markSettled(id: string): void;
   /**
@@ -58,6 +71,8 @@
  */
 const TRIAL_MS = 300;
 
+const NO_TIMES: RunTimes = {};
+
 /**
  * `inherited` are the runs that earlier leaders ordered. They count as settled,
  * so the first report of their worker shows whether they are running.
@@ -68,9 +83,16 @@
   const startedMs = new Map<string, number>();
   const reported = new Set<string>();
   const stopping = new Set<string>();
+  const times = new Map<string, RunTimes>();
   /** Monotonic time since which reports lack the run; infinite once logged. */
   const missingSinceMs = new Map<string, number>();
   return {
+    markTime(id, name) {
+      const known = times.get(id);
+      if (known) known[name] = performance.now();
+      else times.set(id, {[name]: performance.now()});
+    },
+    timesOf: id => times.get(id) ?? NO_TIMES,
     markSettled(id) {
       settledMs.set(id, performance.now());
       missingSinceMs.delete(id);
@@ -111,6 +133,7 @@
       startedMs.delete(id);
       reported.delete(id);
       stopping.delete(id);
+      times.delete(id);
       missingSinceMs.delete(id);
     },
   };
--- a/packages/scheduling/src/demand.ts
+++ b/packages/scheduling/src/demand.ts
@@ -5,6 +5,7 @@
 import {
   add,
   fits,
+  isLongRunning,
   queuesByName,
   ZERO_SIZE,
   type Job,
@@ -16,7 +17,7 @@
 import type {Backlog} from './backlog.js';
 import {expectedDurationMs, type Durations} from './estimate.js';
 import {reservation, type Load} from './load.js';
-import {isLate} from './order.js';
+import {isLate, remainingWorkMs} from './order.js';
 import {listReadySteps} from './ready-steps.js';
 
 /** Equal tasks of one step that are waiting for workers. */
@@ -47,12 +48,18 @@
    * at the rate of the last second.
    */
   readonly inflowCpuMillis: number;
+  /**
+   * Remaining work, in core milliseconds, of the jobs that wait and are not
+   * late.
+   */
+  readonly inTimeWorkMs: number;
 }
 
 export const NO_DEMAND: Demand = {
   reserved: ZERO_SIZE,
   waiting: [],
   inflowCpuMillis: 0,
+  inTimeWorkMs: 0,
 };
 
 /**
@@ -62,11 +69,22 @@
  */
 const INFLOW_WINDOW_MS = 1000;
 
+/**
+ * A rise of the inflow shows in a shorter time. It counts as far as it is beyond
+ * chance, so that the random arrivals of a steady inflow move no hosts.
+ */
+const RISE_WINDOW_MS = 300;
+const MIN_RISE_JOBS = 6;
+
 /** A demand while it is being computed. */
 interface PartialDemand {
   reserved: Size;
   readonly waiting: WaitingTasks[];
   inflowCpuMillis: number;
+  inTimeWorkMs: number;
+  /** Jobs of the short window, and their work. */
+  risingJobs: number;
+  risingWork: number;
 }
 
 /** Computes the demand of each pool, by pool name. */
@@ -83,7 +101,7 @@
   const demandOf = ({pool}: Queue): PartialDemand => {
     let demand = demands.get(pool);
     if (!demand) {
-      demand = {reserved: ZERO_SIZE, waiting: [], inflowCpuMillis: 0};
+      demand = {...NO_DEMAND, waiting: [], risingJobs: 0, risingWork: 0};
       demands.set(pool, demand);
     }
     return demand;
@@ -97,29 +115,42 @@
   for (const job of backlog.recentJobs(nowMs - INFLOW_WINDOW_MS)) {
     const queue = queues.get(job.spec.queue);
     if (!queue || job.acceptedAtMs > nowMs) continue;
-    demandOf(queue).inflowCpuMillis += inflowCpuMillis(job, queue, durations);
+    const demand = demandOf(queue);
+    const workMillis = expectedWork(job, queue, durations);
+    demand.inflowCpuMillis += workMillis / INFLOW_WINDOW_MS;
+    if (job.acceptedAtMs <= nowMs - RISE_WINDOW_MS) continue;
+    demand.risingJobs++;
+    demand.risingWork += workMillis;
+  }
+  for (const demand of demands.values()) {
+    demand.inflowCpuMillis = Math.max(demand.inflowCpuMillis, riseOf(demand));
   }
   for (const job of backlog.waitingJobs) {
     const queue = queues.get(job.spec.queue);
     if (!queue) continue;
-    const {waiting} = demandOf(queue);
-    addWaitingTasks({job, queue, nowMs, durations}, teamCaps, waiting);
+    const demand = demandOf(queue);
+    addWaitingTasks({job, queue, nowMs, durations}, teamCaps, demand);
   }
   return demands;
 }
 
-/**
- * The CPU demand of a job that was accepted within the window: its expected
- * work divided by the length of the window.
- */
-function inflowCpuMillis(job: Job, queue: Queue, durations: Durations): number {
+/** The inflow of the short window, less what may be chance. */
+function riseOf({risingJobs, risingWork}: PartialDemand): number {
+  if (risingJobs < MIN_RISE_JOBS) return 0;
+  // Arrivals are independent, so their number varies by its square root.
+  const certainShare = 1 - 1 / Math.sqrt(risingJobs);
+  return (risingWork / RISE_WINDOW_MS) * certainShare;
+}
+
+/** Expected work of a job, in thousandths of a core times milliseconds. */
+function expectedWork(job: Job, queue: Queue, durations: Durations): number {
   let work = 0;
   for (const step of job.spec.steps) {
     const {cpuMillis} = reservation(step);
     work +=
       step.count * cpuMillis * expectedDurationMs(durations, queue.name, step);
   }
-  return work / INFLOW_WINDOW_MS;
+  return work;
 }
 
 interface TeamCaps {
@@ -170,11 +201,11 @@
   readonly durations: Durations;
 }
 
-/** Appends the waiting tasks of a job to `rows`. */
+/** Adds the waiting tasks of a job to the demand. */
 function addWaitingTasks(
   {job, queue, nowMs, durations}: WaitingInput,
   teamCaps: TeamCaps,
-  rows: WaitingTasks[],
+  demand: PartialDemand,
 ): void {
   let checkedOccurrence = -1;
   let late = false;
@@ -184,11 +215,15 @@
     if (count === 0) continue;
     if (occurrence !== checkedOccurrence) {
       // Spelled out, since spreading the input for every waiting job is slow.
-      late = isLate({job, queue, occurrence, nowMs, durations});
+      const input = {job, queue, occurrence, nowMs, durations};
+      late = isLate(input);
       checkedOccurrence = occurrence;
+      if (!late && !isLongRunning(job)) {
+        demand.inTimeWorkMs += remainingWorkMs(input);
+      }
     }
     const {label, maxPerWorker} = step;
     const size = reservation(step);
-    rows.push({count, size, label, maxPerWorker, running, late});
+    demand.waiting.push({count, size, label, maxPerWorker, running, late});
   }
 }
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -10,6 +10,8 @@
 export * from './suspicion.js';
 export * from './budget.js';
 export * from './demand.js';
+export * from './admission.js';
 export * from './pools.js';
+export * from './forecast.js';
 export * from './packing.js';
 export * from './pace.js';
--- a/packages/scheduling/src/order.ts
+++ b/packages/scheduling/src/order.ts
@@ -111,6 +111,17 @@
   return objectiveOf(input.queue, expectationOf(input));
 }
 
+/** Expected duration of the longest chain of steps that are not done. */
+export function remainingPathMs(input: OrderInput): number {
+  return expectationOf(input).remainingPathMs;
+}
+
+/** Expected remaining work of the occurrence, in core milliseconds. */
+export function remainingWorkMs(input: OrderInput): number {
+  const expectation = expectationOf(input);
+  return (expectation.workMs ??= computeWorkMs(input));
+}
+
 /** What is expected of one occurrence of a job. */
 interface Expectation {
   /** Duration of the longest chain of dependent steps. */
--- a/packages/testkit/src/jobs/hosts.ts
+++ b/packages/testkit/src/jobs/hosts.ts
@@ -3,14 +3,17 @@
   ZERO_SIZE,
   subtract,
   type Event,
+  type Size,
   type State,
   type Worker,
 } from '@lentildrift/queue';
 import {
+  forecastPools,
   measureDemand,
   NO_DEMAND,
   type Durations,
   type Load,
+  type PoolForecast,
   type PoolHost,
   type PoolPolicy,
   type PoolView,
@@ -59,7 +62,10 @@
   isMoving(worker: string): boolean;
   /** Advances the moves and returns the events of workers added and removed. */
   advance(nowMs: number, load: Load): Event[];
-  /** Plans the moves that the policy decides on. */
+  /**
+   * Plans the moves that the policy decides on, and forecasts the pools as they
+   * were before.
+   */
   applyPolicy(
     policy: PoolPolicy,
     state: State,
@@ -67,7 +73,7 @@
     nowMs: number,
     durations: Durations,
     emptyInMs: (worker: string) => number,
-  ): void;
+  ): ReadonlyMap<string, PoolForecast>;
   /** Number of moves that have left their pool. */
   readonly moves: number;
   /** Total host time outside the standby pool. */
@@ -76,12 +82,13 @@
   addHostTime(forMs: number): void;
 }
 
+/** Whole capacity of each host. */
+export function hostCapacity({hostCores, hostMemoryMb}: TrafficShape): Size {
+  return {cpuMillis: hostCores * 1000, memoryMb: hostMemoryMb, gpus: 0};
+}
+
 export function createSimulatedHosts(shape: TrafficShape): SimulatedHosts {
-  const capacity = {
-    cpuMillis: shape.hostCores * 1000,
-    memoryMb: shape.hostMemoryMb,
-    gpus: 0,
-  };
+  const capacity = hostCapacity(shape);
   const hosts: Host[] = [];
   let moves = 0;
   let poolHostMs = 0;
@@ -204,6 +211,7 @@
           departedMs: undefined,
         };
       }
+      return forecastPools(views);
     },
     get moves() {
       return moves;
--- a/packages/testkit/src/jobs/measure.ts
+++ b/packages/testkit/src/jobs/measure.ts
@@ -3,25 +3,37 @@
  * baselines.
  */
 import {
+  AdmitAll,
   ArrivalOrder,
+  DeadlineAdmission,
   DeadlineOrder,
   ElasticPools,
   FirstFitPlacement,
   FixedPools,
   PackPlacement,
 } from '@lentildrift/scheduling';
-import {ARCHERS_JOBS, scaleShape, type TrafficShape} from './shape.js';
+import {
+  ARCHERS_JOBS,
+  HUNDREDS_JOBS,
+  OVERLOAD_JOBS,
+  scaleShape,
+  type TrafficShape,
+} from './shape.js';
 import {runJobTrial, type TrialOptions, type TrialResult} from './trial.js';
 
 const SEEDS = [1, 2, 3, 4, 5, 6];
 
-type Policies = Pick<TrialOptions, 'order' | 'placement' | 'pools'>;
+type Policies = Pick<
+  TrialOptions,
+  'order' | 'placement' | 'pools' | 'admission'
+>;
 
 function createDefaultPolicies(): Policies {
   return {
     order: new DeadlineOrder(),
     placement: new PackPlacement(),
     pools: new ElasticPools(),
+    admission: new DeadlineAdmission(),
   };
 }
 
@@ -36,6 +48,7 @@
     placement: new FirstFitPlacement(),
   }),
   'fixed pools': () => ({...createDefaultPolicies(), pools: new FixedPools()}),
+  'admit all': () => ({...createDefaultPolicies(), admission: new AdmitAll()}),
 };
 /** Duration of a restart of all processes, during the turn of one queue. */
 const OUTAGE = {fromMs: 12_000, untilMs: 14_500};
@@ -47,6 +60,8 @@
   const rows = Object.keys(POLICIES).flatMap(policy => [
     measureRow(policy, ARCHERS_JOBS, SEEDS),
     measureRow(policy, ARCHERS_JOBS, SEEDS, OUTAGE),
+    measureRow(policy, HUNDREDS_JOBS, SEEDS.slice(0, 3)),
+    measureRow(policy, OVERLOAD_JOBS, SEEDS.slice(0, 3)),
   ]);
   const sizes = FACTORS.map(factor =>
     measureRow('ours', scaleShape(ARCHERS_JOBS, factor), SEEDS.slice(0, 1)),
@@ -82,6 +97,8 @@
     hostSeconds: Math.round(mean(({hostSeconds}) => hostSeconds)),
     moves: Math.round(mean(({moves}) => moves)),
     jobs: Math.round(mean(({jobs}) => jobs)),
+    late: Math.round(mean(({late}) => late)),
+    refused: Math.round(mean(({refused}) => refused)),
     startsPerSecond: round(
       (mean(({starts}) => starts) * 1000) / shape.lengthMs,
     ),
