Empty hosts with long-running tasks from the beginning of a wave

Cause: hosts with long-running tasks are never idle, so a wave emptied them only when its deadline came near, all at once.

Change: while a wave has open slots, it also selects hosts with long-running tasks if the budgets allow all of their tasks to be stopped beside those on cordoned hosts. A long-running task that restarts prefers a host that no wave is going to empty.

Test: 'empties hosts with long-running tasks early enough for their budgets' failed before the change.

--- a/packages/dispatch/src/availability.ts
+++ b/packages/dispatch/src/availability.ts
@@ -23,6 +23,8 @@
   isAnswering(worker: string): boolean;
   /** Whether the host gets no new runs because of maintenance or a move. */
   isCordoned(host: string): boolean;
+  /** Whether a maintenance wave is going to empty the host. */
+  isDue(host: string): boolean;
 }
 
 export interface Availability {
@@ -139,6 +141,7 @@
           return (emptyInMs ??= estimates.emptyInMs(key, load));
         },
         quarantined: isQuarantined(health, key, nowMs),
+        isDue: options.isDue(worker.host),
       });
     }
     return candidates;
--- a/packages/dispatch/src/host-operations.ts
+++ b/packages/dispatch/src/host-operations.ts
@@ -37,6 +37,8 @@
 export interface HostOperations {
   /** Whether the host gets no new runs because of maintenance or a move. */
   isCordoned(host: string): boolean;
+  /** Whether a wave is going to empty the host. */
+  isDue(host: string): boolean;
   /** Advances the maintenance waves, and the moves as `rebalance` does. */
   advance(): void;
   /**
@@ -166,6 +168,7 @@
   return {
     isCordoned: host =>
       maintenance.isCordoned(host) || rebalancer.isCordoned(host),
+    isDue: maintenance.isDue,
     advance() {
       time('maintenance', () => maintenance.tick(views.current()));
       rebalance();
--- a/packages/dispatch/src/host-selection.ts
+++ b/packages/dispatch/src/host-selection.ts
@@ -1,6 +1,13 @@
 /** Selects the hosts that a maintenance wave empties next. */
-import {workerKey, type Wave} from '@lentildrift/queue';
-import type {Fleet, StateView} from '@lentildrift/scheduling';
+import {taskName, workerKey, type Wave, type Worker} from '@lentildrift/queue';
+import {
+  availabilityBudget,
+  countUnavailable,
+  type Fleet,
+  type IsRunActive,
+  type LiveRun,
+  type StateView,
+} from '@lentildrift/scheduling';
 import type {Inventory} from './inventory.js';
 
 export interface HostSelectionOptions {
@@ -15,6 +22,8 @@
   hasOperation(host: string): boolean;
   /** Whether the host gets no new runs because it is emptied or maintained. */
   isCordoned(host: string): boolean;
+  /** Whether the run of a long-running task is ready. */
+  readonly isReady: IsRunActive;
 }
 
 export interface SelectedHost {
@@ -25,9 +34,10 @@
 
 export interface HostSelection {
   /**
-   * Selects at most `openSlots` hosts to empty: idle hosts at any time, and
-   * hosts in use only if the wave would otherwise miss its deadline, few of one
-   * pool at a time.
+   * Selects at most `openSlots` hosts to empty: idle hosts at any time, those
+   * with long-running tasks as far as the budgets of these allow, since such
+   * hosts are never idle and wait for each other, and other hosts in use only if
+   * the wave would otherwise miss its deadline, few of one pool at a time.
    */
   select(wave: Wave, openSlots: number, view: StateView): SelectedHost[];
 }
@@ -53,6 +63,11 @@
       ? due.filter(host => isInUse(host, view))
       : [];
     const selected = new Set(idle.slice(0, Math.max(0, openSlots)));
+    const budgets = createBudgets(view, options);
+    for (const host of due) {
+      if (selected.size >= openSlots) break;
+      if (budgets.canEmpty(host)) selected.add(host);
+    }
     for (const host of busy) {
       if (selected.size >= openSlots) break;
       if (canEmptyOneMore(host, view.fleet, selected)) selected.add(host);
@@ -111,3 +126,65 @@
 
   return {select};
 }
+
+interface Budgets {
+  /**
+   * Whether the host has long-running tasks, and all of them may be stopped
+   * beside those that are, or are about to be; if so, they count from then on.
+   */
+  canEmpty(host: string): boolean;
+}
+
+/** The budgets of long-running steps while hosts are selected. */
+function createBudgets(
+  {load, fleet}: StateView,
+  {isReady, isCordoned}: HostSelectionOptions,
+): Budgets {
+  /** Tasks that may still be stopped, by job and step. */
+  const left = new Map<string, number>();
+
+  function runsOn(worker: Worker): LiveRun[] {
+    const runs = load.runsByWorker.get(workerKey(worker)) ?? [];
+    return runs.filter(({step}) => step.lasting);
+  }
+
+  function stepOf({job, key}: LiveRun): string {
+    return taskName(job.spec.id, key.slice(0, key.lastIndexOf('.')));
+  }
+
+  function leftFor(live: LiveRun): number {
+    const name = stepOf(live);
+    const known = left.get(name);
+    if (known !== undefined) return known;
+    const budget = availabilityBudget(live.step);
+    const free = budget - countUnavailable(live, isReady);
+    left.set(name, free);
+    return free;
+  }
+
+  function take(live: LiveRun): void {
+    left.set(stepOf(live), leftFor(live) - 1);
+  }
+
+  // Their tasks are still ready, and will be stopped one after the other.
+  for (const worker of fleet.workers) {
+    if (!isCordoned(worker.host)) continue;
+    for (const live of runsOn(worker)) {
+      const task = taskName(live.job.spec.id, live.key);
+      if (isReady(task, live.run)) take(live);
+    }
+  }
+
+  return {
+    canEmpty(host) {
+      const worker = fleet.newestOn(host);
+      const runs = worker ? runsOn(worker) : [];
+      if (runs.length === 0) return false;
+      // A host may have more tasks of a step than may be missing at once; they
+      // are stopped in turn.
+      const isAllowed = runs.every(live => leftFor(live) > 0);
+      if (isAllowed) for (const live of runs) take(live);
+      return isAllowed;
+    },
+  };
+}
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -159,6 +159,7 @@
     announcements,
     isAnswering: worker => dispatcher.isAnswering(worker),
     isCordoned: host => hosts.isCordoned(host),
+    isDue: host => hosts.isDue(host),
   });
   const planner = createPlanner({
     instruments,
--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -55,6 +55,8 @@
 export interface Maintenance {
   /** Whether the host gets no new runs because it is emptied or maintained. */
   isCordoned(host: string): boolean;
+  /** Whether a wave is going to empty the host. */
+  isDue(host: string): boolean;
   /** Advances all open waves by one step. */
   tick(view: StateView): void;
   stop(): void;
@@ -109,7 +111,10 @@
     hasForeignOrder: options.hasForeignOrder,
     hasOperation: host => operations.has(host),
     isCordoned,
+    isReady: options.readiness.isReady,
   });
+  /** Hosts that a wave will empty. */
+  let dueHosts: ReadonlySet<string> = new Set();
   let isStopped = false;
 
   function tick(view: StateView): void {
@@ -117,6 +122,7 @@
     const open = [...replica.state().waves.values()].filter(
       wave => !isWaveDone(wave),
     );
+    dueHosts = new Set(open.flatMap(listDue));
     if (open.length === 0 || isStopped) return;
     options.inventory.refresh();
     for (const wave of open) advanceWave(wave, view);
@@ -370,6 +376,7 @@
 
   return {
     isCordoned,
+    isDue: host => dueHosts.has(host),
     tick,
     stop() {
       isStopped = true;
@@ -377,6 +384,10 @@
   };
 }
 
+function listDue({hosts}: Wave): string[] {
+  return Object.keys(hosts).filter(host => hosts[host] === 'due');
+}
+
 /**
  * The operations that earlier leaders have recorded as begun. Their hosts are
  * cordoned from the start, as the repeated order ends whatever runs on them.
--- a/packages/dispatch/test/availability.test.ts
+++ b/packages/dispatch/test/availability.test.ts
@@ -125,6 +125,7 @@
     announcements: {isOutdated: () => false},
     isAnswering: () => true,
     isCordoned: () => false,
+    isDue: () => false,
   });
   for (const worker of view.fleet.workers) {
     availability.markReconciled(workerKey(worker));
--- a/packages/dispatch/test/hosts.test.ts
+++ b/packages/dispatch/test/hosts.test.ts
@@ -97,6 +97,29 @@
     expect(maintenanceStatuses()).toEqual(Array(4).fill('done'));
   });
 
+  // Such hosts were emptied only shortly before the deadline, and then waited for
+  // each other, since a step may miss one task at a time.
+  it('empties hosts with long-running tasks early enough for their budgets', async () => {
+    harness = await createHarness({
+      behave: () => ({durationMs: Infinity, lasting: true}),
+    });
+    const names = Array.from({length: 22}, (_, at) => `w${at}`);
+    for (const name of names) await harness.addWorker(worker(name));
+    await harness.submit(job('long', {...LONG_RUNNING, count: 18}));
+    await harness.advance(2000);
+    const durationMs = 26_000;
+    await openWave(
+      names.slice(0, 18).map(name => `m-${name}`),
+      9,
+      durationMs,
+    );
+    await harness.advance(durationMs);
+    expect(maintenanceStatuses()).toEqual(Array(18).fill('done'));
+    // Each of the 18 tasks is stopped once: it restarts on a host that stays.
+    const restarts = harness.fleet.starts.length - 18;
+    expect(restarts).toBeLessThanOrEqual(20);
+  });
+
   it('continues under a new leader, which first waits for the orders of the last one', async () => {
     harness = await createHarness();
     const names = ['w1', 'w2', 'w3'];
--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -20,6 +20,8 @@
   readonly emptyInMs: number;
   /** Quarantined after failures: chosen only if no other worker fits. */
   readonly quarantined: boolean;
+  /** A maintenance wave is going to empty the worker's host. */
+  readonly isDue?: boolean;
 }
 
 export interface PlacementInput {
@@ -63,8 +65,9 @@
 
 /**
  * Chooses the worker with the highest score, which is a preference and
- * penalties. Workers on which the task has failed, quarantined workers and
- * workers on another rack than the data or the gang rank last.
+ * penalties. Workers on which the task has failed, quarantined workers, workers
+ * on another rack than the data or the gang and, for long-running tasks, workers
+ * whose hosts are due for maintenance rank last.
  */
 abstract class ScoredPlacement extends Placement {
   /** Preference between 0 and 1; higher is better. */
@@ -140,11 +143,14 @@
 const FAILED_BEFORE_PENALTY = -8;
 const QUARANTINED_PENALTY = -4;
 const OTHER_RACK_PENALTY = -2;
+/** For long-running tasks, which would be stopped and started once more. */
+const DUE_PENALTY = -1;
 
 function penalty(candidate: Candidate, input: PlacementInput): number {
   let score = 0;
   if (input.failedOn.includes(candidate.key)) score += FAILED_BEFORE_PENALTY;
   if (candidate.quarantined) score += QUARANTINED_PENALTY;
+  if (candidate.isDue && input.step.lasting) score += DUE_PENALTY;
   const preferredRack = input.step.rack ?? input.gangRack;
   if (
     preferredRack !== undefined &&
--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -161,7 +161,7 @@
  * would read it.
  */
 function withFree(candidate: Candidate, free: Size): Required<Candidate> {
-  const {key, worker, quarantined} = candidate;
+  const {key, worker, quarantined, isDue = false} = candidate;
   return {
     key,
     worker,
@@ -170,6 +170,7 @@
       return candidate.emptyInMs;
     },
     quarantined,
+    isDue,
   };
 }
 
