Keep the runs of a departed worker until its lease has expired

Seen by callers: a task of a worker that leaves ran twice at once.

Cause: expireDeparted dropped the runs 500 ms after the departure was recorded, although the session still renewed the lease and got reports that listed them. A departure shows an intent, not an end.

Change: one rule, areRunsOver, for departed, silent and superseded workers. Runs are live while the worker answers holds, and over once its lease has expired. A departed worker is removed at that moment; it still gets no runs.

--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -23,7 +23,7 @@
 import {toLostRow} from './reconcile.js';
 import type {CrashDetector} from './crash-detector.js';
 import type {WorkerSession} from './session.js';
-import {LEFT_GRACE_MS, RETRY_PAUSE_MS, WORKER_EXPIRY_MS} from './timing.js';
+import {RETRY_PAUSE_MS, WORKER_EXPIRY_MS} from './timing.js';
 import type {RunTracker} from './tracker.js';
 import type {DerivedEvent} from './undecided.js';
 
@@ -48,7 +48,7 @@
 export interface Registry {
   /** Handles a worker's announcement; replies once it needs no more action. */
   announce(worker: Worker, reply: Reply<void>): void;
-  /** Records that the worker with this ID has left. */
+  /** Records that the worker with this ID is about to end, or has ended. */
   leave(id: string, reply: Reply<void>): void;
   /**
    * Whether the recorded runs of a worker exceed a capacity that it has
@@ -56,8 +56,8 @@
    */
   exceedsAnnouncedCapacity(worker: string): boolean;
   /**
-   * Removes workers that have left or expired, and reports the runs of
-   * unreachable workers as lost once their leases have expired.
+   * Reports the runs of unreachable workers as lost once their leases have
+   * expired, and removes workers that have left or were silent for long.
    */
   expire(): void;
   /** Rejects announcements that were not queued yet with `NotLeader`. */
@@ -78,12 +78,11 @@
 }
 
 export function createRegistry(options: RegistryOptions): Registry {
-  const {token, driver, runs, log, state, enqueue, enqueueDerived} = options;
+  const {token, driver, log, state, enqueue, enqueueDerived} = options;
   /** Monotonic time of the last announcement, by `workerKey`. */
   const lastHeardMs = new Map<string, number>();
   /** Highest sequence that was announced, by `workerKey`. */
   const heardSequences = new Map<string, number>();
-  const departedMs = new Map<string, number>();
   /**
    * Later announcements of the new incarnations that `replaceIncarnation` is
    * working on, by `workerKey`.
@@ -194,7 +193,7 @@
     await options.sessionOf(oldKey)?.close();
     const unreported = options
       .recordedRuns(oldKey)
-      .filter(({id}) => !runs.wasReported(id));
+      .filter(({id}) => !options.runs.wasReported(id));
     const isNeeded = () => isReplacing(old, worker);
     await Promise.all(
       unreported.map(live => deliverStop(live, worker, isNeeded)),
@@ -293,60 +292,68 @@
 
   function expire(): void {
     for (const worker of state().workers.unorderedValues()) {
-      if (worker.phase === 'gone') expireDeparted(worker);
-      else expireUnreachable(worker);
+      if (areRunsOver(worker)) removeRuns(worker);
     }
   }
 
-  function expireDeparted(worker: Worker): void {
-    const nowMs = performance.now();
-    const key = workerKey(worker);
-    const since = departedMs.get(key) ?? nowMs;
-    departedMs.set(key, since);
-    if (nowMs - since <= LEFT_GRACE_MS) return;
-    departedMs.delete(key);
-    heardSequences.delete(key);
-    enqueueDerived({type: 'worker-gone', worker: key});
-  }
-
-  function expireUnreachable(worker: Worker): void {
-    const nowMs = performance.now();
-    const key = workerKey(worker);
-    const session = options.sessionOf(key);
-    if (!session || session.isAnswering()) return;
+  /**
+   * Whether nothing that was ordered from the worker runs on it any more. Only
+   * its lease shows that: a worker may go on for seconds after it has reported
+   * its departure, and the report may be older than its incarnation.
+   */
+  function areRunsOver(worker: Worker): boolean {
+    const session = options.sessionOf(workerKey(worker));
+    if (!session || session.isAnswering()) return false;
     // The lease limits runs only by the clock of this incarnation. A late order
     // may be carried out by a later incarnation, at which `replaceIncarnation`
     // stops the run.
+    if (isSuperseded(worker)) return isSuccessorSilent(worker);
+    return performance.now() >= session.leaseExpiryMs();
+  }
+
+  /**
+   * Whether the worker's next incarnation has been silent for so long that it
+   * has ended as well. The runs would otherwise stay recorded, and their tasks
+   * without a run, until the next change of leader.
+   */
+  function isSuccessorSilent({id}: Worker): boolean {
+    const bornMs = newestIncarnationMs.get(id)!;
+    const heardMs = lastHeardMs.get(workerKey({id, bornMs})) ?? -Infinity;
+    return performance.now() - heardMs > WORKER_EXPIRY_MS;
+  }
+
+  /**
+   * Records that the runs of an unreachable worker have ended, and removes a
+   * worker that will not return.
+   */
+  function removeRuns(worker: Worker): void {
+    const key = workerKey(worker);
+    const runs = options.recordedRuns(key);
     if (isSuperseded(worker)) {
-      expireSuperseded(worker);
+      log.info('successor-silent', {worker: key, runs: runs.length});
+      removeWorker(key);
+      return;
+    }
+    const hasLeft = worker.phase === 'gone';
+    if (runs.length > 0) {
+      log.info('lease-lapsed', {worker: key, runs: runs.length, hasLeft});
+    }
+    if (hasLeft) {
+      removeWorker(key);
       return;
     }
-    if (nowMs < session.leaseExpiryMs()) return;
-    const expiredRuns = options.recordedRuns(key);
-    if (expiredRuns.length > 0) {
+    if (runs.length > 0) {
       options.crashes.recordLapse(worker);
-      log.info('lease-lapsed', {worker: key, runs: expiredRuns.length});
-      enqueueDerived({type: 'lost', runs: expiredRuns.map(toLostRow)});
+      enqueueDerived({type: 'lost', runs: runs.map(toLostRow)});
     }
+    const nowMs = performance.now();
     if (!lastHeardMs.has(key)) lastHeardMs.set(key, nowMs);
-    if (nowMs - lastHeardMs.get(key)! <= WORKER_EXPIRY_MS) return;
-    lastHeardMs.delete(key);
-    heardSequences.delete(key);
-    enqueueDerived({type: 'worker-gone', worker: key});
+    if (nowMs - lastHeardMs.get(key)! > WORKER_EXPIRY_MS) removeWorker(key);
   }
 
-  /**
-   * Removes an incarnation whose successor has been silent for so long that it
-   * has ended as well. Its runs would otherwise stay recorded, and their tasks
-   * without a run, until the next change of leader.
-   */
-  function expireSuperseded(worker: Worker): void {
-    const bornMs = newestIncarnationMs.get(worker.id)!;
-    const newestKey = workerKey({id: worker.id, bornMs});
-    const heardMs = lastHeardMs.get(newestKey) ?? -Infinity;
-    if (performance.now() - heardMs <= WORKER_EXPIRY_MS) return;
-    const key = workerKey(worker);
-    log.info('successor-silent', {worker: key, successor: newestKey});
+  function removeWorker(key: string): void {
+    lastHeardMs.delete(key);
+    heardSequences.delete(key);
     enqueueDerived({type: 'worker-gone', worker: key});
   }
 
--- a/packages/dispatch/src/timing.ts
+++ b/packages/dispatch/src/timing.ts
@@ -27,8 +27,6 @@
 export const ROUND_INTERVAL_MS = 10;
 /** Interval of the checks that depend only on time. */
 export const TICK_INTERVAL_MS = 100;
-/** A worker that has left may continue to run tasks for this long. */
-export const LEFT_GRACE_MS = 500;
 /**
  * A worker that neither announces itself nor answers is removed after this
  * time.
