Use a worker again that is ready after its recorded departure

Seen by callers: tasks ran twice at once on a worker that had started again under its ID, and the worker got no more work.

Cause: a departure names only the ID and was recorded for whatever incarnation the directory held.

Change: a departure is recorded with the highest sequence heard. A later announcement as ready returns the worker to use if it answers holds. Delayed announcements, ones that it drains and those of a silent worker do not.

--- a/packages/dispatch/src/announcement.ts
+++ b/packages/dispatch/src/announcement.ts
@@ -4,10 +4,12 @@
 export type AnnouncementKind =
   /** Nothing that the directory records has changed. */
   | 'unchanged'
-  /** Delayed: from an older incarnation or sequence, or from one that left. */
+  /** Delayed: from an older incarnation or sequence, or from before it left. */
   | 'stale'
   /** The known incarnation has changed a recorded property. */
   | 'changed'
+  /** The known incarnation is ready, although its departure is recorded. */
+  | 'returned'
   /** The worker ID is not in the directory. */
   | 'new'
   /** A later incarnation of a known worker. */
@@ -26,10 +28,14 @@
   if (!known) return 'new';
   if (announced.bornMs < known.bornMs) return 'stale';
   if (announced.bornMs > known.bornMs) return 'new-incarnation';
-  if (known.phase === 'gone') return 'stale';
-  if (announced.sequence < Math.max(known.sequence, heardSequence)) {
-    return 'stale';
+  const lastSequence = Math.max(known.sequence, heardSequence);
+  if (known.phase === 'gone') {
+    // A departure names no incarnation, so it may have been an earlier one's.
+    const isReturn =
+      announced.phase === 'ready' && announced.sequence > lastSequence;
+    return isReturn ? 'returned' : 'stale';
   }
+  if (announced.sequence < lastSequence) return 'stale';
   return isSame(known, announced) ? 'unchanged' : 'changed';
 }
 
--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -101,7 +101,12 @@
     const key = workerKey(worker);
     const heardSequence = heardSequences.get(key);
     const kind = classifyAnnouncement(known, worker, heardSequence);
-    if (kind !== 'stale') {
+    // A worker that does not answer has left indeed, and the announcement was
+    // delayed.
+    const isIgnored =
+      kind === 'stale' ||
+      (kind === 'returned' && !options.sessionOf(key)?.isAnswering());
+    if (!isIgnored) {
       lastHeardMs.set(key, performance.now());
       heardSequences.set(key, worker.sequence);
       if (options.announcements.markAnnounced(key)) options.onAwaited();
@@ -110,14 +115,18 @@
     }
     // The record that an announcement is compared with may be about to change.
     const needsNoRecord = kind === 'unchanged' && !undecidedRecords.has(key);
-    if (kind === 'stale' || needsNoRecord) {
+    if (isIgnored || needsNoRecord) {
       reply.resolve();
       return;
     }
-    if (kind !== 'changed') options.crashes.recordIncarnation(worker);
-    if (kind === 'new-incarnation')
+    if (kind === 'new' || kind === 'new-incarnation') {
+      options.crashes.recordIncarnation(worker);
+    }
+    if (kind === 'new-incarnation') {
       void replaceIncarnation(known!, worker, reply);
-    else recordWorker(worker, reply);
+    } else {
+      recordWorker(worker, reply);
+    }
   }
 
   function recordWorker(worker: Worker, reply: Reply<void>): void {
@@ -286,8 +295,14 @@
 
   function leave(id: string, reply: Reply<void>): void {
     const known = state().workers.get(id);
-    if (!known || known.phase === 'gone') reply.resolve();
-    else recordWorker({...known, phase: 'gone'}, reply);
+    if (!known || known.phase === 'gone') {
+      reply.resolve();
+      return;
+    }
+    // Announcements up to the last one that was heard are older.
+    const heardSequence = heardSequences.get(workerKey(known)) ?? -Infinity;
+    const sequence = Math.max(known.sequence, heardSequence);
+    recordWorker({...known, phase: 'gone', sequence}, reply);
   }
 
   function expire(): void {
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -507,6 +507,60 @@
     expect(harness.fleet.starts).toHaveLength(8);
   });
 
+  // The report of the earlier incarnation had waited in a frozen process. The
+  // next one kept its runs but got no others, since its announcements counted as
+  // older than its departure.
+  it('is in use again if it answers and announces itself after a departure that was reported for its earlier incarnation', async () => {
+    await createCluster({behave: () => ({durationMs: 8000})}, 1);
+    await harness.submit(job('a', {count: 2}));
+    await harness.advance(500);
+    void harness.leader.leave('w1');
+    await harness.advance(500);
+    await harness.submit(job('b', {count: 2}));
+    await harness.advance(500);
+    expect(harness.fleet.starts).toHaveLength(2);
+    void harness.leader.announce(worker('w1', {sequence: 2}));
+    await harness.advance(500);
+    expect(harness.fleet.starts).toHaveLength(4);
+    await harness.advance(8000);
+    expect(harness.phase('b')).toBe('completed');
+  });
+
+  it.each([
+    {
+      name: 'an announcement that was heard before',
+      sequence: 3,
+      phase: 'ready',
+    },
+    {
+      name: 'a later announcement that it drains',
+      sequence: 4,
+      phase: 'draining',
+    },
+  ] as const)(
+    'that has left stays out of use after $name',
+    async ({sequence, phase}) => {
+      await createCluster({}, 1);
+      void harness.leader.announce(worker('w1', {sequence: 3}));
+      await harness.advance(100);
+      void harness.leader.leave('w1');
+      await harness.advance(100);
+      void harness.leader.announce(worker('w1', {sequence, phase}));
+      await harness.advance(100);
+      expect(harness.replica.state().workers.get('w1')!.phase).toBe('gone');
+    },
+  );
+
+  it('that has left and does not answer stays out of use after a delayed later announcement', async () => {
+    await createCluster({}, 1);
+    void harness.leader.leave('w1');
+    harness.fleet.byAddress.get('w1:1')!.isAlive = false;
+    await harness.advance(2000);
+    void harness.leader.announce(worker('w1', {sequence: 9}));
+    await harness.advance(100);
+    expect(harness.replica.state().workers.get('w1')!.phase).toBe('gone');
+  });
+
   it('that fails every run is avoided', async () => {
     await createCluster({
       behave: (_task, _run, {worker: {id}}) =>
--- a/packages/queue/src/apply.ts
+++ b/packages/queue/src/apply.ts
@@ -130,16 +130,7 @@
   const known = draft.worker(worker.id);
   if (known && known.bornMs > worker.bornMs) return 'overtaken';
   const isSameIncarnation = known?.bornMs === worker.bornMs;
-  // A worker that has left does not return within the same incarnation, so a
-  // later announcement of that incarnation was delayed.
-  if (isSameIncarnation && known.phase === 'gone') return 'overtaken';
-  if (
-    isSameIncarnation &&
-    worker.phase !== 'gone' &&
-    worker.sequence < known.sequence
-  ) {
-    return 'overtaken';
-  }
+  if (isSameIncarnation && isOutdated(known, worker)) return 'overtaken';
   if (known && !isSameIncarnation) removeRunsOn(draft, workerKey(known));
   const suspects = isSameIncarnation ? known.suspects : undefined;
   const cursor = isSameIncarnation ? known.cursor : 0;
@@ -147,6 +138,17 @@
   return 'applied';
 }
 
+/**
+ * Whether the worker has announced a later state of the same incarnation. A
+ * departure names no incarnation: a worker that is ready after it was that of an
+ * earlier one is in use again.
+ */
+function isOutdated(known: Worker, announced: Worker): boolean {
+  if (announced.phase === 'gone') return false;
+  if (known.phase !== 'gone') return announced.sequence < known.sequence;
+  return announced.phase !== 'ready' || announced.sequence <= known.sequence;
+}
+
 function removeWorker(
   draft: Draft,
   {worker: key}: EventOf<'worker-gone'>,
