Take no run for lost that an incomplete report lacks

Cause: a worker lists 500 ends at a time. The reconciliation took recorded runs that a report lists neither as running nor as ended for lost, and for runs of an earlier leader the first report decides.

Change: Report says whether it is complete; the adapter knows the limit, and relays pass the field on (false if the sender lacks it). Only a complete report shows that a run is lost or unsettled. A new incarnation is recorded with one page of ends; runs that were stopped at it and are missing in a full page stay on record as its own (carriedRuns) until later pages list them.

--- a/packages/dispatch/src/batch.ts
+++ b/packages/dispatch/src/batch.ts
@@ -106,6 +106,8 @@
         (sum, [, , , checkpoint]) => sum + ROW_BYTES + 2 * checkpoint.length,
         EVENT_BYTES,
       );
+    case 'worker':
+      return EVENT_BYTES + (event.carriedRuns?.length ?? 0) * ROW_BYTES;
     case 'statistics':
       return EVENT_BYTES + event.rows.length * STATISTICS_ROW_BYTES;
     case 'forget':
--- a/packages/dispatch/src/driver.ts
+++ b/packages/dispatch/src/driver.ts
@@ -38,8 +38,15 @@
   bornMs: z.number(),
   /** The worker's clock when it answered. */
   clockMs: z.number(),
+  /** All runs in progress. */
   running: z.array(RunningRow),
+  /** The first ends that are not acknowledged, by rising number. */
   ended: z.array(EndedRow),
+  /**
+   * Whether `ended` has all of them. If not, a run that the report lacks may
+   * have ended.
+   */
+  isComplete: z.boolean(),
 });
 export type Report = z.infer<typeof Report>;
 
--- a/packages/dispatch/src/reconcile.ts
+++ b/packages/dispatch/src/reconcile.ts
@@ -27,15 +27,15 @@
   readonly cursor: number;
   /**
    * Whether the order for a run was settled before the report was requested. A
-   * run that such a report lacks cannot appear later, and is lost.
+   * run that such a report lacks, if complete, cannot appear later, and is lost.
    */
   isSettled(id: string): boolean;
 }
 
 /**
  * Finds the differences between report and record. A recorded run counts as
- * lost if its order is settled and the report lists it neither as running nor
- * ended.
+ * lost if its order is settled and a complete report lists it neither as running
+ * nor ended.
  */
 export function reconcile(input: ReconcileInput): Reconciliation {
   const {worker, report, recorded, cursor} = input;
@@ -61,9 +61,11 @@
     events.push({type: 'ends', worker: key, after: cursor, upTo, ends: rows});
   }
 
-  const lost = recorded.filter(({id}) => {
-    return !runningIds.has(id) && !endedIds.has(id) && input.isSettled(id);
-  });
+  const lost = report.isComplete
+    ? recorded.filter(({id}) => {
+        return !runningIds.has(id) && !endedIds.has(id) && input.isSettled(id);
+      })
+    : [];
   if (lost.length > 0) {
     events.push({type: 'lost', runs: lost.map(toLostRow)});
   }
--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -129,12 +129,22 @@
     }
   }
 
-  function recordWorker(worker: Worker, reply: Reply<void>): void {
+  function recordWorker(
+    worker: Worker,
+    reply: Reply<void>,
+    carriedRuns: readonly LiveRun[] = [],
+  ): void {
     const key = workerKey(worker);
     const count = (undecidedRecords.get(key)?.count ?? 0) + 1;
     undecidedRecords.set(key, {count, capacity: worker.capacity});
     enqueue(
-      {type: 'worker', worker},
+      {
+        type: 'worker',
+        worker,
+        ...(carriedRuns.length > 0 && {
+          carriedRuns: carriedRuns.map(toLostRow),
+        }),
+      },
       {
         resolve() {
           noteDecided(key);
@@ -207,20 +217,23 @@
     await Promise.all(
       unreported.map(live => deliverStop(live, worker, isNeeded)),
     );
-    const ends =
+    const report =
       unreported.length > 0
         ? await awaitStopped(unreported, worker, isNeeded)
         : undefined;
     // If it is not in the set any more, `stop` has rejected it.
     if (!unqueued.delete(settled)) return;
-    if (ends === 'superseded') {
+    if (report === 'superseded') {
       settled.reject(new Error(`${key} was superseded`));
       return;
     }
-    recordWorker(worker, settled);
+    const carriedRuns = report ? listUnlisted(unreported, report) : [];
+    for (const {id} of carriedRuns) options.runs.markSettled(id);
+    recordWorker(worker, settled, carriedRuns);
     // Queued behind the worker's record so that both become part of the same
     // change: a run that the new incarnation has completed must not be started
     // again before its end is recorded.
+    const ends = report && toEndsEvent(worker, report);
     if (ends) enqueue(ends);
   }
 
@@ -258,15 +271,15 @@
 
   /**
    * Waits until the worker reports none of the runs as running: a run may still
-   * be ending after its stop was answered. Returns the ends that the worker
-   * reports, undefined if there are none, and `superseded` if a later
-   * incarnation has taken the worker's place or the wait is no longer needed.
+   * be ending after its stop was answered. Returns its report, and `superseded`
+   * if a later incarnation has taken the worker's place or the wait is no longer
+   * needed.
    */
   async function awaitStopped(
     stoppedRuns: readonly LiveRun[],
     worker: Worker,
     isNeeded: () => boolean,
-  ): Promise<EventOf<'ends'> | undefined | 'superseded'> {
+  ): Promise<Report | 'superseded'> {
     const {id, address, dataCentre} = worker;
     const target = {id, address, dataCentre};
     const ids = new Set(stoppedRuns.map(({id}) => id));
@@ -278,7 +291,7 @@
         const isStillRunning = report.running.some(row =>
           ids.has(runId(row.task, row.run)),
         );
-        if (!isStillRunning) return toEndsEvent(worker, report);
+        if (!isStillRunning) return report;
       } catch (error) {
         const reason = (error as Error).message;
         log.debug('hold-unanswered', {worker: worker.id, reason});
@@ -387,6 +400,16 @@
   };
 }
 
+/** Those of the runs whose ends the report may lack for want of space. */
+function listUnlisted(
+  runs: readonly LiveRun[],
+  {ended, isComplete}: Report,
+): readonly LiveRun[] {
+  if (isComplete) return [];
+  const listed = new Set(ended.map(({task, run}) => runId(task, run)));
+  return runs.filter(({id}) => !listed.has(id));
+}
+
 function toEndsEvent(
   worker: Worker,
   {ended}: Report,
--- a/packages/dispatch/src/report-handler.ts
+++ b/packages/dispatch/src/report-handler.ts
@@ -151,11 +151,7 @@
     const hasEnds = differences.some(({type}) => type === 'ends');
     instruments.recordReport(hasEnds ? 'ends' : 'other');
     for (const id of confirmed) runs.markReported(id);
-    for (const {id, job, key: taskKey, run} of recorded) {
-      if (confirmed.has(id) || !runs.markMissing(id)) continue;
-      const name = taskName(job.spec.id, taskKey);
-      log.warn('run-unsettled', {worker: key, task: name, run: run.number});
-    }
+    if (report.isComplete) logUnsettledRuns(key, recorded, confirmed);
     for (const event of differences) recordDifference(key, event);
     for (const {task: name, run} of unexpected) {
       log.warn('unexpected-run', {worker: key, task: name, run});
@@ -165,6 +161,19 @@
     options.onChange();
   }
 
+  /** Logs the runs that reports of the worker have lacked for long. */
+  function logUnsettledRuns(
+    worker: string,
+    recorded: readonly LiveRun[],
+    confirmed: ReadonlySet<string>,
+  ): void {
+    for (const {id, job, key, run} of recorded) {
+      if (confirmed.has(id) || !runs.markMissing(id)) continue;
+      const task = taskName(job.spec.id, key);
+      log.warn('run-unsettled', {worker, task, run: run.number});
+    }
+  }
+
   function recordDifference(key: string, event: Event): void {
     if (event.type === 'ends') {
       recordedEndCursors.set(key, event.upTo);
--- a/packages/dispatch/src/worker-call.ts
+++ b/packages/dispatch/src/worker-call.ts
@@ -94,6 +94,7 @@
     clockMs: z.number(),
     running: z.array(RunningTuple),
     ended: z.array(EndedTuple),
+    isComplete: z.boolean().default(false),
   }),
   z.object({
     type: z.literal('answer'),
@@ -232,6 +233,7 @@
       row.how,
       row.checkpoint,
     ]),
+    isComplete: report.isComplete,
   };
 }
 
@@ -255,6 +257,7 @@
       how,
       checkpoint,
     })),
+    isComplete: reply.isComplete,
   };
 }
 
--- a/packages/dispatch/test/fakes.ts
+++ b/packages/dispatch/test/fakes.ts
@@ -190,7 +190,8 @@
           : 50,
         measure: this.tailMs,
       })),
-      ended: [...this.ended],
+      ended: this.ended.slice(0, this.fleet.endsPerReport),
+      isComplete: this.ended.length <= this.fleet.endsPerReport,
     };
   }
 
@@ -205,6 +206,8 @@
 
 export interface FleetOptions {
   readonly maxLeaseMs?: number;
+  /** Largest number of ends that a worker lists in one report. */
+  readonly endsPerReport?: number;
   behave?(task: string, run: number, worker: FakeWorker): Partial<Behaviour>;
 }
 
@@ -216,9 +219,11 @@
   readonly violations: string[] = [];
   readonly starts: {task: string; worker: string; atMs: number}[] = [];
   readonly maxLeaseMs: number;
+  readonly endsPerReport: number;
 
   constructor(private readonly options: FleetOptions = {}) {
     super();
+    this.endsPerReport = options.endsPerReport ?? 500;
     this.maxLeaseMs = options.maxLeaseMs ?? 6000;
   }
 
--- a/packages/dispatch/test/hold-interval.test.ts
+++ b/packages/dispatch/test/hold-interval.test.ts
@@ -53,7 +53,13 @@
         ended.push({...end, how: 'done' as const, checkpoint: ''});
       }
       const clockMs = performance.now();
-      return {bornMs: row.bornMs, clockMs, running: [], ended};
+      return {
+        bornMs: row.bornMs,
+        clockMs,
+        running: [],
+        ended,
+        isComplete: true,
+      };
     },
   );
   session = openWorkerSession({
--- a/packages/dispatch/test/leader.test.ts
+++ b/packages/dispatch/test/leader.test.ts
@@ -416,6 +416,24 @@
 });
 
 describe('a worker', () => {
+  // The next leader took the runs that a full report lacked for lost, and started
+  // their tasks again after their ends.
+  it('that lists its ends in several reports has none of them taken for lost by the next leader', async () => {
+    const size = {cpuMillis: 100, memoryMb: 10, gpus: 0};
+    await createCluster({endsPerReport: 3, behave: () => ({size})}, 1);
+    const lost = collectLostTasks();
+    await harness.submit(job('a', {count: 20, size}));
+    await harness.advance(900);
+    harness.replica.acceptsProposals = false;
+    await harness.advance(300);
+    harness.replica.acceptsProposals = true;
+    await harness.replaceLeader();
+    await harness.advance(2000);
+    expect(lost).toEqual([]);
+    expect(harness.fleet.starts).toHaveLength(20);
+    expect(harness.phase('a')).toBe('completed');
+  });
+
   it('that drains gets no new runs', async () => {
     await createCluster();
     void harness.leader.announce(
--- a/packages/dispatch/test/random.test.ts
+++ b/packages/dispatch/test/random.test.ts
@@ -250,6 +250,8 @@
         async actions => {
           const harness = await createHarness({
             behave: task => ({durationMs: 300 + 97 * (task.length % 20)}),
+            // Many ends are then listed in several reports.
+            ...(actions.length % 2 === 0 && {endsPerReport: 2}),
             ...(relayDataCentres.length > 0 && {relayDataCentres}),
           });
           for (const name of WORKERS) await harness.addWorker(worker(name));
--- a/packages/dispatch/test/readiness.test.ts
+++ b/packages/dispatch/test/readiness.test.ts
@@ -58,6 +58,7 @@
         },
       ],
       ended: [],
+      isComplete: true,
     });
   }
   return readiness;
--- a/packages/dispatch/test/relay.test.ts
+++ b/packages/dispatch/test/relay.test.ts
@@ -156,6 +156,7 @@
         {task: 't', run: 3, checkpoint: 'c', percent: 40, measure: 5.5},
       ],
       ended: [{number: 6, task: 'u', run: 7, how: 'done', checkpoint: 'd'}],
+      isComplete: true,
     };
     class RecordingDriver extends WorkerDriver {
       override async hold(_target: Target, order: HoldOrder) {
@@ -459,7 +460,13 @@
   }
 
   override hold(_target: Target, _order: HoldOrder, maySend?: MaySend) {
-    const report: Report = {bornMs: 1, clockMs: 1, running: [], ended: []};
+    const report: Report = {
+      bornMs: 1,
+      clockMs: 1,
+      running: [],
+      ended: [],
+      isComplete: true,
+    };
     return this.wait(maySend, report);
   }
 
--- a/packages/dispatch/test/report-filter.test.ts
+++ b/packages/dispatch/test/report-filter.test.ts
@@ -80,6 +80,7 @@
       how: 'done' satisfies EndKind,
       checkpoint: '',
     })),
+    isComplete: true,
   };
 }
 
--- a/packages/queue/src/apply.ts
+++ b/packages/queue/src/apply.ts
@@ -10,6 +10,7 @@
   addTaskCrash,
   compactEndedJob,
   endRun,
+  moveRun,
   removeRun,
   removeTaskCrash,
   startRun,
@@ -126,12 +127,18 @@
   return 'applied';
 }
 
-function updateWorker(draft: Draft, {worker}: EventOf<'worker'>): Outcome {
+function updateWorker(
+  draft: Draft,
+  {worker, carriedRuns = []}: EventOf<'worker'>,
+): Outcome {
   const known = draft.worker(worker.id);
   if (known && known.bornMs > worker.bornMs) return 'overtaken';
   const isSameIncarnation = known?.bornMs === worker.bornMs;
   if (isSameIncarnation && isOutdated(known, worker)) return 'overtaken';
-  if (known && !isSameIncarnation) removeRunsOn(draft, workerKey(known));
+  if (known && !isSameIncarnation) {
+    for (const row of carriedRuns) moveRun(draft, row, workerKey(worker));
+    removeRunsOn(draft, workerKey(known));
+  }
   const suspects = isSameIncarnation ? known.suspects : undefined;
   const cursor = isSameIncarnation ? known.cursor : 0;
   draft.setWorker({...worker, cursor, ...(suspects && {suspects})});
--- a/packages/queue/src/change.ts
+++ b/packages/queue/src/change.ts
@@ -45,7 +45,15 @@
   z.object({type: z.literal('submit'), job: JobSpec, atMs: z.number()}),
   z.object({type: z.literal('cancel'), job: z.string()}),
   /** A worker announced a new incarnation or a change of its current one. */
-  z.object({type: z.literal('worker'), worker: Worker}),
+  z.object({
+    type: z.literal('worker'),
+    worker: Worker,
+    /**
+     * Runs of the earlier incarnation that are over, whose ends the new one may
+     * still list: they stay on record as runs of the new one until it does.
+     */
+    carriedRuns: z.array(StartRow).optional(),
+  }),
   /** The worker's incarnation has ended, and so have its runs. */
   z.object({type: z.literal('worker-gone'), worker: z.string()}),
   /**
--- a/packages/queue/src/run.ts
+++ b/packages/queue/src/run.ts
@@ -100,6 +100,19 @@
   draft.setJob(compactEndedJob(withTask(job, key, {...task, runs})));
 }
 
+/** Records a run, if it is recorded, as a run of another worker. */
+export function moveRun(draft: Draft, row: StartRow, worker: string): void {
+  const [name, number, from] = row;
+  const entry = findTask(draft, name);
+  if (!entry) return;
+  const {job, key, task} = entry;
+  const runs = takeRun(draft, entry, number, from);
+  if (runs.length === task.runs.length) return;
+  draft.addRun(worker, job.spec.id);
+  const moved = {...task, runs: [...runs, {number, worker}]};
+  draft.setJob(withTask(job, key, moved));
+}
+
 /**
  * Records the end of a run that the worker reported. An end counts even if the
  * run was removed before.
--- a/packages/queue/test/apply.test.ts
+++ b/packages/queue/test/apply.test.ts
@@ -310,6 +310,33 @@
     expect(outcomes).toEqual(['applied']);
   });
 
+  // The next incarnation had run it and lists its end later.
+  it('that is carried over to a new incarnation is not started again before its end is reported', () => {
+    const next = {...WORKER, bornMs: 20};
+    const [state, outcomes] = applyEvents(
+      BASE,
+      submit('a', step({count: 2})),
+      start('a.0.0.0'),
+      start('a.0.0.1'),
+      {type: 'worker', worker: next, carriedRuns: [['a.0.0.0', 1, KEY]]},
+      start('a.0.0.0', 2, 'w@20'),
+      start('a.0.0.1', 2, 'w@20'),
+    );
+    expect(outcomes.slice(3)).toEqual(['applied', 'conflict', 'applied']);
+    expect(state.runsByWorker.get('w@20')).toEqual(['a', 'a']);
+    const [done] = applyEvents(state, {
+      type: 'ends',
+      worker: 'w@20',
+      after: 0,
+      upTo: 1,
+      ends: [['a.0.0.0', 1, 'done', '']],
+    });
+    expect(done.jobs.get('a')!.tasks['0.0.0']).toMatchObject({
+      done: true,
+      runs: [],
+    });
+  });
+
   it('that was recorded as lost still completes its task if its end is reported later', () => {
     const [state] = applyEvents(
       BASE,
--- a/packages/testkit/src/leader/stand-ins.ts
+++ b/packages/testkit/src/leader/stand-ins.ts
@@ -103,6 +103,7 @@
         measure: 0,
       })),
       ended: [...worker.ended],
+      isComplete: true,
     }));
   }
 
