Search all workers of a pool for those that a step is allowed on

Cause: one call for advice names at most 100 workers, and the leader always named the first 100 of the pool. Workers that join later come last. An answer that allows nobody counted as advice, too.

Change: each step keeps what it has learnt of each worker, and asks about the others, expired tickets first, until its tasks fit or all have been asked. The plan names steps whose tasks fit on none of the workers allowed so far.

--- a/packages/dispatch/src/advice.ts
+++ b/packages/dispatch/src/advice.ts
@@ -1,4 +1,9 @@
-/** Requests placement advice for steps and caches it while it is valid. */
+/**
+ * Searches the workers that the placement adviser allows for a step, and keeps
+ * their tickets while these are valid. A pool may have more workers than one
+ * call can name, so a step that waits asks in several calls, each about workers
+ * that no earlier one has named. Which workers may run a step does not change.
+ */
 import type {Log} from '@lentildrift/observe';
 import {splitTaskName, workerKey, type Worker} from '@lentildrift/queue';
 import type {AdvisedWorkers} from '@lentildrift/scheduling';
@@ -12,29 +17,40 @@
 }
 
 export interface AdviceCache {
-  /** Keys of the workers that may run each step for which advice is valid. */
+  /** Keys of the workers with a valid ticket, for each step that has one. */
   advisedWorkers(): AdvisedWorkers;
-  /** Ticket for a start of the task on the worker with this ID. */
+  /** Ticket for a start of the task on the worker with this key. */
   ticketFor(task: string, worker: string): string | undefined;
-  /** Requests advice for the steps, except those already being requested. */
+  /**
+   * Asks about workers that may serve the steps, except for steps that are being
+   * asked for. A step whose workers have all been asked about waits for further
+   * workers, or for its tickets to expire.
+   */
   request(
     steps: readonly {step: string; pool: string}[],
     workersOf: (pool: string) => readonly Worker[],
   ): void;
-  /** Discards the advice on a task's step if its ticket caused the refusal. */
+  /** Discards the tickets of a task's step if one of them was refused. */
   handleRefusal(task: string, reason: string): void;
 }
 
-interface CachedAdvice {
-  /** Tickets by worker ID. */
-  readonly tickets: ReadonlyMap<string, string>;
-  readonly workerKeys: ReadonlySet<string>;
-  /** Monotonic time from which the advice must be requested again. */
+interface Ticket {
+  readonly ticket: string;
+  /** Monotonic time from which the ticket must be requested again. */
   readonly renewAtMs: number;
 }
 
-/** Maximum number of workers in one call. */
-const MAX_WORKERS_PER_CALL = 100;
+/** What is known of the workers for one step. */
+interface Search {
+  /** By worker key; tickets that have expired are kept, to be renewed first. */
+  readonly tickets: Map<string, Ticket>;
+  /** Keys of the workers that may not run the step. */
+  readonly denied: Set<string>;
+  isInFlight: boolean;
+  /** Monotonic time at which the step last waited for advice. */
+  lastWaitedMs: number;
+}
+
 /**
  * Maximum number of concurrent calls; the service handles one per process at a
  * time.
@@ -44,6 +60,8 @@
 const RENEWAL_MARGIN_MS = 300;
 /** Pause after a failed call. */
 const RETRY_PAUSE_MS = 200;
+/** A step that has not waited for this long has started or is given up. */
+const SEARCH_RETENTION_MS = 30_000;
 
 /** Returns the name of the step that a task belongs to. */
 function stepOf(task: string): string {
@@ -52,63 +70,130 @@
 
 export function createAdviceCache(options: AdviceCacheOptions): AdviceCache {
   const {adviser, log} = options;
-  const cached = new Map<string, CachedAdvice>();
-  const stepsInFlight = new Set<string>();
+  /** By step. */
+  const searches = new Map<string, Search>();
+  let callsInFlight = 0;
+
+  /** Notes that the step waits. */
+  function touch(step: string, nowMs: number): Search {
+    let search = searches.get(step);
+    if (!search) {
+      search = {
+        tickets: new Map(),
+        denied: new Set(),
+        isInFlight: false,
+        lastWaitedMs: nowMs,
+      };
+      searches.set(step, search);
+    }
+    search.lastWaitedMs = nowMs;
+    return search;
+  }
+
+  function hasValidTicket({tickets}: Search, nowMs: number): boolean {
+    return [...tickets.values()].some(({renewAtMs}) => renewAtMs >= nowMs);
+  }
+
+  /** The workers to ask about in the next call, at most as many as it takes. */
+  function selectWorkers(
+    {tickets, denied}: Search,
+    workers: readonly Worker[],
+    nowMs: number,
+  ): readonly Worker[] {
+    const expired: Worker[] = [];
+    const unknown: Worker[] = [];
+    for (const worker of workers) {
+      const key = workerKey(worker);
+      const ticket = tickets.get(key);
+      if (ticket && ticket.renewAtMs < nowMs) expired.push(worker);
+      else if (!ticket && !denied.has(key)) unknown.push(worker);
+    }
+    return [...expired, ...unknown].slice(0, adviser.maxWorkersPerCall);
+  }
 
-  async function requestAdvice(
+  async function ask(
     step: string,
+    search: Search,
     workers: readonly Worker[],
   ): Promise<void> {
-    const candidates = workers.slice(0, MAX_WORKERS_PER_CALL);
+    search.isInFlight = true;
+    callsInFlight++;
     try {
       const answer = await adviser.advise(
         step,
-        candidates.map(({id}) => id),
+        workers.map(({id}) => id),
       );
-      const tickets = new Map(
+      const ticketsById = new Map(
         answer.tickets.map(({worker, ticket}) => [worker, ticket]),
       );
-      const workerKeys = new Set(
-        candidates.filter(({id}) => tickets.has(id)).map(workerKey),
-      );
       const renewAtMs = performance.now() + answer.validMs - RENEWAL_MARGIN_MS;
-      cached.set(step, {tickets, workerKeys, renewAtMs});
+      for (const worker of workers) {
+        const ticket = ticketsById.get(worker.id);
+        const key = workerKey(worker);
+        if (ticket === undefined) search.denied.add(key);
+        else search.tickets.set(key, {ticket, renewAtMs});
+      }
       log.debug('advice', {
         step,
-        asked: candidates.length,
-        allowed: workerKeys.size,
+        asked: workers.length,
+        allowed: ticketsById.size,
+        deniedSoFar: search.denied.size,
       });
     } catch (error) {
       log.info('advice-missing', {step, reason: (error as Error).message});
       await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
     }
-    stepsInFlight.delete(step);
+    search.isInFlight = false;
+    callsInFlight--;
     options.onChange();
   }
 
+  /** Drops the searches of steps that wait no more. */
+  function dropUnused(nowMs: number): void {
+    for (const [step, {isInFlight, lastWaitedMs}] of searches) {
+      if (!isInFlight && nowMs - lastWaitedMs > SEARCH_RETENTION_MS) {
+        searches.delete(step);
+      }
+    }
+  }
+
   return {
     advisedWorkers() {
       const nowMs = performance.now();
+      dropUnused(nowMs);
       const allowed = new Map<string, ReadonlySet<string>>();
-      for (const [step, {workerKeys, renewAtMs}] of cached) {
-        if (renewAtMs < nowMs) cached.delete(step);
-        else allowed.set(step, workerKeys);
+      for (const [step, {tickets}] of searches) {
+        const keys = new Set<string>();
+        for (const [key, {renewAtMs}] of tickets) {
+          if (renewAtMs >= nowMs) keys.add(key);
+        }
+        if (keys.size > 0) allowed.set(step, keys);
       }
       return allowed;
     },
-    ticketFor: (task, worker) => cached.get(stepOf(task))?.tickets.get(worker),
+    ticketFor: (task, worker) =>
+      searches.get(stepOf(task))?.tickets.get(worker)?.ticket,
     request(steps, workersOf) {
-      for (const {step, pool} of steps) {
-        if (stepsInFlight.size >= MAX_CALLS_IN_FLIGHT) return;
-        const workers = workersOf(pool);
-        if (stepsInFlight.has(step) || workers.length === 0) continue;
-        stepsInFlight.add(step);
-        void requestAdvice(step, workers);
+      const nowMs = performance.now();
+      const waiting = steps.map(({step, pool}) => {
+        return {step, pool, search: touch(step, nowMs)};
+      });
+      // A step without any worker goes before one that looks for more of them.
+      const [without, others] = [false, true].map(hasTicket =>
+        waiting.filter(
+          ({search}) => hasValidTicket(search, nowMs) === hasTicket,
+        ),
+      );
+      for (const {step, pool, search} of [...without!, ...others!]) {
+        if (callsInFlight >= MAX_CALLS_IN_FLIGHT) return;
+        if (search.isInFlight) continue;
+        const workers = selectWorkers(search, workersOf(pool), nowMs);
+        if (workers.length > 0) void ask(step, search, workers);
       }
     },
     handleRefusal(task, reason) {
       if (reason !== 'ticket') return;
-      cached.delete(stepOf(task));
+      searches.get(stepOf(task))?.tickets.clear();
       log.info('ticket-refused', {job: splitTaskName(task).job, task});
     },
   };
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -170,7 +170,7 @@
     } else {
       log.info('task-restarted', {task: name, run, worker: key});
     }
-    const ticket = options.advice.ticketFor(name, session.worker.id);
+    const ticket = options.advice.ticketFor(name, key);
     session.start({
       task: name,
       run,
--- a/packages/dispatch/src/provider.ts
+++ b/packages/dispatch/src/provider.ts
@@ -63,6 +63,9 @@
 export type AdviceAnswer = z.infer<typeof AdviceAnswer>;
 
 export abstract class Adviser {
+  /** Largest number of workers that one call may name. */
+  abstract readonly maxWorkersPerCall: number;
+
   /** Asks which of the workers, named by ID, may run the step. */
   abstract advise(
     step: string,
--- a/packages/dispatch/test/control.test.ts
+++ b/packages/dispatch/test/control.test.ts
@@ -23,6 +23,8 @@
 const HOST = '127.0.0.1';
 
 class NoAdviser extends Adviser {
+  override readonly maxWorkersPerCall = 100;
+
   override async advise(): Promise<never> {
     throw new Error('no advice');
   }
--- a/packages/dispatch/test/harness.ts
+++ b/packages/dispatch/test/harness.ts
@@ -150,6 +150,8 @@
 }
 
 class NoAdviser extends Adviser {
+  override readonly maxWorkersPerCall = 100;
+
   override async advise(): Promise<never> {
     throw new Error('no advice');
   }
@@ -157,6 +159,7 @@
 
 export interface HarnessOptions extends FleetOptions {
   readonly pools?: PoolPolicy;
+  readonly adviser?: Adviser;
   /** Data centres of processes through which the leader calls all workers. */
   readonly relayDataCentres?: readonly string[];
 }
@@ -227,7 +230,7 @@
       }),
       driver: group?.createDriver() ?? fleet,
       hosts,
-      adviser: new NoAdviser(),
+      adviser: options.adviser ?? new NoAdviser(),
       tasks,
       log,
       metrics,
--- a/packages/dispatch/test/leadership.test.ts
+++ b/packages/dispatch/test/leadership.test.ts
@@ -58,6 +58,8 @@
 }
 
 class NoAdviser extends Adviser {
+  override readonly maxWorkersPerCall = 100;
+
   override async advise(): Promise<never> {
     throw new Error('no advice');
   }
--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -63,7 +63,10 @@
 
 export interface Plan {
   readonly starts: readonly StartRow[];
-  /** Names and pools of steps that are ready but lack placement advice. */
+  /**
+   * Names and pools of steps that are ready but lack placement advice, or have
+   * tasks that fit on none of the workers that it allows so far.
+   */
   readonly stepsAwaitingAdvice: readonly {step: string; pool: string}[];
   /** Pools in which a task that is ready fits on no worker. */
   readonly shortPools: ReadonlySet<string>;
@@ -118,7 +121,8 @@
   /** Suspects that got no trial slot. */
   readonly deferredTrials: DeferredTrial[];
   readonly starts: StartRow[];
-  readonly stepsAwaitingAdvice: {step: string; pool: string}[];
+  /** Pools by step. */
+  readonly stepsAwaitingAdvice: Map<string, string>;
   readonly shortPools: Set<string>;
 }
 
@@ -134,7 +138,7 @@
     trialSlots: new Map(),
     deferredTrials: [],
     starts: [],
-    stepsAwaitingAdvice: [],
+    stepsAwaitingAdvice: new Map(),
     shortPools: new Set(),
   };
 }
@@ -193,7 +197,10 @@
     else placeTasks(input, round, readyStep);
   }
   placeDeferredTrials(input, round);
-  const {starts, stepsAwaitingAdvice, shortPools} = round;
+  const {starts, shortPools} = round;
+  const stepsAwaitingAdvice = [...round.stepsAwaitingAdvice].map(
+    ([step, pool]) => ({step, pool}),
+  );
   return {starts, stepsAwaitingAdvice, shortPools};
 }
 
@@ -224,12 +231,16 @@
   round: RoundState,
   readyStep: RankedStep,
 ): boolean {
-  const step = stepName(readyStep);
-  if (input.advisedWorkers.has(step)) return true;
-  round.stepsAwaitingAdvice.push({step, pool: readyStep.queue.pool});
+  if (input.advisedWorkers.has(stepName(readyStep))) return true;
+  awaitAdvice(round, readyStep);
   return false;
 }
 
+function awaitAdvice(round: RoundState, readyStep: RankedStep): void {
+  const {pool} = readyStep.queue;
+  round.stepsAwaitingAdvice.set(stepName(readyStep), pool);
+}
+
 function placeTasks(
   input: PlanInput,
   round: RoundState,
@@ -273,7 +284,10 @@
     const idle = idleCandidates(poolCandidates(input, round, queue.pool));
     if (idle.length === 0) continue;
     const chosen = choose(input, placing, task, idle);
-    if (!chosen) continue;
+    if (!chosen) {
+      if (queue.advice) awaitAdvice(round, placing.readyStep);
+      continue;
+    }
     reserve(input, round, placing, chosen);
     withdraw(input, round, queue.pool, chosen);
     const name = taskName(job.spec.id, key);
@@ -398,6 +412,9 @@
   if (!placing.hasOwnLimits && unfit.covers(size, label)) return undefined;
   const candidates = poolCandidates(input, round, pool);
   const chosen = choose(input, placing, task, candidates, gangRack);
+  if (!chosen && placing.readyStep.queue.advice) {
+    awaitAdvice(round, placing.readyStep);
+  }
   if (chosen && isOnTrial(placing, task)) {
     round.trialSlots.set(pool, trialSlots(input, round, pool) - 1);
     reserve(input, round, placing, chosen);
--- a/packages/scheduling/test/plan.test.ts
+++ b/packages/scheduling/test/plan.test.ts
@@ -174,6 +174,27 @@
     expect(starts.map(([, , key]) => key)).toEqual(['v@1', 'v@1']);
   });
 
+  // Tasks waited for the first workers that were allowed while others were idle.
+  it('awaits more advice while the workers that are allowed so far are full', () => {
+    const capacity = {cpuMillis: 1000, memoryMb: 1000, gpus: 0};
+    const base = stateOf(
+      [worker('w', {capacity}), worker('v', {capacity})],
+      submit('a', [{count: 2}]),
+    );
+    const advice = {decideMs: 1, perWorkerMs: 1, validMs: 1000};
+    const tables = {...base.tables, queues: [{...QUEUE, advice}]};
+    const advised = (...keys: string[]) =>
+      planRound(
+        {...base, tables},
+        {advisedWorkers: new Map([['a.0.0', new Set(keys)]])},
+      );
+    expect(advised('v@1').starts).toHaveLength(1);
+    expect(advised('v@1').stepsAwaitingAdvice).toEqual([
+      {step: 'a.0.0', pool: 'p'},
+    ]);
+    expect(advised('v@1', 'w@1').stepsAwaitingAdvice).toEqual([]);
+  });
+
   it('prefers workers on the rack that holds the data', () => {
     const state = stateOf(
       [worker('w', {labels: ['r1-1']}), worker('v', {labels: ['r1-2']})],
--- a/packages/testkit/src/leader/stand-ins.ts
+++ b/packages/testkit/src/leader/stand-ins.ts
@@ -189,6 +189,8 @@
 }
 
 export class StandInAdviser extends Adviser {
+  override readonly maxWorkersPerCall = 100;
+
   override async advise(): Promise<never> {
     throw new Error('the stand-in gives no advice');
   }
