Bound the wait for a successor that never answers

The rule for departed workers had made that wait apply to them as well.

Cause: the runs of a superseded incarnation stayed on record until its successor had been silent for 60 s, since a late order may start them there.

Change: that time is bounded. An order is under way for 5 s at most, and a worker shortens any lease to 6 s, so the runs are over 7 s after the leases of the old incarnation.

--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -23,7 +23,7 @@
 import {toLostRow} from './reconcile.js';
 import type {CrashDetector} from './crash-detector.js';
 import type {WorkerSession} from './session.js';
-import {RETRY_PAUSE_MS, WORKER_EXPIRY_MS} from './timing.js';
+import {LATE_RUN_MS, RETRY_PAUSE_MS, WORKER_EXPIRY_MS} from './timing.js';
 import type {RunTracker} from './tracker.js';
 import type {DerivedEvent} from './undecided.js';
 
@@ -334,20 +334,9 @@
     if (!session || session.isAnswering()) return false;
     // The lease limits runs only by the clock of this incarnation. A late order
     // may be carried out by a later incarnation, at which `replaceIncarnation`
-    // stops the run.
-    if (isSuperseded(worker)) return isSuccessorSilent(worker);
-    return performance.now() >= session.leaseExpiryMs();
-  }
-
-  /**
-   * Whether the worker's next incarnation has been silent for so long that it
-   * has ended as well. The runs would otherwise stay recorded, and their tasks
-   * without a run, until the next change of leader.
-   */
-  function isSuccessorSilent({id}: Worker): boolean {
-    const bornMs = newestIncarnationMs.get(id)!;
-    const heardMs = lastHeardMs.get(workerKey({id, bornMs})) ?? -Infinity;
-    return performance.now() - heardMs > WORKER_EXPIRY_MS;
+    // stops the run if that incarnation answers.
+    const lateMs = isSuperseded(worker) ? LATE_RUN_MS : 0;
+    return performance.now() >= session.leaseExpiryMs() + lateMs;
   }
 
   /**
@@ -358,7 +347,12 @@
     const key = workerKey(worker);
     const runs = options.recordedRuns(key);
     if (isSuperseded(worker)) {
-      log.info('successor-silent', {worker: key, runs: runs.length});
+      const successorMs = newestIncarnationMs.get(worker.id);
+      log.info('successor-silent', {
+        worker: key,
+        successorMs,
+        runs: runs.length,
+      });
       removeWorker(key);
       return;
     }
--- a/packages/dispatch/src/timing.ts
+++ b/packages/dispatch/src/timing.ts
@@ -27,6 +27,12 @@
 export const ROUND_INTERVAL_MS = 10;
 /** Interval of the checks that depend only on time. */
 export const TICK_INTERVAL_MS = 100;
+/**
+ * How much longer than the leases of an incarnation a run may last that a later
+ * one was started by a late order: orders may be under way for 5 s, and workers
+ * shorten any lease to 6 s.
+ */
+export const LATE_RUN_MS = 7000;
 /**
  * A worker that neither announces itself nor answers is removed after this
  * time.
