Model a busy leader and pools that begin on standby in measure jobs

It now takes the leader's time for each round, start and end, the time of a commit, and a shape of hundreds of hosts that are on standby when the first queue bursts for 8 s.

--- a/packages/testkit/src/jobs/measure.ts
+++ b/packages/testkit/src/jobs/measure.ts
@@ -15,11 +15,17 @@
 import {
   ARCHERS_JOBS,
   HUNDREDS_JOBS,
+  IDLE_START_JOBS,
   OVERLOAD_JOBS,
   scaleShape,
   type TrafficShape,
 } from './shape.js';
-import {runJobTrial, type TrialOptions, type TrialResult} from './trial.js';
+import {
+  runJobTrial,
+  type LeaderTimes,
+  type TrialOptions,
+  type TrialResult,
+} from './trial.js';
 
 const SEEDS = [1, 2, 3, 4, 5, 6];
 
@@ -52,6 +58,18 @@
 };
 /** Duration of a restart of all processes, during the turn of one queue. */
 const OUTAGE = {fromMs: 12_000, untilMs: 14_500};
+/** A change of leader in the first burst. */
+const TAKEOVER = {fromMs: 2500, untilMs: 3200};
+/**
+ * A leader with compiled code, by `measure -- leader` and a commit that crosses
+ * the network and is written to disk.
+ */
+const LEADER_TIMES: LeaderTimes = {
+  roundMs: 5,
+  startMs: 0.35,
+  endMs: 0.35,
+  commitMs: 30,
+};
 /** Multiples of the current fleet: about 35, 250 and 2,200 hosts. */
 const FACTORS = [1, 7, 63];
 
@@ -59,9 +77,13 @@
 export async function measureJobs(): Promise<object> {
   const rows = Object.keys(POLICIES).flatMap(policy => [
     measureRow(policy, ARCHERS_JOBS, SEEDS),
-    measureRow(policy, ARCHERS_JOBS, SEEDS, OUTAGE),
+    measureRow(policy, ARCHERS_JOBS, SEEDS, {outage: OUTAGE}),
     measureRow(policy, HUNDREDS_JOBS, SEEDS.slice(0, 3)),
     measureRow(policy, OVERLOAD_JOBS, SEEDS.slice(0, 3)),
+    measureRow(policy, IDLE_START_JOBS, SEEDS.slice(0, 3), {
+      outage: TAKEOVER,
+      leader: LEADER_TIMES,
+    }),
   ]);
   const sizes = FACTORS.map(factor =>
     measureRow('ours', scaleShape(ARCHERS_JOBS, factor), SEEDS.slice(0, 1)),
@@ -74,14 +96,14 @@
   policy: string,
   shape: TrafficShape,
   seeds: readonly number[],
-  outage?: TrialOptions['outage'],
+  conditions: Pick<TrialOptions, 'outage' | 'leader'> = {},
 ) {
   const results = seeds.map(seed =>
     runJobTrial({
       ...POLICIES[policy]!(),
       shape,
       seed,
-      ...(outage && {outage}),
+      ...conditions,
     }),
   );
   const mean = (valueOf: (result: TrialResult) => number) =>
@@ -89,7 +111,7 @@
   return {
     policy,
     shape: shape.name,
-    outage: outage !== undefined,
+    outage: conditions.outage !== undefined,
     worth: round(mean(({worth}) => worth)),
     served: round(mean(({served}) => served)),
     worstWindows: round(mean(({worstWindows}) => worstWindows)),
--- a/packages/testkit/src/jobs/shape.ts
+++ b/packages/testkit/src/jobs/shape.ts
@@ -186,6 +186,19 @@
   standbyHosts: 18,
 };
 
+/**
+ * The same hosts, nearly all of them on standby when the first queue bursts for
+ * twice as long.
+ */
+export const IDLE_START_JOBS: TrafficShape = {
+  ...HUNDREDS_JOBS,
+  name: 'idle-start',
+  hostsPerPool: 13,
+  standbyHosts: 326,
+  turnMs: 8000,
+  lengthMs: 24_000,
+};
+
 /** Repeats the queues, pools and hosts of `shape` `factor` times. */
 export function scaleShape(shape: TrafficShape, factor: number): TrafficShape {
   const queues = Array.from({length: factor}, (_, part) =>
--- a/packages/testkit/src/jobs/trial.ts
+++ b/packages/testkit/src/jobs/trial.ts
@@ -52,6 +52,18 @@
   readonly admission?: Admission;
   /** Interval without a leader, in which no decisions are made. */
   readonly outage?: {readonly fromMs: number; readonly untilMs: number};
+  /** Decisions take no time, and are durable at once, if it is absent. */
+  readonly leader?: LeaderTimes;
+}
+
+/** Time that the leader takes; its next round begins after that. */
+export interface LeaderTimes {
+  /** Processor time of a round, without that for its starts and ends. */
+  readonly roundMs: number;
+  readonly startMs: number;
+  readonly endMs: number;
+  /** Time until a change is durable. */
+  readonly commitMs: number;
 }
 
 export interface TrialResult extends TrialScore {
@@ -64,6 +76,13 @@
   readonly longestRoundMs: number;
 }
 
+const NO_LEADER_TIMES: LeaderTimes = {
+  roundMs: 0,
+  startMs: 0,
+  endMs: 0,
+  commitMs: 0,
+};
+
 const STEP_MS = 20;
 const POOL_POLICY_INTERVAL_MS = 100;
 /** Time from a start decision until the task runs. */
@@ -88,7 +107,7 @@
 }
 
 export function runJobTrial(options: TrialOptions): TrialResult {
-  const {shape, seed, outage} = options;
+  const {shape, seed, outage, leader = NO_LEADER_TIMES} = options;
   const arrivals = createArrivals(shape, seed);
   const arrivalsById = new Map(arrivals.map(each => [each.spec.id, each]));
   const hosts = createSimulatedHosts(shape);
@@ -104,6 +123,8 @@
   const refused = new Set<string>();
   let roundsMs = 0;
   let longestRoundMs = 0;
+  /** Time at which the leader has done what its last round decided. */
+  let busyUntilMs = 0;
 
   for (
     let nowMs = 0;
@@ -112,6 +133,7 @@
   ) {
     hosts.addHostTime(STEP_MS);
     if (outage && nowMs >= outage.fromMs && nowMs < outage.untilMs) continue;
+    if (nowMs < busyUntilMs) continue;
     const roundStartMs = performance.now();
     const events: Event[] = [];
     const next = pendingArrivals.findIndex(({atMs}) => atMs > nowMs);
@@ -129,11 +151,13 @@
     running = running.filter(({endMs}) => endMs > nowMs);
     events.push(...toEndEvents(state, ended));
     for (const end of ended) durations = recordRun(durations, state, end);
+    busyUntilMs = nowMs + leader.roundMs + ended.length * leader.endMs;
     events.push(...hosts.advance(nowMs, index.viewOf(state).load));
     if (events.length > 0) {
       const before = state;
       state = apply(state, {events}).state;
-      recordJobEnds(before, state, ended, nowMs, endedMs);
+      const durableMs = nowMs + leader.commitMs;
+      recordJobEnds(before, state, ended, durableMs, endedMs);
     }
     const remainingByWorker = computeRemainingMs(
       state,
@@ -154,8 +178,13 @@
       const runs = [...decision.starts];
       state = apply(state, {events: [{type: 'start', runs}]}).state;
       starts += runs.length;
-      for (const row of runs) running.push(startTask(row, arrivalsById, nowMs));
+      for (const row of runs) {
+        busyUntilMs += leader.startMs;
+        const orderedMs = Math.max(busyUntilMs, nowMs + leader.commitMs);
+        running.push(startTask(row, arrivalsById, orderedMs));
+      }
     }
+    busyUntilMs = Math.max(busyUntilMs, nowMs + leader.commitMs);
     if (
       decision.shortPools.size > 0 ||
       nowMs - lastPoolDecisionMs >= POOL_POLICY_INTERVAL_MS
