Size pools for their inflow in addition to their queue

Cause: the hosts for the inflow were reduced by what waits as well as by what runs. Tasks that run make room for new ones as they end; tasks that wait do not. A pool of the size of its inflow keeps the queue that formed while its first hosts were on their way, and each later job waits as long.

The test fails before the change (4 moves instead of 6).

--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -255,19 +255,17 @@
 
 /**
  * Free capacity that the pool should have in addition to running and waiting
- * tasks.
+ * tasks. Running tasks make room for new ones as they end. Waiting tasks do not:
+ * a pool of the size of its inflow would never work off a queue that has formed,
+ * and each later job would wait as long as the queue.
  */
 function requiredFree(
   {demand}: PoolView,
   {capacity}: PoolHost,
   headroomHosts: number,
 ): Size {
-  const {reserved, waiting, inflowCpuMillis} = demand;
-  const currentMillis = waiting.reduce(
-    (sum, {size, count}) => sum + size.cpuMillis * count,
-    reserved.cpuMillis,
-  );
-  const expectedMillis = Math.max(0, inflowCpuMillis - currentMillis);
+  const {reserved, inflowCpuMillis} = demand;
+  const expectedMillis = Math.max(0, inflowCpuMillis - reserved.cpuMillis);
   return {
     cpuMillis: Math.max(expectedMillis, headroomHosts * capacity.cpuMillis),
     memoryMb: headroomHosts * capacity.memoryMb,
--- a/packages/scheduling/test/pools.test.ts
+++ b/packages/scheduling/test/pools.test.ts
@@ -224,6 +224,28 @@
     expect(moves).toHaveLength(2);
   });
 
+  // A pool of the size of its inflow kept its queue for the whole burst, and
+  // nearly all jobs were served late.
+  it('give a pool hosts for its inflow in addition to those for its queue', () => {
+    const busy = ['a', 'b'].map(id =>
+      host(id, {free: ZERO_SIZE, idle: false, emptyInMs: 800}),
+    );
+    const demand = {
+      reserved: {cpuMillis: 8000, memoryMb: 800, gpus: 0},
+      waiting: [waiting(12)],
+      inflowCpuMillis: 20_000,
+    };
+    const moves = decideMoves(
+      pool('p', busy, demand),
+      pool(
+        'standby',
+        ['c', 'd', 'e', 'f', 'g', 'h', 'i'].map(id => host(id)),
+      ),
+    );
+    // Three for the queue, three for what the inflow adds to what runs.
+    expect(moves).toHaveLength(6);
+  });
+
   it('give each host to the pool that is short of the most capacity at that point', () => {
     const moves = decideMoves(
       pool('p', [host('a')], {waiting: [waiting(8)]}),
