Create candidates without getters in object literals

Cause, in part: each round creates an object for each worker of a pool, twice, with a getter in the literal, and each rebalancing one for each host. A getter in a literal is another function for each object, so each object gets a layout of its own, which is slow to create, to read and to collect.

The getters now stand on the prototype of a class, and the loop over candidates allocates nothing. Hosts that are moved are given no time until they are idle instead of a copy of the getter's value, which nobody read.

--- a/packages/dispatch/src/availability.ts
+++ b/packages/dispatch/src/availability.ts
@@ -1,6 +1,7 @@
 /** Tracks which workers may get runs, by their answers and their failures. */
 import {workerKey, type EndRow, type Worker} from '@lentildrift/queue';
 import {
+  createCandidate,
   findAvoidedWorkers,
   isQuarantined,
   listQuarantined,
@@ -131,18 +132,15 @@
     for (const worker of workers) {
       const key = workerKey(worker);
       if (avoided.has(key) || trials.has(key)) continue;
-      let emptyInMs: number | undefined;
-      candidates.push({
+      const fields = {
         key,
         worker,
         free: worker.capacity,
-        // Takes a walk of the runs, and no one asks for it of a full worker.
-        get emptyInMs() {
-          return (emptyInMs ??= estimates.emptyInMs(key, load));
-        },
         quarantined: isQuarantined(health, key, nowMs),
         isDue: options.isDue(worker.host),
-      });
+      };
+      const emptyInMs = () => estimates.emptyInMs(key, load);
+      candidates.push(createCandidate(fields, emptyInMs));
     }
     return candidates;
   }
--- a/packages/dispatch/src/pool-views.ts
+++ b/packages/dispatch/src/pool-views.ts
@@ -10,6 +10,7 @@
   type Worker,
 } from '@lentildrift/queue';
 import {
+  createPoolHost,
   MAX_TIME_TO_IDLE_MS,
   measureDemand,
   NO_DEMAND,
@@ -120,23 +121,13 @@
     const {capacity} = worker;
     const reserved = load.byWorker.get(key) ?? ZERO_SIZE;
     const isAvoided = avoided.has(key);
-    let emptyInMs: number | undefined;
-    // Spelled out, since a spread for every host on each tick is slow.
-    const poolHost: PoolHost = {
+    const fields = {
       id,
       worker: key,
       capacity,
       free: isAvoided ? ZERO_SIZE : subtract(capacity, reserved),
       labels,
       idle: isIdle(id, worker, load),
-      // Takes a walk of the runs, and matters only for hosts that may be moved.
-      get emptyInMs() {
-        return (emptyInMs ??= estimates.emptyInMs(
-          key,
-          load,
-          MAX_TIME_TO_IDLE_MS,
-        ));
-      },
       // A worker that is avoided is of no use to another pool either.
       pinned:
         isAvoided ||
@@ -144,6 +135,9 @@
         load.workersWithLongRunningTasks.has(key),
       excludedPools: moves.excludedPools(id),
     };
+    const poolHost = createPoolHost(fields, () =>
+      estimates.emptyInMs(key, load, MAX_TIME_TO_IDLE_MS),
+    );
     return {pool: worker.pool, host: poolHost};
   }
 
--- a/packages/scheduling/src/packing.ts
+++ b/packages/scheduling/src/packing.ts
@@ -1,5 +1,6 @@
 /** Trial packing of waiting tasks into the free capacity of hosts. */
 import {add, subtract, ZERO_SIZE, type Size} from '@lentildrift/queue';
+import {LazyNumber} from './candidate.js';
 import type {WaitingTasks} from './demand.js';
 import {createUnfitSizes} from './unfit.js';
 
@@ -26,6 +27,51 @@
   readonly excludedPools: ReadonlySet<string>;
 }
 
+class LazyPoolHost implements PoolHost {
+  readonly id: string;
+  readonly worker: string | undefined;
+  readonly capacity: Size;
+  readonly free: Size;
+  readonly labels: readonly string[];
+  readonly idle: boolean;
+  readonly pinned: boolean;
+  readonly excludedPools: ReadonlySet<string>;
+
+  constructor(
+    fields: Omit<PoolHost, 'emptyInMs'>,
+    private readonly emptyTimeMs: LazyNumber,
+  ) {
+    this.id = fields.id;
+    this.worker = fields.worker;
+    this.capacity = fields.capacity;
+    this.free = fields.free;
+    this.labels = fields.labels;
+    this.idle = fields.idle;
+    this.pinned = fields.pinned;
+    this.excludedPools = fields.excludedPools;
+  }
+
+  get emptyInMs(): number {
+    return this.emptyTimeMs.read();
+  }
+}
+
+/**
+ * Creates a host whose `emptyInMs` takes a walk of its runs, and matters only if
+ * the host may be moved.
+ */
+export function createPoolHost(
+  fields: Omit<PoolHost, 'emptyInMs'>,
+  emptyInMs: () => number,
+): PoolHost {
+  return new LazyPoolHost(fields, new LazyNumber(emptyInMs));
+}
+
+/** The host as it is while it is being moved. */
+export function emptied(host: PoolHost): PoolHost {
+  return {...host, worker: undefined, free: host.capacity, emptyInMs: 0};
+}
+
 /** A host with the capacity that remains during trial packing. */
 export interface TrialHost {
   readonly host: PoolHost;
--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -6,23 +6,7 @@
   type Step,
   type Worker,
 } from '@lentildrift/queue';
-
-/** A worker that may get new runs, with its free resources. */
-export interface Candidate {
-  /** Key of the worker's incarnation. */
-  readonly key: string;
-  readonly worker: Worker;
-  readonly free: Size;
-  /**
-   * Expected time until the worker is idle if it gets no new runs. May be
-   * computed on the first read, from the runs on the worker.
-   */
-  readonly emptyInMs: number;
-  /** Quarantined after failures: chosen only if no other worker fits. */
-  readonly quarantined: boolean;
-  /** A maintenance wave is going to empty the worker's host. */
-  readonly isDue?: boolean;
-}
+import type {Candidate} from './candidate.js';
 
 export interface PlacementInput {
   readonly step: Step;
@@ -81,7 +65,9 @@
     const {step, size, candidates} = input;
     let best: Candidate | undefined;
     let bestScore = -Infinity;
-    for (const [position, candidate] of candidates.entries()) {
+    // Runs for each worker of the pool and each task; `entries` would allocate.
+    for (let position = 0; position < candidates.length; position++) {
+      const candidate = candidates[position]!;
       const {worker, free} = candidate;
       if (!fits(size, free) || !meetsLabel(step, worker)) continue;
       const score =
--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -25,10 +25,11 @@
   type Team,
 } from '@lentildrift/queue';
 import type {Backlog} from './backlog.js';
+import {withFree, type Candidate} from './candidate.js';
 import {expectedDurationMs, type Durations} from './estimate.js';
 import {reservation, type Load} from './load.js';
 import type {JobOrder} from './order.js';
-import type {Candidate, Placement} from './placement.js';
+import type {Placement} from './placement.js';
 import {isWaiting, listReadySteps} from './ready-steps.js';
 import {chooseForTrial, idleCandidates} from './trial.js';
 import {createUnfitSizes, type UnfitSizes} from './unfit.js';
@@ -160,24 +161,6 @@
   return candidates;
 }
 
-/**
- * A copy that reads `emptyInMs`, which may be costly, only when asked; a spread
- * would read it.
- */
-function withFree(candidate: Candidate, free: Size): Required<Candidate> {
-  const {key, worker, quarantined, isDue = false} = candidate;
-  return {
-    key,
-    worker,
-    free,
-    get emptyInMs() {
-      return candidate.emptyInMs;
-    },
-    quarantined,
-    isDue,
-  };
-}
-
 /** Groups candidates for `candidatesIn`. */
 export function groupByPool(
   candidates: readonly Candidate[],
--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -6,6 +6,7 @@
 import {
   canHostTask,
   createTrialHost,
+  emptied,
   packTasks,
   totalFree,
   type PoolHost,
@@ -153,7 +154,7 @@
   for (const {host: id, to} of moves) {
     const host = movedHosts.get(id);
     if (!host) continue;
-    const empty = {...host, free: host.capacity, worker: undefined};
+    const empty = emptied(host);
     const arriving = arrivals.get(to);
     if (arriving) arriving.push(empty);
     else arrivals.set(to, [empty]);
@@ -193,11 +194,7 @@
     const to = packedPools[index]!.pool;
     moves.push({host: host.id, from: pool.name, to: to.name});
     const {hosts, unplaced} = packedPools[index]!;
-    const added = createTrialHost({
-      ...host,
-      free: host.capacity,
-      worker: undefined,
-    });
+    const added = createTrialHost(emptied(host));
     const packing = packTasks([added], unplaced);
     packedPools[index] = {
       pool: to,
--- a/packages/scheduling/src/trial.ts
+++ b/packages/scheduling/src/trial.ts
@@ -1,8 +1,8 @@
 /** Places a task that is suspected of crashing its workers. */
 import {fits} from '@lentildrift/queue';
+import type {Candidate} from './candidate.js';
 import {
   SpreadPlacement,
-  type Candidate,
   type Placement,
   type PlacementInput,
 } from './placement.js';
