--- a/packages/scheduling/test/candidate.test.ts
+++ b/packages/scheduling/test/candidate.test.ts
@@ -25,7 +25,7 @@
   return {candidate, reads: () => reads};
 }
 
-// A walk of the runs of each full worker took most of a round in a burst.
+// Most workers of a burst are full, and each round creates a candidate for all.
 it('does not compute when a worker without room will be idle', () => {
   const {candidate, reads} = createCounted();
   const {steps} = stateOf([], submit('a', [{}])).jobs.get('a')!.spec;
