--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -80,8 +80,7 @@
     {'svc-a': MINIONS},
   );
   await sleep(4000);
-  const client = createClient({...context, record: () => {}}, {key: 'keyone'});
-  const logged = createClient(context, {key: 'keyone'});
+  const client = createClient(context, {key: 'keyone'});
 
   // Clients hand in short jobs all the time, a new one every few milliseconds.
   let isTraffic = true;
@@ -137,7 +136,7 @@
   // One more follower stands still while work and a change are acknowledged, and
   // then all control processes are killed. The leader comes back last.
   if (trouble) deployment.signal(other, 'SIGSTOP');
-  await submit(logged, `/one/${JOB}`, {
+  await submit(client, `/one/${JOB}`, {
     spec: 'accepted',
     steps: [{count: 1, cpu: 100, mem_mb: 10, est_runtime_ms: 30}],
     times: 1,
@@ -167,7 +166,7 @@
   const answer = await until(
     'a clear answer for the job',
     async () => {
-      const each = await logged('GET', `/one/${JOB}`);
+      const each = await client('GET', `/one/${JOB}`);
       return [200, 404, 410].includes(each.status) && each;
     },
     10_000,
