Rewrite a log that an interrupted compaction left

After a kill between the two, load() dropped the old entries in memory only.

Change: load() replaces the log file if it drops entries, and reports that. Entries that earlier versions appended to such a log are kept. The stores take their file operations from an abstract class, so that a test can stop them at each one.

--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -208,11 +208,10 @@
   replica: RaftReplica<State, Change, Answer>;
   channels: PeerChannels;
 }> {
-  const {identity, store} = await openDiskStore(
-    settings.dataFolder,
-    GROUP_ID,
-    new NamedIdentity(getMemberName(settings)),
-  );
+  const {identity, store} = await openDiskStore(settings.dataFolder, GROUP_ID, {
+    identitySource: new NamedIdentity(getMemberName(settings)),
+    onRepair: repair => log.warn('log-repaired', {...repair}),
+  });
   const member = identity.memberId;
   if (memberName(member) !== getMemberName(settings)) {
     await store.close();
--- a/packages/storage/src/disk.ts
+++ b/packages/storage/src/disk.ts
@@ -1,9 +1,8 @@
 /** Stores the log and the snapshot of a member as files in its data folder. */
-import {mkdir, open, type FileHandle} from 'node:fs/promises';
 import {join} from 'node:path';
 import {z} from 'zod';
 import {CorruptStoreError, StoreWriteError} from './error.js';
-import {readIfPresent, replaceFile, syncFolder} from './file.js';
+import {LocalFileSystem, type FileSystem, type OpenFile} from './file.js';
 import {decodeFrames, encodeFrame} from './frame.js';
 import {
   LOG_FILE,
@@ -17,6 +16,7 @@
   applyWrite,
   EMPTY_LOG,
   LogWrite,
+  recoverLog,
   Snapshot,
   type StoredLog,
 } from './record.js';
@@ -28,25 +28,54 @@
 /** Acquires the exclusive lock of a data folder. */
 export type FolderLocker = (folder: string) => Promise<FolderLock>;
 
+/** What `load` removed from a log file that an interrupted write had left. */
+export interface LogRepair {
+  readonly path: string;
+  /** Entries that the snapshot covers or replaces. */
+  readonly droppedRecords: number;
+  /** Bytes of a last frame that was not written in full. */
+  readonly droppedBytes: number;
+  readonly keptRecords: number;
+}
+
+export interface DiskStoreOptions {
+  readonly identitySource?: IdentitySource;
+  /**
+   * Replaces the default lock on systems without abstract sockets, where the
+   * deployment ensures that only one process uses each folder.
+   */
+  readonly locker?: FolderLocker;
+  readonly files?: FileSystem;
+  /** Called when `load` has repaired the log file. */
+  onRepair?(repair: LogRepair): void;
+}
+
 /**
  * Opens or creates the data folder and holds its lock until the store is
  * closed. Rejects with `FolderLockedError`, `WrongGroupError` or
  * `CorruptStoreError`.
- *
- * `locker` replaces the default lock on systems without abstract sockets, where
- * the deployment ensures that only one process uses each folder.
  */
 export async function openDiskStore(
   folder: string,
   groupId: string,
-  source?: IdentitySource,
-  locker: FolderLocker = lockFolder,
+  options: DiskStoreOptions = {},
 ): Promise<{identity: Identity; store: DiskStore}> {
-  await mkdir(folder, {recursive: true});
+  const {
+    identitySource,
+    locker = lockFolder,
+    files = new LocalFileSystem(),
+    onRepair = () => {},
+  } = options;
+  await files.createFolder(folder);
   const lock = await locker(folder);
   try {
-    const identity = await loadOrCreateIdentity(folder, groupId, source);
-    return {identity, store: new DiskStore(folder, lock)};
+    const identity = await loadOrCreateIdentity(
+      folder,
+      groupId,
+      identitySource,
+      files,
+    );
+    return {identity, store: new DiskStore(folder, {lock, files, onRepair})};
   } catch (error) {
     await lock.release();
     throw error;
@@ -55,7 +84,7 @@
 
 /** A log file of appended batches, and a snapshot file that is replaced. */
 export class DiskStore extends LogStore {
-  private logFile: FileHandle | undefined;
+  private logFile: OpenFile | undefined;
   private content: StoredLog = EMPTY_LOG;
   private failure: StoreWriteError | undefined;
   private readonly logPath: string;
@@ -63,7 +92,11 @@
 
   constructor(
     private readonly folder: string,
-    private readonly lock: FolderLock,
+    private readonly options: {
+      readonly lock: FolderLock;
+      readonly files: FileSystem;
+      onRepair(repair: LogRepair): void;
+    },
   ) {
     super();
     this.logPath = join(folder, LOG_FILE);
@@ -71,17 +104,37 @@
   }
 
   override async load(): Promise<StoredLog> {
+    const {files} = this.options;
     const snapshot = await this.readSnapshot();
-    const data = (await readIfPresent(this.logPath)) ?? Buffer.alloc(0);
+    const data = (await files.readIfPresent(this.logPath)) ?? Buffer.alloc(0);
     const {payloads, validBytes} = decodeFrames(this.logPath, data);
     let log = EMPTY_LOG;
     for (const payload of payloads) {
-      log = parsePayload(this.logPath, Batch, payload).reduce(applyWrite, log);
+      const batch = parsePayload(this.logPath, Batch, payload);
+      log = batch.reduce(applyWrite, log);
+    }
+    const content = recoverLog(log, snapshot);
+    if (!content) {
+      throw new CorruptStoreError(this.logPath, 'log entries are missing');
     }
-    this.content = snapshot ? applySnapshot(log, snapshot) : log;
-    this.checkContiguous();
-    await this.openLog(validBytes < data.length ? validBytes : undefined);
-    return this.content;
+    const keptRecords = content.records.length;
+    const droppedRecords = log.records.length - keptRecords;
+    const droppedBytes = data.length - validBytes;
+    // Later writes are appended to the file, so it must hold the entries that
+    // this call returns and no others.
+    if (droppedRecords > 0) await this.replaceLog(content);
+    this.content = content;
+    const isIncomplete = droppedRecords === 0 && droppedBytes > 0;
+    await this.openLog(isIncomplete ? validBytes : undefined);
+    if (droppedRecords > 0 || droppedBytes > 0) {
+      this.options.onRepair({
+        path: this.logPath,
+        droppedRecords,
+        droppedBytes,
+        keptRecords,
+      });
+    }
+    return content;
   }
 
   override write(writes: readonly LogWrite[]): Promise<void> {
@@ -96,10 +149,10 @@
   override compact(snapshot: Snapshot): Promise<void> {
     return this.runOrFailStore(async () => {
       const payload = Buffer.from(JSON.stringify(snapshot));
-      await replaceFile(this.snapshotPath, encodeFrame(payload));
+      const {files} = this.options;
+      await files.replaceFile(this.snapshotPath, encodeFrame(payload));
       const next = applySnapshot(this.content, snapshot);
-      const rest = {ballot: next.ballot, records: [...next.records]};
-      await replaceFile(this.logPath, encodeWrites([rest]));
+      await this.replaceLog(next);
       this.content = next;
       await this.openLog();
     });
@@ -108,7 +161,7 @@
   override async close(): Promise<void> {
     await this.logFile?.close();
     this.logFile = undefined;
-    await this.lock.release();
+    await this.options.lock.release();
   }
 
   /**
@@ -125,17 +178,23 @@
     }
   }
 
+  private replaceLog({ballot, records}: StoredLog): Promise<void> {
+    const write = {ballot, records: [...records]};
+    return this.options.files.replaceFile(this.logPath, encodeWrites([write]));
+  }
+
   private async openLog(truncateAtBytes?: number): Promise<void> {
+    const {files} = this.options;
     await this.logFile?.close();
-    this.logFile = await open(this.logPath, 'a', 0o600);
+    this.logFile = await files.open(this.logPath, 'append');
     if (truncateAtBytes !== undefined)
       await this.logFile.truncate(truncateAtBytes);
     await this.logFile.sync();
-    await syncFolder(this.folder);
+    await files.syncFolder(this.folder);
   }
 
   private async readSnapshot(): Promise<Snapshot | undefined> {
-    const data = await readIfPresent(this.snapshotPath);
+    const data = await this.options.files.readIfPresent(this.snapshotPath);
     if (!data) return undefined;
     // The snapshot file is replaced atomically, so an incomplete frame at its
     // end means damage and not an interrupted write.
@@ -145,18 +204,6 @@
     }
     return parsePayload(this.snapshotPath, Snapshot, payloads[0]);
   }
-
-  private checkContiguous(): void {
-    let expected = (this.content.snapshot?.index ?? 0) + 1;
-    for (const {index} of this.content.records) {
-      if (index !== expected++) {
-        throw new CorruptStoreError(
-          this.logPath,
-          `log entry ${expected - 1} is missing`,
-        );
-      }
-    }
-  }
 }
 
 function encodeWrites(writes: readonly LogWrite[]): Buffer {
--- a/packages/storage/src/identity.ts
+++ b/packages/storage/src/identity.ts
@@ -1,10 +1,9 @@
 /** Identity of a member, which stays the same as long as its data folder. */
 import {randomUUID} from 'node:crypto';
-import {mkdir} from 'node:fs/promises';
 import {join} from 'node:path';
 import {z} from 'zod';
 import {CorruptStoreError, WrongGroupError} from './error.js';
-import {readIfPresent, replaceFile} from './file.js';
+import {LocalFileSystem, type FileSystem} from './file.js';
 
 export const Identity = z.object({
   memberId: z.string().min(1),
@@ -37,13 +36,14 @@
   folder: string,
   groupId: string,
   source = new IdentitySource(),
+  files: FileSystem = new LocalFileSystem(),
 ): Promise<Identity> {
-  await mkdir(folder, {recursive: true});
+  await files.createFolder(folder);
   const path = join(folder, IDENTITY_FILE);
   const logPath = join(folder, LOG_FILE);
   const [identityData, log] = [
-    await readIfPresent(path),
-    await readIfPresent(logPath),
+    await files.readIfPresent(path),
+    await files.readIfPresent(logPath),
   ];
   if (identityData) {
     const identity = parseIdentity(path, identityData);
@@ -61,8 +61,8 @@
       'the identity of a non-empty log is missing',
     );
   const identity = {memberId: source.newMemberId(), groupId};
-  await replaceFile(logPath, Buffer.alloc(0));
-  await replaceFile(path, Buffer.from(JSON.stringify(identity)));
+  await files.replaceFile(logPath, Buffer.alloc(0));
+  await files.replaceFile(path, Buffer.from(JSON.stringify(identity)));
   return identity;
 }
 
--- a/packages/storage/src/record.ts
+++ b/packages/storage/src/record.ts
@@ -96,3 +96,28 @@
       : [],
   };
 }
+
+/**
+ * Returns the content of a store whose snapshot and log are replaced one after
+ * the other, so that a crash may leave a log of before the snapshot. Returns
+ * `undefined` if entries are missing.
+ *
+ * Versions that did not rewrite such a log appended to it. What they appended
+ * is the last contiguous run of entries, and begins right after the snapshot.
+ */
+export function recoverLog(
+  log: StoredLog,
+  snapshot: Snapshot | undefined,
+): StoredLog | undefined {
+  const {records, ballot} = log;
+  const startOfLastRun = records.findLastIndex(
+    ({index}, at) => at > 0 && index !== records[at - 1]!.index + 1,
+  );
+  const isContiguous = startOfLastRun < 0;
+  const first = isContiguous ? records[0] : records[startOfLastRun];
+  const nextIndex = (snapshot?.index ?? 0) + 1;
+  if (first && first.index > nextIndex) return undefined;
+  if (isContiguous) return snapshot ? applySnapshot(log, snapshot) : log;
+  if (first?.index !== nextIndex) return undefined;
+  return {ballot, snapshot, records: records.slice(startOfLastRun)};
+}
--- a/packages/testkit/src/state/restart.ts
+++ b/packages/testkit/src/state/restart.ts
@@ -82,11 +82,9 @@
   snapshotEvery: number,
 ): Promise<void> {
   const tasks = startTasks(() => undefined);
-  const {identity, store} = await openDiskStore(
-    folder,
-    GROUP,
-    new NamedIdentity(NAME),
-  );
+  const {identity, store} = await openDiskStore(folder, GROUP, {
+    identitySource: new NamedIdentity(NAME),
+  });
   const member = identity.memberId;
   const transport = new PeerChannels(member, new MemberPeers(), tasks);
   const replica = await startRaft({
