Release a data folder only after the operation in progress

Cause: close() released the lock of the folder at once. A compaction that was under way then replaced the log of the store that opened the folder next. The processes of the platform hold no lock and end after close, so only stores of one process are concerned.

Change: close() waits for the operation in progress, and later ones reject.

Evidence: the new test fails without the wait.

--- a/packages/storage/src/disk.ts
+++ b/packages/storage/src/disk.ts
@@ -87,6 +87,9 @@
   private logFile: OpenFile | undefined;
   private content: StoredLog = EMPTY_LOG;
   private failure: StoreWriteError | undefined;
+  private isClosed = false;
+  /** Settles with the latest operation, which `close` waits for. */
+  private running: Promise<unknown> = Promise.resolve();
   private readonly logPath: string;
   private readonly snapshotPath: string;
 
@@ -103,38 +106,40 @@
     this.snapshotPath = join(folder, SNAPSHOT_FILE);
   }
 
-  override async load(): Promise<StoredLog> {
-    const {files} = this.options;
-    const snapshot = await this.readSnapshot();
-    const data = (await files.readIfPresent(this.logPath)) ?? Buffer.alloc(0);
-    const {payloads, validBytes} = decodeFrames(this.logPath, data);
-    let log = EMPTY_LOG;
-    for (const payload of payloads) {
-      const batch = parsePayload(this.logPath, Batch, payload);
-      log = batch.reduce(applyWrite, log);
-    }
-    const content = recoverLog(log, snapshot);
-    if (!content) {
-      throw new CorruptStoreError(this.logPath, 'log entries are missing');
-    }
-    const keptRecords = content.records.length;
-    const droppedRecords = log.records.length - keptRecords;
-    const droppedBytes = data.length - validBytes;
-    // Later writes are appended to the file, so it must hold the entries that
-    // this call returns and no others.
-    if (droppedRecords > 0) await this.replaceLog(content);
-    this.content = content;
-    const isIncomplete = droppedRecords === 0 && droppedBytes > 0;
-    await this.openLog(isIncomplete ? validBytes : undefined);
-    if (droppedRecords > 0 || droppedBytes > 0) {
-      this.options.onRepair({
-        path: this.logPath,
-        droppedRecords,
-        droppedBytes,
-        keptRecords,
-      });
-    }
-    return content;
+  override load(): Promise<StoredLog> {
+    return this.track(async () => {
+      const {files} = this.options;
+      const snapshot = await this.readSnapshot();
+      const data = (await files.readIfPresent(this.logPath)) ?? Buffer.alloc(0);
+      const {payloads, validBytes} = decodeFrames(this.logPath, data);
+      let log = EMPTY_LOG;
+      for (const payload of payloads) {
+        const batch = parsePayload(this.logPath, Batch, payload);
+        log = batch.reduce(applyWrite, log);
+      }
+      const content = recoverLog(log, snapshot);
+      if (!content) {
+        throw new CorruptStoreError(this.logPath, 'log entries are missing');
+      }
+      const keptRecords = content.records.length;
+      const droppedRecords = log.records.length - keptRecords;
+      const droppedBytes = data.length - validBytes;
+      // Later writes are appended to the file, so it must hold the entries that
+      // this call returns and no others.
+      if (droppedRecords > 0) await this.replaceLog(content);
+      this.content = content;
+      const isIncomplete = droppedRecords === 0 && droppedBytes > 0;
+      await this.openLog(isIncomplete ? validBytes : undefined);
+      if (droppedRecords > 0 || droppedBytes > 0) {
+        this.options.onRepair({
+          path: this.logPath,
+          droppedRecords,
+          droppedBytes,
+          keptRecords,
+        });
+      }
+      return content;
+    });
   }
 
   override write(writes: readonly LogWrite[]): Promise<void> {
@@ -158,7 +163,10 @@
     });
   }
 
+  /** Waits for the operation in progress; later ones reject. */
   override async close(): Promise<void> {
+    this.isClosed = true;
+    await this.running.catch(() => {});
     await this.logFile?.close();
     this.logFile = undefined;
     await this.options.lock.release();
@@ -168,14 +176,27 @@
    * Runs one write. After a failure, this call and all later ones reject, and
    * nothing is retried: after a failed sync the kernel may drop the data.
    */
-  private async runOrFailStore(run: () => Promise<void>): Promise<void> {
-    if (this.failure) throw this.failure;
-    try {
-      await run();
-    } catch (error) {
-      this.failure = new StoreWriteError(this.folder, error as Error);
-      throw this.failure;
-    }
+  private runOrFailStore(run: () => Promise<void>): Promise<void> {
+    return this.track(async () => {
+      if (this.failure) throw this.failure;
+      try {
+        await run();
+      } catch (error) {
+        this.failure = new StoreWriteError(this.folder, error as Error);
+        throw this.failure;
+      }
+    });
+  }
+
+  /**
+   * Runs one operation. The lock must not be released before it ends, since its
+   * file operations would then change the files of the next store.
+   */
+  private async track<T>(run: () => Promise<T>): Promise<T> {
+    if (this.isClosed) throw new Error(`the store ${this.folder} is closed`);
+    const result = run();
+    this.running = result;
+    return result;
   }
 
   private replaceLog({ballot, records}: StoredLog): Promise<void> {
--- a/packages/storage/test/crash.test.ts
+++ b/packages/storage/test/crash.test.ts
@@ -227,9 +227,47 @@
       name: 'CorruptStoreError',
     });
   });
+
+  it('does not release the folder while a compaction still replaces its files', async () => {
+    const files = new SlowFileSystem();
+    const locked = new Set<string>();
+    const locker = async (folder: string) => {
+      locked.add(folder);
+      return {release: async () => void locked.delete(folder)};
+    };
+    const {store} = await openDiskStore('/data', 'g', {files, locker});
+    await store.load();
+    await store.write([{records: [record(1), record(2)]}]);
+    const resume = files.pause();
+    const compacted = store.compact(snapshotAt(1));
+    const closed = store.close();
+    await new Promise(setImmediate);
+    expect(locked.size).toBe(1);
+    resume();
+    await Promise.all([compacted, closed]);
+    expect(locked.size).toBe(0);
+    await expect(store.write([{records: []}])).rejects.toThrow('closed');
+  });
 });
 
 async function openLogFile(files: SimulatedFileSystem, data: Buffer) {
   await files.replaceFile('/data/log', data);
   return open(files);
 }
+
+/** Lets a test hold back the syncs of folders. */
+class SlowFileSystem extends SimulatedFileSystem {
+  private resumed: Promise<void> = Promise.resolve();
+
+  /** Returns a function that lets the syncs go on. */
+  pause(): () => void {
+    let resume = () => {};
+    this.resumed = new Promise(resolve => (resume = resolve));
+    return resume;
+  }
+
+  override async syncFolder(): Promise<void> {
+    await this.resumed;
+    await super.syncFolder();
+  }
+}
