Look for the effect of earlier attempts before a refusal

Cause: a process sends a request again that gets no answer. The leader decided on the second attempt by the tables of then, although a frozen leader had recorded the first one by earlier tables. The sender corrects refusals for overload and lack of a leader only.

Change: the envelope of a request says whether an earlier attempt may have taken effect. Such a request is refused only if no attempt of it is in progress here and the confirmed state lacks its effect. A request without an earlier attempt, or with other content, is refused as before and learns nothing of the job. The refusal of one job too many also waits for attempts in progress.

--- a/packages/dispatch/src/control-service.ts
+++ b/packages/dispatch/src/control-service.ts
@@ -24,7 +24,8 @@
     this.remote = new RemoteService({
       mesh,
       log,
-      handleLocally: (id, request) => this.handleLocally(id, request),
+      handleLocally: (id, request, isRetry) =>
+        this.handleLocally(id, request, isRetry),
       prepare: editSender.prepare,
     });
   }
@@ -39,10 +40,10 @@
 
   /** Handles a request that came through a link. */
   async handleEnvelope(envelope: Envelope): Promise<EnvelopeReply> {
-    const {id, request, relay} = envelope;
+    const {id, request, relay, isRetry} = envelope;
     let reply: Reply | undefined;
     try {
-      reply = await this.handleLocally(id, request);
+      reply = await this.handleLocally(id, request, isRetry);
     } catch (error) {
       if (error instanceof UnknownBaseError) return {type: 'unknown-base'};
       throw error;
@@ -57,11 +58,12 @@
   private async handleLocally(
     id: string,
     request: Request,
+    isRetry: boolean,
   ): Promise<Reply | undefined> {
     const queues = await this.leadership.whenLeading();
     if (!queues) return undefined;
     try {
-      return await queues.handle(id, request);
+      return await queues.handle(id, request, isRetry);
     } catch (error) {
       if (error instanceof NotLeader) return undefined;
       if (error instanceof UnknownBaseError) throw error;
--- a/packages/dispatch/src/local.ts
+++ b/packages/dispatch/src/local.ts
@@ -5,10 +5,12 @@
 import {NotLeader} from '@lentildrift/consensus';
 import type {Counter, Log, Metrics} from '@lentildrift/observe';
 import type {JobSpec, State} from '@lentildrift/queue';
+import {createAttempts, hasTakenEffect} from './earlier-attempts.js';
 import {createTablesEditor} from './edit.js';
 import type {Leader, QueueReplica, SubmitResult} from './leader.js';
 import {isRefusal, locate, type LocatedCall} from './locate.js';
 import {
+  isRead,
   refuse,
   type Refusal,
   type Reply,
@@ -30,8 +32,11 @@
    * had no effect, and with `UnknownBaseError` if it is the difference to tables
    * that this process does not have. After any other rejection its outcome is
    * unknown.
+   *
+   * `isRetry`: an earlier attempt of the request may have taken effect. It is
+   * then refused only if none has.
    */
-  handle(id: string, request: Request): Promise<Reply>;
+  handle(id: string, request: Request, isRetry?: boolean): Promise<Reply>;
 }
 
 /** Further jobs are refused while this many are active, to limit memory use. */
@@ -46,22 +51,36 @@
 export function createLocalQueues(options: LocalOptions): LocalQueues {
   const {replica, leader, log, metrics} = options;
   const editor = createTablesEditor(options);
+  const attempts = createAttempts();
   const replies: Counter = metrics.counter(
     'lentildrift_requests_total',
     'Requests answered by the leader.',
     64,
   );
 
-  async function handle(id: string, request: Request): Promise<Reply> {
-    const reply = await route(id, request);
-    replies.add({type: request.type, reply: replyLabel(reply)});
-    return reply;
+  function handle(
+    id: string,
+    request: Request,
+    isRetry = false,
+  ): Promise<Reply> {
+    return attempts.track(request, async earlier => {
+      let reply = await route(id, request, earlier);
+      if (isRetry && reply.type === 'refused' && !isRead(request)) {
+        reply = await refuseUnlessTakenEffect(id, request, reply, earlier);
+      }
+      replies.add({type: request.type, reply: replyLabel(reply)});
+      return reply;
+    });
   }
 
-  function route(id: string, request: Request): Promise<Reply> {
+  function route(
+    id: string,
+    request: Request,
+    earlier: Promise<unknown>,
+  ): Promise<Reply> {
     switch (request.type) {
       case 'submit':
-        return submit(id, request);
+        return submit(id, request, earlier);
       case 'cancel':
         return cancel(id, request);
       case 'edit':
@@ -78,6 +97,23 @@
     }
   }
 
+  /**
+   * The tables decide on a request as they are now, and may have allowed an
+   * earlier attempt of it.
+   */
+  async function refuseUnlessTakenEffect(
+    id: string,
+    request: Request,
+    refusal: Refusal,
+    earlier: Promise<unknown>,
+  ): Promise<Reply> {
+    await earlier;
+    if (!hasTakenEffect(await readConfirmedState(), request)) return refusal;
+    const {reason} = refusal;
+    log.info('retry-answered', {request: id, type: request.type, reason});
+    return DONE;
+  }
+
   /** Returns the state once it includes every change acknowledged so far. */
   async function readConfirmedState(): Promise<State> {
     await replica.waitForRevision(await replica.readIndex());
@@ -109,6 +145,7 @@
   async function submit(
     id: string,
     request: RequestOf<'submit'>,
+    earlier: Promise<unknown>,
   ): Promise<Reply> {
     const found = await locateWithCurrentTables(request);
     if (isRefusal(found)) return logRefusal(id, found);
@@ -122,7 +159,7 @@
     if (replica.state().activeJobCount >= MAX_ACTIVE_JOBS) {
       const retryAfterMs = OVERLOAD_RETRY_MS;
       const refusal = refuse('overloaded', 'too many jobs', {retryAfterMs});
-      return refuseUnlessRecorded(id, jobId, refusal);
+      return refuseUnlessRecorded(id, jobId, refusal, earlier);
     }
     const {payload, steps, schedule} = request;
     const spec: JobSpec = {
@@ -135,7 +172,7 @@
     };
     const result = await leader.submit(spec, queue);
     if (result.type !== 'recorded') {
-      return refuseUnlessRecorded(id, jobId, toRefusal(result));
+      return refuseUnlessRecorded(id, jobId, toRefusal(result), earlier);
     }
     const {outcome} = result;
     log.info('job-accepted', {
@@ -151,14 +188,17 @@
   }
 
   /**
-   * Another leader may have recorded the job that this process refuses, so the
-   * refusal is true only if the confirmed state lacks the job.
+   * Another leader, or an earlier attempt that this process still handles, may
+   * have recorded the job, so the refusal is true only if the confirmed state
+   * lacks the job after that.
    */
   async function refuseUnlessRecorded(
     id: string,
     jobId: string,
     refusal: Refusal,
+    earlier: Promise<unknown>,
   ): Promise<Reply> {
+    await earlier;
     const {jobs} = await readConfirmedState();
     return jobs.has(jobId) ? DONE : logRefusal(id, refusal);
   }
--- a/packages/dispatch/src/remote.ts
+++ b/packages/dispatch/src/remote.ts
@@ -21,6 +21,8 @@
   request: Request,
   /** Whether the receiver forwards the request if it does not lead. */
   relay: z.boolean(),
+  /** Whether an earlier attempt of the request may have taken effect. */
+  isRetry: z.boolean().default(false),
 });
 export type Envelope = z.infer<typeof Envelope>;
 
@@ -73,7 +75,11 @@
    * Handles the request in this process. Resolves with undefined, without any
    * effect, if this process does not lead.
    */
-  handleLocally?(id: string, request: Request): Promise<Reply | undefined>;
+  handleLocally?(
+    id: string,
+    request: Request,
+    isRetry: boolean,
+  ): Promise<Reply | undefined>;
   /** Returns what is sent to the leader; see `EditSender`. */
   prepare?: EditSender['prepare'];
 }
@@ -107,7 +113,13 @@
         : Math.min(budgetMs, LEADER_SEARCH_MS);
       if (spentMs >= limitMs) break;
       const result = await this.attempt(
-        {type: 'request', id, request: checked.data, relay: false},
+        {
+          type: 'request',
+          id,
+          request: checked.data,
+          relay: false,
+          isRetry: uncertain,
+        },
         {attempts, outdatedCount},
         Math.min(budgetMs - spentMs, ATTEMPT_TIMEOUT_MS),
       );
@@ -139,12 +151,12 @@
   }
 
   /** Forwards a request to the leader for a process that does not lead. */
-  async relay({id, request}: Envelope): Promise<EnvelopeReply> {
+  async relay({id, request, isRetry}: Envelope): Promise<EnvelopeReply> {
     const leader = this.options.mesh.leaderLink();
     if (!leader) return {type: 'not-leader'};
     const result = await this.send(
       leader,
-      {type: 'request', id, request, relay: false},
+      {type: 'request', id, request, relay: false, isRetry},
       RELAY_TIMEOUT_MS,
     );
     if (typeof result === 'object') return {type: 'reply', reply: result};
@@ -163,7 +175,7 @@
     const {mesh, handleLocally, prepare} = this.options;
     if (handleLocally) {
       const reply = await withTimeout(
-        handleLocally(envelope.id, envelope.request),
+        handleLocally(envelope.id, envelope.request, envelope.isRetry),
         timeoutMs,
       );
       if (reply === 'timeout') return 'unanswered';
@@ -225,7 +237,8 @@
 
 /**
  * Corrects a refusal that says `not-run` if an earlier, unanswered attempt may
- * still take effect.
+ * still take effect. For the other reasons the leader has looked for the effect
+ * of earlier attempts before it refused (see `Envelope.isRetry`).
  */
 function correctVerdict(reply: Reply, uncertain: boolean): Reply {
   if (reply.type !== 'refused' || !uncertain) return reply;
--- a/packages/dispatch/test/control.test.ts
+++ b/packages/dispatch/test/control.test.ts
@@ -221,6 +221,7 @@
       id: 'r',
       request: inspect('/q/a'),
       relay: false,
+      isRetry: false,
     };
     expect(await link.request(request, 700)).toEqual({type: 'not-leader'});
     // Timers may fire a millisecond early.
--- a/packages/dispatch/test/remote.test.ts
+++ b/packages/dispatch/test/remote.test.ts
@@ -174,6 +174,7 @@
     id: 'r',
     request: SUBMIT,
     relay: true,
+    isRetry: false,
   };
 
   it('reports that the request had no effect if no leader is known', async () => {
