Count a host as back only after the answer to its order

Cause: any other worker on the host than the one of before the order counted as its return, also one that had come before the answer.

Change: the worker on the host at the answer does not count, nor one that is announced within a second of it. A list requested after the answer that shows the host up counts. Moves count a new worker only in the new pool.

--- a/packages/dispatch/src/host-moves.ts
+++ b/packages/dispatch/src/host-moves.ts
@@ -166,7 +166,9 @@
     {move, formerWorker, orderedMs}: OngoingMove,
     worker: Worker | undefined,
   ): boolean {
-    if (worker && workerKey(worker) !== formerWorker) return true;
+    // In its former pool, the worker has crashed and come back before the move.
+    const isNew = worker && workerKey(worker) !== formerWorker;
+    if (isNew && worker.pool === move.to) return true;
     const listed = inventory.hosts()?.get(host);
     if (inventory.requestedMs() < orderedMs) return false;
     if (!listed) return true;
--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -73,6 +73,12 @@
  */
 const HOSTS_EMPTIED_AHEAD = 1;
 
+/**
+ * Workers call another process if an announcement is not answered within this
+ * time. One that arrives sooner after the provider's answer may be older.
+ */
+const MAX_ANNOUNCEMENT_DELAY_MS = 1000;
+
 /** A host that this leader empties or maintains. Times are monotonic. */
 interface HostOperation {
   /** ID of the wave that includes the host. */
@@ -81,6 +87,12 @@
   readonly sinceMs: number;
   /** Key of the worker incarnation on the host before its maintenance. */
   formerWorker: string | undefined;
+  /**
+   * Key of the worker incarnation on the host when the provider accepted the
+   * order. It differs from `formerWorker` if that one has crashed and come back,
+   * or if an order without an answer had been carried out.
+   */
+  workerAtAnswer: string | undefined;
   /**
    * `inherited`: an earlier leader has ordered the maintenance or was about to.
    * `emptying`: the host gets no new runs, and those that may stop are stopped.
@@ -295,8 +307,10 @@
       );
       log.info('upkeep-ordered', {wave: wave.id, host, answer});
       if (answer === 'accepted') {
+        const worker = options.fleet().newestOn(host);
         operation.phase = 'down';
         operation.orderedMs = performance.now();
+        operation.workerAtAnswer = worker && workerKey(worker);
         removeFormerWorker(host, operation);
       } else if (answer === 'busy' || answer === 'refused') {
         operation.phase = 'over';
@@ -348,25 +362,26 @@
   }
 
   /**
-   * Whether the host is up again after its maintenance, or has been removed.
+   * Whether the host is up again after its maintenance, or has been removed. Only
+   * what comes after the provider's answer shows that.
    */
   function hasReturned(
     host: string,
     operation: HostOperation,
     fleet: Fleet,
   ): boolean {
+    const {formerWorker, workerAtAnswer, orderedMs} = operation;
     const worker = fleet.newestOn(host);
-    if (operation.formerWorker !== undefined) {
-      if (worker && workerKey(worker) !== operation.formerWorker) return true;
+    const key = worker && workerKey(worker);
+    const isNew = key !== formerWorker && key !== workerAtAnswer;
+    const sinceMs = performance.now() - orderedMs;
+    if (formerWorker !== undefined && key !== undefined && isNew) {
+      if (sinceMs >= MAX_ANNOUNCEMENT_DELAY_MS) return true;
     }
     const listed = options.inventory.hosts();
-    if (!listed || options.inventory.requestedMs() < operation.orderedMs)
-      return false;
+    if (!listed || options.inventory.requestedMs() < orderedMs) return false;
     const state = listed.get(host)?.state;
-    return (
-      state === undefined ||
-      (state === 'up' && operation.formerWorker === undefined)
-    );
+    return state === undefined || state === 'up';
   }
 
   function isCordoned(host: string): boolean {
@@ -412,6 +427,7 @@
     wave: wave.id,
     sinceMs: performance.now(),
     formerWorker: undefined,
+    workerAtAnswer: undefined,
     phase,
     result: 'done',
     retryAtMs: 0,
--- a/packages/dispatch/test/hosts.test.ts
+++ b/packages/dispatch/test/hosts.test.ts
@@ -219,6 +219,58 @@
 
   // A host that joined after the list was requested would otherwise count as
   // removed, and the wave as done without it.
+  // The host counted as back, and the next one was ordered down beside it.
+  it('does not take the return of a worker that crashed before the order was answered for the end of the maintenance', async () => {
+    harness = await createHarness();
+    const names = ['w1', 'w2'];
+    for (const name of names) await harness.addWorker(worker(name));
+    const {hosts} = harness;
+    const maintain = hosts.maintain.bind(hosts);
+    const silentUntilMs = performance.now() + 5000;
+    const ordered: string[] = [];
+    vi.spyOn(hosts, 'maintain').mockImplementation(async (host, ...rest) => {
+      ordered.push(host);
+      if (performance.now() < silentUntilMs) throw new Error('no answer');
+      return maintain(host, ...rest);
+    });
+    await openWave(
+      names.map(name => `m-${name}`),
+      1,
+    );
+    await harness.advance(1000);
+    const name = ordered[0]!.slice(2);
+    harness.fleet.byAddress.get(`${name}:1`)!.isAlive = false;
+    await harness.addWorker(worker(name, {bornMs: 2}));
+    await harness.advance(15_000);
+    expect(maintenanceStatuses()).toEqual(['done', 'done']);
+    expect(hosts.maxDown).toBe(1);
+  });
+
+  // An order whose answer was lost had been carried out.
+  it('ends for a host that was back before a repeated order was answered', async () => {
+    harness = await createHarness();
+    await harness.addWorker(worker('w1'));
+    const {hosts} = harness;
+    const maintain = hosts.maintain.bind(hosts);
+    let calls = 0;
+    vi.spyOn(hosts, 'maintain').mockImplementation(async (host, ...rest) => {
+      if (++calls > 1 && hosts.hosts.get(host)!.state !== 'up') {
+        throw new Error('no answer');
+      }
+      if (calls > 1) return 'accepted';
+      await maintain(host, ...rest);
+      throw new Error('no answer');
+    });
+    await openWave(['m-w1'], 1);
+    await harness.advance(6000);
+    expect(maintenanceStatuses()).toEqual(['done']);
+    const ids = harness.replica
+      .state()
+      .workers.values()
+      .map(({id}) => id);
+    expect(ids.some(id => id.startsWith('m-w1-'))).toBe(true);
+  });
+
   it('does not skip a host that is missing from a list requested before the wave', async () => {
     harness = await createHarness();
     // The leader requests the list now, and again only a second later.
@@ -416,6 +468,29 @@
     expect(moved.length).toBeGreaterThan(0);
   });
 
+  // The move counted as over, and the host as one of its former pool.
+  it('do not take a worker that comes back in the former pool for the arrival of its host', async () => {
+    const moves: Move[] = [{host: 'm-w1', from: 'p', to: 'r'}];
+    class OneMove extends FixedPools {
+      override decide(pools: readonly PoolView[] = []): Move[] {
+        return pools.length > 0 ? moves.splice(0) : [];
+      }
+    }
+    harness = await createHarness({pools: new OneMove()});
+    vi.spyOn(harness.hosts, 'move').mockImplementation(async () => {
+      await new Promise(resolve => setTimeout(resolve, 2000));
+      return 'accepted';
+    });
+    await harness.addWorker(worker('w1'));
+    await harness.advance(500);
+    harness.fleet.byAddress.get('w1:1')!.isAlive = false;
+    await harness.addWorker(worker('w1', {bornMs: 2}));
+    await harness.advance(2000);
+    const lines = harness.logLines.join();
+    expect(lines).toContain('move-ordered');
+    expect(lines).not.toContain('move-ended');
+  });
+
   it('have the orders to their hosts recorded for the next leader', async () => {
     harness = await createHarness({pools: new ElasticPools()});
     for (const name of workerNames) await harness.addWorker(worker(name));
