Ignore announcements for pools that no tables name

Cause: the leader took each announcement that fits the schema for one of a worker. A later birth ended the runs of the worker.

Change: an announcement counts if its pool is in the tables, or is the one that the worker is recorded with, and no incarnation changes its pool.

--- a/packages/dispatch/src/announcement.ts
+++ b/packages/dispatch/src/announcement.ts
@@ -1,5 +1,5 @@
 /** Classifies a worker's announcement by what it changes in the directory. */
-import type {Worker} from '@lentildrift/queue';
+import type {Tables, Worker} from '@lentildrift/queue';
 
 export type AnnouncementKind =
   /** Nothing that the directory records has changed. */
@@ -39,6 +39,21 @@
   return isSame(known, announced) ? 'unchanged' : 'changed';
 }
 
+/**
+ * Whether the announcement comes from another writer than a worker: a worker
+ * belongs to a pool of the tables, or to the one that it was recorded with, and
+ * stays in it. Before the first tables no pool is known, and none is unknown.
+ */
+export function isForeignAnnouncement(
+  known: Worker | undefined,
+  announced: Worker,
+  {version, pools}: Tables,
+): boolean {
+  if (known?.pool === announced.pool) return false;
+  if (known?.bornMs === announced.bornMs) return true;
+  return version > 0 && pools.every(({name}) => name !== announced.pool);
+}
+
 function isSame(a: Worker, b: Worker): boolean {
   return (
     a.phase === b.phase &&
--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -17,7 +17,7 @@
 } from '@lentildrift/queue';
 import {reservation, runId, type LiveRun} from '@lentildrift/scheduling';
 import type {Reply} from '@lentildrift/task';
-import {classifyAnnouncement} from './announcement.js';
+import {classifyAnnouncement, isForeignAnnouncement} from './announcement.js';
 import type {AnnouncementAges} from './announcement-age.js';
 import {isStopSettled, type Report, type WorkerDriver} from './driver.js';
 import {toLostRow} from './reconcile.js';
@@ -99,8 +99,14 @@
   let isStopped = false;
 
   function announce(worker: Worker, reply: Reply<void>): void {
-    const known = state().workers.get(worker.id);
+    const {workers, tables} = state();
+    const known = workers.get(worker.id);
     const key = workerKey(worker);
+    if (isForeignAnnouncement(known, worker, tables)) {
+      log.info('announcement-ignored', {worker: key, pool: worker.pool});
+      reply.resolve();
+      return;
+    }
     const heardSequence = heardSequences.get(key);
     const kind = classifyAnnouncement(known, worker, heardSequence);
     // A worker that does not answer has left indeed, and the announcement was
