Keep the removed queues of active jobs

Cause: rounds and the count of failures looked up the queue of a job in the tables of then, and passed over the job or its limit if there was none.

A submission that is recorded after the edit is refused as no-queue; the test of a retry behind an edit now compares the answer with the record in both cases.

--- a/packages/dispatch/src/commit-handler.ts
+++ b/packages/dispatch/src/commit-handler.ts
@@ -6,7 +6,7 @@
 import {
   dueAtMs,
   occurrenceCount,
-  queuesByName,
+  queuesOf,
   splitTaskName,
   workerKey,
   type Event,
@@ -85,7 +85,8 @@
         logJobEnd(splitTaskName(name).job);
       }
     } else if (event.type === 'submit') {
-      stages.recordAccepted(event.job.id);
+      if (outcome === 'conflict') stages.take(event.job.id);
+      else stages.recordAccepted(event.job.id);
     } else if (event.type === 'cancel') {
       stages.take(event.job);
     } else if (event.type === 'crash') {
@@ -125,8 +126,7 @@
   function logJobEnd(id: string, cause: LogFields = {}): void {
     const job = state().jobs.get(id);
     if (!job || job.phase === 'active' || !retention.recordEnd(id)) return;
-    const {tables} = state();
-    const queue = queuesByName(tables).get(job.spec.queue);
+    const queue = queuesOf(state()).get(job.spec.queue);
     const nowMs = Date.now();
     const durations = estimates.durations();
     const parts = Object.entries(stages.take(id) ?? {});
--- a/packages/dispatch/src/local.ts
+++ b/packages/dispatch/src/local.ts
@@ -175,6 +175,10 @@
       return refuseUnlessRecorded(id, jobId, toRefusal(result), earlier);
     }
     const {outcome} = result;
+    if (outcome === 'conflict') {
+      const detail = `queue ${queue.name} was removed`;
+      return logRefusal(id, refuse('no-queue', detail));
+    }
     log.info('job-accepted', {
       request: id,
       job: jobId,
--- a/packages/queue/src/apply.ts
+++ b/packages/queue/src/apply.ts
@@ -16,6 +16,7 @@
   startRun,
 } from './run.js';
 import type {State} from './state.js';
+import {queuesByName} from './table.js';
 import {workerKey, type Worker} from './worker.js';
 
 export interface ApplyResult {
@@ -84,7 +85,7 @@
   if (tables.version === version) {
     return tables.document === document ? 'known' : 'conflict';
   }
-  draft.tables = tables;
+  draft.setTables(tables);
   return 'applied';
 }
 
@@ -102,12 +103,18 @@
   if (difference.version === version) return 'outdated';
   const tables = applyDifference(draft.tables, difference);
   if (!tables) return 'outdated';
-  draft.tables = tables;
+  draft.setTables(tables);
   return 'applied';
 }
 
+/**
+ * Accepts a job, unless an edit that was recorded before it has removed its
+ * queue.
+ */
 function submit(draft: Draft, {job: spec, atMs}: EventOf<'submit'>): Outcome {
   if (draft.job(spec.id)) return 'known';
+  const isKnown = queuesByName(draft.tables).has(spec.queue);
+  if (draft.tables.version > 0 && !isKnown) return 'conflict';
   draft.setJob({
     spec,
     acceptedAtMs: atMs,
--- a/packages/queue/src/draft.ts
+++ b/packages/queue/src/draft.ts
@@ -1,14 +1,18 @@
 /** A mutable draft of the next state, with copy-on-write maps. */
 import type {Job} from './job.js';
 import type {MapEditor} from './persistent-map.js';
-import type {State} from './state.js';
+import {queuesOf, type State} from './state.js';
 import type {DurationStatistics} from './statistics.js';
+import {queuesByName, type Queue, type Tables} from './table.js';
 import type {HostOrder, Wave} from './wave.js';
 import type {Worker} from './worker.js';
 
 /** Collects updates to a state; edits a map only once an entry changes. */
 export class Draft {
   tables;
+  retiredQueues: ReadonlyMap<string, Queue>;
+  /** Queues of the active jobs that this draft has set. */
+  private readonly editedQueues = new Set<string>();
   private activeJobCount: number;
   private jobs: MapEditor<Job> | undefined;
   private runsByWorker: MapEditor<readonly string[]> | undefined;
@@ -19,9 +23,30 @@
 
   constructor(private readonly base: State) {
     this.tables = base.tables;
+    this.retiredQueues = base.retiredQueues;
     this.activeJobCount = base.activeJobCount;
   }
 
+  /** Replaces the tables, and keeps the queues that active jobs still need. */
+  setTables(tables: Tables): void {
+    const known = queuesOf(this);
+    this.tables = tables;
+    const current = queuesByName(tables);
+    const lost = [...known].filter(([name]) => !current.has(name));
+    if (lost.length === 0 && this.retiredQueues.size === 0) return;
+    const needed = lost.length > 0 ? this.queuesInUse() : new Set<string>();
+    this.retiredQueues = new Map(lost.filter(([name]) => needed.has(name)));
+  }
+
+  /** The queues with active jobs. */
+  private queuesInUse(): ReadonlySet<string> {
+    const names = new Set(this.editedQueues);
+    for (const {spec} of this.base.jobs.unorderedValues()) {
+      if (this.job(spec.id)?.phase === 'active') names.add(spec.queue);
+    }
+    return names;
+  }
+
   job(id: string): Job | undefined {
     return (this.jobs ?? this.base.jobs).get(id);
   }
@@ -69,6 +94,7 @@
 
   setJob(job: Job): void {
     this.countActive(this.job(job.spec.id), job);
+    if (job.phase === 'active') this.editedQueues.add(job.spec.queue);
     this.jobs ??= this.base.jobs.edit();
     this.jobs.set(job.spec.id, job);
   }
@@ -118,6 +144,7 @@
     return {
       revision: this.base.revision + 1,
       tables: this.tables,
+      retiredQueues: this.retiredQueues,
       activeJobCount: this.activeJobCount,
       jobs: this.jobs?.finish() ?? this.base.jobs,
       workers: this.workers?.finish() ?? this.base.workers,
--- a/packages/queue/src/run.ts
+++ b/packages/queue/src/run.ts
@@ -14,7 +14,7 @@
   type Step,
   type Task,
 } from './job.js';
-import {queuesByName} from './table.js';
+import {queuesOf} from './state.js';
 import {workerKey} from './worker.js';
 
 /** A task with the job and step that it belongs to. */
@@ -188,9 +188,7 @@
   const {step} = parseTaskKey(key);
   if (job.phase !== 'active' || task.done) return next;
   if (job.spec.steps[step]!.lasting) return next;
-  const queue = queuesByName(draft.tables).get(job.spec.queue);
-  // A queue that was removed keeps the jobs that it had accepted; their
-  // attempts have no limit.
+  const queue = queuesOf(draft).get(job.spec.queue);
   if (!queue || failures < queue.maxAttempts) return next;
   return {...next, phase: 'failed'};
 }
--- a/packages/queue/src/state.ts
+++ b/packages/queue/src/state.ts
@@ -2,7 +2,7 @@
 import {z} from 'zod';
 import {Job} from './job.js';
 import {PersistentMap} from './persistent-map.js';
-import {EMPTY_TABLES, Tables} from './table.js';
+import {EMPTY_TABLES, Queue, queuesByName, Tables} from './table.js';
 import {DurationStatistics} from './statistics.js';
 import {HostOrder, Wave} from './wave.js';
 import {Worker} from './worker.js';
@@ -11,6 +11,7 @@
 export const StoredState = z.object({
   revision: z.int().nonnegative(),
   tables: Tables,
+  retiredQueues: z.array(Queue).default([]),
   jobs: z.array(Job),
   workers: z.array(Worker),
   waves: z.array(Wave),
@@ -24,6 +25,11 @@
   /** Number of changes applied. */
   readonly revision: number;
   readonly tables: Tables;
+  /**
+   * Queues that the tables have lost while jobs of theirs were active, by name.
+   * These jobs go on under the last properties of their queue.
+   */
+  readonly retiredQueues: ReadonlyMap<string, Queue>;
   /** By job ID. */
   readonly jobs: PersistentMap<Job>;
   /** Number of active jobs; counted from `jobs`, not stored. */
@@ -46,6 +52,7 @@
 export const EMPTY_STATE: State = {
   revision: 0,
   tables: EMPTY_TABLES,
+  retiredQueues: new Map(),
   jobs: PersistentMap.empty(),
   activeJobCount: 0,
   workers: PersistentMap.empty(),
@@ -55,11 +62,33 @@
   runsByWorker: PersistentMap.empty(),
 };
 
+/** The merged queues of a state, by its map of retired queues. */
+const mergedQueues = new WeakMap<
+  State['retiredQueues'],
+  {readonly tables: Tables; readonly queues: ReadonlyMap<string, Queue>}
+>();
+
+/** The queues under which jobs may be active, by name. */
+export function queuesOf({
+  tables,
+  retiredQueues,
+}: Pick<State, 'tables' | 'retiredQueues'>): ReadonlyMap<string, Queue> {
+  const current = queuesByName(tables);
+  if (retiredQueues.size === 0) return current;
+  let merged = mergedQueues.get(retiredQueues);
+  if (merged?.tables !== tables) {
+    merged = {tables, queues: new Map([...retiredQueues, ...current])};
+    mergedQueues.set(retiredQueues, merged);
+  }
+  return merged.queues;
+}
+
 /** Converts the state for a snapshot. */
 export function toStored(state: State): StoredState {
   return {
     revision: state.revision,
     tables: state.tables,
+    retiredQueues: [...state.retiredQueues.values()],
     jobs: state.jobs.values(),
     workers: state.workers.values(),
     waves: [...state.waves.values()],
@@ -73,6 +102,7 @@
   return {
     revision: stored.revision,
     tables: stored.tables,
+    retiredQueues: new Map(stored.retiredQueues.map(row => [row.name, row])),
     jobs: PersistentMap.from(stored.jobs.map(job => [job.spec.id, job])),
     activeJobCount: stored.jobs.filter(({phase}) => phase === 'active').length,
     workers: PersistentMap.from(
--- a/packages/scheduling/src/demand.ts
+++ b/packages/scheduling/src/demand.ts
@@ -6,7 +6,7 @@
   add,
   fits,
   isLongRunning,
-  queuesByName,
+  queuesOf,
   ZERO_SIZE,
   type Job,
   type Queue,
@@ -103,15 +103,15 @@
  * time outside of the pause.
  */
 export function measureDemand(
-  {tables}: State,
+  state: State,
   load: Load,
   backlog: Backlog,
   nowMs: number,
   durations: Durations,
   pause: IntakePause = NO_INTAKE_PAUSE,
 ): ReadonlyMap<string, Demand> {
-  const queues = queuesByName(tables);
-  const teamCaps = createTeamCaps(tables, load);
+  const queues = queuesOf(state);
+  const teamCaps = createTeamCaps(state.tables, load);
   const demands = new Map<string, PartialDemand>();
   const demandOf = ({pool}: Queue): PartialDemand => {
     let demand = demands.get(pool);
--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -8,7 +8,7 @@
   fits,
   isSuspect,
   NEW_TASK,
-  queuesByName,
+  queuesOf,
   rackOf,
   stepKey,
   subtract,
@@ -122,7 +122,7 @@
 
 function collectCandidateSteps(input: PlanInput): CandidateStep[] {
   const {state, backlog, nowMs, durations} = input;
-  const queues = queuesByName(state.tables);
+  const queues = queuesOf(state);
   const steps: CandidateStep[] = [];
   for (const job of backlog.waitingJobs) {
     const queue = queues.get(job.spec.queue);
