--- a/packages/dispatch/test/former-life.test.ts
+++ b/packages/dispatch/test/former-life.test.ts
@@ -187,4 +187,28 @@
     await harness.advance(600);
     expect(next.runs.size).toBe(0);
   });
+
+  it('does not start an earlier run of a task that is on record as a later one', async () => {
+    const old = await startFirstLife(30_000);
+    harness.fleet.delayMs = 4000;
+    old.link = 'held-up';
+    const submittedMs = performance.now();
+    await harness.submit(job('a'));
+    await harness.advance(900);
+    old.link = 'up';
+    void harness.leader.announce(worker('w1', {sequence: 2}));
+    await harness.advance(1500);
+    expect(old.runs.get('a.0.0.0')?.run).toBe(2);
+    await harness.replaceLeader();
+    await harness.addWorker(worker('w2'));
+    await harness.advance(submittedMs + 4000 - performance.now());
+    old.isAlive = false;
+    const again = worker('w1', {bornMs: 2});
+    const next = harness.fleet.add(again);
+    await harness.advance(60);
+    expect(next.runs.get('a.0.0.0')?.run).toBe(1);
+    void harness.leader.announce(again);
+    await harness.advance(2000);
+    expect(harness.fleet.violations).toEqual([]);
+  });
 });
