Name a test file by the term of the code

Change: former-life.test.ts becomes earlier-incarnation.test.ts, with the names in it. No check is changed.

--- a/packages/dispatch/test/former-life.test.ts
+++ b/packages/dispatch/test/earlier-incarnation.test.ts
@@ -19,14 +19,16 @@
  * Starts a worker whose clock is far ahead of that of its next incarnation when
  * the test begins.
  */
-async function startFirstLife(durationMs: number): Promise<FakeWorker> {
+async function startFirstIncarnation(durationMs: number): Promise<FakeWorker> {
   harness = await createHarness({behave: () => ({durationMs})});
   await harness.addWorker(worker('w1'));
   await harness.advance(20_000);
   return harness.fleet.byAddress.get('w1:1')!;
 }
 
-async function startSecondLife(link: LinkState = 'up'): Promise<FakeWorker> {
+async function startNextIncarnation(
+  link: LinkState = 'up',
+): Promise<FakeWorker> {
   harness.fleet.byAddress.get('w1:1')!.isAlive = false;
   const again = worker('w1', {bornMs: 2});
   const next = harness.fleet.add(again);
@@ -51,7 +53,7 @@
 it.each([1000, 2000, 2900])(
   'a first attempt does not start a run again that its second attempt had started, %d ms after its sending',
   async restartMs => {
-    const old = await startFirstLife(30_000);
+    const old = await startFirstIncarnation(30_000);
     harness.fleet.delayMs = 3000;
     old.link = 'held-up';
     await harness.submit(job('a'));
@@ -60,7 +62,7 @@
     await harness.advance(restartMs - 300);
     expect(old.runs.size).toBe(1);
     await harness.addWorker(worker('w2'));
-    const next = await startSecondLife();
+    const next = await startNextIncarnation();
     await harness.advance(50);
     next.link = 'cut';
     await harness.advance(20_000);
@@ -74,7 +76,7 @@
 it.each([false, true])(
   'a first attempt does not start a run at an incarnation that no call reaches, after a change of leader: %s',
   async changesLeader => {
-    const old = await startFirstLife(30_000);
+    const old = await startFirstIncarnation(30_000);
     harness.fleet.delayMs = 3000;
     old.link = 'held-up';
     await harness.submit(job('a'));
@@ -85,7 +87,7 @@
     if (changesLeader) await harness.replaceLeader();
     await harness.advance(500);
     await harness.addWorker(worker('w2'));
-    const next = await startSecondLife('cut');
+    const next = await startNextIncarnation('cut');
     await harness.advance(2500);
     expect(next.runs.size).toBe(1);
     await harness.advance(20_000);
@@ -100,9 +102,9 @@
 it.each([700, 1500, 3000, 4900])(
   'a hold that is under way for %d ms does not let a run outlive its lease',
   async delayMs => {
-    const old = await startFirstLife(60_000);
+    const old = await startFirstIncarnation(60_000);
     await holdUpNextHold(old, delayMs);
-    const next = await startSecondLife();
+    const next = await startNextIncarnation();
     await harness.submit(job('a'));
     await harness.advance(100);
     expect(next.runs.size).toBe(1);
@@ -117,9 +119,9 @@
 
 // Calls to the next incarnation fence off the hold only once one arrives.
 it('a hold that arrives before any call to the next incarnation does not let a run outlive its lease', async () => {
-  const old = await startFirstLife(60_000);
+  const old = await startFirstIncarnation(60_000);
   await holdUpNextHold(old, 1500);
-  const next = await startSecondLife('cut');
+  const next = await startNextIncarnation('cut');
   await harness.advance(1300);
   next.link = 'up';
   await harness.submit(job('a'));
@@ -132,12 +134,12 @@
 });
 
 it('a hold that acknowledges ends of the former incarnation does not discard those of the next', async () => {
-  const old = await startFirstLife(400);
+  const old = await startFirstIncarnation(400);
   await harness.submit(job('x', {count: 4}));
   await harness.advance(3000);
   expect(harness.phase('x')).toBe('completed');
   await holdUpNextHold(old, 2000);
-  const next = await startSecondLife();
+  const next = await startNextIncarnation();
   await harness.submit(job('a'));
   await harness.advance(100);
   expect(next.runs.size).toBe(1);
@@ -156,7 +158,7 @@
 // under way.
 describe.runIf(process.env['KNOWN_RED'])('a late attempt', () => {
   it('does not start a run at the incarnation after the next', async () => {
-    const old = await startFirstLife(30_000);
+    const old = await startFirstIncarnation(30_000);
     harness.fleet.delayMs = 4000;
     old.link = 'held-up';
     await harness.submit(job('a'));
@@ -164,7 +166,7 @@
     old.link = 'up';
     await harness.advance(700);
     await harness.addWorker(worker('w2'));
-    await startSecondLife();
+    await startNextIncarnation();
     await harness.advance(300);
     harness.fleet.byAddress.get('w1:1')!.isAlive = false;
     harness.fleet.add(worker('w1', {bornMs: 3})).link = 'cut';
@@ -173,7 +175,7 @@
   });
 
   it('does not start a withdrawn run at an incarnation that no call has reached yet', async () => {
-    const old = await startFirstLife(30_000);
+    const old = await startFirstIncarnation(30_000);
     harness.fleet.delayMs = 2500;
     old.link = 'held-up';
     await harness.submit(job('a'));
@@ -189,7 +191,7 @@
   });
 
   it('does not start an earlier run of a task that is on record as a later one', async () => {
-    const old = await startFirstLife(30_000);
+    const old = await startFirstIncarnation(30_000);
     harness.fleet.delayMs = 4000;
     old.link = 'held-up';
     const submittedMs = performance.now();
