--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -35,6 +35,11 @@
   type GroupStatus,
   type Mesh,
 } from './mesh.js';
+import {
+  createPolicies,
+  parsePolicyNames,
+  type PolicyNames,
+} from './policies.js';
 import type {Adviser, HostProvider} from './provider.js';
 import {MAX_DIRECT_WORKERS, RelayedWorkerDriver} from './relayed-driver.js';
 import {Envelope} from './remote.js';
@@ -92,6 +97,8 @@
   /** Name under which this process calls the host provider. */
   readonly holder: string;
   readonly rules?: Rules;
+  /** The scheduling policies of this process while it leads; or the defaults. */
+  readonly policies?: PolicyNames;
   /**
    * Called when the process must exit because it can no longer store what it
    * has accepted.
@@ -177,6 +184,7 @@
   });
   const leadership = followLeadership({
     ...options,
+    ...createPolicies(options.policies ?? parsePolicyNames('')),
     driver,
     processId,
     hostOrderGuard,
--- /dev/null
+++ b/packages/dispatch/src/policies.ts
@@ -0,0 +1,67 @@
+/**
+ * The scheduling policies that a deployment chooses by name. Each name has a
+ * default that keeps the behaviour of a deployment whose settings do not
+ * mention it.
+ */
+import {
+  DeadlineAdmission,
+  DeadlineOrder,
+  type Admission,
+  type JobOrder,
+} from '@lentildrift/scheduling';
+import {VError} from 'verror';
+import {z} from 'zod';
+
+export const PolicyNames = z.strictObject({
+  /** Which waiting job gets room first. */
+  order: z.enum(['deadline']).default('deadline'),
+  /** Which jobs are accepted. */
+  admission: z.enum(['deadline']).default('deadline'),
+});
+export type PolicyNames = z.infer<typeof PolicyNames>;
+
+/** The policies of a leader. */
+export interface Policies {
+  readonly order: JobOrder;
+  readonly admission: Admission;
+}
+
+/**
+ * Parses names of the form `order=deadline,admission=deadline`; what is not
+ * named has its default. Throws an error with a one-line message that names the
+ * policy if the text is malformed or has an unknown name.
+ */
+export function parsePolicyNames(text: string): PolicyNames {
+  const entries = text
+    .split(',')
+    .filter(part => part.trim() !== '')
+    .map(part => part.split('=').map(word => word.trim()));
+  const malformed = entries.find(words => words.length !== 2);
+  if (malformed) {
+    throw new VError('policies: "%s" is not NAME=VALUE', malformed.join('='));
+  }
+  const keys = entries.map(([key]) => key!);
+  const repeated = keys.find((key, at) => keys.indexOf(key) !== at);
+  if (repeated !== undefined) {
+    throw new VError('policies: %s is given more than once', repeated);
+  }
+  const result = PolicyNames.safeParse(Object.fromEntries(entries));
+  if (result.success) return result.data;
+  const {path, message} = result.error.issues[0]!;
+  throw new VError('policies: %s', [...path, message].join(': '));
+}
+
+const ORDERS = {
+  deadline: () => new DeadlineOrder(),
+} satisfies Record<PolicyNames['order'], () => JobOrder>;
+
+const ADMISSIONS = {
+  deadline: () => new DeadlineAdmission(),
+} satisfies Record<PolicyNames['admission'], () => Admission>;
+
+export function createPolicies(names: PolicyNames): Policies {
+  return {
+    order: ORDERS[names.order](),
+    admission: ADMISSIONS[names.admission](),
+  };
+}
--- /dev/null
+++ b/packages/dispatch/test/policies.test.ts
@@ -0,0 +1,21 @@
+import {DeadlineAdmission, DeadlineOrder} from '@lentildrift/scheduling';
+import {describe, expect, it} from 'vitest';
+import {createPolicies, parsePolicyNames} from '../src/policies.js';
+
+describe('the policies of a deployment', () => {
+  it('are those of the earlier versions if the settings name none', () => {
+    const {order, admission} = createPolicies(parsePolicyNames(''));
+    expect(order).toBeInstanceOf(DeadlineOrder);
+    expect(admission).toBeInstanceOf(DeadlineAdmission);
+  });
+
+  // A misspelt name would leave a deployment with the default unnoticed.
+  it.each([
+    ['order', /"order" is not NAME=VALUE/],
+    ['order=none', /policies: order/],
+    ['sort=deadline', /policies: .*sort/],
+    ['order=deadline,order=deadline', /order is given more than once/],
+  ])('refuse the text %s and name the fault', (text, message) => {
+    expect(() => parsePolicyNames(text)).toThrow(message);
+  });
+});
