Keep the data centres that are out of use in the state of the queues

Operators put a data centre out of use and back; nothing recorded that. The event 'evacuation' does, 'isEvacuated' is its only test, and an order that is sent again changes nothing.

--- a/packages/queue/src/apply.ts
+++ b/packages/queue/src/apply.ts
@@ -15,7 +15,7 @@
   removeTaskCrash,
   startRun,
 } from './run.js';
-import type {State} from './state.js';
+import {isEvacuated, type State} from './state.js';
 import {queuesByName} from './table.js';
 import {workerKey, type Worker} from './worker.js';
 
@@ -64,6 +64,8 @@
       if (draft.wave(event.wave.id)) return 'known';
       draft.setWave(event.wave);
       return 'applied';
+    case 'evacuation':
+      return setEvacuated(draft, event);
     case 'upkeep':
       return setMaintenanceStatus(draft, event);
     case 'duty':
@@ -242,6 +244,15 @@
   return 'applied';
 }
 
+function setEvacuated(
+  draft: Draft,
+  {dataCentre, evacuated}: EventOf<'evacuation'>,
+): Outcome {
+  if (isEvacuated(draft, dataCentre) === evacuated) return 'known';
+  draft.setEvacuated(dataCentre, evacuated);
+  return 'applied';
+}
+
 function setMaintenanceStatus(draft: Draft, event: EventOf<'upkeep'>): Outcome {
   const wave = draft.wave(event.wave);
   if (!wave?.hosts[event.host]) return 'unknown';
--- a/packages/queue/src/change.ts
+++ b/packages/queue/src/change.ts
@@ -90,6 +90,12 @@
   /** Removes ended jobs that no caller asks for any more. */
   z.object({type: z.literal('forget'), jobs: z.array(z.string())}),
   z.object({type: z.literal('wave'), wave: Wave}),
+  /** Puts a data centre out of use for new runs, or back into use. */
+  z.object({
+    type: z.literal('evacuation'),
+    dataCentre: z.string().min(1),
+    evacuated: z.boolean(),
+  }),
   z.object({
     type: z.literal('upkeep'),
     wave: z.number(),
--- a/packages/queue/src/draft.ts
+++ b/packages/queue/src/draft.ts
@@ -11,6 +11,7 @@
 export class Draft {
   tables;
   retiredQueues: ReadonlyMap<string, Queue>;
+  evacuated: ReadonlySet<string>;
   /** Queues of the active jobs that this draft has set. */
   private readonly editedQueues = new Set<string>();
   private activeJobCount: number;
@@ -24,6 +25,7 @@
   constructor(private readonly base: State) {
     this.tables = base.tables;
     this.retiredQueues = base.retiredQueues;
+    this.evacuated = base.evacuated;
     this.activeJobCount = base.activeJobCount;
   }
 
@@ -129,6 +131,13 @@
     this.waves.set(wave.id, wave);
   }
 
+  setEvacuated(dataCentre: string, evacuated: boolean): void {
+    const next = new Set(this.evacuated);
+    if (evacuated) next.add(dataCentre);
+    else next.delete(dataCentre);
+    this.evacuated = next;
+  }
+
   setHostOrder(order: HostOrder): void {
     this.hostOrders ??= this.base.hostOrders.edit();
     this.hostOrders.set(order.host, order);
@@ -149,6 +158,7 @@
       jobs: this.jobs?.finish() ?? this.base.jobs,
       workers: this.workers?.finish() ?? this.base.workers,
       waves: this.waves ?? this.base.waves,
+      evacuated: this.evacuated,
       hostOrders: this.hostOrders?.finish() ?? this.base.hostOrders,
       statistics: this.statistics ?? this.base.statistics,
       runsByWorker: this.runsByWorker?.finish() ?? this.base.runsByWorker,
--- a/packages/queue/src/state.ts
+++ b/packages/queue/src/state.ts
@@ -15,6 +15,8 @@
   jobs: z.array(Job),
   workers: z.array(Worker),
   waves: z.array(Wave),
+  /** Data centres out of use; snapshots of earlier versions lack it. */
+  evacuated: z.array(z.string()).default([]),
   /** The latest order to each host. */
   duties: z.array(HostOrder),
   statistics: z.array(DurationStatistics).default([]),
@@ -38,6 +40,8 @@
   readonly workers: PersistentMap<Worker>;
   /** By wave ID. */
   readonly waves: ReadonlyMap<number, Wave>;
+  /** Data centres that get no new runs, by order of an operator. */
+  readonly evacuated: ReadonlySet<string>;
   /** The latest order to each host, by host. */
   readonly hostOrders: PersistentMap<HostOrder>;
   /** By queue name. */
@@ -57,6 +61,7 @@
   activeJobCount: 0,
   workers: PersistentMap.empty(),
   waves: new Map(),
+  evacuated: new Set(),
   hostOrders: PersistentMap.empty(),
   statistics: new Map(),
   runsByWorker: PersistentMap.empty(),
@@ -83,6 +88,14 @@
   return merged.queues;
 }
 
+/** Whether the data centre gets no new runs, by order of an operator. */
+export function isEvacuated(
+  {evacuated}: Pick<State, 'evacuated'>,
+  dataCentre: string,
+): boolean {
+  return evacuated.has(dataCentre);
+}
+
 /** Converts the state for a snapshot. */
 export function toStored(state: State): StoredState {
   return {
@@ -92,6 +105,7 @@
     jobs: state.jobs.values(),
     workers: state.workers.values(),
     waves: [...state.waves.values()],
+    evacuated: [...state.evacuated],
     duties: state.hostOrders.values(),
     statistics: [...state.statistics.values()],
   };
@@ -109,6 +123,7 @@
       stored.workers.map(worker => [worker.id, worker]),
     ),
     waves: new Map(stored.waves.map(wave => [wave.id, wave])),
+    evacuated: new Set(stored.evacuated),
     hostOrders: PersistentMap.from(
       stored.duties.map(order => [order.host, order]),
     ),
