Let cold workers take work slowly, and count no room that is evacuated

A worker that has just started was packed like any other, although its first runs last longer. The plan now chooses it after warm workers, and gives it at most as many runs as 'maxColdRuns' allows for the time that it stays slow.

--- a/packages/scheduling/src/candidate.ts
+++ b/packages/scheduling/src/candidate.ts
@@ -16,6 +16,16 @@
   readonly quarantined: boolean;
   /** A maintenance wave is going to empty the worker's host. */
   readonly isDue?: boolean;
+  /**
+   * Number of further runs that a cold worker may get, see `maxColdRuns`;
+   * infinite or absent for a warm one.
+   */
+  readonly coldRunsLeft?: number;
+}
+
+/** Whether the worker has just started and is still slow. */
+export function isCold({coldRunsLeft = Infinity}: Candidate): boolean {
+  return coldRunsLeft < Infinity;
 }
 
 /**
@@ -40,6 +50,7 @@
     readonly free: Size,
     readonly quarantined: boolean,
     readonly isDue: boolean,
+    readonly coldRunsLeft: number,
     private readonly emptyTimeMs: LazyNumber,
   ) {}
 
@@ -48,13 +59,14 @@
   }
 
   withFree(free: Size): LazyCandidate {
-    const {key, worker, quarantined, isDue, emptyTimeMs} = this;
+    const {key, worker, quarantined, isDue, coldRunsLeft, emptyTimeMs} = this;
     return new LazyCandidate(
       key,
       worker,
       free,
       quarantined,
       isDue,
+      coldRunsLeft,
       emptyTimeMs,
     );
   }
@@ -65,12 +77,22 @@
  * which no one asks for of a full worker.
  */
 export function createCandidate(
-  fields: Omit<Required<Candidate>, 'emptyInMs'>,
+  fields: Omit<Required<Candidate>, 'emptyInMs' | 'coldRunsLeft'> &
+    Pick<Candidate, 'coldRunsLeft'>,
   emptyInMs: () => number,
 ): Candidate {
   const {key, worker, free, quarantined, isDue} = fields;
+  const {coldRunsLeft = Infinity} = fields;
   const emptyTimeMs = new LazyNumber(emptyInMs);
-  return new LazyCandidate(key, worker, free, quarantined, isDue, emptyTimeMs);
+  return new LazyCandidate(
+    key,
+    worker,
+    free,
+    quarantined,
+    isDue,
+    coldRunsLeft,
+    emptyTimeMs,
+  );
 }
 
 /** A copy with other free resources, which does not read `emptyInMs`. */
--- a/packages/scheduling/src/demand.ts
+++ b/packages/scheduling/src/demand.ts
@@ -7,6 +7,7 @@
   fits,
   isLongRunning,
   queuesOf,
+  subtract,
   ZERO_SIZE,
   type Job,
   type Queue,
@@ -16,6 +17,7 @@
 } from '@lentildrift/queue';
 import type {Backlog} from './backlog.js';
 import {expectedDurationMs, type Durations} from './estimate.js';
+import {measureEvacuatedLoad} from './evacuation.js';
 import {reservation, type Load} from './load.js';
 import {isLate, remainingWorkMs} from './order.js';
 import {listReadySteps} from './ready-steps.js';
@@ -39,7 +41,10 @@
 }
 
 export interface Demand {
-  /** Reserved by the recorded runs. */
+  /**
+   * Reserved by the recorded runs, whose ends make room for others; without
+   * those in evacuated data centres.
+   */
   readonly reserved: Size;
   /** Tasks that are ready to start and have no run. */
   readonly waiting: readonly WaitingTasks[];
@@ -121,11 +126,13 @@
     }
     return demand;
   };
+  const evacuated = measureEvacuatedLoad(state, load);
   for (const [name, reserved] of load.byQueue) {
     const queue = queues.get(name);
     if (!queue) continue;
     const demand = demandOf(queue);
-    demand.reserved = add(demand.reserved, reserved);
+    const lost = evacuated.get(name) ?? ZERO_SIZE;
+    demand.reserved = add(demand.reserved, subtract(reserved, lost));
   }
   const inflowSinceMs = windowStart(nowMs, INFLOW_WINDOW_MS, pause);
   const riseSinceMs = windowStart(nowMs, RISE_WINDOW_MS, pause);
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -6,6 +6,8 @@
 export * from './state-index.js';
 export * from './order.js';
 export * from './candidate.js';
+export * from './cold.js';
+export * from './evacuation.js';
 export * from './placement.js';
 export * from './plan.js';
 export * from './suspicion.js';
--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -6,7 +6,7 @@
   type Step,
   type Worker,
 } from '@lentildrift/queue';
-import type {Candidate} from './candidate.js';
+import {isCold, type Candidate} from './candidate.js';
 
 export interface PlacementInput {
   readonly step: Step;
@@ -34,6 +34,11 @@
   return label === undefined || labels.includes(label);
 }
 
+/** Whether the worker is warm, or has few runs yet. */
+export function mayGetRun({coldRunsLeft = Infinity}: Candidate): boolean {
+  return coldRunsLeft >= 1;
+}
+
 /** Baseline: the first worker with enough free resources. */
 export class FirstFitPlacement extends Placement {
   override choose({
@@ -42,16 +47,20 @@
     candidates,
   }: PlacementInput): Candidate | undefined {
     return candidates.find(
-      ({worker, free}) => meetsLabel(step, worker) && fits(size, free),
+      candidate =>
+        meetsLabel(step, candidate.worker) &&
+        fits(size, candidate.free) &&
+        mayGetRun(candidate),
     );
   }
 }
 
 /**
  * Chooses the worker with the highest score, which is a preference and
- * penalties. Workers on which the task has failed, quarantined workers, workers
- * on another rack than the data or the gang and, for long-running tasks, workers
- * whose hosts are due for maintenance rank last.
+ * penalties. Workers on which the task has failed, quarantined workers, cold
+ * workers, workers on another rack than the data or the gang and, for
+ * long-running tasks, workers whose hosts are due for maintenance rank last.
+ * A cold worker that has its share of runs gets none.
  */
 abstract class ScoredPlacement extends Placement {
   /** Preference between 0 and 1; higher is better. */
@@ -70,6 +79,7 @@
       const candidate = candidates[position]!;
       const {worker, free} = candidate;
       if (!fits(size, free) || !meetsLabel(step, worker)) continue;
+      if (!mayGetRun(candidate)) continue;
       const score =
         this.preference(candidate, input, position) + penalty(candidate, input);
       if (score <= bestScore) continue;
@@ -126,8 +136,9 @@
  * Penalties, each larger than any preference and than the smaller penalties
  * together.
  */
-const FAILED_BEFORE_PENALTY = -8;
-const QUARANTINED_PENALTY = -4;
+const FAILED_BEFORE_PENALTY = -16;
+const QUARANTINED_PENALTY = -8;
+const COLD_PENALTY = -4;
 const OTHER_RACK_PENALTY = -2;
 /** For long-running tasks, which would be stopped and started once more. */
 const DUE_PENALTY = -1;
@@ -136,6 +147,7 @@
   let score = 0;
   if (input.failedOn.includes(candidate.key)) score += FAILED_BEFORE_PENALTY;
   if (candidate.quarantined) score += QUARANTINED_PENALTY;
+  if (isCold(candidate)) score += COLD_PENALTY;
   if (candidate.isDue && input.step.lasting) score += DUE_PENALTY;
   const preferredRack = input.step.rack ?? input.gangRack;
   if (
--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -547,6 +547,7 @@
     ...chosen,
     free: subtract(chosen.free, size),
     emptyInMs: Math.max(chosen.emptyInMs, durationMs),
+    coldRunsLeft: (chosen.coldRunsLeft ?? Infinity) - 1,
   };
   runCounts?.set(chosen.key, (runCounts.get(chosen.key) ?? 0) + 1);
   const teamUsage = round.teams.get(job.spec.team ?? '');
--- a/packages/scheduling/src/state-index.ts
+++ b/packages/scheduling/src/state-index.ts
@@ -20,6 +20,8 @@
   readonly load: Load;
   readonly backlog: Backlog;
   readonly fleet: Fleet;
+  /** Data centres of the state, for `isEvacuated`. */
+  readonly evacuated: State['evacuated'];
 }
 
 export interface StateIndex {
@@ -69,11 +71,12 @@
   const load = createLoadIndex();
   const backlog = createBacklogIndex();
   const fleet = createFleetIndex();
-  const view: StateView = {
+  const view = {
     load: load.load,
     backlog: backlog.backlog,
     fleet: fleet.fleet,
-  };
+    evacuated: EMPTY_STATE.evacuated,
+  } satisfies StateView;
   let current = EMPTY_STATE;
   let previous = EMPTY_STATE;
 
@@ -87,6 +90,7 @@
     load.finish();
     const differences =
       changedJobs + updateAll(current.workers, state.workers, fleet.update);
+    view.evacuated = state.evacuated;
     previous = current;
     current = state;
     options.onMoved?.(differences);
