Give no new runs to data centres that operators have put out of use

An order to evacuate a data centre found no route, and nothing kept runs away from it. The leader now records the order and its withdrawal, and acknowledges them when they are durable; a name that no worker or listed host bears is refused, as unavailable while hosts are still unknown.

Candidates, trial slots, advice, pools, forecasts and moves leave out what is in such a data centre. An order to start that is recorded but not sent yet, also one that is held back while the leadership is not confirmed, is withheld, with the other members of its gang. Jobs that could run only there are named in a log line, a gauge and the reply to an inspection.

Workers announce how long they stay slow; the leader keeps that in memory.

--- a/packages/dispatch/src/availability.ts
+++ b/packages/dispatch/src/availability.ts
@@ -1,10 +1,16 @@
 /** Tracks which workers may get runs, by their answers and their failures. */
-import {workerKey, type EndRow, type Worker} from '@lentildrift/queue';
+import {
+  isEvacuated,
+  workerKey,
+  type EndRow,
+  type Worker,
+} from '@lentildrift/queue';
 import {
   createCandidate,
   findAvoidedWorkers,
   isQuarantined,
   listQuarantined,
+  maxColdRuns,
   recordRunEnds,
   type Candidate,
   type Health,
@@ -12,6 +18,7 @@
   type StateView,
 } from '@lentildrift/scheduling';
 import type {AnnouncementAges} from './announcement-age.js';
+import type {ColdWorkers} from './cold-workers.js';
 import type {RunEstimates} from './run-estimates.js';
 import type {StateViews} from './state-views.js';
 import type {RunTracker} from './tracker.js';
@@ -21,6 +28,7 @@
   readonly runs: RunTracker;
   readonly estimates: RunEstimates;
   readonly announcements: Pick<AnnouncementAges, 'isOutdated'>;
+  readonly cold: Pick<ColdWorkers, 'leftMs'>;
   isAnswering(worker: string): boolean;
   /** Whether the host gets no new runs because of maintenance or a move. */
   isCordoned(host: string): boolean;
@@ -46,7 +54,8 @@
   /** Keys of the workers of all pools that are avoided after failures. */
   avoidedWorkers(): ReadonlySet<string>;
   /**
-   * The workers of a pool that may get new runs; valid while the view is.
+   * The workers of a pool that may get new runs, none of which is in an
+   * evacuated data centre; valid while the view is.
    */
   candidatesIn(pool: string, view: StateView): Candidate[];
   /**
@@ -83,14 +92,26 @@
   }
 
   /** Whether the worker can get runs, unless it is avoided after failures. */
-  function isAvailable(worker: Worker): boolean {
+  function isAvailable(
+    worker: Worker,
+    view: Pick<StateView, 'evacuated'>,
+  ): boolean {
     return (
       isUsable(worker) &&
+      !isEvacuated(view, worker.dataCentre) &&
       !options.isCordoned(worker.host) &&
       !options.announcements.isOutdated(workerKey(worker))
     );
   }
 
+  /** Those of the workers that are available in the current view. */
+  function listAvailable(
+    workers: readonly Worker[],
+    view: Pick<StateView, 'evacuated'> = views.current(),
+  ): Worker[] {
+    return workers.filter(worker => isAvailable(worker, view));
+  }
+
   function findAvoided(workers: readonly Worker[]): ReadonlySet<string> {
     if (listQuarantined(health, performance.now()).length === 0) return NO_KEYS;
     const rows = workers.map(worker => ({
@@ -102,7 +123,7 @@
 
   function avoidedWorkers(): ReadonlySet<string> {
     if (listQuarantined(health, performance.now()).length === 0) return NO_KEYS;
-    return findAvoided(views.current().fleet.workers.filter(isAvailable));
+    return findAvoided(listAvailable(views.current().fleet.workers));
   }
 
   /** Keys of the workers with a run of a suspect on trial. */
@@ -116,15 +137,17 @@
     return workers;
   }
 
-  function trialSlotsIn(pool: string, {load, fleet}: StateView): number {
-    const workers = fleet.workersIn(pool).filter(isAvailable);
+  function trialSlotsIn(pool: string, view: StateView): number {
+    const {load, fleet} = view;
+    const workers = listAvailable(fleet.workersIn(pool), view);
     const trials = findTrialWorkers(load);
     const busy = workers.filter(worker => trials.has(workerKey(worker))).length;
     return Math.max(1, Math.floor(MAX_TRIAL_SHARE * workers.length)) - busy;
   }
 
-  function candidatesIn(pool: string, {load, fleet}: StateView): Candidate[] {
-    const workers = fleet.workersIn(pool).filter(isAvailable);
+  function candidatesIn(pool: string, view: StateView): Candidate[] {
+    const {load, fleet} = view;
+    const workers = listAvailable(fleet.workersIn(pool), view);
     const avoided = findAvoided(workers);
     const trials = findTrialWorkers(load);
     const nowMs = performance.now();
@@ -138,6 +161,7 @@
         free: worker.capacity,
         quarantined: isQuarantined(health, key, nowMs),
         isDue: options.isDue(worker.host),
+        coldRunsLeft: coldRunsLeft(key, load),
       };
       const emptyInMs = () => estimates.emptyInMs(key, load);
       candidates.push(createCandidate(fields, emptyInMs));
@@ -145,6 +169,12 @@
     return candidates;
   }
 
+  function coldRunsLeft(worker: string, {runsByWorker}: Load): number {
+    const leftMs = options.cold.leftMs(worker);
+    if (leftMs === 0) return Infinity;
+    return maxColdRuns(leftMs) - (runsByWorker.get(worker)?.length ?? 0);
+  }
+
   return {
     markReconciled,
     recordEnds(worker, ends) {
--- a/packages/dispatch/src/census.ts
+++ b/packages/dispatch/src/census.ts
@@ -11,6 +11,7 @@
   isAnswering(worker: string): boolean;
   isMoving(host: string): boolean;
   isInWave(host: string): boolean;
+  isEvacuated(host: string): boolean;
 }
 
 /** Each listed host counts once, in the first field that applies to it. */
@@ -21,6 +22,8 @@
   readonly moving: number;
   /** Kept free of new runs for a maintenance wave, or being maintained. */
   readonly cordoned: number;
+  /** Up, or on standby, in a data centre that is out of use. */
+  readonly evacuated: number;
   readonly usable: number;
   /** The worker does not answer. */
   readonly silent: number;
@@ -41,6 +44,7 @@
   const counts = {
     moving: 0,
     cordoned: 0,
+    evacuated: 0,
     usable: 0,
     silent: 0,
     unready: 0,
@@ -60,6 +64,7 @@
 ): Exclude<keyof Census, 'hosts'> {
   if (options.isMoving(id)) return 'moving';
   if (options.isInWave(id)) return 'cordoned';
+  if (options.isEvacuated(id)) return 'evacuated';
   if (!worker) return options.standbyPools.has(pool) ? 'standby' : 'absent';
   if (options.isUsable(worker)) return 'usable';
   return options.isAnswering(workerKey(worker)) ? 'unready' : 'silent';
--- a/packages/dispatch/src/decision-round.ts
+++ b/packages/dispatch/src/decision-round.ts
@@ -5,7 +5,7 @@
  * outcome comes back to the leader's task as a message.
  */
 import type {Latency, Metrics} from '@lentildrift/observe';
-import {apply, type Event, type Outcome} from '@lentildrift/queue';
+import {apply, isEvacuated, type Event, type Outcome} from '@lentildrift/queue';
 import {runId} from '@lentildrift/scheduling';
 import type {AdviceCache} from './advice.js';
 import type {Batch} from './batch.js';
@@ -103,7 +103,12 @@
     const decision = options.planner.plan(projected, view);
     roundTime.record({}, performance.now() - startMs);
     options.advice.request(decision.stepsAwaitingAdvice, pool =>
-      view.fleet.workersIn(pool).filter(({phase}) => phase === 'ready'),
+      view.fleet
+        .workersIn(pool)
+        .filter(
+          ({phase, dataCentre}) =>
+            phase === 'ready' && !isEvacuated(view, dataCentre),
+        ),
     );
     const {starts} = decision;
     if (starts.length > 0) {
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -4,9 +4,11 @@
  */
 import type {Counter, Latency, Log, Metrics} from '@lentildrift/observe';
 import {
+  isEvacuated,
   parseTaskKey,
   PersistentMap,
   splitTaskName,
+  taskKey,
   taskName,
   visitDifferences,
   workerKey,
@@ -15,7 +17,7 @@
   type State,
   type Worker,
 } from '@lentildrift/queue';
-import type {LiveRun, StateView} from '@lentildrift/scheduling';
+import {runId, type LiveRun, type StateView} from '@lentildrift/scheduling';
 import type {TaskSystem} from '@lentildrift/task';
 import type {AdviceCache} from './advice.js';
 import type {WorkerDriver} from './driver.js';
@@ -48,7 +50,7 @@
   exceedsAnnouncedCapacity(worker: string): boolean;
   /**
    * Called for a recorded run that is not ordered, since its worker has no
-   * session or too little capacity by now.
+   * session or too little capacity by now, or its data centre is evacuated.
    */
   onUndeliverable(row: StartRow): void;
 }
@@ -130,6 +132,7 @@
       tasks,
       log,
       isLeader,
+      isWithheld: (task, run) => isRevoked(worker, task, run),
       holdIntervalMs,
       onEvent,
       onHoldSent,
@@ -165,7 +168,7 @@
     const job = state().jobs.get(id);
     const record = job?.tasks[taskKey];
     if (!job || !record?.runs.some(each => each.number === run)) return;
-    if (!session || isWithheld(row, job)) {
+    if (!session || isWithheld(row, job, session.worker)) {
       options.onUndeliverable(row);
       return;
     }
@@ -191,14 +194,64 @@
    * planned, which may have taken long to commit. The members of a gang are not
    * withheld one by one, since the others would wait for them in vain.
    */
-  function isWithheld([name, run, worker]: StartRow, job: Job): boolean {
+  function isWithheld(
+    [name, run, worker]: StartRow,
+    job: Job,
+    incarnation: Worker,
+  ): boolean {
+    if (isRevoked(incarnation, name, run)) return true;
     const {step} = parseTaskKey(splitTaskName(name).key);
     if (job.spec.steps[step]!.gang) return false;
     if (!options.exceedsAnnouncedCapacity(worker)) return false;
-    log.info('start-withheld', {worker, task: name, run});
+    log.info('start-withheld', {worker, task: name, run, reason: 'capacity'});
     return true;
   }
 
+  /**
+   * Whether the order of a recorded run must not be sent any more: the run is
+   * being stopped, or the worker's data centre was evacuated after the run was
+   * planned. An order may be held back for seconds while the leadership is not
+   * confirmed.
+   */
+  function isRevoked(worker: Worker, name: string, run: number): boolean {
+    if (runs.isStopping(runId(name, run))) return true;
+    if (!isEvacuated(state(), worker.dataCentre)) return false;
+    log.info('start-withheld', {
+      worker: workerKey(worker),
+      task: name,
+      run,
+      reason: 'evacuated',
+    });
+    stopOtherMembers(name, run);
+    return true;
+  }
+
+  /**
+   * Stops the other members of a gang, which would wait in vain for the one that
+   * is withheld. Those that were not ordered yet are withheld for it.
+   */
+  function stopOtherMembers(name: string, run: number): void {
+    const {job: id, key: own} = splitTaskName(name);
+    const job = state().jobs.get(id);
+    const {occurrence, step: at} = parseTaskKey(own);
+    const step = job?.spec.steps[at];
+    if (!job || !step?.gang) return;
+    for (let index = 0; index < step.count; index++) {
+      const key = taskKey({occurrence, step: at, index});
+      const task = job.tasks[key];
+      const other = task?.runs.find(({number}) => number === run);
+      if (!task || !other || key === own) continue;
+      stop({
+        job,
+        key,
+        step,
+        task,
+        run: other,
+        id: runId(taskName(id, key), run),
+      });
+    }
+  }
+
   function stop(live: LiveRun): void {
     const {worker: key, number: run} = live.run;
     const session = sessions.get(key);
--- a/packages/dispatch/src/earlier-attempts.ts
+++ b/packages/dispatch/src/earlier-attempts.ts
@@ -4,14 +4,17 @@
  * refused by the new tables must not hide one that the old tables allowed.
  */
 import {isDeepStrictEqual} from 'node:util';
-import type {Job, State} from '@lentildrift/queue';
+import {isEvacuated, type Job, type State} from '@lentildrift/queue';
 import type {Request, RequestOf} from './request.js';
 
-/** The attempts that this process handles, by the job that they concern. */
+/**
+ * The attempts that this process handles, by the job or the data centre that
+ * they concern.
+ */
 export interface Attempts {
   /**
    * Runs an attempt. `earlier` resolves once those that began before it and
-   * concern the same job have ended.
+   * concern the same job or data centre have ended.
    */
   track<T>(
     request: Request,
@@ -24,10 +27,8 @@
 
   return {
     track(request, run) {
-      if (request.type !== 'submit' && request.type !== 'cancel') {
-        return run(Promise.resolve());
-      }
-      const key = `${request.host} ${request.path}`;
+      const key = subjectOf(request);
+      if (key === undefined) return run(Promise.resolve());
       const earlier = inProgress.get(key) ?? Promise.resolve();
       const own = run(earlier);
       const all = Promise.allSettled([earlier, own]).then(() => {
@@ -39,14 +40,34 @@
   };
 }
 
+/** Names what attempts are told apart by; undefined if they are not. */
+function subjectOf(request: Request): string | undefined {
+  switch (request.type) {
+    case 'submit':
+    case 'cancel':
+      return `${request.host} ${request.path}`;
+    case 'evacuate':
+    case 'end-evacuation':
+      return JSON.stringify(['evacuation', request.dataCentre]);
+    default:
+      return undefined;
+  }
+}
+
 /**
  * Whether the state shows that an attempt of the request has taken effect. Edits
  * and waves are compared with the record before they are refused.
  */
-export function hasTakenEffect({jobs}: State, request: Request): boolean {
+export function hasTakenEffect(state: State, request: Request): boolean {
+  if (request.type === 'evacuate') {
+    return isEvacuated(state, request.dataCentre);
+  }
+  if (request.type === 'end-evacuation') {
+    return !isEvacuated(state, request.dataCentre);
+  }
   if (request.type !== 'submit' && request.type !== 'cancel') return false;
   return listPossibleIds(request.path).some(id => {
-    const job = jobs.get(id);
+    const job = state.jobs.get(id);
     if (!job) return false;
     return request.type === 'cancel'
       ? job.phase === 'cancelled'
--- a/packages/dispatch/src/host-moves.ts
+++ b/packages/dispatch/src/host-moves.ts
@@ -20,6 +20,8 @@
    * Whether an order of an earlier leader to the host may still be in flight.
    */
   hasForeignOrder(host: string): boolean;
+  /** Whether the host's data centre is out of use. */
+  isEvacuated(host: string): boolean;
   isLeader(): boolean;
   /** Counts a move that has come to this stage. */
   recordMove(stage: MoveStage, outcome: string): void;
@@ -142,6 +144,11 @@
       endMove(host, 'arrived');
       return;
     }
+    // An order that is recorded may have been sent, and is carried on.
+    if (!isRecorded && options.isEvacuated(host)) {
+      endMove(host, 'evacuated');
+      return;
+    }
     if (nowMs < ongoing.retryAtMs || options.hasForeignOrder(host)) return;
     if (formerWorker !== undefined && !isRecorded) {
       if (!isEmpty(formerWorker, load)) {
--- a/packages/dispatch/src/host-operations.ts
+++ b/packages/dispatch/src/host-operations.ts
@@ -7,6 +7,11 @@
 import {ElasticPools, type PoolView} from '@lentildrift/scheduling';
 import type {Availability} from './availability.js';
 import {countHosts} from './census.js';
+import {
+  findDataCentre,
+  isHostEvacuated,
+  type DataCentreStatus,
+} from './data-centres.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {EventQueue} from './event-queue.js';
 import type {LeaderInstruments} from './instruments.js';
@@ -52,6 +57,8 @@
    * host provider has listed them.
    */
   census(): LogFields | undefined;
+  /** Whether the data centre exists, by the workers and the listed hosts. */
+  findDataCentre(name: string): DataCentreStatus;
   /** Capacities of the hosts that the provider lists; empty before the first. */
   capacities(): readonly Size[];
   stop(): void;
@@ -120,6 +127,7 @@
     recordOrder: order =>
       events.commit({type: 'duty', duty: {...order, by: processId}}),
     hasForeignOrder,
+    isEvacuated,
     isLeader,
     recordMove,
     onWorkerGone: worker =>
@@ -149,6 +157,13 @@
     nextRebalanceMs = endMs + Math.max(REBALANCE_PAUSE_MS, pauseMs);
   }
 
+  function isEvacuated(id: string): boolean {
+    const state = views.state();
+    if (state.evacuated.size === 0) return false;
+    const host = inventory.hosts()?.get(id);
+    return isHostEvacuated(host, id, views.current());
+  }
+
   function census(): LogFields | undefined {
     const hosts = inventory.hosts();
     const {workers, tables} = views.state();
@@ -163,6 +178,7 @@
           isAnswering: dispatcher.isAnswering,
           isMoving: host => rebalancer.isCordoned(host),
           isInWave: host => maintenance.isCordoned(host),
+          isEvacuated,
         }),
       }
     );
@@ -191,6 +207,8 @@
     },
     rebalance,
     census,
+    findDataCentre: name =>
+      findDataCentre(name, views.state(), inventory.hosts()),
     capacities,
     stop() {
       isStopped = true;
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -9,6 +9,7 @@
 import {NotLeader} from '@lentildrift/consensus';
 import type {
   Event,
+  EventOf,
   JobSpec,
   Outcome,
   Queue,
@@ -30,8 +31,14 @@
   type DecisionRounds,
   type RoundMessage,
 } from './decision-round.js';
+import {createColdWorkers, type ColdWorkers} from './cold-workers.js';
 import {createCrashDetector} from './crash-detector.js';
+import type {DataCentreStatus} from './data-centres.js';
 import {createDispatcher, type Dispatcher} from './dispatcher.js';
+import {
+  createEvacuationReport,
+  type EvacuationReport,
+} from './evacuation-report.js';
 import {createEventQueue, type EventQueue} from './event-queue.js';
 import {createHostOperations, type HostOperations} from './host-operations.js';
 import {createIncarnations} from './incarnations.js';
@@ -66,9 +73,18 @@
   submit(job: JobSpec, queue: Queue): Promise<SubmitResult>;
   /**
    * Resolves once the announcement is recorded in the worker directory, or
-   * needs no record.
+   * needs no record. `coldLeftMs`: how much longer the worker is slow after its
+   * start.
+   */
+  announce(worker: Worker, coldLeftMs?: number): Promise<void>;
+  /**
+   * Puts a data centre out of use for new runs or back into use, if it exists;
+   * rejects as `commit` does.
    */
-  announce(worker: Worker): Promise<void>;
+  setEvacuated(
+    dataCentre: string,
+    evacuated: boolean,
+  ): Promise<EvacuationResult>;
   /** Records that a worker has left; resolves once the record is durable. */
   leave(worker: string): Promise<void>;
   stop(): Promise<void>;
@@ -79,6 +95,19 @@
   | {readonly type: 'recorded'; readonly outcome: Outcome}
   | Exclude<IntakeVerdict, {type: 'admitted'}>;
 
+/** What became of the order to evacuate a data centre, or to end that. */
+export type EvacuationResult =
+  | {readonly type: 'recorded'; readonly outcome: Outcome}
+  /** Nothing was recorded; see `DataCentreStatus`. */
+  | {readonly type: Exclude<DataCentreStatus, 'known'>};
+
+type EvacuationMessage = {
+  type: 'set-evacuated';
+  event: EventOf<'evacuation'>;
+  expiresAtMs: number;
+  reply: Reply<EvacuationResult>;
+};
+
 type SubmitMessage = {
   type: 'submit';
   job: JobSpec;
@@ -90,7 +119,13 @@
 type Message =
   | {type: 'commit'; event: Event; expiresAtMs: number; reply: Reply<Outcome>}
   | SubmitMessage
-  | {type: 'announce'; worker: Worker; reply: Reply<void>}
+  | EvacuationMessage
+  | {
+      type: 'announce';
+      worker: Worker;
+      coldLeftMs: number;
+      reply: Reply<void>;
+    }
   | {type: 'leave'; worker: string; reply: Reply<void>}
   | {type: 'session-event'; event: SessionEvent}
   | {type: 'tick'}
@@ -148,6 +183,7 @@
   });
   const {leaderlessMs = 0} = options;
   const announcements: AnnouncementAges = createAnnouncementAges(leaderlessMs);
+  const cold: ColdWorkers = createColdWorkers();
   const crashes = createCrashDetector({
     runs,
     state,
@@ -159,6 +195,7 @@
     runs,
     estimates,
     announcements,
+    cold,
     isAnswering: worker => dispatcher.isAnswering(worker),
     isCordoned: host => hosts.isCordoned(host),
     isDue: host => hosts.isDue(host),
@@ -202,6 +239,7 @@
     runs,
     incarnations,
     announcements,
+    cold,
     crashes,
     log,
     state,
@@ -240,6 +278,7 @@
     events,
     availability,
     announcements,
+    cold,
     estimates,
     readiness,
     advice,
@@ -247,6 +286,12 @@
     log,
     onChange: rounds.schedule,
   });
+  const evacuations: EvacuationReport = createEvacuationReport({
+    log,
+    metrics,
+    state,
+    view: views.current,
+  });
   const stages = createJobStages({runs, state});
   const commits: CommitHandler = createCommitHandler({
     dispatcher,
@@ -267,8 +312,11 @@
       case 'submit':
         handleSubmit(message);
         return;
+      case 'set-evacuated':
+        handleEvacuation(message);
+        return;
       case 'announce':
-        registry.announce(message.worker, message.reply);
+        registry.announce(message.worker, message.coldLeftMs, message.reply);
         return;
       case 'leave':
         registry.leave(message.worker, message.reply);
@@ -324,6 +372,23 @@
     });
   }
 
+  function handleEvacuation(message: EvacuationMessage): void {
+    const {event, expiresAtMs, reply} = message;
+    const status = hosts.findDataCentre(event.dataCentre);
+    if (status !== 'known') {
+      reply.resolve({type: status});
+      return;
+    }
+    events.add({
+      event,
+      expiresAtMs,
+      reply: {
+        resolve: outcome => reply.resolve({type: 'recorded', outcome}),
+        reject: reply.reject,
+      },
+    });
+  }
+
   /**
    * Answers what arrives while the leader stops, so that no request whose
    * outcome is known ends as one whose outcome is unknown.
@@ -332,6 +397,7 @@
     switch (message.type) {
       case 'commit':
       case 'submit':
+      case 'set-evacuated':
       case 'announce':
       case 'leave':
         message.reply.reject(new NotLeader(undefined));
@@ -413,6 +479,7 @@
       isCurrent: isLeader(),
     };
     instruments.report(queue, hosts.census);
+    if (isLeader()) evacuations.tick();
   }
 
   dispatcher.syncSessions();
@@ -438,7 +505,13 @@
       const expiresAtMs = performance.now() + MAX_QUEUED_MS;
       return ask(reply => ({type: 'submit', job, queue, expiresAtMs, reply}));
     },
-    announce: worker => ask(reply => ({type: 'announce', worker, reply})),
+    setEvacuated(dataCentre, evacuated) {
+      const expiresAtMs = performance.now() + MAX_QUEUED_MS;
+      const event = {type: 'evacuation', dataCentre, evacuated} as const;
+      return ask(reply => ({type: 'set-evacuated', event, expiresAtMs, reply}));
+    },
+    announce: (worker, coldLeftMs = 0) =>
+      ask(reply => ({type: 'announce', worker, coldLeftMs, reply})),
     leave: worker => ask(reply => ({type: 'leave', worker, reply})),
     async stop() {
       isStopped = true;
@@ -447,6 +520,7 @@
       hosts.stop();
       registry.stop();
       instruments.stop();
+      evacuations.stop();
       events.rejectAll();
       await dispatcher.close();
       await task.stop();
--- a/packages/dispatch/src/local.ts
+++ b/packages/dispatch/src/local.ts
@@ -5,6 +5,7 @@
 import {NotLeader} from '@lentildrift/consensus';
 import type {Counter, Log, Metrics} from '@lentildrift/observe';
 import type {JobSpec, State} from '@lentildrift/queue';
+import {countDataCentresInUse} from './data-centres.js';
 import {createAttempts, hasTakenEffect} from './earlier-attempts.js';
 import {createTablesEditor} from './edit.js';
 import type {Leader, QueueReplica, SubmitResult} from './leader.js';
@@ -46,6 +47,9 @@
 /** Time after which a caller may retry that came before the first tables. */
 const NO_TABLES_RETRY_MS = 300;
 
+/** Time after which an operator may retry whose data centre is not known yet. */
+const UNLISTED_RETRY_MS = 500;
+
 const DONE: Reply = {type: 'done'};
 
 export function createLocalQueues(options: LocalOptions): LocalQueues {
@@ -86,12 +90,18 @@
       case 'edit':
       case 'edit-difference':
         return editor.edit(id, request);
-      case 'announce':
-        return leader.announce(request.worker).then(() => DONE);
+      case 'announce': {
+        const {worker, coldLeftMs} = request;
+        return leader.announce(worker, coldLeftMs).then(() => DONE);
+      }
       case 'leave':
         return leader.leave(request.worker).then(() => DONE);
       case 'open-wave':
         return openWave(id, request);
+      case 'evacuate':
+        return setEvacuated(id, request.dataCentre, true);
+      case 'end-evacuation':
+        return setEvacuated(id, request.dataCentre, false);
       default:
         return read(request);
     }
@@ -245,6 +255,32 @@
     return DONE;
   }
 
+  /**
+   * Always recorded, also if this replica shows that nothing would change: the
+   * commit proves that this process still leads.
+   */
+  async function setEvacuated(
+    id: string,
+    dataCentre: string,
+    evacuated: boolean,
+  ): Promise<Reply> {
+    const result = await leader.setEvacuated(dataCentre, evacuated);
+    if (result.type !== 'recorded') {
+      return logRefusal(id, toEvacuationRefusal(dataCentre, result.type));
+    }
+    const inUse = countDataCentresInUse(replica.state());
+    log.info(evacuated ? 'data-centre-evacuated' : 'data-centre-back-in-use', {
+      request: id,
+      dataCentre,
+      outcome: result.outcome,
+      dataCentresInUse: inUse,
+    });
+    if (evacuated && inUse === 0) {
+      log.warn('no-data-centre-in-use', {request: id, dataCentre});
+    }
+    return DONE;
+  }
+
   function logRefusal(id: string, refusal: Refusal): Refusal {
     const {reason, detail} = refusal;
     const tables = replica.state().tables.version;
@@ -255,6 +291,17 @@
   return {handle};
 }
 
+function toEvacuationRefusal(
+  dataCentre: string,
+  status: 'unknown' | 'unlisted',
+): Refusal {
+  if (status === 'unknown') {
+    return refuse('invalid', `no worker or host is in ${dataCentre}`);
+  }
+  const detail = `${dataCentre} is not known yet, as not all hosts are`;
+  return refuse('unavailable', detail, {retryAfterMs: UNLISTED_RETRY_MS});
+}
+
 /** The refusal of a job that was not accepted. */
 function toRefusal(result: Exclude<SubmitResult, {type: 'recorded'}>): Refusal {
   if (result.type === 'unservable') {
--- a/packages/dispatch/src/pool-views.ts
+++ b/packages/dispatch/src/pool-views.ts
@@ -21,6 +21,7 @@
   type StateView,
 } from '@lentildrift/scheduling';
 import type {Availability} from './availability.js';
+import {isHostEvacuated} from './data-centres.js';
 import type {HostMoves} from './host-moves.js';
 import type {ProvidedHost} from './provider.js';
 import type {RunEstimates} from './run-estimates.js';
@@ -92,7 +93,8 @@
     }
     for (const [id, move] of moves.inProgress()) {
       const host = hosts.get(id);
-      if (host) byName.get(move.to)?.arriving.push(toPoolHost(host));
+      if (!host || isHostEvacuated(host, id, view)) continue;
+      byName.get(move.to)?.arriving.push(toPoolHost(host));
     }
     return views;
   }
@@ -103,12 +105,15 @@
    */
   function findServingHost(
     host: ProvidedHost,
-    {load, fleet}: StateView,
+    view: StateView,
     pools: ReadonlyMap<string, {readonly standby: boolean}>,
     avoided: ReadonlySet<string>,
   ): {pool: string; host: PoolHost} | undefined {
     const {id} = host;
     if (moves.isMoving(id) || options.isInWave(id)) return undefined;
+    // Neither capacity nor a source of hosts, whatever runs there to its end.
+    if (isHostEvacuated(host, id, view)) return undefined;
+    const {load, fleet} = view;
     const worker = fleet.newestOn(id);
     if (!worker) {
       if (!pools.get(host.pool)?.standby || host.state !== 'up')
--- a/packages/dispatch/src/provider.ts
+++ b/packages/dispatch/src/provider.ts
@@ -11,6 +11,8 @@
   state: z.enum(['up', 'moving', 'upkeep', 'down']),
   capacity: Size,
   labels: z.array(z.string()),
+  /** Absent if the provider does not tell. */
+  dataCentre: z.string().optional(),
   /** ID of the worker that runs on the host; empty if there is none. */
   worker: z.string(),
 });
--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -21,6 +21,7 @@
 import type {AnnouncementAges} from './announcement-age.js';
 import {isStopSettled, type Report, type WorkerDriver} from './driver.js';
 import {toLostRow} from './reconcile.js';
+import type {ColdWorkers} from './cold-workers.js';
 import type {CrashDetector} from './crash-detector.js';
 import type {Incarnations} from './incarnations.js';
 import type {WorkerSession} from './session.js';
@@ -34,6 +35,7 @@
   readonly runs: RunTracker;
   readonly incarnations: Incarnations;
   readonly announcements: Pick<AnnouncementAges, 'markAnnounced'>;
+  readonly cold: Pick<ColdWorkers, 'note'>;
   readonly crashes: CrashDetector;
   readonly log: Log;
   state(): State;
@@ -48,8 +50,11 @@
 }
 
 export interface Registry {
-  /** Handles a worker's announcement; replies once it needs no more action. */
-  announce(worker: Worker, reply: Reply<void>): void;
+  /**
+   * Handles a worker's announcement, by which it stays slow for `coldLeftMs`
+   * more; replies once it needs no more action.
+   */
+  announce(worker: Worker, coldLeftMs: number, reply: Reply<void>): void;
   /** Records that the worker with this ID is about to end, or has ended. */
   leave(id: string, reply: Reply<void>): void;
   /**
@@ -69,6 +74,7 @@
 /** An announcement that is to be answered. */
 interface Announcement {
   readonly worker: Worker;
+  readonly coldLeftMs: number;
   readonly reply: Reply<void>;
 }
 
@@ -98,7 +104,11 @@
   const newestIncarnationMs = new Map<string, number>();
   let isStopped = false;
 
-  function announce(worker: Worker, reply: Reply<void>): void {
+  function announce(
+    worker: Worker,
+    coldLeftMs: number,
+    reply: Reply<void>,
+  ): void {
     const {workers, tables} = state();
     const known = workers.get(worker.id);
     const key = workerKey(worker);
@@ -117,6 +127,9 @@
     if (!isIgnored) {
       lastHeardMs.set(key, performance.now());
       heardSequences.set(key, worker.sequence);
+      if (options.cold.note(key, coldLeftMs)) {
+        log.info('worker-cold', {worker: key, leftMs: Math.round(coldLeftMs)});
+      }
       if (options.announcements.markAnnounced(key)) options.onAwaited();
       const newest = newestIncarnationMs.get(worker.id) ?? 0;
       newestIncarnationMs.set(worker.id, Math.max(newest, worker.bornMs));
@@ -131,7 +144,7 @@
       options.crashes.recordIncarnation(worker);
     }
     if (kind === 'new-incarnation') {
-      void replaceIncarnation(known!, worker, reply);
+      void replaceIncarnation(known!, {worker, coldLeftMs, reply});
     } else {
       recordWorker(worker, reply);
     }
@@ -192,13 +205,13 @@
    */
   async function replaceIncarnation(
     old: Worker,
-    worker: Worker,
-    reply: Reply<void>,
+    announcement: Announcement,
   ): Promise<void> {
+    const {worker, reply} = announcement;
     const key = workerKey(worker);
     const waiting = replacements.get(key);
     if (waiting) {
-      waiting.push({worker, reply});
+      waiting.push(announcement);
       return;
     }
     const repeated: Announcement[] = [];
@@ -207,7 +220,9 @@
       resolve() {
         replacements.delete(key);
         reply.resolve();
-        for (const later of repeated) announce(later.worker, later.reply);
+        for (const later of repeated) {
+          announce(later.worker, later.coldLeftMs, later.reply);
+        }
       },
       reject(error) {
         replacements.delete(key);
--- a/packages/dispatch/src/report-handler.ts
+++ b/packages/dispatch/src/report-handler.ts
@@ -13,6 +13,7 @@
 import type {LeaderInstruments} from './instruments.js';
 import {createPacing, type Pacing} from './pacing.js';
 import type {Readiness} from './readiness.js';
+import type {ColdWorkers} from './cold-workers.js';
 import type {CrashDetector} from './crash-detector.js';
 import {reconcile} from './reconcile.js';
 import {createReportFilter} from './report-filter.js';
@@ -29,6 +30,7 @@
   readonly events: EventQueue;
   readonly availability: Availability;
   readonly announcements: Omit<AnnouncementAges, 'markAnnounced'>;
+  readonly cold: Pick<ColdWorkers, 'forget'>;
   readonly estimates: RunEstimates;
   readonly readiness: Readiness;
   readonly advice: AdviceCache;
@@ -213,6 +215,7 @@
       const key = workerKey(worker);
       availability.forget(key);
       announcements.forget(key);
+      options.cold.forget(key);
       recordedEndCursors.delete(key);
       reportFilter.forget(key);
       readiness.forget(key);
--- a/packages/dispatch/src/request.ts
+++ b/packages/dispatch/src/request.ts
@@ -7,6 +7,8 @@
   Worker,
 } from '@lentildrift/queue';
 import {z} from 'zod';
+import {EvacuationProgress} from './evacuation-report.js';
+import {WaitReason} from './wait-reason.js';
 
 /** Fields of the requests that callers address to a queue or job. */
 const callFields = {
@@ -45,7 +47,15 @@
   /** Asks for the document of the current tables. */
   z.object({type: z.literal('tables')}),
   /** Announces a worker to the leader. */
-  z.object({type: z.literal('announce'), worker: Worker}),
+  z.object({
+    type: z.literal('announce'),
+    worker: Worker,
+    /**
+     * How much longer the worker stays slow after its start; absent if it is
+     * not. Not recorded, since it changes with each announcement.
+     */
+    coldLeftMs: z.number().nonnegative().optional(),
+  }),
   /** Reports that the worker with this ID has left. */
   z.object({type: z.literal('leave'), worker: z.string()}),
   /** Opens a maintenance wave. */
@@ -60,6 +70,12 @@
   }),
   /** Asks whether a maintenance wave is done. */
   z.object({type: z.literal('wave'), id: z.number()}),
+  /** Puts a data centre out of use for new runs. */
+  z.object({type: z.literal('evacuate'), dataCentre: z.string().min(1)}),
+  /** Puts a data centre back into use. */
+  z.object({type: z.literal('end-evacuation'), dataCentre: z.string().min(1)}),
+  /** Asks which data centres are out of use. */
+  z.object({type: z.literal('evacuations')}),
 ]);
 export type Request = z.infer<typeof Request>;
 export type RequestOf<T extends Request['type']> = Extract<Request, {type: T}>;
@@ -90,17 +106,28 @@
   z.object({
     type: z.literal('job'),
     phase: z.enum(['queued', 'running', 'completed', 'failed', 'cancelled']),
+    /** Why the job waits, if there is a cause that an operator can end. */
+    waitReason: WaitReason.optional(),
   }),
   z.object({type: z.literal('waiting'), count: z.number()}),
   z.object({type: z.literal('tables'), document: z.string()}),
   z.object({type: z.literal('wave'), done: z.boolean()}),
+  z.object({
+    type: z.literal('evacuations'),
+    dataCentres: z.array(EvacuationProgress),
+  }),
   Refusal,
 ]);
 export type Reply = z.infer<typeof Reply>;
 
 /** Whether the request changes nothing. */
 export function isRead({type}: Request): boolean {
-  return type === 'inspect' || type === 'tables' || type === 'wave';
+  return (
+    type === 'inspect' ||
+    type === 'tables' ||
+    type === 'wave' ||
+    type === 'evacuations'
+  );
 }
 
 /** Handles requests to the queues, in this process or through a link. */
--- a/packages/dispatch/src/session.ts
+++ b/packages/dispatch/src/session.ts
@@ -50,10 +50,12 @@
   | {type: 'stop'; key: string; task: string; run: number};
 
 /**
- * How the attempt to start a run ended. A refusal is final, and so is
- * `withdrawn`: the start was unanswered and then revoked by a stop.
+ * How the attempt to start a run ended. A refusal is final, and so are
+ * `withdrawn`: the start was unanswered and then revoked by a stop, and
+ * `withheld`: it was never sent.
  */
-export type StartResult = OrderAnswer | {ok: false; reason: 'withdrawn'};
+export type StartResult =
+  OrderAnswer | {ok: false; reason: 'withdrawn' | 'withheld'};
 
 export interface WorkerSessionOptions {
   readonly worker: Worker;
@@ -65,6 +67,11 @@
   readonly log: Log;
   /** Whether this process is still the leader; otherwise nothing is sent. */
   isLeader(): boolean;
+  /**
+   * Whether the order to start the run must not be sent, or not again. Asked
+   * right before each attempt, which may come long after the decision to start.
+   */
+  isWithheld(task: string, run: number): boolean;
   /** Shortest time between two holds that are answered at once. */
   holdIntervalMs(): number;
   onEvent(event: SessionEvent): void;
@@ -262,6 +269,12 @@
       }
       // The run is in the replicated state, where the next leader finds it.
       if (isClosed) return;
+      if (options.isWithheld(name, run)) {
+        if (mayHaveStarted) break;
+        const answer = {ok: false, reason: 'withheld'} as const;
+        options.onEvent({type: 'start', key, task: name, run, answer});
+        return;
+      }
       const leaseUntilMs = clock.grantLease(LEASE_MS);
       try {
         const answer = await driver.start(target, {
--- a/packages/dispatch/src/view.ts
+++ b/packages/dispatch/src/view.ts
@@ -1,11 +1,16 @@
 /** Answers read requests from the state. */
 import {isWaveDone, type Job, type State} from '@lentildrift/queue';
+import {listEvacuations} from './evacuation-report.js';
 import {isRefusal, locate} from './locate.js';
 import {refuse, type Reply, type RequestOf} from './request.js';
+import {findWaitReason} from './wait-reason.js';
 import {createWaitingJobCounter} from './waiting-jobs.js';
 
 export type ReadRequest =
-  RequestOf<'inspect'> | RequestOf<'tables'> | RequestOf<'wave'>;
+  | RequestOf<'inspect'>
+  | RequestOf<'tables'>
+  | RequestOf<'wave'>
+  | RequestOf<'evacuations'>;
 
 /** Exact for any state; quick if its jobs differ little from the last one's. */
 const countWaitingJobs = createWaitingJobCounter();
@@ -24,6 +29,8 @@
       if (!wave) return refuse('unknown', `no wave ${request.id}`);
       return {type: 'wave', done: isWaveDone(wave)};
     }
+    case 'evacuations':
+      return {type: 'evacuations', dataCentres: listEvacuations(state)};
   }
 }
 
@@ -36,7 +43,12 @@
   }
   const job = state.jobs.get(found.jobId);
   if (!job) return refuse('unknown', `no job ${found.jobId}`);
-  return {type: 'job', phase: reportedPhase(job)};
+  const waitReason = findWaitReason(state, job, Date.now());
+  return {
+    type: 'job',
+    phase: reportedPhase(job),
+    ...(waitReason && {waitReason}),
+  };
 }
 
 /** Returns the phase for callers, which tells queued from running jobs. */
--- a/packages/dispatch/test/availability.test.ts
+++ b/packages/dispatch/test/availability.test.ts
@@ -124,6 +124,7 @@
     runs: createRunTracker([]),
     estimates,
     announcements: {isOutdated: () => false},
+    cold: {leftMs: () => 0},
     isAnswering: () => true,
     isCordoned: () => false,
     isDue: () => false,
--- a/packages/dispatch/test/hold-interval.test.ts
+++ b/packages/dispatch/test/hold-interval.test.ts
@@ -88,6 +88,7 @@
     tasks,
     log: createLog('error', {}, () => {}),
     isLeader: () => true,
+    isWithheld: () => false,
     holdIntervalMs: () => INTERVAL_MS,
     onEvent(event) {
       if (event.type !== 'report') return;
--- a/packages/dispatch/test/instruments.test.ts
+++ b/packages/dispatch/test/instruments.test.ts
@@ -134,7 +134,16 @@
 
 describe('the count of hosts', () => {
   it('counts each host once, so that a missing host shows', () => {
-    const names = ['moving', 'wave', 'fine', 'mute', 'drains', 'none', 'spare'];
+    const names = [
+      'moving',
+      'wave',
+      'emptied',
+      'fine',
+      'mute',
+      'drains',
+      'none',
+      'spare',
+    ];
     const hosts = new Map(
       names.map(id => [
         id,
@@ -159,11 +168,13 @@
       isAnswering: key => !key.startsWith('mute'),
       isMoving: host => host === 'moving',
       isInWave: host => host === 'wave',
+      isEvacuated: host => host === 'emptied',
     });
     expect(census).toEqual({
-      hosts: 7,
+      hosts: 8,
       moving: 1,
       cordoned: 1,
+      evacuated: 1,
       usable: 1,
       silent: 1,
       unready: 1,
--- a/packages/dispatch/test/relay.test.ts
+++ b/packages/dispatch/test/relay.test.ts
@@ -102,6 +102,7 @@
     tasks,
     log: createLog('error', {}, () => {}),
     isLeader: () => true,
+    isWithheld: () => false,
     holdIntervalMs: () => 0,
     onEvent: ({type}) => events.push(type),
   });
