Add commands to evacuate a data centre, to end that and to list

The command spoke to the earlier control API only, so that an operator had no way to give orders to the job queues.

--- a/packages/command/src/catalogue.ts
+++ b/packages/command/src/catalogue.ts
@@ -1,5 +1,6 @@
 /** The subcommands: usage, help, options and implementation of each. */
 import type {CommandContext} from './context.js';
+import * as evacuations from './evacuations.js';
 import * as fleet from './fleet.js';
 import * as keys from './keys.js';
 import * as jobs from './jobs.js';
@@ -49,6 +50,10 @@
     name: 'entry',
     help: 'Entry hosts, for jobs, submit and cancel (LENTILDRIFT_ENTRY; default 127.0.0.1:8480)',
   },
+  {
+    name: 'links',
+    help: 'Link addresses of control processes of the job queues, for evacuation (LENTILDRIFT_LINKS)',
+  },
   {name: 'key', help: 'Key; LENTILDRIFT_KEY or --key-file show less'},
   {name: 'key-file', help: 'File that holds the key'},
   {name: 'request-id', help: 'Request ID; a resend carries the first one'},
@@ -127,6 +132,21 @@
     help: 'End a wave early',
     run: fleet.withdrawWave,
   },
+  {
+    usage: 'evacuation start <dataCentre>',
+    help: 'Give no new runs of the job queues to a data centre',
+    run: evacuations.startEvacuation,
+  },
+  {
+    usage: 'evacuation end <dataCentre>',
+    help: 'Put an evacuated data centre back into use',
+    run: evacuations.endEvacuation,
+  },
+  {
+    usage: 'evacuation list',
+    help: 'List the evacuated data centres and what still runs there',
+    run: evacuations.listEvacuations,
+  },
   {
     usage: 'jobs',
     help: "List the jobs of the key's team",
--- a/packages/command/src/context.ts
+++ b/packages/command/src/context.ts
@@ -3,6 +3,7 @@
 import {randomUUID} from 'node:crypto';
 import {UsageError} from './error.js';
 import {createJobClient, type JobClient} from './job-client.js';
+import {createQueueClient, type QueueClient} from './queue-client.js';
 import {createControlClient, type ControlClient} from './control-client.js';
 
 /** Environment, files and output of the process; tests provide their own. */
@@ -25,6 +26,7 @@
   readonly resendOptions: Record<string, string>;
   createControlClient(): ControlClient;
   createJobClient(): JobClient;
+  createQueueClient(): QueueClient;
   /** Reads a file; throws `UsageError` if the file cannot be read. */
   readFile(path: string): string;
   /** Prints `value` as JSON with `--json`, otherwise `text`. */
@@ -91,20 +93,32 @@
         key: readKey(),
         timeoutMs,
       }),
+    createQueueClient: () =>
+      createQueueClient({
+        linkAddresses: readAddresses(options, env, 'links', undefined),
+        timeoutMs,
+      }),
     print: (value, text) =>
       processContext.write(json ? JSON.stringify(value) + '\n' : text),
   };
 }
 
-/** Reads a list of IP:PORT from an option, its variable or the default. */
+/**
+ * Reads a list of IP:PORT from an option, its variable or the default, if there
+ * is one.
+ */
 function readAddresses(
   options: Options,
   env: ProcessContext['env'],
-  name: 'server' | 'entry',
-  defaultAddress: string,
+  name: 'server' | 'entry' | 'links',
+  defaultAddress: string | undefined,
 ): string[] {
   const variable = `LENTILDRIFT_${name.toUpperCase()}`;
-  const list = (options[name] ?? env[variable] ?? defaultAddress).split(',');
+  const text = options[name] ?? env[variable] ?? defaultAddress;
+  if (text === undefined) {
+    throw new UsageError(`addresses are needed: --${name} or ${variable}`);
+  }
+  const list = text.split(',');
   const invalid = list.find(address => !isEndpoint(address));
   if (invalid === undefined) return list;
   throw new UsageError(
