Test evacuations with deferred orders, gangs, moves and changes of leader

The random interleavings now evacuate data centres and make the leader doubt its leadership; an order that is sent to a data centre after its evacuation was acknowledged is a violation.

With the check before each order taken out on a trial copy, it failed after 124 sequences, and so did the tests of the deferred start and of the gang. vitest run platform (all passed).

--- a/packages/dispatch/test/fakes.ts
+++ b/packages/dispatch/test/fakes.ts
@@ -230,6 +230,11 @@
   /** Violations of the leader's guarantees; tests expect none. */
   readonly violations: string[] = [];
   readonly starts: {task: string; worker: string; atMs: number}[] = [];
+  /**
+   * Data centres whose evacuation was acknowledged; an order to start a run that
+   * is sent there is a violation.
+   */
+  readonly evacuated = new Set<string>();
   readonly maxLeaseMs: number;
   readonly endsPerReport: number;
   /** Time for which calls over a link that is `held-up` are under way. */
@@ -312,6 +317,10 @@
   }
 
   override start(target: Target, order: StartOrder): Promise<OrderAnswer> {
+    const {dataCentre} = this.byAddress.get(target.address)!.worker;
+    if (this.evacuated.has(dataCentre)) {
+      this.violations.push(`${order.task} is ordered in ${dataCentre}`);
+    }
     return this.deliver(target, worker =>
       worker.start(order, target.incarnation),
     );
--- a/packages/dispatch/test/random.test.ts
+++ b/packages/dispatch/test/random.test.ts
@@ -1,7 +1,8 @@
 /**
  * Runs random sequences of jobs and faults against the leader and checks that
  * no task runs twice at once or after its end, no worker exceeds its capacity,
- * and every job ends once the faults are over. `ORDER_RUNS` sets the number of
+ * no run is ordered in a data centre after its evacuation was acknowledged, and
+ * every job ends once the faults are over. `ORDER_RUNS` sets the number of
  * sequences, `ORDER_SEED` the seed.
  */
 import fc from 'fast-check';
@@ -32,8 +33,15 @@
   | {type: 'leave'; worker: number; staysMs: number; delayMs: number}
   /** Calls to the worker are under way for long from now on. */
   | {type: 'hold-up'; worker: number; delayMs: number}
+  /** Evacuates a data centre or ends that, and waits for no answer. */
+  | {type: 'evacuation'; dataCentre: string; evacuated: boolean}
+  /** Makes the leader unsure whether it leads for a while. */
+  | {type: 'doubt'; ms: number}
   | {type: 'wait'; ms: number};
 
+/** Data centres of the workers, in turn. */
+const DATA_CENTRES = ['a', 'b'];
+
 const RELAY_DATA_CENTRES = ['a', 'b'];
 
 const workerIndex = fc.nat(WORKERS.length - 1);
@@ -122,6 +130,25 @@
   },
 );
 
+const actionWithEvacuations: fc.Arbitrary<Action> = fc.oneof(
+  {weight: 5, arbitrary: action},
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      type: fc.constant('evacuation' as const),
+      dataCentre: fc.constantFrom(...DATA_CENTRES),
+      evacuated: fc.boolean(),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      type: fc.constant('doubt' as const),
+      ms: fc.integer({min: 10, max: 1500}),
+    }),
+  },
+);
+
 /**
  * Calls to a worker are held up for a while, it starts again under its ID, gets
  * work, and is cut off.
@@ -170,6 +197,8 @@
    * those that restart sooner.
    */
   readonly hasHeldUpCalls: boolean;
+  /** Number of the last order about each data centre. */
+  readonly lastOrders: Map<string, number>;
 }
 
 async function perform(harness: Harness, counters: Counters, action: Action) {
@@ -220,6 +249,13 @@
         events.some(({type}) => type === 'ends') && left-- > 0;
       return;
     }
+    case 'evacuation':
+      orderEvacuation(harness, counters, action);
+      return;
+    case 'doubt':
+      harness.replica.acceptsProposals = false;
+      setTimeout(() => (harness.replica.acceptsProposals = true), action.ms);
+      return;
     case 'relay':
       harness.relays[action.relay]!.setState(action.state);
       return;
@@ -228,6 +264,29 @@
   }
 }
 
+/**
+ * Gives the order as the handler of requests does. From the acknowledgement of
+ * an evacuation until the next withdrawal is sent, the fleet expects no orders.
+ */
+function orderEvacuation(
+  {leader, fleet}: Harness,
+  {lastOrders}: Counters,
+  {dataCentre, evacuated}: Extract<Action, {type: 'evacuation'}>,
+): void {
+  const number = (lastOrders.get(dataCentre) ?? 0) + 1;
+  lastOrders.set(dataCentre, number);
+  if (!evacuated) fleet.evacuated.delete(dataCentre);
+  leader.setEvacuated(dataCentre, evacuated).then(
+    ({type}) => {
+      const isLast = lastOrders.get(dataCentre) === number;
+      if (type === 'recorded' && evacuated && isLast) {
+        fleet.evacuated.add(dataCentre);
+      }
+    },
+    () => undefined,
+  );
+}
+
 /** Ends a worker and starts its next incarnation. */
 function restart(harness: Harness, counters: Counters, index: number): void {
   const sinceMs =
@@ -237,7 +296,8 @@
   const old = harness.fleet.byAddress.get(`${WORKERS[index]}:1`)!;
   old.isAlive = false;
   const bornMs = ++counters.incarnation;
-  const row = worker(WORKERS[index]!, {bornMs});
+  const {dataCentre} = old.worker;
+  const row = worker(WORKERS[index]!, {bornMs, dataCentre});
   harness.fleet.add(row).link = old.link;
   announce(harness, index);
 }
@@ -251,12 +311,17 @@
 }
 
 /** Ends all faults and advances the clock until no job is active any more. */
-async function endAllJobs(harness: Harness): Promise<void> {
+async function endAllJobs(harness: Harness, counters: Counters): Promise<void> {
   harness.replica.delayMs = 0;
+  harness.replica.acceptsProposals = true;
   harness.replica.refuses = () => false;
   for (const fake of harness.fleet.byAddress.values()) fake.link = 'up';
   for (const relay of harness.relays) relay.setState('up');
   for (let turn = 0; turn < 40; turn++) {
+    for (const dataCentre of harness.replica.state().evacuated) {
+      const order = {type: 'evacuation', dataCentre, evacuated: false} as const;
+      orderEvacuation(harness, counters, order);
+    }
     WORKERS.forEach((_, index) => announce(harness, index));
     await harness.advance(1500);
     const active = [...harness.replica.state().jobs.values()].filter(
@@ -307,10 +372,16 @@
     });
   }, 120_000);
 
+  // An order that was held back while the leadership was in doubt was sent to a
+  // data centre that had been evacuated meanwhile.
+  it('keep to this when data centres are evacuated while runs are being started', async () => {
+    await checkAll(actionWithEvacuations, [], {dataCentres: DATA_CENTRES});
+  }, 120_000);
+
   function checkAll(
     anyAction: fc.Arbitrary<Action>,
     relayDataCentres: readonly string[],
-    options?: {allowsGivenUpJobs: boolean},
+    options?: {allowsGivenUpJobs?: boolean; dataCentres?: readonly string[]},
   ): Promise<void> {
     return checkSequences(
       fc.array(anyAction, {minLength: 5, maxLength: 40}),
@@ -322,7 +393,12 @@
   async function checkSequences(
     sequence: fc.Arbitrary<Action[]>,
     relayDataCentres: readonly string[],
-    {allowsGivenUpJobs = false, hasHeldUpCalls = false, stepMs = 97} = {},
+    {
+      allowsGivenUpJobs = false,
+      hasHeldUpCalls = false,
+      stepMs = 97,
+      dataCentres = ['a'] as readonly string[],
+    } = {},
   ): Promise<void> {
     await fc.assert(
       fc.asyncProperty(sequence, async actions => {
@@ -334,15 +410,19 @@
           ...(actions.length % 2 === 0 && {endsPerReport: 2}),
           ...(relayDataCentres.length > 0 && {relayDataCentres}),
         });
-        for (const name of WORKERS) await harness.addWorker(worker(name));
+        for (const [nth, name] of WORKERS.entries()) {
+          const dataCentre = dataCentres[nth % dataCentres.length]!;
+          await harness.addWorker(worker(name, {dataCentre}));
+        }
         const counters = {
           jobs: 0,
           incarnation: 1,
           restartedMs: new Map<number, number>(),
           hasHeldUpCalls,
+          lastOrders: new Map<string, number>(),
         };
         for (const next of actions) await perform(harness, counters, next);
-        await endAllJobs(harness);
+        await endAllJobs(harness, counters);
         const phases = [...harness.replica.state().jobs.values()].map(
           ({phase}) => phase,
         );
