Give hosts first to pools that lack them for long-running tasks

Two long-running tasks of another pool, lost with their rack, wait 2.6 s for a host although hosts become free, since each goes to the pool with the largest shortage. No other task of their step may be stopped meanwhile, so the wave waits with them.

Change: pools that lack room for long-running tasks get a host first, as such tasks already precede all others within a pool.

--- a/packages/scheduling/src/demand.ts
+++ b/packages/scheduling/src/demand.ts
@@ -36,6 +36,8 @@
   readonly running: ReadonlyMap<string, number>;
   /** Whether the job is late, see `isLate`. */
   readonly late: boolean;
+  /** Whether the tasks are long-running; false if absent. */
+  readonly lasting?: boolean;
 }
 
 export interface Demand {
@@ -254,8 +256,9 @@
         demand.inTimeWorkMs += remainingWorkMs(input);
       }
     }
-    const {label, maxPerWorker} = step;
+    const {label, maxPerWorker, lasting} = step;
     const size = reservation(step);
-    demand.waiting.push({count, size, label, maxPerWorker, running, late});
+    const tasks = {count, size, label, maxPerWorker, running, late, lasting};
+    demand.waiting.push(tasks);
   }
 }
--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -173,8 +173,10 @@
 
 /**
  * Assigns the source hosts one at a time, each to the pool that lacks the most
- * CPU at that point, until no pool needs one of the remaining hosts. Updates
- * all of its first three arguments.
+ * CPU at that point, until no pool needs one of the remaining hosts. Pools that
+ * lack it for long-running tasks precede: in a burst elsewhere they would wait
+ * for seconds, and no other task of their steps may be stopped meanwhile.
+ * Updates all of its first three arguments.
  */
 function supplyHosts(
   packedPools: PackedPool[],
@@ -204,27 +206,32 @@
   }
 }
 
-/** Index of the pool, among `openPools`, with the most unplaced CPU. */
+/**
+ * Index of the pool, among `openPools`, with the most unplaced CPU of
+ * long-running tasks or, if there is none, of all tasks.
+ */
 function findLargestShortage(
   packedPools: readonly PackedPool[],
   openPools: ReadonlySet<number>,
 ) {
   let largest = -Infinity;
+  let largestLasting = 0;
   let found = 0;
   for (const index of openPools) {
-    const shortage = unplacedCpuMillis(packedPools[index]!);
-    if (shortage <= largest) continue;
+    const {unplaced} = packedPools[index]!;
+    const lasting = cpuMillisOf(unplaced.filter(tasks => tasks.lasting));
+    const shortage = cpuMillisOf(unplaced);
+    if (lasting < largestLasting) continue;
+    if (lasting === largestLasting && shortage <= largest) continue;
     largest = shortage;
+    largestLasting = lasting;
     found = index;
   }
   return found;
 }
 
-function unplacedCpuMillis({unplaced}: PackedPool): number {
-  return unplaced.reduce(
-    (sum, {size, count}) => sum + size.cpuMillis * count,
-    0,
-  );
+function cpuMillisOf(tasks: readonly WaitingTasks[]): number {
+  return tasks.reduce((sum, {size, count}) => sum + size.cpuMillis * count, 0);
 }
 
 /**
--- a/packages/scheduling/test/pools.test.ts
+++ b/packages/scheduling/test/pools.test.ts
@@ -191,6 +191,17 @@
     expect(moves.map(({to}) => to)).toEqual(['p', 'p', 'p']);
   });
 
+  // A long-running task waited for seconds for a host, since a burst in another
+  // pool took each one that became free, and a maintenance wave waited with it.
+  it('give a host to the pool that lacks it for long-running tasks during a burst elsewhere', () => {
+    const moves = decideMoves(
+      pool('p', [], {waiting: [waiting(40)]}),
+      pool('q', [], {waiting: [waiting(1, {lasting: true})]}),
+      pool('standby', [host('a'), host('b')]),
+    );
+    expect(moves.map(({to}) => to)).toEqual(['q', 'p']);
+  });
+
   it('count hosts that are being moved to the pool', () => {
     const moves = decideMoves(
       pool('p', [host('a')], {waiting: [waiting(6)]}, [host('b'), host('c')]),
