Empty hosts with long-running tasks of a wave while others hold its slots

Change: the choice of hosts is a policy, a pure function of a view of the wave; the former one stays as a baseline. Hosts with long-running tasks take no slot until they are empty, the step with the most rounds of stops is first, and a small pool of hosts in use begins earlier. Workers that may get a stopped task report every 200 ms. Pools take hosts of a wave from standby last. A new leader takes over a host that the provider lists in maintenance, instead of holding its slot until its order can be repeated. After the deadline a wave logs the reason for each host that is left.

--- a/packages/dispatch/src/host-operations.ts
+++ b/packages/dispatch/src/host-operations.ts
@@ -3,8 +3,8 @@
  * Each leaves out the hosts of the other.
  */
 import type {LogFields} from '@lentildrift/observe';
-import type {Size} from '@lentildrift/queue';
-import {ElasticPools, type PoolView} from '@lentildrift/scheduling';
+import type {Size, Worker} from '@lentildrift/queue';
+import {ElasticPools, TimedWaves, type PoolView} from '@lentildrift/scheduling';
 import type {Availability} from './availability.js';
 import {countHosts} from './census.js';
 import type {Dispatcher} from './dispatcher.js';
@@ -40,6 +40,11 @@
   isCordoned(host: string): boolean;
   /** Whether a wave is going to empty the host. */
   isDue(host: string): boolean;
+  /**
+   * Whether the next stop of a long-running task on a host may wait until one is
+   * ready that runs on the worker, or is going to. `isIdle`: nothing runs on it.
+   */
+  awaitsReadiness(worker: Worker, isIdle: boolean): boolean;
   /** Advances the maintenance waves, and the moves as `rebalance` does. */
   advance(): void;
   /**
@@ -94,6 +99,7 @@
   const hasForeignOrder = (host: string) =>
     leader.hostOrderGuard.hasForeignOrder(host);
   const maintenance: Maintenance = createMaintenance({
+    policy: leader.waves ?? new TimedWaves(),
     replica,
     issuer,
     processId,
@@ -125,6 +131,7 @@
     onWorkerGone: worker =>
       events.enqueueDerived({type: 'worker-gone', worker}),
     isInWave: host => maintenance.isCordoned(host),
+    isDue: maintenance.isDue,
     availability,
     estimates: options.estimates,
     intakePause: measureIntakePause(
@@ -185,6 +192,7 @@
     isCordoned: host =>
       maintenance.isCordoned(host) || rebalancer.isCordoned(host),
     isDue: maintenance.isDue,
+    awaitsReadiness: maintenance.awaitsReadiness,
     advance() {
       time('maintenance', () => maintenance.tick(views.current()));
       rebalance();
--- a/packages/dispatch/src/host-selection.ts
+++ b/packages/dispatch/src/host-selection.ts
@@ -1,16 +1,27 @@
-/** Selects the hosts that a maintenance wave empties next. */
+/**
+ * Describes a maintenance wave to the policy that selects the hosts to empty
+ * next.
+ */
 import {taskName, workerKey, type Wave, type Worker} from '@lentildrift/queue';
 import {
   availabilityBudget,
   countUnavailable,
   type Fleet,
+  type HostWaitReason,
   type IsRunActive,
   type LiveRun,
+  type PoolSize,
   type StateView,
+  type StepBudget,
+  type WaveDecision,
+  type WaveHost,
+  type WavePolicy,
+  type WaveView,
 } from '@lentildrift/scheduling';
 import type {Inventory} from './inventory.js';
 
 export interface HostSelectionOptions {
+  readonly policy: WavePolicy;
   readonly inventory: Inventory;
   /** Whether the host is being moved between pools. */
   isMoving(host: string): boolean;
@@ -26,165 +37,118 @@
   readonly isReady: IsRunActive;
 }
 
-export interface SelectedHost {
-  readonly host: string;
-  /** Whether nothing runs on the host. */
-  readonly idle: boolean;
-}
+/** What the operations in progress take of a wave's limits. */
+export type WaveProgress = Pick<
+  WaveView,
+  'hostTimeMs' | 'down' | 'emptying' | 'emptyingLasting'
+>;
 
 export interface HostSelection {
   /**
-   * Selects at most `openSlots` hosts to empty: idle hosts at any time, those
-   * with long-running tasks as far as the budgets of these allow, since such
-   * hosts are never idle and wait for each other, and other hosts in use only if
-   * the wave would otherwise miss its deadline, few of one pool at a time.
+   * Selects the hosts of a wave to empty next, and gives the reason for each due
+   * host without an operation that is not selected.
    */
-  select(wave: Wave, openSlots: number, view: StateView): SelectedHost[];
+  select(wave: Wave, progress: WaveProgress, view: StateView): WaveDecision;
 }
 
-/** Estimated time to maintain one host, including the time to empty it. */
-const HOST_MAINTENANCE_MS = 5000;
-/** How long before its deadline a wave should be done. */
-const DEADLINE_RESERVE_MS = 7000;
-/** Largest share of a pool's hosts that are emptied at once while in use. */
-const MAX_EMPTYING_SHARE = 1 / 3;
-
 export function createHostSelection(
   options: HostSelectionOptions,
 ): HostSelection {
   function select(
     wave: Wave,
-    openSlots: number,
+    progress: WaveProgress,
     view: StateView,
-  ): SelectedHost[] {
-    const due = listDueHosts(wave);
-    const idle = due.filter(host => !isInUse(host, view));
-    const busy = isDeadlineNear(wave, due.length)
-      ? due.filter(host => isInUse(host, view))
-      : [];
-    const selected = new Set(idle.slice(0, Math.max(0, openSlots)));
-    const budgets = createBudgets(view, options);
-    for (const host of due) {
-      if (selected.size >= openSlots) break;
-      if (budgets.canEmpty(host)) selected.add(host);
+  ): WaveDecision {
+    const absent = new Map<string, HostWaitReason>();
+    const due: WaveHost[] = [];
+    for (const [id, upkeep] of Object.entries(wave.hosts)) {
+      if (upkeep !== 'due' || options.hasOperation(id)) continue;
+      const reason = findAbsence(id);
+      if (reason === undefined) due.push(describeHost(id, view));
+      else absent.set(id, reason);
     }
-    for (const host of busy) {
-      if (selected.size >= openSlots) break;
-      if (canEmptyOneMore(host, view.fleet, selected)) selected.add(host);
-    }
-    const idleHosts = new Set(idle);
-    return [...selected].map(host => ({host, idle: idleHosts.has(host)}));
-  }
-
-  function listDueHosts(wave: Wave): string[] {
-    const hosts = Object.entries(wave.hosts)
-      .filter(([, upkeep]) => upkeep === 'due')
-      .map(([host]) => host);
-    return hosts.filter(host => {
-      const state = options.inventory.hosts()?.get(host)?.state;
-      if (options.hasOperation(host) || options.isMoving(host)) return false;
-      return state === 'up' && !options.hasForeignOrder(host);
+    const {selected, waiting} = options.policy.select({
+      ...progress,
+      remainingMs: wave.acceptedAtMs + wave.durationMs - Date.now(),
+      atOnce: wave.atOnce,
+      due,
+      pools: measurePools(due, view.fleet),
+      budgets: measureBudgets(due, view),
     });
+    return {selected, waiting: new Map([...absent, ...waiting])};
   }
 
-  function isInUse(host: string, {load, fleet}: StateView): boolean {
-    const worker = fleet.newestOn(host);
-    return worker !== undefined && load.byWorker.has(workerKey(worker));
+  /** Why the host cannot be emptied now, whatever runs on it. */
+  function findAbsence(host: string): HostWaitReason | undefined {
+    if (options.isMoving(host)) return 'moving';
+    if (options.inventory.hosts()?.get(host)?.state !== 'up') return 'not-up';
+    return options.hasForeignOrder(host) ? 'foreign-order' : undefined;
   }
 
-  /** Whether the wave has too little time left to wait for idle hosts. */
-  function isDeadlineNear(
-    {acceptedAtMs, durationMs, atOnce}: Wave,
-    due: number,
-  ) {
-    const remainingMs = acceptedAtMs + durationMs - Date.now();
-    return (
-      remainingMs <
-      Math.ceil(due / atOnce) * HOST_MAINTENANCE_MS + DEADLINE_RESERVE_MS
-    );
+  function describeHost(id: string, {load, fleet}: StateView): WaveHost {
+    const worker = fleet.newestOn(id);
+    const runs = worker && load.runsByWorker.get(workerKey(worker));
+    const lastingTasks = new Map<string, number>();
+    for (const live of runs ?? []) {
+      if (!live.step.lasting) continue;
+      const step = stepOf(live);
+      lastingTasks.set(step, (lastingTasks.get(step) ?? 0) + 1);
+    }
+    const idle = runs === undefined || runs.length === 0;
+    return {id, pool: worker?.pool, idle, lastingTasks};
   }
 
-  /**
-   * Whether one more host of this host's pool may be emptied while in use,
-   * beside those that are `selected`.
-   */
-  function canEmptyOneMore(
-    host: string,
+  function measurePools(
+    due: readonly WaveHost[],
     fleet: Fleet,
-    selected: ReadonlySet<string>,
-  ): boolean {
-    const pool = fleet.newestOn(host)?.pool;
-    const poolWorkers = pool === undefined ? [] : fleet.workersIn(pool);
-    const cordonedCount = poolWorkers.filter(
-      worker => options.isCordoned(worker.host) || selected.has(worker.host),
-    ).length;
-    return (
-      cordonedCount + 1 <=
-      Math.max(1, Math.floor(poolWorkers.length * MAX_EMPTYING_SHARE))
-    );
-  }
-
-  return {select};
-}
-
-interface Budgets {
-  /**
-   * Whether the host has long-running tasks, and all of them may be stopped
-   * beside those that are, or are about to be; if so, they count from then on.
-   */
-  canEmpty(host: string): boolean;
-}
-
-/** The budgets of long-running steps while hosts are selected. */
-function createBudgets(
-  {load, fleet}: StateView,
-  {isReady, isCordoned}: HostSelectionOptions,
-): Budgets {
-  /** Tasks that may still be stopped, by job and step. */
-  const left = new Map<string, number>();
-
-  function runsOn(worker: Worker): LiveRun[] {
-    const runs = load.runsByWorker.get(workerKey(worker)) ?? [];
-    return runs.filter(({step}) => step.lasting);
-  }
-
-  function stepOf({job, key}: LiveRun): string {
-    return taskName(job.spec.id, key.slice(0, key.lastIndexOf('.')));
-  }
-
-  function leftFor(live: LiveRun): number {
-    const name = stepOf(live);
-    const known = left.get(name);
-    if (known !== undefined) return known;
-    const budget = availabilityBudget(live.step);
-    const free = budget - countUnavailable(live, isReady);
-    left.set(name, free);
-    return free;
-  }
-
-  function take(live: LiveRun): void {
-    left.set(stepOf(live), leftFor(live) - 1);
+  ): ReadonlyMap<string, PoolSize> {
+    const pools = new Map<string, PoolSize>();
+    for (const {pool, idle} of due) {
+      if (pool === undefined || idle || pools.has(pool)) continue;
+      const workers = fleet.workersIn(pool);
+      const cordoned = workers.filter(({host}) => options.isCordoned(host));
+      pools.set(pool, {workers: workers.length, cordoned: cordoned.length});
+    }
+    return pools;
   }
 
-  // Their tasks are still ready, and will be stopped one after the other.
-  for (const worker of fleet.workers) {
-    if (!isCordoned(worker.host)) continue;
-    for (const live of runsOn(worker)) {
-      const task = taskName(live.job.spec.id, live.key);
-      if (isReady(task, live.run)) take(live);
+  /** The budgets of the steps with tasks on the hosts. */
+  function measureBudgets(
+    due: readonly WaveHost[],
+    {load, fleet}: StateView,
+  ): ReadonlyMap<string, StepBudget> {
+    const budgets = new Map<string, StepBudget>();
+    if (due.every(({lastingTasks}) => lastingTasks.size === 0)) return budgets;
+    const lastingOn = (worker: Worker): LiveRun[] => {
+      const runs = load.runsByWorker.get(workerKey(worker)) ?? [];
+      return runs.filter(({step}) => step.lasting);
+    };
+    for (const {id} of due) {
+      const worker = fleet.newestOn(id);
+      for (const live of worker ? lastingOn(worker) : []) {
+        const step = stepOf(live);
+        if (budgets.has(step)) continue;
+        const limit = availabilityBudget(live.step);
+        const free = limit - countUnavailable(live, options.isReady);
+        budgets.set(step, {limit, free});
+      }
+    }
+    // Their tasks are still ready, and will be stopped one after the other.
+    for (const worker of fleet.workers) {
+      if (!options.isCordoned(worker.host)) continue;
+      for (const live of lastingOn(worker)) {
+        const budget = budgets.get(stepOf(live));
+        const task = taskName(live.job.spec.id, live.key);
+        if (!budget || !options.isReady(task, live.run)) continue;
+        budgets.set(stepOf(live), {...budget, free: budget.free - 1});
+      }
     }
+    return budgets;
   }
 
-  return {
-    canEmpty(host) {
-      const worker = fleet.newestOn(host);
-      const runs = worker ? runsOn(worker) : [];
-      if (runs.length === 0) return false;
-      // A host may have more tasks of a step than may be missing at once; they
-      // are stopped in turn.
-      const isAllowed = runs.every(live => leftFor(live) > 0);
-      if (isAllowed) for (const live of runs) take(live);
-      return isAllowed;
-    },
-  };
+  return {select};
+}
+
+function stepOf({job, key}: LiveRun): string {
+  return taskName(job.spec.id, key.slice(0, key.lastIndexOf('.')));
 }
--- a/packages/dispatch/src/leader-options.ts
+++ b/packages/dispatch/src/leader-options.ts
@@ -7,6 +7,7 @@
   JobOrder,
   Placement,
   PoolPolicy,
+  WavePolicy,
 } from '@lentildrift/scheduling';
 import type {TaskSystem} from '@lentildrift/task';
 import type {WorkerDriver} from './driver.js';
@@ -41,6 +42,7 @@
   readonly order?: JobOrder;
   readonly placement?: Placement;
   readonly pools?: PoolPolicy;
+  readonly waves?: WavePolicy;
   readonly admission?: Admission;
   /** Monotonic time at which this process was elected, for its log lines. */
   readonly electedMs?: number;
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -245,6 +245,7 @@
     advice,
     instruments,
     log,
+    awaitsReadiness: hosts.awaitsReadiness,
     onChange: rounds.schedule,
   });
   const stages = createJobStages({runs, state});
--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -11,14 +11,22 @@
   workerKey,
   type MaintenanceStatus,
   type Wave,
+  type Worker,
 } from '@lentildrift/queue';
 import {
   canStopRun,
   type Fleet,
+  type HostWaitReason,
   type LiveRun,
   type StateView,
+  type WavePolicy,
 } from '@lentildrift/scheduling';
-import {createHostSelection} from './host-selection.js';
+import {
+  findReplacements,
+  NO_REPLACEMENTS,
+  type Replacements,
+} from './replacements.js';
+import {createHostSelection, type WaveProgress} from './host-selection.js';
 import type {Inventory} from './inventory.js';
 import type {QueueReplica} from './leader-options.js';
 import type {HostProvider, OrderIssuer} from './provider.js';
@@ -26,6 +34,7 @@
 import type {DerivedEvent} from './undecided.js';
 
 export interface MaintenanceOptions {
+  readonly policy: WavePolicy;
   readonly replica: QueueReplica;
   readonly issuer: OrderIssuer;
   /**
@@ -57,6 +66,11 @@
   isCordoned(host: string): boolean;
   /** Whether a wave is going to empty the host. */
   isDue(host: string): boolean;
+  /**
+   * Whether the next stop of a long-running task on a host may wait until one is
+   * ready that runs on the worker, or is going to. `isIdle`: nothing runs on it.
+   */
+  awaitsReadiness(worker: Worker, isIdle: boolean): boolean;
   /** Advances all open waves by one step. */
   tick(view: StateView): void;
   stop(): void;
@@ -68,10 +82,10 @@
 const RETRY_PAUSE_MS = 500;
 /** Interval of the log lines about a host that does not become empty. */
 const REPORT_INTERVAL_MS = 2000;
-/**
- * Number of hosts that are emptied in advance, beyond those that may be down.
- */
-const HOSTS_EMPTIED_AHEAD = 1;
+/** Time for which a host is taken to be down until the first has returned. */
+const INITIAL_DOWNTIME_MS = 2500;
+/** Weight of the latest host in the mean time for which hosts are down. */
+const DOWNTIME_WEIGHT = 0.2;
 
 /**
  * Workers call another process if an announcement is not answered within this
@@ -94,7 +108,8 @@
    */
   workerAtAnswer: string | undefined;
   /**
-   * `inherited`: an earlier leader has ordered the maintenance or was about to.
+   * `inherited`: an earlier leader has ordered the maintenance or was about to;
+   * the order is repeated unless the provider lists the host in maintenance.
    * `emptying`: the host gets no new runs, and those that may stop are stopped.
    * `recording`: the begin of the maintenance is being recorded. `ordering`: the
    * order is being recorded or sent. `down`: the provider has accepted it.
@@ -117,7 +132,11 @@
   const operations = collectBegunOperations(replica.state().waves.values());
   /** Monotonic time at which this leader first saw the wave, by ID. */
   const waveSeenMs = new Map<number, number>();
+  /** Waves whose deadline has passed while this process leads. */
+  const lateWaves = new Set<number>();
+  let downtimeMs = INITIAL_DOWNTIME_MS;
   const selection = createHostSelection({
+    policy: options.policy,
     inventory: options.inventory,
     isMoving: options.isMoving,
     hasForeignOrder: options.hasForeignOrder,
@@ -127,6 +146,8 @@
   });
   /** Hosts that a wave will empty. */
   let dueHosts: ReadonlySet<string> = new Set();
+  /** Workers whose long-running tasks a stop may wait for. */
+  let replacements: Replacements = NO_REPLACEMENTS;
   let isStopped = false;
 
   function tick(view: StateView): void {
@@ -135,9 +156,11 @@
       wave => !isWaveDone(wave),
     );
     dueHosts = new Set(open.flatMap(listDue));
+    replacements = NO_REPLACEMENTS;
     if (open.length === 0 || isStopped) return;
     options.inventory.refresh();
     for (const wave of open) advanceWave(wave, view);
+    replacements = findReplacements(dueHosts, isCordoned, view);
   }
 
   /**
@@ -164,8 +187,9 @@
     // A list that was requested before this leader saw the wave may lack hosts
     // that were added since, which would wrongly count as removed.
     if (!listed || options.inventory.requestedMs() < seenMs) return;
-    const down = hostsDown(wave);
-    for (const host of down) advanceDownHost(wave, host, view.fleet);
+    for (const host of hostsDown(wave)) {
+      advanceDownHost(wave, host, view.fleet);
+    }
     for (const [host, upkeep] of Object.entries(wave.hosts)) {
       if (upkeep !== 'due' || listed.has(host)) continue;
       if (operations.has(host) && operations.get(host)!.phase !== 'emptying')
@@ -173,7 +197,7 @@
       log.info('host-left', {wave: wave.id, host});
       operations.set(host, createOperation(wave, 'over'));
     }
-    emptyHosts(wave, down.length, view);
+    emptyHosts(wave, view);
     for (const [host, operation] of operations) {
       if (operation.wave === wave.id && operation.phase === 'emptying') {
         advanceEmptying(wave, host, operation, view);
@@ -181,16 +205,57 @@
     }
   }
 
-  /** Begins to empty hosts, some more than may be down at once. */
-  function emptyHosts(wave: Wave, down: number, view: StateView): void {
-    const inProgress = [...operations.values()].filter(
-      other => other.wave === wave.id && isBeforeDown(other),
-    ).length;
-    const openSlots = wave.atOnce + HOSTS_EMPTIED_AHEAD - down - inProgress;
-    for (const {host, idle} of selection.select(wave, openSlots, view)) {
+  /** Begins to empty the hosts that the policy selects. */
+  function emptyHosts(wave: Wave, view: StateView): void {
+    const progress = measureProgress(wave, view);
+    const {selected, waiting} = selection.select(wave, progress, view);
+    for (const {id: host, idle} of selected) {
       operations.set(host, createOperation(wave, 'emptying'));
       log.info('host-emptying', {wave: wave.id, host, idle});
     }
+    reportIfLate(wave, waiting);
+  }
+
+  function measureProgress(wave: Wave, {load, fleet}: StateView): WaveProgress {
+    const down = new Set(hostsDown(wave));
+    let emptying = 0;
+    let emptyingLasting = 0;
+    for (const [host, operation] of operations) {
+      if (operation.wave !== wave.id) continue;
+      if (isDownOrOrdered(operation)) down.add(host);
+      if (operation.phase !== 'emptying') continue;
+      const worker = fleet.newestOn(host);
+      const runs = worker && load.runsByWorker.get(workerKey(worker));
+      if (runs?.some(({step}) => step.lasting)) emptyingLasting++;
+      else emptying++;
+    }
+    const hostTimeMs = MAX_EMPTYING_MS + downtimeMs;
+    return {hostTimeMs, down: down.size, emptying, emptyingLasting};
+  }
+
+  /** Logs once after the deadline of a wave what each of its hosts waits for. */
+  function reportIfLate(
+    wave: Wave,
+    waiting: ReadonlyMap<string, HostWaitReason>,
+  ): void {
+    const lateMs = Date.now() - wave.acceptedAtMs - wave.durationMs;
+    if (lateMs < 0 || lateWaves.has(wave.id)) return;
+    lateWaves.add(wave.id);
+    const left = Object.keys(wave.hosts).filter(
+      host => wave.hosts[host] !== 'done',
+    );
+    log.warn('wave-late', {wave: wave.id, hosts: left.length});
+    for (const host of left) {
+      const operation = operations.get(host);
+      const reason = operation ? reasonOf(operation) : waiting.get(host);
+      const sinceMs = operation && performance.now() - operation.sinceMs;
+      log.warn('host-late', {
+        wave: wave.id,
+        host,
+        reason,
+        ...(sinceMs !== undefined && {sinceMs: Math.round(sinceMs)}),
+      });
+    }
   }
 
   /**
@@ -332,7 +397,14 @@
     const operation = operations.get(host);
     if (!operation) return;
     if (operation.phase === 'inherited') {
-      if (options.hasForeignOrder(host)) return;
+      if (options.hasForeignOrder(host)) {
+        // The order has arrived, so there is nothing to repeat.
+        if (isInMaintenance(wave, host, operation)) {
+          operation.phase = 'down';
+          operation.orderedMs = performance.now();
+        }
+        return;
+      }
       // The provider gives the same answer to an order that it has already
       // carried out.
       void orderMaintenance(wave, host, operation);
@@ -348,9 +420,28 @@
     removeFormerWorker(host, operation);
     if (!hasReturned(host, operation, fleet)) return;
     log.info('host-back', {wave: wave.id, host});
+    const lastMs = performance.now() - operation.orderedMs;
+    downtimeMs += DOWNTIME_WEIGHT * (lastMs - downtimeMs);
     operation.phase = 'over';
   }
 
+  /**
+   * Whether a list that was requested after the operation began shows the host
+   * in maintenance, which no other wave has begun.
+   */
+  function isInMaintenance(
+    wave: Wave,
+    host: string,
+    {sinceMs}: HostOperation,
+  ): boolean {
+    const {inventory} = options;
+    if (inventory.requestedMs() < sinceMs) return false;
+    if (inventory.hosts()?.get(host)?.state !== 'upkeep') return false;
+    return [...replica.state().waves.values()].every(
+      ({id, hosts}) => id === wave.id || hosts[host] !== 'begun',
+    );
+  }
+
   /** Has the worker removed that ended with the maintenance of its host. */
   function removeFormerWorker(
     host: string,
@@ -392,6 +483,9 @@
   return {
     isCordoned,
     isDue: host => dueHosts.has(host),
+    awaitsReadiness: (worker, isIdle) =>
+      replacements.workers.has(workerKey(worker)) ||
+      (isIdle && replacements.pools.has(worker.pool)),
     tick,
     stop() {
       isStopped = true;
@@ -436,14 +530,13 @@
   };
 }
 
-/**
- * Whether this leader still has to order the host down. An inherited host counts
- * as down already, by the record of the earlier leader.
- */
-function isBeforeDown({phase}: HostOperation): boolean {
-  return phase !== 'inherited' && phase !== 'down' && phase !== 'over';
-}
-
 function isDownOrOrdered({phase}: HostOperation): boolean {
   return phase !== 'emptying' && phase !== 'over';
 }
+
+/** What keeps a host with an operation from being done. */
+function reasonOf({phase}: HostOperation): HostWaitReason {
+  if (phase === 'emptying') return 'not-empty';
+  if (phase === 'inherited') return 'foreign-order';
+  return phase === 'down' || phase === 'over' ? 'down' : 'order-unsettled';
+}
--- a/packages/dispatch/src/pacing.ts
+++ b/packages/dispatch/src/pacing.ts
@@ -15,11 +15,15 @@
 import {HOLD_WAIT_MS} from './timing.js';
 
 export interface Pacing {
-  /** Adjusts the pace of a worker's fillers to its latest report. */
+  /**
+   * Adjusts the pace of a worker's fillers to its latest report, and sets when
+   * the worker reports next; sooner if the readiness of its runs is awaited.
+   */
   observe(
     session: WorkerSession,
     report: Report,
     recorded: readonly LiveRun[],
+    isReadinessAwaited?: boolean,
   ): void;
   /** Drops the pace of the worker with this ID. */
   forget(worker: string): void;
@@ -88,6 +92,13 @@
   return paced;
 }
 
+/**
+ * Interval of the reports of a worker while the readiness of its long-running
+ * tasks decides on the next stop. At the usual interval a step with a budget of
+ * one task lost half a second of each stop, and a wave ended late.
+ */
+const READINESS_INTERVAL_MS = 200;
+
 export function createPacing(log: Log): Pacing {
   /** By worker ID; absent before the worker's first report to this leader. */
   const paces = new Map<string, Pace>();
@@ -96,12 +107,16 @@
     session: WorkerSession,
     {running}: Report,
     recorded: readonly LiveRun[],
+    isReadinessAwaited = false,
   ): void {
+    const idleWaitMs = isReadinessAwaited
+      ? READINESS_INTERVAL_MS
+      : HOLD_WAIT_MS;
     const paced = listPacedRuns(recorded);
     const {id: worker} = session.worker;
     const last = paces.get(worker);
     if (paced.fillers.length === 0) {
-      session.setHoldWaitMs(HOLD_WAIT_MS);
+      session.setHoldWaitMs(idleWaitMs);
       if (!last) paces.set(worker, FULL_PACE);
       return;
     }
@@ -119,7 +134,9 @@
       fillers.push({id, task, run: run.number});
     }
     const needsPacing = fillers.length > 0 && serving.length > 0;
-    session.setHoldWaitMs(needsPacing ? PACE_INTERVAL_MS : HOLD_WAIT_MS);
+    session.setHoldWaitMs(
+      needsPacing ? Math.min(PACE_INTERVAL_MS, idleWaitMs) : idleWaitMs,
+    );
     if (!last) paces.set(worker, inheritedPace(fillers));
     if (fillers.length > 0) adjust(session, serving, fillers);
   }
--- a/packages/dispatch/src/pool-views.ts
+++ b/packages/dispatch/src/pool-views.ts
@@ -34,6 +34,8 @@
   state(): State;
   /** Whether the host is being emptied or is down for a maintenance wave. */
   isInWave(host: string): boolean;
+  /** Whether a maintenance wave is going to empty the host. */
+  isDue(host: string): boolean;
   /**
    * Whether an order of an earlier leader to the host may still be in flight.
    */
@@ -86,10 +88,20 @@
     }));
     const byName = new Map(views.map(pool => [pool.name, pool]));
     const avoided = availability.avoidedWorkers();
+    const dueOnStandby: {pool: (typeof views)[number]; host: PoolHost}[] = [];
     for (const host of hosts.values()) {
       const serving = findServingHost(host, view, byName, avoided);
-      if (serving) byName.get(serving.pool)!.serving.push(serving.host);
+      if (!serving) continue;
+      const pool = byName.get(serving.pool)!;
+      if (pool.standby && options.isDue(host.id)) {
+        dueOnStandby.push({pool, host: serving.host});
+      } else {
+        pool.serving.push(serving.host);
+      }
     }
+    // The policy takes standby hosts in this order. A host that stays on standby
+    // is maintained without an effect on any pool.
+    for (const {pool, host} of dueOnStandby) pool.serving.push(host);
     for (const [id, move] of moves.inProgress()) {
       const host = hosts.get(id);
       if (host) byName.get(move.to)?.arriving.push(toPoolHost(host));
--- a/packages/dispatch/src/report-handler.ts
+++ b/packages/dispatch/src/report-handler.ts
@@ -34,6 +34,11 @@
   readonly advice: AdviceCache;
   readonly instruments: LeaderInstruments;
   readonly log: Log;
+  /**
+   * Whether the next stop of a long-running task on a host may wait until one is
+   * ready that runs on the worker, or is going to. `isIdle`: nothing runs on it.
+   */
+  awaitsReadiness(worker: Worker, isIdle: boolean): boolean;
   /** Called when the next round may act on what a session has brought. */
   onChange(): void;
 }
@@ -123,7 +128,9 @@
       reconcileReport(event, current, recorded, cursor);
     }
     readiness.observe(key, report);
-    pacing.observe(session, report, recorded);
+    const isIdle = recorded.length === 0;
+    const isReadinessAwaited = options.awaitsReadiness(current, isIdle);
+    pacing.observe(session, report, recorded, isReadinessAwaited);
   }
 
   /** Handles a report that may differ from the last or from the record. */
--- a/packages/dispatch/test/availability.test.ts
+++ b/packages/dispatch/test/availability.test.ts
@@ -146,6 +146,7 @@
     estimates,
     state: () => state,
     isInWave: () => false,
+    isDue: () => false,
     intakePause: NO_INTAKE_PAUSE,
     hasForeignOrder: () => false,
   });
--- a/packages/dispatch/test/fakes.ts
+++ b/packages/dispatch/test/fakes.ts
@@ -63,6 +63,7 @@
 const NO_ANSWER = new Error('no answer');
 const ANSWER_TIMEOUT_MS = 400;
 const STOP_DELAY_MS = 200;
+const STARTUP_MS = 300;
 const LATE_DELAY_MS = 3000;
 
 export class FakeWorker {
@@ -173,7 +174,9 @@
     if (!this.accepts(order, incarnation)) return {ok: false, reason: 'fenced'};
     this.highestRuns.set(task, Math.max(run, this.highestRuns.get(task) ?? 0));
     const found = this.runs.get(task);
-    if (found?.run === run) found.stopsAtMs = performance.now() + STOP_DELAY_MS;
+    if (found?.run === run) {
+      found.stopsAtMs = performance.now() + this.fleet.stopDelayMs;
+    }
     return {ok: true};
   }
 
@@ -196,7 +199,7 @@
         run,
         checkpoint: '',
         percent: behaviour.lasting
-          ? performance.now() - startedMs > 300
+          ? performance.now() - startedMs > this.fleet.startupMs
             ? 100
             : 0
           : 50,
@@ -220,6 +223,10 @@
   readonly maxLeaseMs?: number;
   /** Largest number of ends that a worker lists in one report. */
   readonly endsPerReport?: number;
+  /** Time that a run takes to stop. */
+  readonly stopDelayMs?: number;
+  /** Time from the start of a long-running task until it is ready. */
+  readonly startupMs?: number;
   behave?(task: string, run: number, worker: FakeWorker): Partial<Behaviour>;
 }
 
@@ -232,6 +239,8 @@
   readonly starts: {task: string; worker: string; atMs: number}[] = [];
   readonly maxLeaseMs: number;
   readonly endsPerReport: number;
+  readonly stopDelayMs: number;
+  readonly startupMs: number;
   /** Time for which calls over a link that is `held-up` are under way. */
   delayMs = LATE_DELAY_MS;
   /** Number of calls that were held up. */
@@ -241,6 +250,8 @@
     super();
     this.endsPerReport = options.endsPerReport ?? 500;
     this.maxLeaseMs = options.maxLeaseMs ?? 6000;
+    this.stopDelayMs = options.stopDelayMs ?? STOP_DELAY_MS;
+    this.startupMs = options.startupMs ?? STARTUP_MS;
   }
 
   add(worker: Worker, clockRate?: number): FakeWorker {
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -16,3 +16,4 @@
 export * from './forecast.js';
 export * from './packing.js';
 export * from './pace.js';
+export * from './waves.js';
