--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -284,6 +284,7 @@
     advice,
     instruments,
     log,
+    awaitsReadiness: hosts.awaitsReadiness,
     onChange: rounds.schedule,
   });
   const evacuations: EvacuationReport = createEvacuationReport({
