--- a/packages/dispatch/src/intake.ts
+++ b/packages/dispatch/src/intake.ts
@@ -4,30 +4,40 @@
  * work that was accepted is counted, so that a decision costs the same whatever
  * waits.
  */
-import type {JobSpec, Queue, Size} from '@lentildrift/queue';
+import type {Counter, Log, Metrics} from '@lentildrift/observe';
 import {
+  queuesOf,
+  type JobSpec,
+  type Queue,
+  type Size,
+} from '@lentildrift/queue';
+import {
+  createIntakeLedger,
   forecastPools,
+  RefusalReason,
+  SHARE_WINDOW_MS,
   type Admission,
-  type AdmissionVerdict,
-  type PoolForecast,
+  type IntakeVerdict,
+  type PoolShares,
   type PoolView,
+  type ReturnOrder,
+  type ShareRule,
 } from '@lentildrift/scheduling';
 import type {RunEstimates} from './run-estimates.js';
+import type {StateViews} from './state-views.js';
 
 export interface IntakeOptions {
   readonly admission: Admission;
+  readonly shareRule: ShareRule | undefined;
+  readonly returns: ReturnOrder | undefined;
   readonly estimates: Pick<RunEstimates, 'durations'>;
+  readonly views: Pick<StateViews, 'state' | 'current'>;
+  readonly log: Log;
+  readonly metrics: Metrics;
   /** Capacities of the hosts that the provider lists; empty before the first. */
   hostCapacities(): readonly Size[];
 }
 
-type Overloaded = Extract<AdmissionVerdict, {type: 'overloaded'}>;
-
-/** The verdict on a job; if it may be accepted later, with the time to retry. */
-export type IntakeVerdict =
-  | Exclude<AdmissionVerdict, Overloaded>
-  | (Overloaded & {readonly retryAfterMs: number});
-
 export interface Intake {
   /** Decides on a job that is not recorded yet. */
   decide(spec: JobSpec, queue: Queue): IntakeVerdict;
@@ -37,11 +47,8 @@
   settle(job: string): void;
   /** Takes over the pools as they are now. */
   update(pools: readonly PoolView[]): void;
-}
-
-interface AcceptedJob {
-  readonly pool: string;
-  readonly workMs: number;
+  /** Shares of the teams by pool; undefined if teams have no shares. */
+  shares(): ReadonlyMap<string, PoolShares> | undefined;
 }
 
 /**
@@ -49,75 +56,70 @@
  * yet which workers answer, and would take the others for lost.
  */
 const SETTLING_MS = 3000;
-/** Bounds of the time after which a caller may retry. */
-const MIN_RETRY_MS = 500;
-const MAX_RETRY_MS = 8000;
 
 export function createIntake(options: IntakeOptions): Intake {
-  const {admission, estimates, hostCapacities} = options;
+  const {estimates, views, shareRule, log} = options;
   const startedMs = performance.now();
-  let forecasts: ReadonlyMap<string, PoolForecast> = new Map();
-  /** Jobs that were accepted and are not recorded yet, by ID. */
-  const accepted = new Map<string, AcceptedJob>();
-  /** Work that was accepted and is not part of the forecasts, by pool. */
-  let acceptedWorkMs = new Map<string, number>();
-  /** Monotonic time at which the last refused caller may return, by pool. */
-  const lastReturnMs = new Map<string, number>();
-
-  function decide(spec: JobSpec, queue: Queue): IntakeVerdict {
-    const {pool} = queue;
-    const isSettled = performance.now() - startedMs >= SETTLING_MS;
-    const verdict = admission.decide({
-      spec,
-      queue,
-      nowMs: Date.now(),
-      durations: estimates.durations(),
-      forecast: isSettled ? forecasts.get(pool) : undefined,
-      acceptedWorkMs: acceptedWorkMs.get(pool) ?? 0,
-      hostCapacities: hostCapacities(),
-    });
-    if (verdict.type === 'admitted') {
-      const job = {pool, workMs: verdict.workMs};
-      accepted.set(spec.id, job);
-      addWork(job);
-    }
-    if (verdict.type !== 'overloaded') return verdict;
-    return {...verdict, retryAfterMs: reserveReturn(pool, verdict)};
-  }
-
-  function addWork({pool, workMs}: AcceptedJob): void {
-    acceptedWorkMs.set(pool, (acceptedWorkMs.get(pool) ?? 0) + workMs);
-  }
-
-  /**
-   * Lets refused callers return one after the other, in the order in which they
-   * came and at the pace at which the pool works, and not all at once.
-   */
-  function reserveReturn(
-    pool: string,
-    {endMs, limitMs, workMs}: Overloaded,
-  ): number {
-    const nowMs = performance.now();
-    const forecast = forecasts.get(pool);
-    const paceMs = forecast
-      ? forecast.doneInMs(workMs) - forecast.doneInMs(0)
-      : 0;
-    const earliestMs = nowMs + Math.max(MIN_RETRY_MS, endMs - limitMs);
-    const behindLastMs = (lastReturnMs.get(pool) ?? 0) + paceMs;
-    const latestMs = nowMs + MAX_RETRY_MS;
-    const returnMs = Math.min(latestMs, Math.max(earliestMs, behindLastMs));
-    lastReturnMs.set(pool, returnMs);
-    return Math.round(returnMs - nowMs);
-  }
+  const ledger = createIntakeLedger(options);
+  const refusalCount: Counter = options.metrics.counter(
+    'lentildrift_jobs_refused_total',
+    'Jobs that were refused for lack of room, by reason.',
+    RefusalReason.options.length,
+  );
 
   return {
-    decide,
-    isAccepted: job => accepted.has(job),
-    settle: job => void accepted.delete(job),
+    decide(spec, queue) {
+      const monotonicMs = performance.now();
+      const verdict = ledger.decide({
+        spec,
+        queue,
+        nowMs: Date.now(),
+        monotonicMs,
+        durations: estimates.durations(),
+        hostCapacities: options.hostCapacities(),
+        isSettled: monotonicMs - startedMs >= SETTLING_MS,
+      });
+      if (verdict.type !== 'overloaded') return verdict;
+      const {reason, isBeyondShare, ...amounts} = verdict;
+      refusalCount.add({reason}, 1);
+      log.info('job-refused', {
+        job: spec.id,
+        queue: queue.name,
+        team: spec.team,
+        reason,
+        isBeyondShare,
+        priority: queue.priority,
+        ...roundAll(amounts),
+      });
+      return verdict;
+    },
+    isAccepted: ledger.isAccepted,
+    settle: ledger.settle,
     update(pools) {
-      forecasts = forecastPools(pools);
-      acceptedWorkMs = new Map();
-      for (const job of accepted.values()) addWork(job);
+      const nowMs = Date.now();
+      const state = views.state();
+      const {backlog} = views.current();
+      ledger.update({
+        forecasts: forecastPools(pools),
+        teams: state.tables.teams,
+        queues: queuesOf(state),
+        recentJobs: shareRule
+          ? backlog.recentJobs(nowMs - SHARE_WINDOW_MS)
+          : [],
+        durations: estimates.durations(),
+        nowMs,
+      });
     },
+    shares: () => (shareRule ? ledger.shares() : undefined),
   };
 }
+
+/** The numbers among the values, rounded for a log line. */
+function roundAll(values: object): Record<string, number> {
+  const numbers = Object.entries(values).filter(
+    (entry): entry is [string, number] => typeof entry[1] === 'number',
+  );
+  return Object.fromEntries(
+    numbers.map(([key, value]) => [key, Math.round(value)]),
+  );
+}
--- a/packages/dispatch/src/leader-options.ts
+++ b/packages/dispatch/src/leader-options.ts
@@ -7,6 +7,8 @@
   JobOrder,
   Placement,
   PoolPolicy,
+  ReturnOrder,
+  ShareRule,
 } from '@lentildrift/scheduling';
 import type {TaskSystem} from '@lentildrift/task';
 import type {WorkerDriver} from './driver.js';
@@ -42,6 +44,10 @@
   readonly placement?: Placement;
   readonly pools?: PoolPolicy;
   readonly admission?: Admission;
+  /** Teams have no shares if it is absent. */
+  readonly shareRule?: ShareRule;
+  /** Creates the order in which refused callers return; `PacedReturns` if absent. */
+  readonly createReturns?: () => ReturnOrder;
   /** Monotonic time at which this process was elected, for its log lines. */
   readonly electedMs?: number;
   /**
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -15,7 +15,11 @@
   StartRow,
   Worker,
 } from '@lentildrift/queue';
-import {DeadlineAdmission, runId} from '@lentildrift/scheduling';
+import {
+  DeadlineAdmission,
+  runId,
+  type IntakeVerdict,
+} from '@lentildrift/scheduling';
 import type {Reply, Task} from '@lentildrift/task';
 import {createAdviceCache, type AdviceCache} from './advice.js';
 import {
@@ -36,7 +40,7 @@
 import {createHostOperations, type HostOperations} from './host-operations.js';
 import {createIncarnations} from './incarnations.js';
 import {createInstruments} from './instruments.js';
-import {createIntake, type Intake, type IntakeVerdict} from './intake.js';
+import {createIntake, type Intake} from './intake.js';
 import {createJobStages} from './job-stages.js';
 import type {LeaderOptions} from './leader-options.js';
 import {createPlanner} from './planner.js';
@@ -170,6 +174,8 @@
     advice,
     order: options.order,
     placement: options.placement,
+    shares: () => intake.shares(),
+    log,
   });
   const rounds: DecisionRounds = createDecisionRounds({
     replica,
@@ -229,7 +235,12 @@
   });
   const intake: Intake = createIntake({
     admission: options.admission ?? new DeadlineAdmission(),
+    shareRule: options.shareRule,
+    returns: options.createReturns?.(),
     estimates,
+    views,
+    log,
+    metrics,
     hostCapacities: hosts.capacities,
   });
   const reports: ReportHandler = createReportHandler({
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -1,12 +1,15 @@
 /** Plans the starts of a decision round with what the leader has learnt. */
-import type {State} from '@lentildrift/queue';
+import type {Log} from '@lentildrift/observe';
+import type {Job, State} from '@lentildrift/queue';
 import {
   DeadlineOrder,
   PackPlacement,
   plan,
+  WaitReason,
   type JobOrder,
   type Placement,
   type Plan,
+  type PoolShares,
   type StateView,
 } from '@lentildrift/scheduling';
 import type {AdviceCache} from './advice.js';
@@ -21,6 +24,9 @@
   readonly advice: AdviceCache;
   readonly order: JobOrder | undefined;
   readonly placement: Placement | undefined;
+  readonly log: Log;
+  /** Shares of the teams by pool; undefined if teams have no shares. */
+  shares(): ReadonlyMap<string, PoolShares> | undefined;
 }
 
 /** Limit of `PlanInput.maxLateStarts` while the leader is busy. */
@@ -36,8 +42,29 @@
   const {time, isBusy} = options.instruments;
   const order = options.order ?? new DeadlineOrder();
   const placement = options.placement ?? new PackPlacement();
+  /** Jobs whose delay is logged, by ID, as long as they are delayed. */
+  let logged: ReadonlySet<string> = new Set();
+
+  /** Logs once that a job waits since its team is beyond its share. */
+  function logDelays(jobs: ReadonlySet<Job>): void {
+    const delayed = new Set<string>();
+    for (const {spec} of jobs) {
+      const {id, queue, team} = spec;
+      delayed.add(id);
+      if (logged.has(id)) continue;
+      options.log.info('job-delayed', {
+        job: id,
+        queue,
+        team,
+        reason: WaitReason.enum['lent-room'],
+      });
+    }
+    logged = delayed;
+  }
+
   return {
     plan(state, view) {
+      const shares = options.shares();
       const round = {
         state,
         load: view.load,
@@ -51,8 +78,11 @@
         advisedWorkers: advice.advisedWorkers(),
         order,
         placement,
+        ...(shares && {shares}),
       };
-      return time('plan', () => plan(round));
+      const decision = time('plan', () => plan(round));
+      logDelays(decision.onLentRoom);
+      return decision;
     },
   };
 }
--- a/packages/dispatch/src/policies.ts
+++ b/packages/dispatch/src/policies.ts
@@ -4,19 +4,25 @@
  * mention it.
  */
 import {
+  CostAdmission,
+  CostOrder,
   DeadlineAdmission,
   DeadlineOrder,
+  FirstArrivalReturns,
+  WeightedShares,
   type Admission,
   type JobOrder,
+  type ReturnOrder,
+  type ShareRule,
 } from '@lentildrift/scheduling';
 import {VError} from 'verror';
 import {z} from 'zod';
 
 export const PolicyNames = z.strictObject({
   /** Which waiting job gets room first. */
-  order: z.enum(['deadline']).default('deadline'),
+  order: z.enum(['deadline', 'cost']).default('deadline'),
   /** Which jobs are accepted. */
-  admission: z.enum(['deadline']).default('deadline'),
+  admission: z.enum(['deadline', 'cost']).default('deadline'),
 });
 export type PolicyNames = z.infer<typeof PolicyNames>;
 
@@ -24,6 +30,9 @@
 export interface Policies {
   readonly order: JobOrder;
   readonly admission: Admission;
+  readonly shareRule?: ShareRule;
+  /** For each leader anew, since it holds the callers that a leader refused. */
+  readonly createReturns?: () => ReturnOrder;
 }
 
 /**
@@ -53,15 +62,21 @@
 
 const ORDERS = {
   deadline: () => new DeadlineOrder(),
+  cost: () => new CostOrder(),
 } satisfies Record<PolicyNames['order'], () => JobOrder>;
 
 const ADMISSIONS = {
-  deadline: () => new DeadlineAdmission(),
-} satisfies Record<PolicyNames['admission'], () => Admission>;
+  deadline: () => ({admission: new DeadlineAdmission()}),
+  cost: () => ({
+    admission: new CostAdmission(),
+    shareRule: new WeightedShares(),
+    createReturns: () => new FirstArrivalReturns(),
+  }),
+} satisfies Record<PolicyNames['admission'], () => Omit<Policies, 'order'>>;
 
 export function createPolicies(names: PolicyNames): Policies {
   return {
     order: ORDERS[names.order](),
-    admission: ADMISSIONS[names.admission](),
+    ...ADMISSIONS[names.admission](),
   };
 }
--- a/packages/dispatch/test/harness.ts
+++ b/packages/dispatch/test/harness.ts
@@ -25,6 +25,7 @@
 import {createHostOrderGuard} from '../src/host-order-guard.js';
 import {Adviser, queueMachine, startLeader, type Leader} from '../src/index.js';
 import {FakeFleet, FakeHostProvider, type FleetOptions} from './fakes.js';
+import {createPolicies, parsePolicyNames} from '../src/policies.js';
 import {createFakeGroup, type FakeRelay} from './relays.js';
 
 const QUEUE: Queue = {
@@ -159,6 +160,8 @@
 
 export interface HarnessOptions extends FleetOptions {
   readonly pools?: PoolPolicy;
+  /** See `parsePolicyNames`. */
+  readonly policies?: string;
   readonly adviser?: Adviser;
   /** Data centres of processes through which the leader calls all workers. */
   readonly relayDataCentres?: readonly string[];
@@ -235,6 +238,7 @@
       log,
       metrics,
       pools: options.pools ?? new FixedPools(),
+      ...createPolicies(parsePolicyNames(options.policies ?? '')),
       leaderlessMs,
       isLeader: () => own === token && replica.acceptsProposals,
     });
--- a/packages/dispatch/test/intake.test.ts
+++ b/packages/dispatch/test/intake.test.ts
@@ -3,7 +3,14 @@
 import type {DurationStatistics, JobSpec} from '@lentildrift/queue';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import type {SubmitResult} from '../src/leader.js';
-import {createHarness, job, TABLES, worker, type Harness} from './harness.js';
+import {
+  createHarness,
+  job,
+  TABLES,
+  worker,
+  type Harness,
+  type HarnessOptions,
+} from './harness.js';
 
 const QUEUE = TABLES.queues[0]!;
 /** Tasks of the queue take a second. */
@@ -28,8 +35,8 @@
 }
 
 /** Two workers with room for four tasks each. */
-async function createCluster(): Promise<void> {
-  harness = await createHarness();
+async function createCluster(options: HarnessOptions = {}): Promise<void> {
+  harness = await createHarness(options);
   await harness.addWorker(worker('w1'));
   await harness.addWorker(worker('w2'));
   await harness.replica.propose({
@@ -140,3 +147,55 @@
     );
   });
 });
+
+describe('a leader whose teams have shares', () => {
+  const cap = {cpuMillis: 0, memoryMb: 0, gpus: 0};
+  const teams = [
+    {name: 'flood', keys: ['f'], weight: 1, cap},
+    {name: 'calm', keys: ['c'], weight: 5, cap},
+  ];
+
+  /** One team sends four times what the hosts can run, another less than that. */
+  async function flood(policies: string) {
+    await harness.stop();
+    await createCluster({policies});
+    await harness.replica.propose({
+      events: [{type: 'tables', tables: {...TABLES, version: 2, teams}}],
+    });
+    const types: Record<string, SubmitResult['type'][]> = {flood: [], calm: []};
+    for (let at = 0; at < 60; at++) {
+      const team = at % 6 === 5 ? 'calm' : 'flood';
+      const spec = {...job(`j${at}`, {count: 4}), team};
+      types[team]!.push((await submit(spec)).type);
+      await harness.advance(90);
+    }
+    return types as {flood: string[]; calm: string[]};
+  }
+
+  // The team that sent most took the room, and others were refused as often.
+  it('refuses the team beyond its share rather than others', async () => {
+    const refusedOf = (types: string[]) =>
+      types.filter(type => type === 'overloaded').length;
+    const before = await flood('');
+    const {flood: flooding, calm} = await flood('order=cost,admission=cost');
+    // Room that was lent before the team needed it is not taken back at once.
+    expect(refusedOf(before.calm)).toBeGreaterThan(2 * refusedOf(calm));
+    expect(flooding).toContain('recorded');
+    const line = harness.logLines.find(each => each.includes('beyond-share'))!;
+    expect(line).toMatch(/job-refused.* job=j\d+ .*team=flood/);
+    expect(line).toMatch(/usedMs=\d+ shareMs=\d+/);
+    expect(harness.metrics.text()).toMatch(
+      /lentildrift_jobs_refused_total\{reason="beyond-share"\} \d+/,
+    );
+  });
+
+  // The first refusals of a new leader were due to what it did not know yet.
+  it('refuses nobody at first after a change of leader', async () => {
+    await flood('order=cost,admission=cost');
+    await harness.replaceLeader();
+    for (let at = 0; at < 6; at++) {
+      const spec = {...job(`next${at}`, {count: 4}), team: 'flood'};
+      expect((await submit(spec)).type).toBe('recorded');
+    }
+  });
+});
--- a/packages/dispatch/test/policies.test.ts
+++ b/packages/dispatch/test/policies.test.ts
@@ -1,4 +1,9 @@
-import {DeadlineAdmission, DeadlineOrder} from '@lentildrift/scheduling';
+import {
+  CostAdmission,
+  CostOrder,
+  DeadlineAdmission,
+  DeadlineOrder,
+} from '@lentildrift/scheduling';
 import {describe, expect, it} from 'vitest';
 import {createPolicies, parsePolicyNames} from '../src/policies.js';
 
@@ -9,6 +14,14 @@
     expect(admission).toBeInstanceOf(DeadlineAdmission);
   });
 
+  it('are those that weigh costs if the settings name them', () => {
+    const names = parsePolicyNames('order=cost,admission=cost');
+    const {order, admission, createReturns} = createPolicies(names);
+    expect(order).toBeInstanceOf(CostOrder);
+    expect(admission).toBeInstanceOf(CostAdmission);
+    expect(createReturns!()).not.toBe(createReturns!());
+  });
+
   // A misspelt name would leave a deployment with the default unnoticed.
   it.each([
     ['order', /"order" is not NAME=VALUE/],
--- a/packages/scheduling/src/admission.ts
+++ b/packages/scheduling/src/admission.ts
@@ -13,7 +13,10 @@
 import type {Durations} from './estimate.js';
 import type {PoolForecast} from './forecast.js';
 import {reservation} from './load.js';
+import type {OfferHistory} from './offers.js';
 import {objectiveMs, remainingPathMs, remainingWorkMs} from './order.js';
+import type {PoolShares, Standing} from './shares.js';
+import {z} from 'zod';
 
 export interface AdmissionInput {
   readonly spec: JobSpec;
@@ -26,6 +29,35 @@
   readonly acceptedWorkMs: number;
   /** Whole capacities of the hosts that exist; empty if none is known. */
   readonly hostCapacities: readonly Size[];
+  /** Shares of the teams in the pool; absent if nothing is known of it. */
+  readonly shares?: PoolShares | undefined;
+  /** What was handed in to the pool of late; absent with the shares. */
+  readonly offers?: OfferHistory | undefined;
+  /** Time since the job was first refused; 0 if it was not. */
+  readonly waitedMs?: number;
+}
+
+/** Why a job is refused that could run on other hosts or at another time. */
+export const RefusalReason = z.enum([
+  /** It would end too late behind what was accepted. */
+  'no-room',
+  /** Its team has handed in more than its share, and others need the room. */
+  'beyond-share',
+  /** The room is kept for jobs that cost callers more for the same work. */
+  'least-cost',
+]);
+export type RefusalReason = z.infer<typeof RefusalReason>;
+
+export interface Overloaded extends Partial<Standing> {
+  readonly type: 'overloaded';
+  readonly reason: RefusalReason;
+  /** Time from now at which the job is expected to end. */
+  readonly endMs: number;
+  /** Time from now at which it would have to end. */
+  readonly limitMs: number;
+  readonly workMs: number;
+  /** What callers lose if the job is never done, in core milliseconds. */
+  readonly costMs?: number;
 }
 
 export type AdmissionVerdict =
@@ -33,15 +65,10 @@
       readonly type: 'admitted';
       /** What the job adds to the work of its pool, in core milliseconds. */
       readonly workMs: number;
+      /** As of a refusal; absent if nothing was forecast. */
+      readonly limitMs?: number;
     }
-  | {
-      readonly type: 'overloaded';
-      /** Time from now at which the job is expected to end. */
-      readonly endMs: number;
-      /** Time from now at which it would have to end. */
-      readonly limitMs: number;
-      readonly workMs: number;
-    }
+  | Overloaded
   /** No host is large enough for a task of the job. */
   | {readonly type: 'unservable'; readonly step: number};
 
@@ -94,8 +121,8 @@
       forecast.doneInMs(acceptedWorkMs + workMs),
     );
     const limitMs = MAX_OBJECTIVE_FACTOR * objectiveMs(estimate);
-    if (endMs <= limitMs) return {type: 'admitted', workMs};
-    return {type: 'overloaded', endMs, limitMs, workMs};
+    if (endMs <= limitMs) return {type: 'admitted', workMs, limitMs};
+    return {type: 'overloaded', reason: 'no-room', endMs, limitMs, workMs};
   }
 }
 
@@ -111,7 +138,8 @@
   return step < 0 ? undefined : step;
 }
 
-function newJob(spec: JobSpec, nowMs: number): Job {
+/** The record that a job would have if it were accepted now. */
+export function newJob(spec: JobSpec, nowMs: number): Job {
   return {
     spec,
     acceptedAtMs: nowMs,
--- a/packages/scheduling/src/backlog.ts
+++ b/packages/scheduling/src/backlog.ts
@@ -16,11 +16,14 @@
   readonly waitingJobs: readonly Job[];
   /**
    * Jobs that count for the inflow of work and were accepted after `sinceMs`,
-   * which must not decrease from call to call.
+   * which must be no more than `RECENT_MS` below that of an earlier call.
    */
   recentJobs(sinceMs: number): Iterable<Job>;
 }
 
+/** Time for which jobs are kept that a reader was the first not to ask for. */
+const RECENT_MS = 5000;
+
 /** Whether the job has a task that has neither a run nor ended. */
 export function hasWaitingTask(job: Job): boolean {
   if (job.phase !== 'active') return false;
@@ -68,11 +71,13 @@
     backlog: {
       waitingJobs: waiting.items,
       recentJobs(sinceMs) {
-        oldestMs = sinceMs;
+        oldestMs = sinceMs - RECENT_MS;
+        const later: Job[] = [];
         for (const [id, job] of recent) {
-          if (job.acceptedAtMs <= sinceMs) recent.delete(id);
+          if (job.acceptedAtMs <= oldestMs) recent.delete(id);
+          else if (job.acceptedAtMs > sinceMs) later.push(job);
         }
-        return recent.values();
+        return later;
       },
     },
     update(before, after) {
--- a/packages/scheduling/src/forecast.ts
+++ b/packages/scheduling/src/forecast.ts
@@ -12,6 +12,13 @@
    * be in time, and `workMs` core milliseconds more; infinite if it never has.
    */
   doneInMs(workMs: number): number;
+  /** See `Demand.inflowCpuMillis`. */
+  readonly inflowCpuMillis: number;
+  /**
+   * Capacity for tasks that end, in thousandths of a core, with hosts on their
+   * way and without what other pools might spare.
+   */
+  readonly cpuMillis: number;
 }
 
 /** Capacity that a pool gains. */
@@ -52,7 +59,14 @@
         cpuMillis: (emptied - own.emptiedCpuMillis) / divisor,
       },
     ];
-    return [pool.name, createForecast(gains, pool.demand.inTimeWorkMs)];
+    const {inTimeWorkMs, inflowCpuMillis} = pool.demand;
+    const forecast = {
+      ...createForecast(gains, inTimeWorkMs),
+      inflowCpuMillis,
+      cpuMillis:
+        own.freeCpuMillis + own.runningCpuMillis + own.arrivingCpuMillis,
+    };
+    return [pool.name, forecast];
   });
   return new Map(forecasts);
 }
@@ -118,7 +132,7 @@
 function createForecast(
   gains: readonly Gain[],
   waitingWorkMs: number,
-): PoolForecast {
+): Pick<PoolForecast, 'doneInMs'> {
   return {
     doneInMs(workMs) {
       let leftMs = waitingWorkMs + workMs;
--- a/packages/scheduling/src/order.ts
+++ b/packages/scheduling/src/order.ts
@@ -25,9 +25,14 @@
 export abstract class JobOrder {
   /**
    * The occurrence with the lowest rank comes first. `isOverloaded` tells
-   * whether jobs of its pool have waited for room for too long.
+   * whether jobs of its pool have waited for room for too long, `isOnLentRoom`
+   * whether its team is beyond its share there by this job.
    */
-  abstract rank(input: OrderInput, isOverloaded?: boolean): number;
+  abstract rank(
+    input: OrderInput,
+    isOverloaded?: boolean,
+    isOnLentRoom?: boolean,
+  ): number;
 }
 
 /**
@@ -44,13 +49,13 @@
  * Distance between the ranks of two classes of jobs; larger than any rank
  * within a class.
  */
-const CLASS_SPACING = 1e9;
+export const CLASS_SPACING = 1e9;
 /**
  * A job counts as late once it is expected to exceed its objective by this
  * fraction of the objective. Expected durations are off by half on average, and
  * giving up a job that could be in time costs more than trying one that cannot.
  */
-const LATE_TOLERANCE = 0.5;
+export const LATE_TOLERANCE = 0.5;
 
 /**
  * Half of the tolerance after which a job counts as late. Jobs are accepted that
--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -28,11 +28,18 @@
 import {withFree, type Candidate} from './candidate.js';
 import {expectedDurationMs, type Durations} from './estimate.js';
 import {reservation, type Load} from './load.js';
-import {punctualityOf, type JobOrder, type Punctuality} from './order.js';
+import {
+  punctualityOf,
+  remainingWorkMs,
+  type JobOrder,
+  type Punctuality,
+} from './order.js';
 import type {Placement} from './placement.js';
 import {isWaiting, listReadySteps} from './ready-steps.js';
+import {findJobsOnLentRoom, type PoolShares} from './shares.js';
 import {chooseForTrial, idleCandidates} from './trial.js';
 import {createUnfitSizes, type UnfitSizes} from './unfit.js';
+import {z} from 'zod';
 
 /**
  * Keys of the workers for which the placement advice gave a ticket, by step
@@ -65,6 +72,8 @@
   readonly advisedWorkers: AdvisedWorkers;
   readonly order: JobOrder;
   readonly placement: Placement;
+  /** Shares of the teams by pool; no room counts as lent if it is absent. */
+  readonly shares?: ReadonlyMap<string, PoolShares>;
 }
 
 export interface Plan {
@@ -76,8 +85,17 @@
   readonly stepsAwaitingAdvice: readonly {step: string; pool: string}[];
   /** Pools in which a task that is ready fits on no worker. */
   readonly shortPools: ReadonlySet<string>;
+  /** Jobs that come after others since their team is beyond its share. */
+  readonly onLentRoom: ReadonlySet<Job>;
 }
 
+/** Why a job that is ready waits although jobs after it have started. */
+export const WaitReason = z.enum([
+  /** It waits on room lent to its team, in a pool that lacks room. */
+  'lent-room',
+]);
+export type WaitReason = z.infer<typeof WaitReason>;
+
 /** A step with tasks that could start. */
 interface CandidateStep {
   readonly job: Job;
@@ -95,15 +113,20 @@
 
 /** Runs one scheduling round. */
 export function plan(input: PlanInput): Plan {
-  const readySteps = collectReadySteps(input);
+  const steps = collectCandidateSteps(input);
+  const overloaded = findOverloadedPools(steps);
+  const onLentRoom = findLentRoom(input, steps, overloaded);
+  const readySteps = rankSteps(input, steps, overloaded, onLentRoom);
   readySteps.sort((a, b) => a.rank - b.rank);
-  return placeReadySteps(input, readySteps);
+  return {...placeReadySteps(input, readySteps), onLentRoom};
 }
 
-function collectReadySteps(input: PlanInput): RankedStep[] {
-  const {order, nowMs, durations} = input;
-  const steps = collectCandidateSteps(input);
-  const overloaded = findOverloadedPools(steps);
+function rankSteps(
+  {order, nowMs, durations}: PlanInput,
+  steps: readonly CandidateStep[],
+  overloaded: ReadonlySet<string>,
+  onLentRoom: ReadonlySet<Job>,
+): RankedStep[] {
   let ranked: CandidateStep | undefined;
   let rank = 0;
   return steps.map(each => {
@@ -112,7 +135,8 @@
     if (job !== ranked?.job || occurrence !== ranked.occurrence) {
       const isOverloaded = overloaded.has(queue.pool);
       const occasion = {job, queue, occurrence, nowMs, durations};
-      rank = order.rank(occasion, isOverloaded);
+      const isOnLentRoom = onLentRoom.has(job);
+      rank = order.rank(occasion, isOverloaded, isOnLentRoom);
       ranked = each;
     }
     const {stepIndex, step, punctuality} = each;
@@ -159,6 +183,37 @@
   return overloaded;
 }
 
+const NO_JOBS: ReadonlySet<Job> = new Set();
+
+/** The jobs that wait on lent room in overloaded pools. */
+function findLentRoom(
+  {shares, nowMs, durations}: PlanInput,
+  steps: readonly CandidateStep[],
+  overloaded: ReadonlySet<string>,
+): ReadonlySet<Job> {
+  if (!shares || overloaded.size === 0) return NO_JOBS;
+  const lent = new Set<Job>();
+  for (const pool of overloaded) {
+    const poolShares = shares.get(pool);
+    if (!poolShares) continue;
+    const waiting = new Map<Job, CandidateStep>();
+    for (const step of steps) {
+      if (step.queue.pool === pool && isInflow(step.job)) {
+        waiting.set(step.job, step);
+      }
+    }
+    const workMsOf = (job: Job) => {
+      const {queue, occurrence} = waiting.get(job)!;
+      return remainingWorkMs({job, queue, occurrence, nowMs, durations});
+    };
+    const jobs = [...waiting.keys()];
+    for (const job of findJobsOnLentRoom(jobs, poolShares, workMsOf)) {
+      lent.add(job);
+    }
+  }
+  return lent;
+}
+
 /** Remaining capacity and the decisions so far in a round. */
 interface RoundState {
   /** Candidates of the pools that a step has needed so far. */
@@ -220,7 +275,7 @@
 function placeReadySteps(
   input: PlanInput,
   readySteps: readonly RankedStep[],
-): Plan {
+): Omit<Plan, 'onLentRoom'> {
   const round = createRoundState(input);
   let lateStarts = 0;
   for (const readyStep of readySteps) {
--- a/packages/testkit/src/jobs/hosts.ts
+++ b/packages/testkit/src/jobs/hosts.ts
@@ -48,6 +48,8 @@
   /** Key of the worker that runs on the host. */
   worker: string | undefined;
   lastBusyAtMs: number;
+  /** Time until which the host is down after a crash. */
+  downUntilMs: number;
   /** Number of workers started on the host so far. */
   startCount: number;
 }
@@ -60,6 +62,8 @@
    * no new tasks.
    */
   isMoving(worker: string): boolean;
+  /** Returns the workers that a crash ends now. */
+  crash(nowMs: number): ReadonlySet<string>;
   /** Advances the moves and returns the events of workers added and removed. */
   advance(nowMs: number, load: Load): Event[];
   /**
@@ -87,11 +91,17 @@
   return {cpuMillis: hostCores * 1000, memoryMb: hostMemoryMb, gpus: 0};
 }
 
+/** Pools of the queues of a shape. */
+export function poolNames({queues}: TrafficShape): string[] {
+  return [...new Set(queues.map(({name, pool}) => pool ?? name))];
+}
+
 export function createSimulatedHosts(shape: TrafficShape): SimulatedHosts {
   const capacity = hostCapacity(shape);
   const hosts: Host[] = [];
   let moves = 0;
   let poolHostMs = 0;
+  const pendingCrashes = [...(shape.crashes ?? [])];
 
   function addHost(pool: string): void {
     const id = `m${hosts.length}`;
@@ -102,11 +112,12 @@
       move,
       worker: undefined,
       lastBusyAtMs: 0,
+      downUntilMs: 0,
       startCount: 0,
     });
   }
 
-  for (const {name} of shape.queues) {
+  for (const name of poolNames(shape)) {
     for (let n = 0; n < shape.hostsPerPool; n++) addHost(name);
   }
   for (let n = 0; n < shape.standbyHosts; n++) addHost(STANDBY);
@@ -155,9 +166,35 @@
     initialEvents: hosts.filter(({pool}) => pool !== STANDBY).map(startWorker),
     isMoving: worker =>
       hosts.some(host => host.worker === worker && host.move !== undefined),
+    crash(nowMs) {
+      const crashed = new Set<string>();
+      while (pendingCrashes[0] && pendingCrashes[0].fromMs <= nowMs) {
+        const {untilMs, share} = pendingCrashes.shift()!;
+        for (const name of poolNames(shape)) {
+          const inPool = hosts.filter(
+            ({pool, worker}) => pool === name && worker !== undefined,
+          );
+          for (const host of inPool.slice(
+            0,
+            Math.round(share * inPool.length),
+          )) {
+            crashed.add(host.worker!);
+            host.worker = undefined;
+            host.move = undefined;
+            host.downUntilMs = untilMs;
+          }
+        }
+      }
+      return crashed;
+    },
     advance(nowMs, load) {
       const events: Event[] = [];
       for (const host of hosts) {
+        if (host.downUntilMs > nowMs) continue;
+        if (host.downUntilMs > 0) {
+          host.downUntilMs = 0;
+          events.push(startWorker(host));
+        }
         const busy =
           host.worker !== undefined && load.byWorker.has(host.worker);
         if (busy) host.lastBusyAtMs = nowMs;
@@ -186,7 +223,10 @@
     applyPolicy(policy, state, {load, backlog}, nowMs, durations, emptyInMs) {
       const demands = measureDemand(state, load, backlog, nowMs, durations);
       const views = state.tables.pools.map(({name, standby}): PoolView => {
-        const serving = hosts.filter(({pool, move}) => pool === name && !move);
+        const serving = hosts.filter(
+          ({pool, move, downUntilMs}) =>
+            pool === name && !move && downUntilMs === 0,
+        );
         const arriving = hosts.filter(({move}) => move?.targetPool === name);
         return {
           name,
--- a/packages/testkit/src/jobs/measure.ts
+++ b/packages/testkit/src/jobs/measure.ts
@@ -5,19 +5,25 @@
 import {
   AdmitAll,
   ArrivalOrder,
+  CostAdmission,
+  CostOrder,
   DeadlineAdmission,
   DeadlineOrder,
   ElasticPools,
+  FirstArrivalReturns,
   FirstFitPlacement,
   FixedPools,
   LeastSlackOrder,
   PackPlacement,
+  WeightedShares,
 } from '@lentildrift/scheduling';
 import {
   ARCHERS_JOBS,
   HUNDREDS_JOBS,
   IDLE_START_JOBS,
   OVERLOAD_JOBS,
+  PRIORITIES_JOBS,
+  TEAMS_JOBS,
   scaleShape,
   type TrafficShape,
 } from './shape.js';
@@ -32,7 +38,7 @@
 
 type Policies = Pick<
   TrialOptions,
-  'order' | 'placement' | 'pools' | 'admission'
+  'order' | 'placement' | 'pools' | 'admission' | 'shareRule' | 'returns'
 >;
 
 function createDefaultPolicies(): Policies {
@@ -61,6 +67,25 @@
   'fixed pools': () => ({...createDefaultPolicies(), pools: new FixedPools()}),
   'admit all': () => ({...createDefaultPolicies(), admission: new AdmitAll()}),
 };
+/** The policies that weigh costs, one by one, beside the default ones. */
+const COST_POLICIES: Readonly<Record<string, () => Policies>> = {
+  ours: createDefaultPolicies,
+  'order by cost': () => ({
+    ...createDefaultPolicies(),
+    order: new CostOrder(),
+  }),
+  'admission by cost': createCostAdmission,
+  'both by cost': () => ({...createCostAdmission(), order: new CostOrder()}),
+};
+
+function createCostAdmission(): Policies {
+  return {
+    ...createDefaultPolicies(),
+    admission: new CostAdmission(),
+    shareRule: new WeightedShares(),
+    returns: new FirstArrivalReturns(),
+  };
+}
 /** Duration of a restart of all processes, during the turn of one queue. */
 const OUTAGE = {fromMs: 12_000, untilMs: 14_500};
 /** A change of leader in the first burst. */
@@ -111,8 +136,47 @@
   const sizes = FACTORS.map(factor =>
     measureRow('ours', scaleShape(ARCHERS_JOBS, factor), SEEDS.slice(0, 1)),
   );
-  for (const row of [...rows, ...sizes]) console.log(JSON.stringify(row));
-  return {measure: 'jobs', seeds: SEEDS, rows, sizes};
+  const costs = measureCosts();
+  for (const row of [...rows, ...sizes, ...costs]) {
+    console.log(JSON.stringify(row));
+  }
+  return {measure: 'jobs', seeds: SEEDS, rows, sizes, costs};
+}
+
+/** Shapes in which teams, queues or priorities compete for too little room. */
+function measureCosts() {
+  const shapes = [TEAMS_JOBS, PRIORITIES_JOBS, OVERLOAD_JOBS, HUNDREDS_JOBS];
+  return shapes.flatMap(shape =>
+    Object.values(COST_POLICIES).map((create, at) => {
+      const results = SEEDS.slice(0, 3).map(seed =>
+        runJobTrial({...create(), shape, seed}),
+      );
+      const policy = Object.keys(COST_POLICIES)[at]!;
+      const mean = (valueOf: (result: TrialResult) => number) =>
+        round(
+          results.reduce((sum, each) => sum + valueOf(each), 0) /
+            results.length,
+        );
+      const names = Object.keys(results[0]!.classes);
+      return {
+        policy,
+        shape: shape.name,
+        worth: mean(({worthWithTeams}) => worthWithTeams),
+        served: mean(({served}) => served),
+        worstWindows: mean(({worstWindows}) => worstWindows),
+        worstQueue: mean(({worstQueue}) => worstQueue),
+        worstTeams: mean(({worstTeams}) => worstTeams),
+        worstSize: mean(({worstSize}) => worstSize),
+        neverServed: mean(({refused}) => refused),
+        jobs: mean(({jobs}) => jobs),
+        microsecondsPerStart: mean(r => (r.roundsMs * 1000) / r.starts),
+        refusals: results.map(({refusals}) => refusals),
+        classes: Object.fromEntries(
+          names.map(name => [name, mean(({classes}) => classes[name] ?? 0)]),
+        ),
+      };
+    }),
+  );
 }
 
 function measureRow(
--- a/packages/testkit/src/jobs/shape.ts
+++ b/packages/testkit/src/jobs/shape.ts
@@ -28,10 +28,36 @@
   estimateError: z.number().nonnegative(),
   /** Earned by a job of mean size that ends in time. */
   worth: z.number().positive(),
+  /** See `Queue.priority`. */
+  priority: z.number().default(0),
+  /** Queue whose pool the jobs share; their own pool if it is absent. */
+  pool: z.string().optional(),
   /** Number and size of the tasks of the one long-running job of the queue. */
   lasting: z.object({count: z.int(), cores: z.number(), memoryMb: z.number()}),
 });
-export type QueueShape = z.infer<typeof QueueShape>;
+export type QueueShape = z.input<typeof QueueShape>;
+
+const Interval = {
+  fromMs: z.number().nonnegative(),
+  untilMs: z.number().positive(),
+};
+
+export const TeamsShape = z.object({
+  count: z.int().positive(),
+  /** Team k, from 1 on, sends as much as the first one divided by k^skew. */
+  skew: z.number().nonnegative(),
+  /** A team's weight is this multiple of its mean number of jobs a second. */
+  weightFactor: z.number().positive(),
+  minWeight: z.number().nonnegative(),
+  /**
+   * Times in which some of the largest third of the teams, drawn by the seed,
+   * send more than usual.
+   */
+  bursts: z.array(
+    z.object({...Interval, teams: z.int(), factor: z.number().min(1)}),
+  ),
+});
+export type TeamsShape = z.infer<typeof TeamsShape>;
 
 export const TrafficShape = z.object({
   name: z.string(),
@@ -52,8 +78,20 @@
   hostSecondPrice: z.number().nonnegative(),
   /** Price of one move, in the unit of `worth`. */
   movePrice: z.number().nonnegative(),
+  /** All jobs are without a team if it is absent. */
+  teams: TeamsShape.optional(),
+  /** Times in which a queue sends a multiple of its usual. */
+  queueBursts: z
+    .array(z.object({...Interval, queue: z.string(), factor: z.number()}))
+    .default([]),
+  /** Times in which a part of the hosts of each pool is down. */
+  crashes: z
+    .array(z.object({...Interval, share: z.number().min(0).max(1)}))
+    .default([]),
+  /** Number of times that a refused caller returns. */
+  retries: z.int().nonnegative().default(0),
 });
-export type TrafficShape = z.infer<typeof TrafficShape>;
+export type TrafficShape = z.input<typeof TrafficShape>;
 
 const SMALL_JOBS = {
   steps: {mean: 1.6, spread: 0.4, max: 4},
@@ -199,6 +237,93 @@
   lengthMs: 24_000,
 };
 
+const QUICK_JOBS_OF_TEAMS = {
+  ...SMALL_JOBS,
+  width: {mean: 8, spread: 0.6, max: 32},
+  coresPerTask: {mean: 3.1, spread: 0.45, max: 9.3},
+  memoryMbPerTask: {mean: 4400, spread: 0.6, max: 13_000},
+  estimateError: 0.5,
+  worth: 0.4,
+};
+const RECONCILIATIONS_OF_TEAMS = {
+  ...LARGE_JOBS,
+  coresPerTask: {mean: 6.7, spread: 0.45, max: 20},
+  memoryMbPerTask: {mean: 9600, spread: 0.6, max: 29_000},
+  durationMs: {mean: 1700, spread: 0.5, max: 4200},
+  estimateError: 0.2,
+  worth: 1.84,
+  priority: 1,
+};
+const LONG_RUNNING_TASKS_OF_TEAMS = {count: 24, cores: 4.4, memoryMb: 8400};
+
+/**
+ * Twenty teams of uneven size; three of them send five times their usual in the
+ * turn of a queue, another queue bursts, and a sixth of the hosts is lost for
+ * some seconds.
+ */
+export const TEAMS_JOBS: TrafficShape = {
+  ...HUNDREDS_JOBS,
+  name: 'teams',
+  queues: [
+    {
+      name: 'vat',
+      perSecond: 10.2,
+      ...QUICK_JOBS_OF_TEAMS,
+      lasting: LONG_RUNNING_TASKS_OF_TEAMS,
+    },
+    {
+      name: 'payroll',
+      perSecond: 2.5,
+      ...RECONCILIATIONS_OF_TEAMS,
+      lasting: LONG_RUNNING_TASKS_OF_TEAMS,
+    },
+    {
+      name: 'withholding',
+      perSecond: 12.8,
+      ...QUICK_JOBS_OF_TEAMS,
+      lasting: LONG_RUNNING_TASKS_OF_TEAMS,
+    },
+    {
+      name: 'dividends',
+      perSecond: 3.1,
+      ...RECONCILIATIONS_OF_TEAMS,
+      lasting: LONG_RUNNING_TASKS_OF_TEAMS,
+    },
+  ],
+  hostsPerPool: 20,
+  standbyHosts: 39,
+  hostCores: 32,
+  hostMemoryMb: 65_536,
+  teams: {
+    count: 20,
+    skew: 1.2,
+    weightFactor: 1.9,
+    minWeight: 1,
+    bursts: [{fromMs: 4500, untilMs: 10_500, teams: 3, factor: 5}],
+  },
+  queueBursts: [
+    {fromMs: 20_000, untilMs: 24_000, queue: 'payroll', factor: 2.2},
+  ],
+  crashes: [{fromMs: 13_000, untilMs: 17_500, share: 0.16}],
+  retries: 4,
+};
+
+/** One pool for urgent small jobs and large ones that may wait. */
+export const PRIORITIES_JOBS: TrafficShape = {
+  ...TEAMS_JOBS,
+  name: 'priorities',
+  queues: TEAMS_JOBS.queues.map((queue, at) => ({
+    ...queue,
+    pool: TEAMS_JOBS.queues[at % 2]!.name,
+    priority: at < 2 ? 0 : 2,
+  })),
+  teams: undefined,
+  queueBursts: [
+    {fromMs: 3000, untilMs: 9000, queue: 'vat', factor: 2.5},
+    {fromMs: 16_000, untilMs: 22_000, queue: 'payroll', factor: 2},
+  ],
+};
+
 /** Repeats the queues, pools and hosts of `shape` `factor` times. */
 export function scaleShape(shape: TrafficShape, factor: number): TrafficShape {
   const queues = Array.from({length: factor}, (_, part) =>
--- a/packages/testkit/src/jobs/trial.ts
+++ b/packages/testkit/src/jobs/trial.ts
@@ -9,18 +9,21 @@
   stepKey,
   taskName,
   workerKey,
+  ZERO_SIZE,
   type EndRow,
   type Event,
-  type JobSpec,
   type StartRow,
   type State,
 } from '@lentildrift/queue';
 import {
   AdmitAll,
   createStateIndex,
+  createIntakeLedger,
+  SHARE_WINDOW_MS,
   type Admission,
-  type AdmissionVerdict,
-  type PoolForecast,
+  type PoolShares,
+  type ReturnOrder,
+  type ShareRule,
   expectedDurationMs,
   groupByPool,
   NO_DURATIONS,
@@ -36,11 +39,12 @@
 import {
   createSimulatedHosts,
   hostCapacity,
+  poolNames,
   STANDBY,
   type SimulatedHosts,
 } from './hosts.js';
 import type {TrafficShape} from './shape.js';
-import {createArrivals, type JobArrival} from './workload.js';
+import {createArrivals, listTeams, type JobArrival} from './workload.js';
 
 export interface TrialOptions {
   readonly shape: TrafficShape;
@@ -50,6 +54,10 @@
   readonly pools: PoolPolicy;
   /** Every job is admitted if it is absent. */
   readonly admission?: Admission;
+  /** Jobs have no shares if it is absent. */
+  readonly shareRule?: ShareRule;
+  /** `PacedReturns` if it is absent. */
+  readonly returns?: ReturnOrder;
   /** Interval without a leader, in which no decisions are made. */
   readonly outage?: {readonly fromMs: number; readonly untilMs: number};
   /** Decisions take no time, and are durable at once, if it is absent. */
@@ -72,8 +80,10 @@
 
 export interface TrialResult extends TrialScore {
   readonly starts: number;
-  /** Jobs that were not admitted. */
+  /** Jobs that were not admitted in the end. */
   readonly refused: number;
+  /** Refusals by reason, those of callers that returned included. */
+  readonly refusals: Readonly<Record<string, number>>;
   /** Total time of all decision rounds. */
   readonly roundsMs: number;
   /** Time of the longest decision round. */
@@ -117,16 +127,24 @@
   const arrivals = createArrivals(shape, seed);
   const arrivalsById = new Map(arrivals.map(each => [each.spec.id, each]));
   const hosts = createSimulatedHosts(shape);
+  const {retries = 0} = shape;
   const endedMs = new Map<string, number>();
   const index = createStateIndex();
   let state = createState(shape, hosts);
   let durations: Durations = NO_DURATIONS;
   let running: RunningTask[] = [];
-  let pendingArrivals = arrivals;
+  let pendingArrivals: readonly Arrival[] = arrivals.map(job => ({
+    atMs: job.atMs,
+    job,
+    retriesLeft: retries,
+  }));
   let lastPoolDecisionMs = -Infinity;
   let starts = 0;
-  const intake = createIntake(options);
+  const {admission = new AdmitAll(), shareRule, returns} = options;
+  const intake = createIntakeLedger({admission, shareRule, returns});
+  const hostCapacities = [hostCapacity(shape)];
   const refused = new Set<string>();
+  const refusals: Record<string, number> = {};
   let roundsMs = 0;
   let longestRoundMs = 0;
   /** Time at which the leader has done what its last round decided. */
@@ -145,19 +163,52 @@
     const next = pendingArrivals.findIndex(({atMs}) => atMs > nowMs);
     const due = next < 0 ? pendingArrivals : pendingArrivals.slice(0, next);
     pendingArrivals = next < 0 ? [] : pendingArrivals.slice(next);
+    const returning: Arrival[] = [];
     for (const arrival of due) {
-      const verdict = intake.decide(arrival.spec, nowMs, state, durations);
+      const {spec} = arrival.job;
+      const verdict = intake.decide({
+        spec,
+        queue: queuesByName(state.tables).get(spec.queue)!,
+        nowMs,
+        monotonicMs: nowMs,
+        durations,
+        hostCapacities,
+        isSettled: true,
+      });
       if (verdict.type === 'admitted') {
-        events.push({type: 'submit', job: arrival.spec, atMs: nowMs});
-      } else {
-        refused.add(arrival.spec.id);
+        events.push({type: 'submit', job: spec, atMs: nowMs});
+        intake.settle(spec.id);
+        refused.delete(spec.id);
+        continue;
       }
+      refused.add(spec.id);
+      const reason = verdict.type === 'overloaded' ? verdict.reason : 'other';
+      refusals[reason] = (refusals[reason] ?? 0) + 1;
+      if (verdict.type !== 'overloaded' || arrival.retriesLeft === 0) continue;
+      const retriesLeft = arrival.retriesLeft - 1;
+      const atMs = nowMs + verdict.retryAfterMs;
+      returning.push({atMs, job: arrival.job, retriesLeft});
+    }
+    if (returning.length > 0) {
+      pendingArrivals = [...pendingArrivals, ...returning].sort(
+        (a, b) => a.atMs - b.atMs,
+      );
     }
     const ended = running.filter(({endMs}) => endMs <= nowMs);
     running = running.filter(({endMs}) => endMs > nowMs);
     events.push(...toEndEvents(state, ended));
     for (const end of ended) durations = recordRun(durations, state, end);
     busyUntilMs = nowMs + leader.roundMs + ended.length * leader.endMs;
+    const crashed = hosts.crash(nowMs);
+    if (crashed.size > 0) {
+      const isLost = ({row: [, , worker]}: RunningTask) => crashed.has(worker);
+      events.push({
+        type: 'lost',
+        runs: running.filter(isLost).map(({row}) => row),
+      });
+      running = running.filter(task => !isLost(task));
+      for (const worker of crashed) events.push({type: 'worker-gone', worker});
+    }
     events.push(...hosts.advance(nowMs, index.viewOf(state).load));
     if (events.length > 0) {
       const before = state;
@@ -180,6 +231,7 @@
       nowMs,
       durations,
       emptyInMs,
+      shares: shareRule ? intake.shares() : undefined,
     });
     if (decision.starts.length > 0) {
       const runs = [...decision.starts];
@@ -211,7 +263,16 @@
         durations,
         worker => remainingAfterStarts.get(worker) ?? 0,
       );
-      intake.update(forecasts);
+      intake.update({
+        forecasts,
+        teams: state.tables.teams,
+        queues: queuesByName(state.tables),
+        recentJobs: index
+          .viewOf(state)
+          .backlog.recentJobs(nowMs - SHARE_WINDOW_MS),
+        durations,
+        nowMs,
+      });
     }
     const roundMs = performance.now() - roundStartMs;
     roundsMs += roundMs;
@@ -219,62 +280,46 @@
   }
   const {moves, hostSeconds} = hosts;
   const score = computeScore(shape, arrivals, endedMs, {moves, hostSeconds});
-  return {...score, starts, refused: refused.size, roundsMs, longestRoundMs};
-}
-
-/** Decides on jobs as they arrive, with the latest forecasts. */
-function createIntake({admission = new AdmitAll(), shape}: TrialOptions) {
-  const hostCapacities = [hostCapacity(shape)];
-  const acceptedWorkMs = new Map<string, number>();
-  let forecasts: ReadonlyMap<string, PoolForecast> = new Map();
   return {
-    decide(
-      spec: JobSpec,
-      nowMs: number,
-      state: State,
-      durations: Durations,
-    ): AdmissionVerdict {
-      const queue = queuesByName(state.tables).get(spec.queue)!;
-      const {pool} = queue;
-      const accepted = acceptedWorkMs.get(pool) ?? 0;
-      const verdict = admission.decide({
-        spec,
-        queue,
-        nowMs,
-        durations,
-        forecast: forecasts.get(pool),
-        acceptedWorkMs: accepted,
-        hostCapacities,
-      });
-      if (verdict.type === 'admitted') {
-        acceptedWorkMs.set(pool, accepted + verdict.workMs);
-      }
-      return verdict;
-    },
-    update(latest: ReadonlyMap<string, PoolForecast>): void {
-      forecasts = latest;
-      acceptedWorkMs.clear();
-    },
+    ...score,
+    starts,
+    refused: refused.size,
+    refusals,
+    roundsMs,
+    longestRoundMs,
   };
 }
 
+/** A job that arrives for the first time, or again after a refusal. */
+interface Arrival {
+  readonly atMs: number;
+  readonly job: JobArrival;
+  readonly retriesLeft: number;
+}
+
 function createState(shape: TrafficShape, hosts: SimulatedHosts): State {
   const tables = {
     ...EMPTY_TABLES,
     version: 1,
-    queues: shape.queues.map(({name}) => ({
+    queues: shape.queues.map(({name, pool = name, priority = 0}) => ({
       name,
       host: 'h',
       prefix: `/${name}/`,
-      pool: name,
+      pool,
       timeoutMs: 3000,
       targetMs: shape.targetMs,
       stretch: shape.stretch,
       maxAttempts: 2,
-      priority: 0,
+      priority,
       open: true,
     })),
-    pools: [...shape.queues.map(({name}) => name), STANDBY].map(name => ({
+    teams: listTeams(shape).map(({name, weight}) => ({
+      name,
+      keys: [],
+      weight,
+      cap: ZERO_SIZE,
+    })),
+    pools: [...poolNames(shape), STANDBY].map(name => ({
       name,
       guardsCapacity: false,
       standby: name === STANDBY,
@@ -293,12 +338,12 @@
   readonly nowMs: number;
   readonly durations: Durations;
   readonly emptyInMs: (worker: string) => number;
+  readonly shares: ReadonlyMap<string, PoolShares> | undefined;
 }
 
-function decide(
-  {order, placement}: TrialOptions,
-  {isBusy, state, view, hosts, nowMs, durations, emptyInMs}: RoundInput,
-) {
+function decide({order, placement}: TrialOptions, input: RoundInput) {
+  const {isBusy, state, view, hosts, nowMs, durations, emptyInMs} = input;
+
   const workers = [...state.workers.values()]
     .map(worker => ({
       key: workerKey(worker),
@@ -321,6 +366,7 @@
     advisedWorkers,
     order,
     placement,
+    ...(input.shares && {shares: input.shares}),
   });
 }
 
--- a/packages/testkit/src/jobs/workload.ts
+++ b/packages/testkit/src/jobs/workload.ts
@@ -12,6 +12,8 @@
   /** Sum of the longest task duration of each step. */
   readonly criticalPathMs: number;
   readonly worth: number;
+  /** Expected work relative to that of the mean job of the queue. */
+  readonly sizeFactor: number;
 }
 
 /** Rate of a queue outside its turn, as a fraction of its mean rate. */
@@ -25,6 +27,7 @@
   seed: number,
 ): JobArrival[] {
   const random = createRandom(seed);
+  const teams = createTeams(shape, seed);
   const arrivals: JobArrival[] = [];
   shape.queues.forEach((queue, queueIndex) => {
     arrivals.push(createLongRunningJob(queue));
@@ -33,10 +36,15 @@
     let atMs = 0;
     for (;;) {
       const turn = Math.floor(atMs / shape.turnMs) % turns;
-      const factor = turn === queueIndex % turns ? burst : QUIET_FACTOR;
+      const turnFactor = turn === queueIndex % turns ? burst : QUIET_FACTOR;
+      const factor =
+        turnFactor * queueBurstFactor(shape, queue, atMs) * teams.factor(atMs);
       const gapMs =
         (-Math.log(1 - random.uniform()) * 1000) / (queue.perSecond * factor);
-      const turnEndMs = (Math.floor(atMs / shape.turnMs) + 1) * shape.turnMs;
+      const turnEndMs = Math.min(
+        (Math.floor(atMs / shape.turnMs) + 1) * shape.turnMs,
+        nextChangeMs(shape, atMs),
+      );
       if (atMs + gapMs >= turnEndMs) {
         // The rate changes here. Arrivals are memoryless, so the gap is drawn
         // again at the new rate.
@@ -45,12 +53,90 @@
         continue;
       }
       atMs += gapMs;
-      arrivals.push(createJob(random, queue, atMs, arrivals.length));
+      const team = teams.draw(atMs);
+      arrivals.push(createJob(random, queue, atMs, arrivals.length, team));
     }
   });
   return arrivals.sort((a, b) => a.atMs - b.atMs);
 }
 
+/** A team of a trial, with its share of the jobs of quiet times. */
+export interface TrialTeam {
+  readonly name: string;
+  readonly share: number;
+  readonly weight: number;
+}
+
+/** The teams of a shape, the largest first; none if it has no teams. */
+export function listTeams({teams, queues}: TrafficShape): TrialTeam[] {
+  if (!teams) return [];
+  const {count, skew, weightFactor, minWeight} = teams;
+  const sizes = Array.from({length: count}, (_, at) => (at + 1) ** -skew);
+  const whole = sizes.reduce((sum, size) => sum + size, 0);
+  const perSecond = queues.reduce((sum, queue) => sum + queue.perSecond, 0);
+  return sizes.map((size, at) => {
+    const share = size / whole;
+    const weight = Math.max(minWeight, weightFactor * perSecond * share);
+    return {name: `team-${at}`, share, weight};
+  });
+}
+
+/** Draws the teams of jobs, some of which send more than usual for a time. */
+function createTeams(shape: TrafficShape, seed: number) {
+  // Its own generator, so that the jobs are the same with and without teams.
+  const random = createRandom(seed + 1_000_000);
+  const teams = listTeams(shape);
+  const bursts = (shape.teams?.bursts ?? []).map(burst => {
+    const names = new Set<string>();
+    const largest = teams.slice(0, Math.ceil(teams.length / 3));
+    while (names.size < Math.min(burst.teams, largest.length)) {
+      names.add(largest[Math.floor(random.uniform() * largest.length)]!.name);
+    }
+    return {...burst, names};
+  });
+  const sharesAt = (atMs: number) =>
+    teams.map(({name, share}) => {
+      const burst = bursts.find(
+        ({fromMs, untilMs, names}) =>
+          atMs >= fromMs && atMs < untilMs && names.has(name),
+      );
+      return {name, share: share * (burst?.factor ?? 1)};
+    });
+  const sumOf = (shares: {share: number}[]) =>
+    shares.reduce((sum, {share}) => sum + share, 0);
+  return {
+    /** Multiple of the usual number of jobs of all teams. */
+    factor: (atMs: number) => (teams.length > 0 ? sumOf(sharesAt(atMs)) : 1),
+    draw(atMs: number): string | undefined {
+      const shares = sharesAt(atMs);
+      let left = teams.length > 0 ? random.uniform() * sumOf(shares) : 0;
+      return shares.find(({share}) => (left -= share) < 0)?.name;
+    },
+  };
+}
+
+function queueBurstFactor(
+  {queueBursts = []}: TrafficShape,
+  {name}: QueueShape,
+  atMs: number,
+): number {
+  const burst = queueBursts.find(
+    ({queue, fromMs, untilMs}) =>
+      queue === name && atMs >= fromMs && atMs < untilMs,
+  );
+  return burst?.factor ?? 1;
+}
+
+/** The next time after `atMs` at which a burst begins or ends. */
+function nextChangeMs(
+  {queueBursts = [], teams}: TrafficShape,
+  atMs: number,
+): number {
+  const bursts = [...queueBursts, ...(teams?.bursts ?? [])];
+  const changesMs = bursts.flatMap(({fromMs, untilMs}) => [fromMs, untilMs]);
+  return Math.min(...changesMs.filter(changeMs => changeMs > atMs));
+}
+
 function createLongRunningJob({name, lasting}: QueueShape): JobArrival {
   const spec = JobSpec.parse({
     id: `lasting-${name}`,
@@ -73,6 +159,7 @@
     durationsMs: [],
     criticalPathMs: 0,
     worth: 0,
+    sizeFactor: 0,
   };
 }
 
@@ -86,6 +173,7 @@
   queue: QueueShape,
   atMs: number,
   number: number,
+  team: string | undefined,
 ): JobArrival {
   const count = Math.max(1, Math.round(drawBounded(random, queue.steps)));
   const durationsMs: number[][] = [];
@@ -125,11 +213,13 @@
       id: `${queue.name}-${number}`,
       queue: queue.name,
       payload: '',
+      ...(team !== undefined && {team}),
       steps,
     }),
     durationsMs,
     criticalPathMs,
     worth: queue.worth * Math.min(MAX_WORTH_FACTOR, worthFactor),
+    sizeFactor: work / meanWork,
   };
 }
 
