Empty hosts whose long-running tasks are not ready

Cause: a task that is not ready counts as unavailable, also against the stop of itself. A host with such a task, and each due host of the step, waited with `budget` for good, also near the deadline.

Change: the policy gets the number of ready tasks of each step on a host. A step without any needs no budget there, and only ready tasks are charged to it.

--- a/packages/dispatch/src/host-selection.ts
+++ b/packages/dispatch/src/host-selection.ts
@@ -89,13 +89,20 @@
     const worker = fleet.newestOn(id);
     const runs = worker && load.runsByWorker.get(workerKey(worker));
     const lastingTasks = new Map<string, number>();
+    const readyTasks = new Map<string, number>();
     for (const live of runs ?? []) {
       if (!live.step.lasting) continue;
       const step = stepOf(live);
       lastingTasks.set(step, (lastingTasks.get(step) ?? 0) + 1);
+      if (!isReadyRun(live)) continue;
+      readyTasks.set(step, (readyTasks.get(step) ?? 0) + 1);
     }
     const idle = runs === undefined || runs.length === 0;
-    return {id, pool: worker?.pool, idle, lastingTasks};
+    return {id, pool: worker?.pool, idle, lastingTasks, readyTasks};
+  }
+
+  function isReadyRun({job, key, run}: LiveRun): boolean {
+    return options.isReady(taskName(job.spec.id, key), run);
   }
 
   function measurePools(
@@ -138,8 +145,7 @@
       if (!options.isCordoned(worker.host)) continue;
       for (const live of lastingOn(worker)) {
         const budget = budgets.get(stepOf(live));
-        const task = taskName(live.job.spec.id, live.key);
-        if (!budget || !options.isReady(task, live.run)) continue;
+        if (!budget || !isReadyRun(live)) continue;
         budgets.set(stepOf(live), {...budget, free: budget.free - 1});
       }
     }
--- a/packages/scheduling/src/waves.ts
+++ b/packages/scheduling/src/waves.ts
@@ -35,6 +35,8 @@
   readonly idle: boolean;
   /** Number of long-running tasks on the host, by step. */
   readonly lastingTasks: ReadonlyMap<string, number>;
+  /** Number of those that are ready, by step; steps without any are absent. */
+  readonly readyTasks: ReadonlyMap<string, number>;
 }
 
 /** A wave as the policy sees it. */
@@ -243,7 +245,7 @@
 class Decision implements WaveDecision {
   readonly selected: WaveHost[] = [];
   readonly waiting = new Map<string, HostWaitReason>();
-  /** Tasks of the selected hosts, by step. */
+  /** Ready tasks of the selected hosts, by step. */
   private readonly taken = new Map<string, number>();
   /** Selected hosts, by pool. */
   private readonly cordoned = new Map<string, number>();
@@ -252,7 +254,7 @@
 
   take(host: WaveHost): void {
     this.selected.push(host);
-    for (const [step, count] of host.lastingTasks) {
+    for (const [step, count] of host.readyTasks) {
       this.taken.set(step, (this.taken.get(step) ?? 0) + count);
     }
     if (host.pool === undefined) return;
@@ -275,16 +277,25 @@
    * Whether a task of each step on the host may be stopped. A host may have more
    * tasks of a step than may be unavailable at once; they are stopped in turn.
    */
-  isWithinBudgets({lastingTasks}: WaveHost): boolean {
-    return [...lastingTasks.keys()].every(step => this.hasBudget(step));
+  isWithinBudgets(host: WaveHost): boolean {
+    return [...host.lastingTasks.keys()].every(step =>
+      this.hasBudget(host, step),
+    );
   }
 
   /** Whether a task of some step on the host may be stopped. */
-  hasStoppableTask({lastingTasks}: WaveHost): boolean {
-    return [...lastingTasks.keys()].some(step => this.hasBudget(step));
+  hasStoppableTask(host: WaveHost): boolean {
+    return [...host.lastingTasks.keys()].some(step =>
+      this.hasBudget(host, step),
+    );
   }
 
-  private hasBudget(step: string): boolean {
+  /**
+   * A task that is not ready counts as unavailable already, so its stop takes
+   * nothing of the budget.
+   */
+  private hasBudget({readyTasks}: WaveHost, step: string): boolean {
+    if (!readyTasks.has(step)) return true;
     const free = this.view.budgets.get(step)?.free ?? 0;
     return free - (this.taken.get(step) ?? 0) > 0;
   }
--- a/packages/scheduling/test/waves.test.ts
+++ b/packages/scheduling/test/waves.test.ts
@@ -8,16 +8,33 @@
 } from '../src/index.js';
 
 function idle(id: string): WaveHost {
-  return {id, pool: undefined, idle: true, lastingTasks: new Map()};
+  return {
+    id,
+    pool: undefined,
+    idle: true,
+    lastingTasks: new Map(),
+    readyTasks: new Map(),
+  };
 }
 
 function busy(id: string, pool = 'p'): WaveHost {
-  return {id, pool, idle: false, lastingTasks: new Map()};
+  return {
+    id,
+    pool,
+    idle: false,
+    lastingTasks: new Map(),
+    readyTasks: new Map(),
+  };
 }
 
-function lasting(id: string, tasks: Record<string, number>): WaveHost {
+function lasting(
+  id: string,
+  tasks: Record<string, number>,
+  ready = tasks,
+): WaveHost {
   const lastingTasks = new Map(Object.entries(tasks));
-  return {id, pool: 'p', idle: false, lastingTasks};
+  const readyTasks = new Map(Object.entries(ready));
+  return {id, pool: 'p', idle: false, lastingTasks, readyTasks};
 }
 
 function view(due: readonly WaveHost[], more: Partial<WaveView> = {}) {
@@ -62,6 +79,22 @@
     expect(selectIds(policy, view(due, {budgets}))).toEqual([]);
   });
 
+  // A task that is never ready used up the budget of its own step, so that its
+  // host waited for good.
+  it('selects a host with a task that is not ready although the budget is used up', () => {
+    const due = [lasting('a', {s: 1}, {}), lasting('b', {s: 1})];
+    const budgets = new Map([['s', {limit: 1, free: 0}]]);
+    const {selected, waiting} = policy.select(view(due, {budgets}));
+    expect(selected.map(({id}) => id)).toEqual(['a']);
+    expect(waiting.get('b')).toBe('budget');
+  });
+
+  it('charges only ready tasks to the budget of their step', () => {
+    const due = [lasting('a', {s: 3}, {s: 1}), lasting('b', {s: 1})];
+    const budgets = new Map([['s', {limit: 2, free: 2}]]);
+    expect(selectIds(policy, view(due, {budgets}))).toEqual(['a', 'b']);
+  });
+
   it('leaves hosts in use alone until time presses', () => {
     const {waiting} = policy.select(view([busy('a')]));
     expect(waiting.get('a')).toBe('in-use');
