Limit the hosts that a wave keeps cordoned for long-running tasks

Cause: the number of hosts that were emptied of long-running tasks did not depend on those that were empty and waited for a slot. Each host whose last such task had stopped made room for another one, so that empty hosts piled up.

Change: hosts with long-running tasks are selected only as long as those that are down, empty or being emptied are fewer than twice the hosts that may be down and one in advance.

--- a/packages/scheduling/src/waves.ts
+++ b/packages/scheduling/src/waves.ts
@@ -172,12 +172,19 @@
   }
 
   /**
-   * Selects hosts with long-running tasks, as many as may be down at once. Near
-   * the deadline the budget of one step is enough, since hosts with tasks of
-   * several steps could wait for others in turn.
+   * Selects hosts with long-running tasks, as many as may be down at once, and
+   * as many more as those that are down or empty leave of twice that number.
+   * Without the second limit, hosts that were empty and waited for a slot piled
+   * up. Near the deadline the budget of one step is enough, since hosts with
+   * tasks of several steps could wait for others in turn.
    */
   private selectLasting(view: WaveView, decision: Decision): void {
-    let left = view.atOnce + HOSTS_EMPTIED_AHEAD - view.emptyingLasting;
+    const {down, emptying, emptyingLasting} = view;
+    const limit = view.atOnce + HOSTS_EMPTIED_AHEAD;
+    let left = Math.min(
+      limit - emptyingLasting,
+      2 * limit - down - emptying - emptyingLasting,
+    );
     const isPressing =
       view.remainingMs < view.hostTimeMs + TimedWaves.RESERVE_MS;
     for (const host of sortByRounds(view)) {
--- a/packages/scheduling/test/waves.test.ts
+++ b/packages/scheduling/test/waves.test.ts
@@ -124,6 +124,52 @@
     expect(selectIds(new TimedWaves(), many)).toEqual([]);
   });
 
+  // Hosts whose last long-running task had stopped waited for a slot while
+  // others were selected in their place: at the peak 50 of 60 were cordoned.
+  it('do not cordon more hosts than twice those that may be down and one in advance', () => {
+    const atOnce = 2;
+    const downRounds = 5;
+    const due = Array.from({length: 60}, (_, at) => `h${at}`);
+    const budgets = new Map(due.map(id => [id, {limit: 1, free: 1}] as const));
+    const emptyingLasting = new Set<string>();
+    const emptied: string[] = [];
+    const returnRounds: number[] = [];
+    let most = 0;
+    let done = 0;
+    for (let round = 0; done < 60 && round < 1000; round++) {
+      while (returnRounds[0] === round) {
+        returnRounds.shift();
+        done++;
+      }
+      while (returnRounds.length < atOnce && emptied.length > 0) {
+        emptied.shift();
+        returnRounds.push(round + downRounds);
+      }
+      const wave = view(
+        due.map(id => lasting(id, {[id]: 1})),
+        {
+          atOnce,
+          down: returnRounds.length,
+          emptying: emptied.length,
+          emptyingLasting: emptyingLasting.size,
+          budgets,
+        },
+      );
+      const selected = selectIds(new TimedWaves(), wave);
+      emptied.push(...emptyingLasting);
+      emptyingLasting.clear();
+      for (const id of selected) {
+        due.splice(due.indexOf(id), 1);
+        emptyingLasting.add(id);
+      }
+      const cordoned =
+        returnRounds.length + emptied.length + emptyingLasting.size;
+      most = Math.max(most, cordoned);
+    }
+    expect(done).toBe(60);
+    expect(most).toBeLessThanOrEqual(2 * (atOnce + 1));
+  });
+
   it('do not count hosts with long-running tasks as taking a slot', () => {
     const due = ['a', 'b', 'c'].map(idle);
     const wave = view(due, {emptyingLasting: 3});
