Keep the short tasks of a pool from following its long-running ones

Cause: a pool that lacked room for long-running tasks preceded all others, and then got hosts for any of its tasks, its headroom and its inflow. A long-running task that fits on no host gave its pool every host.

Change: a first pass supplies the waiting long-running tasks only, and leaves out a pool as soon as none of the hosts can run one. The hosts that remain are divided by shortage, as before there was such a precedence. Long-running tasks are packed first, as they are started first.

--- a/packages/scheduling/src/pools.ts
+++ b/packages/scheduling/src/pools.ts
@@ -121,6 +121,7 @@
     surplus.sort((a, b) => a.host.emptyInMs - b.host.emptyInMs);
     sources.push(...surplus);
     const moves: Move[] = [];
+    supplyLastingTasks(packedPools, sources, moves);
     supplyHosts(packedPools, sources, moves, this.headroomHosts);
     return {moves, spare: sources};
   }
@@ -168,15 +169,59 @@
 
 function packPool(pool: PoolView): PackedPool {
   const hosts = [...pool.serving, ...pool.arriving].map(createTrialHost);
-  return {pool, ...packTasks(hosts, pool.demand.waiting)};
+  return {pool, ...packTasks(hosts, lastingFirst(pool.demand.waiting))};
+}
+
+/** The tasks with the long-running ones before all others. */
+function lastingFirst(
+  waiting: readonly WaitingTasks[],
+): readonly WaitingTasks[] {
+  const lasting = listLasting(waiting);
+  if (lasting.length === 0) return waiting;
+  return [...lasting, ...waiting.filter(tasks => !tasks.lasting)];
+}
+
+function listLasting(waiting: readonly WaitingTasks[]): WaitingTasks[] {
+  return waiting.filter(tasks => tasks.lasting);
+}
+
+/**
+ * Assigns the source hosts that waiting long-running tasks need, before other
+ * tasks get any: in a burst elsewhere these would wait for seconds, and no other
+ * task of their steps may be stopped meanwhile. A pool whose long-running tasks
+ * fit on none of the sources gets no host here, since its other tasks would take
+ * each one. Updates all of its arguments.
+ */
+function supplyLastingTasks(
+  packedPools: PackedPool[],
+  sources: HostSource[],
+  moves: Move[],
+): void {
+  const openPools = new Set<number>();
+  /** The pools with the unplaced tasks that are long-running only. */
+  const lastingPools = packedPools.map((packed, index) => {
+    const unplaced = listLasting(packed.unplaced);
+    if (unplaced.length > 0) openPools.add(index);
+    return {...packed, unplaced};
+  });
+  while (openPools.size > 0 && sources.length > 0) {
+    const index = findLargestShortage(lastingPools, openPools);
+    const sourceIndex = findHostForTasks(lastingPools[index]!, sources);
+    if (sourceIndex === undefined) {
+      openPools.delete(index);
+      continue;
+    }
+    moveHost(packedPools, index, sources, sourceIndex, moves);
+    const unplaced = listLasting(packedPools[index]!.unplaced);
+    lastingPools[index] = {...packedPools[index]!, unplaced};
+    if (unplaced.length === 0) openPools.delete(index);
+  }
 }
 
 /**
  * Assigns the source hosts one at a time, each to the pool that lacks the most
- * CPU at that point, until no pool needs one of the remaining hosts. Pools that
- * lack it for long-running tasks precede: in a burst elsewhere they would wait
- * for seconds, and no other task of their steps may be stopped meanwhile.
- * Updates all of its first three arguments.
+ * CPU at that point, until no pool needs one of the remaining hosts. Updates all
+ * of its first three arguments.
  */
 function supplyHosts(
   packedPools: PackedPool[],
@@ -192,39 +237,40 @@
       openPools.delete(index);
       continue;
     }
-    const [{host, pool}] = sources.splice(sourceIndex, 1) as [HostSource];
-    const to = packedPools[index]!.pool;
-    moves.push({host: host.id, from: pool.name, to: to.name});
-    const {hosts, unplaced} = packedPools[index]!;
-    const added = createTrialHost(emptied(host));
-    const packing = packTasks([added], unplaced);
-    packedPools[index] = {
-      pool: to,
-      hosts: [...hosts, ...packing.hosts],
-      unplaced: packing.unplaced,
-    };
+    moveHost(packedPools, index, sources, sourceIndex, moves);
   }
 }
 
-/**
- * Index of the pool, among `openPools`, with the most unplaced CPU of
- * long-running tasks or, if there is none, of all tasks.
- */
+/** Moves a source host to a pool and packs the unplaced tasks onto it. */
+function moveHost(
+  packedPools: PackedPool[],
+  index: number,
+  sources: HostSource[],
+  sourceIndex: number,
+  moves: Move[],
+): void {
+  const [{host, pool}] = sources.splice(sourceIndex, 1) as [HostSource];
+  const {pool: to, hosts, unplaced} = packedPools[index]!;
+  moves.push({host: host.id, from: pool.name, to: to.name});
+  const packing = packTasks([createTrialHost(emptied(host))], unplaced);
+  packedPools[index] = {
+    pool: to,
+    hosts: [...hosts, ...packing.hosts],
+    unplaced: packing.unplaced,
+  };
+}
+
+/** Index of the pool, among `openPools`, with the most unplaced CPU. */
 function findLargestShortage(
   packedPools: readonly PackedPool[],
   openPools: ReadonlySet<number>,
 ) {
   let largest = -Infinity;
-  let largestLasting = 0;
   let found = 0;
   for (const index of openPools) {
-    const {unplaced} = packedPools[index]!;
-    const lasting = cpuMillisOf(unplaced.filter(tasks => tasks.lasting));
-    const shortage = cpuMillisOf(unplaced);
-    if (lasting < largestLasting) continue;
-    if (lasting === largestLasting && shortage <= largest) continue;
+    const shortage = cpuMillisOf(packedPools[index]!.unplaced);
+    if (shortage <= largest) continue;
     largest = shortage;
-    largestLasting = lasting;
     found = index;
   }
   return found;
@@ -238,23 +284,37 @@
  * Index of a host that the pool needs and can use; undefined if there is none.
  */
 function findSource(
-  {pool, hosts, unplaced}: PackedPool,
+  packed: PackedPool,
   sources: readonly HostSource[],
   headroomHosts: number,
 ): number | undefined {
-  const isUsable = (source: HostSource) =>
-    source.pool !== pool && !source.host.excludedPools.has(pool.name);
+  const index = findHostForTasks(packed, sources);
+  if (index !== undefined) return index;
+  const {pool, hosts} = packed;
+  const candidate = sources.find(source => isUsable(pool, source))?.host;
+  if (!candidate) return undefined;
+  const required = requiredFree(pool, candidate, headroomHosts);
+  if (fits(required, totalFree(hosts))) return undefined;
+  return sources.findIndex(source => isUsable(pool, source));
+}
+
+/** Index of a host that can run one of the pool's unplaced tasks. */
+function findHostForTasks(
+  {pool, unplaced}: PackedPool,
+  sources: readonly HostSource[],
+): number | undefined {
   for (const tasks of unplaced) {
     const index = sources.findIndex(
-      source => isUsable(source) && canHostTask(source.host, tasks),
+      source => isUsable(pool, source) && canHostTask(source.host, tasks),
     );
     if (index >= 0) return index;
   }
-  const candidate = sources.find(isUsable)?.host;
-  if (!candidate) return undefined;
-  const required = requiredFree(pool, candidate, headroomHosts);
-  if (fits(required, totalFree(hosts))) return undefined;
-  return sources.findIndex(isUsable);
+  return undefined;
+}
+
+/** Whether the host may be moved to the pool. */
+function isUsable(pool: PoolView, source: HostSource): boolean {
+  return source.pool !== pool && !source.host.excludedPools.has(pool.name);
 }
 
 /**
--- a/packages/scheduling/test/pools.test.ts
+++ b/packages/scheduling/test/pools.test.ts
@@ -202,6 +202,43 @@
     expect(moves.map(({to}) => to)).toEqual(['q', 'p']);
   });
 
+  // A long-running task that fits on no host gave its pool every host, by way of
+  // the short tasks and the inflow of the pool.
+  describe('with long-running tasks in a pool of other tasks', () => {
+    const short = [waiting(100)];
+    const unplaceable = waiting(1, {
+      lasting: true,
+      size: {...CAPACITY, cpuMillis: 9000},
+    });
+    const destinations = (demand: Partial<Demand>) =>
+      decideMoves(
+        pool('p', [], {waiting: short}),
+        pool('q', [], demand),
+        pool(
+          'standby',
+          ['a', 'b', 'c', 'd', 'e', 'f'].map(id => host(id)),
+        ),
+      ).map(({to}) => to);
+
+    it('give no host for one that fits on none', () => {
+      const demand = {waiting: [unplaceable, waiting(40)]};
+      expect(destinations(demand)).toEqual(Array(6).fill('p'));
+    });
+
+    it('give no host for one that fits on none if the pool has an inflow', () => {
+      const demand = {waiting: [unplaceable], inflowCpuMillis: 20_000};
+      expect(destinations(demand)).toEqual(Array(6).fill('p'));
+    });
+
+    it('give one host for one that fits, and the others by shortage', () => {
+      const demand = {waiting: [waiting(40), waiting(1, {lasting: true})]};
+      expect(destinations(demand)).toEqual([
+        'q',
+        ...Array<string>(5).fill('p'),
+      ]);
+    });
+  });
+
   it('count hosts that are being moved to the pool', () => {
     const moves = decideMoves(
       pool('p', [host('a')], {waiting: [waiting(6)]}, [host('b'), host('c')]),
