Leave no gap between short holds in a large fleet

Cause: the next hold is sent no sooner than sessions/1200 s after the last. Above 240 sessions a hold of 200 ms, for the readiness of long-running tasks, ended before that, and the worker had no hold in the rest of the interval. Ends of runs were seen later than with holds of a second.

Change: a hold waits at least as long as that interval.

--- a/packages/dispatch/src/session.ts
+++ b/packages/dispatch/src/session.ts
@@ -93,7 +93,10 @@
   pace(task: string, run: number, percent: number): Promise<boolean>;
   /** Notes that ends up to `cursor` are durable and may be discarded. */
   acknowledge(cursor: number): void;
-  /** Sets how long the worker may wait before it answers the next hold. */
+  /**
+   * Sets how long the worker may wait before it answers the next hold, at least
+   * `holdIntervalMs`.
+   */
   setHoldWaitMs(waitMs: number): void;
   close(): Promise<void>;
 }
@@ -168,6 +171,14 @@
   });
   const nextHold: Reminder = createReminder(() => task.post({type: 'hold'}));
 
+  /**
+   * Wait of the next hold. One that ends before the next may be sent would leave
+   * a gap in which no end of a run is reported.
+   */
+  function nextWaitMs(): number {
+    return Math.max(holdWaitMs, options.holdIntervalMs());
+  }
+
   async function hold({cursor}: HoldState): Promise<void> {
     if (!options.isLeader()) {
       scheduleHold(RETRY_PAUSE_MS);
@@ -186,7 +197,7 @@
         // has answered, another one may be at its address, and would discard
         // ends that nobody has recorded.
         cursor: isAnswering ? cursor : 0,
-        waitMs: leaseUntilMs === undefined ? 0 : holdWaitMs,
+        waitMs: leaseUntilMs === undefined ? 0 : nextWaitMs(),
         ...(leaseUntilMs !== undefined && {leaseUntilMs}),
       });
       if (report.bornMs !== worker.bornMs) {
--- a/packages/dispatch/test/hold-interval.test.ts
+++ b/packages/dispatch/test/hold-interval.test.ts
@@ -121,6 +121,16 @@
   expect(Math.max(...delaysMs)).toBeLessThanOrEqual(10);
 });
 
+// Holds of 50 ms left the worker without one for 150 ms of each 200 ms, so that
+// ends were reported later than with holds of a second.
+it('an end is reported without delay though holds shorter than their interval are asked for', async () => {
+  const delaysMs = open(730);
+  session.setHoldWaitMs(50);
+  await vi.advanceTimersByTimeAsync(6000);
+  expect(delaysMs.length).toBe(8);
+  expect(Math.max(...delaysMs)).toBeLessThanOrEqual(10);
+});
+
 // A change that holds two events of one worker acknowledges its ends twice.
 it.each([1, 2, 5])(
   'a session has one hold in flight though its ends are acknowledged %i times',
