Limit the workers that report often during a wave

Cause: in each tick of 100 ms the leader looked at all workers of the pools with due hosts and built a list for each. All workers with long-running tasks and all idle ones of these pools reported every 200 ms.

--- a/packages/dispatch/src/host-selection.ts
+++ b/packages/dispatch/src/host-selection.ts
@@ -155,6 +155,7 @@
   return {select};
 }
 
-function stepOf({job, key}: LiveRun): string {
+/** Identifies the step of a run among the steps of all jobs. */
+export function stepOf({job, key}: LiveRun): string {
   return taskName(job.spec.id, key.slice(0, key.lastIndexOf('.')));
 }
--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -21,11 +21,7 @@
   type StateView,
   type WavePolicy,
 } from '@lentildrift/scheduling';
-import {
-  findReplacements,
-  NO_REPLACEMENTS,
-  type Replacements,
-} from './replacements.js';
+import {createReplacements} from './replacements.js';
 import {createHostSelection, type WaveProgress} from './host-selection.js';
 import type {Inventory} from './inventory.js';
 import type {QueueReplica} from './leader-options.js';
@@ -147,7 +143,9 @@
   /** Hosts that a wave will empty. */
   let dueHosts: ReadonlySet<string> = new Set();
   /** Workers whose long-running tasks a stop may wait for. */
-  let replacements: Replacements = NO_REPLACEMENTS;
+  const replacements = createReplacements(isCordoned);
+  /** Hosts that wait until more tasks of a step are ready. */
+  const hostsWithoutBudget = new Set<string>();
   let isStopped = false;
 
   function tick(view: StateView): void {
@@ -156,11 +154,17 @@
       wave => !isWaveDone(wave),
     );
     dueHosts = new Set(open.flatMap(listDue));
-    replacements = NO_REPLACEMENTS;
-    if (open.length === 0 || isStopped) return;
+    hostsWithoutBudget.clear();
+    if (open.length === 0 || isStopped) {
+      replacements.update(hostsWithoutBudget, view);
+      return;
+    }
     options.inventory.refresh();
     for (const wave of open) advanceWave(wave, view);
-    replacements = findReplacements(dueHosts, isCordoned, view);
+    const emptying = [...operations.keys()].filter(
+      host => operations.get(host)!.phase === 'emptying',
+    );
+    replacements.update(new Set([...emptying, ...hostsWithoutBudget]), view);
   }
 
   /**
@@ -213,6 +217,9 @@
       operations.set(host, createOperation(wave, 'emptying'));
       log.info('host-emptying', {wave: wave.id, host, idle});
     }
+    for (const [host, reason] of waiting) {
+      if (reason === 'budget') hostsWithoutBudget.add(host);
+    }
     reportIfLate(wave, waiting);
   }
 
@@ -483,9 +490,7 @@
   return {
     isCordoned,
     isDue: host => dueHosts.has(host),
-    awaitsReadiness: (worker, isIdle) =>
-      replacements.workers.has(workerKey(worker)) ||
-      (isIdle && replacements.pools.has(worker.pool)),
+    awaitsReadiness: replacements.isAwaited,
     tick,
     stop() {
       isStopped = true;
