Begin pressing pools of a wave before its idle hosts

Cause: a pool that needs several rounds is to begin early, but idle hosts got all slots before hosts in use, so that this had no effect as long as idle hosts were due. Hosts of the pool in progress did not count in its rounds.

Change: one round of each pressing pool, within its share, is selected before the idle hosts, and the rounds of a pool include its hosts in progress.

--- a/packages/scheduling/src/waves.ts
+++ b/packages/scheduling/src/waves.ts
@@ -146,23 +146,26 @@
     const decision = new Decision(view);
     this.selectLasting(view, decision);
     let slots = atOnce + HOSTS_EMPTIED_AHEAD - view.down - view.emptying;
+    const pressing = this.findPressingPools(view);
+    const isPressing = ({pool}: WaveHost) =>
+      pool === undefined || pressing.has(pool);
+    // One round of each pressing pool precedes the idle hosts, since these would
+    // take all slots for as long as any of them is due.
     for (const host of due) {
-      if (!host.idle) continue;
-      if (slots <= 0) {
-        decision.wait(host, 'no-slot');
+      if (host.idle || host.lastingTasks.size > 0) continue;
+      const reason =
+        slots <= 0 ? 'no-slot' : decision.obstacle(host, isPressing(host));
+      if (reason !== undefined) {
+        decision.wait(host, reason);
         continue;
       }
       decision.take(host);
       slots--;
     }
-    const pressing = this.findPressingPools(view);
     for (const host of due) {
-      if (host.idle || host.lastingTasks.size > 0) continue;
-      const isPressing = host.pool === undefined || pressing.has(host.pool);
-      const reason =
-        slots <= 0 ? 'no-slot' : decision.obstacle(host, isPressing);
-      if (reason !== undefined) {
-        decision.wait(host, reason);
+      if (!host.idle) continue;
+      if (slots <= 0) {
+        decision.wait(host, 'no-slot');
         continue;
       }
       decision.take(host);
@@ -211,7 +214,10 @@
     const pressing = new Set<string>();
     const waveRounds = Math.ceil(due.length / atOnce);
     for (const [pool, used] of usedHosts) {
-      const poolRounds = Math.ceil(used / emptyingLimit(pools.get(pool)));
+      const size = pools.get(pool);
+      // A host in progress keeps the next ones waiting for up to a round.
+      const inProgress = size?.cordoned ?? 0;
+      const poolRounds = Math.ceil((used + inProgress) / emptyingLimit(size));
       const neededMs = Math.max(waveRounds, poolRounds) * hostTimeMs;
       if (view.remainingMs < neededMs + TimedWaves.RESERVE_MS) {
         pressing.add(pool);
--- a/packages/scheduling/test/waves.test.ts
+++ b/packages/scheduling/test/waves.test.ts
@@ -205,4 +205,30 @@
     expect(selectIds(new SlotWaves(), wave)).toEqual([]);
     expect(selectIds(new TimedWaves(), wave)).toEqual(['a']);
   });
+
+  // Idle hosts took all slots first, so that the early begin had no effect.
+  it('begin one round of such a pool before the idle hosts', () => {
+    const due = [
+      ...['i', 'j', 'k', 'l'].map(idle),
+      ...['a', 'b', 'c'].map(id => busy(id, 'small')),
+    ];
+    const pools = new Map([['small', {workers: 3, cordoned: 0}]]);
+    const wave = view(due, {remainingMs: 26_500, atOnce: 3, pools});
+    const decision = new TimedWaves().select(wave);
+    const ids = decision.selected.map(({id}) => id).sort();
+    expect(ids).toEqual(['a', 'i', 'j', 'k']);
+    expect(decision.waiting.get('b')).toBe('pool-share');
+    expect(decision.waiting.get('l')).toBe('no-slot');
+  });
+
+  it('count the hosts in progress of a pool in the rounds that it needs', () => {
+    const due = ['a', 'b'].map(id => busy(id, 'small'));
+    const waitingWith = (cordoned: number) => {
+      const pools = new Map([['small', {workers: 3, cordoned}]]);
+      const wave = view(due, {remainingMs: 25_000, atOnce: 3, pools});
+      return new TimedWaves().select(wave).waiting.get('a');
+    };
+    expect(waitingWith(0)).toBe('in-use');
+    expect(waitingWith(1)).toBe('pool-share');
+  });
 });
