Learn the downtime only from own orders whose hosts return

Cause: the mean time for which hosts are down included hosts that the last leader had ordered down, counted from the change of leader, and hosts that were removed, counted until a list lacked them. One host that hangs moved it without bound.

--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -21,6 +21,7 @@
   type StateView,
   type WavePolicy,
 } from '@lentildrift/scheduling';
+import {createDowntimeEstimate} from './downtime.js';
 import {createReplacements} from './replacements.js';
 import {createHostSelection, type WaveProgress} from './host-selection.js';
 import type {Inventory} from './inventory.js';
@@ -78,10 +79,6 @@
 const RETRY_PAUSE_MS = 500;
 /** Interval of the log lines about a host that does not become empty. */
 const REPORT_INTERVAL_MS = 2000;
-/** Time for which a host is taken to be down until the first has returned. */
-const INITIAL_DOWNTIME_MS = 2500;
-/** Weight of the latest host in the mean time for which hosts are down. */
-const DOWNTIME_WEIGHT = 0.2;
 
 /**
  * Workers call another process if an announcement is not answered within this
@@ -93,6 +90,8 @@
 interface HostOperation {
   /** ID of the wave that includes the host. */
   readonly wave: number;
+  /** Whether an earlier leader began the maintenance. */
+  readonly isInherited: boolean;
   /** Time at which the host was chosen or found to be down. */
   readonly sinceMs: number;
   /** Key of the worker incarnation on the host before its maintenance. */
@@ -130,7 +129,7 @@
   const waveSeenMs = new Map<number, number>();
   /** Waves whose deadline has passed while this process leads. */
   const lateWaves = new Set<number>();
-  let downtimeMs = INITIAL_DOWNTIME_MS;
+  const downtime = createDowntimeEstimate();
   const selection = createHostSelection({
     policy: options.policy,
     inventory: options.inventory,
@@ -236,7 +235,7 @@
       if (runs?.some(({step}) => step.lasting)) emptyingLasting++;
       else emptying++;
     }
-    const hostTimeMs = MAX_EMPTYING_MS + downtimeMs;
+    const hostTimeMs = MAX_EMPTYING_MS + downtime.meanMs();
     return {hostTimeMs, down: down.size, emptying, emptyingLasting};
   }
 
@@ -427,8 +426,12 @@
     removeFormerWorker(host, operation);
     if (!hasReturned(host, operation, fleet)) return;
     log.info('host-back', {wave: wave.id, host});
-    const lastMs = performance.now() - operation.orderedMs;
-    downtimeMs += DOWNTIME_WEIGHT * (lastMs - downtimeMs);
+    // The time of an inherited order is unknown, and a host that was removed has
+    // not returned.
+    const isRemoved = options.inventory.hosts()?.has(host) === false;
+    if (!operation.isInherited && !isRemoved) {
+      downtime.record(performance.now() - operation.orderedMs);
+    }
     operation.phase = 'over';
   }
 
@@ -524,6 +527,7 @@
 ): HostOperation {
   return {
     wave: wave.id,
+    isInherited: phase === 'inherited',
     sinceMs: performance.now(),
     formerWorker: undefined,
     workerAtAnswer: undefined,
--- a/packages/dispatch/test/harness.ts
+++ b/packages/dispatch/test/harness.ts
@@ -17,7 +17,12 @@
   Tables,
   Worker,
 } from '@lentildrift/queue';
-import {FixedPools, type PoolPolicy} from '@lentildrift/scheduling';
+import {
+  FixedPools,
+  TimedWaves,
+  type PoolPolicy,
+  type WavePolicy,
+} from '@lentildrift/scheduling';
 import {startTasks} from '@lentildrift/task';
 import {isDeepStrictEqual} from 'node:util';
 import {vi} from 'vitest';
@@ -159,6 +164,7 @@
 
 export interface HarnessOptions extends FleetOptions {
   readonly pools?: PoolPolicy;
+  readonly waves?: WavePolicy;
   readonly adviser?: Adviser;
   /** Data centres of processes through which the leader calls all workers. */
   readonly relayDataCentres?: readonly string[];
@@ -235,6 +241,7 @@
       log,
       metrics,
       pools: options.pools ?? new FixedPools(),
+      waves: options.waves ?? new TimedWaves(),
       leaderlessMs,
       isLeader: () => own === token && replica.acceptsProposals,
     });
