Take a listed maintenance for an inherited order only if that order is on record

Cause: a new leader counted a host as maintained for a wave if the provider listed it in maintenance and no other wave had begun it. The latest order to the host may have been a move or be done, and another open wave may have the host due, so that the host counted as done without its maintenance (MIXED).

Change: the recorded order has to be one of maintenance that is not done, and no other wave may have the host unless as done.

Measured: three new tests, one with two waves, fail before (no order for the wave) and pass after; the 8 tests of waves.test.ts of dispatch pass.

--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -437,7 +437,7 @@
 
   /**
    * Whether a list that was requested after the operation began shows the host
-   * in maintenance, which no other wave has begun.
+   * in maintenance, and only the recorded order of this wave can be the cause.
    */
   function isInMaintenance(
     wave: Wave,
@@ -447,8 +447,11 @@
     const {inventory} = options;
     if (inventory.requestedMs() < sinceMs) return false;
     if (inventory.hosts()?.get(host)?.state !== 'upkeep') return false;
-    return [...replica.state().waves.values()].every(
-      ({id, hosts}) => id === wave.id || hosts[host] !== 'begun',
+    const {hostOrders, waves} = replica.state();
+    const order = hostOrders.get(host);
+    if (!order || order.to !== undefined || order.done) return false;
+    return [...waves.values()].every(
+      ({id, hosts}) => id === wave.id || (hosts[host] ?? 'done') === 'done',
     );
   }
 
--- a/packages/dispatch/test/waves.test.ts
+++ b/packages/dispatch/test/waves.test.ts
@@ -164,6 +164,48 @@
     expect(harness.hosts.orders).toHaveLength(3);
   });
 
+  // A host counted as maintained though its wave had not ordered that: the list
+  // showed it in maintenance for another reason.
+  it.each([
+    {cause: 'another wave includes it', isShared: true, order: {}},
+    {cause: 'the recorded order is a move', isShared: false, order: {to: 'p'}},
+    {cause: 'the order is done', isShared: false, order: {done: true}},
+  ])(
+    'orders the maintenance of a host that the provider lists in maintenance if $cause',
+    async ({isShared, order}) => {
+      harness = await createHarness();
+      await harness.addWorker(worker('w1'));
+      const host = 'm-w1';
+      const setState = (state: 'up' | 'upkeep') => {
+        const listed = harness.hosts.hosts.get(host)!;
+        harness.hosts.hosts.set(host, {...listed, state});
+      };
+      setState('upkeep');
+      const atMs = Date.now();
+      const wave = {durationMs: 26_000, atOnce: 1, acceptedAtMs: atMs};
+      const {leader} = harness;
+      const hosts = {[host]: 'begun' as const};
+      void leader.commit({type: 'wave', wave: {...wave, id: 1, hosts}});
+      if (isShared) {
+        const shared = {[host]: 'due' as const};
+        void leader.commit({
+          type: 'wave',
+          wave: {...wave, id: 2, hosts: shared},
+        });
+      }
+      const duty = {host, by: 'host-1', done: false, atMs, ...order};
+      void leader.commit({type: 'duty', duty});
+      await harness.advance(50);
+      await harness.replaceLeader();
+      await harness.advance(1800);
+      setState('up');
+      await harness.advance(8000);
+      const actions = harness.hosts.orders.map(({action}) => action);
+      expect(actions).toContain('upkeep 1');
+      expect(statuses()).toEqual(['done']);
+    },
+  );
+
   // Bursts took due hosts from standby, where they could be maintained without
   // an effect on any pool.
   it('leaves its hosts on standby if a pool can use others', async () => {
