--- a/packages/dispatch/src/maintenance.ts
+++ b/packages/dispatch/src/maintenance.ts
@@ -22,12 +22,9 @@
   type WaitingTasks,
   type WavePolicy,
 } from '@lentildrift/scheduling';
-import {
-  findReplacements,
-  listNextStops,
-  NO_REPLACEMENTS,
-  type Replacements,
-} from './replacements.js';
+import {createDowntimeEstimate} from './downtime.js';
+import {listNextStops} from './next-stops.js';
+import {createReplacements} from './replacements.js';
 import {createHostSelection, type WaveProgress} from './host-selection.js';
 import type {Inventory} from './inventory.js';
 import type {QueueReplica} from './leader-options.js';
@@ -86,10 +83,6 @@
 const RETRY_PAUSE_MS = 500;
 /** Interval of the log lines about a host that does not become empty. */
 const REPORT_INTERVAL_MS = 2000;
-/** Time for which a host is taken to be down until the first has returned. */
-const INITIAL_DOWNTIME_MS = 2500;
-/** Weight of the latest host in the mean time for which hosts are down. */
-const DOWNTIME_WEIGHT = 0.2;
 
 /**
  * Workers call another process if an announcement is not answered within this
@@ -101,6 +94,8 @@
 interface HostOperation {
   /** ID of the wave that includes the host. */
   readonly wave: number;
+  /** Whether an earlier leader began the maintenance. */
+  readonly isInherited: boolean;
   /** Time at which the host was chosen or found to be down. */
   readonly sinceMs: number;
   /** Key of the worker incarnation on the host before its maintenance. */
@@ -138,7 +133,7 @@
   const waveSeenMs = new Map<number, number>();
   /** Waves whose deadline has passed while this process leads. */
   const lateWaves = new Set<number>();
-  let downtimeMs = INITIAL_DOWNTIME_MS;
+  const downtime = createDowntimeEstimate();
   const selection = createHostSelection({
     policy: options.policy,
     inventory: options.inventory,
@@ -151,7 +146,10 @@
   /** Hosts that a wave will empty. */
   let dueHosts: ReadonlySet<string> = new Set();
   /** Workers whose long-running tasks a stop may wait for. */
-  let replacements: Replacements = NO_REPLACEMENTS;
+  const replacements = createReplacements(isCordoned);
+  /** Hosts that wait until more tasks of a step are ready. */
+  const hostsWithoutBudget = new Set<string>();
+  /** See `Maintenance.nextStops`. */
   let nextStops: ReturnType<Maintenance['nextStops']> = new Map();
   let isStopped = false;
 
@@ -161,12 +159,18 @@
       wave => !isWaveDone(wave),
     );
     dueHosts = new Set(open.flatMap(listDue));
-    replacements = NO_REPLACEMENTS;
+    hostsWithoutBudget.clear();
     nextStops = new Map();
-    if (open.length === 0 || isStopped) return;
+    if (open.length === 0 || isStopped) {
+      replacements.update(hostsWithoutBudget, view);
+      return;
+    }
     options.inventory.refresh();
     for (const wave of open) advanceWave(wave, view);
-    replacements = findReplacements(dueHosts, isCordoned, view);
+    const emptying = [...operations.keys()].filter(
+      host => operations.get(host)!.phase === 'emptying',
+    );
+    replacements.update(new Set([...emptying, ...hostsWithoutBudget]), view);
     nextStops = listNextStops(dueHosts, view);
   }
 
@@ -220,6 +224,9 @@
       operations.set(host, createOperation(wave, 'emptying'));
       log.info('host-emptying', {wave: wave.id, host, idle});
     }
+    for (const [host, reason] of waiting) {
+      if (reason === 'budget') hostsWithoutBudget.add(host);
+    }
     reportIfLate(wave, waiting);
   }
 
@@ -236,7 +243,7 @@
       if (runs?.some(({step}) => step.lasting)) emptyingLasting++;
       else emptying++;
     }
-    const hostTimeMs = MAX_EMPTYING_MS + downtimeMs;
+    const hostTimeMs = MAX_EMPTYING_MS + downtime.meanMs();
     return {hostTimeMs, down: down.size, emptying, emptyingLasting};
   }
 
@@ -427,14 +434,18 @@
     removeFormerWorker(host, operation);
     if (!hasReturned(host, operation, fleet)) return;
     log.info('host-back', {wave: wave.id, host});
-    const lastMs = performance.now() - operation.orderedMs;
-    downtimeMs += DOWNTIME_WEIGHT * (lastMs - downtimeMs);
+    // The time of an inherited order is unknown, and a host that was removed has
+    // not returned.
+    const isRemoved = options.inventory.hosts()?.has(host) === false;
+    if (!operation.isInherited && !isRemoved) {
+      downtime.record(performance.now() - operation.orderedMs);
+    }
     operation.phase = 'over';
   }
 
   /**
    * Whether a list that was requested after the operation began shows the host
-   * in maintenance, which no other wave has begun.
+   * in maintenance, and only the recorded order of this wave can be the cause.
    */
   function isInMaintenance(
     wave: Wave,
@@ -444,8 +455,11 @@
     const {inventory} = options;
     if (inventory.requestedMs() < sinceMs) return false;
     if (inventory.hosts()?.get(host)?.state !== 'upkeep') return false;
-    return [...replica.state().waves.values()].every(
-      ({id, hosts}) => id === wave.id || hosts[host] !== 'begun',
+    const {hostOrders, waves} = replica.state();
+    const order = hostOrders.get(host);
+    if (!order || order.to !== undefined || order.done) return false;
+    return [...waves.values()].every(
+      ({id, hosts}) => id === wave.id || (hosts[host] ?? 'done') === 'done',
     );
   }
 
@@ -490,9 +504,7 @@
   return {
     isCordoned,
     isDue: host => dueHosts.has(host),
-    awaitsReadiness: (worker, isIdle) =>
-      replacements.workers.has(workerKey(worker)) ||
-      (isIdle && replacements.pools.has(worker.pool)),
+    awaitsReadiness: replacements.isAwaited,
     nextStops: () => nextStops,
     tick,
     stop() {
@@ -527,6 +539,7 @@
 ): HostOperation {
   return {
     wave: wave.id,
+    isInherited: phase === 'inherited',
     sinceMs: performance.now(),
     formerWorker: undefined,
     workerAtAnswer: undefined,
--- a/packages/dispatch/test/harness.ts
+++ b/packages/dispatch/test/harness.ts
@@ -17,7 +17,12 @@
   Tables,
   Worker,
 } from '@lentildrift/queue';
-import {FixedPools, type PoolPolicy} from '@lentildrift/scheduling';
+import {
+  FixedPools,
+  TimedWaves,
+  type PoolPolicy,
+  type WavePolicy,
+} from '@lentildrift/scheduling';
 import {startTasks} from '@lentildrift/task';
 import {isDeepStrictEqual} from 'node:util';
 import {vi} from 'vitest';
@@ -162,6 +167,7 @@
   readonly pools?: PoolPolicy;
   /** See `parsePolicyNames`. */
   readonly policies?: string;
+  readonly waves?: WavePolicy;
   readonly adviser?: Adviser;
   /** Data centres of processes through which the leader calls all workers. */
   readonly relayDataCentres?: readonly string[];
@@ -239,6 +245,7 @@
       metrics,
       pools: options.pools ?? new FixedPools(),
       ...createPolicies(parsePolicyNames(options.policies ?? '')),
+      waves: options.waves ?? new TimedWaves(),
       leaderlessMs,
       isLeader: () => own === token && replica.acceptsProposals,
     });
--- a/packages/scheduling/src/waves.ts
+++ b/packages/scheduling/src/waves.ts
@@ -35,6 +35,8 @@
   readonly idle: boolean;
   /** Number of long-running tasks on the host, by step. */
   readonly lastingTasks: ReadonlyMap<string, number>;
+  /** Number of those that are ready, by step; steps without any are absent. */
+  readonly readyTasks: ReadonlyMap<string, number>;
 }
 
 /** A wave as the policy sees it. */
@@ -144,23 +146,26 @@
     const decision = new Decision(view);
     this.selectLasting(view, decision);
     let slots = atOnce + HOSTS_EMPTIED_AHEAD - view.down - view.emptying;
+    const pressing = this.findPressingPools(view);
+    const isPressing = ({pool}: WaveHost) =>
+      pool === undefined || pressing.has(pool);
+    // One round of each pressing pool precedes the idle hosts, since these would
+    // take all slots for as long as any of them is due.
     for (const host of due) {
-      if (!host.idle) continue;
-      if (slots <= 0) {
-        decision.wait(host, 'no-slot');
+      if (host.idle || host.lastingTasks.size > 0) continue;
+      const reason =
+        slots <= 0 ? 'no-slot' : decision.obstacle(host, isPressing(host));
+      if (reason !== undefined) {
+        decision.wait(host, reason);
         continue;
       }
       decision.take(host);
       slots--;
     }
-    const pressing = this.findPressingPools(view);
     for (const host of due) {
-      if (host.idle || host.lastingTasks.size > 0) continue;
-      const isPressing = host.pool === undefined || pressing.has(host.pool);
-      const reason =
-        slots <= 0 ? 'no-slot' : decision.obstacle(host, isPressing);
-      if (reason !== undefined) {
-        decision.wait(host, reason);
+      if (!host.idle) continue;
+      if (slots <= 0) {
+        decision.wait(host, 'no-slot');
         continue;
       }
       decision.take(host);
@@ -170,12 +175,19 @@
   }
 
   /**
-   * Selects hosts with long-running tasks, as many as may be down at once. Near
-   * the deadline the budget of one step is enough, since hosts with tasks of
-   * several steps could wait for others in turn.
+   * Selects hosts with long-running tasks, as many as may be down at once, and
+   * as many more as those that are down or empty leave of twice that number.
+   * Without the second limit, hosts that were empty and waited for a slot piled
+   * up. Near the deadline the budget of one step is enough, since hosts with
+   * tasks of several steps could wait for others in turn.
    */
   private selectLasting(view: WaveView, decision: Decision): void {
-    let left = view.atOnce + HOSTS_EMPTIED_AHEAD - view.emptyingLasting;
+    const {down, emptying, emptyingLasting} = view;
+    const limit = view.atOnce + HOSTS_EMPTIED_AHEAD;
+    let left = Math.min(
+      limit - emptyingLasting,
+      2 * limit - down - emptying - emptyingLasting,
+    );
     const isPressing =
       view.remainingMs < view.hostTimeMs + TimedWaves.RESERVE_MS;
     for (const host of sortByRounds(view)) {
@@ -202,7 +214,10 @@
     const pressing = new Set<string>();
     const waveRounds = Math.ceil(due.length / atOnce);
     for (const [pool, used] of usedHosts) {
-      const poolRounds = Math.ceil(used / emptyingLimit(pools.get(pool)));
+      const size = pools.get(pool);
+      // A host in progress keeps the next ones waiting for up to a round.
+      const inProgress = size?.cordoned ?? 0;
+      const poolRounds = Math.ceil((used + inProgress) / emptyingLimit(size));
       const neededMs = Math.max(waveRounds, poolRounds) * hostTimeMs;
       if (view.remainingMs < neededMs + TimedWaves.RESERVE_MS) {
         pressing.add(pool);
@@ -243,7 +258,7 @@
 class Decision implements WaveDecision {
   readonly selected: WaveHost[] = [];
   readonly waiting = new Map<string, HostWaitReason>();
-  /** Tasks of the selected hosts, by step. */
+  /** Ready tasks of the selected hosts, by step. */
   private readonly taken = new Map<string, number>();
   /** Selected hosts, by pool. */
   private readonly cordoned = new Map<string, number>();
@@ -252,7 +267,7 @@
 
   take(host: WaveHost): void {
     this.selected.push(host);
-    for (const [step, count] of host.lastingTasks) {
+    for (const [step, count] of host.readyTasks) {
       this.taken.set(step, (this.taken.get(step) ?? 0) + count);
     }
     if (host.pool === undefined) return;
@@ -275,16 +290,25 @@
    * Whether a task of each step on the host may be stopped. A host may have more
    * tasks of a step than may be unavailable at once; they are stopped in turn.
    */
-  isWithinBudgets({lastingTasks}: WaveHost): boolean {
-    return [...lastingTasks.keys()].every(step => this.hasBudget(step));
+  isWithinBudgets(host: WaveHost): boolean {
+    return [...host.lastingTasks.keys()].every(step =>
+      this.hasBudget(host, step),
+    );
   }
 
   /** Whether a task of some step on the host may be stopped. */
-  hasStoppableTask({lastingTasks}: WaveHost): boolean {
-    return [...lastingTasks.keys()].some(step => this.hasBudget(step));
+  hasStoppableTask(host: WaveHost): boolean {
+    return [...host.lastingTasks.keys()].some(step =>
+      this.hasBudget(host, step),
+    );
   }
 
-  private hasBudget(step: string): boolean {
+  /**
+   * A task that is not ready counts as unavailable already, so its stop takes
+   * nothing of the budget.
+   */
+  private hasBudget({readyTasks}: WaveHost, step: string): boolean {
+    if (!readyTasks.has(step)) return true;
     const free = this.view.budgets.get(step)?.free ?? 0;
     return free - (this.taken.get(step) ?? 0) > 0;
   }
--- a/packages/scheduling/test/waves.test.ts
+++ b/packages/scheduling/test/waves.test.ts
@@ -8,16 +8,33 @@
 } from '../src/index.js';
 
 function idle(id: string): WaveHost {
-  return {id, pool: undefined, idle: true, lastingTasks: new Map()};
+  return {
+    id,
+    pool: undefined,
+    idle: true,
+    lastingTasks: new Map(),
+    readyTasks: new Map(),
+  };
 }
 
 function busy(id: string, pool = 'p'): WaveHost {
-  return {id, pool, idle: false, lastingTasks: new Map()};
+  return {
+    id,
+    pool,
+    idle: false,
+    lastingTasks: new Map(),
+    readyTasks: new Map(),
+  };
 }
 
-function lasting(id: string, tasks: Record<string, number>): WaveHost {
+function lasting(
+  id: string,
+  tasks: Record<string, number>,
+  ready = tasks,
+): WaveHost {
   const lastingTasks = new Map(Object.entries(tasks));
-  return {id, pool: 'p', idle: false, lastingTasks};
+  const readyTasks = new Map(Object.entries(ready));
+  return {id, pool: 'p', idle: false, lastingTasks, readyTasks};
 }
 
 function view(due: readonly WaveHost[], more: Partial<WaveView> = {}) {
@@ -62,6 +79,22 @@
     expect(selectIds(policy, view(due, {budgets}))).toEqual([]);
   });
 
+  // A task that is never ready used up the budget of its own step, so that its
+  // host waited for good.
+  it('selects a host with a task that is not ready although the budget is used up', () => {
+    const due = [lasting('a', {s: 1}, {}), lasting('b', {s: 1})];
+    const budgets = new Map([['s', {limit: 1, free: 0}]]);
+    const {selected, waiting} = policy.select(view(due, {budgets}));
+    expect(selected.map(({id}) => id)).toEqual(['a']);
+    expect(waiting.get('b')).toBe('budget');
+  });
+
+  it('charges only ready tasks to the budget of their step', () => {
+    const due = [lasting('a', {s: 3}, {s: 1}), lasting('b', {s: 1})];
+    const budgets = new Map([['s', {limit: 2, free: 2}]]);
+    expect(selectIds(policy, view(due, {budgets}))).toEqual(['a', 'b']);
+  });
+
   it('leaves hosts in use alone until time presses', () => {
     const {waiting} = policy.select(view([busy('a')]));
     expect(waiting.get('a')).toBe('in-use');
@@ -91,6 +124,52 @@
     expect(selectIds(new TimedWaves(), many)).toEqual([]);
   });
 
+  // Hosts whose last long-running task had stopped waited for a slot while
+  // others were selected in their place: at the peak 50 of 60 were cordoned.
+  it('do not cordon more hosts than twice those that may be down and one in advance', () => {
+    const atOnce = 2;
+    const downRounds = 5;
+    const due = Array.from({length: 60}, (_, at) => `h${at}`);
+    const budgets = new Map(due.map(id => [id, {limit: 1, free: 1}] as const));
+    const emptyingLasting = new Set<string>();
+    const emptied: string[] = [];
+    const returnRounds: number[] = [];
+    let most = 0;
+    let done = 0;
+    for (let round = 0; done < 60 && round < 1000; round++) {
+      while (returnRounds[0] === round) {
+        returnRounds.shift();
+        done++;
+      }
+      while (returnRounds.length < atOnce && emptied.length > 0) {
+        emptied.shift();
+        returnRounds.push(round + downRounds);
+      }
+      const wave = view(
+        due.map(id => lasting(id, {[id]: 1})),
+        {
+          atOnce,
+          down: returnRounds.length,
+          emptying: emptied.length,
+          emptyingLasting: emptyingLasting.size,
+          budgets,
+        },
+      );
+      const selected = selectIds(new TimedWaves(), wave);
+      emptied.push(...emptyingLasting);
+      emptyingLasting.clear();
+      for (const id of selected) {
+        due.splice(due.indexOf(id), 1);
+        emptyingLasting.add(id);
+      }
+      const cordoned =
+        returnRounds.length + emptied.length + emptyingLasting.size;
+      most = Math.max(most, cordoned);
+    }
+    expect(done).toBe(60);
+    expect(most).toBeLessThanOrEqual(2 * (atOnce + 1));
+  });
+
   it('do not count hosts with long-running tasks as taking a slot', () => {
     const due = ['a', 'b', 'c'].map(idle);
     const wave = view(due, {emptyingLasting: 3});
@@ -126,4 +205,30 @@
     expect(selectIds(new SlotWaves(), wave)).toEqual([]);
     expect(selectIds(new TimedWaves(), wave)).toEqual(['a']);
   });
+
+  // Idle hosts took all slots first, so that the early begin had no effect.
+  it('begin one round of such a pool before the idle hosts', () => {
+    const due = [
+      ...['i', 'j', 'k', 'l'].map(idle),
+      ...['a', 'b', 'c'].map(id => busy(id, 'small')),
+    ];
+    const pools = new Map([['small', {workers: 3, cordoned: 0}]]);
+    const wave = view(due, {remainingMs: 26_500, atOnce: 3, pools});
+    const decision = new TimedWaves().select(wave);
+    const ids = decision.selected.map(({id}) => id).sort();
+    expect(ids).toEqual(['a', 'i', 'j', 'k']);
+    expect(decision.waiting.get('b')).toBe('pool-share');
+    expect(decision.waiting.get('l')).toBe('no-slot');
+  });
+
+  it('count the hosts in progress of a pool in the rounds that it needs', () => {
+    const due = ['a', 'b'].map(id => busy(id, 'small'));
+    const waitingWith = (cordoned: number) => {
+      const pools = new Map([['small', {workers: 3, cordoned}]]);
+      const wave = view(due, {remainingMs: 25_000, atOnce: 3, pools});
+      return new TimedWaves().select(wave).waiting.get('a');
+    };
+    expect(waitingWith(0)).toBe('in-use');
+    expect(waitingWith(1)).toBe('pool-share');
+  });
 });
