Limit cold workers by their cores in use, beside warm ones only

The limit of two runs was blind to their size: two large tasks filled a worker, two small ones left it idle. In a pool whose workers are all cold, as after an evacuation or maintenance, it kept gangs and most tasks waiting for seconds, and neither the pools nor the admission knew of it.

A cold worker now gets runs while less than a quarter of its cores are in use, rising as it warms up, and only while the pool has an available warm worker that is not quarantined. Steps that last, gangs and steps of one rack are not limited, and rank the rack before warmth, since they keep it. A step that the limit holds back is no evidence that a gang of that size fits nowhere. Pools and admission still count all cores of a cold worker.

--- a/packages/dispatch/src/availability.ts
+++ b/packages/dispatch/src/availability.ts
@@ -10,7 +10,7 @@
   findAvoidedWorkers,
   isQuarantined,
   listQuarantined,
-  maxColdRuns,
+  maxColdCpuMillis,
   recordRunEnds,
   type Candidate,
   type Health,
@@ -152,16 +152,26 @@
     const trials = findTrialWorkers(load);
     const nowMs = performance.now();
     const candidates: Candidate[] = [];
-    for (const worker of workers) {
+    const usable = workers.filter(worker => {
+      const key = workerKey(worker);
+      return !avoided.has(key) && !trials.has(key);
+    });
+    // Runs that no warm worker can take would only wait for a cold one.
+    const hasWarm = usable.some(worker => {
+      const key = workerKey(worker);
+      return (
+        options.cold.leftMs(key) === 0 && !isQuarantined(health, key, nowMs)
+      );
+    });
+    for (const worker of usable) {
       const key = workerKey(worker);
-      if (avoided.has(key) || trials.has(key)) continue;
       const fields = {
         key,
         worker,
         free: worker.capacity,
         quarantined: isQuarantined(health, key, nowMs),
         isDue: options.isDue(worker.host),
-        coldRunsLeft: coldRunsLeft(key, load),
+        coldCpuMillisLeft: hasWarm ? coldCpuMillisLeft(worker, load) : Infinity,
       };
       const emptyInMs = () => estimates.emptyInMs(key, load);
       candidates.push(createCandidate(fields, emptyInMs));
@@ -169,10 +179,12 @@
     return candidates;
   }
 
-  function coldRunsLeft(worker: string, {runsByWorker}: Load): number {
-    const leftMs = options.cold.leftMs(worker);
+  function coldCpuMillisLeft(worker: Worker, {byWorker}: Load): number {
+    const key = workerKey(worker);
+    const leftMs = options.cold.leftMs(key);
     if (leftMs === 0) return Infinity;
-    return maxColdRuns(leftMs) - (runsByWorker.get(worker)?.length ?? 0);
+    const inUse = byWorker.get(key)?.cpuMillis ?? 0;
+    return maxColdCpuMillis(leftMs, worker.capacity.cpuMillis) - inUse;
   }
 
   return {
--- a/packages/scheduling/src/candidate.ts
+++ b/packages/scheduling/src/candidate.ts
@@ -17,15 +17,15 @@
   /** A maintenance wave is going to empty the worker's host. */
   readonly isDue?: boolean;
   /**
-   * Number of further runs that a cold worker may get, see `maxColdRuns`;
-   * infinite or absent for a warm one.
+   * Cores of a cold worker that may still get runs, see `maxColdCpuMillis`;
+   * infinite or absent for a warm one, or if the pool has no warm one.
    */
-  readonly coldRunsLeft?: number;
+  readonly coldCpuMillisLeft?: number;
 }
 
-/** Whether the worker has just started and is still slow. */
-export function isCold({coldRunsLeft = Infinity}: Candidate): boolean {
-  return coldRunsLeft < Infinity;
+/** Whether the worker has just started and is slower than others of its pool. */
+export function isCold({coldCpuMillisLeft = Infinity}: Candidate): boolean {
+  return coldCpuMillisLeft < Infinity;
 }
 
 /**
@@ -50,7 +50,7 @@
     readonly free: Size,
     readonly quarantined: boolean,
     readonly isDue: boolean,
-    readonly coldRunsLeft: number,
+    readonly coldCpuMillisLeft: number,
     private readonly emptyTimeMs: LazyNumber,
   ) {}
 
@@ -59,14 +59,15 @@
   }
 
   withFree(free: Size): LazyCandidate {
-    const {key, worker, quarantined, isDue, coldRunsLeft, emptyTimeMs} = this;
+    const {key, worker, quarantined, isDue, coldCpuMillisLeft, emptyTimeMs} =
+      this;
     return new LazyCandidate(
       key,
       worker,
       free,
       quarantined,
       isDue,
-      coldRunsLeft,
+      coldCpuMillisLeft,
       emptyTimeMs,
     );
   }
@@ -77,12 +78,12 @@
  * which no one asks for of a full worker.
  */
 export function createCandidate(
-  fields: Omit<Required<Candidate>, 'emptyInMs' | 'coldRunsLeft'> &
-    Pick<Candidate, 'coldRunsLeft'>,
+  fields: Omit<Required<Candidate>, 'emptyInMs' | 'coldCpuMillisLeft'> &
+    Pick<Candidate, 'coldCpuMillisLeft'>,
   emptyInMs: () => number,
 ): Candidate {
   const {key, worker, free, quarantined, isDue} = fields;
-  const {coldRunsLeft = Infinity} = fields;
+  const {coldCpuMillisLeft = Infinity} = fields;
   const emptyTimeMs = new LazyNumber(emptyInMs);
   return new LazyCandidate(
     key,
@@ -90,7 +91,7 @@
     free,
     quarantined,
     isDue,
-    coldRunsLeft,
+    coldCpuMillisLeft,
     emptyTimeMs,
   );
 }
--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -34,9 +34,20 @@
   return label === undefined || labels.includes(label);
 }
 
-/** Whether the worker is warm, or has few runs yet. */
-export function mayGetRun({coldRunsLeft = Infinity}: Candidate): boolean {
-  return coldRunsLeft >= 1;
+/**
+ * Whether the tasks of the step keep to the rack on which they or the first of
+ * them are placed: for their whole life, which is longer than a worker is cold.
+ */
+export function staysOnRack({lasting, gang, sameRack}: Step): boolean {
+  return lasting || gang || sameRack;
+}
+
+/** Whether the worker is warm, little in use yet, or not limited for the step. */
+export function mayGetRun(
+  step: Step,
+  {coldCpuMillisLeft = Infinity}: Candidate,
+): boolean {
+  return coldCpuMillisLeft > 0 || staysOnRack(step);
 }
 
 /** Baseline: the first worker with enough free resources. */
@@ -50,7 +61,7 @@
       candidate =>
         meetsLabel(step, candidate.worker) &&
         fits(size, candidate.free) &&
-        mayGetRun(candidate),
+        mayGetRun(step, candidate),
     );
   }
 }
@@ -60,7 +71,8 @@
  * penalties. Workers on which the task has failed, quarantined workers, cold
  * workers, workers on another rack than the data or the gang and, for
  * long-running tasks, workers whose hosts are due for maintenance rank last.
- * A cold worker that has its share of runs gets none.
+ * A cold worker that has its share of runs gets no others, except of steps that
+ * stay on their rack.
  */
 abstract class ScoredPlacement extends Placement {
   /** Preference between 0 and 1; higher is better. */
@@ -79,7 +91,7 @@
       const candidate = candidates[position]!;
       const {worker, free} = candidate;
       if (!fits(size, free) || !meetsLabel(step, worker)) continue;
-      if (!mayGetRun(candidate)) continue;
+      if (!mayGetRun(step, candidate)) continue;
       const score =
         this.preference(candidate, input, position) + penalty(candidate, input);
       if (score <= bestScore) continue;
@@ -140,21 +152,27 @@
 const QUARANTINED_PENALTY = -8;
 const COLD_PENALTY = -4;
 const OTHER_RACK_PENALTY = -2;
+/** For steps that stay on their rack, for which the two change places. */
+const COLD_FOR_RACK_PENALTY = OTHER_RACK_PENALTY;
+const RACK_LEFT_PENALTY = COLD_PENALTY;
 /** For long-running tasks, which would be stopped and started once more. */
 const DUE_PENALTY = -1;
 
 function penalty(candidate: Candidate, input: PlacementInput): number {
   let score = 0;
+  const stays = staysOnRack(input.step);
   if (input.failedOn.includes(candidate.key)) score += FAILED_BEFORE_PENALTY;
   if (candidate.quarantined) score += QUARANTINED_PENALTY;
-  if (isCold(candidate)) score += COLD_PENALTY;
+  if (isCold(candidate)) {
+    score += stays ? COLD_FOR_RACK_PENALTY : COLD_PENALTY;
+  }
   if (candidate.isDue && input.step.lasting) score += DUE_PENALTY;
   const preferredRack = input.step.rack ?? input.gangRack;
   if (
     preferredRack !== undefined &&
     rackOf(candidate.worker) !== preferredRack
   ) {
-    score += OTHER_RACK_PENALTY;
+    score += stays ? RACK_LEFT_PENALTY : OTHER_RACK_PENALTY;
   }
   return score;
 }
--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -25,11 +25,11 @@
   type Team,
 } from '@lentildrift/queue';
 import {isInflow, type Backlog} from './backlog.js';
-import {withFree, type Candidate} from './candidate.js';
+import {isCold, withFree, type Candidate} from './candidate.js';
 import {expectedDurationMs, type Durations} from './estimate.js';
 import {reservation, type Load} from './load.js';
 import {punctualityOf, type JobOrder, type Punctuality} from './order.js';
-import type {Placement} from './placement.js';
+import {staysOnRack, type Placement} from './placement.js';
 import {isWaiting, listReadySteps} from './ready-steps.js';
 import {chooseForTrial, idleCandidates} from './trial.js';
 import {createUnfitSizes, type UnfitSizes} from './unfit.js';
@@ -164,8 +164,10 @@
   /** Candidates of the pools that a step has needed so far. */
   readonly byPool: Map<string, Candidate[]>;
   readonly teams: Map<string, {team: Team; used: Size}>;
+  /** Pools with cold workers that are limited; filled with `byPool`. */
+  readonly coldPools: Set<string>;
   /** Sizes of tasks that fit on no worker of a pool, by pool. */
-  readonly unfit: Map<string, UnfitSizes>;
+  readonly unfit: Record<'limited' | 'anyWorker', Map<string, UnfitSizes>>;
   /** Trial slots that remain, by pool, see `PlanInput.trialSlotsIn`. */
   readonly trialSlots: Map<string, number>;
   /** Suspects that got no trial slot. */
@@ -184,7 +186,8 @@
   return {
     byPool: new Map(),
     teams,
-    unfit: new Map(),
+    coldPools: new Set(),
+    unfit: {limited: new Map(), anyWorker: new Map()},
     trialSlots: new Map(),
     deferredTrials: [],
     starts: [],
@@ -196,7 +199,7 @@
 /** The candidates of a pool with the capacity that remains in the round. */
 function poolCandidates(
   {load, candidatesIn}: PlanInput,
-  {byPool}: RoundState,
+  {byPool, coldPools}: RoundState,
   pool: string,
 ): Candidate[] {
   let candidates = byPool.get(pool);
@@ -206,6 +209,7 @@
       return withFree(candidate, subtract(candidate.free, used));
     });
     byPool.set(pool, candidates);
+    if (candidates.some(isCold)) coldPools.add(pool);
   }
   return candidates;
 }
@@ -247,11 +251,13 @@
  * tasks are looked at.
  */
 function isKnownToFitNowhere(
-  {unfit, shortPools}: RoundState,
-  {queue, step}: RankedStep,
+  round: RoundState,
+  readyStep: RankedStep,
 ): boolean {
-  if (!shortPools.has(queue.pool) || hasOwnLimits(queue, step)) return false;
-  return unfit.get(queue.pool)?.covers(reservation(step), step.label) ?? false;
+  const {queue, step} = readyStep;
+  if (!round.shortPools.has(queue.pool)) return false;
+  if (hasOwnLimits(queue, step)) return false;
+  return unfitSizes(round, readyStep).covers(reservation(step), step.label);
 }
 
 /** Whether more than size and label decide on which workers the step fits. */
@@ -445,9 +451,9 @@
   // Capacity only decreases during a round, except for the members of a gang
   // that is given up. A failure after such members were placed is no evidence.
   const {pool} = placing.readyStep.queue;
-  const unfit = unfitSizes(round, pool);
-  if (!placing.hasOwnLimits && unfit.covers(size, label)) return undefined;
   const candidates = poolCandidates(input, round, pool);
+  const unfit = unfitSizes(round, placing.readyStep);
+  if (!placing.hasOwnLimits && unfit.covers(size, label)) return undefined;
   const chosen = choose(input, placing, task, candidates, gangRack);
   if (!chosen && placing.readyStep.queue.advice) {
     awaitAdvice(round, placing.readyStep);
@@ -465,9 +471,19 @@
   return chosen;
 }
 
-function unfitSizes({unfit}: RoundState, pool: string): UnfitSizes {
-  let sizes = unfit.get(pool);
-  if (!sizes) unfit.set(pool, (sizes = createUnfitSizes()));
+/**
+ * The sizes that have been found to fit nowhere in the pool. A step that the
+ * limit for cold workers keeps from some tells nothing about those that it does
+ * not limit.
+ */
+function unfitSizes(
+  {unfit, coldPools}: RoundState,
+  {queue, step}: RankedStep,
+): UnfitSizes {
+  const isLimited = coldPools.has(queue.pool) && !staysOnRack(step);
+  const byPool = isLimited ? unfit.limited : unfit.anyWorker;
+  let sizes = byPool.get(queue.pool);
+  if (!sizes) byPool.set(queue.pool, (sizes = createUnfitSizes()));
   return sizes;
 }
 
@@ -547,7 +563,7 @@
     ...chosen,
     free: subtract(chosen.free, size),
     emptyInMs: Math.max(chosen.emptyInMs, durationMs),
-    coldRunsLeft: (chosen.coldRunsLeft ?? Infinity) - 1,
+    coldCpuMillisLeft: (chosen.coldCpuMillisLeft ?? Infinity) - size.cpuMillis,
   };
   runCounts?.set(chosen.key, (runCounts.get(chosen.key) ?? 0) + 1);
   const teamUsage = round.teams.get(job.spec.team ?? '');
