Look at workers once a kind of step that an evacuation may hold

For each ready step of each waiting job the report looked at all workers in use, every 2 s, and each request to inspect an active job listed the workers of all pools.

A check now keeps its verdict by pool, label and reservation, and lists the ready steps of a job first. The workers of a pool are listed once while neither the directory nor the evacuations change.

--- a/packages/scheduling/src/evacuation.ts
+++ b/packages/scheduling/src/evacuation.ts
@@ -53,27 +53,53 @@
   state: State,
 ): (job: Job, nowMs: number) => boolean {
   const queues = queuesOf(state);
-  const byPool = new Map<string, PoolWorkers>();
+  /** Verdicts of `isHeld`, by pool, label and reservation. */
+  const verdicts = new Map<string, boolean>();
 
-  function workersOf(pool: string): PoolWorkers {
-    let workers = byPool.get(pool);
-    if (!workers) byPool.set(pool, (workers = listPoolWorkers(state, pool)));
-    return workers;
+  /** Whether evacuated workers only could run the step; most steps are alike. */
+  function isHeld(pool: string, step: Step): boolean {
+    const {cpuMillis, memoryMb, gpus} = reservation(step);
+    const key = JSON.stringify([pool, step.label, cpuMillis, memoryMb, gpus]);
+    let verdict = verdicts.get(key);
+    if (verdict === undefined) {
+      const {inUse, evacuated} = workersOf(state, pool);
+      const canRun = (worker: Worker) => canEverRun(worker, step);
+      verdict = evacuated.some(canRun) && !inUse.some(canRun);
+      verdicts.set(key, verdict);
+    }
+    return verdict;
   }
 
   return (job, nowMs) => {
     if (state.evacuated.size === 0 || job.phase !== 'active') return false;
     const pool = queues.get(job.spec.queue)?.pool;
     if (pool === undefined) return false;
-    const {inUse, evacuated} = workersOf(pool);
-    if (evacuated.length === 0) return false;
-    return listReadySteps(job, nowMs).some(({step}) => {
-      const canRun = (worker: Worker) => canEverRun(worker, step);
-      return !inUse.some(canRun) && evacuated.some(canRun);
-    });
+    return listReadySteps(job, nowMs).some(({step}) => isHeld(pool, step));
   };
 }
 
+/** Lists of workers by pool, valid for the directory and the evacuated set. */
+const listedWorkers = new WeakMap<
+  State['workers'],
+  {
+    readonly evacuated: State['evacuated'];
+    readonly byPool: Map<string, PoolWorkers>;
+  }
+>();
+
+function workersOf(state: State, pool: string): PoolWorkers {
+  let listed = listedWorkers.get(state.workers);
+  if (listed?.evacuated !== state.evacuated) {
+    listed = {evacuated: state.evacuated, byPool: new Map()};
+    listedWorkers.set(state.workers, listed);
+  }
+  let workers = listed.byPool.get(pool);
+  if (!workers) {
+    listed.byPool.set(pool, (workers = listPoolWorkers(state, pool)));
+  }
+  return workers;
+}
+
 function listPoolWorkers(state: State, pool: string): PoolWorkers {
   const inUse: Worker[] = [];
   const evacuated: Worker[] = [];
