Accept the end of an evacuation for any name

An end that was recorded can be sent again after its acknowledgement was lost, to a process that does not know of the first attempt. If the hosts of the data centre had gone by then it was refused as invalid, and an operator gives up such an order. It changes nothing where no evacuation is in force, so it is accepted for any name.

--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -375,7 +375,9 @@
   function handleEvacuation(message: EvacuationMessage): void {
     const {event, expiresAtMs, reply} = message;
     const status = hosts.findDataCentre(event.dataCentre);
-    if (status !== 'known') {
+    // An end may be sent again after the last host there has gone. It changes
+    // nothing where no evacuation is in force, so it needs no known name.
+    if (event.evacuated && status !== 'known') {
       reply.resolve({type: status});
       return;
     }
