Report on the fleet with the views of the recorded state

The census asked for the current views once for each host, and it and the report on evacuations did so while a commit was pending, which takes the views back from the projection and forth again.

A leader now reports where it advances the hosts, after the pending commit, and the census takes the views once. A process that is not confirmed as the leader reports from its tick as before. While a commit is pending a leader thus logs its state only once the commit has ended.

No test counts the changes of views; the saved time was not measured.

--- a/packages/dispatch/src/host-operations.ts
+++ b/packages/dispatch/src/host-operations.ts
@@ -167,6 +167,7 @@
   function census(): LogFields | undefined {
     const hosts = inventory.hosts();
     const {workers, tables} = views.state();
+    const view = views.current();
     const standby = tables.pools.filter(pool => pool.standby);
     return (
       hosts && {
@@ -178,7 +179,7 @@
           isAnswering: dispatcher.isAnswering,
           isMoving: host => rebalancer.isCordoned(host),
           isInWave: host => maintenance.isCordoned(host),
-          isEvacuated,
+          isEvacuated: id => isHostEvacuated(hosts.get(id), id, view),
         }),
       }
     );
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -440,7 +440,8 @@
 
   function handleTick(): void {
     tickTimer = setTimeout(() => task.post({type: 'tick'}), TICK_INTERVAL_MS);
-    reportState();
+    // A leader reports in `advanceHosts`, as it reads the views.
+    if (!isLeader()) reportState();
     if (rounds.isCommitPending() || !isLeader()) events.rejectExpired();
     if (!isLeader()) return;
     time('registry', () => registry.expire());
@@ -463,6 +464,7 @@
   /** The part of a tick that needs the views of the recorded state. */
   function advanceHosts(): void {
     isTickDeferred = false;
+    reportState();
     hosts.advance();
   }
 
