--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -387,7 +387,9 @@
   function handleEvacuation(message: EvacuationMessage): void {
     const {event, expiresAtMs, reply} = message;
     const status = hosts.findDataCentre(event.dataCentre);
-    if (status !== 'known') {
+    // An end may be sent again after the last host there has gone. It changes
+    // nothing where no evacuation is in force, so it needs no known name.
+    if (event.evacuated && status !== 'known') {
       reply.resolve({type: status});
       return;
     }
@@ -450,7 +452,8 @@
 
   function handleTick(): void {
     tickTimer = setTimeout(() => task.post({type: 'tick'}), TICK_INTERVAL_MS);
-    reportState();
+    // A leader reports in `advanceHosts`, as it reads the views.
+    if (!isLeader()) reportState();
     if (rounds.isCommitPending() || !isLeader()) events.rejectExpired();
     if (!isLeader()) return;
     time('registry', () => registry.expire());
@@ -473,6 +476,7 @@
   /** The part of a tick that needs the views of the recorded state. */
   function advanceHosts(): void {
     isTickDeferred = false;
+    reportState();
     hosts.advance();
   }
 
