Start copies of tasks that last long

Cause: steps may allow copies, and a second run could be recorded, but nothing ever started one.

Change: the policy copies=late (default none) starts a copy of a run that is expected to go on for longer than a second run takes, in room that no task waits for. The expectation follows from the latest end of a task of the same step on another worker, the learnt distribution of such ratios by queue, the likelihood that the worker is slow, and whether earlier copies have ended sooner. Plan has candidatesLeft and usedByTeam. Import verror as its other users do: the built files of dispatch could not be loaded by Node.js.

--- a/packages/dispatch/src/availability.ts
+++ b/packages/dispatch/src/availability.ts
@@ -15,12 +15,14 @@
 import type {RunEstimates} from './run-estimates.js';
 import type {StateViews} from './state-views.js';
 import type {RunTracker} from './tracker.js';
+import type {WorkerSpeeds} from './worker-speeds.js';
 
 export interface AvailabilityOptions {
   readonly views: StateViews;
   readonly runs: RunTracker;
   readonly estimates: RunEstimates;
   readonly announcements: Pick<AnnouncementAges, 'isOutdated'>;
+  readonly speeds: Pick<WorkerSpeeds, 'isSlow'>;
   isAnswering(worker: string): boolean;
   /** Whether the host gets no new runs because of maintenance or a move. */
   isCordoned(host: string): boolean;
@@ -129,6 +131,7 @@
     const trials = findTrialWorkers(load);
     const nowMs = performance.now();
     const candidates: Candidate[] = [];
+    const isWorkerSlow = (key: string) => options.speeds.isSlow(key, load);
     for (const worker of workers) {
       const key = workerKey(worker);
       if (avoided.has(key) || trials.has(key)) continue;
@@ -140,7 +143,7 @@
         isDue: options.isDue(worker.host),
       };
       const emptyInMs = () => estimates.emptyInMs(key, load);
-      candidates.push(createCandidate(fields, emptyInMs));
+      candidates.push(createCandidate(fields, emptyInMs, isWorkerSlow));
     }
     return candidates;
   }
--- a/packages/dispatch/src/commit-handler.ts
+++ b/packages/dispatch/src/commit-handler.ts
@@ -16,6 +16,7 @@
 } from '@lentildrift/queue';
 import {objectiveMs, runId} from '@lentildrift/scheduling';
 import type {Batch} from './batch.js';
+import type {Copies} from './copies.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {JobStagesRecorder} from './job-stages.js';
 import type {ReportHandler} from './report-handler.js';
@@ -30,6 +31,7 @@
   readonly reports: ReportHandler;
   readonly retention: Retention;
   readonly estimates: RunEstimates;
+  readonly copies: Omit<Copies, 'choose'>;
   readonly log: Log;
   state(): State;
 }
@@ -51,9 +53,13 @@
   options: CommitHandlerOptions,
 ): CommitHandler {
   const {dispatcher, runs, stages, reports, retention} = options;
-  const {estimates, log, state} = options;
+  const {copies, estimates, log, state} = options;
 
-  function handleCommitted({queued}: Batch, outcomes: readonly Outcome[]) {
+  function handleCommitted(
+    {queued, starts}: Batch,
+    outcomes: readonly Outcome[],
+  ): void {
+    copies.recordStarts(starts);
     queued.forEach(({event, reply}, at) => {
       reply?.resolve(outcomes[at]!);
       followUp(event, outcomes[at]!);
@@ -80,6 +86,7 @@
       }
       dispatcher.sessionOf(event.worker)?.acknowledge(event.upTo);
       stages.recordEnds(event.ends);
+      copies.recordEnds(event.ends);
       for (const [name, run] of event.ends) {
         runs.forget(runId(name, run));
         logJobEnd(splitTaskName(name).job);
--- a/packages/dispatch/src/decision-round.ts
+++ b/packages/dispatch/src/decision-round.ts
@@ -1,7 +1,7 @@
 /**
- * Decision rounds of the leader: `gather → plan → commit`. A round takes the
- * events that wait, plans starts on the state that they lead to, and proposes
- * both as one change. At most one change is being committed at a time; its
+ * Decision rounds of the leader: `gather → plan → copy → commit`. A round takes
+ * the events that wait, plans starts on the state that they lead to, adds copies
+ * in the room that is left, and proposes all as one change. At most one change is being committed at a time; its
  * outcome comes back to the leader's task as a message.
  */
 import type {Latency, Metrics} from '@lentildrift/observe';
@@ -9,6 +9,7 @@
 import {runId} from '@lentildrift/scheduling';
 import type {AdviceCache} from './advice.js';
 import type {Batch} from './batch.js';
+import type {Copies} from './copies.js';
 import type {EventQueue} from './event-queue.js';
 import type {LeaderInstruments} from './instruments.js';
 import type {QueueReplica} from './leader-options.js';
@@ -30,6 +31,7 @@
   readonly views: StateViews;
   readonly events: EventQueue;
   readonly planner: Planner;
+  readonly copies: Pick<Copies, 'choose'>;
   readonly runs: Pick<RunTracker, 'markTime'>;
   readonly advice: AdviceCache;
   isLeader(): boolean;
@@ -105,12 +107,13 @@
     options.advice.request(decision.stepsAwaitingAdvice, pool =>
       view.fleet.workersIn(pool).filter(({phase}) => phase === 'ready'),
     );
-    const {starts} = decision;
+    const copies = options.copies.choose(projected, view, decision);
+    const starts = [...decision.starts, ...copies];
     if (starts.length > 0) {
       for (const [task, run] of starts) {
         options.runs.markTime(runId(task, run), 'decidedMs');
       }
-      events.push({type: 'start', runs: [...starts]});
+      events.push({type: 'start', runs: starts});
     }
     if (events.length === 0) return;
     if (queue.size() > 0) dirty = true;
--- a/packages/dispatch/src/leader-options.ts
+++ b/packages/dispatch/src/leader-options.ts
@@ -4,6 +4,7 @@
 import type {Change, Outcome, State} from '@lentildrift/queue';
 import type {
   Admission,
+  CopyPolicy,
   JobOrder,
   Placement,
   PoolPolicy,
@@ -42,6 +43,8 @@
   readonly placement?: Placement;
   readonly pools?: PoolPolicy;
   readonly admission?: Admission;
+  /** No copies if it is absent. */
+  readonly copies?: CopyPolicy;
   /** Monotonic time at which this process was elected, for its log lines. */
   readonly electedMs?: number;
   /**
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -7,15 +7,21 @@
  * of its steps post to this task, which alone receives messages.
  */
 import {NotLeader} from '@lentildrift/consensus';
-import type {
-  Event,
-  JobSpec,
-  Outcome,
-  Queue,
-  StartRow,
-  Worker,
+import {
+  workerKey,
+  type Event,
+  type JobSpec,
+  type Outcome,
+  type Queue,
+  type StartRow,
+  type Worker,
 } from '@lentildrift/queue';
-import {DeadlineAdmission, runId} from '@lentildrift/scheduling';
+import {
+  DeadlineAdmission,
+  NoCopies,
+  PackPlacement,
+  runId,
+} from '@lentildrift/scheduling';
 import type {Reply, Task} from '@lentildrift/task';
 import {createAdviceCache, type AdviceCache} from './advice.js';
 import {
@@ -30,6 +36,7 @@
   type DecisionRounds,
   type RoundMessage,
 } from './decision-round.js';
+import {createCopies} from './copies.js';
 import {createCrashDetector} from './crash-detector.js';
 import {createDispatcher, type Dispatcher} from './dispatcher.js';
 import {createEventQueue, type EventQueue} from './event-queue.js';
@@ -44,11 +51,12 @@
 import {createRegistry, type Registry} from './registry.js';
 import {createReportHandler, type ReportHandler} from './report-handler.js';
 import {createRetention} from './retention.js';
-import {createRunEstimates} from './run-estimates.js';
+import {createRunEstimates, type RunEstimates} from './run-estimates.js';
 import type {SessionEvent} from './session.js';
 import {createStateViews} from './state-views.js';
 import {TICK_INTERVAL_MS} from './timing.js';
 import {createRunTracker} from './tracker.js';
+import {createWorkerSpeeds, type WorkerSpeeds} from './worker-speeds.js';
 
 export type {LeaderOptions, QueueReplica} from './leader-options.js';
 
@@ -120,7 +128,12 @@
   const runs = createRunTracker(
     [...views.current().load.runsByWorker.values()].flat().map(({id}) => id),
   );
-  const estimates = createRunEstimates({runs, state});
+  const speeds: WorkerSpeeds = createWorkerSpeeds({
+    runs,
+    durations: () => estimates.durations(),
+    nowMs: () => performance.now(),
+  });
+  const estimates: RunEstimates = createRunEstimates({runs, speeds, state});
   const incarnations = createIncarnations();
   /** Whether a tick has come since the proposal of the pending change. */
   let isTickDeferred = false;
@@ -159,6 +172,7 @@
     runs,
     estimates,
     announcements,
+    speeds,
     isAnswering: worker => dispatcher.isAnswering(worker),
     isCordoned: host => hosts.isCordoned(host),
     isDue: host => hosts.isDue(host),
@@ -171,6 +185,19 @@
     order: options.order,
     placement: options.placement,
   });
+  const copies = createCopies({
+    policy: options.copies ?? new NoCopies(),
+    placement: options.placement ?? new PackPlacement(),
+    runs,
+    estimates,
+    speeds,
+    advice,
+    log,
+    metrics,
+    inherited: views.current().load.speculative.values(),
+    state,
+    nowMs: () => performance.now(),
+  });
   const rounds: DecisionRounds = createDecisionRounds({
     replica,
     runs,
@@ -179,6 +206,7 @@
     views,
     events,
     planner,
+    copies,
     advice,
     isLeader,
     post: message => void task.post(message),
@@ -191,7 +219,10 @@
     state,
     onEvent: event => void task.post({type: 'session-event', event}),
     onHoldSent: instruments.recordHold,
-    onClosed: ({worker}) => reports.forget(worker),
+    onClosed({worker}) {
+      reports.forget(worker);
+      speeds.forget(workerKey(worker));
+    },
     exceedsAnnouncedCapacity: worker =>
       registry.exceedsAnnouncedCapacity(worker),
     onUndeliverable: row => events.enqueueDerived({type: 'lost', runs: [row]}),
@@ -255,6 +286,7 @@
     reports,
     retention,
     estimates,
+    copies,
     log,
     state,
   });
--- a/packages/dispatch/src/policies.ts
+++ b/packages/dispatch/src/policies.ts
@@ -6,10 +6,13 @@
 import {
   DeadlineAdmission,
   DeadlineOrder,
+  LateCopies,
+  NoCopies,
   type Admission,
+  type CopyPolicy,
   type JobOrder,
 } from '@lentildrift/scheduling';
-import {VError} from 'verror';
+import VError from 'verror';
 import {z} from 'zod';
 
 export const PolicyNames = z.strictObject({
@@ -17,6 +20,8 @@
   order: z.enum(['deadline']).default('deadline'),
   /** Which jobs are accepted. */
   admission: z.enum(['deadline']).default('deadline'),
+  /** Which tasks that last long get a second run. */
+  copies: z.enum(['none', 'late']).default('none'),
 });
 export type PolicyNames = z.infer<typeof PolicyNames>;
 
@@ -24,6 +29,7 @@
 export interface Policies {
   readonly order: JobOrder;
   readonly admission: Admission;
+  readonly copies: CopyPolicy;
 }
 
 /**
@@ -59,9 +65,15 @@
   deadline: () => new DeadlineAdmission(),
 } satisfies Record<PolicyNames['admission'], () => Admission>;
 
+const COPIES = {
+  none: () => new NoCopies(),
+  late: () => new LateCopies(),
+} satisfies Record<PolicyNames['copies'], () => CopyPolicy>;
+
 export function createPolicies(names: PolicyNames): Policies {
   return {
     order: ORDERS[names.order](),
     admission: ADMISSIONS[names.admission](),
+    copies: COPIES[names.copies](),
   };
 }
--- a/packages/dispatch/src/report-handler.ts
+++ b/packages/dispatch/src/report-handler.ts
@@ -202,7 +202,7 @@
     how: string,
   ): void {
     runs.markTime(runId(name, run), 'reportedEndMs');
-    if (how === 'done') estimates.recordCompletion(name, run);
+    if (how === 'done') estimates.recordCompletion(name, run, key);
     else log.info('run-ended', {worker: key, task: name, run, how});
   }
 
--- a/packages/dispatch/src/run-estimates.ts
+++ b/packages/dispatch/src/run-estimates.ts
@@ -16,14 +16,17 @@
   recordDuration,
   runId,
   type Durations,
+  type DurationSample,
   type LiveRun,
   type Load,
 } from '@lentildrift/scheduling';
 import {STATISTICS_INTERVAL_MS} from './timing.js';
 import type {RunTracker} from './tracker.js';
+import type {WorkerSpeeds} from './worker-speeds.js';
 
 export interface RunEstimatesOptions {
   readonly runs: RunTracker;
+  readonly speeds: Pick<WorkerSpeeds, 'recordEnd' | 'recordOutlasted'>;
   state(): State;
 }
 
@@ -34,7 +37,12 @@
    * Learns from the duration of a run that its worker reports as done. Only a
    * task's first run counts, and only if this leader saw its start confirmed.
    */
-  recordCompletion(task: string, run: number): void;
+  recordCompletion(task: string, run: number, worker: string): void;
+  /**
+   * Learns from a first run that goes on although a copy of it has ended, and
+   * that is about to be stopped.
+   */
+  recordOutlasted(task: string, run: number, worker: string): void;
   /**
    * Expected time until all runs on the worker have ended; infinite if it is
    * longer than `limitMs`, which then costs less.
@@ -57,22 +65,37 @@
 const NO_RUNS: readonly LiveRun[] = [];
 
 export function createRunEstimates(options: RunEstimatesOptions): RunEstimates {
-  const {runs, state} = options;
+  const {runs, speeds, state} = options;
   let durations: Durations = createDurations(state().statistics.values());
   let statisticsRecordedMs = performance.now();
 
-  function recordCompletion(task: string, run: number): void {
+  /** The duration so far of a run that counts. */
+  function findSample(task: string, run: number): DurationSample | undefined {
     const startedMs = runs.startedMs(runId(task, run));
     const {job: id, key} = splitTaskName(task);
     const job = state().jobs.get(id);
-    if (startedMs === undefined || !job || run !== 1) return;
+    if (startedMs === undefined || !job || run !== 1) return undefined;
     const {occurrence, step} = parseTaskKey(key);
-    durations = recordDuration(durations, {
+    return {
       queue: job.spec.queue,
       stepName: taskName(id, stepKey(occurrence, step)),
       step: job.spec.steps[step]!,
       durationMs: performance.now() - startedMs,
-    });
+    };
+  }
+
+  function recordCompletion(task: string, run: number, worker: string): void {
+    const sample = findSample(task, run);
+    if (!sample) return;
+    speeds.recordEnd(sample, worker);
+    durations = recordDuration(durations, sample);
+  }
+
+  function recordOutlasted(task: string, run: number, worker: string): void {
+    const sample = findSample(task, run);
+    if (!sample) return;
+    speeds.recordOutlasted(sample, worker);
+    durations = recordDuration(durations, sample);
   }
 
   function emptyInMs(worker: string, load: Load, limitMs = Infinity): number {
@@ -114,6 +137,7 @@
   return {
     durations: () => durations,
     recordCompletion,
+    recordOutlasted,
     emptyInMs,
     takeStatistics,
   };
--- a/packages/dispatch/src/tracker.ts
+++ b/packages/dispatch/src/tracker.ts
@@ -40,6 +40,11 @@
   /** Notes that the incarnation for which the run is recorded reported it. */
   markReported(id: string): void;
   wasReported(id: string): boolean;
+  /**
+   * Monotonic time since which the run is certainly running: its confirmed start
+   * or the first report that lists it, whichever this leader saw first.
+   */
+  runningSinceMs(id: string): number | undefined;
   /** Whether an earlier leader ordered the run. */
   isInherited(id: string): boolean;
   /**
@@ -92,7 +97,8 @@
   /** Monotonic time of the last attempt without an answer. */
   const unansweredMs = new Map<string, number>();
   const startedMs = new Map<string, number>();
-  const reported = new Set<string>();
+  /** Monotonic time of the first report. */
+  const reported = new Map<string, number>();
   const stopping = new Set<string>();
   const times = new Map<string, RunTimes>();
   /** Monotonic time since which reports lack the run; infinite once logged. */
@@ -123,8 +129,16 @@
     },
     markStarted: id => void startedMs.set(id, performance.now()),
     startedMs: id => startedMs.get(id),
-    markReported: id => void reported.add(id),
+    markReported(id) {
+      if (!reported.has(id)) reported.set(id, performance.now());
+    },
     wasReported: id => reported.has(id),
+    runningSinceMs(id) {
+      const started = startedMs.get(id);
+      const first = reported.get(id);
+      if (started === undefined || first === undefined) return started ?? first;
+      return Math.min(started, first);
+    },
     isInherited: id => inheritedRuns.has(id),
     isProven: (id, atMs) =>
       reported.has(id) &&
--- a/packages/dispatch/test/availability.test.ts
+++ b/packages/dispatch/test/availability.test.ts
@@ -107,6 +107,7 @@
   const estimates: RunEstimates = {
     durations: () => NO_DURATIONS,
     recordCompletion: () => {},
+    recordOutlasted: () => {},
     emptyInMs() {
       estimated++;
       return 700;
@@ -124,6 +125,7 @@
     runs: createRunTracker([]),
     estimates,
     announcements: {isOutdated: () => false},
+    speeds: {isSlow: () => false},
     isAnswering: () => true,
     isCordoned: () => false,
     isDue: () => false,
--- a/packages/dispatch/test/harness.ts
+++ b/packages/dispatch/test/harness.ts
@@ -17,7 +17,11 @@
   Tables,
   Worker,
 } from '@lentildrift/queue';
-import {FixedPools, type PoolPolicy} from '@lentildrift/scheduling';
+import {
+  FixedPools,
+  type CopyPolicy,
+  type PoolPolicy,
+} from '@lentildrift/scheduling';
 import {startTasks} from '@lentildrift/task';
 import {isDeepStrictEqual} from 'node:util';
 import {vi} from 'vitest';
@@ -160,6 +164,7 @@
 export interface HarnessOptions extends FleetOptions {
   readonly pools?: PoolPolicy;
   readonly adviser?: Adviser;
+  readonly copies?: CopyPolicy;
   /** Data centres of processes through which the leader calls all workers. */
   readonly relayDataCentres?: readonly string[];
 }
@@ -235,6 +240,7 @@
       log,
       metrics,
       pools: options.pools ?? new FixedPools(),
+      ...(options.copies && {copies: options.copies}),
       leaderlessMs,
       isLeader: () => own === token && replica.acceptsProposals,
     });
--- a/packages/scheduling/src/candidate.ts
+++ b/packages/scheduling/src/candidate.ts
@@ -16,6 +16,11 @@
   readonly quarantined: boolean;
   /** A maintenance wave is going to empty the worker's host. */
   readonly isDue?: boolean;
+  /**
+   * Tasks last longer on the worker than elsewhere. May be computed on the first
+   * read, from the runs on the worker.
+   */
+  readonly isSlow?: boolean;
 }
 
 /**
@@ -41,14 +46,19 @@
     readonly quarantined: boolean,
     readonly isDue: boolean,
     private readonly emptyTimeMs: LazyNumber,
+    private readonly isWorkerSlow: (worker: string) => boolean,
   ) {}
 
   get emptyInMs(): number {
     return this.emptyTimeMs.read();
   }
 
-  withFree(free: Size): LazyCandidate {
-    const {key, worker, quarantined, isDue, emptyTimeMs} = this;
+  get isSlow(): boolean {
+    return this.isWorkerSlow(this.key);
+  }
+
+  withFree(free: Size, emptyTimeMs = this.emptyTimeMs): LazyCandidate {
+    const {key, worker, quarantined, isDue, isWorkerSlow} = this;
     return new LazyCandidate(
       key,
       worker,
@@ -56,21 +66,31 @@
       quarantined,
       isDue,
       emptyTimeMs,
+      isWorkerSlow,
     );
   }
 }
 
 /**
- * Creates a candidate whose `emptyInMs` takes a walk of the runs on the worker,
- * which no one asks for of a full worker.
+ * Creates a candidate some of whose fields take a walk of the runs on the
+ * worker. No one asks for `emptyInMs` of a full worker, and few for `isSlow`,
+ * which `isWorkerSlow` tells by worker key.
  */
 export function createCandidate(
-  fields: Omit<Required<Candidate>, 'emptyInMs'>,
+  fields: Omit<Required<Candidate>, 'emptyInMs' | 'isSlow'>,
   emptyInMs: () => number,
+  isWorkerSlow: (worker: string) => boolean = () => false,
 ): Candidate {
   const {key, worker, free, quarantined, isDue} = fields;
-  const emptyTimeMs = new LazyNumber(emptyInMs);
-  return new LazyCandidate(key, worker, free, quarantined, isDue, emptyTimeMs);
+  return new LazyCandidate(
+    key,
+    worker,
+    free,
+    quarantined,
+    isDue,
+    new LazyNumber(emptyInMs),
+    isWorkerSlow,
+  );
 }
 
 /** A copy with other free resources, which does not read `emptyInMs`. */
@@ -78,3 +98,15 @@
   if (candidate instanceof LazyCandidate) return candidate.withFree(free);
   return {...candidate, free};
 }
+
+/** A copy with one more run, which has been deducted from `free`. */
+export function withRun(
+  candidate: Candidate,
+  free: Size,
+  emptyInMs: number,
+): Candidate {
+  if (candidate instanceof LazyCandidate) {
+    return candidate.withFree(free, new LazyNumber(() => emptyInMs));
+  }
+  return {...candidate, free, emptyInMs};
+}
--- a/packages/scheduling/src/load-index.ts
+++ b/packages/scheduling/src/load-index.ts
@@ -12,6 +12,7 @@
   type Size,
 } from '@lentildrift/queue';
 import {
+  isSpeculative,
   isSurplus,
   listJobRuns,
   reservation,
@@ -74,6 +75,7 @@
   const workersWithLongRunningTasks = new Set<string>();
   const surplus = new Map<string, LiveRun>();
   const suspects = new Map<string, LiveRun>();
+  const speculative = new Map<string, LiveRun>();
   /** Runs at the mark on the workers whose runs have changed since. */
   const replacedRuns = new Map<string, readonly LiveRun[]>();
 
@@ -107,6 +109,7 @@
       if (job.spec.team !== undefined) byTeam.remove(job.spec.team, step.size);
       surplus.delete(live.id);
       suspects.delete(live.id);
+      speculative.delete(live.id);
     }
     for (const live of added) {
       const {job, step, run} = live;
@@ -118,6 +121,7 @@
       if (job.spec.team !== undefined) byTeam.add(job.spec.team, step.size);
       if (isSurplus(live)) surplus.set(live.id, live);
       if (isSuspect(live.task)) suspects.set(live.id, live);
+      if (isSpeculative(live)) speculative.set(live.id, live);
     }
   }
 
@@ -175,6 +179,7 @@
       workersWithLongRunningTasks,
       surplus,
       suspects,
+      speculative,
     },
     update,
     finish,
--- a/packages/scheduling/src/load.ts
+++ b/packages/scheduling/src/load.ts
@@ -43,6 +43,8 @@
   readonly surplus: ReadonlyMap<string, LiveRun>;
   /** Runs of tasks that may crash their workers, see `isSuspect`, by ID. */
   readonly suspects: ReadonlyMap<string, LiveRun>;
+  /** Runs that count, of steps that allow copies, by ID. */
+  readonly speculative: ReadonlyMap<string, LiveRun>;
 }
 
 /** Identifies a run among the runs of all tasks. */
@@ -55,6 +57,11 @@
   return job.phase !== 'active' || task.done;
 }
 
+/** Whether the run counts and a copy of it may run beside it. */
+export function isSpeculative(live: LiveRun): boolean {
+  return live.step.speculative && !isSurplus(live);
+}
+
 /** Resources that a run of the step reserves on its worker. */
 export function reservation({size, filler}: Step): Size {
   return filler ? {...size, cpuMillis: 0} : size;
@@ -88,6 +95,7 @@
   const workersWithLongRunningTasks = new Set<string>();
   const surplus = new Map<string, LiveRun>();
   const suspects = new Map<string, LiveRun>();
+  const speculative = new Map<string, LiveRun>();
   for (const live of state.jobs.values().flatMap(listJobRuns)) {
     const {job, step, run, id} = live;
     const {worker} = run;
@@ -101,6 +109,7 @@
     if (step.lasting) workersWithLongRunningTasks.add(worker);
     if (isSurplus(live)) surplus.set(id, live);
     if (isSuspect(live.task)) suspects.set(id, live);
+    if (isSpeculative(live)) speculative.set(id, live);
   }
   return {
     runsByWorker,
@@ -110,6 +119,7 @@
     workersWithLongRunningTasks,
     surplus,
     suspects,
+    speculative,
   };
 }
 
--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -25,7 +25,7 @@
   type Team,
 } from '@lentildrift/queue';
 import {isInflow, type Backlog} from './backlog.js';
-import {withFree, type Candidate} from './candidate.js';
+import {withFree, withRun, type Candidate} from './candidate.js';
 import {expectedDurationMs, type Durations} from './estimate.js';
 import {reservation, type Load} from './load.js';
 import {punctualityOf, type JobOrder, type Punctuality} from './order.js';
@@ -76,6 +76,13 @@
   readonly stepsAwaitingAdvice: readonly {step: string; pool: string}[];
   /** Pools in which a task that is ready fits on no worker. */
   readonly shortPools: ReadonlySet<string>;
+  /**
+   * The candidates of a pool with the room that is left after the starts. Valid
+   * as long as the input of the round is.
+   */
+  candidatesLeft(pool: string): readonly Candidate[];
+  /** Resources in use by a team, with those of the starts. */
+  usedByTeam(team: string): Size;
 }
 
 /** A step with tasks that could start. */
@@ -238,7 +245,13 @@
   const stepsAwaitingAdvice = [...round.stepsAwaitingAdvice].map(
     ([step, pool]) => ({step, pool}),
   );
-  return {starts, stepsAwaitingAdvice, shortPools};
+  return {
+    starts,
+    stepsAwaitingAdvice,
+    shortPools,
+    candidatesLeft: pool => poolCandidates(input, round, pool),
+    usedByTeam: team => round.teams.get(team)?.used ?? ZERO_SIZE,
+  };
 }
 
 /**
@@ -413,7 +426,7 @@
 }
 
 /** Number of runs of the step of one occurrence, by worker key. */
-function countStepRuns(
+export function countStepRuns(
   job: Job,
   occurrence: number,
   stepIndex: number,
@@ -543,11 +556,9 @@
 ): void {
   const {queue, job, step} = readyStep;
   const candidates = poolCandidates(input, round, queue.pool);
-  candidates[candidates.indexOf(chosen)] = {
-    ...chosen,
-    free: subtract(chosen.free, size),
-    emptyInMs: Math.max(chosen.emptyInMs, durationMs),
-  };
+  const free = subtract(chosen.free, size);
+  const emptyInMs = Math.max(chosen.emptyInMs, durationMs);
+  candidates[candidates.indexOf(chosen)] = withRun(chosen, free, emptyInMs);
   runCounts?.set(chosen.key, (runCounts.get(chosen.key) ?? 0) + 1);
   const teamUsage = round.teams.get(job.spec.team ?? '');
   if (teamUsage) {
@@ -559,11 +570,15 @@
 function isWithinCap(round: RoundState, job: Job, size: Size): boolean {
   const teamUsage = round.teams.get(job.spec.team ?? '');
   if (!teamUsage) return true;
-  const {cap} = teamUsage.team;
+  return isWithinLimit(teamUsage.team, add(teamUsage.used, size));
+}
+
+/** Whether a team may use so much across all pools. */
+export function isWithinLimit({cap}: Team, used: Size): boolean {
   const limit: Size = {
     cpuMillis: cap.cpuMillis || Infinity,
     memoryMb: cap.memoryMb || Infinity,
     gpus: cap.gpus || Infinity,
   };
-  return fits(add(teamUsage.used, size), limit);
+  return fits(used, limit);
 }
--- a/packages/scheduling/test/build.ts
+++ b/packages/scheduling/test/build.ts
@@ -53,6 +53,7 @@
   maxPerWorker?: number;
   filler?: boolean;
   lasting?: boolean;
+  speculative?: boolean;
 }
 
 export function submit(
--- a/packages/testkit/src/jobs/shape.ts
+++ b/packages/testkit/src/jobs/shape.ts
@@ -22,6 +22,8 @@
   durationMs: Lognormal,
   /** Standard deviation of the logarithm of task durations within one step. */
   uneven: z.number().nonnegative(),
+  /** Whether the steps allow copies; not if it is absent. */
+  speculative: z.boolean().optional(),
   /**
    * Standard deviation of the logarithm of the error of submitted estimates.
    */
@@ -207,3 +209,14 @@
   const standbyHosts = shape.standbyHosts * factor;
   return {...shape, name: `${shape.name} x ${factor}`, queues, standbyHosts};
 }
+
+/** The current fleet with half of its traffic, and steps that allow copies. */
+export const SPECULATIVE_JOBS: TrafficShape = {
+  ...ARCHERS_JOBS,
+  name: 'speculative',
+  queues: ARCHERS_JOBS.queues.map(queue => ({
+    ...queue,
+    perSecond: queue.perSecond / 2,
+    speculative: true,
+  })),
+};
--- a/packages/testkit/src/jobs/workload.ts
+++ b/packages/testkit/src/jobs/workload.ts
@@ -104,6 +104,7 @@
       size: sizeOf(cores, drawBounded(random, queue.memoryMbPerTask)),
       estimateMs: drawLognormal(random, meanMs, queue.estimateError),
       after: stepIndex === 0 ? [] : [stepIndex - 1],
+      speculative: queue.speculative ?? false,
     };
   });
   const criticalPathMs = durationsMs.reduce(
--- a/packages/testkit/test/jobs.test.ts
+++ b/packages/testkit/test/jobs.test.ts
@@ -4,9 +4,12 @@
   DeadlineAdmission,
   DeadlineOrder,
   ElasticPools,
+  LateCopies,
   LeastSlackOrder,
+  NoCopies,
   PackPlacement,
   type Admission,
+  type CopyPolicy,
 } from '@lentildrift/scheduling';
 import {describe, expect, it} from 'vitest';
 import {BUSY_LEADER_TIMES, TAKEOVER} from '../src/jobs/measure.js';
@@ -14,10 +17,19 @@
   HUNDREDS_JOBS,
   IDLE_START_JOBS,
   OVERLOAD_JOBS,
+  SPECULATIVE_JOBS,
   type TrafficShape,
 } from '../src/jobs/shape.js';
+import type {Stragglers} from '../src/jobs/stragglers.js';
 import {runJobTrial, type TrialOptions} from '../src/jobs/trial.js';
 
+const NO_STRAGGLERS: Stragglers = {
+  longRunShare: 0,
+  longRunFactor: 1,
+  slowHostShare: 0,
+  slowHostFactor: 1,
+};
+
 function play(
   shape: TrafficShape,
   seed: number,
@@ -80,3 +92,49 @@
     60_000,
   );
 });
+
+describe('copies of runs that last long', () => {
+  const playWith = (
+    copies: CopyPolicy,
+    seed: number,
+    stragglers?: Partial<Stragglers>,
+  ) =>
+    play(SPECULATIVE_JOBS, seed, new AdmitAll(), {
+      copies,
+      ...(stragglers && {stragglers: {...NO_STRAGGLERS, ...stragglers}}),
+    });
+
+  // A run that lasts seven times as long holds up its whole job.
+  it.each([1, 2])(
+    'shorten the slowest jobs where the long tail is that of the runs, seed %d',
+    seed => {
+      const stragglers = {longRunShare: 0.03, longRunFactor: 7};
+      const without = playWith(new NoCopies(), seed, stragglers);
+      const copied = playWith(new LateCopies(), seed, stragglers);
+      expect(copied.slowestMs).toBeLessThan(0.95 * without.slowestMs);
+      expect(copied.late).toBeLessThan(without.late);
+    },
+    60_000,
+  );
+
+  // With more slow hosts, most jobs are late either way.
+  it.each([3, 4])(
+    'make fewer jobs late where some hosts are slow, seed %d',
+    seed => {
+      const stragglers = {slowHostShare: 0.1, slowHostFactor: 5};
+      const without = playWith(new NoCopies(), seed, stragglers);
+      const copied = playWith(new LateCopies(), seed, stragglers);
+      expect(copied.slowestMs).toBeLessThan(without.slowestMs);
+      expect(copied.late).toBeLessThan(0.85 * without.late);
+    },
+    60_000,
+  );
+
+  // The copies would be work thrown away.
+  it('are hardly started where all runs of a task last equally long', () => {
+    const without = playWith(new NoCopies(), 1);
+    const copied = playWith(new LateCopies(), 1);
+    expect(copied.starts).toBeLessThan(1.01 * without.starts);
+    expect(copied.late).toBeLessThanOrEqual(without.late + 2);
+  }, 60_000);
+});
