Add the cost of delay, by objective, work and priority

Cause: order, admission and moves each had a punctuality rule of their own, and no decision on jobs read a queue's priority.

Change: DelayCost maps an occurrence and the time of its end to a cost in core milliseconds. LatenessCost is the rule of today; ObjectiveCost rises around the objective, halves with each step of the priority and counts a caller beside the work. Nothing uses it yet.

--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -5,6 +5,7 @@
 export * from './fleet.js';
 export * from './state-index.js';
 export * from './order.js';
+export * from './cost.js';
 export * from './candidate.js';
 export * from './placement.js';
 export * from './plan.js';
--- a/packages/scheduling/src/order.ts
+++ b/packages/scheduling/src/order.ts
@@ -157,6 +157,32 @@
   return (expectation.workMs ??= computeWorkMs(input));
 }
 
+/** What is known and expected of an occurrence that has an objective. */
+export interface Outlook {
+  /** Unix time from which its caller waits. */
+  readonly dueAtMs: number;
+  /** See `objectiveMs`. */
+  readonly objectiveMs: number;
+  /** See `remainingPathMs`. */
+  readonly remainingPathMs: number;
+  /** See `remainingWorkMs`. */
+  readonly remainingWorkMs: number;
+  /** Expected work of all its steps, in core milliseconds. */
+  readonly wholeWorkMs: number;
+}
+
+/** Finds the expectations of the occurrence once for all of their values. */
+export function outlookOf(input: OrderInput): Outlook {
+  const expectation = expectationOf(input);
+  return {
+    dueAtMs: dueAtMs(input.job, input.occurrence),
+    objectiveMs: objectiveOf(input.queue, expectation),
+    remainingPathMs: expectation.remainingPathMs,
+    remainingWorkMs: (expectation.workMs ??= computeWorkMs(input)),
+    wholeWorkMs: (expectation.wholeWorkMs ??= computeWorkMs(input, false)),
+  };
+}
+
 /** What is expected of one occurrence of a job. */
 interface Expectation {
   /** Duration of the longest chain of dependent steps. */
@@ -165,6 +191,8 @@
   readonly remainingPathMs: number;
   /** See `computeWorkMs`; undefined until it is needed. */
   workMs: number | undefined;
+  /** The same for all steps. */
+  wholeWorkMs: number | undefined;
 }
 
 /** The expectations of a job, with the statistics that they follow from. */
@@ -225,15 +253,19 @@
     wholePathMs: longestPathMs(job, durationsMs),
     remainingPathMs: longestPathMs(job, remainingMs),
     workMs: undefined,
+    wholeWorkMs: undefined,
   };
 }
 
-/** Expected remaining work of the occurrence, in core milliseconds. */
-function computeWorkMs(input: OrderInput): number {
+/**
+ * Expected work of the occurrence, in core milliseconds, without that of
+ * completed steps if only the remaining work counts.
+ */
+function computeWorkMs(input: OrderInput, isRemaining = true): number {
   const {job, queue, occurrence, durations} = input;
   let total = 0;
   job.spec.steps.forEach((step, stepIndex) => {
-    if (isStepDone(job, occurrence, stepIndex)) return;
+    if (isRemaining && isStepDone(job, occurrence, stepIndex)) return;
     const cores = step.size.cpuMillis / 1000;
     total +=
       step.count * cores * expectedDurationMs(durations, queue.name, step);
