Displace running work for urgent jobs that gain more than it loses

Cause: an urgent job that found no room waited until room came by itself; nothing took it back from running work.

Change: the policy displacement=cost (default none) chooses, after the plan of a round, runs of less urgent queues in the same pool whose loss is below the cost of delay that the urgent job avoids. The change of the round records them in Task.displacedRun; such a run is surplus, so whoever leads stops it, and its task waits again with its checkpoint. A task is displaced again only after its worker has reported a new checkpoint. Lasting tasks, gangs, fillers, suspects and copies are never displaced, and at most a quarter of a pool at once.

--- a/packages/dispatch/src/batch.ts
+++ b/packages/dispatch/src/batch.ts
@@ -25,6 +25,8 @@
 export interface Batch {
   readonly queued: readonly QueuedEvent[];
   readonly starts: readonly StartRow[];
+  /** Runs that the change records as displaced. */
+  readonly displaced: readonly StartRow[];
   /** Whether some tasks that were due found no free capacity. */
   readonly hasUnplacedTasks: boolean;
 }
@@ -99,6 +101,7 @@
     }
     case 'start':
     case 'lost':
+    case 'displace':
       return EVENT_BYTES + event.runs.length * ROW_BYTES;
     case 'ends':
       return event.ends.reduce(
--- a/packages/dispatch/src/commit-handler.ts
+++ b/packages/dispatch/src/commit-handler.ts
@@ -17,6 +17,7 @@
 import {objectiveMs, runId} from '@lentildrift/scheduling';
 import type {Batch} from './batch.js';
 import type {Copies} from './copies.js';
+import type {Displacements} from './displacements.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {JobStagesRecorder} from './job-stages.js';
 import type {ReportHandler} from './report-handler.js';
@@ -32,6 +33,7 @@
   readonly retention: Retention;
   readonly estimates: RunEstimates;
   readonly copies: Omit<Copies, 'choose'>;
+  readonly displacements: Pick<Displacements, 'recordDisplaced'>;
   readonly log: Log;
   state(): State;
 }
@@ -56,10 +58,11 @@
   const {copies, estimates, log, state} = options;
 
   function handleCommitted(
-    {queued, starts}: Batch,
+    {queued, starts, displaced}: Batch,
     outcomes: readonly Outcome[],
   ): void {
     copies.recordStarts(starts);
+    options.displacements.recordDisplaced(displaced);
     queued.forEach(({event, reply}, at) => {
       reply?.resolve(outcomes[at]!);
       followUp(event, outcomes[at]!);
--- a/packages/dispatch/src/decision-round.ts
+++ b/packages/dispatch/src/decision-round.ts
@@ -1,7 +1,8 @@
 /**
- * Decision rounds of the leader: `gather → plan → copy → commit`. A round takes
- * the events that wait, plans starts on the state that they lead to, adds copies
- * in the room that is left, and proposes all as one change. At most one change is being committed at a time; its
+ * Decision rounds of the leader: `gather → plan → copy → displace → commit`. A
+ * round takes the events that wait, plans starts on the state that they lead to,
+ * adds copies in the room that is left and runs that urgent jobs displace, and
+ * proposes all as one change. At most one change is being committed at a time; its
  * outcome comes back to the leader's task as a message.
  */
 import type {Latency, Metrics} from '@lentildrift/observe';
@@ -10,6 +11,7 @@
 import type {AdviceCache} from './advice.js';
 import type {Batch} from './batch.js';
 import type {Copies} from './copies.js';
+import type {Displacements} from './displacements.js';
 import type {EventQueue} from './event-queue.js';
 import type {LeaderInstruments} from './instruments.js';
 import type {QueueReplica} from './leader-options.js';
@@ -32,6 +34,7 @@
   readonly events: EventQueue;
   readonly planner: Planner;
   readonly copies: Pick<Copies, 'choose'>;
+  readonly displacements: Pick<Displacements, 'choose'>;
   readonly runs: Pick<RunTracker, 'markTime'>;
   readonly advice: AdviceCache;
   isLeader(): boolean;
@@ -115,11 +118,15 @@
       }
       events.push({type: 'start', runs: starts});
     }
+    const displaced = options.displacements.choose(projected, view, decision);
+    if (displaced.length > 0) {
+      events.push({type: 'displace', runs: [...displaced]});
+    }
     if (events.length === 0) return;
     if (queue.size() > 0) dirty = true;
     startingWorkers = new Set(starts.map(([, , worker]) => worker));
     const hasUnplacedTasks = decision.shortPools.size > 0;
-    propose({queued, starts, hasUnplacedTasks}, events);
+    propose({queued, starts, displaced, hasUnplacedTasks}, events);
   }
 
   function propose(batch: Batch, events: Event[]): void {
--- a/packages/dispatch/src/leader-options.ts
+++ b/packages/dispatch/src/leader-options.ts
@@ -5,6 +5,7 @@
 import type {
   Admission,
   CopyPolicy,
+  DisplacementPolicy,
   JobOrder,
   Placement,
   PoolPolicy,
@@ -45,6 +46,8 @@
   readonly admission?: Admission;
   /** No copies if it is absent. */
   readonly copies?: CopyPolicy;
+  /** Nothing is displaced if it is absent. */
+  readonly displacement?: DisplacementPolicy;
   /** Monotonic time at which this process was elected, for its log lines. */
   readonly electedMs?: number;
   /**
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -19,6 +19,7 @@
 import {
   DeadlineAdmission,
   NoCopies,
+  NoDisplacement,
   PackPlacement,
   runId,
 } from '@lentildrift/scheduling';
@@ -38,6 +39,7 @@
 } from './decision-round.js';
 import {createCopies} from './copies.js';
 import {createCrashDetector} from './crash-detector.js';
+import {createDisplacements} from './displacements.js';
 import {createDispatcher, type Dispatcher} from './dispatcher.js';
 import {createEventQueue, type EventQueue} from './event-queue.js';
 import {createHostOperations, type HostOperations} from './host-operations.js';
@@ -198,6 +200,15 @@
     state,
     nowMs: () => performance.now(),
   });
+  const displacements = createDisplacements({
+    policy: options.displacement ?? new NoDisplacement(),
+    runs,
+    estimates,
+    advice,
+    log,
+    metrics,
+    state,
+  });
   const rounds: DecisionRounds = createDecisionRounds({
     replica,
     runs,
@@ -207,6 +218,7 @@
     events,
     planner,
     copies,
+    displacements,
     advice,
     isLeader,
     post: message => void task.post(message),
@@ -274,6 +286,7 @@
     estimates,
     readiness,
     advice,
+    displacements,
     instruments,
     log,
     onChange: rounds.schedule,
@@ -287,6 +300,7 @@
     retention,
     estimates,
     copies,
+    displacements,
     log,
     state,
   });
--- a/packages/dispatch/src/policies.ts
+++ b/packages/dispatch/src/policies.ts
@@ -4,12 +4,16 @@
  * mention it.
  */
 import {
+  CostDisplacement,
   DeadlineAdmission,
   DeadlineOrder,
   LateCopies,
   NoCopies,
+  NoDisplacement,
+  ObjectiveCost,
   type Admission,
   type CopyPolicy,
+  type DisplacementPolicy,
   type JobOrder,
 } from '@lentildrift/scheduling';
 import VError from 'verror';
@@ -22,6 +26,8 @@
   admission: z.enum(['deadline']).default('deadline'),
   /** Which tasks that last long get a second run. */
   copies: z.enum(['none', 'late']).default('none'),
+  /** Which running tasks urgent jobs may displace. */
+  displacement: z.enum(['none', 'cost']).default('none'),
 });
 export type PolicyNames = z.infer<typeof PolicyNames>;
 
@@ -30,6 +36,7 @@
   readonly order: JobOrder;
   readonly admission: Admission;
   readonly copies: CopyPolicy;
+  readonly displacement: DisplacementPolicy;
 }
 
 /**
@@ -70,10 +77,16 @@
   late: () => new LateCopies(),
 } satisfies Record<PolicyNames['copies'], () => CopyPolicy>;
 
+const DISPLACEMENTS = {
+  none: () => new NoDisplacement(),
+  cost: () => new CostDisplacement(new ObjectiveCost()),
+} satisfies Record<PolicyNames['displacement'], () => DisplacementPolicy>;
+
 export function createPolicies(names: PolicyNames): Policies {
   return {
     order: ORDERS[names.order](),
     admission: ADMISSIONS[names.admission](),
     copies: COPIES[names.copies](),
+    displacement: DISPLACEMENTS[names.displacement](),
   };
 }
--- a/packages/dispatch/src/report-handler.ts
+++ b/packages/dispatch/src/report-handler.ts
@@ -8,6 +8,7 @@
 import type {AdviceCache} from './advice.js';
 import type {AnnouncementAges} from './announcement-age.js';
 import type {Availability} from './availability.js';
+import type {Displacements} from './displacements.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {EventQueue} from './event-queue.js';
 import type {LeaderInstruments} from './instruments.js';
@@ -32,6 +33,7 @@
   readonly estimates: RunEstimates;
   readonly readiness: Readiness;
   readonly advice: AdviceCache;
+  readonly displacements: Pick<Displacements, 'observe' | 'forget'>;
   readonly instruments: LeaderInstruments;
   readonly log: Log;
   /** Called when the next round may act on what a session has brought. */
@@ -123,6 +125,7 @@
       reconcileReport(event, current, recorded, cursor);
     }
     readiness.observe(key, report);
+    options.displacements.observe(key, report);
     pacing.observe(session, report, recorded);
   }
 
@@ -216,6 +219,7 @@
       recordedEndCursors.delete(key);
       reportFilter.forget(key);
       readiness.forget(key);
+      options.displacements.forget(key);
       pacing.forget(worker.id);
     },
   };
--- a/packages/dispatch/test/fakes.ts
+++ b/packages/dispatch/test/fakes.ts
@@ -31,6 +31,8 @@
   readonly how: EndKind;
   readonly size: Size;
   readonly lasting: boolean;
+  /** Interval of the checkpoints; 0 for none. */
+  readonly checkpointMs: number;
 }
 
 /** State of the link to a worker, with the fault that it simulates. */
@@ -60,6 +62,14 @@
   stopsAtMs: number;
 }
 
+/** The latest checkpoint, which names the run and its number. */
+function checkpointOf({run, startedMs, behaviour}: FakeRun): string {
+  const {checkpointMs} = behaviour;
+  if (checkpointMs <= 0) return '';
+  const count = Math.floor((performance.now() - startedMs) / checkpointMs);
+  return count > 0 ? `${run}:${count}` : '';
+}
+
 const NO_ANSWER = new Error('no answer');
 const ANSWER_TIMEOUT_MS = 400;
 const STOP_DELAY_MS = 200;
@@ -123,7 +133,9 @@
   }
 
   private end(task: string, how: EndKind): void {
-    const {run} = this.runs.get(task)!;
+    const fakeRun = this.runs.get(task)!;
+    const {run} = fakeRun;
+    const checkpoint = checkpointOf(fakeRun);
     this.runs.delete(task);
     this.highestRuns.set(task, Math.max(run, this.highestRuns.get(task) ?? 0));
     this.ended.push({
@@ -131,7 +143,7 @@
       task,
       run,
       how,
-      checkpoint: '',
+      checkpoint,
     });
   }
 
@@ -159,7 +171,7 @@
     }
     if (leaseUntilMs <= this.clockMs()) return {ok: false, reason: 'late'};
     this.renew(leaseUntilMs);
-    this.fleet.recordStart(task, this);
+    this.fleet.recordStart(order, this);
     this.runs.set(task, {
       run,
       startedMs: performance.now(),
@@ -195,12 +207,12 @@
     return {
       bornMs: this.worker.bornMs,
       clockMs: this.clockMs(),
-      running: [...this.runs].map(([task, {run, startedMs, behaviour}]) => ({
+      running: [...this.runs].map(([task, fakeRun]) => ({
         task,
-        run,
-        checkpoint: '',
-        percent: behaviour.lasting
-          ? performance.now() - startedMs > 300
+        run: fakeRun.run,
+        checkpoint: checkpointOf(fakeRun),
+        percent: fakeRun.behaviour.lasting
+          ? performance.now() - fakeRun.startedMs > 300
             ? 100
             : 0
           : 50,
@@ -235,7 +247,12 @@
   readonly acknowledged = new Map<string, number>();
   /** Violations of the leader's guarantees; tests expect none. */
   readonly violations: string[] = [];
-  readonly starts: {task: string; worker: string; atMs: number}[] = [];
+  readonly starts: {
+    task: string;
+    worker: string;
+    atMs: number;
+    checkpoint: string;
+  }[] = [];
   readonly maxLeaseMs: number;
   readonly endsPerReport: number;
   /** Time for which calls over a link that is `held-up` are under way. */
@@ -261,6 +278,7 @@
       how: 'done',
       size: {cpuMillis: 1000, memoryMb: 100, gpus: 0},
       lasting: false,
+      checkpointMs: 0,
       ...this.options.behave?.(task, run, worker),
     };
   }
@@ -271,9 +289,10 @@
     return all.filter(worker => worker.isAlive && worker.runs.has(task));
   }
 
-  recordStart(task: string, worker: FakeWorker): void {
+  recordStart({task, checkpoint}: StartOrder, worker: FakeWorker): void {
     const {id, capacity} = worker.worker;
-    this.starts.push({task, worker: id, atMs: performance.now()});
+    const atMs = performance.now();
+    this.starts.push({task, worker: id, atMs, checkpoint});
     const allowsCopies = this.options.allowsCopies?.(task) ?? false;
     if (this.running(task).length > (allowsCopies ? 1 : 0)) {
       this.violations.push(`${task} runs ${allowsCopies ? 'thrice' : 'twice'}`);
--- a/packages/dispatch/test/harness.ts
+++ b/packages/dispatch/test/harness.ts
@@ -20,6 +20,7 @@
 import {
   FixedPools,
   type CopyPolicy,
+  type DisplacementPolicy,
   type PoolPolicy,
 } from '@lentildrift/scheduling';
 import {startTasks} from '@lentildrift/task';
@@ -165,6 +166,7 @@
   readonly pools?: PoolPolicy;
   readonly adviser?: Adviser;
   readonly copies?: CopyPolicy;
+  readonly displacement?: DisplacementPolicy;
   /** Data centres of processes through which the leader calls all workers. */
   readonly relayDataCentres?: readonly string[];
 }
@@ -241,6 +243,7 @@
       metrics,
       pools: options.pools ?? new FixedPools(),
       ...(options.copies && {copies: options.copies}),
+      ...(options.displacement && {displacement: options.displacement}),
       leaderlessMs,
       isLeader: () => own === token && replica.acceptsProposals,
     });
--- a/packages/queue/src/apply.ts
+++ b/packages/queue/src/apply.ts
@@ -9,6 +9,7 @@
 import {
   addTaskCrash,
   compactEndedJob,
+  displaceRun,
   endRun,
   moveRun,
   removeRun,
@@ -57,6 +58,9 @@
     case 'lost':
       for (const row of event.runs) removeRun(draft, row);
       return 'applied';
+    case 'displace':
+      for (const row of event.runs) displaceRun(draft, row);
+      return 'applied';
     case 'forget':
       for (const id of event.jobs) draft.deleteJob(id);
       return 'applied';
--- a/packages/queue/src/change.ts
+++ b/packages/queue/src/change.ts
@@ -87,6 +87,8 @@
   }),
   /** Runs that are certainly not running and never will be. */
   z.object({type: z.literal('lost'), runs: z.array(StartRow)}),
+  /** Runs that are to be stopped, so that urgent jobs get their room. */
+  z.object({type: z.literal('displace'), runs: z.array(StartRow)}),
   /** Removes ended jobs that no caller asks for any more. */
   z.object({type: z.literal('forget'), jobs: z.array(z.string())}),
   z.object({type: z.literal('wave'), wave: Wave}),
--- a/packages/queue/src/job.ts
+++ b/packages/queue/src/job.ts
@@ -107,6 +107,11 @@
   failedOn: z.array(z.string()),
   /** Crashes of workers that may be due to the task; the latest is the last. */
   crashes: z.array(Crash).default([]),
+  /**
+   * Number of the last run that was stopped, or is to be, so that an urgent job
+   * gets its room; absent if there is none.
+   */
+  displacedRun: z.int().positive().optional(),
 });
 export type Task = z.infer<typeof Task>;
 
--- a/packages/queue/src/run.ts
+++ b/packages/queue/src/run.ts
@@ -100,6 +100,18 @@
   draft.setJob(compactEndedJob(withTask(job, key, {...task, runs})));
 }
 
+/** Notes that a run, if it is the only one of its task, is to be stopped. */
+export function displaceRun(draft: Draft, row: StartRow): void {
+  const [name, number, worker] = row;
+  const entry = findTask(draft, name);
+  if (!entry) return;
+  const {job, key, task} = entry;
+  const [run, ...others] = task.runs;
+  if (job.phase !== 'active' || task.done || others.length > 0) return;
+  if (run?.number !== number || run.worker !== worker) return;
+  draft.setJob(withTask(job, key, {...task, displacedRun: number}));
+}
+
 /** Records a run, if it is recorded, as a run of another worker. */
 export function moveRun(draft: Draft, row: StartRow, worker: string): void {
   const [name, number, from] = row;
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -10,6 +10,7 @@
 export * from './placement.js';
 export * from './plan.js';
 export * from './copies.js';
+export * from './displacement.js';
 export * from './duration-ratio.js';
 export * from './worker-speed.js';
 export * from './suspicion.js';
--- a/packages/scheduling/src/load.ts
+++ b/packages/scheduling/src/load.ts
@@ -39,7 +39,7 @@
   readonly byQueue: ReadonlyMap<string, Size>;
   /** Keys of the workers that run a long-running task. */
   readonly workersWithLongRunningTasks: ReadonlySet<string>;
-  /** Runs that are no longer needed, see `isSurplus`, by ID. */
+  /** Runs that are to be stopped, see `isSurplus`, by ID. */
   readonly surplus: ReadonlyMap<string, LiveRun>;
   /** Runs of tasks that may crash their workers, see `isSuspect`, by ID. */
   readonly suspects: ReadonlyMap<string, LiveRun>;
@@ -52,9 +52,13 @@
   return `${task} ${run}`;
 }
 
-/** Whether a run is no longer needed because its task or job has ended. */
-export function isSurplus({job, task}: LiveRun): boolean {
-  return job.phase !== 'active' || task.done;
+/**
+ * Whether a run is to be stopped: its task or job has ended, or an urgent job is
+ * to have its room.
+ */
+export function isSurplus({job, task, run}: LiveRun): boolean {
+  if (job.phase !== 'active' || task.done) return true;
+  return task.displacedRun === run.number;
 }
 
 /** Whether the run counts and a copy of it may run beside it. */
