--- a/packages/dispatch/src/availability.ts
+++ b/packages/dispatch/src/availability.ts
@@ -22,6 +22,7 @@
 import type {RunEstimates} from './run-estimates.js';
 import type {StateViews} from './state-views.js';
 import type {RunTracker} from './tracker.js';
+import type {WorkerSpeeds} from './worker-speeds.js';
 
 export interface AvailabilityOptions {
   readonly views: StateViews;
@@ -29,6 +30,7 @@
   readonly estimates: RunEstimates;
   readonly announcements: Pick<AnnouncementAges, 'isOutdated'>;
   readonly cold: Pick<ColdWorkers, 'leftMs'>;
+  readonly speeds: Pick<WorkerSpeeds, 'isSlow'>;
   isAnswering(worker: string): boolean;
   /** Whether the host gets no new runs because of maintenance or a move. */
   isCordoned(host: string): boolean;
@@ -152,6 +154,7 @@
     const trials = findTrialWorkers(load);
     const nowMs = performance.now();
     const candidates: Candidate[] = [];
+    const isWorkerSlow = (key: string) => options.speeds.isSlow(key, load);
     const usable = workers.filter(worker => {
       const key = workerKey(worker);
       return !avoided.has(key) && !trials.has(key);
@@ -174,7 +177,7 @@
         coldCpuMillisLeft: hasWarm ? coldCpuMillisLeft(worker, load) : Infinity,
       };
       const emptyInMs = () => estimates.emptyInMs(key, load);
-      candidates.push(createCandidate(fields, emptyInMs));
+      candidates.push(createCandidate(fields, emptyInMs, isWorkerSlow));
     }
     return candidates;
   }
--- a/packages/dispatch/src/commit-handler.ts
+++ b/packages/dispatch/src/commit-handler.ts
@@ -16,6 +16,8 @@
 } from '@lentildrift/queue';
 import {objectiveMs, runId} from '@lentildrift/scheduling';
 import type {Batch} from './batch.js';
+import type {Copies} from './copies.js';
+import type {Displacements} from './displacements.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {JobStagesRecorder} from './job-stages.js';
 import type {ReportHandler} from './report-handler.js';
@@ -30,6 +32,8 @@
   readonly reports: ReportHandler;
   readonly retention: Retention;
   readonly estimates: RunEstimates;
+  readonly copies: Omit<Copies, 'choose'>;
+  readonly displacements: Pick<Displacements, 'recordDisplaced'>;
   readonly log: Log;
   state(): State;
 }
@@ -51,9 +55,14 @@
   options: CommitHandlerOptions,
 ): CommitHandler {
   const {dispatcher, runs, stages, reports, retention} = options;
-  const {estimates, log, state} = options;
+  const {copies, estimates, log, state} = options;
 
-  function handleCommitted({queued}: Batch, outcomes: readonly Outcome[]) {
+  function handleCommitted(
+    {queued, starts, displaced}: Batch,
+    outcomes: readonly Outcome[],
+  ): void {
+    copies.recordStarts(starts);
+    options.displacements.recordDisplaced(displaced);
     queued.forEach(({event, reply}, at) => {
       reply?.resolve(outcomes[at]!);
       followUp(event, outcomes[at]!);
@@ -80,6 +89,7 @@
       }
       dispatcher.sessionOf(event.worker)?.acknowledge(event.upTo);
       stages.recordEnds(event.ends);
+      copies.recordEnds(event.ends);
       for (const [name, run] of event.ends) {
         runs.forget(runId(name, run));
         logJobEnd(splitTaskName(name).job);
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,4 +1,5 @@
 export * from './control.js';
+export * from './copies.js';
 export * from './driver.js';
 export {EvacuationProgress} from './evacuation-report.js';
 export * from './entry.js';
@@ -7,3 +8,4 @@
 export * from './provider.js';
 export * from './request.js';
 export {WaitReason} from './wait-reason.js';
+export * from './worker-speeds.js';
--- a/packages/dispatch/src/leader-options.ts
+++ b/packages/dispatch/src/leader-options.ts
@@ -4,6 +4,8 @@
 import type {Change, Outcome, State} from '@lentildrift/queue';
 import type {
   Admission,
+  CopyPolicy,
+  DisplacementPolicy,
   JobOrder,
   Placement,
   PoolPolicy,
@@ -50,6 +52,10 @@
   readonly shareRule?: ShareRule;
   /** Creates the order in which refused callers return; `PacedReturns` if absent. */
   readonly createReturns?: () => ReturnOrder;
+  /** No copies if it is absent. */
+  readonly copies?: CopyPolicy;
+  /** Nothing is displaced if it is absent. */
+  readonly displacement?: DisplacementPolicy;
   /** Monotonic time at which this process was elected, for its log lines. */
   readonly electedMs?: number;
   /**
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -7,17 +7,21 @@
  * of its steps post to this task, which alone receives messages.
  */
 import {NotLeader} from '@lentildrift/consensus';
-import type {
-  Event,
-  EventOf,
-  JobSpec,
-  Outcome,
-  Queue,
-  StartRow,
-  Worker,
+import {
+  workerKey,
+  type Event,
+  type EventOf,
+  type JobSpec,
+  type Outcome,
+  type Queue,
+  type StartRow,
+  type Worker,
 } from '@lentildrift/queue';
 import {
   DeadlineAdmission,
+  NoCopies,
+  NoDisplacement,
+  PackPlacement,
   runId,
   type IntakeVerdict,
 } from '@lentildrift/scheduling';
@@ -36,8 +40,10 @@
   type RoundMessage,
 } from './decision-round.js';
 import {createColdWorkers, type ColdWorkers} from './cold-workers.js';
+import {createCopies} from './copies.js';
 import {createCrashDetector} from './crash-detector.js';
 import type {DataCentreStatus} from './data-centres.js';
+import {createDisplacements} from './displacements.js';
 import {createDispatcher, type Dispatcher} from './dispatcher.js';
 import {
   createEvacuationReport,
@@ -55,11 +61,12 @@
 import {createRegistry, type Registry} from './registry.js';
 import {createReportHandler, type ReportHandler} from './report-handler.js';
 import {createRetention} from './retention.js';
-import {createRunEstimates} from './run-estimates.js';
+import {createRunEstimates, type RunEstimates} from './run-estimates.js';
 import type {SessionEvent} from './session.js';
 import {createStateViews} from './state-views.js';
 import {TICK_INTERVAL_MS} from './timing.js';
 import {createRunTracker} from './tracker.js';
+import {createWorkerSpeeds, type WorkerSpeeds} from './worker-speeds.js';
 
 export type {LeaderOptions, QueueReplica} from './leader-options.js';
 
@@ -159,7 +166,12 @@
   const runs = createRunTracker(
     [...views.current().load.runsByWorker.values()].flat().map(({id}) => id),
   );
-  const estimates = createRunEstimates({runs, state});
+  const speeds: WorkerSpeeds = createWorkerSpeeds({
+    runs,
+    durations: () => estimates.durations(),
+    nowMs: () => performance.now(),
+  });
+  const estimates: RunEstimates = createRunEstimates({runs, speeds, state});
   const incarnations = createIncarnations();
   /** Whether a tick has come since the proposal of the pending change. */
   let isTickDeferred = false;
@@ -200,6 +212,7 @@
     estimates,
     announcements,
     cold,
+    speeds,
     isAnswering: worker => dispatcher.isAnswering(worker),
     isCordoned: host => hosts.isCordoned(host),
     isDue: host => hosts.isDue(host),
@@ -214,6 +227,28 @@
     shares: () => intake.shares(),
     log,
   });
+  const copies = createCopies({
+    policy: options.copies ?? new NoCopies(),
+    placement: options.placement ?? new PackPlacement(),
+    runs,
+    estimates,
+    speeds,
+    advice,
+    log,
+    metrics,
+    inherited: views.current().load.speculative.values(),
+    state,
+    nowMs: () => performance.now(),
+  });
+  const displacements = createDisplacements({
+    policy: options.displacement ?? new NoDisplacement(),
+    runs,
+    estimates,
+    advice,
+    log,
+    metrics,
+    state,
+  });
   const rounds: DecisionRounds = createDecisionRounds({
     replica,
     runs,
@@ -222,6 +257,8 @@
     views,
     events,
     planner,
+    copies,
+    displacements,
     advice,
     isLeader,
     post: message => void task.post(message),
@@ -234,7 +271,10 @@
     state,
     onEvent: event => void task.post({type: 'session-event', event}),
     onHoldSent: instruments.recordHold,
-    onClosed: ({worker}) => reports.forget(worker),
+    onClosed({worker}) {
+      reports.forget(worker);
+      speeds.forget(workerKey(worker));
+    },
     exceedsAnnouncedCapacity: worker =>
       registry.exceedsAnnouncedCapacity(worker),
     onUndeliverable: row => events.enqueueDerived({type: 'lost', runs: [row]}),
@@ -293,6 +333,7 @@
     estimates,
     readiness,
     advice,
+    displacements,
     instruments,
     log,
     awaitsReadiness: hosts.awaitsReadiness,
@@ -312,6 +353,8 @@
     reports,
     retention,
     estimates,
+    copies,
+    displacements,
     log,
     state,
   });
--- a/packages/dispatch/src/policies.ts
+++ b/packages/dispatch/src/policies.ts
@@ -5,12 +5,19 @@
  */
 import {
   CostAdmission,
+  CostDisplacement,
   CostOrder,
   DeadlineAdmission,
   DeadlineOrder,
   FirstArrivalReturns,
+  LateCopies,
+  NoCopies,
+  NoDisplacement,
+  ObjectiveCost,
   WeightedShares,
   type Admission,
+  type CopyPolicy,
+  type DisplacementPolicy,
   type JobOrder,
   type ReturnOrder,
   type ShareRule,
@@ -23,6 +30,10 @@
   order: z.enum(['deadline', 'cost']).default('deadline'),
   /** Which jobs are accepted. */
   admission: z.enum(['deadline', 'cost']).default('deadline'),
+  /** Which tasks that last long get a second run. */
+  copies: z.enum(['none', 'late']).default('none'),
+  /** Which running tasks urgent jobs may displace. */
+  displacement: z.enum(['none', 'cost']).default('none'),
 });
 export type PolicyNames = z.infer<typeof PolicyNames>;
 
@@ -33,6 +44,8 @@
   readonly shareRule?: ShareRule;
   /** For each leader anew, since it holds the callers that a leader refused. */
   readonly createReturns?: () => ReturnOrder;
+  readonly copies: CopyPolicy;
+  readonly displacement: DisplacementPolicy;
 }
 
 /**
@@ -72,11 +85,26 @@
     shareRule: new WeightedShares(),
     createReturns: () => new FirstArrivalReturns(),
   }),
-} satisfies Record<PolicyNames['admission'], () => Omit<Policies, 'order'>>;
+} satisfies Record<
+  PolicyNames['admission'],
+  () => Omit<Policies, 'order' | 'copies' | 'displacement'>
+>;
+
+const COPIES = {
+  none: () => new NoCopies(),
+  late: () => new LateCopies(),
+} satisfies Record<PolicyNames['copies'], () => CopyPolicy>;
+
+const DISPLACEMENTS = {
+  none: () => new NoDisplacement(),
+  cost: () => new CostDisplacement(new ObjectiveCost()),
+} satisfies Record<PolicyNames['displacement'], () => DisplacementPolicy>;
 
 export function createPolicies(names: PolicyNames): Policies {
   return {
     order: ORDERS[names.order](),
     ...ADMISSIONS[names.admission](),
+    copies: COPIES[names.copies](),
+    displacement: DISPLACEMENTS[names.displacement](),
   };
 }
--- a/packages/dispatch/src/report-handler.ts
+++ b/packages/dispatch/src/report-handler.ts
@@ -8,6 +8,7 @@
 import type {AdviceCache} from './advice.js';
 import type {AnnouncementAges} from './announcement-age.js';
 import type {Availability} from './availability.js';
+import type {Displacements} from './displacements.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {EventQueue} from './event-queue.js';
 import type {LeaderInstruments} from './instruments.js';
@@ -34,6 +35,7 @@
   readonly estimates: RunEstimates;
   readonly readiness: Readiness;
   readonly advice: AdviceCache;
+  readonly displacements: Pick<Displacements, 'observe' | 'forget'>;
   readonly instruments: LeaderInstruments;
   readonly log: Log;
   /**
@@ -130,6 +132,7 @@
       reconcileReport(event, current, recorded, cursor);
     }
     readiness.observe(key, report);
+    options.displacements.observe(key, report);
     const isIdle = recorded.length === 0;
     const isReadinessAwaited = options.awaitsReadiness(current, isIdle);
     pacing.observe(session, report, recorded, isReadinessAwaited);
@@ -211,7 +214,7 @@
     how: string,
   ): void {
     runs.markTime(runId(name, run), 'reportedEndMs');
-    if (how === 'done') estimates.recordCompletion(name, run);
+    if (how === 'done') estimates.recordCompletion(name, run, key);
     else log.info('run-ended', {worker: key, task: name, run, how});
   }
 
@@ -226,6 +229,7 @@
       recordedEndCursors.delete(key);
       reportFilter.forget(key);
       readiness.forget(key);
+      options.displacements.forget(key);
       pacing.forget(worker.id);
     },
   };
--- a/packages/dispatch/test/availability.test.ts
+++ b/packages/dispatch/test/availability.test.ts
@@ -110,6 +110,7 @@
   const estimates: RunEstimates = {
     durations: () => NO_DURATIONS,
     recordCompletion: () => {},
+    recordOutlasted: () => {},
     emptyInMs() {
       estimated++;
       return 700;
@@ -128,6 +129,7 @@
     estimates,
     announcements: {isOutdated: () => false},
     cold: {leftMs: coldLeftMs},
+    speeds: {isSlow: () => false},
     isAnswering: () => true,
     isCordoned: () => false,
     isDue: () => false,
--- a/packages/dispatch/test/harness.ts
+++ b/packages/dispatch/test/harness.ts
@@ -20,6 +20,8 @@
 import {
   FixedPools,
   TimedWaves,
+  type CopyPolicy,
+  type DisplacementPolicy,
   type PoolPolicy,
   type WavePolicy,
 } from '@lentildrift/scheduling';
@@ -169,6 +171,8 @@
   readonly policies?: string;
   readonly waves?: WavePolicy;
   readonly adviser?: Adviser;
+  readonly copies?: CopyPolicy;
+  readonly displacement?: DisplacementPolicy;
   /** Data centres of processes through which the leader calls all workers. */
   readonly relayDataCentres?: readonly string[];
 }
@@ -246,6 +250,8 @@
       pools: options.pools ?? new FixedPools(),
       ...createPolicies(parsePolicyNames(options.policies ?? '')),
       waves: options.waves ?? new TimedWaves(),
+      ...(options.copies && {copies: options.copies}),
+      ...(options.displacement && {displacement: options.displacement}),
       leaderlessMs,
       isLeader: () => own === token && replica.acceptsProposals,
     });
--- a/packages/dispatch/test/random.test.ts
+++ b/packages/dispatch/test/random.test.ts
@@ -7,6 +7,7 @@
  */
 import fc from 'fast-check';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
+import {EagerCopies} from './eager-copies.js';
 import type {LinkState} from './fakes.js';
 import type {RelayState} from './relays.js';
 import {MAX_DELAY_MS} from '../src/timing.js';
@@ -199,13 +200,20 @@
   readonly hasHeldUpCalls: boolean;
   /** Number of the last order about each data centre. */
   readonly lastOrders: Map<string, number>;
+  /** Whether the steps of the jobs allow copies. */
+  readonly allowsCopies: boolean;
 }
 
 async function perform(harness: Harness, counters: Counters, action: Action) {
   const addressOf = (index: number) => `${WORKERS[index]}:1`;
   switch (action.type) {
     case 'submit':
-      await harness.submit(job(`j${counters.jobs++}`, {count: action.count}));
+      await harness.submit(
+        job(`j${counters.jobs++}`, {
+          count: action.count,
+          speculative: counters.allowsCopies,
+        }),
+      );
       return;
     case 'cancel':
       harness.leader
@@ -378,6 +386,14 @@
     await checkAll(actionWithEvacuations, [], {dataCentres: DATA_CENTRES});
   }, 120_000);
 
+  // A copy is a second run on record for its task.
+  it('start at most one copy beside a run, and none after the end of its task', async () => {
+    await checkSequences(fc.array(action, {minLength: 5, maxLength: 40}), [], {
+      allowsCopies: true,
+      stepMs: 400,
+    });
+  }, 120_000);
+
   function checkAll(
     anyAction: fc.Arbitrary<Action>,
     relayDataCentres: readonly string[],
@@ -398,13 +414,22 @@
       hasHeldUpCalls = false,
       stepMs = 97,
       dataCentres = ['a'] as readonly string[],
+      allowsCopies = false,
     } = {},
   ): Promise<void> {
     await fc.assert(
       fc.asyncProperty(sequence, async actions => {
         const harness = await createHarness({
-          behave: task => ({
-            durationMs: 300 + stepMs * (task.length % 20),
+          behave: (task, run) => ({
+            // With copies, odd runs last long.
+            durationMs:
+              300 +
+              (allowsCopies && run % 2 === 0 ? 97 : stepMs) *
+                (task.length % 20),
+          }),
+          ...(allowsCopies && {
+            copies: new EagerCopies(),
+            allowsCopies: () => true,
           }),
           // Many ends are then listed in several reports.
           ...(actions.length % 2 === 0 && {endsPerReport: 2}),
@@ -420,6 +445,7 @@
           restartedMs: new Map<number, number>(),
           hasHeldUpCalls,
           lastOrders: new Map<string, number>(),
+          allowsCopies,
         };
         for (const next of actions) await perform(harness, counters, next);
         await endAllJobs(harness, counters);
--- a/packages/scheduling/src/candidate.ts
+++ b/packages/scheduling/src/candidate.ts
@@ -1,5 +1,5 @@
 /** Workers that may get new runs. */
-import type {Size, Worker} from '@lentildrift/queue';
+import {subtract, type Size, type Worker} from '@lentildrift/queue';
 
 /** A worker that may get new runs, with its free resources. */
 export interface Candidate {
@@ -21,6 +21,11 @@
    * infinite or absent for a warm one, or if the pool has no warm one.
    */
   readonly coldCpuMillisLeft?: number;
+  /**
+   * Tasks last longer on the worker than elsewhere. May be computed on the first
+   * read, from the runs on the worker.
+   */
+  readonly isSlow?: boolean;
 }
 
 /** Whether the worker has just started and is slower than others of its pool. */
@@ -52,15 +57,23 @@
     readonly isDue: boolean,
     readonly coldCpuMillisLeft: number,
     private readonly emptyTimeMs: LazyNumber,
+    private readonly isWorkerSlow: (worker: string) => boolean,
   ) {}
 
   get emptyInMs(): number {
     return this.emptyTimeMs.read();
   }
 
-  withFree(free: Size): LazyCandidate {
-    const {key, worker, quarantined, isDue, coldCpuMillisLeft, emptyTimeMs} =
-      this;
+  get isSlow(): boolean {
+    return this.isWorkerSlow(this.key);
+  }
+
+  withFree(
+    free: Size,
+    emptyTimeMs = this.emptyTimeMs,
+    coldCpuMillisLeft = this.coldCpuMillisLeft,
+  ): LazyCandidate {
+    const {key, worker, quarantined, isDue, isWorkerSlow} = this;
     return new LazyCandidate(
       key,
       worker,
@@ -69,22 +82,27 @@
       isDue,
       coldCpuMillisLeft,
       emptyTimeMs,
+      isWorkerSlow,
     );
   }
 }
 
 /**
- * Creates a candidate whose `emptyInMs` takes a walk of the runs on the worker,
- * which no one asks for of a full worker.
+ * Creates a candidate some of whose fields take a walk of the runs on the
+ * worker. No one asks for `emptyInMs` of a full worker, and few for `isSlow`,
+ * which `isWorkerSlow` tells by worker key.
  */
 export function createCandidate(
-  fields: Omit<Required<Candidate>, 'emptyInMs' | 'coldCpuMillisLeft'> &
+  fields: Omit<
+    Required<Candidate>,
+    'emptyInMs' | 'isSlow' | 'coldCpuMillisLeft'
+  > &
     Pick<Candidate, 'coldCpuMillisLeft'>,
   emptyInMs: () => number,
+  isWorkerSlow: (worker: string) => boolean = () => false,
 ): Candidate {
   const {key, worker, free, quarantined, isDue} = fields;
   const {coldCpuMillisLeft = Infinity} = fields;
-  const emptyTimeMs = new LazyNumber(emptyInMs);
   return new LazyCandidate(
     key,
     worker,
@@ -92,7 +110,8 @@
     quarantined,
     isDue,
     coldCpuMillisLeft,
-    emptyTimeMs,
+    new LazyNumber(emptyInMs),
+    isWorkerSlow,
   );
 }
 
@@ -101,3 +120,25 @@
   if (candidate instanceof LazyCandidate) return candidate.withFree(free);
   return {...candidate, free};
 }
+
+/** A run that is placed in a round. */
+export interface PlacedRun {
+  readonly size: Size;
+  readonly durationMs: number;
+}
+
+/** A copy with one more run. */
+export function withRun(
+  candidate: Candidate,
+  {size, durationMs}: PlacedRun,
+): Candidate {
+  const free = subtract(candidate.free, size);
+  const emptyInMs = Math.max(candidate.emptyInMs, durationMs);
+  const coldCpuMillisLeft =
+    (candidate.coldCpuMillisLeft ?? Infinity) - size.cpuMillis;
+  if (candidate instanceof LazyCandidate) {
+    const emptyTimeMs = new LazyNumber(() => emptyInMs);
+    return candidate.withFree(free, emptyTimeMs, coldCpuMillisLeft);
+  }
+  return {...candidate, free, emptyInMs, coldCpuMillisLeft};
+}
--- a/packages/scheduling/src/load.ts
+++ b/packages/scheduling/src/load.ts
@@ -39,10 +39,12 @@
   readonly byQueue: ReadonlyMap<string, Size>;
   /** Keys of the workers that run a long-running task. */
   readonly workersWithLongRunningTasks: ReadonlySet<string>;
-  /** Runs that are no longer needed, see `isSurplus`, by ID. */
+  /** Runs that are to be stopped, see `isSurplus`, by ID. */
   readonly surplus: ReadonlyMap<string, LiveRun>;
   /** Runs of tasks that may crash their workers, see `isSuspect`, by ID. */
   readonly suspects: ReadonlyMap<string, LiveRun>;
+  /** Runs that count, of steps that allow copies, by ID. */
+  readonly speculative: ReadonlyMap<string, LiveRun>;
 }
 
 /** Identifies a run among the runs of all tasks. */
@@ -50,9 +52,18 @@
   return `${task} ${run}`;
 }
 
-/** Whether a run is no longer needed because its task or job has ended. */
-export function isSurplus({job, task}: LiveRun): boolean {
-  return job.phase !== 'active' || task.done;
+/**
+ * Whether a run is to be stopped: its task or job has ended, or an urgent job is
+ * to have its room.
+ */
+export function isSurplus({job, task, run}: LiveRun): boolean {
+  if (job.phase !== 'active' || task.done) return true;
+  return task.displacedRun === run.number;
+}
+
+/** Whether the run counts and a copy of it may run beside it. */
+export function isSpeculative(live: LiveRun): boolean {
+  return live.step.speculative && !isSurplus(live);
 }
 
 /** Resources that a run of the step reserves on its worker. */
@@ -88,6 +99,7 @@
   const workersWithLongRunningTasks = new Set<string>();
   const surplus = new Map<string, LiveRun>();
   const suspects = new Map<string, LiveRun>();
+  const speculative = new Map<string, LiveRun>();
   for (const live of state.jobs.values().flatMap(listJobRuns)) {
     const {job, step, run, id} = live;
     const {worker} = run;
@@ -101,6 +113,7 @@
     if (step.lasting) workersWithLongRunningTasks.add(worker);
     if (isSurplus(live)) surplus.set(id, live);
     if (isSuspect(live.task)) suspects.set(id, live);
+    if (isSpeculative(live)) speculative.set(id, live);
   }
   return {
     runsByWorker,
@@ -110,6 +123,7 @@
     workersWithLongRunningTasks,
     surplus,
     suspects,
+    speculative,
   };
 }
 
--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -25,7 +25,7 @@
   type Team,
 } from '@lentildrift/queue';
 import {isInflow, type Backlog} from './backlog.js';
-import {isCold, withFree, type Candidate} from './candidate.js';
+import {isCold, withRun, withFree, type Candidate} from './candidate.js';
 import {expectedDurationMs, type Durations} from './estimate.js';
 import {reservation, type Load} from './load.js';
 import {
@@ -87,6 +87,13 @@
   readonly shortPools: ReadonlySet<string>;
   /** Jobs that come after others since their team is beyond its share. */
   readonly onLentRoom: ReadonlySet<Job>;
+  /**
+   * The candidates of a pool with the room that is left after the starts. Valid
+   * as long as the input of the round is.
+   */
+  candidatesLeft(pool: string): readonly Candidate[];
+  /** Resources in use by a team, with those of the starts. */
+  usedByTeam(team: string): Size;
 }
 
 /** Why a job that is ready waits although jobs after it have started. */
@@ -297,7 +304,13 @@
   const stepsAwaitingAdvice = [...round.stepsAwaitingAdvice].map(
     ([step, pool]) => ({step, pool}),
   );
-  return {starts, stepsAwaitingAdvice, shortPools};
+  return {
+    starts,
+    stepsAwaitingAdvice,
+    shortPools,
+    candidatesLeft: pool => poolCandidates(input, round, pool),
+    usedByTeam: team => round.teams.get(team)?.used ?? ZERO_SIZE,
+  };
 }
 
 /**
@@ -474,7 +487,7 @@
 }
 
 /** Number of runs of the step of one occurrence, by worker key. */
-function countStepRuns(
+export function countStepRuns(
   job: Job,
   occurrence: number,
   stepIndex: number,
@@ -614,12 +627,7 @@
 ): void {
   const {queue, job, step} = readyStep;
   const candidates = poolCandidates(input, round, queue.pool);
-  candidates[candidates.indexOf(chosen)] = {
-    ...chosen,
-    free: subtract(chosen.free, size),
-    emptyInMs: Math.max(chosen.emptyInMs, durationMs),
-    coldCpuMillisLeft: (chosen.coldCpuMillisLeft ?? Infinity) - size.cpuMillis,
-  };
+  candidates[candidates.indexOf(chosen)] = withRun(chosen, {size, durationMs});
   runCounts?.set(chosen.key, (runCounts.get(chosen.key) ?? 0) + 1);
   const teamUsage = round.teams.get(job.spec.team ?? '');
   if (teamUsage) {
@@ -631,11 +639,15 @@
 function isWithinCap(round: RoundState, job: Job, size: Size): boolean {
   const teamUsage = round.teams.get(job.spec.team ?? '');
   if (!teamUsage) return true;
-  const {cap} = teamUsage.team;
+  return isWithinLimit(teamUsage.team, add(teamUsage.used, size));
+}
+
+/** Whether a team may use so much across all pools. */
+export function isWithinLimit({cap}: Team, used: Size): boolean {
   const limit: Size = {
     cpuMillis: cap.cpuMillis || Infinity,
     memoryMb: cap.memoryMb || Infinity,
     gpus: cap.gpus || Infinity,
   };
-  return fits(add(teamUsage.used, size), limit);
+  return fits(used, limit);
 }
