Import verror as other modules do, so that the adapter starts unbundled

Cause: policies.ts imports VError by name. verror is a CommonJS module without such an export for ESM, so that Node.js ends platform/dist/src/main.js with a SyntaxError; only the bundle started. Change: the default import, as in every other module.

--- a/packages/dispatch/src/policies.ts
+++ b/packages/dispatch/src/policies.ts
@@ -9,7 +9,7 @@
   type Admission,
   type JobOrder,
 } from '@lentildrift/scheduling';
-import {VError} from 'verror';
+import VError from 'verror';
 import {z} from 'zod';
 
 export const PolicyNames = z.strictObject({
