Bound what clients may take from a process of the adapter

Cause: each part of a body was kept as a buffer of its own, any number of bodies of 4 MiB, requests sent ahead, unread answers and connections were taken, and a frame that a peer announced was concatenated anew with each read.

Change: the package intake-limits has one budget of bytes that requests, bodies and large answers reserve before they use memory; a quarter of it is for small holdings, and holders that wait for their clients are evicted first. Connections stay below the descriptor limit; unused ones are closed first. Links have a budget of their own; an incomplete frame is kept in one buffer that doubles.

--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -7,6 +7,7 @@
   type StateMachine,
   type ReplicaStatus,
 } from '@lentildrift/consensus';
+import type {Intake} from '@lentildrift/intake-limits';
 import {startLinkServer} from '@lentildrift/link';
 import type {Log, Metrics} from '@lentildrift/observe';
 import {
@@ -96,6 +97,8 @@
   readonly metrics: Metrics;
   /** Name under which this process calls the host provider. */
   readonly holder: string;
+  /** Bounds what peers may take through links; unbounded if absent. */
+  readonly intake?: Intake;
   readonly rules?: Rules;
   /** The scheduling policies of this process while it leads; or the defaults. */
   readonly policies?: PolicyNames;
@@ -211,6 +214,7 @@
     port: Number(port),
     tasks,
     log,
+    intake: options.intake,
     initialPost: () => ({kind: STATUS, body: groupStatus()}),
     // A peer that connects has just started, so the link to it reconnects at
     // once, and requests that wait for the peer need not wait longer.
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -1,8 +1,9 @@
 /** The accepting side of links: one task for each connection. */
 import {createServer, type Server, type Socket} from 'node:net';
+import type {Holder, Intake} from '@lentildrift/intake-limits';
 import type {Log} from '@lentildrift/observe';
 import {afterInput, type Task, type TaskSystem} from '@lentildrift/task';
-import {createFrameDecoder, encodeFrame} from './frame.js';
+import {createFrameDecoder, encodeFrame, FrameRoomError} from './frame.js';
 import {LinkMessage} from './message.js';
 import {ACCEPTED_IDLE_TIMEOUT_MS} from './timing.js';
 import {createFrameWriter, type FrameWriter} from './writer.js';
@@ -12,6 +13,8 @@
   readonly port: number;
   readonly tasks: TaskSystem;
   readonly log: Log;
+  /** Bounds connections and incomplete frames; unbounded if absent. */
+  readonly intake?: Intake;
   /** Answers a request; a rejection is sent to the peer as a `failure`. */
   onRequest(from: string, body: unknown): Promise<unknown>;
   /**
@@ -43,6 +46,34 @@
   readonly name: string;
 }
 
+/**
+ * An incomplete frame whose peer takes longer is given up. The largest frame
+ * takes less than this at 3 Mbit/s.
+ */
+const FRAME_TIMEOUT_MS = 25_000;
+
+/** What a connection holds of the budget for incomplete frames. */
+interface FrameHolder extends Holder {
+  /** Monotonic time at which the incomplete frame began. */
+  frameSinceMs: number | undefined;
+}
+
+function createFrameHolder(
+  socket: Socket,
+  onEvict: (holder: FrameHolder) => void,
+): FrameHolder {
+  const holder: FrameHolder = {
+    heldBytes: 0,
+    frameSinceMs: undefined,
+    waitsSinceMs: () => holder.frameSinceMs,
+    evict() {
+      onEvict(holder);
+      socket.destroy();
+    },
+  };
+  return holder;
+}
+
 /** Starts a server; rejects if it cannot listen on the port. */
 export async function startLinkServer(
   options: LinkServerOptions,
@@ -51,11 +82,20 @@
   const writers = new Map<Socket, FrameWriter>();
   let nextId = 1;
 
+  const {intake} = options;
+  const holders = new Map<Socket, FrameHolder>();
+
   function accept(socket: Socket): void {
+    const holder = createFrameHolder(socket, evicted => {
+      intake?.refused('budget');
+      intake?.budget.release(evicted, evicted.heldBytes);
+    });
+    if (intake?.connections.add(socket, holder.waitsSinceMs) === false) return;
+    holders.set(socket, holder);
     const writer = createFrameWriter(socket);
     writers.set(socket, writer);
     const name = `link-in-${nextId++}`;
-    const session = spawnSession(options, socket, writer, name);
+    const session = spawnSession(options, socket, writer, holder, name);
     sessions.add(session);
     socket.on('data', chunk => session.post({type: 'data', chunk}));
     socket.on('error', error =>
@@ -64,10 +104,20 @@
     socket.on('close', () => {
       writers.delete(socket);
       sessions.delete(session);
+      holders.delete(socket);
+      intake?.budget.release(holder, holder.heldBytes);
       void session.stop();
     });
   }
 
+  const removeCheck = intake?.addCheck(nowMs => {
+    for (const [socket, {frameSinceMs}] of holders) {
+      if (frameSinceMs === undefined) continue;
+      if (nowMs - frameSinceMs <= FRAME_TIMEOUT_MS) continue;
+      intake.refused('body-slow');
+      socket.destroy();
+    }
+  });
   const server = createServer({noDelay: true}, accept);
   await listen(server, options.host, options.port);
   const address = server.address();
@@ -78,6 +128,7 @@
       for (const session of sessions) session.post({type: 'send', frame});
     },
     async stop() {
+      removeCheck?.();
       const closed = new Promise<void>(resolve =>
         server.close(() => resolve()),
       );
@@ -104,9 +155,17 @@
   options: LinkServerOptions,
   socket: Socket,
   writer: FrameWriter,
+  holder: FrameHolder,
   name: string,
 ): Task<TaskMessage> {
-  const decoder = createFrameDecoder();
+  const {intake} = options;
+  const decoder = createFrameDecoder(
+    intake && {
+      reserve: bytes =>
+        !socket.destroyed && intake.budget.reserve(holder, bytes),
+      release: bytes => intake.budget.release(holder, bytes),
+    },
+  );
   socket.setTimeout(ACCEPTED_IDLE_TIMEOUT_MS, () => {
     const {bytesRead} = socket;
     afterInput(() => {
@@ -137,6 +196,7 @@
       case 'hello': {
         const {kind, body} = options.initialPost();
         send({type: 'post', kind, body});
+        intake?.connections.markUsed(socket);
         options.onPeerConnect?.(message.name);
         return {name: message.name};
       }
@@ -159,13 +219,16 @@
     initial: {name: ''},
     handle(session, message) {
       if (message.type === 'send') writer.writeSoon(message.frame);
-      if (message.type !== 'data') return session;
+      if (message.type !== 'data' || socket.destroyed) return session;
       try {
-        return decoder
-          .push(message.chunk)
+        const values = decoder.push(message.chunk);
+        if (!decoder.isPartial()) holder.frameSinceMs = undefined;
+        else holder.frameSinceMs ??= performance.now();
+        return values
           .map(value => LinkMessage.parse(value))
           .reduce(handleMessage, session);
       } catch (error) {
+        if (error instanceof FrameRoomError) intake?.refused('budget');
         options.log.warn('link-refused', {
           peer: session.name,
           reason: (error as Error).message,
