Bound what clients may take from the daemon

Cause: the control address read up to 16 MiB of any number of bodies before it looked at a key, lists of jobs were kept in the parts that they arrived in, and any number of requests sent ahead and of connections was taken.

The control address hands trpc a body that was read within the limits.

--- a/packages/control/src/process.ts
+++ b/packages/control/src/process.ts
@@ -1,4 +1,5 @@
 /** A control process: the control role, served on a socket. */
+import type {Intake} from '@lentildrift/intake-limits';
 import {
   createServiceClient,
   startServiceServer,
@@ -39,6 +40,8 @@
 export interface ControlProcessOptions extends ControlOptions {
   readonly peers: Peers;
   readonly clusterSecret: string;
+  /** Limits of clients; unlimited when absent. */
+  readonly intake?: Intake;
   readonly listen: {readonly host: string; readonly port: number};
 }
 
@@ -50,7 +53,7 @@
 export async function startControlProcess(
   options: ControlProcessOptions,
 ): Promise<ControlProcess> {
-  const {tasks, clusterSecret, listen} = options;
+  const {tasks, clusterSecret, intake, listen} = options;
   const role = createControl(options);
   const {control, peer} = role;
   const server = await startServiceServer({
@@ -58,6 +61,7 @@
     control,
     peer,
     clusterSecret,
+    intake,
     ...listen,
   }).catch(async error => {
     await role.stop();
--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -20,6 +20,7 @@
   type PlannerOptions,
   type StateReplica,
 } from '@lentildrift/control';
+import type {Intake} from '@lentildrift/intake-limits';
 import {
   changeSchema,
   stateSchema,
@@ -65,6 +66,8 @@
 export interface RoleContext {
   readonly tasks: TaskSystem;
   readonly log: Log;
+  /** Limits of clients that the roles of the process share. */
+  readonly intake: Intake;
   /**
    * Called when the replica failed. The process must then exit, because it can
    * no longer keep the changes that it accepted.
@@ -99,7 +102,7 @@
   settings: ControlSettings,
   context: ControlContext,
 ): Promise<ControlRole> {
-  const {tasks, log} = context;
+  const {tasks, log, intake} = context;
   const {clusterSecret, controlAddress: host, controlPort: port} = settings;
   if (clusterSecret === undefined) {
     throw new SettingsError(
@@ -116,6 +119,7 @@
     log,
     peers,
     clusterSecret,
+    intake,
     onMessages: (from, messages) =>
       replica.receive(from, z.array(PeerMessage).parse(messages)),
     onJoinRequest: group.handleJoinRequest,
--- a/packages/daemon/src/embedded.ts
+++ b/packages/daemon/src/embedded.ts
@@ -1,4 +1,5 @@
 /** Embedded mode: every role in one process, on loopback, with sample data. */
+import type {Intake} from '@lentildrift/intake-limits';
 import {
   createKey,
   type ChangeBody,
@@ -31,6 +32,8 @@
 
 export interface EmbeddedOptions {
   readonly log: Log;
+  /** Limits of clients that the roles share. */
+  readonly intake: Intake;
   readonly entryPort: number;
   readonly dataFolder: string;
   /**
@@ -61,7 +64,14 @@
 export async function startEmbedded(
   options: EmbeddedOptions,
 ): Promise<EmbeddedDaemon> {
-  const {log, entryPort, controlPort = 0, dataFolder, onFatal} = options;
+  const {
+    log,
+    intake,
+    entryPort,
+    controlPort = 0,
+    dataFolder,
+    onFatal,
+  } = options;
   const {entryAddress = LOOPBACK, controlAddress = LOOPBACK} = options;
   const tasks = startTasks((task, error) =>
     log.error('task-failed', {task, error: error.message}),
@@ -84,7 +94,7 @@
       clusterSecret: randomBytes(SECRET_BYTES).toString('hex'),
       operatorKeyHash: operator,
     },
-    {tasks, log, onFatal, platform},
+    {tasks, log, intake, onFatal, platform},
   );
   await waitForLeadership(control);
   const {teamKey, poolKey} = await applySampleData(control);
@@ -96,7 +106,7 @@
       controlMembers: undefined,
       clusterSecret: undefined,
     },
-    {tasks, log, onFatal, control: control.service},
+    {tasks, log, intake, onFatal, control: control.service},
   );
   const upstream = await startUpstream({
     pool: 'booking',
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -34,7 +34,7 @@
   settings: EntrySettings,
   context: EntryContext,
 ): Promise<Entry> {
-  const {tasks, log, control} = context;
+  const {tasks, log, intake, control} = context;
   const {entryAddress: host, entryPort: port, hostName} = settings;
   const clients = (settings.controlMembers ?? []).map(({address}) =>
     createServiceClient({
@@ -49,6 +49,7 @@
     control: control ? [control, ...remote] : remote,
     tasks,
     log,
+    intake,
     entryHost: hostName,
     host,
     port,
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -13,7 +13,7 @@
   runUntilSignal,
   exitOnUncaughtError,
 } from './lifecycle.js';
-import {startRoles, type StoppableRole} from './roles.js';
+import {createLimits, startRoles, type StoppableRole} from './roles.js';
 
 const SAMPLE_JOB = JSON.stringify({
   jobs: [
@@ -45,6 +45,7 @@
   const {dataFolder} = settings;
   const embedded = await startEmbedded({
     log,
+    intake: createLimits(settings, log),
     entryAddress,
     entryPort,
     controlAddress,
--- a/packages/daemon/src/roles.ts
+++ b/packages/daemon/src/roles.ts
@@ -1,4 +1,5 @@
 /** Starts the roles that the settings select. */
+import {createIntake, type Intake} from '@lentildrift/intake-limits';
 import type {Log} from '@lentildrift/observe';
 import type {Settings} from '@lentildrift/settings';
 import {startTasks} from '@lentildrift/task';
@@ -30,7 +31,7 @@
 
   try {
     const onFatal = (error: Error) => exitAfterFatalError(log, error);
-    const context = {tasks, log, onFatal};
+    const context = {tasks, log, onFatal, intake: createLimits(settings, log)};
     const control = settings.roles?.includes('control')
       ? await startControl(settings, context)
       : undefined;
@@ -45,3 +46,14 @@
   }
   return {stop};
 }
+
+/** Creates the limits of clients that the roles of a process share. */
+export function createLimits(
+  settings: Pick<Settings, 'bodyBudgetBytes' | 'maxConnections'>,
+  log: Log,
+): Intake {
+  const {bodyBudgetBytes: budgetBytes, maxConnections} = settings;
+  const limits = {budgetBytes, maxConnections};
+  log.info('intake-limits', limits);
+  return createIntake({listeners: 'http', limits, log});
+}
--- a/packages/daemon/test/embedded.test.ts
+++ b/packages/daemon/test/embedded.test.ts
@@ -1,5 +1,6 @@
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
 import {startEmbedded, type EmbeddedDaemon} from '@lentildrift/daemon';
+import {createIntake} from '@lentildrift/intake-limits';
 import {
   createKey,
   type Command,
@@ -19,6 +20,11 @@
   const log = createLog('error', {}, () => undefined);
   embedded = await startEmbedded({
     log,
+    intake: createIntake({
+      listeners: 'http',
+      limits: {budgetBytes: 64 * 1024 * 1024, maxConnections: 1000},
+      log,
+    }),
     entryPort: 0,
     dataFolder: await mkdtemp(join(tmpdir(), 'lentildrift-')),
     onFatal: error => {
--- a/packages/daemon/test/roles.test.ts
+++ b/packages/daemon/test/roles.test.ts
@@ -1,3 +1,4 @@
+import {createIntake} from '@lentildrift/intake-limits';
 import {runProgram} from '@lentildrift/command';
 import {
   startControl,
@@ -31,6 +32,11 @@
 const LOOPBACK = '127.0.0.1';
 
 const SILENT_LOG = createLog('error', {}, () => undefined);
+const intake = createIntake({
+  listeners: 'http',
+  limits: {budgetBytes: 64 * 1024 * 1024, maxConnections: 1000},
+  log: SILENT_LOG,
+});
 
 function onFatal(error: Error): void {
   throw error;
@@ -66,7 +72,7 @@
     const operator = createKey();
     const control = await startControl(
       {...(await createControlSettings('c1')), operatorKeyHash: operator},
-      {tasks, log, onFatal},
+      {tasks, log, intake, onFatal},
     );
     const address = `${LOOPBACK}:${control.port}`;
     const entry = await startEntryRole(
@@ -81,7 +87,7 @@
         ],
         clusterSecret: SECRET,
       },
-      {tasks, log, onFatal},
+      {tasks, log, intake, onFatal},
     );
     const client = createServiceClient({address, timeoutMs: 2000});
     const team = createKey();
@@ -145,7 +151,7 @@
     const platformAddress = new URL(server.url).host;
     const control = await startControl(
       {...settings, platformAddress},
-      {tasks, log: SILENT_LOG, onFatal},
+      {tasks, log: SILENT_LOG, intake, onFatal},
     );
     const {replica} = control;
     await expect
@@ -173,7 +179,7 @@
           {id: 'c2', address: `${LOOPBACK}:1`},
         ],
       },
-      {tasks, log: SILENT_LOG, onFatal},
+      {tasks, log: SILENT_LOG, intake, onFatal},
     );
     await sleep(1500);
     expect(control.replica.status()).toMatchObject({
@@ -199,7 +205,7 @@
       const settings = await createControlSettings(members[index]!.id);
       return startControl(
         {...settings, controlPort: ports[index]!, controlMembers: members},
-        {tasks, log: SILENT_LOG, onFatal},
+        {tasks, log: SILENT_LOG, intake, onFatal},
       );
     };
     const roles = await Promise.all([
--- a/packages/entry/src/answer.ts
+++ b/packages/entry/src/answer.ts
@@ -1,4 +1,5 @@
 /** Responses that the entry host itself produces. */
+import type {Exchange} from '@lentildrift/intake-limits';
 import type {Refusal, RefusalCode} from '@lentildrift/model';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
@@ -50,13 +51,30 @@
   response: ServerResponse,
   refusal: Refusal,
 ): void {
-  const {verdict, code, message, retryAfterMs} = refusal;
+  const {verdict, code, message} = refusal;
+  discardBody(request);
+  const body = {verdict, code, message};
+  answerJson(response, getStatus(refusal), body, getRefusalHeaders(refusal));
+}
+
+function getRefusalHeaders(refusal: Refusal): Record<string, string> {
+  const {verdict, retryAfterMs} = refusal;
   const headers: Record<string, string> = {[VERDICT_HEADER]: verdict};
   if (retryAfterMs !== undefined) {
     headers['retry-after'] = String(Math.ceil(retryAfterMs / 1000));
   }
-  discardBody(request);
-  answerJson(response, getStatus(refusal), {verdict, code, message}, headers);
+  return headers;
+}
+
+/** Refuses a request that is not handled, and closes its connection. */
+export function refuseExchange(exchange: Exchange, refusal: Refusal): void {
+  const {verdict, code, message} = refusal;
+  const headers = {
+    'content-type': 'application/json',
+    ...getRefusalHeaders(refusal),
+  };
+  const text = JSON.stringify({verdict, code, message}) + '\n';
+  exchange.refuse(getStatus(refusal), headers, text);
 }
 
 /** Sends the cached first response to a duplicate of a claimed request. */
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,4 +1,5 @@
 /** The entry role: the tasks of an entry host and its HTTP paths. */
+import type {Intake} from '@lentildrift/intake-limits';
 import {MAX_CALL_TIMEOUT_MS, refuse} from '@lentildrift/model';
 import type {Log} from '@lentildrift/observe';
 import type {PipeOutcome} from '@lentildrift/pipe';
@@ -50,6 +51,8 @@
   readonly shutdownDelayMs?: number;
   /** Connections to upstreams; implemented with `undici` when absent. */
   readonly connector?: Connector;
+  /** Limits of clients; unlimited when absent. */
+  readonly intake?: Intake;
   /** Creates the listener for calls; a `node:http` server when absent. */
   readonly listener?: typeof createListener;
   /** Safety mechanisms; tests replace some by weaker ones. */
@@ -108,15 +111,19 @@
   let stopping = false;
 
   const listen = options.listener ?? createListener;
-  const listener: Listener = listen(tasks, (request, response) => {
-    handle(request, response).catch(error => {
-      log.error('call-failed', {error: String(error)});
-      const refusal = refuse('internal', 'internal error', {
-        verdict: 'may-have-run',
+  const listener: Listener = listen(
+    tasks,
+    (request, response) => {
+      handle(request, response).catch(error => {
+        log.error('call-failed', {error: String(error)});
+        const refusal = refuse('internal', 'internal error', {
+          verdict: 'may-have-run',
+        });
+        answerRefusal(request, response, refusal);
       });
-      answerRefusal(request, response, refusal);
-    });
-  });
+    },
+    options.intake,
+  );
 
   async function handle(
     request: IncomingMessage,
--- a/packages/entry/src/listener.ts
+++ b/packages/entry/src/listener.ts
@@ -1,13 +1,14 @@
 /** The task that owns the HTTP server for calls. */
+import {guardHttpServer, type Intake} from '@lentildrift/intake-limits';
 import type {Reply, TaskSystem} from '@lentildrift/task';
 import {
   createServer,
   type IncomingMessage,
-  type RequestListener,
   type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {answerClientError} from './answer.js';
+import {answerClientError, refuseExchange} from './answer.js';
+import {refuseForRoom} from './body.js';
 import {MAX_HEADER_BYTES} from './header.js';
 
 const KEEP_ALIVE_MS = 5000;
@@ -36,15 +37,17 @@
   drain(limitMs: number): Promise<number>;
 }
 
+/** Creates a listener; clients are not limited without an `intake`. */
 export function createListener(
   tasks: TaskSystem,
   handle: (request: IncomingMessage, response: ServerResponse) => void,
+  intake?: Intake,
 ): Listener {
   let inFlight = 0;
   let draining = false;
   let idleTimer: NodeJS.Timeout | undefined;
 
-  const onRequest: RequestListener = (request, response) => {
+  const onRequest = (request: IncomingMessage, response: ServerResponse) => {
     inFlight += 1;
     clearTimeout(idleTimer);
     if (draining) response.setHeader('connection', 'close');
@@ -56,16 +59,22 @@
     handle(request, response);
   };
 
-  const server = createServer(
-    {
-      maxHeaderSize: MAX_HEADER_BYTES,
-      insecureHTTPParser: false,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      headersTimeout: HEADERS_TIMEOUT_MS,
-      requestTimeout: REQUEST_TIMEOUT_MS,
-    },
-    onRequest,
-  );
+  const server = createServer({
+    maxHeaderSize: MAX_HEADER_BYTES,
+    insecureHTTPParser: false,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    requestTimeout: REQUEST_TIMEOUT_MS,
+  });
+  if (intake) {
+    guardHttpServer(server, {
+      intake,
+      handle: ({request, response}) => onRequest(request, response),
+      refuse: exchange => refuseExchange(exchange, refuseForRoom()),
+    });
+  } else {
+    server.on('request', onRequest);
+  }
   server.on('clientError', (error, socket) =>
     answerClientError(error, socket as never),
   );
--- a/packages/intake-limits/src/http-guard.ts
+++ b/packages/intake-limits/src/http-guard.ts
@@ -38,6 +38,12 @@
    * handler answers with `refuse`.
    */
   readBody(maxBytes: number): Promise<BodyOutcome>;
+  /**
+   * Watches a body that the handler reads itself. `onRefuse` is called if the
+   * client is to be given up, because it stopped and there is no room for
+   * others.
+   */
+  watchBody(onRefuse: () => void): BodyWatch;
   /**
    * Sends an answer. Closes the connection instead if there is no room for it,
    * so that the client knows no outcome.
@@ -58,6 +64,13 @@
   ): void;
 }
 
+export interface BodyWatch {
+  /** To be called for each part of the body with its size. */
+  onProgress(bytes: number): void;
+  /** To be called once the body is not read any more. */
+  end(): void;
+}
+
 export interface HttpGuardOptions {
   readonly intake: Intake;
   /** Handles a request; must not throw. */
@@ -250,25 +263,14 @@
 
     function readBody(maxBytes: number): Promise<BodyOutcome> {
       return new Promise(resolve => {
-        const startMs = performance.now();
-        const pending: PendingBody = {
-          startMs,
-          progressMs: startMs,
-          recentBytes: 0,
-          refuse: reason => gathering.refuse(reason),
-        };
+        const pending = createPendingBody(reason => gathering.refuse(reason));
         connection.body = pending;
         const gathering = gatherBody(request, {
           maxBytes,
           announcedBytes: getAnnouncedBytes(request),
           reserve,
           release,
-          onProgress(bytes) {
-            pending.recentBytes += bytes;
-            if (pending.recentBytes < PROGRESS_BYTES) return;
-            pending.recentBytes = 0;
-            pending.progressMs = performance.now();
-          },
+          onProgress: bytes => addProgress(pending, bytes),
           onOutcome(outcome) {
             if (connection.body === pending) connection.body = undefined;
             if (outcome.type === 'refused') intake.refused(outcome.reason);
@@ -278,10 +280,27 @@
       });
     }
 
+    function watchBody(onRefuse: () => void): BodyWatch {
+      const pending = createPendingBody(reason => {
+        if (connection.body !== pending) return;
+        connection.body = undefined;
+        intake.refused(reason);
+        onRefuse();
+      });
+      connection.body = pending;
+      return {
+        onProgress: bytes => addProgress(pending, bytes),
+        end() {
+          if (connection.body === pending) connection.body = undefined;
+        },
+      };
+    }
+
     return {
       request,
       response,
       readBody,
+      watchBody,
       answer(status, headers, text) {
         if (connection.isClosed || response.destroyed) return;
         const bytes = Buffer.byteLength(text);
@@ -342,6 +361,18 @@
   server.once('close', removeCheck);
 }
 
+function createPendingBody(refuse: PendingBody['refuse']): PendingBody {
+  const nowMs = performance.now();
+  return {startMs: nowMs, progressMs: nowMs, recentBytes: 0, refuse};
+}
+
+function addProgress(body: PendingBody, bytes: number): void {
+  body.recentBytes += bytes;
+  if (body.recentBytes < PROGRESS_BYTES) return;
+  body.recentBytes = 0;
+  body.progressMs = performance.now();
+}
+
 function getAnnouncedBytes({headers}: IncomingMessage): number | undefined {
   if (headers['transfer-encoding'] !== undefined) return undefined;
   return Number(headers['content-length'] ?? 0);
--- a/packages/intake-limits/src/index.ts
+++ b/packages/intake-limits/src/index.ts
@@ -12,6 +12,7 @@
 export {
   getExchange,
   guardHttpServer,
+  type BodyWatch,
   type Exchange,
   type HttpGuardOptions,
 } from './http-guard.js';
--- a/packages/protocol/src/router.ts
+++ b/packages/protocol/src/router.ts
@@ -1,5 +1,10 @@
 /** The `trpc` encoding of the services: router and HTTP server. */
-import {createServer, type Server} from 'node:http';
+import {
+  guardHttpServer,
+  type Exchange,
+  type Intake,
+} from '@lentildrift/intake-limits';
+import {createServer, type IncomingMessage, type Server} from 'node:http';
 import {timingSafeEqual, createHash} from 'node:crypto';
 import {initTRPC, TRPCError} from '@trpc/server';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
@@ -127,11 +132,15 @@
 
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
 
-/** Creates an HTTP server, not yet listening, that serves both services. */
+/**
+ * Creates an HTTP server, not yet listening, that serves both services. Clients
+ * are not limited without an `intake`.
+ */
 export function createServiceServer(
   control: ControlService,
   peer: PeerService,
   clusterSecret: string,
+  intake?: Intake,
 ): Server {
   const expectedDigest = sha256(clusterSecret);
   const handler = createHTTPHandler({
@@ -145,7 +154,41 @@
       };
     },
   });
-  return createServer(handler);
+  if (!intake) return createServer(handler);
+  const server = createServer();
+  guardHttpServer(server, {
+    intake,
+    handle: exchange => void serve(exchange),
+    refuse: exchange => refuseRequest(exchange, 503, 'too much is in flight'),
+  });
+  return server;
+
+  async function serve(exchange: Exchange): Promise<void> {
+    const {request, response} = exchange;
+    const body = await exchange.readBody(MAX_BODY_BYTES);
+    if (body.type === 'aborted') {
+      response.destroy();
+    } else if (body.type === 'complete') {
+      // `trpc` takes a body that was read before from this property.
+      (request as IncomingMessage & {body?: string}).body = body.text;
+      handler(request, response);
+    } else if (body.reason === 'body-too-large') {
+      refuseRequest(exchange, 413, 'the body is too large');
+    } else if (body.reason === 'body-slow') {
+      refuseRequest(exchange, 503, 'the body did not arrive in time');
+    } else {
+      refuseRequest(exchange, 503, 'too much is in flight');
+    }
+  }
+}
+
+function refuseRequest(
+  exchange: Exchange,
+  status: number,
+  message: string,
+): void {
+  const text = JSON.stringify({error: message, verdict: 'not-run'});
+  exchange.refuse(status, {'content-type': 'application/json'}, text);
 }
 
 function sha256(secret: string): Buffer {
--- a/packages/protocol/src/server.ts
+++ b/packages/protocol/src/server.ts
@@ -1,4 +1,5 @@
 /** The task that owns the socket on which the services are served. */
+import type {Intake} from '@lentildrift/intake-limits';
 import type {Reply, TaskSystem} from '@lentildrift/task';
 import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
@@ -18,6 +19,8 @@
   readonly peer: PeerService;
   readonly clusterSecret: string;
   readonly host: string;
+  /** Limits of clients; unlimited when absent. */
+  readonly intake?: Intake;
   /** 0 lets the operating system choose a free port. */
   readonly port: number;
 }
@@ -40,10 +43,10 @@
 export async function startServiceServer(
   options: ServerOptions,
 ): Promise<ServiceServer> {
-  const {tasks, control, peer, clusterSecret, host, port} = options;
+  const {tasks, control, peer, clusterSecret, intake, host, port} = options;
   const task = tasks.spawn<Server, Listen>({
     name: 'service-server',
-    initial: createServiceServer(control, peer, clusterSecret),
+    initial: createServiceServer(control, peer, clusterSecret, intake),
     async handle(server, message) {
       try {
         await listen(server, host, port);
--- a/packages/settings/src/table.ts
+++ b/packages/settings/src/table.ts
@@ -7,6 +7,11 @@
 const MAX_SECRET_LENGTH = 256;
 const MAX_PORT = 65_535;
 const MAX_WEIGHT = 1000;
+/** Room for the largest body of the control address, of 16 MiB, to grow. */
+const MIN_BODY_BUDGET_BYTES = 33_554_432;
+const MAX_BODY_BUDGET_BYTES = 999_999_999;
+const MIN_CONNECTIONS = 10;
+const MAX_CONNECTIONS = 100_000;
 
 export const ROLES = ['entry', 'control'] as const;
 export const LOG_LEVELS = ['debug', 'info', 'warn', 'error'] as const;
@@ -178,6 +183,18 @@
     endpointRange,
     'Address of the platform that runs workers; without it no host is observed',
   ),
+  bodyBudgetBytes: settingWithDefault(
+    integerSchema(MIN_BODY_BUDGET_BYTES, MAX_BODY_BUDGET_BYTES),
+    '67108864',
+    `${MIN_BODY_BUDGET_BYTES} to ${MAX_BODY_BUDGET_BYTES}`,
+    'Bytes that all requests in flight of the process may hold, with their bodies and unread answers',
+  ),
+  maxConnections: settingWithDefault(
+    integerSchema(MIN_CONNECTIONS, MAX_CONNECTIONS),
+    '2000',
+    `${MIN_CONNECTIONS} to ${MAX_CONNECTIONS}`,
+    'Connections of clients that the process may have open; keep it below its limit of descriptors',
+  ),
   weightBufferCost: settingWithDefault(
     weight,
     '1',
