Answer malformed input only while no earlier request waits for its answer

Cause: input that is no request was answered 400 with the verdict not-run also while an earlier request of the connection was in flight. Its client takes this answer for that of the earlier request, which may have run. Change: guarded servers close such a connection without an answer; all of them name the verdict in their 400, 408 and 431. Requests reserve what their headers take.

--- a/packages/entry/src/answer.ts
+++ b/packages/entry/src/answer.ts
@@ -1,5 +1,10 @@
 /** Responses that the entry host itself produces. */
-import type {Exchange} from '@lentildrift/intake-limits';
+import {
+  describeClientError,
+  sendClientError,
+  type ClientError,
+  type Exchange,
+} from '@lentildrift/intake-limits';
 import type {Refusal, RefusalCode} from '@lentildrift/model';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
@@ -102,25 +107,10 @@
   request.once('close', () => clearTimeout(timer));
 }
 
-/** Responds with 400 or 431 to input that cannot be parsed as a request. */
-export function answerClientError(
-  error: Error & {code?: string},
-  socket: Socket,
-): void {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy();
-    return;
-  }
-  const tooLarge = error.code === 'HPE_HEADER_OVERFLOW';
-  const status = tooLarge
-    ? '431 Request Header Fields Too Large'
-    : '400 Bad Request';
-  const message = tooLarge ? 'the headers are too large' : 'malformed request';
-  const body =
-    JSON.stringify({verdict: 'not-run', code: 'malformed', message}) + '\n';
-  socket.end(
-    `HTTP/1.1 ${status}\r\nconnection: close\r\n` +
-      `content-type: application/json\r\n${VERDICT_HEADER}: not-run\r\n` +
-      `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
-  );
+/** Responds with 400, 408 or 431 to input that is no request. */
+export function answerClientError(error: ClientError, socket: Socket): void {
+  const {status, message} = describeClientError(error);
+  const body = {verdict: 'not-run', code: 'malformed', message};
+  const headers = {[VERDICT_HEADER]: 'not-run'};
+  sendClientError(socket, status, headers, JSON.stringify(body) + '\n');
 }
--- a/packages/entry/src/listener.ts
+++ b/packages/entry/src/listener.ts
@@ -1,12 +1,16 @@
 /** The task that owns the HTTP server for calls. */
-import {guardHttpServer, type Intake} from '@lentildrift/intake-limits';
+import {
+  guardHttpServer,
+  type ClientError,
+  type Intake,
+} from '@lentildrift/intake-limits';
 import type {Reply, TaskSystem} from '@lentildrift/task';
 import {
   createServer,
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {answerClientError, refuseExchange} from './answer.js';
 import {refuseForRoom} from './body.js';
 import {MAX_HEADER_BYTES} from './header.js';
@@ -71,13 +75,15 @@
       intake,
       handle: ({request, response}) => onRequest(request, response),
       refuse: exchange => refuseExchange(exchange, refuseForRoom()),
+      answerClientError,
     });
   } else {
     server.on('request', onRequest);
+    server.on('clientError', (error: ClientError, socket) => {
+      if (!socket.writable || error.code === 'ECONNRESET') socket.destroy();
+      else answerClientError(error, socket as Socket);
+    });
   }
-  server.on('clientError', (error, socket) =>
-    answerClientError(error, socket as never),
-  );
 
   const task = tasks.spawn<undefined, ListenerMessage>({
     name: 'listener',
--- a/packages/intake-limits/src/http-guard.ts
+++ b/packages/intake-limits/src/http-guard.ts
@@ -8,7 +8,7 @@
 
 /**
  * What the runtime and the handler keep for a request in flight, beside its
- * body.
+ * headers and body.
  */
 const REQUEST_BYTES = 8 * 1024;
 /**
@@ -77,6 +77,16 @@
   handle(exchange: Exchange): void;
   /** Answers a request for which there is no room; it was not handled. */
   refuse(exchange: Exchange): void;
+  /**
+   * Answers input that is no request, and closes the connection. Called only if
+   * no request of the connection waits for its answer: its client would take
+   * this answer for that of the earlier request.
+   */
+  answerClientError(error: ClientError, socket: Socket): void;
+}
+
+export interface ClientError extends Error {
+  readonly code?: string;
 }
 
 const exchanges = new WeakMap<IncomingMessage, Exchange>();
@@ -105,6 +115,8 @@
 }
 
 interface Turn {
+  /** What the request reserved beside its body. */
+  readonly bytes: number;
   /** Whether the answer is complete, so that only the client delays it. */
   isAnswered: boolean;
 }
@@ -121,7 +133,7 @@
 /** Handles the requests of a server that is not listening yet. */
 export function guardHttpServer(
   server: Server,
-  {intake, handle, refuse}: HttpGuardOptions,
+  {intake, handle, refuse, answerClientError}: HttpGuardOptions,
 ): void {
   const {budget} = intake;
   const connections = new Map<Socket, Connection>();
@@ -138,6 +150,16 @@
     });
   });
 
+  server.on('clientError', (error: ClientError, socket) => {
+    const connection = connections.get(socket as Socket);
+    const isAwaited = (connection?.turns.length ?? 0) > 0;
+    if (isAwaited || !socket.writable || error.code === 'ECONNRESET') {
+      socket.destroy();
+    } else {
+      answerClientError(error, socket as Socket);
+    }
+  });
+
   function createConnection(socket: Socket): Connection {
     const connection: Connection = {
       socket,
@@ -179,10 +201,10 @@
     const connection = connections.get(request.socket);
     // The rest of a read is still parsed after the connection was closed.
     if (!connection || connection.isClosed || connection.isRefused) return;
-    if (!budget.reserve(connection, REQUEST_BYTES)) {
+    if (!budget.reserve(connection, getRequestBytes(request))) {
       if (connection.active > 0) return close(connection, 'budget');
       intake.refused('budget');
-      const turn = {isAnswered: false};
+      const turn = {bytes: 0, isAnswered: false};
       connection.turns.push(turn);
       refuse(createExchange(connection, request, response, turn));
       return;
@@ -202,7 +224,7 @@
   ): void {
     connection.active += 1;
     intake.connections.markUsed(connection.socket);
-    const turn = {isAnswered: false};
+    const turn = {bytes: getRequestBytes(request), isAnswered: false};
     connection.turns.push(turn);
     const exchange = createExchange(connection, request, response, turn);
     exchanges.set(request, exchange);
@@ -211,7 +233,7 @@
       connection.active -= 1;
       connection.turns.splice(connection.turns.indexOf(turn), 1);
       connection.headSinceMs = performance.now();
-      budget.release(connection, REQUEST_BYTES);
+      budget.release(connection, turn.bytes);
       startNext(connection);
     });
     handle(exchange);
@@ -373,6 +395,13 @@
   body.progressMs = performance.now();
 }
 
+/** Header texts are kept as received and by name. */
+function getRequestBytes({rawHeaders}: IncomingMessage): number {
+  let bytes = REQUEST_BYTES;
+  for (const text of rawHeaders) bytes += 2 * text.length;
+  return bytes;
+}
+
 function getAnnouncedBytes({headers}: IncomingMessage): number | undefined {
   if (headers['transfer-encoding'] !== undefined) return undefined;
   return Number(headers['content-length'] ?? 0);
--- a/packages/intake-limits/src/index.ts
+++ b/packages/intake-limits/src/index.ts
@@ -1,3 +1,4 @@
+export {describeClientError, sendClientError} from './client-error.js';
 export {gatherBody, type BodyOutcome} from './body.js';
 export {
   createBudget,
@@ -13,6 +14,7 @@
   getExchange,
   guardHttpServer,
   type BodyWatch,
+  type ClientError,
   type Exchange,
   type HttpGuardOptions,
 } from './http-guard.js';
--- /dev/null
+++ b/packages/intake-limits/test/http-guard.test.ts
@@ -0,0 +1,245 @@
+import {createLog} from '@lentildrift/observe';
+import {once} from 'node:events';
+import {createServer, type Server} from 'node:http';
+import {connect, type AddressInfo, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {afterEach, describe, expect, it, vi} from 'vitest';
+import {
+  createIntake,
+  describeClientError,
+  guardHttpServer,
+  sendClientError,
+  type Exchange,
+} from '../src/index.js';
+
+const HOST = '127.0.0.1';
+const MAX_BODY_BYTES = 64 * 1024;
+const KIB = 1024;
+const REFUSED = JSON.stringify({verdict: 'not-run'});
+
+let server: Server | undefined;
+const sockets: Socket[] = [];
+
+afterEach(() => {
+  vi.useRealTimers();
+  for (const socket of sockets.splice(0)) socket.destroy();
+  server?.close();
+  server = undefined;
+});
+
+interface Limits {
+  readonly budgetBytes?: number;
+  readonly maxConnections?: number;
+}
+
+/** Starts a server that answers with the length of the body. */
+async function startServer(
+  {budgetBytes = 64 * 1024 * KIB, maxConnections = 100}: Limits = {},
+  answer?: (exchange: Exchange, text: string) => void,
+): Promise<{port: number; lines: string[]; usedBytes(): number}> {
+  const lines: string[] = [];
+  const intake = createIntake({
+    listeners: 'test',
+    limits: {budgetBytes, maxConnections},
+    log: createLog('info', {}, line => lines.push(line)),
+  });
+  const created = createServer();
+  guardHttpServer(created, {
+    intake,
+    refuse: exchange => exchange.refuse(503, {}, REFUSED),
+    answerClientError: (error, socket) =>
+      sendClientError(socket, describeClientError(error).status, {}, REFUSED),
+    handle(exchange) {
+      void exchange.readBody(MAX_BODY_BYTES).then(body => {
+        if (body.type === 'aborted') return exchange.response.destroy();
+        if (body.type === 'complete') {
+          if (answer) return answer(exchange, body.text);
+          return exchange.answer(200, {}, `<${body.text.length}>`);
+        }
+        const status = body.reason === 'body-too-large' ? 413 : 503;
+        return exchange.refuse(status, {}, REFUSED);
+      });
+    },
+  });
+  await new Promise<void>(resolve => created.listen(0, HOST, resolve));
+  server = created;
+  const {port} = created.address() as AddressInfo;
+  return {port, lines, usedBytes: intake.budget.usedBytes};
+}
+
+interface Client {
+  readonly socket: Socket;
+  /** All that has been received. */
+  text(): string;
+}
+
+function openClient(port: number): Client {
+  const socket = connect({host: HOST, port});
+  sockets.push(socket);
+  let text = '';
+  socket.on('error', () => undefined);
+  socket.setEncoding('latin1').on('data', part => (text += part));
+  return {socket, text: () => text};
+}
+
+const post = (bytes: number) =>
+  `POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ${bytes}\r\n\r\n`;
+
+describe('a guarded server', () => {
+  it('serves one connection that sends thousands of requests ahead, in order', async () => {
+    const {port, usedBytes} = await startServer();
+    const client = openClient(port);
+    const count = 3000;
+    for (let i = 0; i < count; i++) {
+      client.socket.write(post(i % 10) + 'x'.repeat(i % 10));
+    }
+    await expect
+      .poll(() => client.text().match(/<\d>/g)?.length, {timeout: 20_000})
+      .toBe(count);
+    const lengths = client.text().match(/<\d>/g)!;
+    expect(lengths).toEqual(
+      Array.from({length: count}, (_, i) => `<${i % 10}>`),
+    );
+    await expect.poll(usedBytes).toBe(0);
+  });
+
+  it('answers requests without the usual headers', async () => {
+    const {port} = await startServer();
+    const client = openClient(port);
+    client.socket.write('GET / HTTP/1.0\r\n\r\n');
+    await once(client.socket, 'close');
+    expect(client.text()).toMatch(/^HTTP\/1\.1 200 OK/);
+    expect(client.text()).toContain('<0>');
+  });
+
+  it('lets a client that still sends read its refusal, and closes the connection', async () => {
+    const {port} = await startServer();
+    const client = openClient(port);
+    const bytes = 4 * MAX_BODY_BYTES;
+    client.socket.write(post(bytes));
+    for (let sent = 0; sent < bytes; sent += 4 * KIB) {
+      client.socket.write('x'.repeat(4 * KIB));
+      await sleep(1);
+    }
+    await once(client.socket, 'close');
+    expect(client.text()).toMatch(/^HTTP\/1\.1 413 /);
+    expect(client.text()).toContain(REFUSED);
+  });
+
+  it('refuses an announced length before the body is sent', async () => {
+    const {port} = await startServer();
+    const client = openClient(port);
+    client.socket.write(post(MAX_BODY_BYTES + 1));
+    await expect.poll(client.text).toMatch(/^HTTP\/1\.1 413 /);
+    await once(client.socket, 'close');
+  });
+
+  it('gives the room of bodies that stopped to the body of another client', async () => {
+    const {port, lines, usedBytes} = await startServer({
+      budgetBytes: 256 * KIB,
+    });
+    const stopped = Array.from({length: 5}, () => {
+      const client = openClient(port);
+      client.socket.write(post(60 * KIB) + 'x'.repeat(40 * KIB));
+      return client;
+    });
+    await sleep(1300);
+    expect(usedBytes()).toBeLessThanOrEqual(256 * KIB);
+    const client = openClient(port);
+    client.socket.write(post(60 * KIB) + 'x'.repeat(60 * KIB));
+    await expect.poll(client.text, {timeout: 5000}).toContain(`<${60 * KIB}>`);
+    await expect
+      .poll(() => stopped.filter(({text}) => text().includes('503')).length)
+      .toBeGreaterThan(0);
+    await expect
+      .poll(() => lines.join('\n'), {timeout: 5000})
+      .toContain('event=intake-refused listeners=test reason=budget');
+  });
+
+  it('closes a connection that waits for its client when all connections are in use', async () => {
+    const {port} = await startServer({maxConnections: 3});
+    for (let i = 0; i < 3; i++) openClient(port).socket.write(post(10) + 'x');
+    await sleep(1300);
+    const client = openClient(port);
+    client.socket.write(post(2) + 'xx');
+    await expect.poll(client.text).toContain('<2>');
+  });
+
+  it('keeps no answers beyond the budget for clients that do not read them', async () => {
+    const large = 'x'.repeat(1024 * KIB);
+    const {port, usedBytes} = await startServer(
+      {budgetBytes: 16 * 1024 * KIB},
+      (exchange, text) =>
+        exchange.answer(200, {}, text === '' ? 'small' : large),
+    );
+    for (let i = 0; i < 40; i++) {
+      const {socket} = openClient(port);
+      socket.pause();
+      socket.write((post(1) + 'x').repeat(20));
+    }
+    await sleep(1500);
+    expect(usedBytes()).toBeLessThanOrEqual(16 * 1024 * KIB);
+    const client = openClient(port);
+    client.socket.write(post(0));
+    await expect.poll(client.text).toContain('small');
+  });
+
+  it('gives back all that a connection held when its client leaves', async () => {
+    const {port, usedBytes} = await startServer({}, () => undefined);
+    const clients = Array.from({length: 5}, () => openClient(port));
+    for (const {socket} of clients) {
+      socket.write((post(1) + 'x').repeat(50) + post(KIB) + 'xx');
+    }
+    await expect.poll(usedBytes).toBeGreaterThan(0);
+    for (const {socket} of clients) socket.destroy();
+    await expect.poll(usedBytes).toBe(0);
+  });
+
+  it('refuses a body that stops, or that comes at less than the least rate, after a time', async () => {
+    vi.useFakeTimers({toFake: ['setInterval', 'performance']});
+    const {port, usedBytes} = await startServer();
+    const stopped = openClient(port);
+    const trickling = openClient(port);
+    const steady = openClient(port);
+    for (const {socket} of [stopped, trickling, steady]) {
+      socket.write(post(60 * KIB) + 'x');
+    }
+    for (let second = 0; second < 17; second++) {
+      trickling.socket.write('x');
+      steady.socket.write('x'.repeat(KIB));
+      await sleep(20);
+      vi.advanceTimersByTime(1000);
+    }
+    await expect.poll(stopped.text).toMatch(/^HTTP\/1\.1 503 /);
+    await expect.poll(trickling.text).toMatch(/^HTTP\/1\.1 503 /);
+    expect(steady.text()).toBe('');
+    vi.advanceTimersByTime(50_000);
+    await expect.poll(steady.text).toMatch(/^HTTP\/1\.1 503 /);
+    await expect.poll(usedBytes, {timeout: 3000}).toBe(0);
+  });
+
+  // The client would take "not run" for the answer to the earlier request.
+  it('does not answer malformed input while an earlier request is in flight', async () => {
+    const exchanges: Exchange[] = [];
+    const {port} = await startServer({}, exchange => exchanges.push(exchange));
+    const client = openClient(port);
+    client.socket.write(post(1) + 'x' + 'malformed\r\n\r\n');
+    await once(client.socket, 'close');
+    expect(exchanges).toHaveLength(1);
+    expect(client.text()).toBe('');
+  });
+
+  it('answers malformed input and long headers on a connection without requests', async () => {
+    const {port} = await startServer();
+    for (const [input, status] of [
+      ['malformed\r\n\r\n', '400'],
+      [`GET / HTTP/1.1\r\nHost: ${'h'.repeat(20 * KIB)}\r\n\r\n`, '431'],
+    ] as const) {
+      const client = openClient(port);
+      client.socket.write(input);
+      await once(client.socket, 'close');
+      expect(client.text()).toContain(`HTTP/1.1 ${status} `);
+      expect(client.text()).toContain(REFUSED);
+    }
+  });
+});
--- a/packages/protocol/src/router.ts
+++ b/packages/protocol/src/router.ts
@@ -1,6 +1,8 @@
 /** The `trpc` encoding of the services: router and HTTP server. */
 import {
+  describeClientError,
   guardHttpServer,
+  sendClientError,
   type Exchange,
   type Intake,
 } from '@lentildrift/intake-limits';
@@ -160,6 +162,11 @@
     intake,
     handle: exchange => void serve(exchange),
     refuse: exchange => refuseRequest(exchange, 503, 'too much is in flight'),
+    answerClientError(error, socket) {
+      const {status, message} = describeClientError(error);
+      const body = {error: message, verdict: 'not-run'};
+      sendClientError(socket, status, {}, JSON.stringify(body));
+    },
   });
   return server;
 
