--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -28,7 +28,7 @@
   type Change,
   type State,
 } from '@lentildrift/model';
-import type {Log} from '@lentildrift/observe';
+import type {Log, Metrics} from '@lentildrift/observe';
 import {HttpPlatform, type Platform} from '@lentildrift/platform';
 import type {ControlService} from '@lentildrift/protocol';
 import {SettingsError, type Settings} from '@lentildrift/settings';
@@ -68,6 +68,8 @@
   readonly log: Log;
   /** Limits of clients that the roles of the process share. */
   readonly intake: Intake;
+  /** Metrics that the entry role shows; its own if absent. */
+  readonly metrics?: Metrics;
   /**
    * Called when the replica failed. The process must then exit, because it can
    * no longer keep the changes that it accepted.
--- a/packages/daemon/src/embedded.ts
+++ b/packages/daemon/src/embedded.ts
@@ -6,7 +6,7 @@
   type Command,
   type Subject,
 } from '@lentildrift/model';
-import type {Log} from '@lentildrift/observe';
+import type {Log, Metrics} from '@lentildrift/observe';
 import {
   FakePlatform,
   SAMPLE_HOSTS,
@@ -34,6 +34,8 @@
   readonly log: Log;
   /** Limits of clients that the roles share. */
   readonly intake: Intake;
+  /** Metrics that the entry role shows; its own if absent. */
+  readonly metrics?: Metrics;
   readonly entryPort: number;
   readonly dataFolder: string;
   /**
@@ -106,7 +108,14 @@
       controlMembers: undefined,
       clusterSecret: undefined,
     },
-    {tasks, log, intake, onFatal, control: control.service},
+    {
+      tasks,
+      log,
+      intake,
+      metrics: options.metrics,
+      onFatal,
+      control: control.service,
+    },
   );
   const upstream = await startUpstream({
     pool: 'booking',
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -34,7 +34,7 @@
   settings: EntrySettings,
   context: EntryContext,
 ): Promise<Entry> {
-  const {tasks, log, intake, control} = context;
+  const {tasks, log, intake, metrics, control} = context;
   const {entryAddress: host, entryPort: port, hostName} = settings;
   const clients = (settings.controlMembers ?? []).map(({address}) =>
     createServiceClient({
@@ -44,7 +44,7 @@
     }),
   );
   const remote = clients.map(client => client.control);
-  const recorder = new CallRecorder();
+  const recorder = new CallRecorder(metrics);
   const entry = await startEntry({
     control: control ? [control, ...remote] : remote,
     tasks,
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,6 +1,11 @@
 #!/usr/bin/env node
 /** Entry point of the daemon `lentildriftd`. */
-import {createLog, watchEventLoop, type Log} from '@lentildrift/observe';
+import {
+  createLog,
+  createMetrics,
+  watchEventLoop,
+  type Log,
+} from '@lentildrift/observe';
 import {
   EXIT_USAGE_ERROR,
   parseSettings,
@@ -43,9 +48,11 @@
 ): Promise<StoppableRole> {
   const {entryAddress, entryPort, controlAddress, controlPort} = settings;
   const {dataFolder} = settings;
+  const metrics = createMetrics();
   const embedded = await startEmbedded({
     log,
-    intake: createLimits(settings, log),
+    intake: createLimits(settings, log, metrics),
+    metrics,
     entryAddress,
     entryPort,
     controlAddress,
--- a/packages/daemon/src/roles.ts
+++ b/packages/daemon/src/roles.ts
@@ -1,6 +1,6 @@
 /** Starts the roles that the settings select. */
 import {createIntake, type Intake} from '@lentildrift/intake-limits';
-import type {Log} from '@lentildrift/observe';
+import {createMetrics, type Log, type Metrics} from '@lentildrift/observe';
 import type {Settings} from '@lentildrift/settings';
 import {startTasks} from '@lentildrift/task';
 import {startControl} from './control.js';
@@ -31,7 +31,9 @@
 
   try {
     const onFatal = (error: Error) => exitAfterFatalError(log, error);
-    const context = {tasks, log, onFatal, intake: createLimits(settings, log)};
+    const metrics = createMetrics();
+    const intake = createLimits(settings, log, metrics);
+    const context = {tasks, log, onFatal, intake, metrics};
     const control = settings.roles?.includes('control')
       ? await startControl(settings, context)
       : undefined;
@@ -51,9 +53,10 @@
 export function createLimits(
   settings: Pick<Settings, 'bodyBudgetBytes' | 'maxConnections'>,
   log: Log,
+  metrics: Metrics,
 ): Intake {
   const {bodyBudgetBytes: budgetBytes, maxConnections} = settings;
   const limits = {budgetBytes, maxConnections};
   log.info('intake-limits', limits);
-  return createIntake({listeners: 'http', limits, log});
+  return createIntake({listeners: 'http', limits, log, metrics});
 }
--- a/packages/entry/src/answer.ts
+++ b/packages/entry/src/answer.ts
@@ -1,6 +1,7 @@
 /** Responses that the entry host itself produces. */
 import {
   describeClientError,
+  getExchange,
   sendClientError,
   type ClientError,
   type Exchange,
@@ -47,8 +48,26 @@
     response.destroy();
     return;
   }
-  response.writeHead(status, {'content-type': 'application/json', ...headers});
-  response.end(JSON.stringify(body) + '\n');
+  answerText(response, status, JSON.stringify(body) + '\n', {
+    'content-type': 'application/json',
+    ...headers,
+  });
+}
+
+/** Sends a response within the limits of its client, if it has any. */
+export function answerText(
+  response: ServerResponse,
+  status: number,
+  text: string,
+  headers: Readonly<Record<string, string>>,
+): void {
+  const exchange = getExchange(response.req);
+  if (exchange) {
+    exchange.answer(status, headers, text);
+    return;
+  }
+  response.writeHead(status, headers);
+  response.end(text);
 }
 
 export function answerRefusal(
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -9,7 +9,13 @@
 import {createAdmission} from './admission.js';
 import {handleAnnounce} from './announce.js';
 import {UndiciConnector} from './undici-connector.js';
-import {answerJson, answerCached, answerRefusal, getStatus} from './answer.js';
+import {
+  answerCached,
+  answerJson,
+  answerRefusal,
+  answerText,
+  getStatus,
+} from './answer.js';
 import {createCallPipe} from './call.js';
 import type {Connector} from './connection.js';
 import {createRoster} from './directory.js';
@@ -133,9 +139,8 @@
     if (url === '/health') return answerHealth(response);
     if (url === '/metrics' && options.metrics) {
       const text = await options.metrics();
-      response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
-      response.end(text);
-      return;
+      const headers = {'content-type': 'text/plain; version=0.0.4'};
+      return answerText(response, 200, text, headers);
     }
     if (stopping) {
       const refusal = refuse('stopping', 'this entry host is stopping');
--- a/packages/intake-limits/src/http-guard.ts
+++ b/packages/intake-limits/src/http-guard.ts
@@ -92,8 +92,10 @@
 const exchanges = new WeakMap<IncomingMessage, Exchange>();
 
 /** Returns the exchange of a request, if its server is guarded. */
-export function getExchange(request: IncomingMessage): Exchange | undefined {
-  return exchanges.get(request);
+export function getExchange(
+  request: IncomingMessage | undefined,
+): Exchange | undefined {
+  return request && exchanges.get(request);
 }
 
 /** State of one connection. */
--- a/packages/intake-limits/test/http-guard.test.ts
+++ b/packages/intake-limits/test/http-guard.test.ts
@@ -1,5 +1,4 @@
 import {createLog} from '@lentildrift/observe';
-import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
 import {connect, type AddressInfo, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -71,6 +70,8 @@
   readonly socket: Socket;
   /** All that has been received. */
   text(): string;
+  /** Resolves when the connection is closed. */
+  readonly closed: Promise<unknown>;
 }
 
 function openClient(port: number): Client {
@@ -78,8 +79,9 @@
   sockets.push(socket);
   let text = '';
   socket.on('error', () => undefined);
+  const closed = new Promise(resolve => socket.once('close', resolve));
   socket.setEncoding('latin1').on('data', part => (text += part));
-  return {socket, text: () => text};
+  return {socket, text: () => text, closed};
 }
 
 const post = (bytes: number) =>
@@ -107,7 +109,7 @@
     const {port} = await startServer();
     const client = openClient(port);
     client.socket.write('GET / HTTP/1.0\r\n\r\n');
-    await once(client.socket, 'close');
+    await client.closed;
     expect(client.text()).toMatch(/^HTTP\/1\.1 200 OK/);
     expect(client.text()).toContain('<0>');
   });
@@ -121,7 +123,7 @@
       client.socket.write('x'.repeat(4 * KIB));
       await sleep(1);
     }
-    await once(client.socket, 'close');
+    await client.closed;
     expect(client.text()).toMatch(/^HTTP\/1\.1 413 /);
     expect(client.text()).toContain(REFUSED);
   });
@@ -131,7 +133,7 @@
     const client = openClient(port);
     client.socket.write(post(MAX_BODY_BYTES + 1));
     await expect.poll(client.text).toMatch(/^HTTP\/1\.1 413 /);
-    await once(client.socket, 'close');
+    await client.closed;
   });
 
   it('gives the room of bodies that stopped to the body of another client', async () => {
@@ -224,7 +226,7 @@
     const {port} = await startServer({}, exchange => exchanges.push(exchange));
     const client = openClient(port);
     client.socket.write(post(1) + 'x' + 'malformed\r\n\r\n');
-    await once(client.socket, 'close');
+    await client.closed;
     expect(exchanges).toHaveLength(1);
     expect(client.text()).toBe('');
   });
@@ -237,7 +239,7 @@
     ] as const) {
       const client = openClient(port);
       client.socket.write(input);
-      await once(client.socket, 'close');
+      await client.closed;
       expect(client.text()).toContain(`HTTP/1.1 ${status} `);
       expect(client.text()).toContain(REFUSED);
     }
