Pause reading after very many requests in one turn of the event loop

Cause: the runtime keeps all requests of a read, about a thousand, until its connection has closed at the end of the turn, and a request in flight costs more than the 8 KiB that it reserved. Change: after 1,000 requests in a turn no connection is read until the next, and a request reserves 16 KiB; a small holding is up to 64 KiB.

--- a/packages/intake-limits/src/budget.ts
+++ b/packages/intake-limits/src/budget.ts
@@ -1,7 +1,7 @@
 /** One budget of bytes that all holders of a process share. */
 
 /** A holding up to this size may use the part that is kept for small ones. */
-export const SMALL_HOLDING_BYTES = 32 * 1024;
+export const SMALL_HOLDING_BYTES = 64 * 1024;
 /** Part of the budget that only small holdings may use. */
 const SMALL_PART = 1 / 4;
 /** A holder may pause this long before its bytes are given to another. */
--- a/packages/intake-limits/src/http-guard.ts
+++ b/packages/intake-limits/src/http-guard.ts
@@ -10,12 +10,18 @@
  * What the runtime and the handler keep for a request in flight, beside its
  * headers and body.
  */
-const REQUEST_BYTES = 8 * 1024;
+const REQUEST_BYTES = 16 * 1024;
 /**
  * Requests of one connection that are handled side by side. Those behind them
  * wait, and the connection is not read meanwhile.
  */
 const MAX_REQUESTS_AHEAD = 16;
+/**
+ * Requests that are parsed in one turn of the event loop before reading pauses.
+ * The runtime keeps all requests of a closed connection until the end of the
+ * turn, a thousand of one read.
+ */
+const MAX_REQUESTS_PER_TURN = 1000;
 /** A smaller answer is covered by `REQUEST_BYTES`. */
 const LARGE_ANSWER_BYTES = 4096;
 /** A client that sends nothing, or reads nothing, for this long is refused. */
@@ -199,7 +205,32 @@
     connection.socket.destroy();
   }
 
+  let requestsOfTurn = 0;
+  const heldBack = new Set<Connection>();
+
+  /** Pauses reading for the rest of the turn after very many requests. */
+  function countRequest(): void {
+    requestsOfTurn += 1;
+    if (requestsOfTurn === 1) setImmediate(() => (requestsOfTurn = 0));
+    if (requestsOfTurn !== MAX_REQUESTS_PER_TURN) return;
+    for (const connection of connections.values()) {
+      if (connection.queue.length > 0 || connection.isClosed) continue;
+      connection.socket.pause();
+      heldBack.add(connection);
+    }
+    // Closed connections are released after the immediates of this turn.
+    setImmediate(() => setImmediate(releaseHeldBack));
+  }
+
+  function releaseHeldBack(): void {
+    for (const {socket, queue, isClosed} of heldBack) {
+      if (!isClosed && queue.length === 0) socket.resume();
+    }
+    heldBack.clear();
+  }
+
   server.on('request', (request, response) => {
+    countRequest();
     const connection = connections.get(request.socket);
     // The rest of a read is still parsed after the connection was closed.
     if (!connection || connection.isClosed || connection.isRefused) return;
