--- a/packages/entry/src/answer.ts
+++ b/packages/entry/src/answer.ts
@@ -1,4 +1,11 @@
 /** Responses that the entry host itself produces. */
+import {
+  describeClientError,
+  getExchange,
+  sendClientError,
+  type ClientError,
+  type Exchange,
+} from '@lentildrift/intake-limits';
 import type {Refusal, RefusalCode} from '@lentildrift/model';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
@@ -41,8 +48,26 @@
     response.destroy();
     return;
   }
-  response.writeHead(status, {'content-type': 'application/json', ...headers});
-  response.end(JSON.stringify(body) + '\n');
+  answerText(response, status, JSON.stringify(body) + '\n', {
+    'content-type': 'application/json',
+    ...headers,
+  });
+}
+
+/** Sends a response within the limits of its client, if it has any. */
+export function answerText(
+  response: ServerResponse,
+  status: number,
+  text: string,
+  headers: Readonly<Record<string, string>>,
+): void {
+  const exchange = getExchange(response.req);
+  if (exchange) {
+    exchange.answer(status, headers, text);
+    return;
+  }
+  response.writeHead(status, headers);
+  response.end(text);
 }
 
 export function answerRefusal(
@@ -50,13 +75,30 @@
   response: ServerResponse,
   refusal: Refusal,
 ): void {
-  const {verdict, code, message, retryAfterMs} = refusal;
+  const {verdict, code, message} = refusal;
+  discardBody(request);
+  const body = {verdict, code, message};
+  answerJson(response, getStatus(refusal), body, getRefusalHeaders(refusal));
+}
+
+function getRefusalHeaders(refusal: Refusal): Record<string, string> {
+  const {verdict, retryAfterMs} = refusal;
   const headers: Record<string, string> = {[VERDICT_HEADER]: verdict};
   if (retryAfterMs !== undefined) {
     headers['retry-after'] = String(Math.ceil(retryAfterMs / 1000));
   }
-  discardBody(request);
-  answerJson(response, getStatus(refusal), {verdict, code, message}, headers);
+  return headers;
+}
+
+/** Refuses a request that is not handled, and closes its connection. */
+export function refuseExchange(exchange: Exchange, refusal: Refusal): void {
+  const {verdict, code, message} = refusal;
+  const headers = {
+    'content-type': 'application/json',
+    ...getRefusalHeaders(refusal),
+  };
+  const text = JSON.stringify({verdict, code, message}) + '\n';
+  exchange.refuse(getStatus(refusal), headers, text);
 }
 
 /** Sends the cached first response to a duplicate of a claimed request. */
@@ -84,25 +126,10 @@
   request.once('close', () => clearTimeout(timer));
 }
 
-/** Responds with 400 or 431 to input that cannot be parsed as a request. */
-export function answerClientError(
-  error: Error & {code?: string},
-  socket: Socket,
-): void {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy();
-    return;
-  }
-  const tooLarge = error.code === 'HPE_HEADER_OVERFLOW';
-  const status = tooLarge
-    ? '431 Request Header Fields Too Large'
-    : '400 Bad Request';
-  const message = tooLarge ? 'the headers are too large' : 'malformed request';
-  const body =
-    JSON.stringify({verdict: 'not-run', code: 'malformed', message}) + '\n';
-  socket.end(
-    `HTTP/1.1 ${status}\r\nconnection: close\r\n` +
-      `content-type: application/json\r\n${VERDICT_HEADER}: not-run\r\n` +
-      `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
-  );
+/** Responds with 400, 408 or 431 to input that is no request. */
+export function answerClientError(error: ClientError, socket: Socket): void {
+  const {status, message} = describeClientError(error);
+  const body = {verdict: 'not-run', code: 'malformed', message};
+  const headers = {[VERDICT_HEADER]: 'not-run'};
+  sendClientError(socket, status, headers, JSON.stringify(body) + '\n');
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,4 +1,5 @@
 /** The entry role: the tasks of an entry host and its HTTP paths. */
+import type {Intake} from '@lentildrift/intake-limits';
 import {MAX_CALL_TIMEOUT_MS, refuse} from '@lentildrift/model';
 import type {Log} from '@lentildrift/observe';
 import type {PipeOutcome} from '@lentildrift/pipe';
@@ -8,7 +9,13 @@
 import {createAdmission} from './admission.js';
 import {handleAnnounce} from './announce.js';
 import {UndiciConnector} from './undici-connector.js';
-import {answerJson, answerCached, answerRefusal, getStatus} from './answer.js';
+import {
+  answerCached,
+  answerJson,
+  answerRefusal,
+  answerText,
+  getStatus,
+} from './answer.js';
 import {createCallPipe} from './call.js';
 import type {Connector} from './connection.js';
 import {createRoster} from './directory.js';
@@ -50,6 +57,8 @@
   readonly shutdownDelayMs?: number;
   /** Connections to upstreams; implemented with `undici` when absent. */
   readonly connector?: Connector;
+  /** Limits of clients; unlimited when absent. */
+  readonly intake?: Intake;
   /** Creates the listener for calls; a `node:http` server when absent. */
   readonly listener?: typeof createListener;
   /** Safety mechanisms; tests replace some by weaker ones. */
@@ -108,15 +117,19 @@
   let stopping = false;
 
   const listen = options.listener ?? createListener;
-  const listener: Listener = listen(tasks, (request, response) => {
-    handle(request, response).catch(error => {
-      log.error('call-failed', {error: String(error)});
-      const refusal = refuse('internal', 'internal error', {
-        verdict: 'may-have-run',
+  const listener: Listener = listen(
+    tasks,
+    (request, response) => {
+      handle(request, response).catch(error => {
+        log.error('call-failed', {error: String(error)});
+        const refusal = refuse('internal', 'internal error', {
+          verdict: 'may-have-run',
+        });
+        answerRefusal(request, response, refusal);
       });
-      answerRefusal(request, response, refusal);
-    });
-  });
+    },
+    options.intake,
+  );
 
   async function handle(
     request: IncomingMessage,
@@ -126,9 +139,8 @@
     if (url === '/health') return answerHealth(response);
     if (url === '/metrics' && options.metrics) {
       const text = await options.metrics();
-      response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
-      response.end(text);
-      return;
+      const headers = {'content-type': 'text/plain; version=0.0.4'};
+      return answerText(response, 200, text, headers);
     }
     if (stopping) {
       const refusal = refuse('stopping', 'this entry host is stopping');
