Count parsed bodies and running handlers for the budget

Cause: only the bytes of a body were counted. A body of `{},` takes many times its bytes once it is parsed and validated, up to more than a small heap. What a request held was given back when its client left, although its handler still kept the body, so that clients that send and leave had no bound.

A body that is read in whole reserves 256 bytes for each value before it is parsed; one with more than a value for 8 bytes of the limit is refused with 413. What a request holds is given back when its handler has settled and its response has closed, so that the budget bounds the handlers of clients that left.

--- a/packages/intake-limits/src/body.ts
+++ b/packages/intake-limits/src/body.ts
@@ -34,6 +34,8 @@
 export interface Gathering {
   /** Gives up; the outcome is a refusal if there is none yet. */
   refuse(reason: 'body-slow' | 'budget'): void;
+  /** The connection is closed. */
+  abort(): void;
 }
 
 /**
@@ -100,5 +102,5 @@
   );
   source.on('error', () => finish({type: 'aborted'}));
   source.on('close', () => finish({type: 'aborted'}));
-  return {refuse};
+  return {refuse, abort: () => finish({type: 'aborted'})};
 }
--- a/packages/intake-limits/src/budget.ts
+++ b/packages/intake-limits/src/budget.ts
@@ -28,6 +28,11 @@
   reserve(holder: Holder, bytes: number): boolean;
   release(holder: Holder, bytes: number): void;
   usedBytes(): number;
+  /**
+   * Most that is reserved for one parsed value, so that the largest body is
+   * served when nothing else is in flight.
+   */
+  largestValueBytes(): number;
 }
 
 export function createBudget(limitBytes: number): Budget {
@@ -72,5 +77,6 @@
     },
     release,
     usedBytes: () => usedBytes,
+    largestValueBytes: () => Math.floor(commonBytes / 2),
   };
 }
--- a/packages/intake-limits/src/http-guard.ts
+++ b/packages/intake-limits/src/http-guard.ts
@@ -4,6 +4,7 @@
 import {gatherBody, type BodyOutcome} from './body.js';
 import type {Holder} from './budget.js';
 import type {Intake} from './intake.js';
+import {countJsonMarks} from './json-marks.js';
 import type {RefusalReason} from './refusals.js';
 
 /**
@@ -23,6 +24,15 @@
 /** Fewer bytes than this in `STALL_TIMEOUT_MS` count as none. */
 const PROGRESS_BYTES = 1024;
 const BODY_TIMEOUT_MS = 60_000;
+/** A smaller body is covered by `REQUEST_BYTES`, with its parsed value. */
+const SMALL_BODY_BYTES = 1024;
+/** What a value of a parsed JSON text takes, with its validated copy. */
+const JSON_VALUE_BYTES = 256;
+/**
+ * Bytes of a body for each of its JSON values, at least. Bodies of clients
+ * inside the limits have more than 16.
+ */
+const MIN_BYTES_PER_JSON_VALUE = 8;
 /**
  * Time in which the rest of a refused body is discarded. A connection that is
  * closed with unread input is reset, and its client may lose the refusal.
@@ -73,8 +83,11 @@
 
 export interface HttpGuardOptions {
   readonly intake: Intake;
-  /** Handles a request; must not throw. */
-  handle(exchange: Exchange): void;
+  /**
+   * Handles a request; must not throw or reject. What the request reserved is
+   * kept until the promise settles, also if the client has left.
+   */
+  handle(exchange: Exchange): Promise<void> | void;
   /** Answers a request for which there is no room; it was not handled. */
   refuse(exchange: Exchange): void;
   /**
@@ -117,8 +130,11 @@
 }
 
 interface Turn {
-  /** What the request reserved beside its body. */
-  readonly bytes: number;
+  /** What the request holds of the budget. */
+  bytes: number;
+  /** Whether the handler may still use the body of the request. */
+  isRunning: boolean;
+  isClosed: boolean;
   /** Whether the answer is complete, so that only the client delays it. */
   isAnswered: boolean;
 }
@@ -130,6 +146,8 @@
   recentBytes: number;
   /** Gives up the body. */
   refuse(reason: 'body-slow' | 'budget'): void;
+  /** The connection is closed. */
+  abort(): void;
 }
 
 /** Handles the requests of a server that is not listening yet. */
@@ -146,9 +164,7 @@
     connections.set(socket, connection);
     socket.once('close', () => {
       connections.delete(socket);
-      connection.isClosed = true;
-      connection.queue.length = 0;
-      budget.release(connection, connection.heldBytes);
+      abandon(connection);
     });
   });
 
@@ -174,7 +190,8 @@
       isRefused: false,
       isClosed: false,
       waitsSinceMs() {
-        const {body, turns, headSinceMs} = connection;
+        const {body, turns, headSinceMs, isClosed} = connection;
+        if (isClosed) return undefined;
         return turns[0]?.isAnswered ? headSinceMs : body?.progressMs;
       },
       evict() {
@@ -189,12 +206,36 @@
     return connection;
   }
 
+  /**
+   * Releases what a closed connection held, except what its running handlers
+   * use.
+   */
+  function abandon(connection: Connection): void {
+    if (connection.isClosed) return;
+    connection.isClosed = true;
+    const {queue, turns, body} = connection;
+    for (const [request] of queue.splice(0)) {
+      budget.release(connection, getRequestBytes(request));
+    }
+    body?.abort();
+    for (const turn of turns) closeTurn(connection, turn);
+  }
+
+  function closeTurn(connection: Connection, turn: Turn): void {
+    turn.isClosed = true;
+    releaseTurn(connection, turn);
+  }
+
+  function releaseTurn(connection: Connection, turn: Turn): void {
+    if (turn.isRunning || !turn.isClosed) return;
+    budget.release(connection, turn.bytes);
+    turn.bytes = 0;
+  }
+
   /** Closes a connection at once; the clients of its requests get no answer. */
   function close(connection: Connection, reason: RefusalReason): void {
     if (connection.isClosed) return;
-    connection.isClosed = true;
-    connection.queue.length = 0;
-    budget.release(connection, connection.heldBytes);
+    abandon(connection);
     intake.refused(reason);
     connection.socket.destroy();
   }
@@ -206,7 +247,7 @@
     if (!budget.reserve(connection, getRequestBytes(request))) {
       if (connection.active > 0) return close(connection, 'budget');
       intake.refused('budget');
-      const turn = {bytes: 0, isAnswered: false};
+      const turn = createTurn(0);
       connection.turns.push(turn);
       refuse(createExchange(connection, request, response, turn));
       return;
@@ -226,7 +267,7 @@
   ): void {
     connection.active += 1;
     intake.connections.markUsed(connection.socket);
-    const turn = {bytes: getRequestBytes(request), isAnswered: false};
+    const turn = createTurn(getRequestBytes(request));
     connection.turns.push(turn);
     const exchange = createExchange(connection, request, response, turn);
     exchanges.set(request, exchange);
@@ -235,10 +276,16 @@
       connection.active -= 1;
       connection.turns.splice(connection.turns.indexOf(turn), 1);
       connection.headSinceMs = performance.now();
-      budget.release(connection, turn.bytes);
+      closeTurn(connection, turn);
       startNext(connection);
     });
-    handle(exchange);
+    const handled = handle(exchange);
+    if (!handled) return;
+    turn.isRunning = true;
+    void handled.finally(() => {
+      turn.isRunning = false;
+      releaseTurn(connection, turn);
+    });
   }
 
   function startNext(connection: Connection): void {
@@ -257,25 +304,32 @@
     response: ServerResponse,
     turn: Turn,
   ): Exchange {
-    /** Reserved for the body and a large answer of this request. */
-    let reservedBytes = 0;
-
     function reserve(bytes: number): boolean {
       if (connection.isClosed || !budget.reserve(connection, bytes)) {
         return false;
       }
-      if (reservedBytes === 0) response.once('close', releaseAll);
-      reservedBytes += bytes;
+      turn.bytes += bytes;
       return true;
     }
 
     function release(bytes: number): void {
-      reservedBytes -= bytes;
-      if (!connection.isClosed) budget.release(connection, bytes);
+      const released = Math.min(bytes, turn.bytes);
+      turn.bytes -= released;
+      budget.release(connection, released);
     }
 
-    function releaseAll(): void {
-      release(reservedBytes);
+    /** Reserves what the parsed body takes, or refuses the body. */
+    function admitParsing(body: BodyOutcome, maxBytes: number): BodyOutcome {
+      if (body.type !== 'complete') return body;
+      if (body.text.length <= SMALL_BODY_BYTES) return body;
+      const maxMarks = Math.floor(maxBytes / MIN_BYTES_PER_JSON_VALUE);
+      const marks = countJsonMarks(body.text, maxMarks);
+      if (marks > maxMarks) return {type: 'refused', reason: 'body-too-large'};
+      const bytes = Math.min(
+        marks * JSON_VALUE_BYTES,
+        budget.largestValueBytes(),
+      );
+      return reserve(bytes) ? body : {type: 'refused', reason: 'budget'};
     }
 
     function markAnswered(): void {
@@ -287,7 +341,10 @@
 
     function readBody(maxBytes: number): Promise<BodyOutcome> {
       return new Promise(resolve => {
-        const pending = createPendingBody(reason => gathering.refuse(reason));
+        const pending = createPendingBody(
+          reason => gathering.refuse(reason),
+          () => gathering.abort(),
+        );
         connection.body = pending;
         const gathering = gatherBody(request, {
           maxBytes,
@@ -295,8 +352,9 @@
           reserve,
           release,
           onProgress: bytes => addProgress(pending, bytes),
-          onOutcome(outcome) {
+          onOutcome(gathered) {
             if (connection.body === pending) connection.body = undefined;
+            const outcome = admitParsing(gathered, maxBytes);
             if (outcome.type === 'refused') intake.refused(outcome.reason);
             resolve(outcome);
           },
@@ -385,9 +443,16 @@
   server.once('close', removeCheck);
 }
 
-function createPendingBody(refuse: PendingBody['refuse']): PendingBody {
+function createTurn(bytes: number): Turn {
+  return {bytes, isRunning: false, isClosed: false, isAnswered: false};
+}
+
+function createPendingBody(
+  refuse: PendingBody['refuse'],
+  abort: PendingBody['abort'] = () => undefined,
+): PendingBody {
   const nowMs = performance.now();
-  return {startMs: nowMs, progressMs: nowMs, recentBytes: 0, refuse};
+  return {startMs: nowMs, progressMs: nowMs, recentBytes: 0, refuse, abort};
 }
 
 function addProgress(body: PendingBody, bytes: number): void {
--- a/packages/intake-limits/test/http-guard.test.ts
+++ b/packages/intake-limits/test/http-guard.test.ts
@@ -34,7 +34,7 @@
 /** Starts a server that answers with the length of the body. */
 async function startServer(
   {budgetBytes = 64 * 1024 * KIB, maxConnections = 100}: Limits = {},
-  answer?: (exchange: Exchange, text: string) => void,
+  answer?: (exchange: Exchange, text: string) => unknown,
 ): Promise<{port: number; lines: string[]; usedBytes(): number}> {
   const lines: string[] = [];
   const intake = createIntake({
@@ -49,10 +49,10 @@
     answerClientError: (error, socket) =>
       sendClientError(socket, describeClientError(error).status, {}, REFUSED),
     handle(exchange) {
-      void exchange.readBody(MAX_BODY_BYTES).then(body => {
-        if (body.type === 'aborted') return exchange.response.destroy();
+      return exchange.readBody(MAX_BODY_BYTES).then(async body => {
+        if (body.type === 'aborted') return void exchange.response.destroy();
         if (body.type === 'complete') {
-          if (answer) return answer(exchange, body.text);
+          if (answer) return void (await answer(exchange, body.text));
           return exchange.answer(200, {}, `<${body.text.length}>`);
         }
         const status = body.reason === 'body-too-large' ? 413 : 503;
@@ -244,4 +244,66 @@
       expect(client.text()).toContain(REFUSED);
     }
   });
+
+  // A body of `{},` took twenty times its bytes once it was parsed.
+  it('refuses a body of more values than its size allows, before it is parsed', async () => {
+    const parsed: string[] = [];
+    const {port} = await startServer({}, (exchange, text) => {
+      parsed.push(text);
+      exchange.answer(200, {}, 'ok');
+    });
+    const client = openClient(port);
+    const dense = `[${'{},'.repeat(20_000)}0]`;
+    client.socket.write(post(dense.length) + dense);
+    await client.closed;
+    expect(client.text()).toMatch(/^HTTP\/1\.1 413 /);
+    expect(parsed).toEqual([]);
+    const usual = openClient(port);
+    const text = `["${'{},'.repeat(20_000)}"]`;
+    usual.socket.write(post(text.length) + text);
+    await expect.poll(usual.text).toContain('ok');
+  });
+
+  it('reserves what parsed bodies take until their handlers settle', async () => {
+    const limitBytes = 4 * 1024 * KIB;
+    const settle: (() => void)[] = [];
+    const {port, usedBytes} = await startServer(
+      {budgetBytes: limitBytes},
+      exchange =>
+        new Promise<void>(resolve => settle.push(resolve)).then(() =>
+          exchange.answer(200, {}, 'ok'),
+        ),
+    );
+    const text = `[${'{"a":1},'.repeat(4000)}0]`;
+    const clients = Array.from({length: 5}, () => openClient(port));
+    for (const {socket} of clients) socket.write(post(text.length) + text);
+    const refused = () =>
+      clients.filter(client => client.text().includes(' 503 ')).length;
+    await expect.poll(refused).toBeGreaterThan(0);
+    expect(settle.length).toBeLessThanOrEqual(3);
+    for (const resolve of settle) resolve();
+    for (const {socket} of clients) socket.destroy();
+    await expect.poll(usedBytes).toBe(0);
+  });
+
+  // The handlers of clients that had left kept their bodies uncounted.
+  it('counts running handlers whose clients have left, and so bounds them', async () => {
+    const settle: (() => void)[] = [];
+    const {port, usedBytes} = await startServer(
+      {budgetBytes: 512 * KIB},
+      () => new Promise<void>(resolve => settle.push(resolve)),
+    );
+    for (let i = 0; i < 40; i++) {
+      const {socket, closed} = openClient(port);
+      socket.write(post(40 * KIB) + 'x'.repeat(40 * KIB));
+      await sleep(10);
+      socket.destroy();
+      await closed;
+    }
+    expect(settle.length).toBeGreaterThan(2);
+    expect(settle.length).toBeLessThan(13);
+    expect(usedBytes()).toBeGreaterThan(settle.length * 40 * KIB);
+    for (const resolve of settle) resolve();
+    await expect.poll(usedBytes).toBe(0);
+  });
 });
--- a/packages/testkit/test/crowds/adapter.test.ts
+++ b/packages/testkit/test/crowds/adapter.test.ts
@@ -168,6 +168,29 @@
     TEST_TIMEOUT_MS,
   );
 
+  // One complete body of 4 MiB ended a process with the heap of an entry host.
+  it(
+    'that serves callers outlives bodies of many empty objects, complete and stopped',
+    async () => {
+      group = await startAdapterGroup();
+      const dense = (bytes: number, ends: boolean) => {
+        const text = `{"spec":"x","steps":[${'{},'.repeat(bytes / 3)}{}]}`;
+        const length = text.length + (ends ? 0 : 1);
+        return [
+          `POST /a/00000000000000bb HTTP/1.1\r\nHost: h.example\r\nContent-Length: ${length}\r\n\r\n`,
+          text,
+        ];
+      };
+      await visitEntry([
+        ...repeat(20, () => dense(90_000, true)),
+        ...repeat(20, () => dense(250_000, true)),
+        ...repeat(20, () => dense(250_000, false)),
+        ...repeat(10, () => dense(MAX_BODY_BYTES - 100, true)),
+      ]);
+    },
+    TEST_TIMEOUT_MS,
+  );
+
   it(
     'that serves operators outlives bodies in very small chunks that stop short',
     async () => {
