Bound queued requests, the runtime's answers, headers and slow readers

Cause: reading the body of any request resumed a socket that was paused because requests waited. The runtime answered requests without a host or with an unknown expectation itself, outside the limits. Header texts were hardly counted, and incomplete headers were found by the runtime's check of 30 s only. An answer that was being read was closed after 15 s.

Change: the pause is repeated when the socket resumes while requests wait, and a connection with 8,192 that wait is closed. The guard answers 400 and 417 and sends 100 Continue when a request is handled. A request has at most 100 headers, which reserve 64 bytes for each text; headers that are incomplete for 3 s are answered 408, with the reason headers-slow. Answers above 64 KiB are written in parts, and each part that was taken counts as reading. The connectionsCheckingInterval stays, since a shorter one closes an idle connection after 3 s.

--- a/packages/entry/src/listener.ts
+++ b/packages/entry/src/listener.ts
@@ -1,9 +1,11 @@
 /** The task that owns the HTTP server for calls. */
 import {
+  describeMalformed,
   guardHttpServer,
   type ClientError,
   type Intake,
 } from '@lentildrift/intake-limits';
+import {refuse} from '@lentildrift/model';
 import type {Reply, TaskSystem} from '@lentildrift/task';
 import {
   createServer,
@@ -65,6 +67,8 @@
 
   const server = createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
+    // The guard answers requests without a host.
+    requireHostHeader: !intake,
     insecureHTTPParser: false,
     keepAliveTimeout: KEEP_ALIVE_MS,
     headersTimeout: HEADERS_TIMEOUT_MS,
@@ -75,6 +79,11 @@
       intake,
       handle: ({request, response}) => onRequest(request, response),
       refuse: exchange => refuseExchange(exchange, refuseForRoom()),
+      refuseMalformed: (exchange, status) =>
+        refuseExchange(
+          exchange,
+          refuse('malformed', describeMalformed(status)),
+        ),
       answerClientError,
     });
   } else {
--- a/packages/intake-limits/src/client-error.ts
+++ b/packages/intake-limits/src/client-error.ts
@@ -1,6 +1,6 @@
 /** The answer to input that is no request. */
 import type {Socket} from 'node:net';
-import type {ClientError} from './http-guard.js';
+import type {ClientError, MalformedStatus} from './http-guard.js';
 
 /** The status line that suits the error, and its text. */
 export interface ClientErrorStatus {
@@ -25,6 +25,13 @@
   }
 }
 
+/** What is wrong with a request that the protocol does not allow. */
+export function describeMalformed(status: MalformedStatus): string {
+  return status === 400
+    ? 'the Host header is missing'
+    : 'the expectation is not supported';
+}
+
 /** Sends a response that the runtime does not encode, and closes. */
 export function sendClientError(
   socket: Socket,
--- a/packages/intake-limits/src/http-guard.ts
+++ b/packages/intake-limits/src/http-guard.ts
@@ -17,6 +17,16 @@
  * wait, and the connection is not read meanwhile.
  */
 const MAX_REQUESTS_AHEAD = 16;
+/** Two reads of 64 KiB bring fewer requests than this. */
+const MAX_QUEUED_REQUESTS = 8192;
+/** The runtime keeps no more headers of a request. */
+const MAX_HEADERS = 100;
+/** What the runtime keeps for a header text, beside its characters. */
+const HEADER_TEXT_BYTES = 64;
+/** The rest of a request's headers has to arrive in this time. */
+const HEADERS_TIMEOUT_MS = 3000;
+/** Larger answers are written in parts of this size, as the client reads. */
+const ANSWER_PART_BYTES = 64 * 1024;
 /** A smaller answer is covered by `REQUEST_BYTES`. */
 const LARGE_ANSWER_BYTES = 4096;
 /** A client that sends nothing, or reads nothing, for this long is refused. */
@@ -90,6 +100,8 @@
   handle(exchange: Exchange): Promise<void> | void;
   /** Answers a request for which there is no room; it was not handled. */
   refuse(exchange: Exchange): void;
+  /** Answers a request that the protocol does not allow; it was not handled. */
+  refuseMalformed(exchange: Exchange, status: MalformedStatus): void;
   /**
    * Answers input that is no request, and closes the connection. Called only if
    * no request of the connection waits for its answer: its client would take
@@ -98,6 +110,9 @@
   answerClientError(error: ClientError, socket: Socket): void;
 }
 
+/** No host is named, or an expectation is not supported. */
+export type MalformedStatus = 400 | 417;
+
 export interface ClientError extends Error {
   readonly code?: string;
 }
@@ -124,6 +139,12 @@
   readonly turns: Turn[];
   /** Monotonic time since which the first of `turns` waits for the client. */
   headSinceMs: number;
+  /** Bytes that had been received when the connection was last idle. */
+  idleBytesRead: number;
+  /** A request that was answered before its body was complete. */
+  uploading: IncomingMessage | undefined;
+  /** Monotonic time at which incomplete headers were first found. */
+  headersSinceMs: number | undefined;
   /** Whether the connection is closed once its refusal could be read. */
   isRefused: boolean;
   isClosed: boolean;
@@ -153,7 +174,13 @@
 /** Handles the requests of a server that is not listening yet. */
 export function guardHttpServer(
   server: Server,
-  {intake, handle, refuse, answerClientError}: HttpGuardOptions,
+  {
+    intake,
+    handle,
+    refuse,
+    refuseMalformed,
+    answerClientError,
+  }: HttpGuardOptions,
 ): void {
   const {budget} = intake;
   const connections = new Map<Socket, Connection>();
@@ -162,6 +189,10 @@
     const connection = createConnection(socket);
     if (!intake.connections.add(socket, connection.waitsSinceMs)) return;
     connections.set(socket, connection);
+    // Reading the body of any request of the connection resumes the socket.
+    socket.on('resume', () => {
+      if (connection.queue.length > 0) socket.pause();
+    });
     socket.once('close', () => {
       connections.delete(socket);
       abandon(connection);
@@ -187,6 +218,9 @@
       body: undefined,
       turns: [],
       headSinceMs: 0,
+      idleBytesRead: 0,
+      uploading: undefined,
+      headersSinceMs: undefined,
       isRefused: false,
       isClosed: false,
       waitsSinceMs() {
@@ -240,7 +274,13 @@
     connection.socket.destroy();
   }
 
-  server.on('request', (request, response) => {
+  server.maxHeadersCount = MAX_HEADERS;
+  server.on('request', receive);
+  // The runtime answers these itself otherwise, and its answers are not counted.
+  server.on('checkContinue', receive);
+  server.on('checkExpectation', receive);
+
+  function receive(request: IncomingMessage, response: ServerResponse): void {
     const connection = connections.get(request.socket);
     // The rest of a read is still parsed after the connection was closed.
     if (!connection || connection.isClosed || connection.isRefused) return;
@@ -253,12 +293,15 @@
       return;
     }
     if (connection.active >= MAX_REQUESTS_AHEAD) {
+      if (connection.queue.length >= MAX_QUEUED_REQUESTS) {
+        return close(connection, 'budget');
+      }
       connection.queue.push([request, response]);
       connection.socket.pause();
       return;
     }
     start(connection, request, response);
-  });
+  }
 
   function start(
     connection: Connection,
@@ -266,6 +309,8 @@
     response: ServerResponse,
   ): void {
     connection.active += 1;
+    connection.headersSinceMs = undefined;
+    connection.uploading = undefined;
     intake.connections.markUsed(connection.socket);
     const turn = createTurn(getRequestBytes(request));
     connection.turns.push(turn);
@@ -277,8 +322,12 @@
       connection.turns.splice(connection.turns.indexOf(turn), 1);
       connection.headSinceMs = performance.now();
       closeTurn(connection, turn);
+      if (!request.complete) connection.uploading = request;
       startNext(connection);
     });
+    const fault = findFault(request);
+    if (fault !== undefined) return refuseMalformed(exchange, fault);
+    if (request.headers.expect !== undefined) response.writeContinue();
     const handled = handle(exchange);
     if (!handled) return;
     turn.isRunning = true;
@@ -294,6 +343,7 @@
     if (connection.isClosed) return;
     if (connection.queue.length === 0) connection.socket.resume();
     if (connection.active === 0) {
+      connection.idleBytesRead = connection.socket.bytesRead;
       intake.connections.markUnused(connection.socket);
     }
   }
@@ -339,6 +389,27 @@
       }
     }
 
+    /** Writes a large answer, and records that the client goes on reading. */
+    function sendParts(bytes: Buffer): void {
+      let sentBytes = 0;
+      const sendMore = () => {
+        if (response.destroyed) return;
+        if (connection.turns[0] === turn) {
+          connection.headSinceMs = performance.now();
+        }
+        const part = bytes.subarray(sentBytes, sentBytes + ANSWER_PART_BYTES);
+        sentBytes += part.length;
+        if (sentBytes >= bytes.length) {
+          response.end(part);
+          return;
+        }
+        response.write(part, error => {
+          if (!error) sendMore();
+        });
+      };
+      sendMore();
+    }
+
     function readBody(maxBytes: number): Promise<BodyOutcome> {
       return new Promise(resolve => {
         const pending = createPendingBody(
@@ -390,8 +461,9 @@
           return close(connection, 'budget');
         }
         response.writeHead(status, {'content-length': bytes, ...headers});
-        response.end(text);
         markAnswered();
+        if (bytes <= ANSWER_PART_BYTES) response.end(text);
+        else sendParts(Buffer.from(text));
       },
       refuse(status, headers, text) {
         if (connection.isClosed || response.destroyed) return;
@@ -422,9 +494,32 @@
     };
   }
 
+  /** `node:http` looks for late headers every 30 s only. */
+  function checkHeaders(connection: Connection, nowMs: number): void {
+    const {socket, turns, uploading, idleBytesRead} = connection;
+    // The rest of a body may arrive after an early answer.
+    if (uploading && turns.length === 0) {
+      connection.idleBytesRead = socket.bytesRead;
+      if (uploading.complete) connection.uploading = undefined;
+      return;
+    }
+    if (turns.length > 0 || socket.bytesRead === idleBytesRead) return;
+    connection.headersSinceMs ??= nowMs;
+    if (nowMs - connection.headersSinceMs <= HEADERS_TIMEOUT_MS) return;
+    intake.refused('headers-slow');
+    abandon(connection);
+    if (!socket.writable) return void socket.destroy();
+    const error: ClientError = Object.assign(new Error('headers are late'), {
+      code: 'ERR_HTTP_REQUEST_TIMEOUT',
+    });
+    answerClientError(error, socket);
+    socket.destroySoon();
+  }
+
   function checkTime(nowMs: number): void {
     for (const connection of connections.values()) {
       const {body, turns, headSinceMs} = connection;
+      checkHeaders(connection, nowMs);
       if (turns[0]?.isAnswered) {
         if (nowMs - headSinceMs > STALL_TIMEOUT_MS) {
           close(connection, 'answer-unread');
@@ -443,6 +538,16 @@
   server.once('close', removeCheck);
 }
 
+function findFault({
+  httpVersion,
+  headers,
+}: IncomingMessage): MalformedStatus | undefined {
+  const {expect, host} = headers;
+  if (host === undefined && httpVersion === '1.1') return 400;
+  if (expect === undefined || expect.toLowerCase() === '100-continue') return;
+  return 417;
+}
+
 function createTurn(bytes: number): Turn {
   return {bytes, isRunning: false, isClosed: false, isAnswered: false};
 }
@@ -465,7 +570,7 @@
 /** Header texts are kept as received and by name. */
 function getRequestBytes({rawHeaders}: IncomingMessage): number {
   let bytes = REQUEST_BYTES;
-  for (const text of rawHeaders) bytes += 2 * text.length;
+  for (const text of rawHeaders) bytes += HEADER_TEXT_BYTES + 2 * text.length;
   return bytes;
 }
 
--- a/packages/intake-limits/src/index.ts
+++ b/packages/intake-limits/src/index.ts
@@ -1,4 +1,8 @@
-export {describeClientError, sendClientError} from './client-error.js';
+export {
+  describeClientError,
+  describeMalformed,
+  sendClientError,
+} from './client-error.js';
 export {gatherBody, type BodyOutcome} from './body.js';
 export {
   createBudget,
@@ -17,6 +21,7 @@
   type ClientError,
   type Exchange,
   type HttpGuardOptions,
+  type MalformedStatus,
 } from './http-guard.js';
 export {createIntake, type Intake, type IntakeOptions} from './intake.js';
 export {deriveLimits, IntakeLimits, type Machine} from './limits.js';
--- a/packages/intake-limits/src/refusals.ts
+++ b/packages/intake-limits/src/refusals.ts
@@ -7,6 +7,8 @@
   'body-too-large',
   /** The body stopped, or came at less than the least rate. */
   'body-slow',
+  /** The headers of a request did not arrive in time. */
+  'headers-slow',
   /** The requests in flight hold all that they may. */
   'budget',
   /** The client did not read its answer. */
--- a/packages/intake-limits/test/http-guard.test.ts
+++ b/packages/intake-limits/test/http-guard.test.ts
@@ -42,10 +42,11 @@
     limits: {budgetBytes, maxConnections},
     log: createLog('info', {}, line => lines.push(line)),
   });
-  const created = createServer();
+  const created = createServer({requireHostHeader: false});
   guardHttpServer(created, {
     intake,
     refuse: exchange => exchange.refuse(503, {}, REFUSED),
+    refuseMalformed: (exchange, status) => exchange.refuse(status, {}, REFUSED),
     answerClientError: (error, socket) =>
       sendClientError(socket, describeClientError(error).status, {}, REFUSED),
     handle(exchange) {
@@ -306,4 +307,97 @@
     for (const resolve of settle) resolve();
     await expect.poll(usedBytes).toBe(0);
   });
+
+  // Node's own answers to these were not counted and not bounded.
+  it('answers requests without a host or with an unknown expectation itself', async () => {
+    const {port, lines} = await startServer();
+    for (const [head, status] of [
+      ['GET / HTTP/1.1\r\n\r\n', 400],
+      ['GET / HTTP/1.1\r\nHost: h\r\nExpect: x\r\n\r\n', 417],
+    ] as const) {
+      const client = openClient(port);
+      client.socket.write(head.repeat(1000));
+      await client.closed;
+      expect(client.text().match(/HTTP\/1\.1 \d+/g)).toEqual([
+        `HTTP/1.1 ${status}`,
+      ]);
+      expect(client.text()).toContain(REFUSED);
+    }
+    expect(lines).toEqual([]);
+  });
+
+  it('invites a body that its client announced with an expectation', async () => {
+    const {port} = await startServer();
+    const client = openClient(port);
+    const head = post(3).replace('Host: h', 'Host: h\r\nExpect: 100-continue');
+    client.socket.write(head);
+    await expect.poll(client.text).toMatch(/^HTTP\/1\.1 100 Continue/);
+    client.socket.write('xxx');
+    await expect.poll(client.text).toContain('<3>');
+  });
+
+  // Reading any body resumed the socket, so that all that was sent was queued.
+  it('does not read on while requests wait, although bodies are read', async () => {
+    const {port, usedBytes} = await startServer(
+      {},
+      () => new Promise(() => {}),
+    );
+    const {socket} = openClient(port);
+    const block = (post(1) + 'x').repeat(500);
+    for (let i = 0; i < 100; i++) socket.write(block);
+    await sleep(1000);
+    const heldBytes = usedBytes();
+    expect(heldBytes).toBeGreaterThan(0);
+    expect(heldBytes).toBeLessThan(48 * 1024 * KIB);
+    expect(socket.destroyed).toBe(false);
+  });
+
+  it('closes a connection whose headers stop, and keeps an idle one', async () => {
+    vi.useFakeTimers({toFake: ['setInterval', 'performance']});
+    const {port} = await startServer();
+    const silent = openClient(port);
+    const served = openClient(port);
+    served.socket.write(post(0));
+    const stopped = openClient(port);
+    stopped.socket.write('GET / HTTP/1.1\r\nHo');
+    await expect.poll(served.text).toContain('<0>');
+    for (let second = 0; second < 5; second++) {
+      await sleep(20);
+      vi.advanceTimersByTime(1000);
+    }
+    await stopped.closed;
+    expect(stopped.text()).toMatch(/^HTTP\/1\.1 408 /);
+    expect(silent.socket.closed).toBe(false);
+    expect(served.socket.closed).toBe(false);
+  });
+
+  // An answer that was being read was closed after 15 s.
+  it('keeps a connection that reads a large answer slowly', async () => {
+    vi.useFakeTimers({toFake: ['setInterval', 'performance']});
+    const largeBytes = 40 * 1024 * KIB;
+    const large = 'x'.repeat(largeBytes);
+    const {port} = await startServer({}, exchange =>
+      exchange.answer(200, {}, large),
+    );
+    const {socket} = openClient(port);
+    let receivedBytes = 0;
+    let pauseAtBytes = 0;
+    socket.on('data', part => {
+      receivedBytes += part.length;
+      if (receivedBytes >= pauseAtBytes) socket.pause();
+    });
+    socket.write(post(0));
+    for (let second = 0; second < 25; second++) {
+      pauseAtBytes += 1024 * KIB;
+      socket.resume();
+      await expect
+        .poll(() => receivedBytes)
+        .toBeGreaterThanOrEqual(pauseAtBytes);
+      vi.advanceTimersByTime(1000);
+      await sleep(10);
+    }
+    pauseAtBytes = Infinity;
+    socket.resume();
+    await expect.poll(() => receivedBytes).toBeGreaterThan(largeBytes);
+  });
 });
--- a/packages/protocol/src/router.ts
+++ b/packages/protocol/src/router.ts
@@ -1,6 +1,7 @@
 /** The `trpc` encoding of the services: router and HTTP server. */
 import {
   describeClientError,
+  describeMalformed,
   guardHttpServer,
   sendClientError,
   type Exchange,
@@ -157,11 +158,14 @@
     },
   });
   if (!intake) return createServer(handler);
-  const server = createServer();
+  // The guard answers requests without a host.
+  const server = createServer({requireHostHeader: false});
   guardHttpServer(server, {
     intake,
     handle: exchange => void serve(exchange),
     refuse: exchange => refuseRequest(exchange, 503, 'too much is in flight'),
+    refuseMalformed: (exchange, status) =>
+      refuseRequest(exchange, status, describeMalformed(status)),
     answerClientError(error, socket) {
       const {status, message} = describeClientError(error);
       const body = {error: message, verdict: 'not-run'};
