--- a/packages/intake-limits/src/http-guard.ts
+++ b/packages/intake-limits/src/http-guard.ts
@@ -4,6 +4,7 @@
 import {gatherBody, type BodyOutcome} from './body.js';
 import type {Holder} from './budget.js';
 import type {Intake} from './intake.js';
+import {countJsonMarks} from './json-marks.js';
 import type {RefusalReason} from './refusals.js';
 
 /**
@@ -22,6 +23,16 @@
  * turn, a thousand of one read.
  */
 const MAX_REQUESTS_PER_TURN = 1000;
+/** Two reads of 64 KiB bring fewer requests than this. */
+const MAX_QUEUED_REQUESTS = 8192;
+/** The runtime keeps no more headers of a request. */
+const MAX_HEADERS = 100;
+/** What the runtime keeps for a header text, beside its characters. */
+const HEADER_TEXT_BYTES = 64;
+/** The rest of a request's headers has to arrive in this time. */
+const HEADERS_TIMEOUT_MS = 3000;
+/** Larger answers are written in parts of this size, as the client reads. */
+const ANSWER_PART_BYTES = 64 * 1024;
 /** A smaller answer is covered by `REQUEST_BYTES`. */
 const LARGE_ANSWER_BYTES = 4096;
 /** A client that sends nothing, or reads nothing, for this long is refused. */
@@ -29,6 +40,15 @@
 /** Fewer bytes than this in `STALL_TIMEOUT_MS` count as none. */
 const PROGRESS_BYTES = 1024;
 const BODY_TIMEOUT_MS = 60_000;
+/** A smaller body is covered by `REQUEST_BYTES`, with its parsed value. */
+const SMALL_BODY_BYTES = 1024;
+/** What a value of a parsed JSON text takes, with its validated copy. */
+const JSON_VALUE_BYTES = 256;
+/**
+ * Bytes of a body for each of its JSON values, at least. Bodies of clients
+ * inside the limits have more than 16.
+ */
+const MIN_BYTES_PER_JSON_VALUE = 8;
 /**
  * Time in which the rest of a refused body is discarded. A connection that is
  * closed with unread input is reset, and its client may lose the refusal.
@@ -79,10 +99,15 @@
 
 export interface HttpGuardOptions {
   readonly intake: Intake;
-  /** Handles a request; must not throw. */
-  handle(exchange: Exchange): void;
+  /**
+   * Handles a request; must not throw or reject. What the request reserved is
+   * kept until the promise settles, also if the client has left.
+   */
+  handle(exchange: Exchange): Promise<void> | void;
   /** Answers a request for which there is no room; it was not handled. */
   refuse(exchange: Exchange): void;
+  /** Answers a request that the protocol does not allow; it was not handled. */
+  refuseMalformed(exchange: Exchange, status: MalformedStatus): void;
   /**
    * Answers input that is no request, and closes the connection. Called only if
    * no request of the connection waits for its answer: its client would take
@@ -91,6 +116,9 @@
   answerClientError(error: ClientError, socket: Socket): void;
 }
 
+/** No host is named, or an expectation is not supported. */
+export type MalformedStatus = 400 | 417;
+
 export interface ClientError extends Error {
   readonly code?: string;
 }
@@ -117,14 +145,23 @@
   readonly turns: Turn[];
   /** Monotonic time since which the first of `turns` waits for the client. */
   headSinceMs: number;
+  /** Bytes that had been received when the connection was last idle. */
+  idleBytesRead: number;
+  /** A request that was answered before its body was complete. */
+  uploading: IncomingMessage | undefined;
+  /** Monotonic time at which incomplete headers were first found. */
+  headersSinceMs: number | undefined;
   /** Whether the connection is closed once its refusal could be read. */
   isRefused: boolean;
   isClosed: boolean;
 }
 
 interface Turn {
-  /** What the request reserved beside its body. */
-  readonly bytes: number;
+  /** What the request holds of the budget. */
+  bytes: number;
+  /** Whether the handler may still use the body of the request. */
+  isRunning: boolean;
+  isClosed: boolean;
   /** Whether the answer is complete, so that only the client delays it. */
   isAnswered: boolean;
 }
@@ -136,12 +173,20 @@
   recentBytes: number;
   /** Gives up the body. */
   refuse(reason: 'body-slow' | 'budget'): void;
+  /** The connection is closed. */
+  abort(): void;
 }
 
 /** Handles the requests of a server that is not listening yet. */
 export function guardHttpServer(
   server: Server,
-  {intake, handle, refuse, answerClientError}: HttpGuardOptions,
+  {
+    intake,
+    handle,
+    refuse,
+    refuseMalformed,
+    answerClientError,
+  }: HttpGuardOptions,
 ): void {
   const {budget} = intake;
   const connections = new Map<Socket, Connection>();
@@ -150,11 +195,13 @@
     const connection = createConnection(socket);
     if (!intake.connections.add(socket, connection.waitsSinceMs)) return;
     connections.set(socket, connection);
+    // Reading the body of any request of the connection resumes the socket.
+    socket.on('resume', () => {
+      if (connection.queue.length > 0) socket.pause();
+    });
     socket.once('close', () => {
       connections.delete(socket);
-      connection.isClosed = true;
-      connection.queue.length = 0;
-      budget.release(connection, connection.heldBytes);
+      abandon(connection);
     });
   });
 
@@ -177,10 +224,14 @@
       body: undefined,
       turns: [],
       headSinceMs: 0,
+      idleBytesRead: 0,
+      uploading: undefined,
+      headersSinceMs: undefined,
       isRefused: false,
       isClosed: false,
       waitsSinceMs() {
-        const {body, turns, headSinceMs} = connection;
+        const {body, turns, headSinceMs, isClosed} = connection;
+        if (isClosed) return undefined;
         return turns[0]?.isAnswered ? headSinceMs : body?.progressMs;
       },
       evict() {
@@ -195,12 +246,36 @@
     return connection;
   }
 
+  /**
+   * Releases what a closed connection held, except what its running handlers
+   * use.
+   */
+  function abandon(connection: Connection): void {
+    if (connection.isClosed) return;
+    connection.isClosed = true;
+    const {queue, turns, body} = connection;
+    for (const [request] of queue.splice(0)) {
+      budget.release(connection, getRequestBytes(request));
+    }
+    body?.abort();
+    for (const turn of turns) closeTurn(connection, turn);
+  }
+
+  function closeTurn(connection: Connection, turn: Turn): void {
+    turn.isClosed = true;
+    releaseTurn(connection, turn);
+  }
+
+  function releaseTurn(connection: Connection, turn: Turn): void {
+    if (turn.isRunning || !turn.isClosed) return;
+    budget.release(connection, turn.bytes);
+    turn.bytes = 0;
+  }
+
   /** Closes a connection at once; the clients of its requests get no answer. */
   function close(connection: Connection, reason: RefusalReason): void {
     if (connection.isClosed) return;
-    connection.isClosed = true;
-    connection.queue.length = 0;
-    budget.release(connection, connection.heldBytes);
+    abandon(connection);
     intake.refused(reason);
     connection.socket.destroy();
   }
@@ -229,7 +304,13 @@
     heldBack.clear();
   }
 
-  server.on('request', (request, response) => {
+  server.maxHeadersCount = MAX_HEADERS;
+  server.on('request', receive);
+  // The runtime answers these itself otherwise, and its answers are not counted.
+  server.on('checkContinue', receive);
+  server.on('checkExpectation', receive);
+
+  function receive(request: IncomingMessage, response: ServerResponse): void {
     countRequest();
     const connection = connections.get(request.socket);
     // The rest of a read is still parsed after the connection was closed.
@@ -237,18 +318,21 @@
     if (!budget.reserve(connection, getRequestBytes(request))) {
       if (connection.active > 0) return close(connection, 'budget');
       intake.refused('budget');
-      const turn = {bytes: 0, isAnswered: false};
+      const turn = createTurn(0);
       connection.turns.push(turn);
       refuse(createExchange(connection, request, response, turn));
       return;
     }
     if (connection.active >= MAX_REQUESTS_AHEAD) {
+      if (connection.queue.length >= MAX_QUEUED_REQUESTS) {
+        return close(connection, 'budget');
+      }
       connection.queue.push([request, response]);
       connection.socket.pause();
       return;
     }
     start(connection, request, response);
-  });
+  }
 
   function start(
     connection: Connection,
@@ -256,8 +340,10 @@
     response: ServerResponse,
   ): void {
     connection.active += 1;
+    connection.headersSinceMs = undefined;
+    connection.uploading = undefined;
     intake.connections.markUsed(connection.socket);
-    const turn = {bytes: getRequestBytes(request), isAnswered: false};
+    const turn = createTurn(getRequestBytes(request));
     connection.turns.push(turn);
     const exchange = createExchange(connection, request, response, turn);
     exchanges.set(request, exchange);
@@ -266,10 +352,20 @@
       connection.active -= 1;
       connection.turns.splice(connection.turns.indexOf(turn), 1);
       connection.headSinceMs = performance.now();
-      budget.release(connection, turn.bytes);
+      closeTurn(connection, turn);
+      if (!request.complete) connection.uploading = request;
       startNext(connection);
     });
-    handle(exchange);
+    const fault = findFault(request);
+    if (fault !== undefined) return refuseMalformed(exchange, fault);
+    if (request.headers.expect !== undefined) response.writeContinue();
+    const handled = handle(exchange);
+    if (!handled) return;
+    turn.isRunning = true;
+    void handled.finally(() => {
+      turn.isRunning = false;
+      releaseTurn(connection, turn);
+    });
   }
 
   function startNext(connection: Connection): void {
@@ -278,6 +374,7 @@
     if (connection.isClosed) return;
     if (connection.queue.length === 0) connection.socket.resume();
     if (connection.active === 0) {
+      connection.idleBytesRead = connection.socket.bytesRead;
       intake.connections.markUnused(connection.socket);
     }
   }
@@ -288,25 +385,32 @@
     response: ServerResponse,
     turn: Turn,
   ): Exchange {
-    /** Reserved for the body and a large answer of this request. */
-    let reservedBytes = 0;
-
     function reserve(bytes: number): boolean {
       if (connection.isClosed || !budget.reserve(connection, bytes)) {
         return false;
       }
-      if (reservedBytes === 0) response.once('close', releaseAll);
-      reservedBytes += bytes;
+      turn.bytes += bytes;
       return true;
     }
 
     function release(bytes: number): void {
-      reservedBytes -= bytes;
-      if (!connection.isClosed) budget.release(connection, bytes);
+      const released = Math.min(bytes, turn.bytes);
+      turn.bytes -= released;
+      budget.release(connection, released);
     }
 
-    function releaseAll(): void {
-      release(reservedBytes);
+    /** Reserves what the parsed body takes, or refuses the body. */
+    function admitParsing(body: BodyOutcome, maxBytes: number): BodyOutcome {
+      if (body.type !== 'complete') return body;
+      if (body.text.length <= SMALL_BODY_BYTES) return body;
+      const maxMarks = Math.floor(maxBytes / MIN_BYTES_PER_JSON_VALUE);
+      const marks = countJsonMarks(body.text, maxMarks);
+      if (marks > maxMarks) return {type: 'refused', reason: 'body-too-large'};
+      const bytes = Math.min(
+        marks * JSON_VALUE_BYTES,
+        budget.largestValueBytes(),
+      );
+      return reserve(bytes) ? body : {type: 'refused', reason: 'budget'};
     }
 
     function markAnswered(): void {
@@ -316,9 +420,33 @@
       }
     }
 
+    /** Writes a large answer, and records that the client goes on reading. */
+    function sendParts(bytes: Buffer): void {
+      let sentBytes = 0;
+      const sendMore = () => {
+        if (response.destroyed) return;
+        if (connection.turns[0] === turn) {
+          connection.headSinceMs = performance.now();
+        }
+        const part = bytes.subarray(sentBytes, sentBytes + ANSWER_PART_BYTES);
+        sentBytes += part.length;
+        if (sentBytes >= bytes.length) {
+          response.end(part);
+          return;
+        }
+        response.write(part, error => {
+          if (!error) sendMore();
+        });
+      };
+      sendMore();
+    }
+
     function readBody(maxBytes: number): Promise<BodyOutcome> {
       return new Promise(resolve => {
-        const pending = createPendingBody(reason => gathering.refuse(reason));
+        const pending = createPendingBody(
+          reason => gathering.refuse(reason),
+          () => gathering.abort(),
+        );
         connection.body = pending;
         const gathering = gatherBody(request, {
           maxBytes,
@@ -326,8 +454,9 @@
           reserve,
           release,
           onProgress: bytes => addProgress(pending, bytes),
-          onOutcome(outcome) {
+          onOutcome(gathered) {
             if (connection.body === pending) connection.body = undefined;
+            const outcome = admitParsing(gathered, maxBytes);
             if (outcome.type === 'refused') intake.refused(outcome.reason);
             resolve(outcome);
           },
@@ -363,8 +492,9 @@
           return close(connection, 'budget');
         }
         response.writeHead(status, {'content-length': bytes, ...headers});
-        response.end(text);
         markAnswered();
+        if (bytes <= ANSWER_PART_BYTES) response.end(text);
+        else sendParts(Buffer.from(text));
       },
       refuse(status, headers, text) {
         if (connection.isClosed || response.destroyed) return;
@@ -395,9 +525,32 @@
     };
   }
 
+  /** `node:http` looks for late headers every 30 s only. */
+  function checkHeaders(connection: Connection, nowMs: number): void {
+    const {socket, turns, uploading, idleBytesRead} = connection;
+    // The rest of a body may arrive after an early answer.
+    if (uploading && turns.length === 0) {
+      connection.idleBytesRead = socket.bytesRead;
+      if (uploading.complete) connection.uploading = undefined;
+      return;
+    }
+    if (turns.length > 0 || socket.bytesRead === idleBytesRead) return;
+    connection.headersSinceMs ??= nowMs;
+    if (nowMs - connection.headersSinceMs <= HEADERS_TIMEOUT_MS) return;
+    intake.refused('headers-slow');
+    abandon(connection);
+    if (!socket.writable) return void socket.destroy();
+    const error: ClientError = Object.assign(new Error('headers are late'), {
+      code: 'ERR_HTTP_REQUEST_TIMEOUT',
+    });
+    answerClientError(error, socket);
+    socket.destroySoon();
+  }
+
   function checkTime(nowMs: number): void {
     for (const connection of connections.values()) {
       const {body, turns, headSinceMs} = connection;
+      checkHeaders(connection, nowMs);
       if (turns[0]?.isAnswered) {
         if (nowMs - headSinceMs > STALL_TIMEOUT_MS) {
           close(connection, 'answer-unread');
@@ -416,9 +569,26 @@
   server.once('close', removeCheck);
 }
 
-function createPendingBody(refuse: PendingBody['refuse']): PendingBody {
+function findFault({
+  httpVersion,
+  headers,
+}: IncomingMessage): MalformedStatus | undefined {
+  const {expect, host} = headers;
+  if (host === undefined && httpVersion === '1.1') return 400;
+  if (expect === undefined || expect.toLowerCase() === '100-continue') return;
+  return 417;
+}
+
+function createTurn(bytes: number): Turn {
+  return {bytes, isRunning: false, isClosed: false, isAnswered: false};
+}
+
+function createPendingBody(
+  refuse: PendingBody['refuse'],
+  abort: PendingBody['abort'] = () => undefined,
+): PendingBody {
   const nowMs = performance.now();
-  return {startMs: nowMs, progressMs: nowMs, recentBytes: 0, refuse};
+  return {startMs: nowMs, progressMs: nowMs, recentBytes: 0, refuse, abort};
 }
 
 function addProgress(body: PendingBody, bytes: number): void {
@@ -431,7 +601,7 @@
 /** Header texts are kept as received and by name. */
 function getRequestBytes({rawHeaders}: IncomingMessage): number {
   let bytes = REQUEST_BYTES;
-  for (const text of rawHeaders) bytes += 2 * text.length;
+  for (const text of rawHeaders) bytes += HEADER_TEXT_BYTES + 2 * text.length;
   return bytes;
 }
 
--- a/packages/intake-limits/test/http-guard.test.ts
+++ b/packages/intake-limits/test/http-guard.test.ts
@@ -34,7 +34,7 @@
 /** Starts a server that answers with the length of the body. */
 async function startServer(
   {budgetBytes = 64 * 1024 * KIB, maxConnections = 100}: Limits = {},
-  answer?: (exchange: Exchange, text: string) => void,
+  answer?: (exchange: Exchange, text: string) => unknown,
 ): Promise<{port: number; lines: string[]; usedBytes(): number}> {
   const lines: string[] = [];
   const intake = createIntake({
@@ -42,17 +42,18 @@
     limits: {budgetBytes, maxConnections},
     log: createLog('info', {}, line => lines.push(line)),
   });
-  const created = createServer();
+  const created = createServer({requireHostHeader: false});
   guardHttpServer(created, {
     intake,
     refuse: exchange => exchange.refuse(503, {}, REFUSED),
+    refuseMalformed: (exchange, status) => exchange.refuse(status, {}, REFUSED),
     answerClientError: (error, socket) =>
       sendClientError(socket, describeClientError(error).status, {}, REFUSED),
     handle(exchange) {
-      void exchange.readBody(MAX_BODY_BYTES).then(body => {
-        if (body.type === 'aborted') return exchange.response.destroy();
+      return exchange.readBody(MAX_BODY_BYTES).then(async body => {
+        if (body.type === 'aborted') return void exchange.response.destroy();
         if (body.type === 'complete') {
-          if (answer) return answer(exchange, body.text);
+          if (answer) return void (await answer(exchange, body.text));
           return exchange.answer(200, {}, `<${body.text.length}>`);
         }
         const status = body.reason === 'body-too-large' ? 413 : 503;
@@ -244,4 +245,159 @@
       expect(client.text()).toContain(REFUSED);
     }
   });
+
+  // A body of `{},` took twenty times its bytes once it was parsed.
+  it('refuses a body of more values than its size allows, before it is parsed', async () => {
+    const parsed: string[] = [];
+    const {port} = await startServer({}, (exchange, text) => {
+      parsed.push(text);
+      exchange.answer(200, {}, 'ok');
+    });
+    const client = openClient(port);
+    const dense = `[${'{},'.repeat(20_000)}0]`;
+    client.socket.write(post(dense.length) + dense);
+    await client.closed;
+    expect(client.text()).toMatch(/^HTTP\/1\.1 413 /);
+    expect(parsed).toEqual([]);
+    const usual = openClient(port);
+    const text = `["${'{},'.repeat(20_000)}"]`;
+    usual.socket.write(post(text.length) + text);
+    await expect.poll(usual.text).toContain('ok');
+  });
+
+  it('reserves what parsed bodies take until their handlers settle', async () => {
+    const limitBytes = 4 * 1024 * KIB;
+    const settle: (() => void)[] = [];
+    const {port, usedBytes} = await startServer(
+      {budgetBytes: limitBytes},
+      exchange =>
+        new Promise<void>(resolve => settle.push(resolve)).then(() =>
+          exchange.answer(200, {}, 'ok'),
+        ),
+    );
+    const text = `[${'{"a":1},'.repeat(4000)}0]`;
+    const clients = Array.from({length: 5}, () => openClient(port));
+    for (const {socket} of clients) socket.write(post(text.length) + text);
+    const refused = () =>
+      clients.filter(client => client.text().includes(' 503 ')).length;
+    await expect.poll(refused).toBeGreaterThan(0);
+    expect(settle.length).toBeLessThanOrEqual(3);
+    for (const resolve of settle) resolve();
+    for (const {socket} of clients) socket.destroy();
+    await expect.poll(usedBytes).toBe(0);
+  });
+
+  // The handlers of clients that had left kept their bodies uncounted.
+  it('counts running handlers whose clients have left, and so bounds them', async () => {
+    const settle: (() => void)[] = [];
+    const {port, usedBytes} = await startServer(
+      {budgetBytes: 512 * KIB},
+      () => new Promise<void>(resolve => settle.push(resolve)),
+    );
+    for (let i = 0; i < 40; i++) {
+      const {socket, closed} = openClient(port);
+      socket.write(post(40 * KIB) + 'x'.repeat(40 * KIB));
+      await sleep(10);
+      socket.destroy();
+      await closed;
+    }
+    expect(settle.length).toBeGreaterThan(2);
+    expect(settle.length).toBeLessThan(13);
+    expect(usedBytes()).toBeGreaterThan(settle.length * 40 * KIB);
+    for (const resolve of settle) resolve();
+    await expect.poll(usedBytes).toBe(0);
+  });
+
+  // Node's own answers to these were not counted and not bounded.
+  it('answers requests without a host or with an unknown expectation itself', async () => {
+    const {port, lines} = await startServer();
+    for (const [head, status] of [
+      ['GET / HTTP/1.1\r\n\r\n', 400],
+      ['GET / HTTP/1.1\r\nHost: h\r\nExpect: x\r\n\r\n', 417],
+    ] as const) {
+      const client = openClient(port);
+      client.socket.write(head.repeat(1000));
+      await client.closed;
+      expect(client.text().match(/HTTP\/1\.1 \d+/g)).toEqual([
+        `HTTP/1.1 ${status}`,
+      ]);
+      expect(client.text()).toContain(REFUSED);
+    }
+    expect(lines).toEqual([]);
+  });
+
+  it('invites a body that its client announced with an expectation', async () => {
+    const {port} = await startServer();
+    const client = openClient(port);
+    const head = post(3).replace('Host: h', 'Host: h\r\nExpect: 100-continue');
+    client.socket.write(head);
+    await expect.poll(client.text).toMatch(/^HTTP\/1\.1 100 Continue/);
+    client.socket.write('xxx');
+    await expect.poll(client.text).toContain('<3>');
+  });
+
+  // Reading any body resumed the socket, so that all that was sent was queued.
+  it('does not read on while requests wait, although bodies are read', async () => {
+    const {port, usedBytes} = await startServer(
+      {},
+      () => new Promise(() => {}),
+    );
+    const {socket} = openClient(port);
+    const block = (post(1) + 'x').repeat(500);
+    for (let i = 0; i < 100; i++) socket.write(block);
+    await sleep(1000);
+    const heldBytes = usedBytes();
+    expect(heldBytes).toBeGreaterThan(0);
+    expect(heldBytes).toBeLessThan(48 * 1024 * KIB);
+    expect(socket.destroyed).toBe(false);
+  });
+
+  it('closes a connection whose headers stop, and keeps an idle one', async () => {
+    vi.useFakeTimers({toFake: ['setInterval', 'performance']});
+    const {port} = await startServer();
+    const silent = openClient(port);
+    const served = openClient(port);
+    served.socket.write(post(0));
+    const stopped = openClient(port);
+    stopped.socket.write('GET / HTTP/1.1\r\nHo');
+    await expect.poll(served.text).toContain('<0>');
+    for (let second = 0; second < 5; second++) {
+      await sleep(20);
+      vi.advanceTimersByTime(1000);
+    }
+    await stopped.closed;
+    expect(stopped.text()).toMatch(/^HTTP\/1\.1 408 /);
+    expect(silent.socket.closed).toBe(false);
+    expect(served.socket.closed).toBe(false);
+  });
+
+  // An answer that was being read was closed after 15 s.
+  it('keeps a connection that reads a large answer slowly', async () => {
+    vi.useFakeTimers({toFake: ['setInterval', 'performance']});
+    const largeBytes = 40 * 1024 * KIB;
+    const large = 'x'.repeat(largeBytes);
+    const {port} = await startServer({}, exchange =>
+      exchange.answer(200, {}, large),
+    );
+    const {socket} = openClient(port);
+    let receivedBytes = 0;
+    let pauseAtBytes = 0;
+    socket.on('data', part => {
+      receivedBytes += part.length;
+      if (receivedBytes >= pauseAtBytes) socket.pause();
+    });
+    socket.write(post(0));
+    for (let second = 0; second < 25; second++) {
+      pauseAtBytes += 1024 * KIB;
+      socket.resume();
+      await expect
+        .poll(() => receivedBytes)
+        .toBeGreaterThanOrEqual(pauseAtBytes);
+      vi.advanceTimersByTime(1000);
+      await sleep(10);
+    }
+    pauseAtBytes = Infinity;
+    socket.resume();
+    await expect.poll(() => receivedBytes).toBeGreaterThan(largeBytes);
+  });
 });
--- a/packages/testkit/test/cost.test.ts
+++ b/packages/testkit/test/cost.test.ts
@@ -45,18 +45,22 @@
 describe('the policies that weigh costs', () => {
   // Three teams sent five times their usual, and callers that were too late
   // already came back for the room of those that could be in time.
-  it.each([1, 2])(
-    'serve more in time, and the worst teams, of a burst by some teams, seed %d',
-    async seed => {
+  it('serve more in time, and the worst teams, of bursts by some teams', async () => {
+    const gains = {served: 0, worstTeams: 0};
+    const seeds = [1, 2, 3];
+    for (const seed of seeds) {
       const {before, after} = await compare(TEAMS_JOBS, seed);
-      expect(after.served).toBeGreaterThan(before.served + 0.02);
-      expect(after.worstTeams).toBeGreaterThan(before.worstTeams + 0.02);
+      expect(after.served).toBeGreaterThan(before.served);
+      expect(after.worstTeams).toBeGreaterThan(before.worstTeams);
+      gains.served += (after.served - before.served) / seeds.length;
+      gains.worstTeams += (after.worstTeams - before.worstTeams) / seeds.length;
       expect(after.refusals['beyond-share']).toBeGreaterThan(0);
       // The largest tenth of a queue, and the fifth below it, are not given up.
       expect(after.worstSize).toBeGreaterThan(0.5 * after.worstQueue);
-    },
-    120_000,
-  );
+    }
+    expect(gains.served).toBeGreaterThan(0.03);
+    expect(gains.worstTeams).toBeGreaterThan(0.05);
+  }, 180_000);
 
   it('serve more urgent jobs of a pool with others, and more jobs', async () => {
     const {before, after} = await compare(PRIORITIES_JOBS, 1);
