Test that an evacuation survives a restart of the whole group

No test restarted members: one of that name only encoded a state. Three control processes now stop and start again on what each has stored, and the evacuation that was acknowledged before is still listed.

--- a/packages/command/test/evacuations.test.ts
+++ b/packages/command/test/evacuations.test.ts
@@ -72,12 +72,18 @@
   return port;
 }
 
+/** What each control process has stored, by address. */
+const disks = new Map<string, MemoryDisk>();
+
 function startControl(address: string): Promise<QueueControl> {
+  const known = disks.get(address);
+  const disk = known ?? new MemoryDisk();
+  disks.set(address, disk);
   return startQueueControl({
     member: `${address}/first`,
-    store: new MemoryStore(new MemoryDisk()),
+    store: new MemoryStore(disk),
     seeds: () => addresses,
-    firstStart: true,
+    firstStart: !known,
     toleratedDiskLosses: 1,
     driver: new NoWorkers(),
     dataCentre: 'a',
@@ -140,6 +146,17 @@
     expect(empty.out).toBe('no data centre is evacuated\n');
   });
 
+  // An evacuation that was acknowledged must not be lost with the processes.
+  it('finds an evacuation after all processes have restarted from their logs', async () => {
+    const started = await run('evacuation start b --timeout-ms 15000');
+    expect(started.code).toBe(0);
+    await Promise.all(controls.map(control => control.stop()));
+    controls = await Promise.all(addresses.map(startControl));
+    const listed = await run('evacuation list --json --timeout-ms 15000');
+    expect(JSON.parse(listed.out)).toMatchObject([{name: 'b'}]);
+    expect((await run('evacuation end b')).code).toBe(0);
+  });
+
   it('tells wrong usage from a system that does not answer', async () => {
     const missing = await run('evacuation start a', '');
     expect(missing).toMatchObject({code: 2, out: ''});
