--- a/packages/command/src/page.ts
+++ b/packages/command/src/page.ts
@@ -92,7 +92,8 @@
   overloaded: {
     status: 429,
     verdict: 'not-run',
-    meaning: 'Every upstream of the pool is full.',
+    meaning:
+      'Every upstream of the pool is full, or the requests in flight hold all of `--body-budget-bytes`.',
     action: 'Resend after `retry-after`; add hosts to the pool if this lasts.',
   },
   'no-upstream': {
@@ -110,7 +111,8 @@
   timeout: {
     status: 504,
     verdict: 'not-run or may-have-run, as it was',
-    meaning: "No complete answer within the route's `timeoutMs`.",
+    meaning:
+      "No complete answer within the route's `timeoutMs`, or the body did not arrive in time.",
     action: 'Resend only with not-run; look at the upstreams.',
   },
   'upstream-failed': {
