--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -20,6 +20,7 @@
   type PlannerOptions,
   type StateReplica,
 } from '@lentildrift/control';
+import type {Intake} from '@lentildrift/intake-limits';
 import {
   changeSchema,
   stateSchema,
@@ -27,7 +28,7 @@
   type Change,
   type State,
 } from '@lentildrift/model';
-import type {Log} from '@lentildrift/observe';
+import type {Log, Metrics} from '@lentildrift/observe';
 import {HttpPlatform, type Platform} from '@lentildrift/platform';
 import type {ControlService} from '@lentildrift/protocol';
 import {SettingsError, type Settings} from '@lentildrift/settings';
@@ -65,6 +66,10 @@
 export interface RoleContext {
   readonly tasks: TaskSystem;
   readonly log: Log;
+  /** Limits of clients that the roles of the process share. */
+  readonly intake: Intake;
+  /** Metrics that the entry role shows; its own if absent. */
+  readonly metrics?: Metrics;
   /**
    * Called when the replica failed. The process must then exit, because it can
    * no longer keep the changes that it accepted.
@@ -99,7 +104,7 @@
   settings: ControlSettings,
   context: ControlContext,
 ): Promise<ControlRole> {
-  const {tasks, log} = context;
+  const {tasks, log, intake} = context;
   const {clusterSecret, controlAddress: host, controlPort: port} = settings;
   if (clusterSecret === undefined) {
     throw new SettingsError(
@@ -116,6 +121,7 @@
     log,
     peers,
     clusterSecret,
+    intake,
     onMessages: (from, messages) =>
       replica.receive(from, z.array(PeerMessage).parse(messages)),
     onJoinRequest: group.handleJoinRequest,
--- a/packages/daemon/src/embedded.ts
+++ b/packages/daemon/src/embedded.ts
@@ -1,11 +1,12 @@
 /** Embedded mode: every role in one process, on loopback, with sample data. */
+import type {Intake} from '@lentildrift/intake-limits';
 import {
   createKey,
   type ChangeBody,
   type Command,
   type Subject,
 } from '@lentildrift/model';
-import type {Log} from '@lentildrift/observe';
+import type {Log, Metrics} from '@lentildrift/observe';
 import {
   FakePlatform,
   SAMPLE_HOSTS,
@@ -31,6 +32,10 @@
 
 export interface EmbeddedOptions {
   readonly log: Log;
+  /** Limits of clients that the roles share. */
+  readonly intake: Intake;
+  /** Metrics that the entry role shows; its own if absent. */
+  readonly metrics?: Metrics;
   readonly entryPort: number;
   readonly dataFolder: string;
   /**
@@ -61,7 +66,14 @@
 export async function startEmbedded(
   options: EmbeddedOptions,
 ): Promise<EmbeddedDaemon> {
-  const {log, entryPort, controlPort = 0, dataFolder, onFatal} = options;
+  const {
+    log,
+    intake,
+    entryPort,
+    controlPort = 0,
+    dataFolder,
+    onFatal,
+  } = options;
   const {entryAddress = LOOPBACK, controlAddress = LOOPBACK} = options;
   const tasks = startTasks((task, error) =>
     log.error('task-failed', {task, error: error.message}),
@@ -84,7 +96,7 @@
       clusterSecret: randomBytes(SECRET_BYTES).toString('hex'),
       operatorKeyHash: operator,
     },
-    {tasks, log, onFatal, platform},
+    {tasks, log, intake, onFatal, platform},
   );
   await waitForLeadership(control);
   const {teamKey, poolKey} = await applySampleData(control);
@@ -96,7 +108,14 @@
       controlMembers: undefined,
       clusterSecret: undefined,
     },
-    {tasks, log, onFatal, control: control.service},
+    {
+      tasks,
+      log,
+      intake,
+      metrics: options.metrics,
+      onFatal,
+      control: control.service,
+    },
   );
   const upstream = await startUpstream({
     pool: 'booking',
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,6 +1,11 @@
 #!/usr/bin/env node
 /** Entry point of the daemon `lentildriftd`. */
-import {createLog, watchEventLoop, type Log} from '@lentildrift/observe';
+import {
+  createLog,
+  createMetrics,
+  watchEventLoop,
+  type Log,
+} from '@lentildrift/observe';
 import {
   EXIT_USAGE_ERROR,
   parseSettings,
@@ -13,7 +18,12 @@
   runUntilSignal,
   exitOnUncaughtError,
 } from './lifecycle.js';
-import {startRoles, type StoppableRole} from './roles.js';
+import {
+  createLimits,
+  logLimits,
+  startRoles,
+  type StoppableRole,
+} from './roles.js';
 
 const SAMPLE_JOB = JSON.stringify({
   jobs: [
@@ -43,8 +53,11 @@
 ): Promise<StoppableRole> {
   const {entryAddress, entryPort, controlAddress, controlPort} = settings;
   const {dataFolder} = settings;
+  const metrics = createMetrics();
   const embedded = await startEmbedded({
     log,
+    intake: createLimits(settings, log, metrics),
+    metrics,
     entryAddress,
     entryPort,
     controlAddress,
@@ -53,6 +66,7 @@
     planner: settings,
     onFatal: error => exitAfterFatalError(log, error),
   });
+  logLimits(settings, log);
   const entry = formatEndpoint(entryAddress, embedded.entryPort);
   const server = formatEndpoint(controlAddress, embedded.controlPort);
   process.stdout.write(
--- a/packages/daemon/src/roles.ts
+++ b/packages/daemon/src/roles.ts
@@ -1,5 +1,6 @@
 /** Starts the roles that the settings select. */
-import type {Log} from '@lentildrift/observe';
+import {createIntake, type Intake} from '@lentildrift/intake-limits';
+import {createMetrics, type Log, type Metrics} from '@lentildrift/observe';
 import type {Settings} from '@lentildrift/settings';
 import {startTasks} from '@lentildrift/task';
 import {startControl} from './control.js';
@@ -30,7 +31,9 @@
 
   try {
     const onFatal = (error: Error) => exitAfterFatalError(log, error);
-    const context = {tasks, log, onFatal};
+    const metrics = createMetrics();
+    const intake = createLimits(settings, log, metrics);
+    const context = {tasks, log, onFatal, intake, metrics};
     const control = settings.roles?.includes('control')
       ? await startControl(settings, context)
       : undefined;
@@ -39,9 +42,31 @@
       const entryContext = {...context, control: control?.service, signal};
       started.push(await startEntryRole(settings, entryContext));
     }
+    logLimits(settings, log);
   } catch (error) {
     await stop();
     throw error;
   }
   return {stop};
 }
+
+type LimitSettings = Pick<Settings, 'bodyBudgetBytes' | 'maxConnections'>;
+
+/** Creates the limits of clients that the roles of a process share. */
+export function createLimits(
+  settings: LimitSettings,
+  log: Log,
+  metrics: Metrics,
+): Intake {
+  const {bodyBudgetBytes: budgetBytes, maxConnections} = settings;
+  const limits = {budgetBytes, maxConnections};
+  return createIntake({listeners: 'http', limits, log, metrics});
+}
+
+/** Logs the limits once the process has started, so that a failure has one line. */
+export function logLimits(
+  {bodyBudgetBytes: budgetBytes, maxConnections}: LimitSettings,
+  log: Log,
+): void {
+  log.info('intake-limits', {budgetBytes, maxConnections});
+}
--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -7,6 +7,7 @@
   type StateMachine,
   type ReplicaStatus,
 } from '@lentildrift/consensus';
+import type {Intake} from '@lentildrift/intake-limits';
 import {startLinkServer} from '@lentildrift/link';
 import type {Log, Metrics} from '@lentildrift/observe';
 import {
@@ -35,6 +36,11 @@
   type GroupStatus,
   type Mesh,
 } from './mesh.js';
+import {
+  createPolicies,
+  parsePolicyNames,
+  type PolicyNames,
+} from './policies.js';
 import type {Adviser, HostProvider} from './provider.js';
 import {MAX_DIRECT_WORKERS, RelayedWorkerDriver} from './relayed-driver.js';
 import {Envelope} from './remote.js';
@@ -91,7 +97,11 @@
   readonly metrics: Metrics;
   /** Name under which this process calls the host provider. */
   readonly holder: string;
+  /** Bounds what peers may take through links; unbounded if absent. */
+  readonly intake?: Intake;
   readonly rules?: Rules;
+  /** The scheduling policies of this process while it leads; or the defaults. */
+  readonly policies?: PolicyNames;
   /**
    * Called when the process must exit because it can no longer store what it
    * has accepted.
@@ -177,6 +187,7 @@
   });
   const leadership = followLeadership({
     ...options,
+    ...createPolicies(options.policies ?? parsePolicyNames('')),
     driver,
     processId,
     hostOrderGuard,
@@ -203,6 +214,7 @@
     port: Number(port),
     tasks,
     log,
+    intake: options.intake,
     initialPost: () => ({kind: STATUS, body: groupStatus()}),
     // A peer that connects has just started, so the link to it reconnects at
     // once, and requests that wait for the peer need not wait longer.
--- a/packages/dispatch/src/host-operations.ts
+++ b/packages/dispatch/src/host-operations.ts
@@ -3,10 +3,15 @@
  * Each leaves out the hosts of the other.
  */
 import type {LogFields} from '@lentildrift/observe';
-import type {Size} from '@lentildrift/queue';
-import {ElasticPools, type PoolView} from '@lentildrift/scheduling';
+import type {Size, Worker} from '@lentildrift/queue';
+import {ElasticPools, TimedWaves, type PoolView} from '@lentildrift/scheduling';
 import type {Availability} from './availability.js';
 import {countHosts} from './census.js';
+import {
+  findDataCentre,
+  isHostEvacuated,
+  type DataCentreStatus,
+} from './data-centres.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {EventQueue} from './event-queue.js';
 import type {LeaderInstruments} from './instruments.js';
@@ -40,6 +45,11 @@
   isCordoned(host: string): boolean;
   /** Whether a wave is going to empty the host. */
   isDue(host: string): boolean;
+  /**
+   * Whether the next stop of a long-running task on a host may wait until one is
+   * ready that runs on the worker, or is going to. `isIdle`: nothing runs on it.
+   */
+  awaitsReadiness(worker: Worker, isIdle: boolean): boolean;
   /** Advances the maintenance waves, and the moves as `rebalance` does. */
   advance(): void;
   /**
@@ -52,6 +62,8 @@
    * host provider has listed them.
    */
   census(): LogFields | undefined;
+  /** Whether the data centre exists, by the workers and the listed hosts. */
+  findDataCentre(name: string): DataCentreStatus;
   /** Capacities of the hosts that the provider lists; empty before the first. */
   capacities(): readonly Size[];
   stop(): void;
@@ -94,6 +106,7 @@
   const hasForeignOrder = (host: string) =>
     leader.hostOrderGuard.hasForeignOrder(host);
   const maintenance: Maintenance = createMaintenance({
+    policy: leader.waves ?? new TimedWaves(),
     replica,
     issuer,
     processId,
@@ -120,11 +133,14 @@
     recordOrder: order =>
       events.commit({type: 'duty', duty: {...order, by: processId}}),
     hasForeignOrder,
+    isEvacuated,
     isLeader,
     recordMove,
     onWorkerGone: worker =>
       events.enqueueDerived({type: 'worker-gone', worker}),
     isInWave: host => maintenance.isCordoned(host),
+    isDue: maintenance.isDue,
+    nextStops: maintenance.nextStops,
     availability,
     estimates: options.estimates,
     intakePause: measureIntakePause(
@@ -149,9 +165,17 @@
     nextRebalanceMs = endMs + Math.max(REBALANCE_PAUSE_MS, pauseMs);
   }
 
+  function isEvacuated(id: string): boolean {
+    const state = views.state();
+    if (state.evacuated.size === 0) return false;
+    const host = inventory.hosts()?.get(id);
+    return isHostEvacuated(host, id, views.current());
+  }
+
   function census(): LogFields | undefined {
     const hosts = inventory.hosts();
     const {workers, tables} = views.state();
+    const view = views.current();
     const standby = tables.pools.filter(pool => pool.standby);
     return (
       hosts && {
@@ -163,6 +187,7 @@
           isAnswering: dispatcher.isAnswering,
           isMoving: host => rebalancer.isCordoned(host),
           isInWave: host => maintenance.isCordoned(host),
+          isEvacuated: id => isHostEvacuated(hosts.get(id), id, view),
         }),
       }
     );
@@ -185,12 +210,15 @@
     isCordoned: host =>
       maintenance.isCordoned(host) || rebalancer.isCordoned(host),
     isDue: maintenance.isDue,
+    awaitsReadiness: maintenance.awaitsReadiness,
     advance() {
       time('maintenance', () => maintenance.tick(views.current()));
       rebalance();
     },
     rebalance,
     census,
+    findDataCentre: name =>
+      findDataCentre(name, views.state(), inventory.hosts()),
     capacities,
     stop() {
       isStopped = true;
--- a/packages/dispatch/src/leader-options.ts
+++ b/packages/dispatch/src/leader-options.ts
@@ -4,9 +4,14 @@
 import type {Change, Outcome, State} from '@lentildrift/queue';
 import type {
   Admission,
+  CopyPolicy,
+  DisplacementPolicy,
   JobOrder,
   Placement,
   PoolPolicy,
+  ReturnOrder,
+  ShareRule,
+  WavePolicy,
 } from '@lentildrift/scheduling';
 import type {TaskSystem} from '@lentildrift/task';
 import type {WorkerDriver} from './driver.js';
@@ -41,7 +46,16 @@
   readonly order?: JobOrder;
   readonly placement?: Placement;
   readonly pools?: PoolPolicy;
+  readonly waves?: WavePolicy;
   readonly admission?: Admission;
+  /** Teams have no shares if it is absent. */
+  readonly shareRule?: ShareRule;
+  /** Creates the order in which refused callers return; `PacedReturns` if absent. */
+  readonly createReturns?: () => ReturnOrder;
+  /** No copies if it is absent. */
+  readonly copies?: CopyPolicy;
+  /** Nothing is displaced if it is absent. */
+  readonly displacement?: DisplacementPolicy;
   /** Monotonic time at which this process was elected, for its log lines. */
   readonly electedMs?: number;
   /**
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -7,15 +7,24 @@
  * of its steps post to this task, which alone receives messages.
  */
 import {NotLeader} from '@lentildrift/consensus';
-import type {
-  Event,
-  JobSpec,
-  Outcome,
-  Queue,
-  StartRow,
-  Worker,
+import {
+  workerKey,
+  type Event,
+  type EventOf,
+  type JobSpec,
+  type Outcome,
+  type Queue,
+  type StartRow,
+  type Worker,
 } from '@lentildrift/queue';
-import {DeadlineAdmission, runId} from '@lentildrift/scheduling';
+import {
+  DeadlineAdmission,
+  NoCopies,
+  NoDisplacement,
+  PackPlacement,
+  runId,
+  type IntakeVerdict,
+} from '@lentildrift/scheduling';
 import type {Reply, Task} from '@lentildrift/task';
 import {createAdviceCache, type AdviceCache} from './advice.js';
 import {
@@ -30,13 +39,21 @@
   type DecisionRounds,
   type RoundMessage,
 } from './decision-round.js';
+import {createColdWorkers, type ColdWorkers} from './cold-workers.js';
+import {createCopies} from './copies.js';
 import {createCrashDetector} from './crash-detector.js';
+import type {DataCentreStatus} from './data-centres.js';
+import {createDisplacements} from './displacements.js';
 import {createDispatcher, type Dispatcher} from './dispatcher.js';
+import {
+  createEvacuationReport,
+  type EvacuationReport,
+} from './evacuation-report.js';
 import {createEventQueue, type EventQueue} from './event-queue.js';
 import {createHostOperations, type HostOperations} from './host-operations.js';
 import {createIncarnations} from './incarnations.js';
 import {createInstruments} from './instruments.js';
-import {createIntake, type Intake, type IntakeVerdict} from './intake.js';
+import {createIntake, type Intake} from './intake.js';
 import {createJobStages} from './job-stages.js';
 import type {LeaderOptions} from './leader-options.js';
 import {createPlanner} from './planner.js';
@@ -44,11 +61,12 @@
 import {createRegistry, type Registry} from './registry.js';
 import {createReportHandler, type ReportHandler} from './report-handler.js';
 import {createRetention} from './retention.js';
-import {createRunEstimates} from './run-estimates.js';
+import {createRunEstimates, type RunEstimates} from './run-estimates.js';
 import type {SessionEvent} from './session.js';
 import {createStateViews} from './state-views.js';
 import {TICK_INTERVAL_MS} from './timing.js';
 import {createRunTracker} from './tracker.js';
+import {createWorkerSpeeds, type WorkerSpeeds} from './worker-speeds.js';
 
 export type {LeaderOptions, QueueReplica} from './leader-options.js';
 
@@ -66,9 +84,18 @@
   submit(job: JobSpec, queue: Queue): Promise<SubmitResult>;
   /**
    * Resolves once the announcement is recorded in the worker directory, or
-   * needs no record.
+   * needs no record. `coldLeftMs`: how much longer the worker is slow after its
+   * start.
    */
-  announce(worker: Worker): Promise<void>;
+  announce(worker: Worker, coldLeftMs?: number): Promise<void>;
+  /**
+   * Puts a data centre out of use for new runs or back into use, if it exists;
+   * rejects as `commit` does.
+   */
+  setEvacuated(
+    dataCentre: string,
+    evacuated: boolean,
+  ): Promise<EvacuationResult>;
   /** Records that a worker has left; resolves once the record is durable. */
   leave(worker: string): Promise<void>;
   stop(): Promise<void>;
@@ -79,6 +106,19 @@
   | {readonly type: 'recorded'; readonly outcome: Outcome}
   | Exclude<IntakeVerdict, {type: 'admitted'}>;
 
+/** What became of the order to evacuate a data centre, or to end that. */
+export type EvacuationResult =
+  | {readonly type: 'recorded'; readonly outcome: Outcome}
+  /** Nothing was recorded; see `DataCentreStatus`. */
+  | {readonly type: Exclude<DataCentreStatus, 'known'>};
+
+type EvacuationMessage = {
+  type: 'set-evacuated';
+  event: EventOf<'evacuation'>;
+  expiresAtMs: number;
+  reply: Reply<EvacuationResult>;
+};
+
 type SubmitMessage = {
   type: 'submit';
   job: JobSpec;
@@ -90,7 +130,13 @@
 type Message =
   | {type: 'commit'; event: Event; expiresAtMs: number; reply: Reply<Outcome>}
   | SubmitMessage
-  | {type: 'announce'; worker: Worker; reply: Reply<void>}
+  | EvacuationMessage
+  | {
+      type: 'announce';
+      worker: Worker;
+      coldLeftMs: number;
+      reply: Reply<void>;
+    }
   | {type: 'leave'; worker: string; reply: Reply<void>}
   | {type: 'session-event'; event: SessionEvent}
   | {type: 'tick'}
@@ -120,7 +166,12 @@
   const runs = createRunTracker(
     [...views.current().load.runsByWorker.values()].flat().map(({id}) => id),
   );
-  const estimates = createRunEstimates({runs, state});
+  const speeds: WorkerSpeeds = createWorkerSpeeds({
+    runs,
+    durations: () => estimates.durations(),
+    nowMs: () => performance.now(),
+  });
+  const estimates: RunEstimates = createRunEstimates({runs, speeds, state});
   const incarnations = createIncarnations();
   /** Whether a tick has come since the proposal of the pending change. */
   let isTickDeferred = false;
@@ -148,6 +199,7 @@
   });
   const {leaderlessMs = 0} = options;
   const announcements: AnnouncementAges = createAnnouncementAges(leaderlessMs);
+  const cold: ColdWorkers = createColdWorkers();
   const crashes = createCrashDetector({
     runs,
     state,
@@ -159,6 +211,8 @@
     runs,
     estimates,
     announcements,
+    cold,
+    speeds,
     isAnswering: worker => dispatcher.isAnswering(worker),
     isCordoned: host => hosts.isCordoned(host),
     isDue: host => hosts.isDue(host),
@@ -170,6 +224,30 @@
     advice,
     order: options.order,
     placement: options.placement,
+    shares: () => intake.shares(),
+    log,
+  });
+  const copies = createCopies({
+    policy: options.copies ?? new NoCopies(),
+    placement: options.placement ?? new PackPlacement(),
+    runs,
+    estimates,
+    speeds,
+    advice,
+    log,
+    metrics,
+    inherited: views.current().load.speculative.values(),
+    state,
+    nowMs: () => performance.now(),
+  });
+  const displacements = createDisplacements({
+    policy: options.displacement ?? new NoDisplacement(),
+    runs,
+    estimates,
+    advice,
+    log,
+    metrics,
+    state,
   });
   const rounds: DecisionRounds = createDecisionRounds({
     replica,
@@ -179,6 +257,8 @@
     views,
     events,
     planner,
+    copies,
+    displacements,
     advice,
     isLeader,
     post: message => void task.post(message),
@@ -191,7 +271,10 @@
     state,
     onEvent: event => void task.post({type: 'session-event', event}),
     onHoldSent: instruments.recordHold,
-    onClosed: ({worker}) => reports.forget(worker),
+    onClosed({worker}) {
+      reports.forget(worker);
+      speeds.forget(workerKey(worker));
+    },
     exceedsAnnouncedCapacity: worker =>
       registry.exceedsAnnouncedCapacity(worker),
     onUndeliverable: row => events.enqueueDerived({type: 'lost', runs: [row]}),
@@ -202,6 +285,7 @@
     runs,
     incarnations,
     announcements,
+    cold,
     crashes,
     log,
     state,
@@ -229,7 +313,12 @@
   });
   const intake: Intake = createIntake({
     admission: options.admission ?? new DeadlineAdmission(),
+    shareRule: options.shareRule,
+    returns: options.createReturns?.(),
     estimates,
+    views,
+    log,
+    metrics,
     hostCapacities: hosts.capacities,
   });
   const reports: ReportHandler = createReportHandler({
@@ -240,13 +329,22 @@
     events,
     availability,
     announcements,
+    cold,
     estimates,
     readiness,
     advice,
+    displacements,
     instruments,
     log,
+    awaitsReadiness: hosts.awaitsReadiness,
     onChange: rounds.schedule,
   });
+  const evacuations: EvacuationReport = createEvacuationReport({
+    log,
+    metrics,
+    state,
+    view: views.current,
+  });
   const stages = createJobStages({runs, state});
   const commits: CommitHandler = createCommitHandler({
     dispatcher,
@@ -255,6 +353,8 @@
     reports,
     retention,
     estimates,
+    copies,
+    displacements,
     log,
     state,
   });
@@ -267,8 +367,11 @@
       case 'submit':
         handleSubmit(message);
         return;
+      case 'set-evacuated':
+        handleEvacuation(message);
+        return;
       case 'announce':
-        registry.announce(message.worker, message.reply);
+        registry.announce(message.worker, message.coldLeftMs, message.reply);
         return;
       case 'leave':
         registry.leave(message.worker, message.reply);
@@ -324,6 +427,25 @@
     });
   }
 
+  function handleEvacuation(message: EvacuationMessage): void {
+    const {event, expiresAtMs, reply} = message;
+    const status = hosts.findDataCentre(event.dataCentre);
+    // An end may be sent again after the last host there has gone. It changes
+    // nothing where no evacuation is in force, so it needs no known name.
+    if (event.evacuated && status !== 'known') {
+      reply.resolve({type: status});
+      return;
+    }
+    events.add({
+      event,
+      expiresAtMs,
+      reply: {
+        resolve: outcome => reply.resolve({type: 'recorded', outcome}),
+        reject: reply.reject,
+      },
+    });
+  }
+
   /**
    * Answers what arrives while the leader stops, so that no request whose
    * outcome is known ends as one whose outcome is unknown.
@@ -332,6 +454,7 @@
     switch (message.type) {
       case 'commit':
       case 'submit':
+      case 'set-evacuated':
       case 'announce':
       case 'leave':
         message.reply.reject(new NotLeader(undefined));
@@ -372,7 +495,8 @@
 
   function handleTick(): void {
     tickTimer = setTimeout(() => task.post({type: 'tick'}), TICK_INTERVAL_MS);
-    reportState();
+    // A leader reports in `advanceHosts`, as it reads the views.
+    if (!isLeader()) reportState();
     if (rounds.isCommitPending() || !isLeader()) events.rejectExpired();
     if (!isLeader()) return;
     time('registry', () => registry.expire());
@@ -395,6 +519,7 @@
   /** The part of a tick that needs the views of the recorded state. */
   function advanceHosts(): void {
     isTickDeferred = false;
+    reportState();
     hosts.advance();
   }
 
@@ -413,6 +538,7 @@
       isCurrent: isLeader(),
     };
     instruments.report(queue, hosts.census);
+    if (isLeader()) evacuations.tick();
   }
 
   dispatcher.syncSessions();
@@ -438,7 +564,13 @@
       const expiresAtMs = performance.now() + MAX_QUEUED_MS;
       return ask(reply => ({type: 'submit', job, queue, expiresAtMs, reply}));
     },
-    announce: worker => ask(reply => ({type: 'announce', worker, reply})),
+    setEvacuated(dataCentre, evacuated) {
+      const expiresAtMs = performance.now() + MAX_QUEUED_MS;
+      const event = {type: 'evacuation', dataCentre, evacuated} as const;
+      return ask(reply => ({type: 'set-evacuated', event, expiresAtMs, reply}));
+    },
+    announce: (worker, coldLeftMs = 0) =>
+      ask(reply => ({type: 'announce', worker, coldLeftMs, reply})),
     leave: worker => ask(reply => ({type: 'leave', worker, reply})),
     async stop() {
       isStopped = true;
@@ -447,6 +579,7 @@
       hosts.stop();
       registry.stop();
       instruments.stop();
+      evacuations.stop();
       events.rejectAll();
       await dispatcher.close();
       await task.stop();
--- a/packages/dispatch/src/report-handler.ts
+++ b/packages/dispatch/src/report-handler.ts
@@ -8,11 +8,13 @@
 import type {AdviceCache} from './advice.js';
 import type {AnnouncementAges} from './announcement-age.js';
 import type {Availability} from './availability.js';
+import type {Displacements} from './displacements.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {EventQueue} from './event-queue.js';
 import type {LeaderInstruments} from './instruments.js';
 import {createPacing, type Pacing} from './pacing.js';
 import type {Readiness} from './readiness.js';
+import type {ColdWorkers} from './cold-workers.js';
 import type {CrashDetector} from './crash-detector.js';
 import {reconcile} from './reconcile.js';
 import {createReportFilter} from './report-filter.js';
@@ -29,11 +31,18 @@
   readonly events: EventQueue;
   readonly availability: Availability;
   readonly announcements: Omit<AnnouncementAges, 'markAnnounced'>;
+  readonly cold: Pick<ColdWorkers, 'forget'>;
   readonly estimates: RunEstimates;
   readonly readiness: Readiness;
   readonly advice: AdviceCache;
+  readonly displacements: Pick<Displacements, 'observe' | 'forget'>;
   readonly instruments: LeaderInstruments;
   readonly log: Log;
+  /**
+   * Whether the next stop of a long-running task on a host may wait until one is
+   * ready that runs on the worker, or is going to. `isIdle`: nothing runs on it.
+   */
+  awaitsReadiness(worker: Worker, isIdle: boolean): boolean;
   /** Called when the next round may act on what a session has brought. */
   onChange(): void;
 }
@@ -123,7 +132,10 @@
       reconcileReport(event, current, recorded, cursor);
     }
     readiness.observe(key, report);
-    pacing.observe(session, report, recorded);
+    options.displacements.observe(key, report);
+    const isIdle = recorded.length === 0;
+    const isReadinessAwaited = options.awaitsReadiness(current, isIdle);
+    pacing.observe(session, report, recorded, isReadinessAwaited);
   }
 
   /** Handles a report that may differ from the last or from the record. */
@@ -202,7 +214,7 @@
     how: string,
   ): void {
     runs.markTime(runId(name, run), 'reportedEndMs');
-    if (how === 'done') estimates.recordCompletion(name, run);
+    if (how === 'done') estimates.recordCompletion(name, run, key);
     else log.info('run-ended', {worker: key, task: name, run, how});
   }
 
@@ -213,9 +225,11 @@
       const key = workerKey(worker);
       availability.forget(key);
       announcements.forget(key);
+      options.cold.forget(key);
       recordedEndCursors.delete(key);
       reportFilter.forget(key);
       readiness.forget(key);
+      options.displacements.forget(key);
       pacing.forget(worker.id);
     },
   };
--- a/packages/dispatch/test/harness.ts
+++ b/packages/dispatch/test/harness.ts
@@ -17,7 +17,14 @@
   Tables,
   Worker,
 } from '@lentildrift/queue';
-import {FixedPools, type PoolPolicy} from '@lentildrift/scheduling';
+import {
+  FixedPools,
+  TimedWaves,
+  type CopyPolicy,
+  type DisplacementPolicy,
+  type PoolPolicy,
+  type WavePolicy,
+} from '@lentildrift/scheduling';
 import {startTasks} from '@lentildrift/task';
 import {isDeepStrictEqual} from 'node:util';
 import {vi} from 'vitest';
@@ -25,6 +32,7 @@
 import {createHostOrderGuard} from '../src/host-order-guard.js';
 import {Adviser, queueMachine, startLeader, type Leader} from '../src/index.js';
 import {FakeFleet, FakeHostProvider, type FleetOptions} from './fakes.js';
+import {createPolicies, parsePolicyNames} from '../src/policies.js';
 import {createFakeGroup, type FakeRelay} from './relays.js';
 
 const QUEUE: Queue = {
@@ -159,7 +167,12 @@
 
 export interface HarnessOptions extends FleetOptions {
   readonly pools?: PoolPolicy;
+  /** See `parsePolicyNames`. */
+  readonly policies?: string;
+  readonly waves?: WavePolicy;
   readonly adviser?: Adviser;
+  readonly copies?: CopyPolicy;
+  readonly displacement?: DisplacementPolicy;
   /** Data centres of processes through which the leader calls all workers. */
   readonly relayDataCentres?: readonly string[];
 }
@@ -235,6 +248,10 @@
       log,
       metrics,
       pools: options.pools ?? new FixedPools(),
+      ...createPolicies(parsePolicyNames(options.policies ?? '')),
+      waves: options.waves ?? new TimedWaves(),
+      ...(options.copies && {copies: options.copies}),
+      ...(options.displacement && {displacement: options.displacement}),
       leaderlessMs,
       isLeader: () => own === token && replica.acceptsProposals,
     });
--- a/packages/queue/src/apply.ts
+++ b/packages/queue/src/apply.ts
@@ -9,13 +9,14 @@
 import {
   addTaskCrash,
   compactEndedJob,
+  displaceRun,
   endRun,
   moveRun,
   removeRun,
   removeTaskCrash,
   startRun,
 } from './run.js';
-import type {State} from './state.js';
+import {isEvacuated, type State} from './state.js';
 import {queuesByName} from './table.js';
 import {workerKey, type Worker} from './worker.js';
 
@@ -57,6 +58,9 @@
     case 'lost':
       for (const row of event.runs) removeRun(draft, row);
       return 'applied';
+    case 'displace':
+      for (const row of event.runs) displaceRun(draft, row);
+      return 'applied';
     case 'forget':
       for (const id of event.jobs) draft.deleteJob(id);
       return 'applied';
@@ -64,6 +68,8 @@
       if (draft.wave(event.wave.id)) return 'known';
       draft.setWave(event.wave);
       return 'applied';
+    case 'evacuation':
+      return setEvacuated(draft, event);
     case 'upkeep':
       return setMaintenanceStatus(draft, event);
     case 'duty':
@@ -242,6 +248,15 @@
   return 'applied';
 }
 
+function setEvacuated(
+  draft: Draft,
+  {dataCentre, evacuated}: EventOf<'evacuation'>,
+): Outcome {
+  if (isEvacuated(draft, dataCentre) === evacuated) return 'known';
+  draft.setEvacuated(dataCentre, evacuated);
+  return 'applied';
+}
+
 function setMaintenanceStatus(draft: Draft, event: EventOf<'upkeep'>): Outcome {
   const wave = draft.wave(event.wave);
   if (!wave?.hosts[event.host]) return 'unknown';
--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -25,14 +25,21 @@
   type Team,
 } from '@lentildrift/queue';
 import {isInflow, type Backlog} from './backlog.js';
-import {withFree, type Candidate} from './candidate.js';
+import {isCold, withRun, withFree, type Candidate} from './candidate.js';
 import {expectedDurationMs, type Durations} from './estimate.js';
 import {reservation, type Load} from './load.js';
-import {punctualityOf, type JobOrder, type Punctuality} from './order.js';
-import type {Placement} from './placement.js';
+import {
+  punctualityOf,
+  remainingWorkMs,
+  type JobOrder,
+  type Punctuality,
+} from './order.js';
+import {staysOnRack, type Placement} from './placement.js';
 import {isWaiting, listReadySteps} from './ready-steps.js';
+import {findJobsOnLentRoom, type PoolShares} from './shares.js';
 import {chooseForTrial, idleCandidates} from './trial.js';
 import {createUnfitSizes, type UnfitSizes} from './unfit.js';
+import {z} from 'zod';
 
 /**
  * Keys of the workers for which the placement advice gave a ticket, by step
@@ -65,6 +72,8 @@
   readonly advisedWorkers: AdvisedWorkers;
   readonly order: JobOrder;
   readonly placement: Placement;
+  /** Shares of the teams by pool; no room counts as lent if it is absent. */
+  readonly shares?: ReadonlyMap<string, PoolShares>;
 }
 
 export interface Plan {
@@ -76,8 +85,24 @@
   readonly stepsAwaitingAdvice: readonly {step: string; pool: string}[];
   /** Pools in which a task that is ready fits on no worker. */
   readonly shortPools: ReadonlySet<string>;
+  /** Jobs that come after others since their team is beyond its share. */
+  readonly onLentRoom: ReadonlySet<Job>;
+  /**
+   * The candidates of a pool with the room that is left after the starts. Valid
+   * as long as the input of the round is.
+   */
+  candidatesLeft(pool: string): readonly Candidate[];
+  /** Resources in use by a team, with those of the starts. */
+  usedByTeam(team: string): Size;
 }
 
+/** Why a job that is ready waits although jobs after it have started. */
+export const WaitReason = z.enum([
+  /** It waits on room lent to its team, in a pool that lacks room. */
+  'lent-room',
+]);
+export type WaitReason = z.infer<typeof WaitReason>;
+
 /** A step with tasks that could start. */
 interface CandidateStep {
   readonly job: Job;
@@ -95,15 +120,20 @@
 
 /** Runs one scheduling round. */
 export function plan(input: PlanInput): Plan {
-  const readySteps = collectReadySteps(input);
+  const steps = collectCandidateSteps(input);
+  const overloaded = findOverloadedPools(steps);
+  const onLentRoom = findLentRoom(input, steps, overloaded);
+  const readySteps = rankSteps(input, steps, overloaded, onLentRoom);
   readySteps.sort((a, b) => a.rank - b.rank);
-  return placeReadySteps(input, readySteps);
+  return {...placeReadySteps(input, readySteps), onLentRoom};
 }
 
-function collectReadySteps(input: PlanInput): RankedStep[] {
-  const {order, nowMs, durations} = input;
-  const steps = collectCandidateSteps(input);
-  const overloaded = findOverloadedPools(steps);
+function rankSteps(
+  {order, nowMs, durations}: PlanInput,
+  steps: readonly CandidateStep[],
+  overloaded: ReadonlySet<string>,
+  onLentRoom: ReadonlySet<Job>,
+): RankedStep[] {
   let ranked: CandidateStep | undefined;
   let rank = 0;
   return steps.map(each => {
@@ -112,7 +142,8 @@
     if (job !== ranked?.job || occurrence !== ranked.occurrence) {
       const isOverloaded = overloaded.has(queue.pool);
       const occasion = {job, queue, occurrence, nowMs, durations};
-      rank = order.rank(occasion, isOverloaded);
+      const isOnLentRoom = onLentRoom.has(job);
+      rank = order.rank(occasion, isOverloaded, isOnLentRoom);
       ranked = each;
     }
     const {stepIndex, step, punctuality} = each;
@@ -159,13 +190,46 @@
   return overloaded;
 }
 
+const NO_JOBS: ReadonlySet<Job> = new Set();
+
+/** The jobs that wait on lent room in overloaded pools. */
+function findLentRoom(
+  {shares, nowMs, durations}: PlanInput,
+  steps: readonly CandidateStep[],
+  overloaded: ReadonlySet<string>,
+): ReadonlySet<Job> {
+  if (!shares || overloaded.size === 0) return NO_JOBS;
+  const lent = new Set<Job>();
+  for (const pool of overloaded) {
+    const poolShares = shares.get(pool);
+    if (!poolShares) continue;
+    const waiting = new Map<Job, CandidateStep>();
+    for (const step of steps) {
+      if (step.queue.pool === pool && isInflow(step.job)) {
+        waiting.set(step.job, step);
+      }
+    }
+    const workMsOf = (job: Job) => {
+      const {queue, occurrence} = waiting.get(job)!;
+      return remainingWorkMs({job, queue, occurrence, nowMs, durations});
+    };
+    const jobs = [...waiting.keys()];
+    for (const job of findJobsOnLentRoom(jobs, poolShares, workMsOf)) {
+      lent.add(job);
+    }
+  }
+  return lent;
+}
+
 /** Remaining capacity and the decisions so far in a round. */
 interface RoundState {
   /** Candidates of the pools that a step has needed so far. */
   readonly byPool: Map<string, Candidate[]>;
   readonly teams: Map<string, {team: Team; used: Size}>;
+  /** Pools with cold workers that are limited; filled with `byPool`. */
+  readonly coldPools: Set<string>;
   /** Sizes of tasks that fit on no worker of a pool, by pool. */
-  readonly unfit: Map<string, UnfitSizes>;
+  readonly unfit: Record<'limited' | 'anyWorker', Map<string, UnfitSizes>>;
   /** Trial slots that remain, by pool, see `PlanInput.trialSlotsIn`. */
   readonly trialSlots: Map<string, number>;
   /** Suspects that got no trial slot. */
@@ -184,7 +248,8 @@
   return {
     byPool: new Map(),
     teams,
-    unfit: new Map(),
+    coldPools: new Set(),
+    unfit: {limited: new Map(), anyWorker: new Map()},
     trialSlots: new Map(),
     deferredTrials: [],
     starts: [],
@@ -196,7 +261,7 @@
 /** The candidates of a pool with the capacity that remains in the round. */
 function poolCandidates(
   {load, candidatesIn}: PlanInput,
-  {byPool}: RoundState,
+  {byPool, coldPools}: RoundState,
   pool: string,
 ): Candidate[] {
   let candidates = byPool.get(pool);
@@ -206,6 +271,7 @@
       return withFree(candidate, subtract(candidate.free, used));
     });
     byPool.set(pool, candidates);
+    if (candidates.some(isCold)) coldPools.add(pool);
   }
   return candidates;
 }
@@ -220,7 +286,7 @@
 function placeReadySteps(
   input: PlanInput,
   readySteps: readonly RankedStep[],
-): Plan {
+): Omit<Plan, 'onLentRoom'> {
   const round = createRoundState(input);
   let lateStarts = 0;
   for (const readyStep of readySteps) {
@@ -238,7 +304,13 @@
   const stepsAwaitingAdvice = [...round.stepsAwaitingAdvice].map(
     ([step, pool]) => ({step, pool}),
   );
-  return {starts, stepsAwaitingAdvice, shortPools};
+  return {
+    starts,
+    stepsAwaitingAdvice,
+    shortPools,
+    candidatesLeft: pool => poolCandidates(input, round, pool),
+    usedByTeam: team => round.teams.get(team)?.used ?? ZERO_SIZE,
+  };
 }
 
 /**
@@ -247,11 +319,13 @@
  * tasks are looked at.
  */
 function isKnownToFitNowhere(
-  {unfit, shortPools}: RoundState,
-  {queue, step}: RankedStep,
+  round: RoundState,
+  readyStep: RankedStep,
 ): boolean {
-  if (!shortPools.has(queue.pool) || hasOwnLimits(queue, step)) return false;
-  return unfit.get(queue.pool)?.covers(reservation(step), step.label) ?? false;
+  const {queue, step} = readyStep;
+  if (!round.shortPools.has(queue.pool)) return false;
+  if (hasOwnLimits(queue, step)) return false;
+  return unfitSizes(round, readyStep).covers(reservation(step), step.label);
 }
 
 /** Whether more than size and label decide on which workers the step fits. */
@@ -413,7 +487,7 @@
 }
 
 /** Number of runs of the step of one occurrence, by worker key. */
-function countStepRuns(
+export function countStepRuns(
   job: Job,
   occurrence: number,
   stepIndex: number,
@@ -445,9 +519,9 @@
   // Capacity only decreases during a round, except for the members of a gang
   // that is given up. A failure after such members were placed is no evidence.
   const {pool} = placing.readyStep.queue;
-  const unfit = unfitSizes(round, pool);
-  if (!placing.hasOwnLimits && unfit.covers(size, label)) return undefined;
   const candidates = poolCandidates(input, round, pool);
+  const unfit = unfitSizes(round, placing.readyStep);
+  if (!placing.hasOwnLimits && unfit.covers(size, label)) return undefined;
   const chosen = choose(input, placing, task, candidates, gangRack);
   if (!chosen && placing.readyStep.queue.advice) {
     awaitAdvice(round, placing.readyStep);
@@ -465,9 +539,19 @@
   return chosen;
 }
 
-function unfitSizes({unfit}: RoundState, pool: string): UnfitSizes {
-  let sizes = unfit.get(pool);
-  if (!sizes) unfit.set(pool, (sizes = createUnfitSizes()));
+/**
+ * The sizes that have been found to fit nowhere in the pool. A step that the
+ * limit for cold workers keeps from some tells nothing about those that it does
+ * not limit.
+ */
+function unfitSizes(
+  {unfit, coldPools}: RoundState,
+  {queue, step}: RankedStep,
+): UnfitSizes {
+  const isLimited = coldPools.has(queue.pool) && !staysOnRack(step);
+  const byPool = isLimited ? unfit.limited : unfit.anyWorker;
+  let sizes = byPool.get(queue.pool);
+  if (!sizes) byPool.set(queue.pool, (sizes = createUnfitSizes()));
   return sizes;
 }
 
@@ -543,11 +627,7 @@
 ): void {
   const {queue, job, step} = readyStep;
   const candidates = poolCandidates(input, round, queue.pool);
-  candidates[candidates.indexOf(chosen)] = {
-    ...chosen,
-    free: subtract(chosen.free, size),
-    emptyInMs: Math.max(chosen.emptyInMs, durationMs),
-  };
+  candidates[candidates.indexOf(chosen)] = withRun(chosen, {size, durationMs});
   runCounts?.set(chosen.key, (runCounts.get(chosen.key) ?? 0) + 1);
   const teamUsage = round.teams.get(job.spec.team ?? '');
   if (teamUsage) {
@@ -559,11 +639,15 @@
 function isWithinCap(round: RoundState, job: Job, size: Size): boolean {
   const teamUsage = round.teams.get(job.spec.team ?? '');
   if (!teamUsage) return true;
-  const {cap} = teamUsage.team;
+  return isWithinLimit(teamUsage.team, add(teamUsage.used, size));
+}
+
+/** Whether a team may use so much across all pools. */
+export function isWithinLimit({cap}: Team, used: Size): boolean {
   const limit: Size = {
     cpuMillis: cap.cpuMillis || Infinity,
     memoryMb: cap.memoryMb || Infinity,
     gpus: cap.gpus || Infinity,
   };
-  return fits(add(teamUsage.used, size), limit);
+  return fits(used, limit);
 }
