--- a/packages/testkit/test/cost.test.ts
+++ b/packages/testkit/test/cost.test.ts
@@ -9,7 +9,7 @@
   PackPlacement,
   WeightedShares,
 } from '@lentildrift/scheduling';
-import {setImmediate} from 'node:timers/promises';
+import {setTimeout} from 'node:timers/promises';
 import {describe, expect, it} from 'vitest';
 import {
   HUNDREDS_JOBS,
@@ -19,6 +19,9 @@
 } from '../src/jobs/shape.js';
 import {runJobTrial} from '../src/jobs/trial.js';
 
+/** Time in which the runner's messages are handled between two trials. */
+const PAUSE_MS = 50;
+
 /** The results with the default policies, and with those that weigh costs. */
 async function compare(shape: TrafficShape, seed: number) {
   const placement = new PackPlacement();
@@ -30,7 +33,7 @@
     admission: new DeadlineAdmission(),
   });
   // The runner's messages time out if a test keeps the event loop too long.
-  await setImmediate();
+  await setTimeout(PAUSE_MS);
   const after = runJobTrial({
     ...common,
     order: new CostOrder(),
@@ -38,7 +41,7 @@
     shareRule: new WeightedShares(),
     returns: new FirstArrivalReturns(),
   });
-  await setImmediate();
+  await setTimeout(PAUSE_MS);
   return {before, after};
 }
 
