Keep the age of attempts that may start late across changes of leader

Cause: an attempt to start a run that got no answer keeps its task from other workers until it cannot start the run any more. The record for the next leader named the worker only, so each leader took the attempt for one of its own first 1.5 s and waited for 11.4 s more, however old it was.

Change: the record holds when the last attempt was made and whether it may have started a run. The time is that for which leaders have led: each change carries it, it stands still between two leaders, and so an attempt never counts as older than it is. No clock of another host and no time of day is compared. A leader waits for at least 2 s, in which it hears of workers that have started again.

--- a/packages/dispatch/src/batch.ts
+++ b/packages/dispatch/src/batch.ts
@@ -105,7 +105,7 @@
       return EVENT_BYTES + event.runs.length * ROW_BYTES;
     case 'late-starts':
       return event.rows.reduce(
-        (sum, [, workers]) => sum + ROW_BYTES * (1 + workers.length),
+        (sum, [, lateOn]) => sum + ROW_BYTES * (1 + lateOn.length),
         EVENT_BYTES,
       );
     case 'ends':
--- a/packages/dispatch/src/decision-round.ts
+++ b/packages/dispatch/src/decision-round.ts
@@ -14,6 +14,7 @@
 import type {Displacements} from './displacements.js';
 import type {EventQueue} from './event-queue.js';
 import type {LeaderInstruments} from './instruments.js';
+import type {LedTime} from './led-time.js';
 import type {QueueReplica} from './leader-options.js';
 import type {Planner} from './planner.js';
 import type {StateViews} from './state-views.js';
@@ -37,6 +38,7 @@
   readonly displacements: Pick<Displacements, 'choose'>;
   readonly runs: Pick<RunTracker, 'markTime'>;
   readonly advice: AdviceCache;
+  readonly ledTime: Pick<LedTime, 'nowMs'>;
   isLeader(): boolean;
   /** Posts a message to the leader's task. */
   post(message: RoundMessage): void;
@@ -140,7 +142,8 @@
       events.length,
       batch.queued[0]?.queuedMs,
     );
-    replica.propose({events}).then(
+    const ledMs = Math.floor(options.ledTime.nowMs());
+    replica.propose({events, ledMs}).then(
       ({answer}) => {
         recordSettled('committed');
         options.post({type: 'committed', batch, outcomes: answer});
--- a/packages/dispatch/src/late-starts.ts
+++ b/packages/dispatch/src/late-starts.ts
@@ -9,13 +9,16 @@
   splitTaskName,
   taskName,
   workerKey,
+  type LateStart,
   type LateStartRow,
   type Outcome,
   type State,
 } from '@lentildrift/queue';
 import {runId, type LiveRun} from '@lentildrift/scheduling';
 import type {Reply} from '@lentildrift/task';
+import {isDeepStrictEqual} from 'node:util';
 import type {Report} from './driver.js';
+import type {LedTime} from './led-time.js';
 import {START_ATTEMPTS} from './session.js';
 import {
   CLOCK_DRIFT,
@@ -28,9 +31,10 @@
 export interface LateStartsOptions {
   /** The runs on record when this leader begins. */
   readonly inherited: Iterable<LiveRun>;
+  readonly ledTime: LedTime;
   /** The recorded state. */
   state(): State;
-  /** Queues the record of the workers at which tasks may start late. */
+  /** Queues the record of the attempts by which tasks may start late. */
   record(rows: readonly LateStartRow[], reply: Reply<Outcome>): void;
 }
 
@@ -101,14 +105,30 @@
 const LATE_START_MS =
   MAX_DELAY_MS + MAX_LEASE_MS / (1 - CLOCK_DRIFT) + LEASE_MARGIN_MS;
 
+/**
+ * Time in which a new leader hears of incarnations that have begun shortly before
+ * it: workers announce themselves about every 1.5 s.
+ */
+const ANNOUNCEMENT_MS = 2000;
+/**
+ * Longest time without a change while attempts are on record. The time for which
+ * leaders have led is only known up to the last change.
+ */
+const MAX_UNRECORDED_MS = 1000;
+
 const NO_WORKERS: readonly string[] = [];
+const NO_LATE_STARTS: readonly LateStart[] = [];
 
 export function createLateStarts(options: LateStartsOptions): LateStarts {
+  const {ledTime} = options;
+  const beganMs = performance.now();
   const byId = new Map<string, Attempts>();
   const byTask = new Map<string, Set<Attempts>>();
   const byWorkerId = new Map<string, Set<Attempts>>();
-  /** Workers that are recorded for a task, or are going to be. */
-  const recordedWorkers = new Map<string, readonly string[]>();
+  /** What is recorded for a task, or is going to be. */
+  const recordedAttempts = new Map<string, readonly LateStart[]>();
+  /** Whether a change that only tells the time is queued. */
+  let isTimePending = false;
   /** Tasks whose last record was refused. */
   const unrecorded = new Set<string>();
   /** Tasks of runs that a worker reports without a record, by worker ID. */
@@ -143,35 +163,49 @@
     removeFrom(byWorkerId, workerIdOf(attempts.worker), attempts);
   }
 
-  /**
-   * Inserts attempts of earlier leaders. Such a leader may have made them until
-   * `STALE_LEADER_MS` after this one began.
-   */
-  function inherit(id: string, task: string, worker: string): Attempts {
+  /** Inserts attempts of earlier leaders, the last of them at `lastMs`. */
+  function inherit(
+    id: string,
+    task: string,
+    worker: string,
+    lastMs: number,
+  ): Attempts {
     const attempts = insert(id, task, worker);
     attempts.isOpen = false;
-    attempts.lastMs = performance.now() + STALE_LEADER_MS;
+    attempts.lastMs = lastMs;
     return attempts;
   }
 
   function inheritAll(): void {
+    // An earlier leader may take itself for the leader until then.
+    const staleMs = beganMs + STALE_LEADER_MS;
     for (const {id, job, key, run} of options.inherited) {
       const task = taskName(job.spec.id, key);
-      inherit(id, task, run.worker).isAssumed = true;
+      inherit(id, task, run.worker, staleMs).isAssumed = true;
     }
     for (const {spec, tasks} of options.state().jobs.unorderedValues()) {
       for (const [key, {lateOn}] of Object.entries(tasks)) {
         if (!lateOn) continue;
         const task = taskName(spec.id, key);
-        recordedWorkers.set(task, lateOn);
-        for (const worker of lateOn) {
-          const attempts = inherit(`${task} ${worker}`, task, worker);
-          attempts.isRecorded = attempts.isSettled = true;
+        recordedAttempts.set(task, lateOn);
+        for (const {worker, lastMs, mayRun} of lateOn) {
+          const atMs =
+            lastMs === undefined ? staleMs : ledTime.toMonotonicMs(lastMs);
+          const attempts = inherit(`${task} ${worker}`, task, worker, atMs);
+          attempts.isRecorded = true;
+          attempts.isSettled = mayRun;
+          attempts.hasRestarted = isReplaced(worker);
         }
       }
     }
   }
 
+  /** Whether a later incarnation of the worker is in the directory. */
+  function isReplaced(worker: string): boolean {
+    const current = options.state().workers.get(workerIdOf(worker));
+    return current !== undefined && workerKey(current) !== worker;
+  }
+
   function markUnanswered(task: string, run: number): void {
     const attempts = byId.get(runId(task, run));
     if (!attempts?.isOpen) return;
@@ -208,16 +242,13 @@
   function record(tasks: Iterable<string>): void {
     const rows: LateStartRow[] = [];
     for (const task of new Set(tasks)) {
-      const recorded = [...(byTask.get(task) ?? [])].filter(
-        ({isRecorded}) => isRecorded,
-      );
-      const workers = [...new Set(recorded.map(({worker}) => worker))].sort();
-      const known = recordedWorkers.get(task) ?? NO_WORKERS;
-      const isKnown = workers.join() === known.join();
+      const lateOn = describe(task);
+      const known = recordedAttempts.get(task) ?? NO_LATE_STARTS;
+      const isKnown = isDeepStrictEqual(lateOn, known);
       if (!unrecorded.delete(task) && isKnown) continue;
-      if (workers.length > 0) recordedWorkers.set(task, workers);
-      else recordedWorkers.delete(task);
-      rows.push([task, workers]);
+      if (lateOn.length > 0) recordedAttempts.set(task, lateOn);
+      else recordedAttempts.delete(task);
+      rows.push([task, lateOn]);
     }
     if (rows.length === 0) return;
     options.record(rows, {
@@ -229,6 +260,33 @@
     });
   }
 
+  /** The attempts of a task that are to be on record, one entry a worker. */
+  function describe(task: string): LateStart[] {
+    const byWorker = new Map<string, Attempts[]>();
+    for (const attempts of byTask.get(task) ?? []) {
+      if (!attempts.isRecorded) continue;
+      const {worker} = attempts;
+      byWorker.set(worker, [...(byWorker.get(worker) ?? []), attempts]);
+    }
+    const workers = [...byWorker.keys()].sort();
+    return workers.map((worker): LateStart => {
+      const all = byWorker.get(worker)!;
+      const mayRun = all.some(mayHaveRun);
+      if (all.some(({isOpen}) => isOpen)) return {worker, mayRun};
+      const lastMs = Math.max(...all.map(each => each.lastMs));
+      return {worker, lastMs: ledTime.fromMonotonicMs(lastMs), mayRun};
+    });
+  }
+
+  /** Has the state tell the next leader how old the attempts on record are. */
+  function recordTime(): void {
+    if (recordedAttempts.size === 0 || isTimePending) return;
+    if (ledTime.nowMs() - options.state().ledMs < MAX_UNRECORDED_MS) return;
+    isTimePending = true;
+    const settle = () => void (isTimePending = false);
+    options.record([], {resolve: settle, reject: settle});
+  }
+
   function observe({worker, report, sentMs, unexpected}: ObservedReport): void {
     const workerId = workerIdOf(worker);
     if (unexpected.length > 0) {
@@ -279,19 +337,19 @@
 
   function expire(): void {
     const nowMs = performance.now();
+    const canHaveHeard = nowMs >= beganMs + ANNOUNCEMENT_MS;
     for (const attempts of byId.values()) {
       if (attempts.isOpen) continue;
-      // Without a sign of a restart, attempts at a worker that has not answered
-      // since count as harmless once they can't arrive any more: a task that
-      // lasts has to run again within 9 s of the loss of its worker.
-      const isSafe = !attempts.isSettled && !attempts.hasRestarted;
-      const lateMs = isSafe ? MAX_DELAY_MS : LATE_START_MS;
+      const isLong = mayHaveRun(attempts);
+      if (!isLong && !canHaveHeard) continue;
+      const lateMs = isLong ? LATE_START_MS : MAX_DELAY_MS;
       if (nowMs >= attempts.lastMs + lateMs) remove(attempts);
     }
     for (const [workerId, seenMs] of unexpectedMs) {
       if (nowMs >= seenMs + LATE_START_MS) forgetUnexpected(workerId);
     }
-    record([...recordedWorkers.keys(), ...unrecorded]);
+    record([...recordedAttempts.keys(), ...unrecorded]);
+    recordTime();
   }
 
   inheritAll();
@@ -315,6 +373,16 @@
   };
 }
 
+/**
+ * Whether the attempts count until a run that they start late has lapsed. Without
+ * a sign of a restart, those at a worker that has not answered since count as
+ * harmless once they cannot arrive any more: a task that lasts has to run again
+ * within 9 s of the loss of its worker.
+ */
+function mayHaveRun({isSettled, hasRestarted}: Attempts): boolean {
+  return isSettled || hasRestarted;
+}
+
 /** The ID of the worker with this key. */
 function workerIdOf(worker: string): string {
   return worker.slice(0, worker.lastIndexOf('@'));
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -57,6 +57,7 @@
 import {createIntake, type Intake} from './intake.js';
 import {createJobStages} from './job-stages.js';
 import type {LeaderOptions} from './leader-options.js';
+import {continueLedTime} from './led-time.js';
 import {createPlanner} from './planner.js';
 import {createReadiness} from './readiness.js';
 import {createRegistry, type Registry} from './registry.js';
@@ -163,6 +164,7 @@
   const {time} = instruments;
   const views = createStateViews({replica, instruments});
   const {state} = views;
+  const ledTime = continueLedTime(state().ledMs);
   const retention = createRetention();
   const runs = createRunTracker(
     [...views.current().load.runsByWorker.values()].flat().map(({id}) => id),
@@ -196,6 +198,7 @@
   const lateStarts: LateStarts = createLateStarts({
     inherited: [...views.current().load.runsByWorker.values()].flat(),
     state,
+    ledTime,
     record(rows, reply) {
       events.enqueue({type: 'late-starts', rows: [...rows]}, reply);
     },
@@ -271,6 +274,7 @@
     copies,
     displacements,
     advice,
+    ledTime,
     isLeader,
     post: message => void task.post(message),
   });
--- /dev/null
+++ b/packages/dispatch/test/late-starts.test.ts
@@ -0,0 +1,57 @@
+/** Tests how long attempts that may start late keep tasks from other workers. */
+import {afterEach, beforeEach, expect, it, vi} from 'vitest';
+import {createHarness, job, worker, type Harness} from './harness.js';
+
+/** Time from the loss of a worker until its runs have lapsed. */
+const LAPSE_MS = 4600;
+/**
+ * A task that lasts has to run again this long after its last run: 6 s, and 3 s in
+ * which nothing else is amiss.
+ */
+const RESTART_MS = 9000;
+
+let harness: Harness;
+
+beforeEach(() => void vi.useFakeTimers());
+
+afterEach(async () => {
+  await harness.stop();
+  vi.useRealTimers();
+});
+
+/** Has the first attempt to start a task get no answer, and the second one. */
+async function startOnSecondAttempt(): Promise<void> {
+  harness = await createHarness({behave: () => ({durationMs: 90_000})});
+  await harness.addWorker(worker('w1'));
+  const fake = harness.fleet.byAddress.get('w1:1')!;
+  fake.link = 'answers-lost';
+  await harness.submit(job('a', {lasting: true}));
+  await harness.advance(100);
+  fake.link = 'up';
+  await harness.advance(1000);
+  expect(fake.runs.size).toBe(1);
+}
+
+// Each leader took the attempt for one of its own first seconds, and kept the task
+// back for 12.9 s.
+it.each([1, 2, 3])(
+  'a task whose run has left the record does not wait anew after each of %d changes of leader',
+  async changes => {
+    await startOnSecondAttempt();
+    harness.fleet.byAddress.get('w1:1')!.link = 'cut';
+    const lostMs = performance.now();
+    await harness.addWorker(worker('w2'));
+    const isRecorded = () =>
+      harness.replica.state().jobs.get('a')!.tasks['0.0.0']!.runs.length > 0;
+    await harness.replaceLeader();
+    while (isRecorded()) await harness.advance(100);
+    for (let change = 0; change < changes; change++) {
+      await harness.replaceLeader();
+      await harness.advance(500);
+    }
+    await harness.advance(lostMs + LAPSE_MS + RESTART_MS - performance.now());
+    expect(harness.fleet.violations).toEqual([]);
+    const starts = harness.fleet.starts.map(each => each.worker);
+    expect(starts.at(-1)).toBe('w2');
+  },
+);
--- a/packages/queue/src/apply.ts
+++ b/packages/queue/src/apply.ts
@@ -30,6 +30,7 @@
 /** Applies the events of the change in order and returns the next state. */
 export function apply(state: State, change: Change): ApplyResult {
   const draft = new Draft(state);
+  draft.advanceLedTime(change.ledMs ?? 0);
   const outcomes = change.events.map(event => applyEvent(draft, event));
   return {state: draft.finish(), outcomes};
 }
--- a/packages/queue/src/change.ts
+++ b/packages/queue/src/change.ts
@@ -5,7 +5,7 @@
 import {z} from 'zod';
 import {Crash} from './crash.js';
 import {TablesDifference} from './difference.js';
-import {JobSpec} from './job.js';
+import {JobSpec, Task} from './job.js';
 import {Tables} from './table.js';
 import {Worker} from './worker.js';
 import {DurationStatistics} from './statistics.js';
@@ -35,8 +35,8 @@
 export const StartRow = z.tuple([z.string(), z.int().positive(), z.string()]);
 export type StartRow = z.infer<typeof StartRow>;
 
-/** Name of a task, and the keys of its `lateOn`. */
-export const LateStartRow = z.tuple([z.string(), z.array(z.string())]);
+/** Name of a task, and its `lateOn`. */
+export const LateStartRow = z.tuple([z.string(), Task.shape.lateOn.unwrap()]);
 export type LateStartRow = z.infer<typeof LateStartRow>;
 
 export const Event = z.discriminatedUnion('type', [
@@ -118,7 +118,11 @@
 export type Event = z.infer<typeof Event>;
 export type EventOf<T extends Event['type']> = Extract<Event, {type: T}>;
 
-export const Change = z.object({events: z.array(Event)});
+export const Change = z.object({
+  events: z.array(Event),
+  /** See `State.ledMs`; changes of earlier versions lack it. */
+  ledMs: z.number().optional(),
+});
 export type Change = z.infer<typeof Change>;
 
 /** The result of applying one event. */
--- a/packages/queue/src/draft.ts
+++ b/packages/queue/src/draft.ts
@@ -10,6 +10,7 @@
 
 /** Collects updates to a state; edits a map only once an entry changes. */
 export class Draft {
+  private ledMs: number;
   tables;
   retiredQueues: ReadonlyMap<string, Queue>;
   evacuated: ReadonlySet<string>;
@@ -25,6 +26,7 @@
   private statistics: Map<string, DurationStatistics> | undefined;
 
   constructor(private readonly base: State) {
+    this.ledMs = base.ledMs;
     this.tables = base.tables;
     this.retiredQueues = base.retiredQueues;
     this.evacuated = base.evacuated;
@@ -32,6 +34,11 @@
     this.activeJobBytes = base.activeJobBytes;
   }
 
+  /** See `State.ledMs`. */
+  advanceLedTime(ledMs: number): void {
+    this.ledMs = Math.max(this.ledMs, ledMs);
+  }
+
   /** Replaces the tables, and keeps the queues that active jobs still need. */
   setTables(tables: Tables): void {
     const known = queuesOf(this);
@@ -157,6 +164,7 @@
   finish(): State {
     return {
       revision: this.base.revision + 1,
+      ledMs: this.ledMs,
       tables: this.tables,
       retiredQueues: this.retiredQueues,
       activeJobCount: this.activeJobCount,
--- a/packages/queue/src/job.ts
+++ b/packages/queue/src/job.ts
@@ -93,6 +93,26 @@
 });
 export type Run = z.infer<typeof Run>;
 
+/** Attempts to start earlier runs of a task that may still arrive at a worker. */
+export const LateStart = z.object({
+  /** Key of the worker's incarnation, see `workerKey`. */
+  worker: z.string(),
+  /** When the last one was made, see `State.ledMs`; absent if more may follow. */
+  lastMs: z.number().optional(),
+  /**
+   * Whether the attempts count until a run that they start late has lapsed, and
+   * not only until they cannot arrive any more.
+   */
+  mayRun: z.boolean(),
+});
+export type LateStart = z.infer<typeof LateStart>;
+
+/** States of earlier versions name the workers only. */
+const StoredLateStart = z.union([
+  LateStart,
+  z.string().transform((worker): LateStart => ({worker, mayRun: true})),
+]);
+
 export const Task = z.object({
   done: z.boolean(),
   /** Number of runs that failed. */
@@ -112,11 +132,8 @@
    * gets its room; absent if there is none.
    */
   displacedRun: z.int().positive().optional(),
-  /**
-   * Keys of the workers at which an attempt to start an earlier run may still
-   * arrive; absent if there are none.
-   */
-  lateOn: z.array(z.string()).optional(),
+  /** Attempts that may still arrive, one entry a worker; absent if none may. */
+  lateOn: z.array(StoredLateStart).optional(),
 });
 export type Task = z.infer<typeof Task>;
 
--- a/packages/queue/src/run.ts
+++ b/packages/queue/src/run.ts
@@ -112,16 +112,16 @@
   draft.setJob(withTask(job, key, {...task, displacedRun: number}));
 }
 
-/** Records at which workers an earlier run of the task may still be started. */
+/** Records which attempts to start an earlier run may still arrive. */
 export function setLateStarts(draft: Draft, row: LateStartRow): void {
-  const [name, workers] = row;
+  const [name, lateOn] = row;
   const entry = findTask(draft, name);
   if (!entry) return;
   const {job, key} = entry;
   if (job.phase !== 'active') return;
   const {lateOn: _, ...task} = entry.task;
-  const isLate = workers.length > 0;
-  draft.setJob(withTask(job, key, {...task, ...(isLate && {lateOn: workers})}));
+  const isLate = lateOn.length > 0;
+  draft.setJob(withTask(job, key, {...task, ...(isLate && {lateOn})}));
 }
 
 /** Records a run, if it is recorded, as a run of another worker. */
--- a/packages/queue/src/state.ts
+++ b/packages/queue/src/state.ts
@@ -11,6 +11,8 @@
 /** The state as a snapshot stores it. */
 export const StoredState = z.object({
   revision: z.int().nonnegative(),
+  /** Snapshots of earlier versions lack it. */
+  ledMs: z.number().nonnegative().default(0),
   tables: Tables,
   retiredQueues: z.array(Queue).default([]),
   jobs: z.array(Job),
@@ -27,6 +29,12 @@
 export interface State {
   /** Number of changes applied. */
   readonly revision: number;
+  /**
+   * For how long leaders have led the group, up to the last change. It stands
+   * still between two leaders and does not depend on the time of day, so that
+   * no more time passes by it than has passed.
+   */
+  readonly ledMs: number;
   readonly tables: Tables;
   /**
    * Queues that the tables have lost while jobs of theirs were active, by name.
@@ -58,6 +66,7 @@
 
 export const EMPTY_STATE: State = {
   revision: 0,
+  ledMs: 0,
   tables: EMPTY_TABLES,
   retiredQueues: new Map(),
   jobs: PersistentMap.empty(),
@@ -104,6 +113,7 @@
 export function toStored(state: State): StoredState {
   return {
     revision: state.revision,
+    ledMs: state.ledMs,
     tables: state.tables,
     retiredQueues: [...state.retiredQueues.values()],
     jobs: state.jobs.values(),
@@ -119,6 +129,7 @@
 export function fromStored(stored: StoredState): State {
   return {
     revision: stored.revision,
+    ledMs: stored.ledMs,
     tables: stored.tables,
     retiredQueues: new Map(stored.retiredQueues.map(row => [row.name, row])),
     jobs: PersistentMap.from(stored.jobs.map(job => [job.spec.id, job])),
--- a/packages/queue/test/apply.test.ts
+++ b/packages/queue/test/apply.test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {
   apply,
+  Change,
   EMPTY_STATE,
   EMPTY_TABLES,
   Event,
@@ -490,26 +491,27 @@
       {type: 'start', runs: [['a.0.0.0', 1, KEY]]},
     )[0];
   };
+  const LATE = {worker: KEY, lastMs: 700, mayRun: false};
   const lateOn = (state: State) => state.jobs.get('a')?.tasks['0.0.0']?.lateOn;
 
   // The next leader knew nothing of the attempts, and placed the task elsewhere.
   it('are kept when the run is lost, and when the state is stored', () => {
     const [state] = applyEvents(
       submitted(),
-      {type: 'late-starts', rows: [['a.0.0.0', [KEY]]]},
+      {type: 'late-starts', rows: [['a.0.0.0', [LATE]]]},
       {type: 'lost', runs: [['a.0.0.0', 1, KEY]]},
     );
-    expect(lateOn(state)).toEqual([KEY]);
+    expect(lateOn(state)).toEqual([LATE]);
     const text = JSON.stringify(toStored(state));
     const restored = fromStored(StoredState.parse(JSON.parse(text)));
-    expect(lateOn(restored)).toEqual([KEY]);
+    expect(lateOn(restored)).toEqual([LATE]);
   });
 
   it('are dropped when none is left, and not recorded for ended jobs', () => {
     const base = submitted();
     const [late] = applyEvents(base, {
       type: 'late-starts',
-      rows: [['a.0.0.0', [KEY]]],
+      rows: [['a.0.0.0', [LATE]]],
     });
     const [state] = applyEvents(late, {
       type: 'late-starts',
@@ -520,9 +522,29 @@
       base,
       {type: 'lost', runs: [['a.0.0.0', 1, KEY]]},
       {type: 'cancel', job: 'a'},
-      {type: 'late-starts', rows: [['a.0.0.0', [KEY]]]},
-      {type: 'late-starts', rows: [['b.0.0.0', [KEY]]]},
+      {type: 'late-starts', rows: [['a.0.0.0', [LATE]]]},
+      {type: 'late-starts', rows: [['b.0.0.0', [LATE]]]},
     );
     expect(lateOn(ended)).toBeUndefined();
   });
+
+  // An entry without a time counts from the beginning of the next leader.
+  it('are read from states that name the workers only', () => {
+    const row = ['a.0.0.0', [KEY]];
+    const change = {events: [{type: 'late-starts', rows: [row]}]};
+    const {state} = apply(submitted(), Change.parse(change));
+    expect(lateOn(state)).toEqual([{worker: KEY, mayRun: true}]);
+  });
+});
+
+// A leader that is behind would make what is on record younger than it is.
+it('the time for which leaders have led does not go back, and is stored', () => {
+  const ledMs = [500, 1200, 900];
+  const state = ledMs.reduce(
+    (last, each) => apply(last, {events: [], ledMs: each}).state,
+    EMPTY_STATE,
+  );
+  expect(state.ledMs).toBe(1200);
+  const text = JSON.stringify(toStored(state));
+  expect(fromStored(StoredState.parse(JSON.parse(text))).ledMs).toBe(1200);
 });
