Take the runs of a worker off the record once its host runs another worker

An order that the leader sent at 37.4 s got no answer; the host was back at 40.1 s as another worker, which the log names as the certain crash of the former one.

Cause: the crash was known, but only counted against tasks. The runs and the attempts went on to wait for what time alone excludes.

Change: a worker that does not answer is removed as soon as a later one on its host is on record, with its runs and the attempts at it. One at a time runs on a host, and the later one refuses calls that name the former.

Test: the new one in late-starts.test.ts fails on (the task does not run 3 s after the host is back).

--- a/packages/dispatch/src/late-starts.ts
+++ b/packages/dispatch/src/late-starts.ts
@@ -57,6 +57,11 @@
   markSettled(task: string, run: number): void;
   /** Notes that no more attempts are made at this incarnation. */
   markClosed(worker: string): void;
+  /**
+   * Notes that the worker with this ID has ended for good: whichever worker is at
+   * its address refuses calls to it.
+   */
+  markEnded(workerId: string): void;
   /** Notes that a further incarnation of the worker with this ID is known. */
   markRestarted(workerId: string): void;
   /**
@@ -360,6 +365,10 @@
     markUnanswered,
     markSettled,
     markClosed,
+    markEnded(workerId) {
+      for (const attempts of byWorkerId.get(workerId) ?? []) remove(attempts);
+      forgetUnexpected(workerId);
+    },
     markRestarted(workerId) {
       for (const attempts of byWorkerId.get(workerId) ?? []) {
         attempts.hasRestarted = true;
--- a/packages/dispatch/src/lost-runs.ts
+++ b/packages/dispatch/src/lost-runs.ts
@@ -6,10 +6,15 @@
  * `absent`: a report that was requested after the order was settled lacks the
  * run. `lease-lapsed`: every lease of the worker has expired. `worker-replaced`:
  * the worker has started again. `successor-silent`: so it has, and the next
- * incarnation has been silent for long.
+ * incarnation has been silent for long. `host-restarted`: its host runs another
+ * worker.
  */
 export type LossCause =
-  'absent' | 'lease-lapsed' | 'worker-replaced' | 'successor-silent';
+  | 'absent'
+  | 'lease-lapsed'
+  | 'worker-replaced'
+  | 'successor-silent'
+  | 'host-restarted';
 
 /**
  * Longest list of runs that is logged one by one: a lost worker has tens of
--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -52,7 +52,7 @@
   readonly runs: RunTracker;
   readonly lateStarts: Pick<
     LateStarts,
-    'markRestarted' | 'markClosed' | 'recordAttempts'
+    'markRestarted' | 'markClosed' | 'markEnded' | 'recordAttempts'
   >;
   readonly incarnations: Incarnations;
   readonly announcements: Pick<AnnouncementAges, 'markAnnounced'>;
@@ -406,9 +406,37 @@
   }
 
   function expire(): void {
-    for (const worker of state().workers.unorderedValues()) {
-      if (areRunsOver(worker)) removeRuns(worker);
+    const {workers} = state();
+    const latestBornMs = findLatestLives(workers);
+    for (const worker of workers.unorderedValues()) {
+      if (hasHostRestarted(worker, latestBornMs)) removeEnded(worker);
+      else if (areRunsOver(worker)) removeRuns(worker);
+    }
+  }
+
+  /**
+   * Whether a worker with another ID has begun on the host since. It answers calls
+   * to this one with a refusal, so that neither a run nor a late order is left.
+   */
+  function hasHostRestarted(
+    worker: Worker,
+    latestBornMs: ReadonlyMap<string, number>,
+  ): boolean {
+    const latestMs = latestBornMs.get(worker.host) ?? worker.bornMs;
+    if (latestMs <= worker.bornMs || isSuperseded(worker)) return false;
+    const session = options.sessionOf(workerKey(worker));
+    return session !== undefined && !session.isAnswering();
+  }
+
+  function removeEnded(worker: Worker): void {
+    const key = workerKey(worker);
+    const rows = options.recordedRuns(key).map(toLostRow);
+    if (rows.length > 0) {
+      log.info('host-restarted', {worker: key, runs: rows.length});
+      logRunsLost(log, rows, 'host-restarted');
     }
+    options.lateStarts.markEnded(worker.id);
+    removeWorker(key);
   }
 
   /**
@@ -509,6 +537,18 @@
   };
 }
 
+/** The start of the latest worker on each host, by host. */
+function findLatestLives(
+  workers: State['workers'],
+): ReadonlyMap<string, number> {
+  const latestBornMs = new Map<string, number>();
+  for (const {host, bornMs} of workers.unorderedValues()) {
+    if (host === '') continue;
+    latestBornMs.set(host, Math.max(latestBornMs.get(host) ?? 0, bornMs));
+  }
+  return latestBornMs;
+}
+
 /** Those of the runs whose ends the report may lack for want of space. */
 function listUnlisted(
   runs: readonly LiveRun[],
--- a/packages/dispatch/test/late-starts.test.ts
+++ b/packages/dispatch/test/late-starts.test.ts
@@ -1,5 +1,6 @@
 /** Tests how long attempts that may start late keep tasks from other workers. */
 import {afterEach, beforeEach, expect, it, vi} from 'vitest';
+import {startCrashes} from './crashes.js';
 import {createHarness, job, worker, type Harness} from './harness.js';
 
 /** Time from the loss of a worker until its runs have lapsed. */
@@ -9,6 +10,10 @@
  * which nothing else is amiss.
  */
 const RESTART_MS = 9000;
+/** A task that could run must not wait for longer. */
+const MAX_IDLE_MS = 3000;
+
+const NO_ROOM = {cpuMillis: 100, memoryMb: 100, gpus: 0};
 
 let harness: Harness;
 
@@ -55,3 +60,19 @@
     expect(starts.at(-1)).toBe('w2');
   },
 );
+
+// The run stayed on record until the longest lease had expired, and the attempts
+// kept the task back for 11.4 s.
+it('a task whose order got no answer is placed elsewhere once another worker has begun on the host', async () => {
+  harness = await createHarness({behave: () => ({durationMs: 90_000})});
+  await harness.addWorker(worker('w1'));
+  await harness.addWorker(worker('w2', {capacity: NO_ROOM}));
+  const downMs = 2400;
+  const crashes = startCrashes({harness, downMs, isDeadly: () => false});
+  crashes.crash('m-w1');
+  await harness.submit(job('a'));
+  await harness.advance(downMs + MAX_IDLE_MS);
+  crashes.stop();
+  expect(harness.fleet.violations).toEqual([]);
+  expect(harness.fleet.starts.map(each => each.worker)).toEqual(['m-w1-1']);
+});
