Log why a task that is ready waits for longer than 2 s

Callers saw a task of a running job without a run for up to 13 s, or until the end, while hosts were free.

A round now returns what it held back and why. The planner logs `task-waits` once for each task and reason after 2 s, at most 32 lines a second, and sets `lentildrift_waiting_tasks` by reason. Placement is as before.

Steps of a backlog that have not run yet are only counted beyond the first 16 of a pool and reason, so that a round in a full pool does not name each task; tasks that have run before are listed always, up to 1,024 a round. One round in 250 ms is looked at.

--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -236,6 +236,7 @@
     placement: options.placement,
     shares: () => intake.shares(),
     log,
+    metrics,
   });
   const copies = createCopies({
     policy: options.copies ?? new NoCopies(),
@@ -596,6 +597,7 @@
       registry.stop();
       instruments.stop();
       evacuations.stop();
+      planner.stop();
       events.rejectAll();
       await dispatcher.close();
       await task.stop();
--- a/packages/dispatch/src/planner.ts
+++ b/packages/dispatch/src/planner.ts
@@ -1,5 +1,5 @@
 /** Plans the starts of a decision round with what the leader has learnt. */
-import type {Log} from '@lentildrift/observe';
+import type {Log, Metrics} from '@lentildrift/observe';
 import type {Job, State} from '@lentildrift/queue';
 import {
   DeadlineOrder,
@@ -17,6 +17,7 @@
 import type {LeaderInstruments} from './instruments.js';
 import type {LateStarts} from './late-starts.js';
 import type {RunEstimates} from './run-estimates.js';
+import {createTaskWaits} from './task-waits.js';
 
 export interface PlannerOptions {
   readonly instruments: LeaderInstruments;
@@ -27,6 +28,7 @@
   readonly order: JobOrder | undefined;
   readonly placement: Placement | undefined;
   readonly log: Log;
+  readonly metrics: Metrics;
   /** Shares of the teams by pool; undefined if teams have no shares. */
   shares(): ReadonlyMap<string, PoolShares> | undefined;
 }
@@ -37,6 +39,8 @@
 export interface Planner {
   /** Decides which waiting tasks start on which workers. */
   plan(state: State, view: StateView): Plan;
+  /** Has the metrics no longer show what this leader knew. */
+  stop(): void;
 }
 
 export function createPlanner(options: PlannerOptions): Planner {
@@ -46,6 +50,7 @@
   const placement = options.placement ?? new PackPlacement();
   /** Jobs whose delay is logged, by ID, as long as they are delayed. */
   let logged: ReadonlySet<string> = new Set();
+  const waits = createTaskWaits(options);
 
   /** Logs once that a job waits since its team is beyond its share. */
   function logDelays(jobs: ReadonlySet<Job>): void {
@@ -85,7 +90,9 @@
       };
       const decision = time('plan', () => plan(round));
       logDelays(decision.onLentRoom);
+      waits.observe(decision);
       return decision;
     },
+    stop: waits.stop,
   };
 }
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,5 +1,11 @@
 export * from './estimate.js';
 export * from './health.js';
+export {
+  HoldReason,
+  heldTaskName,
+  type HeldBack,
+  type HeldTask,
+} from './held-back.js';
 export * from './load.js';
 export * from './backlog.js';
 export * from './fleet.js';
--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -27,6 +27,12 @@
 import {isInflow, type Backlog} from './backlog.js';
 import {isCold, withRun, withFree, type Candidate} from './candidate.js';
 import {expectedDurationMs, type Durations} from './estimate.js';
+import {
+  createHoldRecord,
+  type HeldBack,
+  type HoldReason,
+  type HoldRecord,
+} from './held-back.js';
 import {reservation, type Load} from './load.js';
 import {
   punctualityOf,
@@ -35,7 +41,7 @@
   type Punctuality,
 } from './order.js';
 import {staysOnRack, type Placement} from './placement.js';
-import {isWaiting, listReadySteps} from './ready-steps.js';
+import {isWaiting, listReadySteps, type ReadyStep} from './ready-steps.js';
 import {findJobsOnLentRoom, type PoolShares} from './shares.js';
 import {chooseForTrial, idleCandidates} from './trial.js';
 import {createUnfitSizes, type UnfitSizes} from './unfit.js';
@@ -92,6 +98,8 @@
   readonly shortPools: ReadonlySet<string>;
   /** Jobs that come after others since their team is beyond its share. */
   readonly onLentRoom: ReadonlySet<Job>;
+  /** The tasks that are ready and do not start. */
+  readonly heldBack: HeldBack;
   /**
    * The candidates of a pool with the room that is left after the starts. Valid
    * as long as the input of the round is.
@@ -115,6 +123,7 @@
   readonly occurrence: number;
   readonly stepIndex: number;
   readonly step: Step;
+  readonly ready: ReadyStep;
   readonly punctuality: Punctuality;
 }
 
@@ -151,8 +160,8 @@
       rank = order.rank(occasion, isOverloaded, isOnLentRoom);
       ranked = each;
     }
-    const {stepIndex, step, punctuality} = each;
-    return {job, queue, occurrence, stepIndex, step, punctuality, rank};
+    const {stepIndex, step, ready, punctuality} = each;
+    return {job, queue, occurrence, stepIndex, step, ready, punctuality, rank};
   });
 }
 
@@ -165,13 +174,14 @@
     if (!queue) continue;
     let judgedOccurrence = -1;
     let punctuality: Punctuality = 'in-time';
-    for (const {occurrence, stepIndex, step} of listReadySteps(job, nowMs)) {
+    for (const ready of listReadySteps(job, nowMs)) {
+      const {occurrence, stepIndex, step} = ready;
       if (occurrence !== judgedOccurrence) {
         const occasion = {job, queue, occurrence, nowMs, durations};
         punctuality = punctualityOf(occasion);
         judgedOccurrence = occurrence;
       }
-      steps.push({job, queue, occurrence, stepIndex, step, punctuality});
+      steps.push({job, queue, occurrence, stepIndex, step, ready, punctuality});
     }
   }
   return steps;
@@ -243,6 +253,7 @@
   /** Pools by step. */
   readonly stepsAwaitingAdvice: Map<string, string>;
   readonly shortPools: Set<string>;
+  readonly heldBack: HoldRecord;
 }
 
 function createRoundState({state, load}: PlanInput): RoundState {
@@ -260,6 +271,7 @@
     starts: [],
     stepsAwaitingAdvice: new Map(),
     shortPools: new Set(),
+    heldBack: createHoldRecord(),
   };
 }
 
@@ -296,16 +308,25 @@
   let lateStarts = 0;
   for (const readyStep of readySteps) {
     const isLate = readyStep.punctuality === 'late';
-    if (isLate && lateStarts >= input.maxLateStarts) continue;
+    if (isLate && lateStarts >= input.maxLateStarts) {
+      holdStep(round, readyStep, 'paced');
+      continue;
+    }
     const startsBefore = round.starts.length;
-    if (readyStep.queue.advice && !isAdvised(input, round, readyStep)) continue;
-    if (isKnownToFitNowhere(round, readyStep)) continue;
+    if (readyStep.queue.advice && !isAdvised(input, round, readyStep)) {
+      holdStep(round, readyStep, 'advice');
+      continue;
+    }
+    if (isKnownToFitNowhere(round, readyStep)) {
+      holdStep(round, readyStep, 'no-room');
+      continue;
+    }
     if (readyStep.step.gang) placeGang(input, round, readyStep);
     else placeTasks(input, round, readyStep);
     if (isLate) lateStarts += round.starts.length - startsBefore;
   }
   placeDeferredTrials(input, round);
-  const {starts, shortPools} = round;
+  const {starts, shortPools, heldBack} = round;
   const stepsAwaitingAdvice = [...round.stepsAwaitingAdvice].map(
     ([step, pool]) => ({step, pool}),
   );
@@ -313,11 +334,22 @@
     starts,
     stepsAwaitingAdvice,
     shortPools,
+    heldBack,
     candidatesLeft: pool => poolCandidates(input, round, pool),
     usedByTeam: team => round.teams.get(team)?.used ?? ZERO_SIZE,
   };
 }
 
+/** Notes that no task of the step starts in the round. */
+function holdStep(
+  {heldBack}: RoundState,
+  step: RankedStep,
+  reason: HoldReason,
+): void {
+  const {firstWaiting, waitingCount} = step.ready;
+  heldBack.addTasksFrom(step, firstWaiting, waitingCount, reason);
+}
+
 /**
  * Whether the step can neither get a worker nor tell more about its pool. Most
  * steps of a backlog are of such a kind, so that this is tested before their
@@ -364,49 +396,73 @@
 ): void {
   const {job, occurrence, stepIndex, step, queue} = readyStep;
   const placing = createPlacing(input, readyStep);
+  const {heldBack} = round;
+  let waitingCount = readyStep.ready.waitingCount;
   for (let index = 0; index < step.count; index++) {
     const key = taskKey({occurrence, step: stepIndex, index});
     const task = job.tasks[key] ?? NEW_TASK;
     if (!isWaiting(task)) continue;
-    if (!isWithinCap(round, job, step.size)) return;
+    const remaining = waitingCount--;
+    if (!isWithinCap(round, job, step.size)) {
+      heldBack.addTasksFrom(readyStep, index, remaining, 'cap');
+      return;
+    }
     const name = taskName(job.spec.id, key);
     const allowed = input.allowedWorkers?.(name);
-    if (allowed?.length === 0) continue;
+    if (allowed?.length === 0) {
+      heldBack.addTask(readyStep, index, 'late-start');
+      continue;
+    }
     const waiting = {task, allowed};
     if (isSuspect(task) && trialSlots(input, round, queue.pool) < 1) {
-      round.deferredTrials.push({placing, name, waiting});
+      round.deferredTrials.push({placing, index, name, waiting});
       continue;
     }
     const chosen = chooseAndReserve(input, round, placing, waiting);
     if (!chosen) {
-      // It may have got one of the workers that are not allowed.
-      if (allowed) continue;
-      // A limit of the step may keep a suspect from the workers that are idle.
-      if (isSuspect(task)) continue;
-      // The other tasks of the step are of the same size, so none of them fits.
-      if (task.failedOn.length === 0) {
+      // The other tasks of the step are of the same size, so none of them fits,
+      // unless it may have got one of the workers that are not allowed, or a
+      // limit of the step may keep a suspect from the workers that are idle.
+      if (!allowed && !isSuspect(task) && task.failedOn.length === 0) {
         round.shortPools.add(queue.pool);
+        const reason = unplacedReason(readyStep, waiting);
+        heldBack.addTasksFrom(readyStep, index, remaining, reason);
         return;
       }
+      heldBack.addTask(readyStep, index, unplacedReason(readyStep, waiting));
       continue;
     }
     round.starts.push([name, task.lastRun + 1, chosen.key]);
   }
 }
 
+/** Why a task that may start now got none of the candidates. */
+function unplacedReason(
+  {queue}: RankedStep,
+  {allowed}: WaitingTask,
+): HoldReason {
+  if (allowed) return 'pinned';
+  return queue.advice ? 'advice' : 'no-room';
+}
+
 /**
  * Places suspects on workers that the round leaves idle. The trial slots only
  * limit the workers that trials take from other tasks.
  */
 function placeDeferredTrials(input: PlanInput, round: RoundState): void {
-  for (const {placing, name, waiting} of round.deferredTrials) {
-    const {job, step, queue} = placing.readyStep;
-    if (!isWithinCap(round, job, step.size)) continue;
+  for (const {placing, index, name, waiting} of round.deferredTrials) {
+    const {readyStep} = placing;
+    const {job, step, queue} = readyStep;
+    if (!isWithinCap(round, job, step.size)) {
+      round.heldBack.addTask(readyStep, index, 'cap');
+      continue;
+    }
     const idle = idleCandidates(poolCandidates(input, round, queue.pool));
-    if (idle.length === 0) continue;
-    const chosen = choose(input, placing, waiting, idle);
+    const chosen =
+      idle.length > 0 ? choose(input, placing, waiting, idle) : undefined;
     if (!chosen) {
-      if (queue.advice) awaitAdvice(round, placing.readyStep);
+      round.heldBack.addTask(readyStep, index, 'trial');
+      if (idle.length > 0 && queue.advice) awaitAdvice(round, readyStep);
       continue;
     }
     reserve(input, round, placing, chosen);
@@ -429,10 +485,16 @@
     taskKey({occurrence, step: stepIndex, index}),
   );
   const tasks = keys.map(key => job.tasks[key] ?? NEW_TASK);
-  if (!tasks.every(isWaiting)) return;
+  if (!tasks.every(isWaiting)) {
+    holdStep(round, readyStep, 'gang');
+    return;
+  }
   const names = keys.map(key => taskName(job.spec.id, key));
   const allowed = names.map(name => input.allowedWorkers?.(name));
-  if (allowed.some(workers => workers?.length === 0)) return;
+  if (allowed.some(workers => workers?.length === 0)) {
+    holdStep(round, readyStep, 'late-start');
+    return;
+  }
   const isAnyAllowed = allowed.every(workers => workers === undefined);
   const placing = createPlacing(input, readyStep);
   const {pool} = readyStep.queue;
@@ -444,16 +506,14 @@
   const rows: StartRow[] = [];
   let gangRack: string | undefined;
   for (const [index, task] of tasks.entries()) {
-    const chosen = isWithinCap(round, job, step.size)
-      ? chooseAndReserve(
-          input,
-          round,
-          placing,
-          {task, allowed: allowed[index]},
-          gangRack,
-        )
+    const waiting = {task, allowed: allowed[index]};
+    const isInCap = isWithinCap(round, job, step.size);
+    const chosen = isInCap
+      ? chooseAndReserve(input, round, placing, waiting, gangRack)
       : undefined;
     if (!chosen) {
+      const reason = isInCap ? unplacedReason(readyStep, waiting) : 'cap';
+      holdStep(round, readyStep, reason);
       round.byPool.set(pool, saved.pool);
       if (saved.team) round.teams.set(saved.team.team.name, saved.team);
       if (isAnyAllowed) round.shortPools.add(pool);
@@ -500,6 +560,7 @@
 /** A suspect that waits for a trial. */
 interface DeferredTrial {
   readonly placing: Placing;
+  readonly index: number;
   /** See `taskName`. */
   readonly name: string;
   readonly waiting: WaitingTask;
--- a/packages/scheduling/src/ready-steps.ts
+++ b/packages/scheduling/src/ready-steps.ts
@@ -19,6 +19,10 @@
   readonly step: Step;
   /** Number of tasks that have neither a run nor ended. */
   readonly waitingCount: number;
+  /** Index of the first of them. */
+  readonly firstWaiting: number;
+  /** Indexes of those that have had a run before. */
+  readonly rerun: readonly number[];
   /**
    * Number of runs of the step, by worker key; empty if the step has no limit
    * for each worker.
@@ -60,6 +64,7 @@
 }
 
 const NO_RUNS: ReadonlyMap<string, number> = new Map();
+const NO_TASKS: readonly number[] = [];
 
 function countTasks(
   job: Job,
@@ -70,9 +75,14 @@
   const isLimited = step.maxPerWorker > 0;
   const running = new Map<string, number>();
   let waitingCount = 0;
+  let firstWaiting = -1;
+  const rerun: number[] = [];
   for (let index = 0; index < step.count; index++) {
     const task = job.tasks[taskKey({occurrence, step: stepIndex, index})];
-    if (isWaiting(task)) waitingCount++;
+    if (isWaiting(task)) {
+      if (waitingCount++ === 0) firstWaiting = index;
+      if (task && task.lastRun > 0) rerun.push(index);
+    }
     if (!isLimited || !task || task.done) continue;
     for (const {worker} of task.runs) {
       running.set(worker, (running.get(worker) ?? 0) + 1);
@@ -83,6 +93,8 @@
     stepIndex,
     step,
     waitingCount,
+    firstWaiting,
+    rerun: rerun.length > 0 ? rerun : NO_TASKS,
     running: isLimited ? running : NO_RUNS,
   };
 }
