Blame no task for the crash of a worker that never ran it

A worker ended and started again under its ID, and the next incarnation carried out an order meant for the former one.

The evidence was the record of the run, which says where it was ordered and not where it was carried out. Now a run counts only if the crashed incarnation has confirmed its start or reported it, or if an attempt had no answer. The last kind no longer singles out a task, so its job fails at the fourth such crash instead of the third: a task that crashes its worker before the answer is still given up. Runs of an earlier leader count as before.

--- a/packages/dispatch/src/crash-detector.ts
+++ b/packages/dispatch/src/crash-detector.ts
@@ -164,6 +164,8 @@
     return {
       live,
       isInherited: runs.isInherited(live.id),
+      mayHaveRun: runs.mayHaveRun(live.id),
+      isConfirmed: runs.isConfirmed(live.id),
       isProven: runs.isProven(live.id, endMs),
       ranMs: startedMs === undefined ? undefined : endMs - startedMs,
     };
--- a/packages/dispatch/src/tracker.ts
+++ b/packages/dispatch/src/tracker.ts
@@ -47,6 +47,16 @@
   runningSinceMs(id: string): number | undefined;
   /** Whether an earlier leader ordered the run. */
   isInherited(id: string): boolean;
+  /**
+   * Whether the incarnation for which the run is recorded has confirmed the start
+   * or reported the run, as far as this leader can know.
+   */
+  isConfirmed(id: string): boolean;
+  /**
+   * Whether that incarnation may have run it: it is confirmed, or an attempt got
+   * no answer. Otherwise the order was not sent or another incarnation answered.
+   */
+  mayHaveRun(id: string): boolean;
   /**
    * Whether its worker had reported the run by `atMs` (monotonic) and had then
    * run it for so long that its start cannot crash the worker any more.
@@ -101,6 +111,8 @@
   const reported = new Map<string, number>();
   const stopping = new Set<string>();
   const times = new Map<string, RunTimes>();
+  const isConfirmed = (id: string) =>
+    inheritedRuns.has(id) || startedMs.has(id) || reported.has(id);
   /** Monotonic time since which reports lack the run; infinite once logged. */
   const missingSinceMs = new Map<string, number>();
   return {
@@ -140,6 +152,8 @@
       return Math.min(started, first);
     },
     isInherited: id => inheritedRuns.has(id),
+    isConfirmed,
+    mayHaveRun: id => isConfirmed(id) || unansweredMs.has(id),
     isProven: (id, atMs) =>
       reported.has(id) &&
       atMs - (startedMs.get(id) ?? -Infinity) >= PROVEN_RUN_MS,
--- a/packages/dispatch/test/unannounced-incarnation.test.ts
+++ b/packages/dispatch/test/unannounced-incarnation.test.ts
@@ -95,6 +95,20 @@
   expect(harness.fleet.violations).toEqual([]);
 });
 
+// Three such ends of workers failed the job as the cause of crashes.
+it('a task is not blamed for the end of an incarnation that never ran it', async () => {
+  await startFormerIncarnation();
+  const next = startNextIncarnation();
+  void harness.submit(job('a'));
+  await waitForRun(next);
+  await harness.advance(100);
+  void harness.leader.announce(next.worker).catch(() => undefined);
+  await harness.advance(2000);
+  const {tasks} = harness.replica.state().jobs.get('a')!;
+  expect(tasks['0.0.0']!.crashes).toEqual([]);
+  expect(harness.logLines.join()).not.toContain('event=worker-crashed');
+});
+
 // A hold of the session with the former incarnation acknowledged ends by the
 // numbers of that incarnation.
 it('ends of an unannounced incarnation are not discarded before they are recorded', async () => {
--- a/packages/scheduling/src/suspicion.ts
+++ b/packages/scheduling/src/suspicion.ts
@@ -7,6 +7,10 @@
   readonly live: LiveRun;
   /** An earlier leader ordered the run. */
   readonly isInherited: boolean;
+  /** The crashed incarnation may have run it; the next one may have instead. */
+  readonly mayHaveRun: boolean;
+  /** The crashed incarnation had confirmed the start, or reported the run. */
+  readonly isConfirmed: boolean;
   /** The worker had reported the run some time after its start. */
   readonly isProven: boolean;
   /** Time from the start to the crash; undefined if it is not known. */
@@ -32,7 +36,9 @@
  * that had not run for long, unless other workers failed as well. Undefined if
  * the crash may be due to no task.
  */
-export function accuse({runs, isShared}: CrashReport): Accusation | undefined {
+export function accuse(report: CrashReport): Accusation | undefined {
+  const {isShared} = report;
+  const runs = report.runs.filter(({mayHaveRun}) => mayHaveRun);
   const prompt = runs.filter(
     ({live, isInherited, isProven}) =>
       !isProven && (!isInherited || isSuspect(live.task)),
@@ -49,5 +55,8 @@
   isShared: boolean,
 ): Accusation {
   const tasks = runs.map(({live}) => taskName(live.job.spec.id, live.key));
-  return {tasks, isPrompt, isAlone: tasks.length === 1 && !isShared};
+  // An order without an answer may have met a worker that had ended before.
+  const isAlone =
+    tasks.length === 1 && !isShared && runs.every(each => each.isConfirmed);
+  return {tasks, isPrompt, isAlone};
 }
--- a/packages/scheduling/test/suspicion.test.ts
+++ b/packages/scheduling/test/suspicion.test.ts
@@ -26,6 +26,8 @@
     .map((live, index) => ({
       live,
       isInherited: false,
+      mayHaveRun: true,
+      isConfirmed: true,
       isProven: true,
       ranMs: 60_000,
       ...facts[index],
@@ -49,6 +51,27 @@
     expect(accuse({runs, isShared: true})).toMatchObject({isAlone: false});
   });
 
+  // The next incarnation of the worker carries out such orders.
+  it('names no task whose order the worker had not carried out', () => {
+    const never = {...STARTED, mayHaveRun: false, isConfirmed: false};
+    expect(accuse({runs: crashedRuns(never), isShared: false})).toBe(undefined);
+    const runs = crashedRuns(never, STARTED);
+    expect(accuse({runs, isShared: false})).toMatchObject({
+      tasks: ['j.0.0.1'],
+      isAlone: true,
+    });
+  });
+
+  // The worker may have ended before the order, or crashed before its answer.
+  it('does not single out a task whose order has no answer', () => {
+    const runs = crashedRuns({...STARTED, isConfirmed: false});
+    expect(accuse({runs, isShared: false})).toEqual({
+      tasks: ['j.0.0.0'],
+      isPrompt: true,
+      isAlone: false,
+    });
+  });
+
   it('names no task that had run for long', () => {
     expect(accuse({runs: crashedRuns({}, {}), isShared: false})).toBe(
       undefined,
