--- a/packages/dispatch/test/group.ts
+++ b/packages/dispatch/test/group.ts
@@ -37,6 +37,8 @@
   isConnected: boolean;
   /** One-way delay of the host's packets. */
   delayMs: number;
+  /** Duration of a sync of the host's disk. */
+  syncMs: number;
 }
 
 /** Time without an answer after which a link counts as closed. */
@@ -59,8 +61,11 @@
   start(host: GroupHost): Promise<void>;
   /** Ends the process; the host answers that nothing listens. */
   crash(host: GroupHost): void;
-  /** Ends the process; the host no longer answers. */
-  powerOff(host: GroupHost): void;
+  /**
+   * Ends the process; the host no longer answers. The write that was not synced
+   * is lost, unless the disk keeps it.
+   */
+  powerOff(host: GroupHost, loss?: {readonly keepsUnsynced: boolean}): void;
   /** Starts the process of a host that was off. */
   powerOn(host: GroupHost): Promise<void>;
   cut(host: GroupHost): void;
@@ -133,7 +138,11 @@
 
   async function start(host: GroupHost): Promise<void> {
     const {member} = host;
-    const store = new MemoryStore(host.disk, {syncMs: SYNC_MS});
+    const store = new MemoryStore(host.disk, {
+      get syncMs() {
+        return host.syncMs;
+      },
+    });
     const replica = await startRaft<Values, string, number>({
       member,
       group: 'g',
@@ -204,11 +213,11 @@
     return host && isLinkOpen(from, host) ? host : undefined;
   }
 
-  function endProcess(host: GroupHost): void {
+  function endProcess(host: GroupHost, loss = {keepsUnsynced: false}): void {
     const {process} = host;
     if (!process) return;
     host.process = undefined;
-    process.store.crash();
+    process.store.crash(loss);
     process.replica.kill();
     void process.membership.stop();
   }
@@ -260,6 +269,7 @@
       process: undefined,
       isConnected: true,
       delayMs: NETWORK_DELAY_MS,
+      syncMs: SYNC_MS,
     };
     hosts.push(host);
     await start(host);
@@ -281,8 +291,8 @@
       endProcess(host);
       observeLinks();
     },
-    powerOff(host) {
-      endProcess(host);
+    powerOff(host, loss) {
+      endProcess(host, loss);
       host.isConnected = false;
       observeLinks();
     },
--- a/packages/storage/src/memory.ts
+++ b/packages/storage/src/memory.ts
@@ -29,6 +29,8 @@
 
 export class MemoryStore extends LogStore {
   private crashed = false;
+  /** The change of the write whose sync has not completed. */
+  private unsynced: ((log: StoredLog) => StoredLog) | undefined;
 
   constructor(
     private readonly disk: MemoryDisk,
@@ -38,10 +40,14 @@
   }
 
   /**
-   * Simulates a crash of the process: unsynced data is lost, and pending and
-   * later writes never settle.
+   * Simulates a crash of the process: pending and later writes never settle.
+   * The unsynced write is lost, unless the disk keeps it; one that is torn is
+   * dropped on load, so it counts as lost.
    */
-  crash(): void {
+  crash({keepsUnsynced = false} = {}): void {
+    if (keepsUnsynced && !this.crashed && this.unsynced) {
+      this.disk.synced = this.unsynced(this.disk.synced);
+    }
     this.crashed = true;
   }
 
@@ -62,11 +68,13 @@
   }
 
   private sync(change: (log: StoredLog) => StoredLog): Promise<void> {
+    this.unsynced = change;
     return new Promise(resolve => {
       const complete = () => {
         if (!this.crashed) this.options.onSync?.('before', this);
         if (this.crashed) return;
         this.disk.synced = change(this.disk.synced);
+        this.unsynced = undefined;
         this.options.onSync?.('after', this);
         if (!this.crashed) resolve();
       };
