Count inherited leases from the first leader that granted none

Cause: a leader did not know whether the leaders before it had granted the worker a lease, and counted those of all of them from its own election. Change: a leader records the workers with runs that it has called in vain and never granted a lease (`leases-suspended`, one event for all of a tick). It grants them none, by hold or start, until their resumption is on record. Each process notes by its monotonic clock when it first knew of each elected leader, and counts such leases from the one that suspended them. A session that has not called its worker yet takes no run for over. Workers that answer, or have no runs, cost no record and wait for none. Ruled out: a record of each worker at each change of leader before its first lease (2,200 rows, and a commit between the election and the first lease); a vote for a term as the sign of its election (the former leader may still be confirmed then).

--- a/packages/dispatch/src/batch.ts
+++ b/packages/dispatch/src/batch.ts
@@ -103,6 +103,9 @@
     case 'lost':
     case 'displace':
       return EVENT_BYTES + event.runs.length * ROW_BYTES;
+    case 'leases-suspended':
+    case 'leases-resumed':
+      return ROW_BYTES + event.workers.length * ROW_BYTES;
     case 'late-starts':
       return event.rows.reduce(
         (sum, [, workers]) => sum + ROW_BYTES * (1 + workers.length),
--- a/packages/dispatch/src/leader-options.ts
+++ b/packages/dispatch/src/leader-options.ts
@@ -60,6 +60,11 @@
   readonly maxWorkers?: number | undefined;
   /** Monotonic time at which this process was elected, for its log lines. */
   readonly electedMs?: number;
+  /**
+   * Monotonic time at which this process knew that the leader with this token,
+   * or a later one, had been elected; `electedMs` if absent.
+   */
+  knownElectionMs?(token: number): number;
   /**
    * How long the group had no leader before, as far as this process knows; 0 if
    * absent.
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -57,6 +57,10 @@
 import {createIntake, type Intake} from './intake.js';
 import {createJobStages} from './job-stages.js';
 import type {LeaderOptions} from './leader-options.js';
+import {
+  createLeaseSuspensions,
+  type LeaseSuspensions,
+} from './lease-suspensions.js';
 import {createPlanner} from './planner.js';
 import {createReadiness} from './readiness.js';
 import {createRegistry, type Registry} from './registry.js';
@@ -200,6 +204,13 @@
       events.enqueue({type: 'late-starts', rows: [...rows]}, reply);
     },
   });
+  const leases: LeaseSuspensions = createLeaseSuspensions({
+    token,
+    state,
+    hasRuns: worker => views.recordedRuns(worker).length > 0,
+    sessionOf: worker => dispatcher.sessionOf(worker),
+    enqueue: events.enqueue,
+  });
   const advice: AdviceCache = createAdviceCache({
     adviser: options.adviser,
     log,
@@ -280,10 +291,12 @@
     lateStarts,
     incarnations,
     advice,
+    leases,
     state,
     onEvent: event => void task.post({type: 'session-event', event}),
     onHoldSent: instruments.recordHold,
     onClosed({worker}) {
+      leases.markClosed(worker);
       reports.forget(worker);
       speeds.forget(workerKey(worker));
     },
@@ -340,6 +353,7 @@
     runs,
     lateStarts,
     crashes,
+    leases,
     views,
     events,
     availability,
@@ -515,6 +529,7 @@
     if (rounds.isCommitPending() || !isLeader()) events.rejectExpired();
     if (!isLeader()) return;
     time('registry', () => registry.expire());
+    leases.suspendUnreached();
     lateStarts.expire();
     const expired = retention.listExpired(state());
     if (expired.length > 0) events.enqueue({type: 'forget', jobs: expired});
--- a/packages/dispatch/src/leadership.ts
+++ b/packages/dispatch/src/leadership.ts
@@ -4,6 +4,7 @@
  */
 import type {RaftReplica, ReplicaStatus} from '@lentildrift/consensus';
 import type {Change, Outcome, State} from '@lentildrift/queue';
+import {createElections} from './elections.js';
 import type {LeaderOptions} from './leader-options.js';
 import {startLeader, type Leader} from './leader.js';
 import {createLocalQueues, type LocalQueues} from './local.js';
@@ -15,7 +16,7 @@
 /** What each leader that this process runs needs, apart from its term. */
 export interface LeadershipOptions extends Omit<
   LeaderOptions,
-  'token' | 'electedMs' | 'leaderlessMs' | 'isLeader'
+  'token' | 'electedMs' | 'knownElectionMs' | 'leaderlessMs' | 'isLeader'
 > {
   readonly replica: QueueRaft;
   /** Link addresses of the seeds; they may change. */
@@ -58,6 +59,7 @@
   let confirmingTerm: number | undefined;
   /** Term that this process was last elected for, and the monotonic time. */
   let elected = {term: 0, atMs: 0};
+  const elections = createElections();
   /** Whether a leader was known at the last change of the member's status. */
   let wasLed = false;
   /** Monotonic time until which a leader was known. */
@@ -103,9 +105,11 @@
 
   function update(): void {
     if (isStopped) return;
-    const {role, term, leader: known} = replica.status();
+    const status = replica.status();
+    const {role, term, leader: known} = status;
     if (wasLed) ledUntilMs = performance.now();
     const leads = role === 'leader';
+    elections.note(status);
     if (!leads) releaseWaiting();
     if (current && (!leads || current.term !== term)) {
       const {leader} = current;
@@ -151,6 +155,8 @@
       ...options,
       token: term,
       electedMs: elected.atMs,
+      knownElectionMs: token =>
+        Math.min(elections.knownMs(token), elected.atMs),
       leaderlessMs: performance.now() - ledUntilMs,
       isLeader: () =>
         replica.status().term === term && replica.isConfirmedLeader(),
--- a/packages/dispatch/src/report-handler.ts
+++ b/packages/dispatch/src/report-handler.ts
@@ -19,6 +19,7 @@
 import {reconcile} from './reconcile.js';
 import {createReportFilter} from './report-filter.js';
 import type {LateStarts} from './late-starts.js';
+import type {LeaseSuspensions} from './lease-suspensions.js';
 import {logRunsLost} from './lost-runs.js';
 import type {RunEstimates} from './run-estimates.js';
 import type {SessionEvent} from './session.js';
@@ -33,6 +34,7 @@
     'markUnanswered' | 'markSettled' | 'recordAttempts' | 'observe'
   >;
   readonly crashes: CrashDetector;
+  readonly leases: Pick<LeaseSuspensions, 'observeAnswer'>;
   readonly views: StateViews;
   readonly events: EventQueue;
   readonly availability: Availability;
@@ -82,6 +84,7 @@
     switch (event.type) {
       case 'report':
         options.crashes.recordAnswer(session.worker);
+        options.leases.observeAnswer(session.worker);
         handleReport(event);
         return;
       case 'silent':
--- a/packages/dispatch/src/session.ts
+++ b/packages/dispatch/src/session.ts
@@ -18,7 +18,13 @@
   type Target,
   type WorkerDriver,
 } from './driver.js';
-import {HOLD_WAIT_MS, LATE_RUN_MS, LEASE_MS, RETRY_PAUSE_MS} from './timing.js';
+import {
+  HOLD_WAIT_MS,
+  LATE_RUN_MS,
+  LEASE_MS,
+  RETRY_PAUSE_MS,
+  STALE_LEADER_MS,
+} from './timing.js';
 import {createUnconfirmedOrders} from './unconfirmed-orders.js';
 import {createWorkerClock} from './worker-clock.js';
 
@@ -61,10 +67,10 @@
   readonly tasks: TaskSystem;
   readonly log: Log;
   /**
-   * Monotonic time of the election of this leader, by default that of this call;
-   * an earlier one may have acted for `STALE_LEADER_MS` longer.
+   * Monotonic time after which no earlier leader or session grants the worker a
+   * lease; by default `STALE_LEADER_MS` from now.
    */
-  readonly electedMs?: number;
+  readonly inheritedMs?: number;
   /** Whether this process is still the leader; otherwise nothing is sent. */
   isLeader(): boolean;
   /**
@@ -72,6 +78,8 @@
    * right before each attempt, which may come long after the decision to start.
    */
   isWithheld(task: string, run: number): boolean;
+  /** Whether holds may grant leases; always if absent. */
+  mayGrantLease?(): boolean;
   /** Shortest time between two holds that are answered at once. */
   holdIntervalMs(): number;
   onEvent(event: SessionEvent): void;
@@ -85,10 +93,16 @@
   begin(): void;
   /** Whether the session is open and the worker answered the last hold. */
   isAnswering(): boolean;
+  /**
+   * Whether the worker was called and has never answered, so that this session
+   * has granted it no lease.
+   */
+  isUnreached(): boolean;
   /**
    * Monotonic time at which the leases that this incarnation of the worker has
    * granted have certainly expired, those asked for by an earlier leader
-   * included; infinite while an order to start is held back.
+   * included; infinite while an order to start is held back, and before the
+   * worker was called.
    */
   leaseExpiryMs(): number;
   /**
@@ -147,10 +161,15 @@
 ): WorkerSession {
   const {worker, target, token, driver, tasks, log} = options;
   const key = workerKey(worker);
-  const clock = createWorkerClock(options.electedMs ?? performance.now());
+  const {mayGrantLease = () => true} = options;
+  const clock = createWorkerClock(
+    options.inheritedMs ?? performance.now() + STALE_LEADER_MS,
+  );
   const orders = createUnconfirmedOrders();
   const stopsInFlight = new Set<string>();
   let isAnswering = false;
+  /** Whether a hold was answered, or has failed. */
+  let hasCalled = false;
   /** Whether another incarnation has answered a call of this session. */
   let hasOtherAnswered = false;
   let isClosed = false;
@@ -207,7 +226,8 @@
     // A hold to a worker that does not answer renews no lease. Over a link that
     // works only towards the worker, the lease would otherwise never expire.
     const isSame = isAnswering && !hasOtherAnswered;
-    const leaseUntilMs = isSame ? clock.grantLease(LEASE_MS) : undefined;
+    const leaseUntilMs =
+      isSame && mayGrantLease() ? clock.grantLease(LEASE_MS) : undefined;
     try {
       const report = await driver.hold(target, {
         token,
@@ -241,6 +261,7 @@
     report: Report,
     sentMs: number,
   ): HoldState {
+    hasCalled = true;
     clock.observe(report.clockMs);
     orders.confirm(report, sentMs);
     if (!isAnswering) log.info('worker-answers', {worker: key});
@@ -261,6 +282,7 @@
   function handleFailed(state: HoldState, reason: string): HoldState {
     if (isAnswering) log.info('worker-silent', {worker: key, reason});
     isAnswering = false;
+    hasCalled = true;
     options.onEvent({type: 'silent', key, reason});
     scheduleHold(retryPauseMs);
     retryPauseMs = Math.min(2 * retryPauseMs, MAX_RETRY_PAUSE_MS);
@@ -275,10 +297,14 @@
     return next;
   }
 
-  /** Lets the next hold collect the ends of the rest of the interval. */
+  /**
+   * Lets the next hold collect the ends of the rest of the interval. One that
+   * grants no lease is answered at once.
+   */
   function scheduleNextHold(): void {
     const dueMs = lastHoldMs + options.holdIntervalMs();
-    scheduleHold(Math.max(0, dueMs - performance.now()));
+    const pauseMs = mayGrantLease() ? 0 : RETRY_PAUSE_MS;
+    scheduleHold(Math.max(pauseMs, dueMs - performance.now()));
   }
 
   function scheduleHold(delayMs: number): void {
@@ -385,13 +411,16 @@
 
   // A deferred order grants a lease as soon as it is sent.
   function leaseExpiryMs(): number {
-    return deferredStarts > 0 ? Infinity : clock.leaseExpiryMs();
+    if (deferredStarts > 0 || !hasCalled) return Infinity;
+    return clock.leaseExpiryMs();
   }
 
   return {
     worker,
     begin: () => nextHold.schedule(0),
     isAnswering: () => isAnswering && !isClosed,
+    isUnreached: () =>
+      hasCalled && !clock.hasBeenObserved() && !clock.hasGrantedLease(),
     leaseExpiryMs,
     runExpiryMs(name, run) {
       const expiryMs = leaseExpiryMs();
--- a/packages/dispatch/src/worker-clock.ts
+++ b/packages/dispatch/src/worker-clock.ts
@@ -5,7 +5,6 @@
   LEASE_MS,
   MAX_LEASE_MS,
   ORDER_TIMEOUT_MS,
-  STALE_LEADER_MS,
 } from './timing.js';
 
 /**
@@ -26,6 +25,7 @@
   lastObservedMs(): number;
   /** Returns the end of a lease that begins now, on the worker's clock. */
   grantLease(leaseMs: number): number;
+  hasGrantedLease(): boolean;
   /** See `WorkerSession.leaseExpiryMs`. */
   leaseExpiryMs(): number;
   /**
@@ -37,10 +37,11 @@
   longestLeaseExpiryMs(): number;
 }
 
-/** Estimates the worker's clock and tracks the latest lease end on it. */
-export function createWorkerClock(electedMs: number): WorkerClock {
-  /** No earlier leader or session has granted a lease later than this. */
-  const inheritedMs = Math.max(electedMs + STALE_LEADER_MS, performance.now());
+/**
+ * Estimates the worker's clock and tracks the latest lease end on it. No earlier
+ * leader or session has granted a lease later than at `inheritedMs`.
+ */
+export function createWorkerClock(inheritedMs: number): WorkerClock {
   let sample: {clockMs: number; atMs: number} | undefined;
   let firstSampleMs = -Infinity;
   let grantedUntilMs = 0;
@@ -66,6 +67,7 @@
       lastGrantMs = performance.now();
       return untilMs;
     },
+    hasGrantedLease: () => lastGrantMs > -Infinity,
     longestLeaseExpiryMs() {
       const arrivedMs = Math.max(lastGrantMs + DELIVERY_MS, inheritedMs);
       return arrivedMs + MAX_LEASE_MS / (1 - CLOCK_DRIFT) + LEASE_MARGIN_MS;
--- a/packages/dispatch/test/harness.ts
+++ b/packages/dispatch/test/harness.ts
@@ -292,6 +292,8 @@
   const staleLeaders = new Set<Leader>();
   /** Ends the view that the current leader has of the state. */
   let freezeView = () => {};
+  /** Time of each election since the processes began, by token. */
+  const electionsMs = new Map<number, number>();
   /** Time at which each leader stops to take itself for one, by token. */
   const staleUntilMs = new Map<number, number>();
 
@@ -301,6 +303,7 @@
 
   function startNextLeader(leaderlessMs = 0): Leader {
     const own = ++token;
+    electionsMs.set(own, performance.now());
     if (group) group.term = own;
     const view = createLeaderReplica(replica);
     freezeView = view.freeze;
@@ -327,6 +330,12 @@
       waves: options.waves ?? new TimedWaves(),
       ...(options.copies && {copies: options.copies}),
       ...(options.displacement && {displacement: options.displacement}),
+      knownElectionMs: since =>
+        Math.min(
+          ...[...electionsMs]
+            .filter(([each]) => each >= since)
+            .map(([, atMs]) => atMs),
+        ),
       leaderlessMs,
       isLeader: () =>
         own === token
@@ -395,6 +404,7 @@
       freezeView();
       token++;
       staleUntilMs.clear();
+      electionsMs.clear();
       for (const stale of staleLeaders) void stale.stop();
       staleLeaders.clear();
       await advanceUntilSettled(harness.leader.stop());
--- a/packages/queue/src/apply.ts
+++ b/packages/queue/src/apply.ts
@@ -52,6 +52,10 @@
       return recordCrash(draft, event);
     case 'survived':
       return recordSurvival(draft, event);
+    case 'leases-suspended':
+      return suspendLeases(draft, event);
+    case 'leases-resumed':
+      return resumeLeases(draft, event);
     case 'start':
       return startRuns(draft, event);
     case 'ends':
@@ -158,7 +162,15 @@
   }
   const suspects = isSameIncarnation ? known.suspects : undefined;
   const cursor = isSameIncarnation ? known.cursor : 0;
-  draft.setWorker({...worker, cursor, ...(suspects && {suspects})});
+  // An event may be based on a record from before the leases were resumed.
+  const {suspendedSince: _, ...announced} = worker;
+  const suspendedSince = known?.suspendedSince;
+  draft.setWorker({
+    ...announced,
+    cursor,
+    ...(suspects && {suspects}),
+    ...(suspendedSince !== undefined && {suspendedSince}),
+  });
   return 'applied';
 }
 
@@ -215,6 +227,32 @@
   return 'applied';
 }
 
+/** Suspended leases keep the token of the earliest leader. */
+function suspendLeases(
+  draft: Draft,
+  {token, workers}: EventOf<'leases-suspended'>,
+): Outcome {
+  for (const id of workers) {
+    const known = draft.worker(id);
+    if (!known || known.suspendedSince !== undefined) continue;
+    draft.setWorker({...known, suspendedSince: token});
+  }
+  return 'applied';
+}
+
+function resumeLeases(
+  draft: Draft,
+  {workers}: EventOf<'leases-resumed'>,
+): Outcome {
+  for (const id of workers) {
+    const known = draft.worker(id);
+    if (known?.suspendedSince === undefined) continue;
+    const {suspendedSince: _, ...resumed} = known;
+    draft.setWorker(resumed);
+  }
+  return 'applied';
+}
+
 function removeRunsOn(draft: Draft, worker: string): void {
   for (const job of draft.jobsOn(worker)) {
     const rest = withoutRunsOn(job, worker);
--- a/packages/queue/src/change.ts
+++ b/packages/queue/src/change.ts
@@ -71,6 +71,20 @@
   }),
   /** The worker answers after its lease has expired: it had not crashed. */
   z.object({type: z.literal('survived'), worker: z.string()}),
+  /**
+   * The leader with this token grants no lease to the workers with these IDs
+   * before a `leases-resumed` event; see `Worker.suspendedSince`.
+   */
+  z.object({
+    type: z.literal('leases-suspended'),
+    token: z.int().nonnegative(),
+    workers: z.array(z.string()),
+  }),
+  /** The leader may grant leases to the workers with these IDs from now on. */
+  z.object({
+    type: z.literal('leases-resumed'),
+    workers: z.array(z.string()),
+  }),
   z.object({type: z.literal('start'), runs: z.array(StartRow)}),
   z.object({
     type: z.literal('ends'),
--- a/packages/queue/src/worker.ts
+++ b/packages/queue/src/worker.ts
@@ -30,6 +30,12 @@
    * there are none, or once it is known whether the worker has crashed.
    */
   suspects: z.array(z.string()).optional(),
+  /**
+   * Token of the leader that suspended the leases of the worker: no leader from
+   * that one on has granted a lease to any of its incarnations. Absent if the
+   * last leader may have granted one.
+   */
+  suspendedSince: z.int().nonnegative().optional(),
 });
 export type Worker = z.infer<typeof Worker>;
 
--- a/packages/queue/test/apply.test.ts
+++ b/packages/queue/test/apply.test.ts
@@ -383,6 +383,47 @@
   });
 });
 
+describe('the suspended leases of a worker', () => {
+  const workers = ['w', 'unknown'];
+  const suspend = (token: number): Event => ({
+    type: 'leases-suspended',
+    token,
+    workers,
+  });
+  const resume: Event = {type: 'leases-resumed', workers};
+
+  function suspendedSince(state: State): number | undefined {
+    return state.workers.get('w')?.suspendedSince;
+  }
+
+  // Leaders after the first have granted none either.
+  it('count from the first leader that has granted none, also after a snapshot', () => {
+    const [state] = applyEvents(BASE, suspend(4), suspend(5));
+    expect(suspendedSince(state)).toBe(4);
+    const stored = StoredState.parse(toStored(state));
+    expect(suspendedSince(fromStored(stored))).toBe(4);
+  });
+
+  // A later incarnation carries out calls that were meant for the earlier one.
+  it('stay suspended for its next incarnation', () => {
+    const next = {...WORKER, bornMs: 20};
+    const [state] = applyEvents(BASE, suspend(4), {
+      type: 'worker',
+      worker: next,
+    });
+    expect(suspendedSince(state)).toBe(4);
+  });
+
+  // A departure is recorded with the values that the worker had before.
+  it('are not suspended again by a record from before their resumption', () => {
+    const [suspended] = applyEvents(BASE, suspend(4));
+    const worker = {...suspended.workers.get('w')!, phase: 'gone'} as const;
+    const [state] = applyEvents(suspended, resume, {type: 'worker', worker});
+    expect(state.workers.get('w')!.phase).toBe('gone');
+    expect(suspendedSince(state)).toBeUndefined();
+  });
+});
+
 describe('the ends of a worker', () => {
   const [running] = applyEvents(
     BASE,
