Take a host for restarted only once the later worker answers

Callers would have seen a task run twice: a worker that missed one hold lost its runs, which were started elsewhere, if the directory held a worker with a later start on the same host. Such a record need not be true: its announcement may be another writer's, and the clock that dates the starts may have been set back.

Cause: the comparison of the starts was the only evidence that the former worker had ended.

Change: only workers that answer calls count as later ones. One that has begun and announces itself answers the first hold of its session.

Tests: the two new ones in late-starts.test.ts fail before the change ("runs twice"), and pass now with the other four.

--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -407,16 +407,31 @@
 
   function expire(): void {
     const {workers} = state();
-    const latestBornMs = findLatestLives(workers);
+    const latestBornMs = findLatestLives();
     for (const worker of workers.unorderedValues()) {
       if (hasHostRestarted(worker, latestBornMs)) removeEnded(worker);
       else if (areRunsOver(worker)) removeRuns(worker);
     }
   }
 
+  /** The start of the latest worker on each host that answers, by host. */
+  function findLatestLives(): ReadonlyMap<string, number> {
+    const latestBornMs = new Map<string, number>();
+    for (const worker of state().workers.unorderedValues()) {
+      const {host, bornMs} = worker;
+      if (host === '') continue;
+      if (!options.sessionOf(workerKey(worker))?.isAnswering()) continue;
+      latestBornMs.set(host, Math.max(latestBornMs.get(host) ?? 0, bornMs));
+    }
+    return latestBornMs;
+  }
+
   /**
    * Whether a worker with another ID has begun on the host since. It answers calls
    * to this one with a refusal, so that neither a run nor a late order is left.
+   * An announcement alone does not show that: the record of a worker that never
+   * answers may be wrong, and clocks that are set back make a former one appear
+   * later.
    */
   function hasHostRestarted(
     worker: Worker,
@@ -537,18 +552,6 @@
   };
 }
 
-/** The start of the latest worker on each host, by host. */
-function findLatestLives(
-  workers: State['workers'],
-): ReadonlyMap<string, number> {
-  const latestBornMs = new Map<string, number>();
-  for (const {host, bornMs} of workers.unorderedValues()) {
-    if (host === '') continue;
-    latestBornMs.set(host, Math.max(latestBornMs.get(host) ?? 0, bornMs));
-  }
-  return latestBornMs;
-}
-
 /** Those of the runs whose ends the report may lack for want of space. */
 function listUnlisted(
   runs: readonly LiveRun[],
--- a/packages/dispatch/test/late-starts.test.ts
+++ b/packages/dispatch/test/late-starts.test.ts
@@ -76,3 +76,42 @@
   expect(harness.fleet.violations).toEqual([]);
   expect(harness.fleet.starts.map(each => each.worker)).toEqual(['m-w1-1']);
 });
+
+// Its runs were taken off the record at the first hold without an answer, and were
+// started again while they went on.
+it('a worker that misses a hold keeps its runs beside the record of a later worker on its host that never answers', async () => {
+  harness = await createHarness({behave: () => ({durationMs: 90_000})});
+  await harness.addWorker(worker('w1'));
+  await harness.submit(job('a'));
+  await harness.advance(1000);
+  await harness.addWorker(worker('w2'));
+  void harness.leader.announce(worker('w3', {host: 'm-w1', bornMs: 2}));
+  await harness.advance(1000);
+  const fake = harness.fleet.byAddress.get('w1:1')!;
+  fake.link = 'cut';
+  await harness.advance(1000);
+  fake.link = 'up';
+  await harness.advance(3000);
+  expect(harness.fleet.violations).toEqual([]);
+  expect(harness.fleet.starts.map(each => each.worker)).toEqual(['w1']);
+});
+
+// The clock of the host had been set back before it began. It got no runs for a
+// minute, and lost them whenever it missed a hold.
+it('a worker is of use although a former one on its host seems to have begun later', async () => {
+  harness = await createHarness({behave: () => ({durationMs: 90_000})});
+  await harness.addWorker(worker('w3', {host: 'm-w1', bornMs: 2}));
+  harness.fleet.byAddress.get('w3:1')!.isAlive = false;
+  await harness.advance(1000);
+  await harness.addWorker(worker('w1'));
+  await harness.submit(job('a'));
+  await harness.advance(1000);
+  await harness.addWorker(worker('w2'));
+  const fake = harness.fleet.byAddress.get('w1:1')!;
+  fake.link = 'cut';
+  await harness.advance(1000);
+  fake.link = 'up';
+  await harness.advance(3000);
+  expect(harness.fleet.violations).toEqual([]);
+  expect(harness.fleet.starts.map(each => each.worker)).toEqual(['w1']);
+});
