Answer the reads of a group of one without another event

A leader reads its own log before it takes over. A read that comes within 20 ms of the last heartbeat round waits for the next one, and reads were answered when another member answered the round, or when an entry was committed. The only voter has no other member, and before it has taken over nothing is proposed. If its first entry was durable within the 20 ms, its read waited for ever.

A round that a tick begins now answers the reads that it confirms. Groups of several voters still need the answers of a majority.

--- a/packages/consensus/src/leader.ts
+++ b/packages/consensus/src/leader.ts
@@ -141,8 +141,11 @@
   if (node.transfer && nowMs >= node.transfer.deadlineMs) {
     node.transfer = undefined;
   }
+  const {round} = node;
   if (nowMs >= node.nextHeartbeatMs) startRound(ctx);
   else startReadRoundIfDue(ctx);
+  // The only voter gets no answer to the round, which would answer its reads.
+  if (node.round !== round) answerReads(ctx);
 }
 
 export function propose(
--- a/packages/consensus/test/step.test.ts
+++ b/packages/consensus/test/step.test.ts
@@ -202,6 +202,40 @@
     expect(answered).toContainEqual({type: 'read', id: 2, revision: 1});
   });
 
+  // Its leader read the log to take over, and waited until the next change,
+  // which it did not accept before.
+  it('answers a read of the only voter without any other event', () => {
+    const members = JSON.stringify({
+      voters: ['a'],
+      learners: [],
+      retired: [],
+    });
+    let node = createNode({
+      id: 'a',
+      group: 'g',
+      seed: 1,
+      nowMs: 0,
+      stored: {
+        ...EMPTY_LOG,
+        records: [{...MEMBERSHIP_RECORD, text: members}],
+      },
+      rules: new SpacedReads(),
+    });
+    const run = (nowMs: number, event: RaftEvent): readonly Effect[] => {
+      const next = step(node, {...event, nowMs});
+      node = next.node;
+      return next.effects;
+    };
+    run(0, {type: 'tick'});
+    run(4, {type: 'persisted', seq: node.lastWriteSeq});
+    run(4, {type: 'read', id: 1, patient: false});
+    run(8, {type: 'persisted', seq: node.lastWriteSeq});
+    expect(node.role).toBe('leader');
+    expect(nextTickMs(node)).toBe(24);
+    const answered = run(24, {type: 'tick'});
+    expect(answered).toContainEqual({type: 'read', id: 1, revision: 0});
+  });
+
   it('sends a new commit index at once, unless changes follow each other quickly', () => {
     const {run, receive, node} = createLeader(new SpacedReads());
     run(4004, {type: 'persisted', seq: node().lastWriteSeq});
--- a/packages/dispatch/test/control.test.ts
+++ b/packages/dispatch/test/control.test.ts
@@ -92,8 +92,8 @@
   });
 }
 
-async function startGroup(): Promise<QueueEntry> {
-  const ports = await freePorts(3);
+async function startGroup(size = 3): Promise<QueueEntry> {
+  const ports = await freePorts(size);
   const seeds = ports.map(port => `${HOST}:${port}`);
   for (const address of seeds) {
     processes.push({
@@ -152,6 +152,12 @@
   throw new Error('no leader');
 }
 
+// Its leader waited for an answer to a round of heartbeats that it sent to no one.
+it('a group of one control process serves requests', async () => {
+  const entry = await startGroup(1);
+  expect(await retryWhileUnavailable(entry, EDIT)).toEqual({type: 'done'});
+});
+
 describe('a group of control processes', () => {
   it('accepts jobs through an entry process and keeps them when its leader stops', async () => {
     const entry = await startGroup();
