Log what an elected process waits for until it leads

A process that was elected and never led logged `role=leader` and nothing else, since `leadership-unconfirmed` is written for a refusal only, and a wait that does not end refuses nothing; a new group that lacks voters was silent as well. Callers got 503 from it, and the logs looked like those of a healthy leader.

It now logs `takeover-waits` each second from the election on, with the phase: `read-index`, `apply` or `voters`.

The test failed before: no such line in 2.4 s.

--- a/packages/dispatch/src/leadership.ts
+++ b/packages/dispatch/src/leadership.ts
@@ -47,6 +47,11 @@
 const TAKEOVER_WAIT_MS = 300;
 /** Pause before another attempt to confirm this process's leadership. */
 const CONFIRM_RETRY_MS = 50;
+/** Longest takeover without a log line, and the interval of the lines after it. */
+const TAKEOVER_LOG_INTERVAL_MS = 1000;
+
+/** What an elected process waits for until it leads. */
+type TakeoverPhase = 'read-index' | 'apply' | 'voters';
 
 /**
  * Starts the leader when this process becomes the leader, and stops it after.
@@ -63,6 +68,10 @@
   /** Monotonic time until which a leader was known. */
   let ledUntilMs = -Infinity;
   let retryTimer: NodeJS.Timeout | undefined;
+  /** What the takeover of the current term waits for. */
+  let phase: TakeoverPhase = 'read-index';
+  /** Runs from the election until this process leads or is no longer elected. */
+  let takeoverTimer: NodeJS.Timeout | undefined;
   let isStopped = false;
   /** Requests that wait for the end of the takeover. */
   const waiting = new Set<() => void>();
@@ -106,7 +115,10 @@
     const {role, term, leader: known} = replica.status();
     if (wasLed) ledUntilMs = performance.now();
     const leads = role === 'leader';
-    if (!leads) releaseWaiting();
+    if (!leads) {
+      releaseWaiting();
+      endTakeover();
+    }
     if (current && (!leads || current.term !== term)) {
       const {leader} = current;
       current = undefined;
@@ -117,19 +129,47 @@
     wasLed = leads ? isLeading : known !== undefined;
     if (leads && elected.term !== term) {
       elected = {term, atMs: performance.now()};
+      watchTakeover();
     }
     if (!leads || current || confirmingTerm === term) return;
     confirmingTerm = term;
     void confirmLeadership(term);
   }
 
+  /**
+   * A wait that never ends rejects nothing, so that the process would lead and
+   * answer no request without a word.
+   */
+  function watchTakeover(): void {
+    clearTimeout(takeoverTimer);
+    takeoverTimer = setTimeout(() => {
+      const {term, voters, revision} = replica.status();
+      log.warn('takeover-waits', {
+        term,
+        phase,
+        electedMs: Math.round(performance.now() - elected.atMs),
+        voters: voters.length,
+        revision,
+      });
+      watchTakeover();
+    }, TAKEOVER_LOG_INTERVAL_MS);
+  }
+
+  function endTakeover(): void {
+    clearTimeout(takeoverTimer);
+    takeoverTimer = undefined;
+  }
+
   /**
    * Starts the leader once an entry of its own term is applied, since only then
    * does the state include everything that earlier leaders committed.
    */
   async function confirmLeadership(term: number): Promise<void> {
     try {
-      await replica.waitForRevision(await replica.readIndex());
+      phase = 'read-index';
+      const revision = await replica.readIndex();
+      if (confirmingTerm === term) phase = 'apply';
+      await replica.waitForRevision(revision);
     } catch (error) {
       if (isStopped) return;
       log.info('leadership-unconfirmed', {
@@ -146,7 +186,11 @@
     const status = replica.status();
     if (status.role !== 'leader' || status.term !== term) return;
     // The next change of the membership calls `update` again.
-    if (!hasEnoughVoters(status)) return;
+    if (!hasEnoughVoters(status)) {
+      phase = 'voters';
+      return;
+    }
+    endTakeover();
     const leader = startLeader({
       ...options,
       token: term,
@@ -175,6 +219,7 @@
     async stop() {
       isStopped = true;
       clearTimeout(retryTimer);
+      endTakeover();
       const leader = current?.leader;
       current = undefined;
       releaseWaiting();
--- a/packages/dispatch/test/leadership.test.ts
+++ b/packages/dispatch/test/leadership.test.ts
@@ -176,6 +176,38 @@
   expect(countLeaders()).toBe(1);
 });
 
+const takeoverPhases = () =>
+  logLines
+    .filter(line => line.includes('event=takeover-waits'))
+    .map(line => /phase=(\S+)/.exec(line)![1]);
+
+// A group had a leader by all signs, and no log line told that it did not act.
+it('says each second what a process that was elected waits for', async () => {
+  replica.setVoters([]);
+  await update('leader', 1);
+  await vi.advanceTimersByTimeAsync(900);
+  expect(takeoverPhases()).toEqual([]);
+  await vi.advanceTimersByTimeAsync(1500);
+  expect(takeoverPhases()).toEqual(['apply', 'apply']);
+  replica.apply(1);
+  await vi.advanceTimersByTimeAsync(1000);
+  expect(takeoverPhases()).toEqual(['apply', 'apply', 'voters']);
+  replica.setVoters(['a']);
+  await update('leader', 1);
+  replica.apply(1);
+  await vi.advanceTimersByTimeAsync(1);
+  expect(countLeaders()).toBe(1);
+  await vi.advanceTimersByTimeAsync(5000);
+  expect(takeoverPhases()).toHaveLength(3);
+});
+
+it('says nothing of a takeover once another process leads', async () => {
+  await update('leader', 1);
+  await update('follower', 2, 'b');
+  await vi.advanceTimersByTimeAsync(5000);
+  expect(takeoverPhases()).toEqual([]);
+});
+
 /** The time without a leader that the last leader has logged. */
 function loggedLeaderlessMs(): number {
   const line = logLines.findLast(each => each.includes('event=leading'))!;
