Compare crashes that only the next announcement shows with the others

Such an end was compared with no other one, so it singled out the only new task on the worker even while a rack or many other workers ended, and others were not compared with it.

The announcement of the next incarnation now notes the end of the former one, as a failed hold does.

The new test of crash-loop.test.ts failed before. It passes now, with the rest of that file, random.test.ts, losses.test.ts, leader.test.ts and unannounced-incarnation.test.ts.

--- a/packages/dispatch/src/crash-detector.ts
+++ b/packages/dispatch/src/crash-detector.ts
@@ -93,8 +93,9 @@
   function recordIncarnation(worker: Worker): void {
     for (const old of state().workers.unorderedValues()) {
       if (!isPredecessor(old, worker) || isPlannedEnd(old)) continue;
-      const silence = silences.get(workerKey(old));
-      if (silence) silence.hasCrashed = true;
+      // A worker that is back before its next hold fails was never silent.
+      recordSilence(old);
+      silences.get(workerKey(old))!.hasCrashed = true;
       const accusation = findAccusation(old);
       if (!accusation || isRecorded(old, accusation)) continue;
       recordCrash(old, accusation, true);
--- a/packages/dispatch/test/crash-loop.test.ts
+++ b/packages/dispatch/test/crash-loop.test.ts
@@ -1,4 +1,5 @@
 /** Tasks that crash each worker that starts them. */
+import type {Worker} from '@lentildrift/queue';
 import {hasWaitingTask} from '@lentildrift/scheduling';
 import fc from 'fast-check';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
@@ -62,6 +63,21 @@
   return harness.fleet.starts.filter(each => each.task === task).length;
 }
 
+/** Advances until the task runs, and returns its worker. */
+async function findRun(task: string): Promise<Worker> {
+  for (let turn = 0; turn < 2000; turn++) {
+    for (const {
+      isAlive,
+      runs,
+      worker: row,
+    } of harness.fleet.byAddress.values()) {
+      if (isAlive && runs.has(task)) return row;
+    }
+    await harness.advance(5);
+  }
+  throw new Error(`${task} does not run`);
+}
+
 beforeEach(() => {
   vi.useFakeTimers();
 });
@@ -182,6 +198,25 @@
     }
   });
 
+  // Such ends were not compared with each other, so that each one singled out
+  // the task, and its job failed at the third.
+  it('is not given up after losses of its rack that only the next announcements show', async () => {
+    await createCluster(() => false, 20);
+    await harness.submit(job('good'));
+    for (let turn = 0; turn < 3; turn++) {
+      const lost = await findRun('good.0.0.0');
+      const [rack] = lost.labels;
+      for (const {worker: each} of harness.fleet.byAddress.values()) {
+        const isBeside = each.labels[0] === rack && each.host !== lost.host;
+        if (isBeside) crashes.crash(each.host);
+      }
+      crashes.crash(lost.host);
+      await harness.advance(100);
+    }
+    await harness.advance(10_000);
+    expect(harness.phase('good')).toBe('completed');
+  });
+
   it('is not given up if its workers are only cut off for long', async () => {
     await createCluster(() => false);
     const links = [...harness.fleet.byAddress.values()];
