Tell in one place until when earlier leaders may have acted

Cause: only the dispatcher knew when the last lease of an earlier leader may have been granted; the record of late starts counts the starts of earlier leaders from the beginning of each leader instead, and holds up the tasks of a lost worker for 6.5 s more after each change. Change: `LeaseSuspensions.inheritedMs` gives the time for both; a start grants a lease, so none is sent to a worker whose leases are suspended. No change of behaviour yet: late-starts.ts does not use it.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -29,15 +29,11 @@
   type SessionEvent,
   type WorkerSession,
 } from './session.js';
-import {HOLD_WAIT_MS, STALE_LEADER_MS} from './timing.js';
+import {HOLD_WAIT_MS} from './timing.js';
 import type {RunTracker} from './tracker.js';
 
 export interface DispatcherOptions {
   readonly token: number;
-  /** Monotonic time of the election; without it, that of this call. */
-  readonly electedMs?: number;
-  /** See `LeaderOptions`. */
-  knownElectionMs?(token: number): number;
   readonly driver: WorkerDriver;
   readonly tasks: TaskSystem;
   readonly log: Log;
@@ -46,7 +42,7 @@
   readonly lateStarts: Pick<LateStarts, 'markOrdered' | 'markClosed'>;
   readonly incarnations: Incarnations;
   readonly advice: AdviceCache;
-  readonly leases: Pick<LeaseSuspensions, 'mayGrantLease'>;
+  readonly leases: Pick<LeaseSuspensions, 'inheritedMs' | 'mayGrantLease'>;
   state(): State;
   isLeader(): boolean;
   onEvent(event: SessionEvent): void;
@@ -100,7 +96,6 @@
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const {token, driver, tasks, log, metrics, runs, leases, state} = options;
-  const {electedMs = performance.now()} = options;
   const sessions = new Map<string, WorkerSession>();
   /** Open sessions that are still to begin. */
   let waitingSessions: WorkerSession[] = [];
@@ -137,7 +132,7 @@
       worker,
       target: options.incarnations.targetOf(worker),
       token,
-      inheritedMs: inheritedMs(worker),
+      inheritedMs: leases.inheritedMs(worker),
       driver,
       tasks,
       log,
@@ -153,19 +148,6 @@
     waitingSessions.push(session);
   }
 
-  /**
-   * Monotonic time after which no earlier leader grants the worker a lease, nor
-   * an earlier session of this one. Where the leases are suspended, the last
-   * leader that may have granted one was replaced long before this one began.
-   */
-  function inheritedMs({suspendedSince}: Worker): number {
-    if (suspendedSince === undefined) {
-      return Math.max(electedMs + STALE_LEADER_MS, performance.now());
-    }
-    const {knownElectionMs = () => electedMs} = options;
-    return knownElectionMs(suspendedSince) + STALE_LEADER_MS;
-  }
-
   function holdIntervalMs(): number {
     const intervalMs = (sessions.size * 1000) / MAX_HOLDS_PER_S;
     return Math.min(intervalMs, HOLD_WAIT_MS);
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -197,6 +197,13 @@
     },
   });
   const events: EventQueue = createEventQueue(() => rounds.schedule());
+  const leases: LeaseSuspensions = createLeaseSuspensions({
+    ...options,
+    state,
+    hasRuns: worker => views.recordedRuns(worker).length > 0,
+    sessionOf: worker => dispatcher.sessionOf(worker),
+    enqueue: events.enqueue,
+  });
   const lateStarts: LateStarts = createLateStarts({
     inherited: [...views.current().load.runsByWorker.values()].flat(),
     state,
@@ -204,13 +211,6 @@
       events.enqueue({type: 'late-starts', rows: [...rows]}, reply);
     },
   });
-  const leases: LeaseSuspensions = createLeaseSuspensions({
-    token,
-    state,
-    hasRuns: worker => views.recordedRuns(worker).length > 0,
-    sessionOf: worker => dispatcher.sessionOf(worker),
-    enqueue: events.enqueue,
-  });
   const advice: AdviceCache = createAdviceCache({
     adviser: options.adviser,
     log,
--- a/packages/dispatch/src/lease-suspensions.ts
+++ b/packages/dispatch/src/lease-suspensions.ts
@@ -13,9 +13,14 @@
 } from '@lentildrift/queue';
 import type {Reply} from '@lentildrift/task';
 import type {WorkerSession} from './session.js';
+import {STALE_LEADER_MS} from './timing.js';
 
 export interface LeaseSuspensionsOptions {
   readonly token: number;
+  /** Monotonic time of the election; without it, that of this call. */
+  readonly electedMs?: number;
+  /** See `LeaderOptions`. */
+  knownElectionMs?(token: number): number;
   /** The recorded state. */
   state(): State;
   /** Whether runs are recorded for an incarnation of a worker. */
@@ -25,6 +30,13 @@
 }
 
 export interface LeaseSuspensions {
+  /**
+   * Monotonic time after which no earlier leader grants the worker a lease or
+   * starts a run on it, nor does an earlier session of this one. Where the
+   * leases are suspended, the last leader that may have done so was replaced
+   * long before this one began.
+   */
+  inheritedMs(worker: Worker): number;
   /** Whether this leader may grant leases to the worker with this ID. */
   mayGrantLease(workerId: string): boolean;
   /** Has the state record that the worker, which answers, gets leases again. */
@@ -42,6 +54,8 @@
   options: LeaseSuspensionsOptions,
 ): LeaseSuspensions {
   const {token, state, enqueue} = options;
+  const {electedMs = performance.now()} = options;
+  const {knownElectionMs = () => electedMs} = options;
   /**
    * Keys of incarnations that this leader has found on record and that have not
    * answered. Later ones may follow a session that has granted leases.
@@ -61,6 +75,12 @@
   }
 
   return {
+    inheritedMs({suspendedSince}) {
+      if (suspendedSince === undefined) {
+        return Math.max(electedMs + STALE_LEADER_MS, performance.now());
+      }
+      return knownElectionMs(suspendedSince) + STALE_LEADER_MS;
+    },
     mayGrantLease,
     observeAnswer(worker) {
       const {id} = worker;
