Do not let an entry host's readiness rest on an old status

Entry hosts reported ready while no request could be served. An entry host was ready as long as any status on an open link named a leader. Without requests a link closes 6 to 8 s after its peer fell silent, and 2.5 s of grace follow. The entry process logged neither when nor why its readiness changed.

The status says whether its process serves as the leader, and is sent again once it does; earlier versions, which do not report it, count as serving.

--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -194,6 +194,7 @@
     processId,
     hostOrderGuard,
     replica,
+    onLeading: () => server.broadcast(STATUS, groupStatus()),
   });
   const editSender = createEditSender({...options, replica});
   const service = new ControlService(leadership, mesh, log, editSender);
@@ -207,6 +208,7 @@
       voters: [...voters],
       learners: [...learners],
       dataCentre: options.dataCentre,
+      isServing: leadership.isLeading(),
       ...(leader !== undefined && {leader}),
     };
   }
@@ -255,8 +257,8 @@
       learners: status.learners.length,
     });
     mesh.refresh([...status.voters, ...status.learners]);
-    server.broadcast(STATUS, groupStatus());
     leadership.update();
+    server.broadcast(STATUS, groupStatus());
   });
   const {voters, learners, revision} = replica.status();
   log.info('member-loaded', {
--- a/packages/dispatch/src/leadership.ts
+++ b/packages/dispatch/src/leadership.ts
@@ -22,6 +22,8 @@
   seeds(): readonly string[];
   /** Number of hosts that may lose their disks at the same time. */
   readonly toleratedDiskLosses: number;
+  /** Called once this process has taken over as the leader. */
+  onLeading?(): void;
 }
 
 /** Whether this process leads, and the request handler while it does. */
@@ -32,6 +34,8 @@
    * elected is waited for up to `TAKEOVER_WAIT_MS`.
    */
   whenLeading(): Promise<LocalQueues | undefined>;
+  /** Whether this process has taken over as the leader. */
+  isLeading(): boolean;
   /** Starts or stops the leader after a change of the member's status. */
   update(): void;
   stop(): Promise<void>;
@@ -203,6 +207,7 @@
     current = {term, leader, queues};
     wasLed = true;
     releaseWaiting();
+    options.onLeading?.();
   }
 
   /**
@@ -215,6 +220,7 @@
 
   return {
     whenLeading,
+    isLeading: () => current !== undefined,
     update,
     async stop() {
       isStopped = true;
--- a/packages/dispatch/src/mesh.ts
+++ b/packages/dispatch/src/mesh.ts
@@ -17,6 +17,11 @@
   learners: z.array(z.string()),
   /** Data centre of the process. */
   dataCentre: z.string(),
+  /**
+   * Whether the process has taken over as the leader, so that it handles
+   * requests. Earlier versions do not report it.
+   */
+  isServing: z.boolean().optional(),
 });
 export type GroupStatus = z.infer<typeof GroupStatus>;
 
@@ -69,6 +74,13 @@
   leaderMembers(): readonly string[] | undefined;
   /** Whether any connected process has reported a leader. */
   hasLeader(): boolean;
+  /** Whether the leader itself reports that it has not taken over yet. */
+  isTakeoverPending(): boolean;
+  /**
+   * Monotonic time at which anything last came from a process that names a
+   * leader; -Infinity if none does.
+   */
+  leaderConfirmedMs(): number;
   /**
    * Opens links to the seeds and all known members and closes the others.
    * `members` replaces the members that this process itself knows.
@@ -192,6 +204,19 @@
     },
     processIdAt: address => statuses.get(address)?.process,
     hasLeader: () => leaderAddress() !== undefined,
+    isTakeoverPending() {
+      const status = statuses.get(leaderAddress() ?? '');
+      return status?.member === status?.leader && status?.isServing === false;
+    },
+    leaderConfirmedMs() {
+      let latestMs = -Infinity;
+      for (const [address, {leader}] of statuses) {
+        if (leader === undefined) continue;
+        const receivedMs = links.get(address)?.lastReceivedMs() ?? -Infinity;
+        latestMs = Math.max(latestMs, receivedMs);
+      }
+      return latestMs;
+    },
     refresh,
     async stop() {
       const all = [...links.values()];
--- a/packages/dispatch/test/links.ts
+++ b/packages/dispatch/test/links.ts
@@ -8,6 +8,7 @@
   return {
     address: '1.2.3.4:5',
     isOpen: () => true,
+    lastReceivedMs: () => performance.now(),
     request: answer,
     post: () => {},
     reconnect: () => {},
@@ -27,6 +28,8 @@
     leaderMembers: () => undefined,
     processIdAt: () => undefined,
     hasLeader: () => leader !== undefined,
+    isTakeoverPending: () => false,
+    leaderConfirmedMs: () => (leader ? performance.now() : -Infinity),
     refresh: () => {},
     stop: async () => {},
   };
--- a/packages/dispatch/test/relays.ts
+++ b/packages/dispatch/test/relays.ts
@@ -124,6 +124,7 @@
   const link: Link = {
     address,
     isOpen: () => state !== 'closed',
+    lastReceivedMs: () => performance.now(),
     request(body, timeoutMs) {
       if (state === 'closed') {
         return Promise.reject(new RequestNotSentError(address));
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -56,6 +56,8 @@
 export interface Link {
   readonly address: string;
   isOpen(): boolean;
+  /** Monotonic time at which bytes last came from the peer, or the link opened. */
+  lastReceivedMs(): number;
   /**
    * Sends a request and resolves with the answer. Rejects with
    * `RequestNotSentError` or `RequestUnansweredError`.
@@ -90,15 +92,12 @@
   readonly socket: Socket | undefined;
   readonly decoder: FrameDecoder;
   readonly open: boolean;
-  /** Monotonic time at which the link opened or last received bytes. */
-  readonly lastReceivedMs: number;
 }
 
 const DISCONNECTED: Connection = {
   socket: undefined,
   decoder: createFrameDecoder(),
   open: false,
-  lastReceivedMs: 0,
 };
 
 /** Starts a link, which connects and reconnects until it is stopped. */
@@ -115,6 +114,7 @@
   let isPingRelaxed = false;
   /** Monotonic time since which requests are pending without a pause. */
   let busySinceMs = 0;
+  let lastReceivedMs = -Infinity;
 
   const task: Task<TaskMessage> = tasks.spawn<Connection, TaskMessage>({
     name: `link-${address}`,
@@ -183,7 +183,8 @@
     schedulePing();
     log.debug('link-up', {peer: address});
     options.onStateChange(true);
-    return {...connection, open: true, lastReceivedMs: performance.now()};
+    lastReceivedMs = performance.now();
+    return {...connection, open: true};
   }
 
   function handleData(
@@ -203,7 +204,8 @@
       });
       socket.destroy();
     }
-    return {...connection, lastReceivedMs: performance.now()};
+    lastReceivedMs = performance.now();
+    return connection;
   }
 
   function handleMessage(message: LinkMessage): void {
@@ -249,8 +251,8 @@
 
   function pingOrClose(connection: Connection): Connection {
     if (!connection.open) return connection;
-    const silentMs = performance.now() - connection.lastReceivedMs;
-    if (silentMs > silenceLimitMs(connection)) {
+    const silentMs = performance.now() - lastReceivedMs;
+    if (silentMs > silenceLimitMs()) {
       connection.socket?.destroy(new Error(`silent for ${silentMs | 0} ms`));
       return connection;
     }
@@ -268,7 +270,7 @@
    * How long the peer may be silent. A silence from before the first pending
    * request counts as that of a link without requests.
    */
-  function silenceLimitMs({lastReceivedMs}: Connection): number {
+  function silenceLimitMs(): number {
     if (isRelaxed()) return ACCEPTED_IDLE_TIMEOUT_MS;
     const quietMs = Math.max(0, busySinceMs - lastReceivedMs);
     return IDLE_TIMEOUT_MS + (options.isForRequests ? quietMs : 0);
@@ -325,6 +327,7 @@
   return {
     address,
     isOpen: () => writer !== undefined,
+    lastReceivedMs: () => lastReceivedMs,
     request,
     post: (kind, body) => void send({type: 'post', kind, body}),
     reconnect() {
