Log the state of a leader while a change is not committed

A leader whose change was neither committed nor rejected started nothing and logged nothing: its `leader` line was written by ticks that found no change pending. The second tick in a row that finds one now writes the line, without the census of hosts, which needs views of the recorded state.

The test failed before: 1 line in 4 s instead of 3 or more.

--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -525,6 +525,7 @@
     // The views describe the projection of a pending change. To look at the
     // recorded state in between would take them back and forth once more.
     if (rounds.isCommitPending()) {
+      if (isTickDeferred) reportState(() => undefined);
       isTickDeferred = true;
       return;
     }
@@ -547,14 +548,17 @@
     });
   }
 
-  /** Logs the state of the leader and of the fleet at intervals. */
-  function reportState(): void {
+  /**
+   * Logs the state of the leader and of the fleet at intervals. The census needs
+   * the views of the recorded state.
+   */
+  function reportState(census = hosts.census): void {
     const queue = {
       queued: events.size(),
       oldestMs: events.oldestMs(),
       isCurrent: isLeader(),
     };
-    instruments.report(queue, hosts.census);
+    instruments.report(queue, census);
     if (isLeader()) evacuations.tick();
   }
 
--- a/packages/dispatch/test/instruments.test.ts
+++ b/packages/dispatch/test/instruments.test.ts
@@ -203,4 +203,22 @@
       usable: 1,
     });
   });
+
+  // It logged nothing while it led and started no task.
+  it('logs its state while a change is not committed', async () => {
+    const harness = await createHarness({pools: new ElasticPools()});
+    await harness.addWorker(worker('w1'));
+    harness.replica.commitDelayMs = 6000;
+    const submitted = harness.submit(job('a'));
+    await harness.advance(500);
+    const count = linesOf(harness.logLines, 'leader').length;
+    await harness.advance(4000);
+    const lines = linesOf(harness.logLines, 'leader').slice(count);
+    expect(lines.length).toBeGreaterThanOrEqual(3);
+    expect(lines.at(-1)).toMatchObject({rounds: 0, changes: 0});
+    harness.replica.commitDelayMs = 0;
+    await harness.advance(3000);
+    await submitted;
+    await harness.stop();
+  });
 });
