Let all seeds of a new system bootstrap its group together

The first seed alone bootstrapped the group, and only while its process had settings of the first start; killed before its first entry was stored, it came back without them.

Each seed of a first start now begins its log with the same entry, which names one voter on each seed. The IDs of these voters follow from the addresses, so that no seed needs to ask another, and a group needs a majority of the seeds as any later one does. The identity stores the list of voters, so that a process that ends between its ID and its first entry still takes part. A process that ends before it has an ID gets a random one and replaces the voter at its address. A host that lost its disk gets no list and no such ID.

The test in control.test.ts that starts one process of three to get an elected leader that does not lead yet now names that process as the only initial voter; what it checks is unchanged. startQueueControl takes the initial voters in place of the flag of the first start.

--- a/packages/command/test/evacuations.test.ts
+++ b/packages/command/test/evacuations.test.ts
@@ -3,6 +3,7 @@
 import {
   Adviser,
   HostProvider,
+  initialVotersFor,
   startQueueControl,
   WorkerDriver,
   type ProvidedHost,
@@ -83,7 +84,7 @@
     member: `${address}/first`,
     store: new MemoryStore(disk),
     seeds: () => addresses,
-    firstStart: !known,
+    initialVoters: known ? [] : initialVotersFor(addresses),
     toleratedDiskLosses: 1,
     driver: new NoWorkers(),
     dataCentre: 'a',
--- a/packages/dispatch/src/control.ts
+++ b/packages/dispatch/src/control.ts
@@ -82,8 +82,8 @@
   readonly store: LogStore;
   /** Link addresses of the seeds; they may change. */
   seeds(): readonly string[];
-  /** Whether this is the first start of the whole system. */
-  readonly firstStart: boolean;
+  /** Voters of the group if it is new; see `MemberIdentity`. */
+  readonly initialVoters: readonly string[];
   /** Number of hosts that may lose their disks at the same time. */
   readonly toleratedDiskLosses: number;
   /** Calls workers from this process. */
@@ -156,6 +156,7 @@
     stateMachine: queueMachine,
     codec: new QueueCodec(),
     store: report.store,
+    initialVoters: options.initialVoters,
     transport: new MeshTransport(mesh, member),
     tasks,
     rules: options.rules ?? new QueueRules(),
@@ -236,7 +237,6 @@
     replica,
     tasks,
     log,
-    canBootstrap: options.firstStart && [...options.seeds()].sort()[0] === self,
     voterCount: voterCountFor(options.toleratedDiskLosses),
     isReachable: id => mesh.peers().get(addressOf(id))?.member === id,
     dataCentreOf: id =>
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -4,6 +4,7 @@
 export {EvacuationProgress} from './evacuation-report.js';
 export * from './entry.js';
 export * from './leader.js';
+export * from './member-identity.js';
 export * from './policies.js';
 export * from './provider.js';
 export * from './request.js';
--- a/packages/dispatch/src/membership.ts
+++ b/packages/dispatch/src/membership.ts
@@ -1,10 +1,9 @@
 /**
- * Bootstraps the group, joins it and repairs its membership.
+ * Joins the group and repairs its membership.
  *
- * Only the first seed bootstraps the group, with itself as the only voter, and
- * only on the first start of the whole system. Every other member joins as a
- * learner. A host that lost its disk joins under a new ID. `nextRepair` chooses
- * which learner votes in place of which lost voter.
+ * The seeds of the first start of the whole system are voters from the start.
+ * Every other member joins as a learner. A host that lost its disk joins under a
+ * new ID. `nextRepair` chooses which learner votes in place of which lost voter.
  */
 import {
   createReachability,
@@ -19,7 +18,6 @@
 /** The operations of the replica that the membership task uses. */
 export interface GroupReplica {
   status(): ReplicaStatus;
-  bootstrap(voters: readonly string[]): void;
   changeMembers(change: MemberChange): Promise<void>;
 }
 
@@ -27,8 +25,6 @@
   readonly replica: GroupReplica;
   readonly tasks: TaskSystem;
   readonly log: Log;
-  /** Whether this process bootstraps the group if its replica has no voters. */
-  readonly canBootstrap: boolean;
   /** Number of voters that the group should have. */
   readonly voterCount: number;
   /** Whether the member's process is reachable. */
@@ -113,11 +109,6 @@
     lost: readonly string[],
   ): Promise<boolean> {
     const {member, voters, learners, role} = status;
-    if (voters.length === 0 && options.canBootstrap) {
-      log.info('group-founded', {member});
-      replica.bootstrap([member]);
-      return false;
-    }
     if (role === 'leader') {
       const view = {voterCount, lost, isReachable, isSameHost, dataCentreOf};
       return changeMember(nextRepair(status, view));
--- a/packages/dispatch/test/control.test.ts
+++ b/packages/dispatch/test/control.test.ts
@@ -7,6 +7,7 @@
 import {afterEach, describe, expect, it, vi} from 'vitest';
 import {
   Adviser,
+  initialVotersFor,
   startQueueControl,
   startQueueEntry,
   type QueueControl,
@@ -68,7 +69,7 @@
 async function start(
   target: ControlProcess,
   seeds: readonly string[],
-  firstStart: boolean,
+  initialVoters: readonly string[],
 ): Promise<void> {
   const {fleet} = target;
   target.metrics = createMetrics();
@@ -76,7 +77,7 @@
     member: target.member,
     store: new MemoryStore(target.disk),
     seeds: () => seeds,
-    firstStart,
+    initialVoters,
     toleratedDiskLosses: 1,
     driver: fleet,
     dataCentre: 'a',
@@ -104,7 +105,9 @@
       fleet: new FakeFleet(),
     });
   }
-  await Promise.all(processes.map(each => start(each, seeds, true)));
+  await Promise.all(
+    processes.map(each => start(each, seeds, initialVotersFor(seeds))),
+  );
   const entry = startQueueEntry({
     name: 'entry',
     seeds: () => seeds,
@@ -202,7 +205,7 @@
     };
     processes.push(first);
     // Elected by itself, it does not lead while the group lacks voters.
-    await start(first, seeds, true);
+    await start(first, seeds, [first.member]);
     await findLeader();
     let markOpen = () => {};
     const opened = new Promise<void>(resolve => (markOpen = resolve));
@@ -281,7 +284,7 @@
       await leader.control!.stop();
       leader.disk = new MemoryDisk();
       leader.member = `${leader.address}/${suffix}`;
-      await start(leader, seeds, false);
+      await start(leader, seeds, []);
       await vi.waitFor(
         () => {
           const {voters} = leader.control!.status();
@@ -348,7 +351,7 @@
     expect(control!.status().revision).toBe(before);
     const seeds = processes.map(({address}) => address);
     await Promise.all(processes.map(each => each.control!.stop()));
-    await Promise.all(processes.map(each => start(each, seeds, false)));
+    await Promise.all(processes.map(each => start(each, seeds, [])));
     const reply = await retryWhileUnavailable(entry, {type: 'tables'});
     expect(reply).toEqual({type: 'tables', document: tablesOf(21).document});
   }, 20_000);
@@ -399,7 +402,7 @@
       fleet: new FakeFleet(),
     };
     processes.push(alone);
-    await start(alone, [address], false);
+    await start(alone, [address], []);
     await new Promise(resolve => setTimeout(resolve, 1500));
     expect(alone.control!.status().voters).toEqual([]);
     const reply = await alone.control!.service.handle('r', EDIT, 900);
--- a/packages/dispatch/test/group.ts
+++ b/packages/dispatch/test/group.ts
@@ -37,6 +37,8 @@
   isConnected: boolean;
   /** One-way delay of the host's packets. */
   delayMs: number;
+  /** Voters of the new group that are stored with the ID of the member. */
+  initialVoters: readonly string[];
   /** Duration of a sync of the host's disk. */
   syncMs: number;
 }
@@ -47,11 +49,20 @@
 const CONNECT_MS = 100;
 const NETWORK_DELAY_MS = 1;
 const SYNC_MS = 4;
+/** Largest number of hosts that are seeds at the first start. */
+const MAX_SEEDS = 3;
+
+/** Address of the host that was added as the given one, counted from 0. */
+function addressAt(index: number): string {
+  return `10.0.0.${index + 1}:1`;
+}
 
 export interface GroupOptions {
   readonly voterCount: number;
   /** Hosts beyond the voters; they join as learners. */
   readonly spares?: number;
+  /** Called when all voters have started for the first time. */
+  duringStart?(group: Group): Promise<void>;
 }
 
 export interface Group {
@@ -97,6 +108,10 @@
   /** When the link between two addresses last changed, by both addresses. */
   const linkChanges = new Map<string, {open: boolean; atMs: number}>();
   let starts = 0;
+  const initialVoters = Array.from(
+    {length: Math.min(MAX_SEEDS, voterCount)},
+    (_, index) => `${addressAt(index)}/0`,
+  );
 
   function hostAt(address: string): GroupHost | undefined {
     return hosts.find(host => host.address === address);
@@ -138,9 +153,11 @@
 
   async function start(host: GroupHost): Promise<void> {
     const {member} = host;
+    let isStarted = false;
     const store = new MemoryStore(host.disk, {
+      // The start waits for its first entry, and the clock only advances later.
       get syncMs() {
-        return host.syncMs;
+        return isStarted ? host.syncMs : undefined;
       },
     });
     const replica = await startRaft<Values, string, number>({
@@ -163,13 +180,14 @@
       })(),
       tasks,
       rules: new QueueRules(),
+      initialVoters: host.initialVoters,
       onFatal: error => failures.push(`${member}: ${error.message}`),
     });
+    isStarted = true;
     const membership = startMembership({
       replica,
       tasks,
       log,
-      canBootstrap: starts === 1,
       voterCount,
       isReachable(id) {
         const target = hostAt(id.slice(0, id.indexOf('/')));
@@ -261,7 +279,8 @@
   }
 
   async function addHost(): Promise<GroupHost> {
-    const address = `10.0.0.${hosts.length + 1}:1`;
+    const address = addressAt(hosts.length);
+    const isSeed = hosts.length < MAX_SEEDS && hosts.length < voterCount;
     const host: GroupHost = {
       address,
       disk: new MemoryDisk(),
@@ -269,6 +288,7 @@
       process: undefined,
       isConnected: true,
       delayMs: NETWORK_DELAY_MS,
+      initialVoters: isSeed ? initialVoters : [],
       syncMs: SYNC_MS,
     };
     hosts.push(host);
@@ -310,6 +330,7 @@
     },
     wipe(host) {
       host.disk = new MemoryDisk();
+      host.initialVoters = [];
       const wipes = Number(host.member.slice(host.member.indexOf('/') + 1)) + 1;
       host.member = `${host.address}/${wipes}`;
     },
@@ -325,6 +346,7 @@
   };
 
   for (let index = 0; index < voterCount; index++) await addHost();
+  await options.duringStart?.(group);
   await waitFor(() => group.status().voters.length === voterCount);
   for (let index = 0; index < spares; index++) await addHost();
   await waitFor(() => group.status().learners.length === spares);
--- a/packages/storage/src/identity.ts
+++ b/packages/storage/src/identity.ts
@@ -8,13 +8,19 @@
 export const Identity = z.object({
   memberId: z.string().min(1),
   groupId: z.string().min(1),
+  /**
+   * Voters of the new group for which this member was created; empty for a
+   * member that joins a group. Stored with the ID, so that a process that ends
+   * before its first entry still takes part in the bootstrap.
+   */
+  initialVoters: z.array(z.string().min(1)).default([]),
 });
 export type Identity = z.infer<typeof Identity>;
 
 export const LOG_FILE = 'log';
 const IDENTITY_FILE = 'identity.json';
 
-/** Generates the member ID for a data folder that has no identity yet. */
+/** Generates the identity for a data folder that has none yet. */
 export class IdentitySource {
   /**
    * Returns an ID that no member has used. A member that lost its disk no
@@ -24,6 +30,11 @@
   newMemberId(): string {
     return randomUUID();
   }
+
+  /** Returns the voters of the new group that the member helps to bootstrap. */
+  initialVoters(): readonly string[] {
+    return [];
+  }
 }
 
 /**
@@ -60,7 +71,11 @@
       path,
       'the identity of a non-empty log is missing',
     );
-  const identity = {memberId: source.newMemberId(), groupId};
+  const identity: Identity = {
+    memberId: source.newMemberId(),
+    groupId,
+    initialVoters: [...source.initialVoters()],
+  };
   await files.replaceFile(logPath, Buffer.alloc(0));
   await files.replaceFile(path, Buffer.from(JSON.stringify(identity)));
   return identity;
--- a/packages/storage/src/memory.ts
+++ b/packages/storage/src/memory.ts
@@ -19,7 +19,7 @@
 
 export interface MemoryStoreOptions {
   /** Duration of a sync; by default, a sync completes immediately. */
-  readonly syncMs?: number;
+  readonly syncMs?: number | undefined;
   /**
    * Called right before and right after each sync takes effect. May call
    * `crash` on the store.
