Keep a worker in the directory whose host runs another one

Callers saw tasks accused of crashing their workers after the loss of a rack: a suspect is kept apart from others, and its job is given up in the end.

Cause: a worker whose host was back left the directory at once. After a change of leader, nothing showed that the other workers of the rack had been lost at the same time, and the crash of the last one counted against its tasks.

Change: only the runs and the attempts of such a worker leave the record. The worker itself stays until its silence is old, as before its host restarted.

--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -409,8 +409,13 @@
     const {workers} = state();
     const latestBornMs = findLatestLives();
     for (const worker of workers.unorderedValues()) {
-      if (hasHostRestarted(worker, latestBornMs)) removeEnded(worker);
-      else if (areRunsOver(worker)) removeRuns(worker);
+      const hasEnded = hasHostRestarted(worker, latestBornMs);
+      if (hasEnded) options.lateStarts.markEnded(worker.id);
+      if (hasEnded && options.recordedRuns(workerKey(worker)).length > 0) {
+        removeEndedRuns(worker);
+      } else if (areRunsOver(worker)) {
+        removeRuns(worker);
+      }
     }
   }
 
@@ -443,15 +448,17 @@
     return session !== undefined && !session.isAnswering();
   }
 
-  function removeEnded(worker: Worker): void {
+  /**
+   * Records that the runs of a worker have ended with it. The worker stays in the
+   * directory: until its silence is old, it shows the next leader which workers
+   * were lost together.
+   */
+  function removeEndedRuns(worker: Worker): void {
     const key = workerKey(worker);
-    const rows = options.recordedRuns(key).map(toLostRow);
-    if (rows.length > 0) {
-      log.info('host-restarted', {worker: key, runs: rows.length});
-      logRunsLost(log, rows, 'host-restarted');
-    }
-    options.lateStarts.markEnded(worker.id);
-    removeWorker(key);
+    const runs = options.recordedRuns(key).map(toLostRow);
+    log.info('host-restarted', {worker: key, runs: runs.length});
+    logRunsLost(log, runs, 'host-restarted');
+    enqueueDerived({type: 'lost', runs});
   }
 
   /**
--- a/packages/dispatch/test/crash-loop.test.ts
+++ b/packages/dispatch/test/crash-loop.test.ts
@@ -182,6 +182,26 @@
     }
   });
 
+  // The next leader did not learn that the other workers of the rack had been lost
+  // as well, since they had left the directory with their return.
+  it('is not accused if the leader changes before the last of its rack is back', async () => {
+    const downMs = 2400;
+    await createCluster(() => false, downMs);
+    await harness.submit(job('long', {count: 24}));
+    await harness.advance(2000);
+    for (const host of ['m-w1', 'm-w2']) crashes.crash(host);
+    await harness.advance(1000);
+    crashes.crash('m-w3');
+    await harness.advance(downMs - 500);
+    await harness.replaceLeader();
+    await harness.advance(4000);
+    const {tasks} = harness.replica.state().jobs.get('long')!;
+    const accused = Object.keys(tasks).filter(
+      key => tasks[key]!.crashes.length > 0,
+    );
+    expect(accused).toEqual([]);
+  });
+
   it('is not given up if its workers are only cut off for long', async () => {
     await createCluster(() => false);
     const links = [...harness.fleet.byAddress.values()];
