Drop the attempts at a worker whose host has been maintained

Callers saw a task wait for up to 11.4 s after its host had gone down for maintenance, though another worker had room, if the first attempt to start it had got no answer.

Cause: the maintenance or move of a host removes its worker from the directory. The comparison with the next worker on the host only looked at workers that are still there, so the attempts went on to wait for what time alone excludes.

Change: a removed worker is remembered as long as attempts at it are kept, and they are dropped once a later worker on its host answers.

Test: the new one in late-starts.test.ts fails before the change (not started elsewhere 3 s after the order to the host) and passes now. late-starts, waves, earlier-incarnation, losses and hosts pass.

--- a/packages/dispatch/src/late-starts.ts
+++ b/packages/dispatch/src/late-starts.ts
@@ -62,6 +62,8 @@
    * its address refuses calls to it.
    */
   markEnded(workerId: string): void;
+  /** Whether attempts at the worker with this ID are kept. */
+  hasAttempts(workerId: string): boolean;
   /** Notes that a further incarnation of the worker with this ID is known. */
   markRestarted(workerId: string): void;
   /**
@@ -369,6 +371,7 @@
       for (const attempts of byWorkerId.get(workerId) ?? []) remove(attempts);
       forgetUnexpected(workerId);
     },
+    hasAttempts: workerId => byWorkerId.has(workerId),
     markRestarted(workerId) {
       for (const attempts of byWorkerId.get(workerId) ?? []) {
         attempts.hasRestarted = true;
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -289,6 +289,7 @@
     onHoldSent: instruments.recordHold,
     onClosed({worker}) {
       reports.forget(worker);
+      registry.markRemoved(worker);
       speeds.forget(workerKey(worker));
     },
     exceedsAnnouncedCapacity: worker =>
--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -52,7 +52,11 @@
   readonly runs: RunTracker;
   readonly lateStarts: Pick<
     LateStarts,
-    'markRestarted' | 'markClosed' | 'markEnded' | 'recordAttempts'
+    | 'markRestarted'
+    | 'markClosed'
+    | 'markEnded'
+    | 'hasAttempts'
+    | 'recordAttempts'
   >;
   readonly incarnations: Incarnations;
   readonly announcements: Pick<AnnouncementAges, 'markAnnounced'>;
@@ -85,6 +89,8 @@
    * announced and that is not recorded yet.
    */
   exceedsAnnouncedCapacity(worker: string): boolean;
+  /** Notes that the incarnation is in the directory no more. */
+  markRemoved(worker: Worker): void;
   /**
    * Reports the runs of unreachable workers as lost once their leases have
    * expired, and removes workers that have left or were silent for long.
@@ -126,6 +132,8 @@
   const unqueued = new Set<Reply<void>>();
   /** `bornMs` of the newest incarnation that was announced, by worker ID. */
   const newestIncarnationMs = new Map<string, number>();
+  /** Workers that have left the directory, while attempts are kept, by ID. */
+  const removedWorkers = new Map<string, Worker>();
   let isStopped = false;
 
   function announce(
@@ -417,6 +425,12 @@
         removeRuns(worker);
       }
     }
+    for (const [id, worker] of removedWorkers) {
+      const isKept = options.lateStarts.hasAttempts(id) && !workers.has(id);
+      const hasEnded = isKept && hasLaterLife(worker, latestBornMs);
+      if (hasEnded) options.lateStarts.markEnded(id);
+      if (hasEnded || !isKept) removedWorkers.delete(id);
+    }
   }
 
   /** The start of the latest worker on each host that answers, by host. */
@@ -442,12 +456,20 @@
     worker: Worker,
     latestBornMs: ReadonlyMap<string, number>,
   ): boolean {
-    const latestMs = latestBornMs.get(worker.host) ?? worker.bornMs;
-    if (latestMs <= worker.bornMs || isSuperseded(worker)) return false;
+    if (!hasLaterLife(worker, latestBornMs)) return false;
     const session = options.sessionOf(workerKey(worker));
     return session !== undefined && !session.isAnswering();
   }
 
+  /** Whether a worker with another ID has begun last on the host. */
+  function hasLaterLife(
+    worker: Worker,
+    latestBornMs: ReadonlyMap<string, number>,
+  ): boolean {
+    const latestMs = latestBornMs.get(worker.host) ?? worker.bornMs;
+    return latestMs > worker.bornMs && !isSuperseded(worker);
+  }
+
   /**
    * Records that the runs of a worker have ended with it. The worker stays in the
    * directory: until its silence is old, it shows the next leader which workers
@@ -548,6 +570,7 @@
     announce,
     leave,
     exceedsAnnouncedCapacity,
+    markRemoved: worker => void removedWorkers.set(worker.id, worker),
     expire,
     stop() {
       isStopped = true;
--- a/packages/dispatch/test/late-starts.test.ts
+++ b/packages/dispatch/test/late-starts.test.ts
@@ -25,12 +25,12 @@
 });
 
 /** Has the first attempt to start a task get no answer, and the second one. */
-async function startOnSecondAttempt(): Promise<void> {
+async function startOnSecondAttempt({lasting = true} = {}): Promise<void> {
   harness = await createHarness({behave: () => ({durationMs: 90_000})});
   await harness.addWorker(worker('w1'));
   const fake = harness.fleet.byAddress.get('w1:1')!;
   fake.link = 'answers-lost';
-  await harness.submit(job('a', {lasting: true}));
+  await harness.submit(job('a', {lasting}));
   await harness.advance(100);
   fake.link = 'up';
   await harness.advance(1000);
@@ -115,3 +115,19 @@
   expect(harness.fleet.violations).toEqual([]);
   expect(harness.fleet.starts.map(each => each.worker)).toEqual(['w1']);
 });
+
+// The provider had confirmed that everything on the host has ended, and the
+// attempts kept the task back for 11.4 s.
+it('a task that started on its second attempt is placed elsewhere once its host is in maintenance', async () => {
+  await startOnSecondAttempt({lasting: false});
+  await harness.addWorker(worker('w2'));
+  const wave = {id: 1, durationMs: 5000, atOnce: 1, acceptedAtMs: Date.now()};
+  const hosts = {'m-w1': 'due' as const};
+  void harness.leader.commit({type: 'wave', wave: {...wave, hosts}});
+  const {orders} = harness.hosts;
+  while (orders.length === 0) await harness.advance(100);
+  await harness.advance(MAX_IDLE_MS);
+  expect(harness.fleet.violations).toEqual([]);
+  const starts = harness.fleet.starts.map(each => each.worker);
+  expect(starts).toEqual(['w1', 'w2']);
+});
