--- a/packages/dispatch/test/late-starts.test.ts
+++ b/packages/dispatch/test/late-starts.test.ts
@@ -96,8 +96,8 @@
   expect(harness.fleet.starts.map(each => each.worker)).toEqual(['w1']);
 });
 
-// The clock of the host had been set back before it began. It got no runs for a
-// minute, and lost them whenever it missed a hold.
+// The clock of the host had been set back before it began. It lost its runs when it
+// missed a hold, and they were started again while they went on.
 it('a worker is of use although a former one on its host seems to have begun later', async () => {
   harness = await createHarness({behave: () => ({durationMs: 90_000})});
   await harness.addWorker(worker('w3', {host: 'm-w1', bornMs: 2}));
@@ -117,7 +117,7 @@
 });
 
 // The provider had confirmed that everything on the host has ended, and the
-// attempts kept the task back for 11.4 s.
+// attempts went on to keep the task back.
 it('a task that started on its second attempt is placed elsewhere once its host is in maintenance', async () => {
   await startOnSecondAttempt({lasting: false});
   await harness.addWorker(worker('w2'));
