--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -304,6 +304,7 @@
     onClosed({worker}) {
       leases.markClosed(worker);
       reports.forget(worker);
+      registry.markRemoved(worker);
       speeds.forget(workerKey(worker));
     },
     exceedsAnnouncedCapacity: worker =>
--- a/packages/dispatch/src/registry.ts
+++ b/packages/dispatch/src/registry.ts
@@ -52,7 +52,11 @@
   readonly runs: RunTracker;
   readonly lateStarts: Pick<
     LateStarts,
-    'markRestarted' | 'markClosed' | 'markEnded' | 'recordAttempts'
+    | 'markRestarted'
+    | 'markClosed'
+    | 'markEnded'
+    | 'hasAttempts'
+    | 'recordAttempts'
   >;
   readonly incarnations: Incarnations;
   readonly announcements: Pick<AnnouncementAges, 'markAnnounced'>;
@@ -85,6 +89,8 @@
    * announced and that is not recorded yet.
    */
   exceedsAnnouncedCapacity(worker: string): boolean;
+  /** Notes that the incarnation is in the directory no more. */
+  markRemoved(worker: Worker): void;
   /**
    * Reports the runs of unreachable workers as lost once their leases have
    * expired, and removes workers that have left or were silent for long.
@@ -126,6 +132,8 @@
   const unqueued = new Set<Reply<void>>();
   /** `bornMs` of the newest incarnation that was announced, by worker ID. */
   const newestIncarnationMs = new Map<string, number>();
+  /** Workers that have left the directory, while attempts are kept, by ID. */
+  const removedWorkers = new Map<string, Worker>();
   let isStopped = false;
 
   function announce(
@@ -409,8 +417,19 @@
     const {workers} = state();
     const latestBornMs = findLatestLives();
     for (const worker of workers.unorderedValues()) {
-      if (hasHostRestarted(worker, latestBornMs)) removeEnded(worker);
-      else if (areRunsOver(worker)) removeRuns(worker);
+      const hasEnded = hasHostRestarted(worker, latestBornMs);
+      if (hasEnded) options.lateStarts.markEnded(worker.id);
+      if (hasEnded && options.recordedRuns(workerKey(worker)).length > 0) {
+        removeEndedRuns(worker);
+      } else if (areRunsOver(worker)) {
+        removeRuns(worker);
+      }
+    }
+    for (const [id, worker] of removedWorkers) {
+      const isKept = options.lateStarts.hasAttempts(id) && !workers.has(id);
+      const hasEnded = isKept && hasLaterLife(worker, latestBornMs);
+      if (hasEnded) options.lateStarts.markEnded(id);
+      if (hasEnded || !isKept) removedWorkers.delete(id);
     }
   }
 
@@ -437,21 +456,31 @@
     worker: Worker,
     latestBornMs: ReadonlyMap<string, number>,
   ): boolean {
-    const latestMs = latestBornMs.get(worker.host) ?? worker.bornMs;
-    if (latestMs <= worker.bornMs || isSuperseded(worker)) return false;
+    if (!hasLaterLife(worker, latestBornMs)) return false;
     const session = options.sessionOf(workerKey(worker));
     return session !== undefined && !session.isAnswering();
   }
 
-  function removeEnded(worker: Worker): void {
+  /** Whether a worker with another ID has begun last on the host. */
+  function hasLaterLife(
+    worker: Worker,
+    latestBornMs: ReadonlyMap<string, number>,
+  ): boolean {
+    const latestMs = latestBornMs.get(worker.host) ?? worker.bornMs;
+    return latestMs > worker.bornMs && !isSuperseded(worker);
+  }
+
+  /**
+   * Records that the runs of a worker have ended with it. The worker stays in the
+   * directory: until its silence is old, it shows the next leader which workers
+   * were lost together.
+   */
+  function removeEndedRuns(worker: Worker): void {
     const key = workerKey(worker);
-    const rows = options.recordedRuns(key).map(toLostRow);
-    if (rows.length > 0) {
-      log.info('host-restarted', {worker: key, runs: rows.length});
-      logRunsLost(log, rows, 'host-restarted');
-    }
-    options.lateStarts.markEnded(worker.id);
-    removeWorker(key);
+    const runs = options.recordedRuns(key).map(toLostRow);
+    log.info('host-restarted', {worker: key, runs: runs.length});
+    logRunsLost(log, runs, 'host-restarted');
+    enqueueDerived({type: 'lost', runs});
   }
 
   /**
@@ -541,6 +570,7 @@
     announce,
     leave,
     exceedsAnnouncedCapacity,
+    markRemoved: worker => void removedWorkers.set(worker.id, worker),
     expire,
     stop() {
       isStopped = true;
