--- a/packages/dispatch/src/crash-detector.ts
+++ b/packages/dispatch/src/crash-detector.ts
@@ -93,8 +93,9 @@
   function recordIncarnation(worker: Worker): void {
     for (const old of state().workers.unorderedValues()) {
       if (!isPredecessor(old, worker) || isPlannedEnd(old)) continue;
-      const silence = silences.get(workerKey(old));
-      if (silence) silence.hasCrashed = true;
+      // A worker that is back before its next hold fails was never silent.
+      recordSilence(old);
+      silences.get(workerKey(old))!.hasCrashed = true;
       const accusation = findAccusation(old);
       if (!accusation || isRecorded(old, accusation)) continue;
       recordCrash(old, accusation, true);
@@ -164,6 +165,8 @@
     return {
       live,
       isInherited: runs.isInherited(live.id),
+      mayHaveRun: runs.mayHaveRun(live.id),
+      isConfirmed: runs.isConfirmed(live.id),
       isProven: runs.isProven(live.id, endMs),
       ranMs: startedMs === undefined ? undefined : endMs - startedMs,
     };
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -23,6 +23,7 @@
 import type {WorkerDriver} from './driver.js';
 import type {Incarnations} from './incarnations.js';
 import type {LateStarts} from './late-starts.js';
+import type {LeaseSuspensions} from './lease-suspensions.js';
 import {
   openWorkerSession,
   type SessionEvent,
@@ -33,8 +34,6 @@
 
 export interface DispatcherOptions {
   readonly token: number;
-  /** Monotonic time of the election; without it, that of this call. */
-  readonly electedMs?: number;
   readonly driver: WorkerDriver;
   readonly tasks: TaskSystem;
   readonly log: Log;
@@ -43,6 +42,7 @@
   readonly lateStarts: Pick<LateStarts, 'markOrdered' | 'markClosed'>;
   readonly incarnations: Incarnations;
   readonly advice: AdviceCache;
+  readonly leases: Pick<LeaseSuspensions, 'inheritedMs' | 'mayGrantLease'>;
   state(): State;
   isLeader(): boolean;
   onEvent(event: SessionEvent): void;
@@ -95,8 +95,7 @@
 const MAX_HOLDS_PER_S = 1200;
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
-  const {token, driver, tasks, log, metrics, runs, state} = options;
-  const {electedMs = performance.now()} = options;
+  const {token, driver, tasks, log, metrics, runs, leases, state} = options;
   const sessions = new Map<string, WorkerSession>();
   /** Open sessions that are still to begin. */
   let waitingSessions: WorkerSession[] = [];
@@ -133,12 +132,14 @@
       worker,
       target: options.incarnations.targetOf(worker),
       token,
-      electedMs,
+      inheritedMs: leases.inheritedMs(worker),
       driver,
       tasks,
       log,
       isLeader,
-      isWithheld: (task, run) => isRevoked(worker, task, run),
+      isWithheld: (task, run) =>
+        !leases.mayGrantLease(worker.id) || isRevoked(worker, task, run),
+      mayGrantLease: () => leases.mayGrantLease(worker.id),
       holdIntervalMs,
       onEvent,
       onHoldSent,
--- a/packages/dispatch/src/leader.ts
+++ b/packages/dispatch/src/leader.ts
@@ -58,6 +58,10 @@
 import {createJobStages} from './job-stages.js';
 import type {LeaderOptions} from './leader-options.js';
 import {continueLedTime} from './led-time.js';
+import {
+  createLeaseSuspensions,
+  type LeaseSuspensions,
+} from './lease-suspensions.js';
 import {createPlanner} from './planner.js';
 import {createReadiness} from './readiness.js';
 import {createRegistry, type Registry} from './registry.js';
@@ -195,6 +199,13 @@
     },
   });
   const events: EventQueue = createEventQueue(() => rounds.schedule());
+  const leases: LeaseSuspensions = createLeaseSuspensions({
+    ...options,
+    state,
+    hasRuns: worker => views.recordedRuns(worker).length > 0,
+    sessionOf: worker => dispatcher.sessionOf(worker),
+    enqueue: events.enqueue,
+  });
   const lateStarts: LateStarts = createLateStarts({
     inherited: [...views.current().load.runsByWorker.values()].flat(),
     state,
@@ -239,6 +250,7 @@
     placement: options.placement,
     shares: () => intake.shares(),
     log,
+    metrics,
   });
   const copies = createCopies({
     policy: options.copies ?? new NoCopies(),
@@ -284,10 +296,12 @@
     lateStarts,
     incarnations,
     advice,
+    leases,
     state,
     onEvent: event => void task.post({type: 'session-event', event}),
     onHoldSent: instruments.recordHold,
     onClosed({worker}) {
+      leases.markClosed(worker);
       reports.forget(worker);
       registry.markRemoved(worker);
       speeds.forget(workerKey(worker));
@@ -345,6 +359,7 @@
     runs,
     lateStarts,
     crashes,
+    leases,
     views,
     events,
     availability,
@@ -520,6 +535,7 @@
     if (rounds.isCommitPending() || !isLeader()) events.rejectExpired();
     if (!isLeader()) return;
     time('registry', () => registry.expire());
+    leases.suspendUnreached();
     lateStarts.expire();
     const expired = retention.listExpired(state());
     if (expired.length > 0) events.enqueue({type: 'forget', jobs: expired});
@@ -601,6 +617,7 @@
       registry.stop();
       instruments.stop();
       evacuations.stop();
+      planner.stop();
       events.rejectAll();
       await dispatcher.close();
       await task.stop();
--- a/packages/dispatch/src/leadership.ts
+++ b/packages/dispatch/src/leadership.ts
@@ -4,6 +4,7 @@
  */
 import type {RaftReplica, ReplicaStatus} from '@lentildrift/consensus';
 import type {Change, Outcome, State} from '@lentildrift/queue';
+import {createElections} from './elections.js';
 import type {LeaderOptions} from './leader-options.js';
 import {startLeader, type Leader} from './leader.js';
 import {createLocalQueues, type LocalQueues} from './local.js';
@@ -15,7 +16,7 @@
 /** What each leader that this process runs needs, apart from its term. */
 export interface LeadershipOptions extends Omit<
   LeaderOptions,
-  'token' | 'electedMs' | 'leaderlessMs' | 'isLeader'
+  'token' | 'electedMs' | 'knownElectionMs' | 'leaderlessMs' | 'isLeader'
 > {
   readonly replica: QueueRaft;
   /** Link addresses of the seeds; they may change. */
@@ -47,6 +48,11 @@
 const TAKEOVER_WAIT_MS = 300;
 /** Pause before another attempt to confirm this process's leadership. */
 const CONFIRM_RETRY_MS = 50;
+/** Longest takeover without a log line, and the interval of the lines after it. */
+const TAKEOVER_LOG_INTERVAL_MS = 1000;
+
+/** What an elected process waits for until it leads. */
+type TakeoverPhase = 'read-index' | 'apply' | 'voters';
 
 /**
  * Starts the leader when this process becomes the leader, and stops it after.
@@ -58,11 +64,16 @@
   let confirmingTerm: number | undefined;
   /** Term that this process was last elected for, and the monotonic time. */
   let elected = {term: 0, atMs: 0};
+  const elections = createElections();
   /** Whether a leader was known at the last change of the member's status. */
   let wasLed = false;
   /** Monotonic time until which a leader was known. */
   let ledUntilMs = -Infinity;
   let retryTimer: NodeJS.Timeout | undefined;
+  /** What the takeover of the current term waits for. */
+  let phase: TakeoverPhase = 'read-index';
+  /** Runs from the election until this process leads or is no longer elected. */
+  let takeoverTimer: NodeJS.Timeout | undefined;
   let isStopped = false;
   /** Requests that wait for the end of the takeover. */
   const waiting = new Set<() => void>();
@@ -103,10 +114,15 @@
 
   function update(): void {
     if (isStopped) return;
-    const {role, term, leader: known} = replica.status();
+    const status = replica.status();
+    const {role, term, leader: known} = status;
     if (wasLed) ledUntilMs = performance.now();
     const leads = role === 'leader';
-    if (!leads) releaseWaiting();
+    elections.note(status);
+    if (!leads) {
+      releaseWaiting();
+      endTakeover();
+    }
     if (current && (!leads || current.term !== term)) {
       const {leader} = current;
       current = undefined;
@@ -117,19 +133,47 @@
     wasLed = leads ? isLeading : known !== undefined;
     if (leads && elected.term !== term) {
       elected = {term, atMs: performance.now()};
+      watchTakeover();
     }
     if (!leads || current || confirmingTerm === term) return;
     confirmingTerm = term;
     void confirmLeadership(term);
   }
 
+  /**
+   * A wait that never ends rejects nothing, so that the process would lead and
+   * answer no request without a word.
+   */
+  function watchTakeover(): void {
+    clearTimeout(takeoverTimer);
+    takeoverTimer = setTimeout(() => {
+      const {term, voters, revision} = replica.status();
+      log.warn('takeover-waits', {
+        term,
+        phase,
+        electedMs: Math.round(performance.now() - elected.atMs),
+        voters: voters.length,
+        revision,
+      });
+      watchTakeover();
+    }, TAKEOVER_LOG_INTERVAL_MS);
+  }
+
+  function endTakeover(): void {
+    clearTimeout(takeoverTimer);
+    takeoverTimer = undefined;
+  }
+
   /**
    * Starts the leader once an entry of its own term is applied, since only then
    * does the state include everything that earlier leaders committed.
    */
   async function confirmLeadership(term: number): Promise<void> {
     try {
-      await replica.waitForRevision(await replica.readIndex());
+      phase = 'read-index';
+      const revision = await replica.readIndex();
+      if (confirmingTerm === term) phase = 'apply';
+      await replica.waitForRevision(revision);
     } catch (error) {
       if (isStopped) return;
       log.info('leadership-unconfirmed', {
@@ -146,11 +190,17 @@
     const status = replica.status();
     if (status.role !== 'leader' || status.term !== term) return;
     // The next change of the membership calls `update` again.
-    if (!hasEnoughVoters(status)) return;
+    if (!hasEnoughVoters(status)) {
+      phase = 'voters';
+      return;
+    }
+    endTakeover();
     const leader = startLeader({
       ...options,
       token: term,
       electedMs: elected.atMs,
+      knownElectionMs: token =>
+        Math.min(elections.knownMs(token), elected.atMs),
       leaderlessMs: performance.now() - ledUntilMs,
       isLeader: () =>
         replica.status().term === term && replica.isConfirmedLeader(),
@@ -175,6 +225,7 @@
     async stop() {
       isStopped = true;
       clearTimeout(retryTimer);
+      endTakeover();
       const leader = current?.leader;
       current = undefined;
       releaseWaiting();
