Tell the next leader of runs that are not on record

Found by the review: a task could run twice for up to the length of a lease.

Cause: a late order may start a run at a worker that has restarted. The leader that sees it in a report stops it and keeps its task back, but only in its own memory. If the stop was still under way when the leader changed, and the worker was cut off from the next leader, that one started the task elsewhere.

Change: such a run is recorded like an attempt that may have started a run, with the time at which it was last seen, and dropped with the first complete report that lacks it.

--- a/packages/dispatch/src/late-starts.ts
+++ b/packages/dispatch/src/late-starts.ts
@@ -109,6 +109,8 @@
   hasRestarted: boolean;
   /** Whether the state is to show them to the next leader. */
   isRecorded: boolean;
+  /** Whether they stand for a run that the worker reports without a record. */
+  isSighting: boolean;
 }
 
 /** Time from an attempt until a run that it may have started has lapsed. */
@@ -160,6 +162,7 @@
       isAssumed: false,
       hasRestarted: false,
       isRecorded: false,
+      isSighting: false,
     };
     byId.set(id, attempts);
     addTo(byTask, task, attempts);
@@ -306,21 +309,39 @@
 
   function observe({worker, report, sentMs, unexpected}: ObservedReport): void {
     const workerId = workerIdOf(worker);
-    if (unexpected.length > 0) {
-      const tasks = new Set(unexpected.map(({task}) => task));
+    const tasks = new Set(unexpected.map(({task}) => task));
+    if (tasks.size > 0) {
       unexpectedTasks.set(workerId, tasks);
       unexpectedMs.set(workerId, performance.now());
+      recordSightings(tasks, worker);
     } else {
       forgetUnexpected(workerId);
     }
     // A report that lists some ends only may lack that of a late run.
     if (!report.isComplete) return;
     for (const attempts of byWorkerId.get(workerId) ?? []) {
-      const arrivedMs = attempts.lastMs + MAX_DELAY_MS;
-      if (!attempts.isOpen && sentMs >= arrivedMs) remove(attempts);
+      const isOver = attempts.isSighting
+        ? !tasks.has(attempts.task)
+        : !attempts.isOpen && sentMs >= attempts.lastMs + MAX_DELAY_MS;
+      if (isOver) remove(attempts);
     }
   }
 
+  /**
+   * Has the state tell the next leader of runs that are not on record, since the
+   * worker may not answer it and its lease goes on.
+   */
+  function recordSightings(tasks: Iterable<string>, worker: string): void {
+    for (const task of tasks) {
+      const id = `${task} ${worker} seen`;
+      const sighting = byId.get(id) ?? insert(id, task, worker);
+      sighting.isSighting = sighting.isSettled = true;
+      sighting.isOpen = false;
+      sighting.lastMs = performance.now();
+    }
+    recordAttempts(tasks);
+  }
+
   function forgetUnexpected(workerId: string): void {
     unexpectedTasks.delete(workerId);
     unexpectedMs.delete(workerId);
--- a/packages/dispatch/test/late-starts.test.ts
+++ b/packages/dispatch/test/late-starts.test.ts
@@ -131,3 +131,24 @@
   const starts = harness.fleet.starts.map(each => each.worker);
   expect(starts).toEqual(['w1', 'w2']);
 });
+
+// Only the leader that had seen the run knew of it, and the next one started the
+// task elsewhere.
+it('a run that is not on record is not started elsewhere after a change of leader while it may go on', async () => {
+  harness = await createHarness({behave: () => ({durationMs: 90_000})});
+  await harness.addWorker(worker('w1'));
+  const fake = harness.fleet.byAddress.get('w1:1')!;
+  await harness.submit(job('a', {label: 'x'}));
+  const leaseUntilMs = fake.clockMs() + 4000;
+  const order = {payload: 'text', checkpoint: '', token: 1, leaseUntilMs};
+  fake.start({task: 'a.0.0.0', run: 1, ...order}, fake.incarnation);
+  vi.spyOn(harness.fleet, 'stop').mockRejectedValue(new Error('no answer'));
+  await harness.advance(2000);
+  expect(fake.runs.has('a.0.0.0')).toBe(true);
+  fake.link = 'cut';
+  await harness.replaceLeader();
+  await harness.addWorker(worker('w2', {labels: ['x']}));
+  await harness.advance(15_000);
+  expect(harness.fleet.violations).toEqual([]);
+  expect(harness.fleet.starts.at(-1)!.worker).toBe('w2');
+});
