Wait for the confirmation of a leader in the test of a clock that jumps ahead

Cause, traced in the test: it waited until the group had three voters, which came after the joins of two members and so implied a confirmed leader. Since all seeds bootstrap the group together, the three voters are there from the start, and the test read the confirmation before the first answers.

The test now waits for the confirmation itself and checks the voters after it; the checks after the jump are as they were.

--- a/packages/dispatch/test/control.test.ts
+++ b/packages/dispatch/test/control.test.ts
@@ -420,10 +420,11 @@
   it('does not count its leadership as confirmed after the clock jumped ahead', async () => {
     await startGroup();
     const leader = await findLeader();
+    // The voters are known from the start, the answers of the others are not.
     await vi.waitFor(() =>
-      expect(leader.control!.status().voters).toHaveLength(3),
+      expect(leader.control!.isConfirmedLeader()).toBe(true),
     );
-    expect(leader.control!.isConfirmedLeader()).toBe(true);
+    expect(leader.control!.status().voters).toHaveLength(3);
     const real = performance.now.bind(performance);
     vi.spyOn(performance, 'now').mockImplementation(() => real() + 5000);
     expect(leader.control!.status().role).toBe('leader');
